--- /dev/null
+++ b/pkg/objectapi/errors.go
@@ -0,0 +1,17 @@
+package objectapi
+
+import "errors"
+
+// Errors of a Store; test for them with errors.Is.
+var (
+	// ErrConflict means that a condition did not hold and nothing was written.
+	ErrConflict = errors.New("conflict")
+	// ErrNotFound means that the object does not exist.
+	ErrNotFound = errors.New("not found")
+	// ErrExpired means that a watch asked for a version that the store no longer keeps; list again.
+	ErrExpired = errors.New("watch version expired")
+	// ErrUnavailable means that the store did not take the call; nothing was written.
+	ErrUnavailable = errors.New("object API unavailable")
+	// ErrOutcomeUnknown means that a write may have taken effect; read the object back to learn.
+	ErrOutcomeUnknown = errors.New("outcome unknown")
+)
--- /dev/null
+++ b/pkg/refusal/record.go
@@ -0,0 +1,85 @@
+package refusal
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Reason says why a flow or request was refused. Each value is explained in docs/OPERATIONS.md.
+type Reason string
+
+// Reasons.
+const (
+	ReasonUnknownAddress  Reason = "unknown-address"
+	ReasonNoTarget        Reason = "no-target"
+	ReasonAllFull         Reason = "all-targets-full"
+	ReasonDraining        Reason = "target-draining"
+	ReasonTargetDied      Reason = "target-died"
+	ReasonTargetRefused   Reason = "target-refused-connection"
+	ReasonWrongService    Reason = "wrong-service"
+	ReasonOwnerLost       Reason = "owner-lost"
+	ReasonNoConfiguration Reason = "no-configuration"
+	ReasonQueueFull       Reason = "queue-full"
+	ReasonDeadline        Reason = "deadline-cannot-be-met"
+	ReasonCancelled       Reason = "cancelled-by-caller"
+	ReasonTargetShed      Reason = "target-shed"
+	ReasonTicketUnknown   Reason = "ticket-unknown"
+	ReasonTicketExpired   Reason = "ticket-expired"
+	ReasonTicketSpent     Reason = "ticket-spent"
+	ReasonTicketGone      Reason = "ticket-issuer-gone"
+	ReasonClaimed         Reason = "key-claimed-before"
+	ReasonClaimStore      Reason = "claim-store-unavailable"
+	ReasonRetryBudget     Reason = "retry-budget-spent"
+	ReasonDrainTimeOver   Reason = "drain-time-over"
+	ReasonMalformed       Reason = "malformed-request"
+	ReasonTargetFailed    Reason = "target-failed"
+)
+
+// Run says whether the refused work was run.
+type Run string
+
+// Run states.
+const (
+	// RunNo means that the work was not run and never will be.
+	RunNo Run = "no"
+	// RunUnknown means that the work may have been run.
+	RunUnknown Run = "unknown"
+)
+
+// Record is the account of one refusal, or of several equal ones that were merged.
+type Record struct {
+	// ID identifies the record: the deciding process, its incarnation and a counter.
+	ID string `json:"id"`
+	// Time is when the refusal was decided; of a merged record, the first.
+	Time time.Time `json:"time"`
+	// Last is the time of the last refusal of a merged record; zero for a single one.
+	Last time.Time `json:"last,omitzero"`
+	// Count is the number of refusals in the record, at least 1.
+	Count uint32 `json:"count"`
+	// Service is the service's name; empty for an unknown address.
+	Service string `json:"service,omitempty"`
+	// Caller is the caller's address.
+	Caller netip.AddrPort `json:"caller"`
+	// Destination is the address that the caller used.
+	Destination netip.AddrPort `json:"destination"`
+	// Flow is the hash of the flow key; 0 when there is none.
+	Flow uint64 `json:"flow,omitempty"`
+	// Request is the ticket or key of a request; empty for a flow.
+	Request string `json:"request,omitempty"`
+	// DecidedBy names the process that decided.
+	DecidedBy string `json:"decidedBy"`
+	// Revision is the configuration revision under which it was decided.
+	Revision uint64 `json:"revision"`
+	// Reason says why.
+	Reason Reason `json:"reason"`
+	// Detail is one plain sentence with what decided it, for example the observed load.
+	Detail string `json:"detail,omitempty"`
+	// Run says whether the work was run.
+	Run Run `json:"run"`
+}
+
+// Recorder takes refusal records. Record fills ID, Time, Count and DecidedBy when they are empty and returns the ID;
+// it never blocks on input or output.
+type Recorder interface {
+	Record(r Record) string
+}
--- /dev/null
+++ b/pkg/resource/duration.go
@@ -0,0 +1,38 @@
+package resource
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Duration is a time.Duration that is written as text, for example "1m30s".
+type Duration time.Duration
+
+// MarshalJSON writes the duration as text.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// UnmarshalJSON reads the duration from text. It returns an error for any other form.
+func (d *Duration) UnmarshalJSON(b []byte) error {
+	var s string
+	if err := json.Unmarshal(b, &s); err != nil {
+		return trace.BadParameter("duration must be text such as \"30s\"")
+	}
+	v, err := time.ParseDuration(s)
+	if err != nil {
+		return trace.BadParameter("duration %q: %v", s, err)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Or returns the duration, or fallback when it is zero.
+func (d Duration) Or(fallback time.Duration) time.Duration {
+	if d == 0 {
+		return fallback
+	}
+	return time.Duration(d)
+}
