--- a/pkg/arbiter/api.go
+++ b/pkg/arbiter/api.go
@@ -67,9 +67,13 @@
 	Why string
 	// Load is this agent's number of open flows after the decision.
 	Load uint32
+	// Notify is a message to send besides the action, when Notify.To is valid.
+	Notify Message
 }
 
 // Message is a datagram that the arbiter wants sent to another process.
+//
+// A KIND_ENDED whose To is the agent itself is not sent: the agent then drops its own endpoints of Flows silently, without a reset to the caller, because another agent owns them.
 type Message struct {
 	// To is the receiver's packet address.
 	To netip.AddrPort
@@ -83,4 +87,8 @@
 	Owner netip.AddrPort
 	// Load is the sender's number of open flows.
 	Load uint32
+	// Incarnation is the incarnation of the sending agent; the receiver passes the datagram's.
+	Incarnation uint64
+	// Final marks flows whose handshake is complete, in KIND_PLACED, KIND_MOVED and KIND_LOCATED (the datagram's field final).
+	Final bool
 }
--- /dev/null
+++ b/pkg/arbiter/config.go
@@ -0,0 +1,29 @@
+package arbiter
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Config is what an arbiter needs to know about its own agent.
+type Config struct {
+	// Self is the agent's packet address.
+	Self netip.AddrPort
+	// Incarnation is the incarnation of the agent.
+	Incarnation uint64
+	// Connections is the highest number of open flows; 0 means no limit.
+	Connections uint32
+	// Window is the time for which views may be uneven after a change; 0 means DefaultWindow.
+	Window time.Duration
+	// Linger is the time for which an ended flow is remembered; 0 means DefaultLinger.
+	Linger time.Duration
+	// Idle is the time without packets after which a redirect is forgotten; 0 means DefaultIdle.
+	Idle time.Duration
+}
+
+// Defaults of Config.
+const (
+	DefaultWindow = 5 * time.Second
+	DefaultLinger = 30 * time.Second
+	DefaultIdle   = 10 * time.Minute
+)
