Add object API client, handler, in-memory store and a first refusal log

Cause: the control packages need a store to talk to and a recorder to call. Change: HTTP client and handler of objectapi.Store with typed errors, an in-memory stand-in with faults, a contract suite run against both, and a Recorder that keeps records in memory. Not done yet: call budget, informer, resolved writes, batching of records.

--- /dev/null
+++ b/internal/standin/store/watch.go
@@ -0,0 +1,120 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
+)
+
+var errFuture = errors.New("version is above the store's")
+
+// Watch implements objectapi.Store.
+func (s *Store) Watch(ctx context.Context, kind objectapi.Kind, from uint64) ([]objectapi.Event, uint64, error) {
+	if err := s.enter(ctx, objectapi.OpWatch, kind, ""); err != nil {
+		return nil, 0, err
+	}
+	end := s.cfg.Now().Add(s.cfg.WatchWait)
+	for {
+		r := s.poll(kind, from)
+		if r.err != nil {
+			return nil, 0, r.err
+		}
+		left := end.Sub(s.cfg.Now())
+		if r.news || left <= 0 {
+			return r.events, r.next, nil
+		}
+		if r.retry > 0 {
+			left = min(left, r.retry)
+		}
+		if err := s.await(ctx, r.changed, left); err != nil {
+			return nil, 0, fail(objectapi.OpWatch, kind, "", objectapi.ErrUnavailable, err)
+		}
+	}
+}
+
+// polled is what a watch finds at one look.
+type polled struct {
+	events []objectapi.Event
+	next   uint64
+	// news says that there is an event after the version asked for.
+	news bool
+	// retry is when a held event is due; 0 when none is held.
+	retry   time.Duration
+	changed <-chan struct{}
+	err     error
+}
+
+func (s *Store) poll(kind objectapi.Kind, from uint64) polled {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Outage {
+		return polled{err: fail(objectapi.OpWatch, kind, "", objectapi.ErrUnavailable, errOutage)}
+	}
+	if from < s.trimmed {
+		return polled{err: fail(objectapi.OpWatch, kind, "", objectapi.ErrExpired, nil)}
+	}
+	if from > s.version {
+		return polled{err: fail(objectapi.OpWatch, kind, "", objectapi.ErrExpired, errFuture)}
+	}
+	p := polled{next: s.version, changed: s.waiter(kind)}
+	hold, now := s.faults.HoldKinds[kind], s.cfg.Now()
+	for _, e := range s.history {
+		if e.Object.Kind != kind || e.Object.Version <= from {
+			continue
+		}
+		if due := e.at.Add(hold).Sub(now); due > 0 {
+			p.retry = due
+			p.next = e.Object.Version - 1
+			break
+		}
+		p.events = append(p.events, cloneEvent(e.Event))
+	}
+	p.news = len(p.events) > 0
+	if p.news {
+		p.events = append(s.repeats(kind, from), p.events...)
+	}
+	return p
+}
+
+// repeats are the last events up to a version, which the duplicate fault reports again; s.mu is held.
+func (s *Store) repeats(kind objectapi.Kind, from uint64) []objectapi.Event {
+	var out []objectapi.Event
+	for _, e := range s.history {
+		if e.Object.Kind == kind && e.Object.Version <= from {
+			out = append(out, cloneEvent(e.Event))
+		}
+	}
+	return slices.Clone(out[max(0, len(out)-s.faults.Duplicate):])
+}
+
+// waiter returns the channel that closes at the kind's next change; s.mu is held.
+func (s *Store) waiter(kind objectapi.Kind) <-chan struct{} {
+	c, ok := s.changed[kind]
+	if !ok {
+		c = make(chan struct{})
+		s.changed[kind] = c
+	}
+	return c
+}
+
+// await returns at a change, after a time, or with the context's error.
+func (s *Store) await(ctx context.Context, changed <-chan struct{}, d time.Duration) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := make(chan error, 1)
+	go func() { timer <- s.cfg.Sleep(ctx, d) }()
+	select {
+	case <-changed:
+		return nil
+	case err := <-timer:
+		return err
+	}
+}
+
+func cloneEvent(e objectapi.Event) objectapi.Event {
+	e.Object = clone(e.Object)
+	return e
+}
--- /dev/null
+++ b/pkg/objectapi/call_error.go
@@ -0,0 +1,62 @@
+package objectapi
+
+import (
+	"fmt"
+
+	"github.com/gravitational/trace"
+)
+
+// Op names a method of Store, for errors, logs and counts.
+type Op string
+
+// Operations of a Store.
+const (
+	OpGet    Op = "get"
+	OpList   Op = "list"
+	OpCreate Op = "create"
+	OpUpdate Op = "update"
+	OpDelete Op = "delete"
+	OpWatch  Op = "watch"
+)
+
+// Writes reports whether the operation changes the store.
+func (o Op) Writes() bool {
+	return o == OpCreate || o == OpUpdate || o == OpDelete
+}
+
+// CallError is the error of one call: what was called, at which peer, and why it failed.
+type CallError struct {
+	// Op is the method.
+	Op Op
+	// Kind and Name are the object; Name is empty for a list and a watch.
+	Kind Kind
+	Name string
+	// Peer is the base URL of the API, or the name of a stand-in.
+	Peer string
+	// Err is one of the errors of this package.
+	Err error
+	// Cause is the underlying error; nil when there is none.
+	Cause error
+}
+
+// Error describes the call and its failure in one line.
+func (e *CallError) Error() string {
+	s := fmt.Sprintf("op=%s kind=%s name=%q peer=%s: %v", e.Op, e.Kind, e.Name, e.Peer, e.Err)
+	if e.Cause == nil {
+		return s
+	}
+	return s + ": " + e.Cause.Error()
+}
+
+// Unwrap gives both the typed error and the cause to errors.Is and errors.As.
+func (e *CallError) Unwrap() []error {
+	if e.Cause == nil {
+		return []error{e.Err}
+	}
+	return []error{e.Err, e.Cause}
+}
+
+// Fail builds a CallError with its place in the code.
+func Fail(op Op, kind Kind, name, peer string, err, cause error) error {
+	return trace.Wrap(&CallError{Op: op, Kind: kind, Name: name, Peer: peer, Err: err, Cause: cause})
+}
--- /dev/null
+++ b/pkg/objectapi/client.go
@@ -0,0 +1,234 @@
+package objectapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// Default times of a Client.
+const (
+	// DefaultCallTimeout bounds a call other than a watch.
+	DefaultCallTimeout = 5 * time.Second
+	// DefaultWatchTimeout bounds a watch, and must be above the store's wait time.
+	DefaultWatchTimeout = 90 * time.Second
+	// maxListSize bounds the answer to a list or a watch, in bytes.
+	maxListSize = 256 << 20
+	// maxDetailSize bounds the text that is taken from a failed answer, in bytes.
+	maxDetailSize = 4 << 10
+)
+
+var _ Store = (*Client)(nil)
+
+// Options are the settings of a Client; zero values mean the defaults.
+type Options struct {
+	// HTTP is the HTTP client; the default keeps connections open and follows no redirects.
+	HTTP *http.Client
+	// CallTimeout bounds a call other than a watch.
+	CallTimeout time.Duration
+	// WatchTimeout bounds a watch.
+	WatchTimeout time.Duration
+}
+
+// Client is a Store that is reached by HTTP.
+type Client struct {
+	base         string
+	http         *http.Client
+	callTimeout  time.Duration
+	watchTimeout time.Duration
+}
+
+// NewClient returns a client of the API at baseURL, for example "http://127.0.0.1:8080".
+func NewClient(baseURL string, o Options) *Client {
+	c := &Client{
+		base:         strings.TrimRight(baseURL, "/"),
+		http:         o.HTTP,
+		callTimeout:  o.CallTimeout,
+		watchTimeout: o.WatchTimeout,
+	}
+	if c.http == nil {
+		c.http = defaultHTTP()
+	}
+	if c.callTimeout == 0 {
+		c.callTimeout = DefaultCallTimeout
+	}
+	if c.watchTimeout == 0 {
+		c.watchTimeout = DefaultWatchTimeout
+	}
+	return c
+}
+
+// defaultHTTP follows no redirect, since a redirected write could be sent twice.
+func defaultHTTP() *http.Client {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.Proxy = nil
+	t.MaxIdleConnsPerHost = 16
+	return &http.Client{
+		Transport:     t,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, kind Kind, name string) (Object, error) {
+	var o Object
+	err := c.call(ctx, call{op: OpGet, method: http.MethodGet, kind: kind, name: name, answer: &o})
+	return o, err
+}
+
+// List implements Store.
+func (c *Client) List(ctx context.Context, kind Kind) ([]Object, uint64, error) {
+	var a listAnswer
+	err := c.call(ctx, call{op: OpList, method: http.MethodGet, kind: kind, answer: &a})
+	return a.Items, a.Version, err
+}
+
+// Create implements Store.
+func (c *Client) Create(ctx context.Context, kind Kind, name string, value []byte) (Object, error) {
+	in := Object{Kind: kind, Name: name, Value: value}
+	return c.write(ctx, call{op: OpCreate, method: http.MethodPost, kind: kind, name: name}, in)
+}
+
+// Update implements Store.
+func (c *Client) Update(ctx context.Context, o Object) (Object, error) {
+	return c.write(ctx, call{op: OpUpdate, method: http.MethodPut, kind: o.Kind, name: o.Name}, o)
+}
+
+// Delete implements Store.
+func (c *Client) Delete(ctx context.Context, kind Kind, name string, version uint64) error {
+	query := url.Values{paramVersion: {strconv.FormatUint(version, 10)}}
+	return c.call(ctx, call{op: OpDelete, method: http.MethodDelete, kind: kind, name: name, query: query})
+}
+
+// Watch implements Store.
+func (c *Client) Watch(ctx context.Context, kind Kind, from uint64) ([]Event, uint64, error) {
+	var a watchAnswer
+	query := url.Values{paramWatch: {strconv.FormatUint(from, 10)}}
+	err := c.call(ctx, call{op: OpWatch, method: http.MethodGet, kind: kind, query: query, answer: &a})
+	return a.Events, a.Version, err
+}
+
+func (c *Client) write(ctx context.Context, k call, in Object) (Object, error) {
+	if len(in.Value) > MaxValueSize {
+		return Object{}, Fail(k.op, k.kind, k.name, c.base, ErrInvalid, errors.New("value above MaxValueSize"))
+	}
+	b, err := json.Marshal(in)
+	if err != nil {
+		return Object{}, Fail(k.op, k.kind, k.name, c.base, ErrInvalid, err)
+	}
+	var out Object
+	k.body, k.answer = b, &out
+	if err := c.call(ctx, k); err != nil {
+		return Object{}, err
+	}
+	return out, nil
+}
+
+// call is one request of the protocol.
+type call struct {
+	op     Op
+	method string
+	kind   Kind
+	name   string
+	query  url.Values
+	body   []byte
+	answer any
+}
+
+// check returns an error when the key cannot be sent.
+func (k call) check() error {
+	if k.op == OpList || k.op == OpWatch {
+		return CheckKind(k.kind)
+	}
+	return CheckKey(k.kind, k.name)
+}
+
+func (k call) url(base string) string {
+	u := base + pathPrefix + url.PathEscape(string(k.kind))
+	if k.name != "" {
+		u += "/" + url.PathEscape(k.name)
+	}
+	if len(k.query) > 0 {
+		u += "?" + k.query.Encode()
+	}
+	return u
+}
+
+// call sends the request and reads the answer. A write that got a connection but no whole answer is ErrOutcomeUnknown,
+// since the store may have done it.
+func (c *Client) call(ctx context.Context, k call) error {
+	if err := k.check(); err != nil {
+		return Fail(k.op, k.kind, k.name, c.base, ErrInvalid, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout(k.op))
+	defer cancel()
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }})
+	req, err := http.NewRequestWithContext(ctx, k.method, k.url(c.base), bytes.NewReader(k.body))
+	if err != nil {
+		return Fail(k.op, k.kind, k.name, c.base, ErrInvalid, err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Fail(k.op, k.kind, k.name, c.base, lostAnswer(k.op, sent.Load()), err)
+	}
+	defer resp.Body.Close() //nolint:errcheck // The body was read or is given up.
+	return c.read(k, resp)
+}
+
+// read takes the answer apart.
+func (c *Client) read(k call, resp *http.Response) error {
+	if resp.StatusCode/100 != 2 {
+		return Fail(k.op, k.kind, k.name, c.base, errorOf(k.op, resp.StatusCode), detailOf(resp))
+	}
+	if k.answer == nil {
+		return nil
+	}
+	limit := int64(maxBodySize)
+	if k.op == OpList || k.op == OpWatch {
+		limit = maxListSize
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, limit)).Decode(k.answer); err != nil {
+		return Fail(k.op, k.kind, k.name, c.base, lostAnswer(k.op, true), err)
+	}
+	return nil
+}
+
+func (c *Client) timeout(op Op) time.Duration {
+	if op == OpWatch {
+		return c.watchTimeout
+	}
+	return c.callTimeout
+}
+
+// lostAnswer is the typed error of a call without a whole answer.
+func lostAnswer(op Op, sent bool) error {
+	if sent && op.Writes() {
+		return ErrOutcomeUnknown
+	}
+	return ErrUnavailable
+}
+
+// detailOf reads the reason from a failed answer.
+func detailOf(resp *http.Response) error {
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxDetailSize))
+	if err != nil {
+		return fmt.Errorf("status %d", resp.StatusCode)
+	}
+	var p problem
+	if json.Unmarshal(b, &p) != nil || p.Detail == "" {
+		return fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return fmt.Errorf("status %d: %s", resp.StatusCode, p.Detail)
+}
--- a/pkg/objectapi/errors.go
+++ b/pkg/objectapi/errors.go
@@ -14,4 +14,6 @@
 	ErrUnavailable = errors.New("object API unavailable")
 	// ErrOutcomeUnknown means that a write may have taken effect; read the object back to learn.
 	ErrOutcomeUnknown = errors.New("outcome unknown")
+	// ErrInvalid means that the call itself is wrong, for example a value above MaxValueSize; nothing was written.
+	ErrInvalid = errors.New("invalid call")
 )
--- /dev/null
+++ b/pkg/objectapi/protocol.go
@@ -0,0 +1,76 @@
+package objectapi
+
+import (
+	"errors"
+	"net/http"
+)
+
+// Paths and parameters of the HTTP form of the API: objects are at /v1/{kind}/{name}, kinds at /v1/{kind}.
+const (
+	pathPrefix   = "/v1/"
+	paramWatch   = "watch"
+	paramVersion = "version"
+)
+
+// maxBodySize bounds a request or an answer about one object: the value in base64 and its frame.
+const maxBodySize = MaxValueSize*4/3 + 4096
+
+// listAnswer is the body of an answer to a list.
+type listAnswer struct {
+	Items   []Object `json:"items"`
+	Version uint64   `json:"version"`
+}
+
+// watchAnswer is the body of an answer to a watch.
+type watchAnswer struct {
+	Events  []Event `json:"events"`
+	Version uint64  `json:"version"`
+}
+
+// problem is the body of a failed answer.
+type problem struct {
+	Status int    `json:"status"`
+	Title  string `json:"title"`
+	Detail string `json:"detail,omitempty"`
+}
+
+// statusOf maps a typed error to the status code of the protocol.
+func statusOf(err error) int {
+	switch {
+	case errors.Is(err, ErrNotFound):
+		return http.StatusNotFound
+	case errors.Is(err, ErrConflict):
+		return http.StatusConflict
+	case errors.Is(err, ErrExpired):
+		return http.StatusGone
+	case errors.Is(err, ErrInvalid):
+		return http.StatusBadRequest
+	case errors.Is(err, ErrUnavailable):
+		return http.StatusServiceUnavailable
+	case errors.Is(err, ErrOutcomeUnknown):
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusInternalServerError
+}
+
+// errorOf maps a status code other than success to a typed error. A code that does not say whether the write was done
+// is ErrOutcomeUnknown for a write.
+func errorOf(op Op, status int) error {
+	switch status {
+	case http.StatusNotFound:
+		return ErrNotFound
+	case http.StatusConflict, http.StatusPreconditionFailed:
+		return ErrConflict
+	case http.StatusGone:
+		return ErrExpired
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return ErrUnavailable
+	}
+	if status >= 400 && status < 500 && status != http.StatusRequestTimeout {
+		return ErrInvalid
+	}
+	if op.Writes() {
+		return ErrOutcomeUnknown
+	}
+	return ErrUnavailable
+}
