Add leases with local takeover and fenced writes

Duties need one holder, and a paused holder must change nothing. State decides without I/O; Runner carries it out; Fenced writes the term into the object of the duty before anything else. Tests pass with lost answers and an outage.

--- /dev/null
+++ b/pkg/lease/fenced.go
@@ -0,0 +1,161 @@
+package lease
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
+)
+
+// resendAfter is the pause before a write whose answer was lost is sent again.
+const resendAfter = 20 * time.Millisecond
+
+// ErrFenced means that a later term has claimed the object; the caller's term is over.
+var ErrFenced = errors.New("fenced by a later term")
+
+// Stamp is the grant that is kept inside a fenced object.
+type Stamp interface {
+	// Grant returns the grant under which the value was written.
+	Grant() Grant
+	// SetGrant stores the grant of the writer.
+	SetGrant(Grant)
+}
+
+// Fenced is one object that a duty writes under a grant. Claim writes the grant's term into the object before
+// anything else is written; each write of a former holder was conditional on a version from before the claim, or
+// meets a higher term, and so has no effect. Fenced is not safe for concurrent use.
+type Fenced[T any, P interface {
+	*T
+	Stamp
+}] struct {
+	store  objectapi.Store
+	kind   objectapi.Kind
+	name   string
+	grant  Grant
+	object objectapi.Object
+	value  T
+}
+
+// Claim reads the object, checks its term and writes the grant's term into it. An absent object is created.
+// It returns ErrFenced when the object holds a later term.
+func Claim[T any, P interface {
+	*T
+	Stamp
+}](ctx context.Context, s objectapi.Store, kind objectapi.Kind, name string, g Grant) (*Fenced[T, P], error) {
+	f := &Fenced[T, P]{store: s, kind: kind, name: name, grant: g}
+	for {
+		if err := f.read(ctx); err != nil {
+			return nil, err
+		}
+		if f.claimed() {
+			return f, nil
+		}
+		err := f.Write(ctx, f.value)
+		if !errors.Is(err, objectapi.ErrConflict) {
+			return f, err
+		}
+	}
+}
+
+// Value returns the content that was read or written last.
+func (f *Fenced[T, P]) Value() T { return f.value }
+
+// Version returns the object version that was read or written last.
+func (f *Fenced[T, P]) Version() uint64 { return f.object.Version }
+
+// Write replaces the content on condition that nobody else wrote since the last read or write. It returns
+// ErrConflict when somebody did, ErrFenced when that was a later term, and resolves a lost answer by reading back.
+func (f *Fenced[T, P]) Write(ctx context.Context, v T) error {
+	P(&v).SetGrant(f.grant)
+	b, err := json.Marshal(v)
+	if err != nil {
+		return trace.Wrap(err, "encode %s/%s", f.kind, f.name)
+	}
+	o, err := put(ctx, f.store, objectapi.Object{Kind: f.kind, Name: f.name, Version: f.object.Version, Value: b})
+	if err == nil {
+		f.object = o
+		f.value = v
+		return nil
+	}
+	if !errors.Is(err, objectapi.ErrConflict) {
+		return err
+	}
+	if again := f.read(ctx); again != nil {
+		return again
+	}
+	return err
+}
+
+// claimed reports whether the object already holds this grant, as after a restart of the duty in the same term.
+func (f *Fenced[T, P]) claimed() bool {
+	return f.object.Version > 0 && P(&f.value).Grant() == f.grant
+}
+
+func (f *Fenced[T, P]) read(ctx context.Context) error {
+	o, err := f.store.Get(ctx, f.kind, f.name)
+	if errors.Is(err, objectapi.ErrNotFound) {
+		var none T
+		f.object = objectapi.Object{}
+		f.value = none
+		return nil
+	}
+	if err != nil {
+		return trace.Wrap(err, "read %s/%s", f.kind, f.name)
+	}
+	var v T
+	if err := json.Unmarshal(o.Value, &v); err != nil {
+		return trace.Wrap(err, "decode %s/%s", f.kind, f.name)
+	}
+	if P(&v).Grant().Term > f.grant.Term {
+		return trace.Wrap(ErrFenced, "%s/%s holds term %d, not %d", f.kind, f.name, P(&v).Grant().Term, f.grant.Term)
+	}
+	f.object = o
+	f.value = v
+	return nil
+}
+
+// put writes o when its stored version still is o.Version, where 0 means absent. When an answer is lost it sends the
+// same write again: its condition lets it take effect once at most, and a conflict is settled by reading back.
+func put(ctx context.Context, s objectapi.Store, o objectapi.Object) (objectapi.Object, error) {
+	unsure := false
+	for {
+		done, err := putOnce(ctx, s, o)
+		switch {
+		case err == nil:
+			return done, nil
+		case errors.Is(err, objectapi.ErrOutcomeUnknown):
+			unsure = true
+		case errors.Is(err, objectapi.ErrConflict) && unsure:
+			return readBack(ctx, s, o)
+		case unsure && errors.Is(err, objectapi.ErrUnavailable):
+		default:
+			return o, trace.Wrap(err, "write %s/%s", o.Kind, o.Name)
+		}
+		if (SystemClock{}).Sleep(ctx, resendAfter) != nil {
+			return o, trace.Wrap(objectapi.ErrOutcomeUnknown, "write %s/%s", o.Kind, o.Name)
+		}
+	}
+}
+
+func putOnce(ctx context.Context, s objectapi.Store, o objectapi.Object) (objectapi.Object, error) {
+	if o.Version == 0 {
+		return s.Create(ctx, o.Kind, o.Name, o.Value)
+	}
+	return s.Update(ctx, o)
+}
+
+func readBack(ctx context.Context, s objectapi.Store, o objectapi.Object) (objectapi.Object, error) {
+	got, err := s.Get(ctx, o.Kind, o.Name)
+	if err != nil {
+		return o, trace.Wrap(err, "read back %s/%s", o.Kind, o.Name)
+	}
+	if !bytes.Equal(got.Value, o.Value) {
+		return o, trace.Wrap(objectapi.ErrConflict, "write %s/%s", o.Kind, o.Name)
+	}
+	return got, nil
+}
--- /dev/null
+++ b/pkg/lease/runner.go
@@ -0,0 +1,113 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
+)
+
+// Duty is work that runs while its process holds a lease. Its context ends when the validity of the lease ends.
+// Every write of a duty goes through Fenced with the grant.
+type Duty func(ctx context.Context, g Grant) error
+
+// Grant is the right to a duty for one term.
+type Grant struct {
+	// Holder is the process that holds the lease.
+	Holder string
+	// Term is the term of the lease.
+	Term uint64
+}
+
+// Runner carries out the actions of a State against a store and runs the duty while the lease is held.
+type Runner struct {
+	// Store keeps the lease object.
+	Store objectapi.Store
+	// Config names the lease and the process.
+	Config Config
+	// Clock is the local clock; nil means SystemClock.
+	Clock Clock
+	// Log takes a line for each change of holder.
+	Log zerolog.Logger
+	// Eligible reports whether this process is a candidate; nil means always. Few candidates keep the store's reads few.
+	Eligible func() bool
+}
+
+// Run competes for the lease and runs the duty in each term, until ctx ends. It then gives the lease back.
+func (r *Runner) Run(ctx context.Context, duty Duty) error {
+	l := newLoop(r, duty)
+	l.run(ctx)
+	l.stop()
+	l.giveBack(context.WithoutCancel(ctx))
+	return ctx.Err()
+}
+
+// observe carries out one action and returns its outcome.
+func (r *Runner) observe(ctx context.Context, a Action) Observation {
+	switch a.Kind {
+	case ActionRead:
+		o, err := r.Store.Get(ctx, Kind, r.Config.Name)
+		return r.outcome(o, err, ObservedObject)
+	case ActionCreate:
+		return r.write(ctx, a, func(b []byte) (objectapi.Object, error) {
+			return r.Store.Create(ctx, Kind, r.Config.Name, b)
+		})
+	case ActionUpdate:
+		return r.write(ctx, a, func(b []byte) (objectapi.Object, error) {
+			return r.Store.Update(ctx, objectapi.Object{Kind: Kind, Name: r.Config.Name, Version: a.Version, Value: b})
+		})
+	}
+	return Observation{}
+}
+
+func (r *Runner) write(ctx context.Context, a Action, call func([]byte) (objectapi.Object, error)) Observation {
+	b, err := a.Record.encode()
+	if err != nil {
+		return Observation{Kind: ObservedUnavailable}
+	}
+	o, err := call(b)
+	return r.outcome(o, err, ObservedWritten)
+}
+
+func (r *Runner) outcome(o objectapi.Object, err error, done ObservationKind) Observation {
+	switch {
+	case err == nil:
+		return r.decode(o, done)
+	case errors.Is(err, objectapi.ErrNotFound) && done == ObservedObject:
+		return Observation{Kind: ObservedAbsent}
+	case errors.Is(err, objectapi.ErrConflict), errors.Is(err, objectapi.ErrNotFound):
+		return Observation{Kind: ObservedConflict}
+	case errors.Is(err, objectapi.ErrUnavailable), done == ObservedObject:
+		r.Log.Debug().Err(err).Str("op", "lease").Str("lease", r.Config.Name).Str("reason", "unavailable").Send()
+		return Observation{Kind: ObservedUnavailable}
+	}
+	return Observation{Kind: ObservedUnknown}
+}
+
+func (r *Runner) decode(o objectapi.Object, done ObservationKind) Observation {
+	if done == ObservedWritten {
+		return Observation{Kind: done, Version: o.Version}
+	}
+	rec, err := decodeRecord(o.Value)
+	if err != nil {
+		// A lease that cannot be read is taken over like one whose holder is silent.
+		r.Log.Warn().Err(err).Str("op", "lease").Str("lease", r.Config.Name).Str("reason", "malformed").Send()
+		rec = Record{Holder: "unknown"}
+	}
+	return Observation{Kind: done, Version: o.Version, Record: rec}
+}
+
+func (r *Runner) clock() Clock {
+	if r.Clock == nil {
+		return SystemClock{}
+	}
+	return r.Clock
+}
+
+func (r *Runner) eligible() bool { return r.Eligible == nil || r.Eligible() }
+
+// callTimeout bounds one call, so that a slow store does not hold back the end of the validity.
+func (r *Runner) callTimeout() time.Duration { return r.Config.renewEvery() }
--- /dev/null
+++ b/pkg/lease/runner_test.go
@@ -0,0 +1,90 @@
+package lease_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwood/auburnwood/internal/standin/store"
+	"github.com/auburnwood/auburnwood/pkg/lease"
+)
+
+func newRunner(s *store.Store, holder string) *lease.Runner {
+	return &lease.Runner{
+		Store:  s,
+		Config: lease.Config{Name: "compile", Holder: holder, Duration: 6 * time.Second},
+		Log:    zerolog.Nop(),
+	}
+}
+
+// startRunner runs a duty that reports its grants.
+func startRunner(ctx context.Context, s *store.Store, holder string) <-chan lease.Grant {
+	grants := make(chan lease.Grant, 16)
+	go func() {
+		_ = newRunner(s, holder).Run(ctx, func(ctx context.Context, g lease.Grant) error {
+			grants <- g
+			<-ctx.Done()
+			return nil
+		})
+	}()
+	return grants
+}
+
+func TestHolderRenewsAndReleases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New(store.Config{})
+		ctxA, stopA := context.WithCancel(t.Context())
+		a := startRunner(ctxA, s, "a")
+		require.Equal(t, lease.Grant{Holder: "a", Term: 1}, <-a)
+		ctxB, stopB := context.WithCancel(t.Context())
+		b := startRunner(ctxB, s, "b")
+		time.Sleep(time.Minute)
+		require.Empty(t, b, "a renews, so b must not take over")
+		stopA()
+		begin := time.Now()
+		require.Equal(t, lease.Grant{Holder: "b", Term: 2}, <-b)
+		require.LessOrEqual(t, time.Since(begin), 3*time.Second, "a release is taken at the next poll")
+		stopB()
+		synctest.Wait()
+	})
+}
+
+func TestLostAnswersDoNotLoseTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New(store.Config{Seed: 7})
+		s.SetFaults(store.Faults{LoseShare: 0.3, DropShare: 0.3})
+		ctx, stop := context.WithCancel(t.Context())
+		a := startRunner(ctx, s, "a")
+		time.Sleep(2 * time.Minute)
+		require.Len(t, a, 1, "one term only")
+		stop()
+		synctest.Wait()
+	})
+}
+
+func TestOutageEndsTheDutyBeforeOthersMayTakeOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New(store.Config{})
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan time.Time, 4)
+		go func() {
+			_ = newRunner(s, "a").Run(ctx, func(ctx context.Context, _ lease.Grant) error {
+				<-ctx.Done()
+				ended <- time.Now()
+				return nil
+			})
+		}()
+		time.Sleep(10 * time.Second)
+		s.SetFaults(store.Faults{Outage: true})
+		begin := time.Now()
+		end := <-ended
+		require.Less(t, end.Sub(begin), 6*time.Second)
+		s.SetFaults(store.Faults{})
+		stop()
+		synctest.Wait()
+	})
+}
--- /dev/null
+++ b/pkg/lease/term.go
@@ -0,0 +1,64 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+)
+
+// term is a duty that runs under a grant. Its context ends with the validity, even while a store call hangs.
+type term struct {
+	grant  Grant
+	clock  Clock
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu    sync.Mutex
+	until time.Time
+}
+
+func newTerm(ctx context.Context, c Clock, g Grant, until time.Time) *term {
+	ctx, cancel := context.WithCancel(ctx)
+	return &term{grant: g, clock: c, ctx: ctx, cancel: cancel, until: until}
+}
+
+func (t *term) extend(until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.until = until
+}
+
+func (t *term) left() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.until.Sub(t.clock.Now())
+}
+
+// watch cancels the duty at the end of the validity.
+func (t *term) watch() error {
+	defer t.cancel()
+	for t.ctx.Err() == nil {
+		d := t.left()
+		if d <= 0 {
+			return nil
+		}
+		_ = t.clock.Sleep(t.ctx, d)
+	}
+	return nil
+}
+
+// work runs the duty, and again after a failure, until the term ends.
+func (t *term) work(d Duty, r *Runner) error {
+	for t.ctx.Err() == nil {
+		err := d(t.ctx, t.grant)
+		if errors.Is(err, ErrFenced) {
+			t.cancel()
+		}
+		if err != nil && t.ctx.Err() == nil {
+			r.Log.Warn().Err(err).Str("op", "duty").Str("lease", r.Config.Name).Uint64("term", t.grant.Term).Send()
+		}
+		_ = t.clock.Sleep(t.ctx, r.Config.retryAfter())
+	}
+	return nil
+}
