--- /dev/null
+++ b/pkg/ctl/applier.go
@@ -0,0 +1,197 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/gravitational/trace"
+
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
+	"github.com/auburnwood/auburnwood/pkg/resource"
+)
+
+// Applier writes services by conditional updates.
+type Applier struct {
+	// Store is the object API.
+	Store objectapi.Store
+	// Retries is how often a write is repeated over a change that another operator made in the meantime. With 0 the
+	// other operator's change stays.
+	Retries int
+	// DryRun stops before any write.
+	DryRun bool
+}
+
+// maxAttempts bounds the writes of one service whose answers are lost.
+const maxAttempts = 5
+
+// Apply makes s the stored service and says what happened. It returns an error that matches objectapi.ErrConflict when
+// another operator's change stays, objectapi.ErrOutcomeUnknown when a write may have taken effect and could not be read
+// back, or the store's error; the result is filled in either case.
+func (a Applier) Apply(ctx context.Context, s resource.Service) (ApplyResult, error) {
+	w := write{applier: a, result: ApplyResult{Name: s.Name, DryRun: a.DryRun}}
+	var err error
+	if w.value, err = resource.Encode(s); err != nil {
+		return w.result, trace.Wrap(err)
+	}
+	if w.base, err = w.read(ctx, s.Name); err != nil {
+		w.result.Action = ActionFailed
+		return w.result, err
+	}
+	err = w.run(ctx)
+	return w.result, err
+}
+
+// write is the write of one service.
+type write struct {
+	applier Applier
+	// value is what shall be stored.
+	value []byte
+	// base is what was stored when it was read last; version 0 when nothing was.
+	base objectapi.Object
+	// conflicts counts the changes of other operators that were overwritten.
+	conflicts int
+	result    ApplyResult
+}
+
+// read returns the stored object; one of version 0 when there is none.
+func (w *write) read(ctx context.Context, name string) (objectapi.Object, error) {
+	o, err := w.applier.Store.Get(ctx, resource.KindService, name)
+	if errors.Is(err, objectapi.ErrNotFound) {
+		return objectapi.Object{Kind: resource.KindService, Name: name}, nil
+	}
+	return o, trace.Wrap(err, "reading service %s", name)
+}
+
+// run writes until the value is stored or the write is given up.
+func (w *write) run(ctx context.Context) error {
+	for range maxAttempts + w.applier.Retries {
+		if w.stored(w.base) {
+			return w.done(ActionUnchanged, w.base.Version)
+		}
+		action := w.action()
+		if w.applier.DryRun {
+			return w.done(action, w.base.Version)
+		}
+		o, err := w.put(ctx)
+		if err == nil {
+			return w.done(action, o.Version)
+		}
+		over, err := w.resolve(ctx, action, err)
+		if over {
+			return err
+		}
+	}
+	return w.fail(ActionUnknown, objectapi.ErrOutcomeUnknown, "gave up after %d answers were lost", maxAttempts)
+}
+
+// action returns what a write over the base does.
+func (w *write) action() Action {
+	if w.base.Version == 0 {
+		return ActionCreated
+	}
+	return ActionConfigured
+}
+
+// stored reports whether an object holds the value already.
+func (w *write) stored(o objectapi.Object) bool {
+	return o.Version != 0 && sameContent(o.Value, w.value)
+}
+
+// put makes one conditional write.
+func (w *write) put(ctx context.Context) (objectapi.Object, error) {
+	if w.base.Version == 0 {
+		return w.applier.Store.Create(ctx, resource.KindService, w.base.Name, w.value)
+	}
+	o := w.base
+	o.Value = w.value
+	return w.applier.Store.Update(ctx, o)
+}
+
+// resolve reads back after a write that failed. It reports whether the write is over, and its error.
+func (w *write) resolve(ctx context.Context, action Action, cause error) (bool, error) {
+	unknown := errors.Is(cause, objectapi.ErrOutcomeUnknown)
+	if !unknown && !errors.Is(cause, objectapi.ErrConflict) && !errors.Is(cause, objectapi.ErrNotFound) {
+		return true, w.fail(ActionFailed, cause, "nothing was written")
+	}
+	before := w.base
+	now, err := w.read(ctx, before.Name)
+	if err != nil && unknown {
+		return true, w.fail(ActionUnknown, objectapi.ErrOutcomeUnknown, "the write may have taken effect, and reading it back failed: %v", err)
+	}
+	if err != nil {
+		return true, w.fail(ActionFailed, err, "another operator changed the service, and reading it back failed")
+	}
+	w.base = now
+	if unknown && w.stored(now) {
+		w.result.Detail = "the answer was lost; confirmed by reading back"
+		return true, w.done(action, now.Version)
+	}
+	if now.Version == before.Version {
+		// The condition still holds, so the same write is safe to repeat: at most one of the two takes effect.
+		return false, nil
+	}
+	return w.overtaken(before, now, unknown)
+}
+
+// overtaken handles another operator's change between reading and writing.
+func (w *write) overtaken(before, now objectapi.Object, unknown bool) (bool, error) {
+	if w.stored(now) || (!unknown && sameContent(before.Value, now.Value)) {
+		return false, nil
+	}
+	w.conflicts++
+	if w.conflicts <= w.applier.Retries {
+		w.result.Detail = fmt.Sprintf("overwrote version %d, which another operator wrote meanwhile", now.Version)
+		return false, nil
+	}
+	if unknown {
+		return true, w.fail(ActionUnknown, objectapi.ErrOutcomeUnknown, "version %d of another operator is stored; the answer to this write was lost, so it may have been stored before that", now.Version)
+	}
+	return true, w.fail(ActionConflict, objectapi.ErrConflict, "another operator %s; that change stays, this one was not written", describe(before, now))
+}
+
+// describe says what another operator did.
+func describe(before, now objectapi.Object) string {
+	if now.Version == 0 {
+		return fmt.Sprintf("deleted version %d", before.Version)
+	}
+	if before.Version == 0 {
+		return fmt.Sprintf("created the service as version %d", now.Version)
+	}
+	return fmt.Sprintf("replaced version %d by version %d", before.Version, now.Version)
+}
+
+// done records a success.
+func (w *write) done(a Action, version uint64) error {
+	w.result.Action = a
+	w.result.Version = version
+	return nil
+}
+
+// fail records a failure and returns its error.
+func (w *write) fail(a Action, cause error, format string, args ...any) error {
+	w.result.Action = a
+	w.result.Version = w.base.Version
+	w.result.Detail = fmt.Sprintf(format, args...)
+	return trace.Wrap(cause, "writing service %s: %s", w.result.Name, w.result.Detail)
+}
+
+// sameContent reports whether two stored values hold the same service. Values that are not services are compared by
+// their bytes.
+func sameContent(a, b []byte) bool {
+	return bytes.Equal(normal(a), normal(b))
+}
+
+// normal returns the value as this version of the program writes it.
+func normal(v []byte) []byte {
+	var s resource.Service
+	if err := resource.Decode(v, &s); err != nil {
+		return v
+	}
+	b, err := resource.Encode(s)
+	if err != nil {
+		return v
+	}
+	return b
+}
--- /dev/null
+++ b/pkg/resource/kinds.go
@@ -0,0 +1,28 @@
+package resource
+
+import "github.com/auburnwood/auburnwood/pkg/objectapi"
+
+// Kinds of the objects that operators and the system keep in the object API.
+const (
+	// KindService is a Service, written by operators.
+	KindService objectapi.Kind = "service"
+	// KindServiceStatus is a ServiceStatus, written by the holder of the compile lease.
+	KindServiceStatus objectapi.Kind = "service-status"
+	// KindRevision is a Revision; its name is RevisionName of its number.
+	KindRevision objectapi.Kind = "revision"
+	// KindHead is the Head; its name is HeadName.
+	KindHead objectapi.Kind = "head"
+	// KindLease is a lease of one duty.
+	KindLease objectapi.Kind = "lease"
+	// KindMembers is the membership of a data centre.
+	KindMembers objectapi.Kind = "members"
+	// KindRefusals is a batch of refusal records.
+	KindRefusals objectapi.Kind = "refusals"
+	// KindAck is the revisions in force on the balancers of a data centre.
+	KindAck objectapi.Kind = "ack"
+	// KindClaim is the claim of one idempotency key.
+	KindClaim objectapi.Kind = "claim"
+)
+
+// HeadName is the name of the only object of KindHead.
+const HeadName = "head"
--- /dev/null
+++ b/pkg/resource/versioned.go
@@ -0,0 +1,35 @@
+package resource
+
+import "github.com/auburnwood/auburnwood/pkg/objectapi"
+
+// VersionedService is a stored service with its object version.
+type VersionedService struct {
+	Service
+	// Version is the object version.
+	Version uint64
+	// Unreadable is why the stored value is not a service; empty when it is one. Then only the name is known.
+	Unreadable string
+}
+
+// ReadService reads the service of a stored object. A value that is not a service, or is one of another name, gives a
+// VersionedService with the reason in Unreadable.
+func ReadService(o objectapi.Object) VersionedService {
+	var s Service
+	if err := Decode(o.Value, &s); err != nil {
+		return VersionedService{Service: Service{Name: o.Name}, Version: o.Version, Unreadable: err.Error()}
+	}
+	if s.Name != o.Name {
+		reason := "the service's name is " + s.Name + " but its object's name is " + o.Name
+		return VersionedService{Service: Service{Name: o.Name}, Version: o.Version, Unreadable: reason}
+	}
+	return VersionedService{Service: s, Version: o.Version}
+}
+
+// ReadServices reads the services of stored objects, in their order.
+func ReadServices(list []objectapi.Object) []VersionedService {
+	out := make([]VersionedService, 0, len(list))
+	for _, o := range list {
+		out = append(out, ReadService(o))
+	}
+	return out
+}
