--- /dev/null
+++ b/pkg/membership/digest.go
@@ -0,0 +1,202 @@
+package membership
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// bucketCount is the number of buckets of the digest. With a few thousand members the list of bucket hashes and the
+// summary of one bucket are of like size, a few hundred bytes.
+const bucketCount = 64
+
+// summaryEntrySize is the size of one entry of a summary, in bytes.
+const summaryEntrySize = 8
+
+// recordOverhead is the size of a record's fixed fields on the wire, in bytes; an upper bound.
+const recordOverhead = 80
+
+// Digest stands for the content of a table.
+type Digest struct {
+	// Root is the hash of the whole table.
+	Root uint64
+	// Buckets are the hashes of the buckets.
+	Buckets []uint32
+}
+
+// Summary lists the members of one bucket.
+type Summary struct {
+	// Bucket is the number of the bucket.
+	Bucket uint32
+	// Entries holds for each member HashID in the upper and the hash of the record in the lower 32 bits.
+	Entries []uint64
+}
+
+// HashID returns the short hash that names a member in digests.
+func HashID(id string) uint32 {
+	return uint32(xxhash.Sum64String(id))
+}
+
+func bucketOf(idHash uint32) uint32 {
+	return idHash % bucketCount
+}
+
+// recordHash covers all fields that are sent, except Changed, which decides no merge.
+func recordHash(m *Member) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, s := range []string{m.ID, m.Region, m.DataCentre, m.PacketAddr.String(), m.ControlAddr, m.Service, m.Version} {
+		hashNumber(&d, uint64(len(s)))
+		d.WriteString(s)
+	}
+	numbers := []uint64{
+		m.Incarnation, m.Sequence, uint64(m.Role), uint64(m.State), uint64(m.Final),
+		uint64(m.Slots), uint64(m.Connections), uint64(m.Weight), uint64(m.ActiveSince.UnixMilli()),
+	}
+	for _, n := range numbers {
+		hashNumber(&d, n)
+	}
+	return d.Sum64()
+}
+
+func hashNumber(d *xxhash.Digest, n uint64) {
+	var b [8]byte
+	binary.BigEndian.PutUint64(b[:], n)
+	d.Write(b[:])
+}
+
+// Root returns the hash of the whole table.
+func (t *Table) Root() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.root()
+}
+
+func (t *Table) root() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	var b [8]byte
+	for _, h := range t.hashes {
+		binary.BigEndian.PutUint64(b[:], h)
+		d.Write(b[:])
+	}
+	return d.Sum64()
+}
+
+// Digest returns the digest of the table.
+func (t *Table) Digest() Digest {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d := Digest{Root: t.root(), Buckets: make([]uint32, bucketCount)}
+	for i, h := range t.hashes {
+		d.Buckets[i] = uint32(h)
+	}
+	return d
+}
+
+// Differing returns the numbers of the buckets whose hash isn't the given one.
+func (t *Table) Differing(buckets []uint32) []uint32 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var differing []uint32
+	for i, h := range t.hashes {
+		if i < len(buckets) && buckets[i] != uint32(h) {
+			differing = append(differing, uint32(i))
+		}
+	}
+	return differing
+}
+
+// Summaries describes the given buckets in at most maxBytes, but at least the first one.
+func (t *Table) Summaries(buckets []uint32, maxBytes int) []Summary {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var summaries []Summary
+	size := 0
+	for _, b := range buckets {
+		if b >= bucketCount {
+			continue
+		}
+		size += (len(t.buckets[b]) + 1) * summaryEntrySize
+		if len(summaries) > 0 && size > maxBytes {
+			break
+		}
+		summaries = append(summaries, t.summary(b))
+	}
+	return summaries
+}
+
+func (t *Table) summary(b uint32) Summary {
+	s := Summary{Bucket: b, Entries: make([]uint64, 0, len(t.buckets[b]))}
+	for id, e := range t.buckets[b] {
+		s.Entries = append(s.Entries, uint64(id)<<32|uint64(uint32(e.hash)))
+	}
+	return s
+}
+
+// Delta compares the table with another one's summaries. It returns the records that the other lacks or holds in
+// another version, in at most maxBytes but at least one, and the hashes of the members that the table wants from the
+// other.
+func (t *Table) Delta(summaries []Summary, maxBytes int) (members []Member, want []uint32) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	size := 0
+	for _, s := range summaries {
+		if s.Bucket >= bucketCount {
+			continue
+		}
+		differing, wanted := t.compare(s)
+		want = append(want, wanted...)
+		for _, e := range differing {
+			size += recordSize(&e.member)
+			if len(members) > 0 && size > maxBytes {
+				return members, want
+			}
+			members = append(members, e.member)
+		}
+	}
+	return members, want
+}
+
+func (t *Table) compare(s Summary) (differing []*entry, want []uint32) {
+	theirs := make(map[uint32]uint32, len(s.Entries))
+	for _, e := range s.Entries {
+		theirs[uint32(e>>32)] = uint32(e)
+	}
+	for id, e := range t.buckets[s.Bucket] {
+		if hash, ok := theirs[id]; !ok || hash != uint32(e.hash) {
+			differing = append(differing, e)
+		}
+	}
+	for id, hash := range theirs {
+		if e, ok := t.buckets[s.Bucket][id]; !ok || hash != uint32(e.hash) {
+			want = append(want, id)
+		}
+	}
+	return differing, want
+}
+
+// Select returns the records with the given hashes, in at most maxBytes but at least one.
+func (t *Table) Select(hashes []uint32, maxBytes int) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var members []Member
+	size := 0
+	for _, h := range hashes {
+		e, ok := t.buckets[bucketOf(h)][h]
+		if !ok {
+			continue
+		}
+		size += recordSize(&e.member)
+		if len(members) > 0 && size > maxBytes {
+			return members
+		}
+		members = append(members, e.member)
+	}
+	return members
+}
+
+// recordSize is an upper bound of the size of a record on the wire, in bytes.
+func recordSize(m *Member) int {
+	return recordOverhead + len(m.ID) + len(m.Region) + len(m.DataCentre) + len(m.ControlAddr) + len(m.Service) + len(m.Version)
+}
--- /dev/null
+++ b/pkg/membership/member.go
@@ -0,0 +1,128 @@
+package membership
+
+import (
+	"cmp"
+	"net/netip"
+	"time"
+)
+
+// Member is the record by which a process is known. The process itself raises Sequence with every change of its record;
+// only the state dead is set by others, at the sequence that they judged.
+type Member struct {
+	// ID is the name of the process; it stays the same when its VM is replaced by one of the same name.
+	ID string `json:"id"`
+	// Role says whether the member is an agent or a balancer.
+	Role Role `json:"role"`
+	// Incarnation rises each time the process starts.
+	Incarnation uint64 `json:"incarnation"`
+	// Sequence rises with each change within an incarnation.
+	Sequence uint64 `json:"sequence"`
+	// State is the member's state.
+	State State `json:"state"`
+	// Final is the state that can't be taken back within the incarnation: draining, left, or 0.
+	Final State `json:"final,omitempty"`
+	// Region and DataCentre say where the member's VM runs.
+	Region     string `json:"region"`
+	DataCentre string `json:"dataCentre"`
+	// PacketAddr is the address of the packet socket (UDP).
+	PacketAddr netip.AddrPort `json:"packetAddr"`
+	// ControlAddr is the host:port at which a balancer serves control calls; empty for an agent.
+	ControlAddr string `json:"controlAddr,omitempty"`
+	// Service is the service name that a target announces.
+	Service string `json:"service,omitempty"`
+	// Version is the version that a target announces.
+	Version string `json:"version,omitempty"`
+	// Slots is the number of requests that a target runs at once.
+	Slots uint32 `json:"slots,omitempty"`
+	// Connections is the highest number of open flows of a target.
+	Connections uint32 `json:"connections,omitempty"`
+	// Weight is a target's announced capacity in relation to the other targets; 0 means Slots, or 1.
+	Weight uint32 `json:"weight,omitempty"`
+	// ActiveSince is when the member became active.
+	ActiveSince time.Time `json:"activeSince,omitzero"`
+	// Changed is the wall clock time of the last change of state; the lifetime of a tombstone counts from it.
+	Changed time.Time `json:"changed,omitzero"`
+	// Unreachable is set on members of a region that the local process can't reach. It is local and never sent.
+	Unreachable bool `json:"-"`
+}
+
+// Capacity returns the announced capacity: Weight, or else Slots, or else 1.
+func (m *Member) Capacity() uint32 {
+	if m.Weight > 0 {
+		return m.Weight
+	}
+	return max(m.Slots, 1)
+}
+
+// Live reports whether the member is neither dead nor left.
+func (m *Member) Live() bool {
+	return m.State != 0 && !m.State.Gone()
+}
+
+// normalise makes State and Final agree and brings the times into a form that can be compared.
+func (m *Member) normalise() {
+	m.ActiveSince = milliseconds(m.ActiveSince)
+	m.Changed = milliseconds(m.Changed)
+	m.Final = max(m.Final, m.State.final())
+	if m.Final == StateLeft {
+		m.State = StateLeft
+	}
+	if m.Final == StateDraining && m.State < StateDraining {
+		m.State = StateDraining
+	}
+}
+
+func milliseconds(t time.Time) time.Time {
+	if t.IsZero() {
+		return time.Time{}
+	}
+	return time.UnixMilli(t.UnixMilli()).UTC()
+}
+
+// merged returns the join of two records of one member: it doesn't depend on the order in which records arrive, and
+// merging a record twice changes nothing. The later (incarnation, sequence) wins, but a final state stays for the
+// whole incarnation even when the record that set it arrives late.
+func merged(a, b Member) Member {
+	if a.Incarnation != b.Incarnation {
+		return laterOf(a, b)
+	}
+	w := laterOf(a, b)
+	w.Final = max(a.Final, b.Final)
+	w.normalise()
+	return w
+}
+
+// laterOf returns the record that wins apart from final states.
+func laterOf(a, b Member) Member {
+	if compareRecords(&a, &b) < 0 {
+		return b
+	}
+	return a
+}
+
+// compareRecords orders records by incarnation and sequence. Records of one sequence differ in their state only, unless
+// two processes use one name; then their content decides, so that all tables still agree.
+func compareRecords(a, b *Member) int {
+	return cmp.Or(
+		cmp.Compare(a.Incarnation, b.Incarnation),
+		cmp.Compare(a.Sequence, b.Sequence),
+		compareContent(a, b),
+		cmp.Compare(a.State, b.State),
+	)
+}
+
+func compareContent(a, b *Member) int {
+	return cmp.Or(
+		cmp.Compare(a.Role, b.Role),
+		cmp.Compare(a.Region, b.Region),
+		cmp.Compare(a.DataCentre, b.DataCentre),
+		a.PacketAddr.Compare(b.PacketAddr),
+		cmp.Compare(a.ControlAddr, b.ControlAddr),
+		cmp.Compare(a.Service, b.Service),
+		cmp.Compare(a.Version, b.Version),
+		cmp.Compare(a.Slots, b.Slots),
+		cmp.Compare(a.Connections, b.Connections),
+		cmp.Compare(a.Weight, b.Weight),
+		a.ActiveSince.Compare(b.ActiveSince),
+	)
+}
--- /dev/null
+++ b/pkg/membership/table.go
@@ -0,0 +1,216 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+// entry is one member with the hashes that the digest is made of.
+type entry struct {
+	member   Member
+	idHash   uint32
+	hash     uint64
+	modified uint64
+}
+
+// Table is the set of member records known to a process. All methods may be called from any goroutine.
+type Table struct {
+	lifetime time.Duration
+
+	mu          sync.Mutex
+	entries     map[string]*entry
+	buckets     [bucketCount]map[uint32]*entry
+	hashes      [bucketCount]uint64
+	version     uint64
+	unreachable map[string]bool
+	subscribers map[chan struct{}]struct{}
+}
+
+// NewTable returns an empty table.
+func NewTable(cfg TableConfig) *Table {
+	t := &Table{
+		lifetime:    cmp.Or(cfg.TombstoneLifetime, DefaultTombstoneLifetime),
+		entries:     make(map[string]*entry),
+		unreachable: make(map[string]bool),
+		subscribers: make(map[chan struct{}]struct{}),
+	}
+	for i := range t.buckets {
+		t.buckets[i] = make(map[uint32]*entry)
+	}
+	return t
+}
+
+// Merge takes in a record and reports whether the table changed. It ignores records without a name, incarnation or
+// state, and tombstones whose lifetime is over.
+func (t *Table) Merge(m Member, now time.Time) bool {
+	if m.ID == "" || m.Incarnation == 0 || m.State == 0 || m.State > StateLeft {
+		return false
+	}
+	m.normalise()
+	m.Unreachable = false
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.expired(&m, now) {
+		return false
+	}
+	if !t.merge(m) {
+		return false
+	}
+	t.notify()
+	return true
+}
+
+func (t *Table) merge(m Member) bool {
+	e, ok := t.entries[m.ID]
+	if !ok {
+		t.insert(m)
+		return true
+	}
+	joined := merged(e.member, m)
+	if joined == e.member {
+		return false
+	}
+	t.replace(e, joined)
+	return true
+}
+
+// Get returns the record of a member.
+func (t *Table) Get(id string) (Member, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.entries[id]
+	if !ok {
+		return Member{}, false
+	}
+	return t.export(e), true
+}
+
+// Members returns all records, tombstones included, sorted by ID.
+func (t *Table) Members() []Member {
+	return t.ChangedSince(0)
+}
+
+// ChangedSince returns the records that changed after the table had the given version, sorted by ID.
+func (t *Table) ChangedSince(version uint64) []Member {
+	t.mu.Lock()
+	members := make([]Member, 0, len(t.entries))
+	for _, e := range t.entries {
+		if e.modified > version {
+			members = append(members, t.export(e))
+		}
+	}
+	t.mu.Unlock()
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return members
+}
+
+// Version returns a number that rises with every change of this table; it means nothing in other processes.
+func (t *Table) Version() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
+}
+
+// Expire forgets the tombstones whose lifetime is over and returns their number.
+func (t *Table) Expire(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	removed := 0
+	for _, e := range t.entries {
+		if !t.expired(&e.member, now) {
+			continue
+		}
+		t.remove(e)
+		removed++
+	}
+	if removed > 0 {
+		t.notify()
+	}
+	return removed
+}
+
+// Forget removes a member without a tombstone. It is meant for tables that mirror another one.
+func (t *Table) Forget(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.entries[id]
+	if !ok {
+		return
+	}
+	t.remove(e)
+	t.notify()
+}
+
+// SetUnreachable marks the members of a region as unreachable from here, or as reachable again.
+func (t *Table) SetUnreachable(region string, unreachable bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.unreachable[region] == unreachable {
+		return
+	}
+	t.unreachable[region] = unreachable
+	t.version++
+	t.notify()
+}
+
+// Subscribe returns a channel that gets a value after changes; changes that come faster than they are taken are
+// reported once. The function ends the subscription.
+func (t *Table) Subscribe() (<-chan struct{}, func()) {
+	c := make(chan struct{}, 1)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.subscribers[c] = struct{}{}
+	return c, func() { t.unsubscribe(c) }
+}
+
+func (t *Table) unsubscribe(c chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.subscribers, c)
+}
+
+func (t *Table) notify() {
+	for c := range t.subscribers {
+		select {
+		case c <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (t *Table) export(e *entry) Member {
+	m := e.member
+	m.Unreachable = t.unreachable[m.Region]
+	return m
+}
+
+func (t *Table) expired(m *Member, now time.Time) bool {
+	return m.State.Gone() && now.Sub(m.Changed) > t.lifetime
+}
+
+func (t *Table) insert(m Member) {
+	e := &entry{idHash: HashID(m.ID)}
+	t.entries[m.ID] = e
+	t.buckets[bucketOf(e.idHash)][e.idHash] = e
+	t.replace(e, m)
+}
+
+func (t *Table) replace(e *entry, m Member) {
+	b := bucketOf(e.idHash)
+	t.hashes[b] ^= e.hash
+	e.member = m
+	e.hash = recordHash(&m)
+	t.hashes[b] ^= e.hash
+	t.version++
+	e.modified = t.version
+}
+
+func (t *Table) remove(e *entry) {
+	b := bucketOf(e.idHash)
+	t.hashes[b] ^= e.hash
+	delete(t.buckets[b], e.idHash)
+	delete(t.entries, e.member.ID)
+	t.version++
+}
