End TCP and UDP flows of raw IP packets on gVisor

The agents and the lab need a TCP/IP stack for addresses that are not the VM own. One stack takes any destination, resets, aborts and a silent close included; a reset for a refused packet is built from the packet itself.

--- /dev/null
+++ b/pkg/netstack/accept.go
@@ -0,0 +1,68 @@
+package netstack
+
+import (
+	"net"
+
+	"github.com/gravitational/trace"
+	"gvisor.dev/gvisor/pkg/tcpip/adapters/gonet"
+	"gvisor.dev/gvisor/pkg/tcpip/stack"
+	"gvisor.dev/gvisor/pkg/tcpip/transport/tcp"
+	"gvisor.dev/gvisor/pkg/tcpip/transport/udp"
+	"gvisor.dev/gvisor/pkg/waiter"
+
+	"github.com/auburnwood/auburnwood/pkg/flow"
+)
+
+// Accepted is a caller's opening TCP segment that waits for an answer. Exactly one of Accept, Reject and Ignore must be
+// called.
+type Accepted struct {
+	// Key is the five-tuple, seen from the caller.
+	Key     flow.Key
+	stack   *Stack
+	request *tcp.ForwarderRequest
+}
+
+// Accept completes the handshake, which blocks until the caller answers. The connection is a *Conn.
+func (a Accepted) Accept() (net.Conn, error) {
+	var queue waiter.Queue
+	endpoint, terr := a.request.CreateEndpoint(&queue)
+	if terr != nil {
+		a.request.Complete(false)
+		return nil, trace.ConnectionProblem(nil, "handshake with caller %v: %s", a.Key.Source, terr)
+	}
+	a.request.Complete(false)
+	a.stack.tune(endpoint)
+	return newConn(&queue, endpoint), nil
+}
+
+// Reject answers the caller with a reset.
+func (a Accepted) Reject() { a.request.Complete(true) }
+
+// Ignore leaves the caller without an answer; its TCP sends the segment again.
+func (a Accepted) Ignore() { a.request.Complete(false) }
+
+// AcceptTCP sets the handler of opening TCP segments that belong to no connection. Each call of the handler has its own
+// goroutine; a segment that comes again while its handler runs is ignored.
+func (s *Stack) AcceptTCP(handler func(Accepted)) {
+	f := tcp.NewForwarder(s.stack, s.config.Buffer, maxInFlight, func(r *tcp.ForwarderRequest) {
+		handler(Accepted{Key: keyOf(r.ID(), flow.ProtocolTCP), stack: s, request: r})
+	})
+	s.stack.SetTransportProtocolHandler(tcp.ProtocolNumber, f.HandlePacket)
+}
+
+// HandleUDP sets the handler of UDP datagrams that belong to no socket. The handler gets a socket connected to the
+// caller, with the first datagram in it, and must close it in the end. It runs within Inject and must not block.
+func (s *Stack) HandleUDP(handler func(key flow.Key, conn net.Conn)) {
+	f := udp.NewForwarder(s.stack, func(r *udp.ForwarderRequest) bool {
+		var queue waiter.Queue
+		endpoint, terr := r.CreateEndpoint(&queue)
+		if terr != nil {
+			return true
+		}
+		handler(keyOf(r.ID(), flow.ProtocolUDP), gonet.NewUDPConn(&queue, endpoint))
+		return true
+	})
+	s.stack.SetTransportProtocolHandler(udp.ProtocolNumber, func(id stack.TransportEndpointID, p *stack.PacketBuffer) bool {
+		return f.HandlePacket(id, p)
+	})
+}
--- /dev/null
+++ b/pkg/netstack/conn.go
@@ -0,0 +1,33 @@
+package netstack
+
+import (
+	"gvisor.dev/gvisor/pkg/tcpip"
+	"gvisor.dev/gvisor/pkg/tcpip/adapters/gonet"
+	"gvisor.dev/gvisor/pkg/waiter"
+)
+
+// Conn is a TCP connection of a Stack. It has CloseRead and CloseWrite for half-close.
+type Conn struct {
+	*gonet.TCPConn
+	endpoint tcpip.Endpoint
+}
+
+func newConn(queue *waiter.Queue, endpoint tcpip.Endpoint) *Conn {
+	return &Conn{TCPConn: gonet.NewTCPConn(queue, endpoint), endpoint: endpoint}
+}
+
+// Abort resets the connection: the peer sees a reset and unsent bytes are lost. It may be called at any time, also
+// while other goroutines read and write.
+func (c *Conn) Abort() { c.endpoint.Abort() }
+
+func (s *Stack) tune(endpoint tcpip.Endpoint) {
+	timeout := tcpip.TCPUserTimeoutOption(s.config.UserTimeout)
+	idle := tcpip.KeepaliveIdleOption(DefaultKeepalive)
+	interval := tcpip.KeepaliveIntervalOption(DefaultKeepalive)
+	_ = endpoint.SetSockOpt(&timeout)
+	_ = endpoint.SetSockOpt(&idle)
+	_ = endpoint.SetSockOpt(&interval)
+	_ = endpoint.SetSockOptInt(tcpip.KeepaliveCountOption, keepaliveTry)
+	endpoint.SocketOptions().SetKeepAlive(true)
+	endpoint.SocketOptions().SetDelayOption(false)
+}
