--- /dev/null
+++ b/pkg/telemetry/daemon.go
@@ -0,0 +1,161 @@
+package telemetry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/auburnwood/auburnwood/pkg/settings"
+)
+
+// Settings is what every daemon's settings hold.
+type Settings interface {
+	// ProcessSettings returns the keys that name the process.
+	ProcessSettings() settings.Process
+	// LogSettings returns the log section.
+	LogSettings() settings.Log
+}
+
+// Env is what a daemon gets besides its settings.
+type Env struct {
+	// Log is the daemon's logger.
+	Log zerolog.Logger
+	// Scope is the root scope of the daemon's metrics.
+	Scope tally.Scope
+	// Status takes the function that describes the daemon's state.
+	Status *Status
+}
+
+// Daemon describes a daemon whose settings are an S.
+type Daemon[S Settings] struct {
+	// Name is the program's name.
+	Name string
+	// Load reads the settings from a file.
+	Load func(path string) (S, error)
+	// Run runs the daemon. When ctx ends it shuts down gracefully and returns nil.
+	Run func(ctx context.Context, s S, env Env) error
+}
+
+// RunMain runs a daemon with the command line of the process and ends the process with its exit code.
+func RunMain[S Settings](d Daemon[S]) {
+	os.Exit(d.Main(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// Main runs a daemon and returns its exit code. The first SIGINT or SIGTERM, or the end of ctx, starts a graceful
+// shutdown; a second signal ends the process at once. The log goes to stderr.
+func (d Daemon[S]) Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	f, code, goOn := parseFlags(d.Name, args, stdout, stderr)
+	if !goOn {
+		return code
+	}
+	s, err := d.Load(f.Settings)
+	if err != nil {
+		fmt.Fprintf(stderr, "%s: %s\n", d.Name, settingsMessage(err))
+		return ExitUsage
+	}
+	if f.Check {
+		fmt.Fprintf(stdout, "%s: no mistakes\n", f.Settings)
+		return ExitOK
+	}
+	l := s.LogSettings()
+	if f.LogFormat != "" {
+		l.Format = f.LogFormat
+	}
+	log, err := NewLogger(stderr, l, s.ProcessSettings())
+	if err != nil {
+		fmt.Fprintf(stderr, "%s: %v\n", d.Name, err)
+		return ExitUsage
+	}
+	return d.run(ctx, s, log)
+}
+
+// settingsMessage returns the mistakes of a settings file, or the reason why it could not be read.
+func settingsMessage(err error) string {
+	var e *settings.Error
+	if errors.As(err, &e) {
+		return e.Error()
+	}
+	return trace.UserMessage(err)
+}
+
+// run runs the daemon until it ends or a signal arrives.
+func (d Daemon[S]) run(ctx context.Context, s S, log zerolog.Logger) int {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	// Without the handler, a second signal ends the process.
+	context.AfterFunc(ctx, stop)
+	log.Info().Str("op", "start").Str("program", d.Name).Str("version", Version()).Msg("starting")
+	if err := d.serve(ctx, s, log); err != nil {
+		log.Error().Str("op", "stop").Err(err).Msg("failed")
+		return ExitFailure
+	}
+	log.Info().Str("op", "stop").Msg("stopped")
+	return ExitOK
+}
+
+// serve runs the daemon and, where it is switched on, the status listener.
+func (d Daemon[S]) serve(ctx context.Context, s S, log zerolog.Logger) error {
+	p := s.ProcessSettings()
+	r := NewReporter()
+	scope, closer := NewScope(r, p)
+	defer func() { _ = closer.Close() }()
+	env := Env{Log: log, Scope: scope, Status: new(Status)}
+	h := newHandler(r, func() statusAnswer { return d.status(p, env.Status) })
+	stopStatus, err := serveStatus(ctx, p.StatusAddress, h, log)
+	if err != nil {
+		return err
+	}
+	defer stopStatus()
+	err = d.Run(ctx, s, env)
+	if errors.Is(err, context.Canceled) && ctx.Err() != nil {
+		return nil
+	}
+	return trace.Wrap(err, "running %s", d.Name)
+}
+
+// status returns the answer of /status.
+func (d Daemon[S]) status(p settings.Process, s *Status) statusAnswer {
+	return statusAnswer{
+		Program:    d.Name,
+		Version:    Version(),
+		Process:    p.Name,
+		Region:     p.Region,
+		DataCentre: p.DataCentre,
+		State:      s.value(),
+	}
+}
+
+// serveStatus serves h on address; an empty address switches it off. The status stays readable while the daemon shuts
+// down, until the returned function is called.
+func serveStatus(ctx context.Context, address string, h http.Handler, log zerolog.Logger) (func(), error) {
+	if address == "" {
+		return func() {}, nil
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, trace.Wrap(err, "listening for status on %s", address)
+	}
+	log.Info().Str("op", "listen").Str("status_address", l.Addr().String()).Msg("status is served")
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := serve(ctx, l, h); err != nil {
+			log.Error().Str("op", "listen").Err(err).Msg("status is not served any more")
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+	}, nil
+}
--- /dev/null
+++ b/pkg/telemetry/daemon_test.go
@@ -0,0 +1,135 @@
+package telemetry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwood/auburnwood/pkg/settings"
+)
+
+// agentFile writes settings of an agent with the given extra text and returns the path.
+func agentFile(t *testing.T, top string) string {
+	t.Helper()
+	text := `name = "a1"
+region = "r"
+data_centre = "dc"
+packet_address = "127.0.0.1:0"
+fabric_address = "127.0.0.1:7000"
+target_address = "127.0.0.1:7001"
+announce_address = "127.0.0.1:0"
+balancers = ["127.0.0.1:7002"]
+` + top
+	path := filepath.Join(t.TempDir(), "agent.toml")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+// daemon returns a daemon that runs f.
+func daemon(f func(context.Context, settings.Agent, Env) error) Daemon[settings.Agent] {
+	return Daemon[settings.Agent]{Name: "auburnwood-agent", Load: settings.LoadAgent, Run: f}
+}
+
+func TestMainExitCodes(t *testing.T) {
+	idle := func(context.Context, settings.Agent, Env) error { return nil }
+	fails := func(context.Context, settings.Agent, Env) error { return errors.New("socket is gone") }
+	good, bad := agentFile(t, ""), agentFile(t, "mtu = 1\nnonsense = 2\n")
+	for _, c := range []struct {
+		name     string
+		run      func(context.Context, settings.Agent, Env) error
+		args     []string
+		code     int
+		out, err string
+	}{
+		{"help", idle, []string{"--help"}, ExitOK, "--settings", ""},
+		{"version", idle, []string{"--version"}, ExitOK, "auburnwood-agent ", ""},
+		{"no settings", idle, nil, ExitUsage, "", "--settings FILE is required"},
+		{"unknown flag", idle, []string{"--nope"}, ExitUsage, "", "nope"},
+		{"argument", idle, []string{"--settings", good, "x"}, ExitUsage, "", `unexpected argument "x"`},
+		{"no file", idle, []string{"--settings", "/nonexistent"}, ExitUsage, "", "/nonexistent"},
+		{"mistakes", idle, []string{"--check", "--settings", bad}, ExitUsage, "", "nonsense: is not a known key"},
+		{"all mistakes", idle, []string{"--settings", bad}, ExitUsage, "", "mtu: 1 is outside"},
+		{"check", fails, []string{"--check", "--settings", good}, ExitOK, "no mistakes", ""},
+		{"runs", idle, []string{"--settings", good}, ExitOK, "", `"message":"stopped"`},
+		{"console", idle, []string{"--settings", good, "--log-format", "console"}, ExitOK, "", "INF starting"},
+		{"fails", fails, []string{"--settings", good}, ExitFailure, "", "socket is gone"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var out, errs bytes.Buffer
+			require.Equal(t, c.code, daemon(c.run).Main(t.Context(), c.args, &out, &errs), errs.String())
+			require.Contains(t, out.String(), c.out)
+			require.Contains(t, errs.String(), c.err)
+		})
+	}
+}
+
+func TestMainServesStatusUntilStopped(t *testing.T) {
+	var out bytes.Buffer
+	var errs lockedBuffer
+	var addr string
+	run := func(ctx context.Context, _ settings.Agent, env Env) error {
+		env.Status.Set(func() any { return map[string]int{"revision": 7} })
+		addr = statusAddress(t, errs.String())
+		require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+		<-ctx.Done()
+		// The status is still readable in a graceful shutdown.
+		var a statusAnswer
+		require.NoError(t, json.Unmarshal(get(t, "http://"+addr+PathStatus), &a))
+		require.Equal(t, "a1", a.Process)
+		require.Equal(t, map[string]any{"revision": 7.0}, a.State)
+		return ctx.Err()
+	}
+	path := agentFile(t, "status_address = \"127.0.0.1:0\"\n")
+	require.Equal(t, ExitOK, daemon(run).Main(t.Context(), []string{"--settings", path}, &out, &errs), errs.String())
+	_, err := http.Get("http://" + addr + PathStatus)
+	require.Error(t, err)
+}
+
+// get returns the body of an answer 200.
+func get(t *testing.T, url string) []byte {
+	t.Helper()
+	a, err := http.Get(url)
+	require.NoError(t, err)
+	defer a.Body.Close()
+	require.Equal(t, http.StatusOK, a.StatusCode)
+	b, err := io.ReadAll(a.Body)
+	require.NoError(t, err)
+	return b
+}
+
+// statusAddress finds the address of the status listener in a log.
+func statusAddress(t *testing.T, log string) string {
+	t.Helper()
+	m := regexp.MustCompile(`"status_address":"([^"]+)"`).FindStringSubmatch(log)
+	require.Len(t, m, 2, log)
+	return m[1]
+}
+
+// lockedBuffer is a buffer that several goroutines write and read.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
--- /dev/null
+++ b/pkg/telemetry/scope.go
@@ -0,0 +1,31 @@
+package telemetry
+
+import (
+	"io"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/auburnwood/auburnwood/pkg/settings"
+)
+
+const (
+	// metricPrefix begins the name of every metric.
+	metricPrefix = "auburnwood"
+	// metricSeparator stands between the parts of a metric's name.
+	metricSeparator = "_"
+	// reportInterval is the time between two reports of the scope; /metrics is at most that old.
+	reportInterval = time.Second
+)
+
+// NewScope returns the root scope of a daemon, which reports to r once a second with the tags of the process, and a
+// closer that makes the last report.
+func NewScope(r *Reporter, p settings.Process) (tally.Scope, io.Closer) {
+	return tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 metricPrefix,
+		Separator:              metricSeparator,
+		Reporter:               r,
+		OmitCardinalityMetrics: true,
+		Tags:                   map[string]string{FieldProcess: p.Name, FieldDataCentre: p.DataCentre},
+	}, reportInterval)
+}
--- /dev/null
+++ b/pkg/telemetry/status.go
@@ -0,0 +1,22 @@
+package telemetry
+
+import "sync/atomic"
+
+// Status holds the function that describes a daemon's state for /status.
+type Status struct {
+	f atomic.Pointer[func() any]
+}
+
+// Set sets the function. It is called at each request, from any goroutine; its result is written as JSON.
+func (s *Status) Set(f func() any) {
+	s.f.Store(&f)
+}
+
+// value returns the state, or nil before Set.
+func (s *Status) value() any {
+	f := s.f.Load()
+	if f == nil {
+		return nil
+	}
+	return (*f)()
+}
