--- /dev/null
+++ b/pkg/view/build.go
@@ -0,0 +1,159 @@
+package view
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/membership"
+	"github.com/auburnwood/auburnwood/pkg/resource"
+)
+
+// weightScale is the sum of the weights of a service's active targets, up to rounding. It leaves each of some thousand
+// targets a resolution of more than 0.1%.
+const weightScale = 1 << 24
+
+// Build returns the view of a revision and the members known to a process. It depends on nothing else, so that equal
+// input in any order gives equal views. Dead and left members are left out; unreachable ones are kept. The function
+// shares, when not nil, returns the shares in force of a service, for example those of a rollout step; nil from it means
+// the shares of the specification. The time now is not used yet: slow start acts on the choice of owner.
+func Build(rev resource.Revision, members []membership.Member, shares func(service string) []resource.Share, _ time.Time) *View {
+	targets := targetsByService(members)
+	v := &View{Revision: rev.Number, Services: make([]*Service, 0, len(rev.Services))}
+	for _, config := range rev.Services {
+		v.Services = append(v.Services, buildService(rev.Number, config, targets, effectiveShares(config, shares)))
+	}
+	slices.SortFunc(v.Services, func(a, b *Service) int { return cmp.Compare(a.Name, b.Name) })
+	return v
+}
+
+func effectiveShares(c resource.ServiceConfig, shares func(string) []resource.Share) []resource.Share {
+	if shares == nil {
+		return c.Spec.Shares
+	}
+	if s := shares(c.Name); s != nil {
+		return s
+	}
+	return c.Spec.Shares
+}
+
+// targetsByService groups the live agents by the service name that they announce, each group sorted by ID.
+func targetsByService(members []membership.Member) map[string][]membership.Member {
+	groups := make(map[string][]membership.Member)
+	for _, m := range members {
+		if m.Role != membership.RoleAgent || !m.Live() {
+			continue
+		}
+		groups[m.Service] = append(groups[m.Service], m)
+	}
+	for _, g := range groups {
+		slices.SortFunc(g, func(a, b membership.Member) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return groups
+}
+
+func buildService(number uint64, c resource.ServiceConfig, groups map[string][]membership.Member, shares []resource.Share) *Service {
+	members := groups[cmp.Or(c.Spec.Targets, c.Name)]
+	s := &Service{Name: c.Name, Revision: number, Spec: c.Spec}
+	s.Targets = make([]Target, 0, len(members))
+	weights := newWeights(shares, members)
+	for _, m := range members {
+		s.Targets = append(s.Targets, newTarget(m, weights.of(m)))
+	}
+	return s
+}
+
+func newTarget(m membership.Member, weight uint32) Target {
+	return Target{
+		ID:          m.ID,
+		Incarnation: m.Incarnation,
+		Agent:       m.PacketAddr,
+		Weight:      weight,
+		State:       targetState(m.State),
+		Version:     m.Version,
+		DataCentre:  m.DataCentre,
+		Slots:       m.Slots,
+		Connections: m.Connections,
+		ActiveSince: m.ActiveSince,
+	}
+}
+
+func targetState(s membership.State) TargetState {
+	switch s {
+	case membership.StateActive:
+		return StateActive
+	case membership.StateDraining:
+		return StateDraining
+	}
+	return StateJoining
+}
+
+// weights divides new flows among targets: each version gets its share, and within a version each target gets a part in
+// proportion to its announced capacity. Without shares the version doesn't matter.
+type weights struct {
+	shares   map[string]float64
+	capacity map[string]float64
+	total    float64
+}
+
+func newWeights(shares []resource.Share, members []membership.Member) *weights {
+	w := &weights{capacity: make(map[string]float64)}
+	if len(shares) > 0 {
+		w.shares = make(map[string]float64)
+	}
+	for _, s := range shares {
+		w.shares[s.Version] += float64(s.Weight)
+		w.total += float64(s.Weight)
+	}
+	w.addCapacity(members, membership.StateActive)
+	w.addCapacity(members, membership.StateJoining)
+	return w
+}
+
+// addCapacity sums the capacity of the members in the given state, for versions that have none yet.
+func (w *weights) addCapacity(members []membership.Member, state membership.State) {
+	sums := make(map[string]float64)
+	for _, m := range members {
+		if m.State == state {
+			sums[w.version(m)] += float64(m.Capacity())
+		}
+	}
+	for version, sum := range sums {
+		if w.capacity[version] == 0 {
+			w.capacity[version] = sum
+		}
+	}
+}
+
+// version is the key under which a member's capacity is counted.
+func (w *weights) version(m membership.Member) string {
+	if w.shares == nil {
+		return ""
+	}
+	return m.Version
+}
+
+// of returns the weight of a member. A draining one takes no new flow.
+func (w *weights) of(m membership.Member) uint32 {
+	if m.State == membership.StateDraining {
+		return 0
+	}
+	share := w.share(m)
+	if share == 0 {
+		return 0
+	}
+	part := share * float64(m.Capacity()) / w.capacity[w.version(m)]
+	return uint32(max(1, math.Round(min(part, 1)*weightScale)))
+}
+
+// share returns the part of the member's version in all new flows.
+func (w *weights) share(m membership.Member) float64 {
+	if w.shares == nil {
+		return 1
+	}
+	if w.total == 0 {
+		return 0
+	}
+	return w.shares[m.Version] / w.total
+}
