Compile services into revisions, advance the head under a lease, adopt only higher ones

A revision object is named by its number and the term, so that two holders never write to one name; the head names the object (new field Head.Object) and is fenced. Statuses carry the term (new field ServiceStatus.Term) for the same reason. Rollout states set the shares of the compiled specification.

--- /dev/null
+++ b/pkg/lease/create.go
@@ -0,0 +1,20 @@
+package lease
+
+import (
+	"context"
+	"errors"
+
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
+)
+
+// CreateSame creates an object, or finds it with the same value as after a lost answer. Another value gives
+// objectapi.ErrConflict.
+func CreateSame(ctx context.Context, s objectapi.Store, kind objectapi.Kind, name string, value []byte) error {
+	o := objectapi.Object{Kind: kind, Name: name, Value: value}
+	_, err := Put(ctx, s, o)
+	if !errors.Is(err, objectapi.ErrConflict) {
+		return err
+	}
+	_, err = readBack(ctx, s, o)
+	return err
+}
--- a/pkg/lease/fenced.go
+++ b/pkg/lease/fenced.go
@@ -1,20 +1,15 @@
 package lease
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
-	"time"
 
 	"github.com/gravitational/trace"
 
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
 )
 
-// resendAfter is the pause before a write whose answer was lost is sent again.
-const resendAfter = 20 * time.Millisecond
-
 // ErrFenced means that a later term has claimed the object; the caller's term is over.
 var ErrFenced = errors.New("fenced by a later term")
 
@@ -76,7 +71,7 @@
 	if err != nil {
 		return trace.Wrap(err, "encode %s/%s", f.kind, f.name)
 	}
-	o, err := put(ctx, f.store, objectapi.Object{Kind: f.kind, Name: f.name, Version: f.object.Version, Value: b})
+	o, err := Put(ctx, f.store, objectapi.Object{Kind: f.kind, Name: f.name, Version: f.object.Version, Value: b})
 	if err == nil {
 		f.object = o
 		f.value = v
@@ -118,44 +113,3 @@
 	f.value = v
 	return nil
 }
-
-// put writes o when its stored version still is o.Version, where 0 means absent. When an answer is lost it sends the
-// same write again: its condition lets it take effect once at most, and a conflict is settled by reading back.
-func put(ctx context.Context, s objectapi.Store, o objectapi.Object) (objectapi.Object, error) {
-	unsure := false
-	for {
-		done, err := putOnce(ctx, s, o)
-		switch {
-		case err == nil:
-			return done, nil
-		case errors.Is(err, objectapi.ErrOutcomeUnknown):
-			unsure = true
-		case errors.Is(err, objectapi.ErrConflict) && unsure:
-			return readBack(ctx, s, o)
-		case unsure && errors.Is(err, objectapi.ErrUnavailable):
-		default:
-			return o, trace.Wrap(err, "write %s/%s", o.Kind, o.Name)
-		}
-		if (SystemClock{}).Sleep(ctx, resendAfter) != nil {
-			return o, trace.Wrap(objectapi.ErrOutcomeUnknown, "write %s/%s", o.Kind, o.Name)
-		}
-	}
-}
-
-func putOnce(ctx context.Context, s objectapi.Store, o objectapi.Object) (objectapi.Object, error) {
-	if o.Version == 0 {
-		return s.Create(ctx, o.Kind, o.Name, o.Value)
-	}
-	return s.Update(ctx, o)
-}
-
-func readBack(ctx context.Context, s objectapi.Store, o objectapi.Object) (objectapi.Object, error) {
-	got, err := s.Get(ctx, o.Kind, o.Name)
-	if err != nil {
-		return o, trace.Wrap(err, "read back %s/%s", o.Kind, o.Name)
-	}
-	if !bytes.Equal(got.Value, o.Value) {
-		return o, trace.Wrap(objectapi.ErrConflict, "write %s/%s", o.Kind, o.Name)
-	}
-	return got, nil
-}
--- a/pkg/resource/status.go
+++ b/pkg/resource/status.go
@@ -54,6 +54,8 @@
 type ServiceStatus struct {
 	// Name is the service's name.
 	Name string `json:"name"`
+	// Term is the lease term under which the status was written.
+	Term uint64 `json:"term,omitempty"`
 	// ObservedVersion is the object version of the Service that was judged last.
 	ObservedVersion uint64 `json:"observedVersion"`
 	// AcceptedVersion is the object version of the Service that is part of the accepted revision; 0 when none is.
--- /dev/null
+++ b/pkg/revision/describe.go
@@ -0,0 +1,115 @@
+package revision
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/resource"
+)
+
+// judgement is what is known of one service when its status is described.
+type judgement struct {
+	result  Result
+	rollout *resource.RolloutStatus
+	// current is the number of the accepted revision.
+	current uint64
+}
+
+// acceptedRevision returns the revision that brought the accepted version. When it is not known, the current one is
+// returned: what is in force on a balancer with the current revision is in force with it too.
+func (j judgement) acceptedRevision(stored resource.ServiceStatus) uint64 {
+	r := j.result
+	if r.AcceptedVersion == 0 {
+		return 0
+	}
+	if r.Revision != 0 {
+		return r.Revision
+	}
+	same := stored.AcceptedVersion == r.AcceptedVersion || stored.AcceptedVersion == r.ConfigVersion
+	if same && stored.AcceptedRevision != 0 {
+		return stored.AcceptedRevision
+	}
+	return j.current
+}
+
+// describe returns the status that follows the stored one.
+func (j judgement) describe(stored resource.ServiceStatus, acks Acks, now time.Time) resource.ServiceStatus {
+	r := j.result
+	next := stored
+	next.Conditions = append([]resource.Condition(nil), stored.Conditions...)
+	next.Name = r.Name
+	next.ObservedVersion = r.ObservedVersion
+	next.AcceptedRevision = j.acceptedRevision(stored)
+	next.AcceptedVersion = r.AcceptedVersion
+	next.Rollout = j.rollout
+	next.InForce = count(next.AcceptedRevision, stored, acks)
+	next.SetCondition(accepted(r, now))
+	next.SetCondition(inForce(next, now))
+	if j.rollout != nil {
+		next.SetCondition(progressing(*j.rollout, now))
+	}
+	return next
+}
+
+// count keeps a complete count, so that balancers which join later cause no writes for services in force.
+func count(revision uint64, stored resource.ServiceStatus, acks Acks) resource.InForce {
+	if revision == stored.AcceptedRevision && stored.InForce.Complete() {
+		return stored.InForce
+	}
+	if revision == 0 {
+		return resource.InForce{}
+	}
+	n, m := acks.InForce(revision)
+	return resource.InForce{Adopted: n, Known: m}
+}
+
+func accepted(r Result, now time.Time) resource.Condition {
+	c := resource.Condition{
+		Type:    resource.ConditionAccepted,
+		Status:  resource.StatusFalse,
+		Reason:  r.Reason,
+		Message: r.Message,
+		Time:    now,
+	}
+	if r.Accepted() {
+		c.Status = resource.StatusTrue
+	}
+	return c
+}
+
+func inForce(s resource.ServiceStatus, now time.Time) resource.Condition {
+	c := resource.Condition{
+		Type:    resource.ConditionInForce,
+		Status:  resource.StatusFalse,
+		Reason:  resource.ReasonSpreading,
+		Message: fmt.Sprintf("revision %d is in force on %s balancers", s.AcceptedRevision, s.InForce),
+		Time:    now,
+	}
+	if s.AcceptedRevision == 0 {
+		c.Message = "no version of the service is accepted"
+	}
+	if s.InForce.Complete() {
+		c.Status = resource.StatusTrue
+		c.Reason = resource.ReasonAdopted
+	}
+	return c
+}
+
+func progressing(s resource.RolloutStatus, now time.Time) resource.Condition {
+	c := resource.Condition{
+		Type:    resource.ConditionRolloutProgressing,
+		Status:  resource.StatusFalse,
+		Message: s.Message,
+		Time:    now,
+	}
+	switch s.State {
+	case resource.RolloutCompleted:
+		c.Reason = resource.ReasonCompleted
+	case resource.RolloutRolledBack:
+		c.Reason = resource.ReasonRolledBack
+	default:
+		c.Status = resource.StatusTrue
+		c.Reason = resource.ReasonObserving
+	}
+	return c
+}
--- /dev/null
+++ b/pkg/revision/part.go
@@ -0,0 +1,66 @@
+package revision
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
+	"github.com/auburnwood/auburnwood/pkg/resource"
+)
+
+// maxPart is the highest number of bytes in one part: base64 in JSON makes 4 of 3, and the rest is for the frame.
+const maxPart = objectapi.MaxValueSize / 4 * 3 * 15 / 16
+
+// part is the content of one stored object of a revision. Nearly every revision has one part.
+type part struct {
+	// Number is the number of the revision.
+	Number uint64 `json:"number"`
+	// Parts is the number of parts.
+	Parts int `json:"parts"`
+	// Sum is the xxHash64 of all data.
+	Sum uint64 `json:"sum"`
+	// Data is a section of the form of Encode.
+	Data []byte `json:"data"`
+}
+
+// objectName names the revision's first object. The term keeps a former holder's writes under other names.
+func objectName(number, term uint64) string {
+	return fmt.Sprintf("%s-%d", resource.RevisionName(number), term)
+}
+
+func partName(object string, index int) string {
+	if index == 0 {
+		return object
+	}
+	return fmt.Sprintf("%s-part-%d", object, index)
+}
+
+// split cuts the encoded revision into values of stored objects.
+func split(number uint64, b []byte, size int) ([][]byte, error) {
+	count := (len(b) + size - 1) / size
+	sum := xxhash.Sum64(b)
+	out := make([][]byte, 0, count)
+	for i := range count {
+		p := part{Number: number, Parts: count, Sum: sum, Data: b[i*size : min(len(b), (i+1)*size)]}
+		v, err := json.Marshal(p)
+		if err != nil {
+			return nil, trace.Wrap(err, "encode part %d of revision %d", i, number)
+		}
+		out = append(out, v)
+	}
+	return out, nil
+}
+
+func readPart(o objectapi.Object, number uint64) (part, error) {
+	var p part
+	if err := json.Unmarshal(o.Value, &p); err != nil {
+		return p, trace.Wrap(err, "decode %s", o.Name)
+	}
+	if p.Number != number {
+		return p, trace.BadParameter("%s holds revision %d, not %d", o.Name, p.Number, number)
+	}
+	return p, nil
+}
--- /dev/null
+++ b/pkg/revision/session.go
@@ -0,0 +1,237 @@
+package revision
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/auburnwood/auburnwood/pkg/lease"
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
+	"github.com/auburnwood/auburnwood/pkg/resource"
+	"github.com/auburnwood/auburnwood/pkg/rollout"
+)
+
+// session is the compile duty within one term. Only run uses its fields besides signal.
+type session struct {
+	cfg      Compiler
+	grant    lease.Grant
+	head     *fencedHead
+	current  resource.Revision
+	statuses *statusWriter
+	signal   chan struct{}
+	last     time.Time
+	// collected is the number below which revisions were deleted.
+	collected uint64
+}
+
+// newSession claims the head, so that no write of an earlier term takes effect from here on.
+func newSession(ctx context.Context, cfg Compiler, g lease.Grant) (*session, error) {
+	head, err := lease.Claim[stampedHead](ctx, cfg.Store, resource.KindHead, resource.HeadName, g)
+	if err != nil {
+		return nil, trace.Wrap(err, "claim head")
+	}
+	s := &session{cfg: cfg, grant: g, head: head, signal: make(chan struct{}, 1)}
+	s.statuses = newStatusWriter(cfg, g)
+	if err := s.load(ctx); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *session) load(ctx context.Context) error {
+	r, err := Load(ctx, s.cfg.Store, s.head.Value().Head)
+	if err != nil {
+		return trace.Wrap(err, "load accepted revision")
+	}
+	s.current = r
+	return nil
+}
+
+// run compiles at the start, at each signal and at each resync, and writes statuses in between.
+func (s *session) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := s.round(ctx)
+		if err == nil {
+			err = s.wait(ctx)
+		}
+		if errors.Is(err, lease.ErrFenced) {
+			return err
+		}
+		if err != nil {
+			s.warn(err, "round")
+			_ = s.cfg.Clock.Sleep(ctx, retryPause)
+		}
+	}
+	return nil
+}
+
+// round compiles once and publishes what changed.
+func (s *session) round(ctx context.Context) error {
+	s.last = s.cfg.Clock.Now()
+	in, err := s.inputs(ctx)
+	if err != nil {
+		return err
+	}
+	c := Compile(s.current, in)
+	if c.Changed {
+		if err := s.publish(ctx, c.Revision); err != nil {
+			return err
+		}
+	}
+	s.statuses.set(c, in.Rollouts)
+	s.collect(ctx)
+	return nil
+}
+
+func (s *session) inputs(ctx context.Context) (Inputs, error) {
+	services, _, err := s.cfg.Store.List(ctx, resource.KindService)
+	if err != nil {
+		return Inputs{}, trace.Wrap(err, "list services")
+	}
+	states, _, err := s.cfg.Store.List(ctx, rollout.Kind)
+	if err != nil {
+		return Inputs{}, trace.Wrap(err, "list rollouts")
+	}
+	in := Inputs{Services: resource.ReadServices(services)}
+	in.Rollouts, err = rollout.ReadStates(states)
+	if err != nil {
+		s.warn(err, "read rollouts")
+	}
+	return in, nil
+}
+
+// publish stores the revision and then advances the head. When the head was written by somebody else of an earlier
+// term, the revision that it names is loaded, and the next round compiles on top of it.
+func (s *session) publish(ctx context.Context, r resource.Revision) error {
+	name, err := save(ctx, s.cfg.Store, r, s.grant.Term, maxPart)
+	if err != nil {
+		return err
+	}
+	h := stampedHead{resource.Head{Revision: r.Number, Object: name, Time: s.cfg.Clock.Now()}}
+	err = s.head.Write(ctx, h)
+	if errors.Is(err, objectapi.ErrConflict) {
+		return trace.NewAggregate(err, s.load(ctx))
+	}
+	if err != nil {
+		return trace.Wrap(err, "advance head to %d", r.Number)
+	}
+	s.current = r
+	s.cfg.Log.Info().Str("op", "accept").Uint64("revision", r.Number).Uint64("term", s.grant.Term).
+		Int("services", len(r.Services)).Send()
+	if s.cfg.Adopter != nil {
+		s.cfg.Adopter.Offer(r, SourceHead)
+	}
+	return nil
+}
+
+// collect deletes old revisions. Failures wait for the next round.
+func (s *session) collect(ctx context.Context) {
+	if s.current.Number <= s.cfg.Keep {
+		return
+	}
+	below := s.current.Number - s.cfg.Keep
+	if below < s.collected+s.cfg.Keep {
+		return
+	}
+	n, err := collect(ctx, s.cfg.Store, below)
+	if err != nil {
+		s.warn(err, "collect")
+		return
+	}
+	s.collected = below
+	s.cfg.Log.Debug().Str("op", "collect").Uint64("below", below).Int("deleted", n).Send()
+}
+
+// wait writes statuses until a signal or the resync is due, and then holds back for the window and the pace.
+func (s *session) wait(ctx context.Context) error {
+	due := s.last.Add(s.cfg.Resync)
+	for ctx.Err() == nil && s.cfg.Clock.Now().Before(due) {
+		if s.signalled() {
+			_ = s.cfg.Clock.Sleep(ctx, s.holdBack())
+			s.signalled()
+			return nil
+		}
+		if err := s.statuses.write(ctx); err != nil {
+			return err
+		}
+		s.pause(ctx, statusTick)
+	}
+	return nil
+}
+
+// pause returns after d, or as soon as there is a signal, which it leaves in place.
+func (s *session) pause(ctx context.Context, d time.Duration) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := make(chan struct{})
+	go func() {
+		defer close(timer)
+		_ = s.cfg.Clock.Sleep(ctx, d)
+	}()
+	select {
+	case <-timer:
+	case <-s.signal:
+		s.raise()
+	}
+}
+
+// holdBack returns how long to gather changes: the window, and longer when the balancers need longer to fetch the
+// revision before within their rate of reads.
+func (s *session) holdBack() time.Duration {
+	_, m := s.cfg.Acks.InForce(s.current.Number)
+	pace := time.Duration(m) * time.Second / time.Duration(s.cfg.ReadRate)
+	next := s.last.Add(pace)
+	return max(s.cfg.Window, next.Sub(s.cfg.Clock.Now()))
+}
+
+func (s *session) signalled() bool {
+	select {
+	case <-s.signal:
+		return true
+	default:
+		return false
+	}
+}
+
+func (s *session) raise() {
+	select {
+	case s.signal <- struct{}{}:
+	default:
+	}
+}
+
+// watch raises a signal at each change of a kind. What changed is read by the round, so that repeated, late or
+// missing events do no harm.
+func (s *session) watch(ctx context.Context, kind objectapi.Kind) error {
+	for ctx.Err() == nil {
+		_, from, err := s.cfg.Store.List(ctx, kind)
+		if err == nil {
+			s.raise()
+			err = s.watchFrom(ctx, kind, from)
+		}
+		if err != nil && !errors.Is(err, objectapi.ErrExpired) {
+			_ = s.cfg.Clock.Sleep(ctx, retryPause)
+		}
+	}
+	return nil
+}
+
+func (s *session) watchFrom(ctx context.Context, kind objectapi.Kind, from uint64) error {
+	for ctx.Err() == nil {
+		events, next, err := s.cfg.Store.Watch(ctx, kind, from)
+		if err != nil {
+			return err
+		}
+		from = next
+		if len(events) > 0 {
+			s.raise()
+		}
+	}
+	return nil
+}
+
+func (s *session) warn(err error, step string) {
+	s.cfg.Log.Warn().Err(err).Str("op", "compile").Str("step", step).Uint64("term", s.grant.Term).Send()
+}
