--- /dev/null
+++ b/pkg/ticket/book.go
@@ -0,0 +1,185 @@
+package ticket
+
+import (
+	"sync"
+	"time"
+)
+
+// Book is the memory of one incarnation of an agent about the tickets that it issued. Its methods may be called
+// concurrently; each is one atomic step.
+type Book struct {
+	o    Options
+	mu   sync.Mutex
+	ring ring
+	// pending holds the entries that left the ring while a submission still held them.
+	pending map[uint64]*entry
+}
+
+// NewBook returns an empty book.
+func NewBook(o Options) *Book {
+	return &Book{o: o.withDefaults(), ring: newRing(), pending: make(map[uint64]*entry)}
+}
+
+// Issue makes n tickets, or returns ErrFull and makes none.
+func (b *Book) Issue(now time.Time, n int) ([]Ticket, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.forget(now)
+	if b.ring.size+len(b.pending)+n > b.o.Max {
+		return nil, ErrFull
+	}
+	tickets := make([]Ticket, n)
+	for i := range tickets {
+		tickets[i] = b.issue(now)
+	}
+	return tickets, nil
+}
+
+func (b *Book) issue(now time.Time) Ticket {
+	expiry := now.Add(b.o.Life).UnixMilli()
+	e := entry{secret: b.o.Rand.Uint64(), expiry: expiry, state: StateIssued}
+	seq := b.ring.push(e)
+	return Ticket{
+		Issuer:      b.o.Issuer,
+		Incarnation: b.o.Incarnation,
+		Sequence:    seq,
+		Secret:      e.secret,
+		Expiry:      time.UnixMilli(expiry),
+	}
+}
+
+// forget drops the entries whose retention is over. One that a submission still holds is kept until it ends.
+func (b *Book) forget(now time.Time) {
+	limit := now.Add(-b.o.Retention).UnixMilli()
+	for b.ring.size > 0 {
+		e := b.ring.at(b.ring.first)
+		if e.expiry >= limit {
+			return
+		}
+		if e.pending() {
+			kept := *e
+			b.pending[b.ring.first] = &kept
+		}
+		b.ring.pop()
+	}
+}
+
+// find returns the entry of a ticket, or nil and the state that follows from its absence.
+func (b *Book) find(t Ticket) (*entry, State) {
+	if t.Issuer != b.o.Issuer || t.Incarnation != b.o.Incarnation || t.Sequence == 0 || t.Sequence >= b.ring.next() {
+		return nil, StateForeign
+	}
+	e := b.ring.at(t.Sequence)
+	if e == nil {
+		e = b.pending[t.Sequence]
+	}
+	if e == nil {
+		return nil, StateForgotten
+	}
+	if e.secret != t.Secret || e.expiry != t.Expiry.UnixMilli() {
+		return nil, StateForeign
+	}
+	return e, e.state
+}
+
+// expire ends a ticket that nobody submitted in time.
+func (e *entry) expire(now time.Time) {
+	if e.state == StateIssued && now.UnixMilli() >= e.expiry {
+		e.state = StateExpired
+	}
+}
+
+// Look returns the state of a ticket and, in StateRan, the status of its answer.
+func (b *Book) Look(now time.Time, t Ticket) Result {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e, state := b.find(t)
+	if e == nil {
+		return Result{State: state}
+	}
+	e.expire(now)
+	return Result{State: e.state, Status: int(e.status)}
+}
+
+// Spend submits a ticket for the request with the given fingerprint. Only one submission of a ticket ever wins.
+func (b *Book) Spend(now time.Time, t Ticket, fingerprint uint64) Result {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e, state := b.find(t)
+	if e == nil {
+		return Result{State: state}
+	}
+	e.expire(now)
+	if e.state == StateIssued {
+		e.state = StateWaiting
+		e.fingerprint = fingerprint
+		return Result{Won: true, State: StateWaiting}
+	}
+	other := e.fingerprint != fingerprint && e.state != StateExpired && e.fingerprint != 0
+	return Result{State: e.state, Status: int(e.status), Other: other}
+}
+
+// Start makes a waiting ticket running. It returns false when a cancel came first; the work must then not be sent.
+func (b *Book) Start(t Ticket) bool { return b.move(t, StateRunning, 0, StateWaiting) }
+
+// Return makes a running ticket waiting again, for work that was proved not to have begun.
+func (b *Book) Return(t Ticket) bool { return b.move(t, StateWaiting, 0, StateRunning) }
+
+// Finish records that a target answered with the given HTTP status.
+func (b *Book) Finish(t Ticket, status int) bool { return b.move(t, StateRan, status, StateRunning) }
+
+// Lose records that the outcome of started work can't be known.
+func (b *Book) Lose(t Ticket) bool { return b.move(t, StateLost, 0, StateRunning) }
+
+// Withdraw records that the work of a waiting or running ticket was proved not to have run.
+func (b *Book) Withdraw(t Ticket) bool {
+	return b.move(t, StateCancelled, 0, StateWaiting, StateRunning)
+}
+
+// Cancel ends a ticket that is not running, and returns the state after the call: StateCancelled when the work never
+// runs, StateRunning when the start came first.
+func (b *Book) Cancel(now time.Time, t Ticket) State {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e, state := b.find(t)
+	if e == nil {
+		return state
+	}
+	e.expire(now)
+	if e.state == StateIssued || e.state == StateWaiting {
+		b.set(t.Sequence, e, StateCancelled, 0)
+	}
+	return e.state
+}
+
+// move changes the state when it is one of from.
+func (b *Book) move(t Ticket, to State, status int, from ...State) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e, state := b.find(t)
+	if e == nil {
+		return false
+	}
+	for _, f := range from {
+		if state == f {
+			b.set(t.Sequence, e, to, status)
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Book) set(seq uint64, e *entry, to State, status int) {
+	e.state = to
+	e.status = uint16(status)
+	if !e.pending() {
+		delete(b.pending, seq)
+	}
+}
+
+// Size returns the number of tickets that are remembered.
+func (b *Book) Size() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ring.size + len(b.pending)
+}
--- /dev/null
+++ b/pkg/ticket/result.go
@@ -0,0 +1,13 @@
+package ticket
+
+// Result is the answer to a submission of a ticket.
+type Result struct {
+	// Won is true for the one submission that holds the ticket; it must start, cancel or lose it.
+	Won bool
+	// State is the state after the call.
+	State State
+	// Status is the HTTP status of the answer in StateRan.
+	Status int
+	// Other is true when the ticket was first submitted with another request.
+	Other bool
+}
--- /dev/null
+++ b/pkg/ticket/state.go
@@ -0,0 +1,44 @@
+package ticket
+
+// State is what a book knows about a ticket.
+type State uint8
+
+// States of a ticket. The arrows of a ticket's life are: issued to waiting, cancelled or expired; waiting to running or
+// cancelled; running to ran, lost, cancelled (proved not to have run), or back to waiting (proved not to have begun).
+const (
+	// StateForeign means that this incarnation never issued the ticket; it can never run.
+	StateForeign State = iota
+	// StateIssued means that nobody has submitted the ticket.
+	StateIssued
+	// StateWaiting means that one submission has the ticket and waits for a slot.
+	StateWaiting
+	// StateRunning means that the work may have reached a target.
+	StateRunning
+	// StateRan means that a target answered the work.
+	StateRan
+	// StateLost means that the work was started and its outcome can't be known.
+	StateLost
+	// StateCancelled means that the work was not run and never will be.
+	StateCancelled
+	// StateExpired means that nobody submitted the ticket in time; it was not run and never will be.
+	StateExpired
+	// StateForgotten means that the ticket is too old for the book; it may have run, and never will again.
+	StateForgotten
+)
+
+var stateNames = [...]string{
+	"foreign", "issued", "waiting", "running", "ran", "lost", "cancelled", "expired", "forgotten",
+}
+
+// String returns the state's name.
+func (s State) String() string {
+	if int(s) < len(stateNames) {
+		return stateNames[s]
+	}
+	return "invalid"
+}
+
+// NeverRuns reports whether the work was not run and never will be.
+func (s State) NeverRuns() bool {
+	return s == StateForeign || s == StateCancelled || s == StateExpired
+}
