Forward callers' packets by the row, with a fabric and targets to try it

The balancer reads raw IP packets, finds the service by address, ranks the row and sends it to the first agent; learned owners save hops. The fabric sprays packets over balancers; targets send content that can be checked.

--- /dev/null
+++ b/internal/standin/fabric/caller.go
@@ -0,0 +1,52 @@
+package fabric
+
+import (
+	"context"
+	"net"
+	"net/netip"
+
+	"github.com/gravitational/trace"
+)
+
+// Caller is one caller's host with its own IP address.
+type Caller struct {
+	addr netip.Addr
+	side *side
+}
+
+// NewCaller returns the caller with the address, and makes the fabric bring packets for it.
+func (f *Fabric) NewCaller(addr netip.Addr) *Caller {
+	f.callersMu.Lock()
+	defer f.callersMu.Unlock()
+	s, ok := f.callers[addr]
+	if !ok {
+		s = f.sides[len(f.callers)%len(f.sides)]
+		f.callers[addr] = s
+	}
+	return &Caller{addr: addr, side: s}
+}
+
+// Addr returns the caller's address.
+func (c *Caller) Addr() netip.Addr { return c.addr }
+
+// DialContext opens a TCP connection to an IP address and port, or a UDP socket; it fits http.Transport.
+func (c *Caller) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	remote, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, trace.BadParameter("caller %v: %q is no IP address and port", c.addr, address)
+	}
+	return c.Dial(ctx, network, netip.AddrPortFrom(c.addr, 0), remote)
+}
+
+// Dial is DialContext from a chosen local port.
+func (c *Caller) Dial(ctx context.Context, network string, local, remote netip.AddrPort) (net.Conn, error) {
+	switch network {
+	case "tcp", "tcp4", "tcp6":
+		conn, err := c.side.stack.DialTCP(ctx, local, remote)
+		return conn, trace.Wrap(err)
+	case "udp", "udp4", "udp6":
+		conn, err := c.side.stack.DialUDP(local, remote)
+		return conn, trace.Wrap(err)
+	}
+	return nil, trace.BadParameter("caller %v: unknown network %q", c.addr, network)
+}
--- /dev/null
+++ b/internal/standin/target/target.go
@@ -0,0 +1,167 @@
+package target
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/pires/go-proxyproto"
+)
+
+// Target is a running HTTP server.
+type Target struct {
+	cfg     Config
+	started time.Time
+	server  *http.Server
+	ln      net.Listener
+	udp     *net.UDPConn
+	journal *Journal
+	slots   chan struct{}
+	open    atomic.Int64
+	highest atomic.Int64
+	shed    atomic.Int64
+
+	mu     sync.Mutex
+	conns  map[net.Conn]struct{}
+	random *rand.Rand
+	killed bool
+}
+
+// Start listens and serves TCP and, on the same port, UDP, which is echoed. The journal may be shared; nil makes a new one.
+func Start(cfg Config, journal *Journal) (*Target, error) {
+	cfg, err := cfg.withDefaults()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	ln, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(cfg.Listen))
+	if err != nil {
+		return nil, trace.Wrap(err, "target %s: listen", cfg.ID)
+	}
+	if journal == nil {
+		journal = &Journal{}
+	}
+	t := &Target{
+		cfg:     cfg,
+		started: time.Now(),
+		ln:      ln,
+		journal: journal,
+		conns:   make(map[net.Conn]struct{}),
+		random:  rand.New(rand.NewPCG(cfg.Seed, 1)),
+	}
+	if cfg.Slots > 0 {
+		t.slots = make(chan struct{}, cfg.Slots)
+	}
+	t.serveUDP()
+	t.server = &http.Server{Handler: t.handler(), ConnState: t.connState}
+	go func() { _ = t.server.Serve(t.listener()) }()
+	return t, nil
+}
+
+func (t *Target) listener() net.Listener {
+	if t.cfg.ProxyProtocol {
+		return &proxyproto.Listener{Listener: t.ln, ReadHeaderTimeout: time.Minute}
+	}
+	return t.ln
+}
+
+// Addr returns the address that the target listens on.
+func (t *Target) Addr() netip.AddrPort { return t.ln.Addr().(*net.TCPAddr).AddrPort() }
+
+// Config returns the settings in force.
+func (t *Target) Config() Config { return t.cfg }
+
+// Open returns the true number of open connections.
+func (t *Target) Open() int { return int(t.open.Load()) }
+
+// Highest returns the highest number of connections that were open at once.
+func (t *Target) Highest() int { return int(t.highest.Load()) }
+
+// Shed returns the number of requests that found no slot.
+func (t *Target) Shed() int { return int(t.shed.Load()) }
+
+// Journal returns the account of what ran.
+func (t *Target) Journal() *Journal { return t.journal }
+
+// Kill closes the listener and resets every connection, as when the process dies.
+func (t *Target) Kill() {
+	t.mu.Lock()
+	conns := t.conns
+	t.conns, t.killed = nil, true
+	t.mu.Unlock()
+	_ = t.ln.Close()
+	if t.udp != nil {
+		_ = t.udp.Close()
+	}
+	for c := range conns {
+		reset(c)
+	}
+	_ = t.server.Close()
+}
+
+func reset(c net.Conn) {
+	if p, ok := c.(*proxyproto.Conn); ok {
+		c = p.Raw()
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// connState counts the open connections.
+func (t *Target) connState(c net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		t.opened(c)
+	case http.StateClosed, http.StateHijacked:
+		t.ended(c)
+	}
+}
+
+func (t *Target) opened(c net.Conn) {
+	n := t.open.Add(1)
+	for h := t.highest.Load(); n > h && !t.highest.CompareAndSwap(h, n); h = t.highest.Load() {
+	}
+	if t.cfg.Connections > 0 && n > int64(t.cfg.Connections) {
+		reset(c)
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.killed {
+		reset(c)
+		return
+	}
+	t.conns[c] = struct{}{}
+}
+
+func (t *Target) ended(c net.Conn) {
+	t.open.Add(-1)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.conns, c)
+}
+
+// serveUDP echoes datagrams; a target whose UDP port is taken serves TCP only.
+func (t *Target) serveUDP() {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(t.Addr()))
+	if err != nil {
+		return
+	}
+	t.udp = conn
+	go func() {
+		b := make([]byte, 64<<10)
+		for {
+			n, from, err := conn.ReadFromUDPAddrPort(b)
+			if err != nil {
+				return
+			}
+			_, _ = conn.WriteToUDPAddrPort(b[:n], from)
+		}
+	}()
+}
--- /dev/null
+++ b/pkg/balancer/balancer.go
@@ -0,0 +1,178 @@
+package balancer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+
+	"github.com/auburnwood/auburnwood/pkg/flow"
+	"github.com/auburnwood/auburnwood/pkg/view"
+	"github.com/auburnwood/auburnwood/pkg/wire"
+)
+
+// Balancer forwards the fabric's packets to agents.
+type Balancer struct {
+	cfg      Config
+	deps     Deps
+	metrics  *metrics
+	conn     *net.UDPConn
+	self     agentKey
+	cache    *cache
+	suspects suspects
+	refusals *rate.Limiter
+	overflow overflow
+	// lastPacket is the time of the last datagram in Unix nanoseconds.
+	lastPacket atomic.Int64
+	table      atomic.Pointer[table]
+	viewMu     sync.Mutex
+}
+
+// New opens the packet socket. It returns every mistake of the configuration at once.
+func New(cfg Config, deps Deps) (*Balancer, error) {
+	if err := cfg.check(); err != nil {
+		return nil, trace.Wrap(err, "balancer configuration")
+	}
+	cfg = cfg.withDefaults()
+	deps = deps.withDefaults()
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(cfg.Listen))
+	if err != nil {
+		return nil, trace.Wrap(err, "listen for packets on %v", cfg.Listen)
+	}
+	b := &Balancer{
+		cfg:      cfg,
+		deps:     deps,
+		metrics:  newMetrics(deps.Metrics),
+		conn:     conn,
+		cache:    newCache(cfg.CachedFlows, deps.Now()),
+		refusals: rate.NewLimiter(rate.Limit(cfg.RefusalRate), cfg.RefusalRate),
+	}
+	b.self = encodeAgent(b.Addr())
+	b.tuneSocket()
+	return b, nil
+}
+
+// Addr returns the address of the packet socket.
+func (b *Balancer) Addr() netip.AddrPort {
+	a := b.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
+
+// SetView puts a view in force for all later packets. It ignores a view of a lower revision and reports whether it was
+// adopted. The view must not be changed afterwards.
+func (b *Balancer) SetView(v *view.View) bool {
+	b.viewMu.Lock()
+	defer b.viewMu.Unlock()
+	old := b.table.Load()
+	if v == nil || (old != nil && v.Revision < old.revision) {
+		return false
+	}
+	b.table.Store(newTable(v, old))
+	b.metrics.revision.Update(float64(v.Revision))
+	return true
+}
+
+// Run forwards packets until ctx ends, then goes on until no packet has come for the quiet time or the drain time is
+// over, so that packets that the fabric still sends here reach their agents.
+func (b *Balancer) Run(ctx context.Context) error {
+	var g errgroup.Group
+	for range b.cfg.Workers {
+		g.Go(newWorker(b).run)
+	}
+	done := make(chan struct{})
+	g.Go(func() error {
+		b.housekeep(done)
+		return nil
+	})
+	g.Go(func() error {
+		defer close(done)
+		b.waitForEnd(ctx)
+		return nil
+	})
+	return trace.Wrap(g.Wait(), "forward packets")
+}
+
+// Kill closes the packet socket at once; Run then returns.
+func (b *Balancer) Kill() { _ = b.conn.Close() }
+
+// waitForEnd returns after the socket was closed, by Kill or at the end of the draining.
+func (b *Balancer) waitForEnd(ctx context.Context) {
+	<-ctx.Done()
+	limit := b.deps.Now().Add(b.cfg.DrainTime)
+	tick := time.NewTicker(b.cfg.QuietTime / 2)
+	defer tick.Stop()
+	for now := b.deps.Now(); now.Before(limit) && !b.quiet(now); now = b.deps.Now() {
+		<-tick.C
+	}
+	b.Kill()
+}
+
+func (b *Balancer) quiet(now time.Time) bool {
+	return now.Sub(time.Unix(0, b.lastPacket.Load())) >= b.cfg.QuietTime
+}
+
+// housekeep writes the records of refusals above the rate until done is closed.
+func (b *Balancer) housekeep(done <-chan struct{}) {
+	tick := time.NewTicker(refusalReportPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-done:
+			b.reportOverflow(b.deps.Now())
+			return
+		case <-tick.C:
+			b.reportOverflow(b.deps.Now())
+		}
+	}
+}
+
+// send writes a datagram; a refusal by the receiver's host is reported on a later call and handled there.
+func (b *Balancer) send(out []byte, to netip.AddrPort) {
+	_, err := b.conn.WriteToUDPAddrPort(out, to)
+	if err == nil || errors.Is(err, net.ErrClosed) {
+		return
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		b.metrics.sendErrors.Inc(1)
+		return
+	}
+	// The error belongs to an earlier datagram: this one was not sent and is tried once more.
+	b.drainErrors()
+	if _, err := b.conn.WriteToUDPAddrPort(out, to); err != nil {
+		b.metrics.sendErrors.Inc(1)
+	}
+}
+
+func (b *Balancer) receiveFailed(err error) {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		b.drainErrors()
+		return
+	}
+	b.metrics.receiveError.Inc(1)
+}
+
+// logRoute writes the line of a new flow.
+func (b *Balancer) logRoute(r *route, k flow.Key, hash uint64, first netip.AddrPort, row []byte) {
+	e := b.deps.Log.Info()
+	if e == nil {
+		return
+	}
+	var text [64]byte
+	e.Str("op", "route").
+		Str("service", r.service.Name).
+		Str("flow", strconv.FormatUint(hash, 16)).
+		Bytes("caller", k.Source.AppendTo(text[:0])).
+		Bytes("first", first.AppendTo(text[32:32])).
+		Int("row", wire.RowLen(row)).
+		Uint64("revision", r.service.Revision).
+		Msg("")
+}
--- /dev/null
+++ b/pkg/balancer/config.go
@@ -0,0 +1,84 @@
+package balancer
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Defaults of a Config's fields.
+const (
+	DefaultWorkers       = 4
+	DefaultCachedFlows   = 1 << 19
+	DefaultCacheTime     = 5 * time.Minute
+	DefaultRefusalRate   = 200
+	DefaultDrainTime     = 10 * time.Second
+	DefaultQuietTime     = 500 * time.Millisecond
+	DefaultSocketBuffer  = 8 << 20
+	maxWorkers           = 256
+	maxPacketSize        = 64 << 10
+	datagramOverhead     = 2 << 10
+	readBatch            = 32
+	refusalReportPeriod  = time.Second
+	logOpeningAgainAfter = 10 * time.Second
+)
+
+// Config holds the settings of a balancer.
+type Config struct {
+	// Name identifies the balancer in logs and refusal records.
+	Name string
+	// Listen is the address of the packet socket; port 0 takes a free one.
+	Listen netip.AddrPort
+	// Fabric is the fabric's address for packets to callers.
+	Fabric netip.AddrPort
+	// Workers is the number of goroutines that decide on packets; 0 means DefaultWorkers.
+	Workers int
+	// CachedFlows bounds the learned-owner cache; 0 means DefaultCachedFlows.
+	CachedFlows int
+	// CacheTime is how long a learned owner is used; 0 means DefaultCacheTime.
+	CacheTime time.Duration
+	// RefusalRate is the highest number of refusals answered in a second; 0 means DefaultRefusalRate.
+	RefusalRate int
+	// DrainTime bounds how long Run forwards packets after its context ended; 0 means DefaultDrainTime.
+	DrainTime time.Duration
+	// QuietTime without any packet ends the draining early; 0 means DefaultQuietTime.
+	QuietTime time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	c.Workers = orDefault(c.Workers, DefaultWorkers)
+	c.CachedFlows = orDefault(c.CachedFlows, DefaultCachedFlows)
+	c.CacheTime = orDefault(c.CacheTime, DefaultCacheTime)
+	c.RefusalRate = orDefault(c.RefusalRate, DefaultRefusalRate)
+	c.DrainTime = orDefault(c.DrainTime, DefaultDrainTime)
+	c.QuietTime = orDefault(c.QuietTime, DefaultQuietTime)
+	return c
+}
+
+func (c Config) check() error {
+	var errs []error
+	if c.Name == "" {
+		errs = append(errs, trace.BadParameter("name is empty"))
+	}
+	if !c.Listen.IsValid() {
+		errs = append(errs, trace.BadParameter("listen is no address and port"))
+	}
+	if !c.Fabric.IsValid() || c.Fabric.Port() == 0 {
+		errs = append(errs, trace.BadParameter("fabric is no address and port"))
+	}
+	if c.Workers < 0 || c.Workers > maxWorkers {
+		errs = append(errs, trace.BadParameter("workers %d is not in 0 to %d", c.Workers, maxWorkers))
+	}
+	if c.CachedFlows < 0 || c.RefusalRate < 0 || c.CacheTime < 0 || c.DrainTime < 0 || c.QuietTime < 0 {
+		errs = append(errs, trace.BadParameter("a size or time is negative"))
+	}
+	return trace.NewAggregate(errs...)
+}
+
+func orDefault[T int | time.Duration](v, fallback T) T {
+	if v == 0 {
+		return fallback
+	}
+	return v
+}
