Detect failed members by votes of their watchers

A member is dead when a majority of its up to three watchers agrees. An observer that reaches no peer, loses most members at once or was paused votes for none; watchers stay in the region of the member, so a region split drops nothing.

--- /dev/null
+++ b/pkg/membership/detector.go
@@ -0,0 +1,278 @@
+package membership
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// minMassLoss is the number of members that a loss must cover to be taken for the observer's own fault.
+const minMassLoss = 2
+
+// Detector is the failure detector of one balancer. It watches the members that Watchers gives it, votes against silent
+// ones and finds a member dead when a majority of its watchers agrees. All methods may be called from any goroutine.
+type Detector struct {
+	cfg DetectorConfig
+
+	mu        sync.Mutex
+	table     *Table
+	version   uint64
+	balancers []Member
+	watched   map[string]*watched
+	votes     map[string]map[string]receivedVote
+	reach     *peerReach
+	lastTick  time.Time
+	lossSince time.Time
+}
+
+type receivedVote struct {
+	vote Vote
+	at   time.Time
+}
+
+// NewDetector returns a detector that reads the members of a table.
+func NewDetector(cfg DetectorConfig, table *Table) *Detector {
+	return &Detector{
+		cfg:     cfg.withDefaults(),
+		table:   table,
+		watched: make(map[string]*watched),
+		votes:   make(map[string]map[string]receivedVote),
+		reach:   newPeerReach(),
+	}
+}
+
+// Heartbeat notes that a member was heard. It reports whether the member is watched here.
+func (d *Detector) Heartbeat(id string, incarnation uint64, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	w, ok := d.watched[id]
+	if !ok {
+		return false
+	}
+	if incarnation < w.member.Incarnation {
+		return true
+	}
+	w.silentSince = now
+	w.heard = true
+	w.refused = false
+	if w.member.Role == RoleBalancer {
+		d.reach.add(id, true, now)
+	}
+	return true
+}
+
+// Refused notes that a member's host refused a packet or that its heartbeat connection broke; it is suspected at once,
+// until it is heard again.
+func (d *Detector) Refused(id string, incarnation uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	w, ok := d.watched[id]
+	if !ok || w.member.Incarnation != incarnation {
+		return
+	}
+	w.refused = true
+}
+
+// PeerResult notes whether a call to another balancer succeeded.
+func (d *Detector) PeerResult(id string, ok bool, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reach.add(id, ok, now)
+}
+
+// Vote takes in the vote of another watcher.
+func (d *Detector) Vote(v Vote, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	byVoter := d.votes[v.Member]
+	if v.Withdrawn {
+		delete(byVoter, v.Voter)
+		return
+	}
+	if byVoter == nil {
+		byVoter = make(map[string]receivedVote)
+		d.votes[v.Member] = byVoter
+	}
+	byVoter[v.Voter] = receivedVote{vote: v, at: now}
+}
+
+// Tick judges all watched members. Call it several times a second.
+func (d *Detector) Tick(now time.Time) Decision {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.forgivePause(now)
+	d.refresh(now)
+	d.dropOldVotes(now)
+	decision := Decision{CutOff: d.cutOff(now)}
+	for _, id := range sortedKeys(d.watched) {
+		d.judge(d.watched[id], &decision, now)
+	}
+	return decision
+}
+
+// forgivePause moves all times on when the observer itself was paused: heartbeats may wait in its sockets.
+func (d *Detector) forgivePause(now time.Time) {
+	last := d.lastTick
+	d.lastTick = now
+	if last.IsZero() {
+		return
+	}
+	gap := now.Sub(last)
+	if gap <= d.cfg.PauseLimit {
+		return
+	}
+	for _, w := range d.watched {
+		w.silentSince = w.silentSince.Add(gap)
+	}
+}
+
+// refresh takes over the members of the table when it has changed.
+func (d *Detector) refresh(now time.Time) {
+	version := d.table.Version()
+	if version == d.version {
+		return
+	}
+	d.version = version
+	members := d.table.Members()
+	balancers := balancersOf(members)
+	moved := !sameBalancers(balancers, d.balancers)
+	d.balancers = balancers
+	known := make(map[string]bool, len(d.watched))
+	for i := range members {
+		if d.follow(&members[i], moved, now) {
+			known[members[i].ID] = true
+		}
+	}
+	for id := range d.watched {
+		if !known[id] {
+			delete(d.watched, id)
+		}
+	}
+}
+
+// follow updates what is known of a member and reports whether it is watched here.
+func (d *Detector) follow(m *Member, moved bool, now time.Time) bool {
+	if !m.Live() || m.ID == d.cfg.Self {
+		return false
+	}
+	w, ok := d.watched[m.ID]
+	if ok && !moved {
+		w.update(m, now)
+		return true
+	}
+	watchers := Watchers(m, d.balancers)
+	if !slices.Contains(watchers, d.cfg.Self) {
+		return false
+	}
+	if !ok {
+		w = &watched{member: *m, silentSince: now}
+		d.watched[m.ID] = w
+	}
+	w.watchers = watchers
+	w.update(m, now)
+	return true
+}
+
+// update takes over a member's record. A new incarnation gets time to find its watchers.
+func (w *watched) update(m *Member, now time.Time) {
+	if m.Incarnation > w.member.Incarnation {
+		w.heard = false
+		w.refused = false
+		w.silentSince = now
+	}
+	w.member = *m
+}
+
+func (d *Detector) dropOldVotes(now time.Time) {
+	for id, byVoter := range d.votes {
+		for voter, v := range byVoter {
+			if now.Sub(v.at) > d.cfg.VoteLifetime {
+				delete(byVoter, voter)
+			}
+		}
+		if len(byVoter) == 0 {
+			delete(d.votes, id)
+		}
+	}
+}
+
+// cutOff reports whether the observer takes itself for cut off: it reaches none of several peers, or most members fell
+// silent at once. A loss that lasts while the peers can be reached is real.
+func (d *Detector) cutOff(now time.Time) bool {
+	alone := d.reach.none(now)
+	if !d.massLoss(now) {
+		d.lossSince = time.Time{}
+		return alone
+	}
+	if d.lossSince.IsZero() {
+		d.lossSince = now
+	}
+	return alone || now.Sub(d.lossSince) < d.cfg.MassLossHold
+}
+
+// massLoss reports whether more than half of the members that were heard before are silent now.
+func (d *Detector) massLoss(now time.Time) bool {
+	heard, lost := 0, 0
+	for _, w := range d.watched {
+		if !w.heard {
+			continue
+		}
+		heard++
+		if w.missed(&d.cfg, now) {
+			lost++
+		}
+	}
+	return lost >= minMassLoss && lost*2 > heard
+}
+
+func (d *Detector) judge(w *watched, decision *Decision, now time.Time) {
+	if decision.CutOff || !w.missed(&d.cfg, now) {
+		d.withdraw(w, decision)
+		return
+	}
+	if now.Sub(w.voted) >= d.cfg.VoteRepeat {
+		w.voted = now
+		decision.Ballots = append(decision.Ballots, d.ballot(w, false))
+	}
+	if d.agreed(w) {
+		decision.Dead = append(decision.Dead, verdict(w.member, now))
+	}
+}
+
+func verdict(m Member, now time.Time) Member {
+	m.State = StateDead
+	m.Changed = now
+	return m
+}
+
+// withdraw takes back the observer's vote when it has given one.
+func (d *Detector) withdraw(w *watched, decision *Decision) {
+	if w.voted.IsZero() {
+		return
+	}
+	w.voted = time.Time{}
+	decision.Ballots = append(decision.Ballots, d.ballot(w, true))
+}
+
+func (d *Detector) ballot(w *watched, withdrawn bool) Ballot {
+	v := Vote{
+		Voter:       d.cfg.Self,
+		Member:      w.member.ID,
+		Incarnation: w.member.Incarnation,
+		Sequence:    w.member.Sequence,
+		Withdrawn:   withdrawn,
+	}
+	others := slices.DeleteFunc(slices.Clone(w.watchers), func(id string) bool { return id == d.cfg.Self })
+	return Ballot{Vote: v, To: others}
+}
+
+// agreed reports whether a majority of the watchers, the observer among them, suspects the member.
+func (d *Detector) agreed(w *watched) bool {
+	count := 1
+	for voter, v := range d.votes[w.member.ID] {
+		if voter != d.cfg.Self && slices.Contains(w.watchers, voter) && w.current(v.vote) {
+			count++
+		}
+	}
+	return count > len(w.watchers)/2
+}
