Add call budget, informer, resolved writes and the store fault table

Cause: each process must stay within its part of the API's rate, follow kinds over expired watches, and learn the outcome of a write whose answer is lost. Conclusion: resolved writes tell conflict from success after a lost answer, also when the write was replaced since; without history they say unknown.

--- /dev/null
+++ b/pkg/objectapi/backoff.go
@@ -0,0 +1,65 @@
+package objectapi
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// Default times of a Backoff.
+const (
+	DefaultBackoffMin = 100 * time.Millisecond
+	DefaultBackoffMax = 10 * time.Second
+)
+
+// Backoff gives exponentially growing waits with jitter; zero values mean the defaults. It is not safe for concurrent
+// use.
+type Backoff struct {
+	// Min is the first wait and Max the highest, before jitter.
+	Min time.Duration
+	Max time.Duration
+	// Rand returns a number in [0, 1); the default is math/rand.
+	Rand func() float64
+
+	next time.Duration
+}
+
+// Next returns the next wait: between a half and the whole of the growing time.
+func (b *Backoff) Next() time.Duration {
+	b.defaults()
+	d := max(b.next, b.Min)
+	b.next = min(2*d, b.Max)
+	return time.Duration(float64(d) * (0.5 + 0.5*b.Rand()))
+}
+
+// Reset starts again from the first wait.
+func (b *Backoff) Reset() {
+	b.next = 0
+}
+
+func (b *Backoff) defaults() {
+	if b.Min == 0 {
+		b.Min = DefaultBackoffMin
+	}
+	if b.Max == 0 {
+		b.Max = DefaultBackoffMax
+	}
+	if b.Rand == nil {
+		b.Rand = rand.Float64
+	}
+}
+
+// pause waits for d or the end of the context.
+func pause(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/pkg/objectapi/resolve.go
@@ -0,0 +1,140 @@
+package objectapi
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"time"
+)
+
+// Settings of the resolved writes.
+const (
+	resolveAttempts   = 8
+	resolveBackoffMin = 50 * time.Millisecond
+	resolveBackoffMax = 2 * time.Second
+)
+
+// ErrSuperseded comes with ErrOutcomeUnknown when another write stands in the place of one whose answer was lost, and
+// the history no longer tells whether that one took effect before. Where no writer replaces a value without keeping
+// its token, it means that the write did not take effect.
+var ErrSuperseded = errors.New("another write stands")
+
+var errToken = errors.New("the value does not hold the token")
+
+// CreateResolved creates an object and resolves a lost answer: it sends the create again, and when an object is there
+// looks for the token in it. The token must be unique to this write and part of the value. It returns
+// ErrOutcomeUnknown only when the store does not answer in time, or with ErrSuperseded.
+func CreateResolved(ctx context.Context, s Store, kind Kind, name string, value []byte, token string) (Object, error) {
+	w := resolver{
+		store: s,
+		op:    OpCreate,
+		in:    Object{Kind: kind, Name: name, Value: value},
+		token: token,
+		send:  func() (Object, error) { return s.Create(ctx, kind, name, value) },
+	}
+	return w.run(ctx)
+}
+
+// UpdateResolved updates an object and resolves a lost answer: it sends the update again while the version is
+// unchanged, and otherwise looks for the token in the object and, when that was replaced since, in its history. The
+// token must be unique to this write and part of the value. It returns ErrConflict only when the write did not take
+// effect, and ErrOutcomeUnknown only when the store does not answer in time, or with ErrSuperseded.
+func UpdateResolved(ctx context.Context, s Store, o Object, token string) (Object, error) {
+	w := resolver{
+		store: s,
+		op:    OpUpdate,
+		in:    o,
+		token: token,
+		send:  func() (Object, error) { return s.Update(ctx, o) },
+	}
+	return w.run(ctx)
+}
+
+// resolver carries one write until its outcome is known.
+type resolver struct {
+	store Store
+	op    Op
+	in    Object
+	token string
+	send  func() (Object, error)
+	// lost says that an earlier attempt may have taken effect.
+	lost bool
+}
+
+func (w *resolver) run(ctx context.Context) (Object, error) {
+	if w.token == "" || !bytes.Contains(w.in.Value, []byte(w.token)) {
+		return Object{}, w.fail(ErrInvalid, errToken)
+	}
+	backoff := Backoff{Min: resolveBackoffMin, Max: resolveBackoffMax}
+	var last error
+	for range resolveAttempts {
+		o, err, done := w.attempt(ctx)
+		if done {
+			return o, err
+		}
+		last = err
+		if pause(ctx, backoff.Next()) != nil {
+			break
+		}
+	}
+	return Object{}, w.fail(ErrOutcomeUnknown, last)
+}
+
+// attempt sends the write once and says whether the outcome is known.
+func (w *resolver) attempt(ctx context.Context) (Object, error, bool) { //nolint:staticcheck // done qualifies both.
+	o, err := w.send()
+	if err == nil {
+		return o, nil, true
+	}
+	if errors.Is(err, ErrOutcomeUnknown) {
+		w.lost = true
+		return Object{}, err, false
+	}
+	if !w.lost {
+		return Object{}, err, true
+	}
+	if errors.Is(err, ErrConflict) {
+		return w.readBack(ctx, err)
+	}
+	return Object{}, err, !errors.Is(err, ErrUnavailable)
+}
+
+// readBack looks for the token after a conflict that an earlier attempt of this write may have caused.
+func (w *resolver) readBack(ctx context.Context, conflict error) (Object, error, bool) { //nolint:staticcheck // As above.
+	o, err := w.store.Get(ctx, w.in.Kind, w.in.Name)
+	if err == nil && bytes.Contains(o.Value, []byte(w.token)) {
+		return o, nil, true
+	}
+	if err != nil && !errors.Is(err, ErrNotFound) {
+		return Object{}, err, false
+	}
+	if w.op == OpUpdate {
+		return w.fromHistory(ctx, conflict)
+	}
+	return Object{}, w.fail(ErrOutcomeUnknown, ErrSuperseded), true
+}
+
+// fromHistory finds the first change after the version of the condition: only that one can be this write.
+func (w *resolver) fromHistory(ctx context.Context, conflict error) (Object, error, bool) { //nolint:staticcheck // As above.
+	events, _, err := w.store.Watch(ctx, w.in.Kind, w.in.Version)
+	if errors.Is(err, ErrExpired) {
+		return Object{}, w.fail(ErrOutcomeUnknown, ErrSuperseded), true
+	}
+	if err != nil {
+		return Object{}, err, false
+	}
+	for _, e := range events {
+		if e.Object.Name != w.in.Name || e.Object.Version <= w.in.Version {
+			continue
+		}
+		if e.Type == EventPut && bytes.Contains(e.Object.Value, []byte(w.token)) {
+			return e.Object, nil, true
+		}
+		return Object{}, conflict, true
+	}
+	return Object{}, w.fail(ErrOutcomeUnknown, ErrSuperseded), true
+}
+
+func (w *resolver) fail(err, cause error) error {
+	return Fail(w.op, w.in.Kind, w.in.Name, "resolve", err, cause)
+}
--- /dev/null
+++ b/pkg/objectapi/storetest/follow.go
@@ -0,0 +1,66 @@
+package storetest
+
+import (
+	"context"
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
+)
+
+// follower keeps the picture that an informer gives, and fails the test when a version falls.
+type follower struct {
+	t       *testing.T
+	picture map[string]uint64
+	updates chan map[string]uint64
+	version uint64
+}
+
+// follow starts an informer that ends with the test.
+func follow(t *testing.T, s objectapi.Store) *follower {
+	f := &follower{t: t, picture: make(map[string]uint64), updates: make(chan map[string]uint64, 1000)}
+	cfg := objectapi.InformerConfig{
+		MinInterval: time.Millisecond,
+		Backoff:     objectapi.Backoff{Min: time.Millisecond, Max: 10 * time.Millisecond},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = objectapi.WatchKind(ctx, s, kind, cfg, f.batch)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return f
+}
+
+func (f *follower) batch(events []objectapi.Event, version uint64) {
+	for _, e := range events {
+		if e.Object.Version < f.version {
+			f.t.Errorf("event at version %d after %d", e.Object.Version, f.version)
+		}
+		f.version = e.Object.Version
+		if e.Type == objectapi.EventDelete {
+			delete(f.picture, e.Object.Name)
+			continue
+		}
+		f.picture[e.Object.Name] = e.Object.Version
+	}
+	if version < f.version {
+		f.t.Errorf("batch version %d after %d", version, f.version)
+	}
+	f.version = version
+	f.updates <- maps.Clone(f.picture)
+}
+
+// until waits for a picture; the test's own time limit ends a wait in vain.
+func (f *follower) until(want map[string]uint64) {
+	for got := range f.updates {
+		if maps.Equal(got, want) {
+			return
+		}
+	}
+}
--- a/pkg/objectapi/storetest/store_test.go
+++ b/pkg/objectapi/storetest/store_test.go
@@ -9,14 +9,67 @@
 	"github.com/auburnwood/auburnwood/pkg/objectapi/storetest"
 )
 
-func TestMemory(t *testing.T) {
-	storetest.Run(t, func(*testing.T) objectapi.Store { return store.New(store.Config{}) })
+// injector sets the faults of the stand-in.
+type injector struct {
+	store *store.Store
+	f     store.Faults
 }
 
-func TestHTTP(t *testing.T) {
-	storetest.Run(t, func(t *testing.T) objectapi.Store {
-		srv := httptest.NewServer(objectapi.Handler(store.New(store.Config{})))
-		t.Cleanup(srv.Close)
-		return objectapi.NewClient(srv.URL, objectapi.Options{})
-	})
+func (i *injector) Refuse(on bool) {
+	i.f.Outage = on
+	i.store.SetFaults(i.f)
+}
+
+func (i *injector) LoseAnswers(n int) {
+	f := i.f
+	f.LoseNext = n
+	i.store.SetFaults(f)
+}
+
+func (i *injector) DropWrites(on bool) {
+	i.f.DropShare = 0
+	if on {
+		i.f.DropShare = 1
+	}
+	i.store.SetFaults(i.f)
+}
+
+func (i *injector) ExpireWatches() { i.store.CutHistory() }
+
+func (i *injector) Repeat(n int) {
+	i.f.Duplicate = n
+	i.store.SetFaults(i.f)
+}
+
+func memory(*testing.T) (objectapi.Store, storetest.Injector) {
+	s := store.New(store.Config{})
+	return s, &injector{store: s}
+}
+
+func overHTTP(t *testing.T) (objectapi.Store, storetest.Injector) {
+	s := store.New(store.Config{})
+	srv := httptest.NewServer(store.Handler(s))
+	t.Cleanup(srv.Close)
+	t.Cleanup(srv.CloseClientConnections)
+	return objectapi.NewClient(srv.URL, objectapi.Options{}), &injector{store: s}
+}
+
+// budgeted has a rate that the suite cannot reach, to test that wrapping keeps the contract.
+func budgeted(t *testing.T) (objectapi.Store, storetest.Injector) {
+	s, in := overHTTP(t)
+	return objectapi.NewBudgeted(s, objectapi.BudgetConfig{Rate: 1e6, Burst: 1e6}), in
+}
+
+func TestContract(t *testing.T) {
+	for name, make := range map[string]func(*testing.T) (objectapi.Store, storetest.Injector){
+		"Memory": memory, "HTTP": overHTTP, "Budgeted": budgeted,
+	} {
+		t.Run(name, func(t *testing.T) {
+			storetest.Run(t, func(t *testing.T) objectapi.Store {
+				s, _ := make(t)
+				return s
+			})
+		})
+		t.Run(name+"Faults", func(t *testing.T) { storetest.RunFaults(t, make) })
+	}
 }
