Arbitrate new flows by bounded load and keep owners as soft state

Cause: the thin arbiter took every flow at the first agent. Change: offers within the row, redirects, questions to other possible arbiters, announcements, location of owners, load reports. Conclusion: a random history test with joins, drains and deaths is being made to pass; it is not committed yet.

--- a/pkg/arbiter/api.go
+++ b/pkg/arbiter/api.go
@@ -25,7 +25,7 @@
 	Sender netip.AddrPort
 	// Load and Bound are the sender's load and the highest load at which an offer should be taken.
 	Load, Bound uint32
-	// Final marks an offer that may be declined only for lack of room.
+	// Final marks an offer that may be declined only for lack of room; with KIND_FORWARD, that the sender holds this agent for the owner. The agent passes the datagram's field final, also back with KIND_DECLINED.
 	Final bool
 }
 
@@ -56,7 +56,7 @@
 	To netip.AddrPort
 	// Position is the receiver's index in the row.
 	Position uint32
-	// Bound and Final belong to ActionOffer.
+	// Bound belongs to ActionOffer and ActionDecline, Final to these and to ActionForward; both go into the datagram.
 	Bound uint32
 	Final bool
 	// Accepted is true when the packet starts a flow that this agent now owns; the agent logs it once.
@@ -79,9 +79,9 @@
 	To netip.AddrPort
 	// Kind is KIND_PLACED, KIND_MOVED, KIND_ENDED, KIND_LOCATE, KIND_LOCATED or KIND_LOAD.
 	Kind wire.Kind
-	// Flow is the flow hash of a message about one flow.
+	// Flow is the flow hash of a message about one flow; it counts only when Flows is empty.
 	Flow uint64
-	// Flows are the flow hashes of KIND_MOVED and KIND_ENDED.
+	// Flows are the flow hashes of a message about several flows; every kind but KIND_LOAD may have them.
 	Flows []uint64
 	// Owner is the owner's packet address, or the zero value when not known.
 	Owner netip.AddrPort
--- a/pkg/arbiter/arbiter.go
+++ b/pkg/arbiter/arbiter.go
@@ -1,95 +1,96 @@
 package arbiter
 
 import (
-	"net/netip"
+	"bytes"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/auburnwood/auburnwood/pkg/refusal"
 	"github.com/auburnwood/auburnwood/pkg/view"
 	"github.com/auburnwood/auburnwood/pkg/wire"
 )
 
 // Arbiter decides for one agent. Its methods may be called by several goroutines.
 type Arbiter struct {
-	cfg   Config
-	mu    sync.Mutex
-	own   map[uint64]bool
-	drain bool
-}
+	cfg     Config
+	encoded []byte
+	members atomic.Pointer[members]
+	peers   *peers
+	shards  [shardCount]shard
+	load    atomic.Int64
+	drains  atomic.Bool
+	locator locator
+	ended   endedFlows
+
+	// mu guards what follows; it is taken by SetService and Tick only.
+	mu       sync.Mutex
+	announce []Message
+	sweepAt  int
+	mateAt   int
+	loadSent time.Time
 
-// Counts are numbers of an arbiter's state.
-type Counts struct {
-	// Load is the number of open flows that this agent owns.
-	Load int
-	// Redirects is the number of flows known to be owned by another agent.
-	Redirects int
-	// Locating is the number of flows whose owner is being asked for.
-	Locating int
+	epochOnce sync.Once
+	epoch     time.Time
 }
 
-// New returns an arbiter without a service.
+// New returns an arbiter without a service; it refuses every packet until SetService.
 func New(cfg Config) *Arbiter {
-	return &Arbiter{cfg: cfg, own: make(map[uint64]bool)}
+	a := &Arbiter{cfg: cfg.withDefaults(), peers: newPeers()}
+	a.encoded = wire.AppendAddr(nil, a.cfg.Self)
+	for i := range a.shards {
+		a.shards[i].flows = make(map[uint64]entry)
+		a.shards[i].pending = make(map[uint64]pending)
+	}
+	a.locator.flows = make(map[uint64]*locate)
+	return a
 }
 
-// SetService adopts a snapshot of the agent's service; nil means that there is none.
-func (a *Arbiter) SetService(now time.Time, s *view.Service) []Message { return nil }
-
-// Packet decides about one packet.
-func (a *Arbiter) Packet(now time.Time, in Input) Decision {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.own[in.Flow] {
-		return Decision{Action: ActionDeliver, Why: "own flow", Load: uint32(len(a.own))}
-	}
-	if !in.Opening {
-		return Decision{Action: ActionRefuse, Reason: refusal.ReasonOwnerLost, Why: "unknown flow"}
-	}
-	if a.drain {
-		return Decision{Action: ActionRefuse, Reason: refusal.ReasonDraining, Why: "draining"}
-	}
-	a.own[in.Flow] = true
-	return Decision{Action: ActionDeliver, Accepted: true, Why: "first of row", Load: uint32(len(a.own))}
+// stamp converts now; the first call fixes the epoch.
+func (a *Arbiter) stamp(now time.Time) stamp {
+	// The epoch lies a day back, so that a clock that steps a little does not wrap the stamp.
+	a.epochOnce.Do(func() { a.epoch = now.Add(-24 * time.Hour) })
+	return stamp(now.Sub(a.epoch) / stampUnit)
 }
 
-// Control takes a message from the process at from and returns what to send.
-func (a *Arbiter) Control(now time.Time, from netip.AddrPort, m Message) []Message {
-	_ = wire.Kind_KIND_LOAD
-	return nil
+// isFirst reports whether this agent is the first of an encoded row.
+func (a *Arbiter) isFirst(row []byte) bool {
+	return len(row) >= wire.AddrSize && bytes.Equal(row[:wire.AddrSize], a.encoded)
 }
 
-// Opened tells that the handshake of an own flow is complete.
-func (a *Arbiter) Opened(now time.Time, flow uint64) []Message { return nil }
+// Drain makes the agent take no new flow from now on; it goes on arbitrating.
+func (a *Arbiter) Drain(time.Time) { a.drains.Store(true) }
 
-// Ended tells that an own flow has ended.
-func (a *Arbiter) Ended(now time.Time, flow uint64) []Message {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	delete(a.own, flow)
-	return nil
+// draining reports whether this agent takes no new flow.
+func (a *Arbiter) draining(m *members) bool {
+	if a.drains.Load() {
+		return true
+	}
+	return m != nil && m.self >= 0 && m.service.Targets[m.self].State == view.StateDraining
 }
 
-// Tick does what is due at now; the agent calls it every 100 ms or so.
-func (a *Arbiter) Tick(now time.Time) []Message { return nil }
+// limit returns the highest number of open flows; 0 means no limit.
+func (a *Arbiter) limit(m *members) int64 {
+	limit := int64(a.cfg.Connections)
+	if m == nil {
+		return limit
+	}
+	set := int64(m.service.Spec.Limits.Connections)
+	if set > 0 && (limit == 0 || set < limit) {
+		return set
+	}
+	return limit
+}
 
-// Drain makes the agent take no new flow from now on.
-func (a *Arbiter) Drain(now time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.drain = true
+// full reports whether this agent has no room for another flow.
+func (a *Arbiter) full(m *members) bool {
+	limit := a.limit(m)
+	return limit > 0 && a.load.Load() >= limit
 }
 
 // Owns reports whether this agent owns the flow.
 func (a *Arbiter) Owns(flow uint64) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.own[flow]
-}
-
-// Snapshot returns counts of the state.
-func (a *Arbiter) Snapshot() Counts {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return Counts{Load: len(a.own)}
+	s := a.shard(flow)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.flows[flow].state == stateOwn
 }
--- a/pkg/arbiter/config.go
+++ b/pkg/arbiter/config.go
@@ -27,3 +27,19 @@
 	DefaultLinger = 30 * time.Second
 	DefaultIdle   = 10 * time.Minute
 )
+
+// withDefaults returns c with its zero fields set and its address in the form that datagrams decode to.
+func (c Config) withDefaults() Config {
+	c.Self = netip.AddrPortFrom(c.Self.Addr().Unmap(), c.Self.Port())
+	c.Window = orDefault(c.Window, DefaultWindow)
+	c.Linger = orDefault(c.Linger, DefaultLinger)
+	c.Idle = orDefault(c.Idle, DefaultIdle)
+	return c
+}
+
+func orDefault(d, fallback time.Duration) time.Duration {
+	if d == 0 {
+		return fallback
+	}
+	return d
+}
--- /dev/null
+++ b/pkg/arbiter/group.go
@@ -0,0 +1,56 @@
+package arbiter
+
+import (
+	"github.com/auburnwood/auburnwood/pkg/view"
+)
+
+// group is one version of the targets with its part of the new flows.
+type group struct {
+	version string
+	weight  uint64
+}
+
+// newGroups returns the versions among which new flows are divided by weight, or nil when the versions do not matter.
+func newGroups(s *view.Service) []group {
+	if len(s.Spec.Shares) == 0 && s.Spec.Rollout == nil {
+		return nil
+	}
+	var groups []group
+	for _, t := range s.Targets {
+		if t.State == view.StateActive && t.Weight > 0 {
+			groups = addWeight(groups, t.Version, uint64(t.Weight))
+		}
+	}
+	return groups
+}
+
+func addWeight(groups []group, version string, weight uint64) []group {
+	for i := range groups {
+		if groups[i].version == version {
+			groups[i].weight += weight
+			return groups
+		}
+	}
+	return append(groups, group{version, weight})
+}
+
+// versionFor returns the version to which the flow's hash gives the flow; false when any version will do.
+func (m *members) versionFor(flow uint64) (string, bool) {
+	var sum uint64
+	for _, g := range m.groups {
+		sum += g.weight
+	}
+	if len(m.groups) < 2 || sum == 0 {
+		return "", false
+	}
+	// The product's high half is spread evenly, whatever bits of the hash chose the row.
+	spread := (flow * 0x9e3779b97f4a7c15) >> 32
+	at := spread * sum >> 32
+	for _, g := range m.groups {
+		if at < g.weight {
+			return g.version, true
+		}
+		at -= g.weight
+	}
+	return "", false
+}
--- /dev/null
+++ b/pkg/arbiter/offer.go
@@ -0,0 +1,120 @@
+package arbiter
+
+import (
+	"github.com/auburnwood/auburnwood/pkg/wire"
+)
+
+// offer decides about KIND_OFFER at the agent that is to take the flow.
+func (c *call) offer() Decision {
+	if !c.in.Opening {
+		return c.drop("offer without an opening packet")
+	}
+	switch c.e.state {
+	case stateOwn:
+		d := c.decide(ActionDeliver, "own flow")
+		d.Notify = c.placed(c.in.Sender)
+		return d
+	case stateAsked, stateOffered, stateBeyond:
+		return c.drop("flow is being placed by this agent too")
+	case stateRedirect:
+		if d, ok := c.offeredElsewhere(); ok {
+			return d
+		}
+	case stateDeclined:
+		if !c.in.Final {
+			return c.decline(declinedLoaded)
+		}
+	}
+	return c.consider()
+}
+
+// offeredElsewhere sends an offered packet to the owner that this agent knows.
+func (c *call) offeredElsewhere() (Decision, bool) {
+	p := c.a.peers.get(c.e.peer)
+	if p.gone.Load() || p.addr == c.in.Sender || c.e.has(flagEnded|flagYielded) {
+		return Decision{}, false
+	}
+	return c.forwardTo(p.addr, true, "redirect to owner"), true
+}
+
+// consider takes the offered flow if there is room and the load is within the bound.
+func (c *call) consider() Decision {
+	if c.a.draining(c.m) {
+		return c.decline(declinedDraining)
+	}
+	if !c.in.Final && uint32(c.a.load.Load()) > c.in.Bound {
+		c.s.set(c.in.Flow, entry{at: c.at, state: stateDeclined})
+		return c.decline(declinedLoaded)
+	}
+	if !c.accept() {
+		return c.decline(declinedFull)
+	}
+	d := c.accepted("offered by the first agent")
+	d.Notify = c.placed(c.in.Sender)
+	return d
+}
+
+// decline returns an offered packet with the reason as its bound.
+func (c *call) decline(reason uint32) Decision {
+	d := c.answer(ActionDecline, "offer declined")
+	d.Bound = reason
+	return d
+}
+
+// declined decides about KIND_DECLINED at the agent that sent the packet.
+func (c *call) declined() Decision {
+	q := c.senderPeer()
+	if !c.in.Opening || q == nil {
+		return c.drop("declined datagram is not of an opening flow")
+	}
+	if c.e.peer != q.id {
+		return c.drop("answer is not of the agent that was asked")
+	}
+	p := c.s.pending[c.in.Flow]
+	switch c.e.state {
+	case stateAsked:
+		q.since.Store(uint32(c.at))
+		return c.askFrom(p)
+	case stateOffered, stateBeyond:
+		return c.offerDeclined(q, p)
+	case stateRedirect:
+		return c.ownerDeclined()
+	}
+	return c.drop("late answer")
+}
+
+// offerDeclined chooses again after an offer was declined.
+func (c *call) offerDeclined(q *peer, p pending) Decision {
+	if c.in.Final != c.e.has(flagFinal) {
+		return c.drop("answer to an earlier offer")
+	}
+	q.answered()
+	q.heard(c.at, c.in.Load)
+	if c.in.Bound == declinedLoaded && !c.in.Final {
+		return c.place(p)
+	}
+	p.full = p.full || c.in.Bound == declinedFull
+	return c.excludeAndPlace(p, c.position(q.addr))
+}
+
+// ownerDeclined starts a flow anew when the supposed owner says that the former one has ended.
+func (c *call) ownerDeclined() Decision {
+	if !c.in.Final {
+		return c.drop("late answer")
+	}
+	c.s.drop(c.in.Flow)
+	c.e = entry{}
+	if !c.a.isFirst(c.in.Row) {
+		return c.returnToFirst()
+	}
+	return c.open()
+}
+
+// returnToFirst gives an opening packet back to the first agent of its row.
+func (c *call) returnToFirst() Decision {
+	first, ok := wire.RowAddr(c.in.Row, 0)
+	if !ok {
+		return c.drop("row is empty")
+	}
+	return c.forwardTo(first, false, "owner does not know the flow")
+}
--- /dev/null
+++ b/pkg/arbiter/open.go
@@ -0,0 +1,245 @@
+package arbiter
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/refusal"
+	"github.com/auburnwood/auburnwood/pkg/view"
+	"github.com/auburnwood/auburnwood/pkg/wire"
+)
+
+// repeatAfter is the age of an opening from which a repeated opening packet means that an answer was lost, and not that the packet was duplicated.
+const repeatAfter = 500 * time.Millisecond
+
+// open starts the arbitration of a new flow at the first agent of its row.
+func (c *call) open() Decision {
+	if c.m == nil {
+		return c.refuse(refusal.ReasonNoConfiguration, "no view of the service")
+	}
+	c.e = entry{at: c.at}
+	return c.askFrom(pending{})
+}
+
+// askFrom asks the next other possible arbiter, or places the flow when all have been asked.
+func (c *call) askFrom(p pending) Decision {
+	arbiters, n := c.otherArbiters()
+	if int(p.tries) >= n {
+		return c.place(pending{})
+	}
+	q := arbiters[p.tries]
+	p.tries++
+	c.e = entry{at: c.at, peer: q.id, state: stateAsked}
+	c.s.progress(c.in.Flow, c.e, p)
+	return c.forwardTo(q.addr, false, "another agent may have placed the flow")
+}
+
+// otherArbiters lists the agents that may have arbitrated the flow under another view: the first ones of the tables in force during the window, and the present one if a balancer ranks otherwise.
+func (c *call) otherArbiters() ([maxPast + 1]*peer, int) {
+	var list [maxPast + 1]*peer
+	n := 0
+	add := func(addr netip.AddrPort) {
+		q := c.m.peerAt(addr)
+		if q == nil || q.gone.Load() || q.suspect(c.at) {
+			return
+		}
+		for _, known := range list[:n] {
+			if known == q {
+				return
+			}
+		}
+		list[n] = q
+		n++
+	}
+	settled := c.m.settled(c.now, c.a.cfg.Window)
+	if first := c.m.table.FirstAgent(c.in.Flow); first != c.a.cfg.Self {
+		if settled || c.position(first) < uint32(wire.RowLen(c.in.Row)) {
+			add(first)
+		}
+	}
+	if settled {
+		return list, n
+	}
+	for _, old := range c.m.past {
+		if c.now.Sub(old.until) < c.a.cfg.Window {
+			add(old.table.FirstAgent(c.in.Flow))
+		}
+	}
+	if next, ok := wire.RowAddr(c.in.Row, 1); ok && len(c.m.past) == 0 {
+		// An agent that has just started does not know earlier tables; without it, the next of the row is first.
+		add(next)
+	}
+	return list, n
+}
+
+// yield answers another arbiter that asks about an opening flow which this agent does not know, and leaves the flow to it.
+func (c *call) yield() Decision {
+	if q := c.senderPeer(); q != nil {
+		c.s.set(c.in.Flow, entry{at: c.at, peer: q.id, state: stateRedirect, flags: flagYielded})
+	}
+	return c.answer(ActionDecline, "flow is not here")
+}
+
+func (c *call) senderPeer() *peer {
+	if c.m != nil {
+		if q := c.m.peerAt(c.in.Sender); q != nil {
+			return q
+		}
+	}
+	return c.a.peers.at(c.in.Sender)
+}
+
+// again decides about a repeated opening packet of a flow that this agent is placing.
+func (c *call) again() Decision {
+	q := c.a.peers.get(c.e.peer)
+	p := c.s.pending[c.in.Flow]
+	if c.e.state == stateAsked && q.addr == c.in.Sender {
+		return c.mutual(q, p)
+	}
+	lost := q.gone.Load() || q.suspect(c.at)
+	repeated := c.e.at.since(c.at) > repeatAfter
+	switch {
+	case c.e.state == stateAsked && (lost || repeated):
+		return c.askFrom(p)
+	case c.e.state == stateAsked:
+		return c.forwardTo(q.addr, false, "another agent may have placed the flow")
+	case lost:
+		return c.excludeAndPlace(p, c.position(q.addr))
+	}
+	// The receiver answers a repeated offer as it did the first one.
+	return c.offerTo(q, c.e.has(flagFinal), q.estimate())
+}
+
+// mutual settles two agents that ask each other about one flow: the lower address places it.
+func (c *call) mutual(q *peer, p pending) Decision {
+	if c.in.Final {
+		// The other agent has left the flow to this one.
+		return c.askFrom(p)
+	}
+	if c.a.cfg.Self.Compare(q.addr) < 0 {
+		return c.place(pending{})
+	}
+	return c.yield()
+}
+
+// place chooses the owner of a new flow.
+func (c *call) place(p pending) Decision {
+	if c.m == nil {
+		return c.refuse(refusal.ReasonNoConfiguration, "no view of the service")
+	}
+	cs := c.a.candidates(c.now, c.m, c.in, p)
+	if cs.n == 0 {
+		p.full = p.full || cs.full > 0
+		return c.placeBeyond(p)
+	}
+	best, limit := cs.pick(c.m.service.Spec.Preference)
+	if best.peer == nil {
+		if c.accept() {
+			return c.accepted("taken by the first agent")
+		}
+		return c.excludeAndPlace(p, uint32(best.position))
+	}
+	final := p.tries >= maxTries || cs.n == 1
+	p.tries++
+	c.e = entry{at: c.at, peer: best.peer.id, state: stateOffered}
+	if final {
+		c.e.flags = flagFinal
+	}
+	c.s.progress(c.in.Flow, c.e, p)
+	best.peer.offered(c.at)
+	return c.offerTo(best.peer, final, limit)
+}
+
+// excludeAndPlace chooses again without the agent at a row position.
+func (c *call) excludeAndPlace(p pending, position uint32) Decision {
+	if c.e.state == stateBeyond {
+		return c.placeBeyond(p)
+	}
+	if position < maxRow {
+		p.excluded |= 1 << position
+	}
+	return c.place(p)
+}
+
+// placeBeyond offers the flow to agents outside the row, one after the other, and refuses it when they have no room either.
+func (c *call) placeBeyond(p pending) Decision {
+	for int(p.beyond) < maxBeyond {
+		index, ok := c.beyond(int(p.beyond))
+		if !ok {
+			break
+		}
+		p.beyond++
+		q := c.m.peers[index]
+		if !c.usable(index) {
+			continue
+		}
+		c.e = entry{at: c.at, peer: q.id, state: stateBeyond, flags: flagFinal}
+		c.s.progress(c.in.Flow, c.e, p)
+		q.offered(c.at)
+		return c.offerTo(q, true, declinedLimit)
+	}
+	c.s.drop(c.in.Flow)
+	return c.refuse(c.placeReason(p), "no agent takes the flow")
+}
+
+// beyond returns the n-th target to try outside the row; the order starts at a place that the flow's hash chooses.
+func (c *call) beyond(n int) (int, bool) {
+	count := len(c.m.service.Targets)
+	if n >= count {
+		return 0, false
+	}
+	return int((c.in.Flow>>32 + uint64(n)) % uint64(count)), true
+}
+
+// usable reports whether a target outside the row may be offered the flow.
+func (c *call) usable(index int) bool {
+	t := &c.m.service.Targets[index]
+	if index == c.m.self || t.State != view.StateActive || t.Weight == 0 {
+		return false
+	}
+	q := c.m.peers[index]
+	return q != nil && !q.suspect(c.at) && c.position(t.Agent) >= uint32(min(wire.RowLen(c.in.Row), maxRow))
+}
+
+// placeReason says why no agent takes a flow.
+func (c *call) placeReason(p pending) refusal.Reason {
+	if p.full || p.excluded != 0 && !c.a.draining(c.m) {
+		return refusal.ReasonAllFull
+	}
+	active, draining := c.m.counts()
+	if active > 0 && p.beyond > 0 {
+		return refusal.ReasonAllFull
+	}
+	if draining > 0 {
+		return refusal.ReasonDraining
+	}
+	return refusal.ReasonNoTarget
+}
+
+// accept takes the flow unless there is no room; it counts the flow.
+func (c *call) accept() bool {
+	limit := c.a.limit(c.m)
+	load := c.a.load.Add(1)
+	if limit > 0 && load > limit {
+		c.a.load.Add(-1)
+		return false
+	}
+	c.e = entry{at: c.at, state: stateOwn}
+	c.s.set(c.in.Flow, c.e)
+	return true
+}
+
+func (c *call) accepted(why string) Decision {
+	d := c.decide(ActionDeliver, why)
+	d.Accepted = true
+	return d
+}
+
+func (c *call) offerTo(q *peer, final bool, limit uint32) Decision {
+	d := c.decide(ActionOffer, "least loaded agent of the row")
+	d.To = q.addr
+	d.Position = c.position(q.addr)
+	d.Final = final
+	d.Bound = limit
+	return d
+}
--- /dev/null
+++ b/pkg/arbiter/peer.go
@@ -0,0 +1,153 @@
+package arbiter
+
+import (
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// peerID names one incarnation of another agent within one arbiter.
+type peerID uint16
+
+const (
+	// maxPeers bounds the incarnations that one arbiter can tell apart in its life.
+	maxPeers = 1<<16 - 1
+	// maxUnlisted bounds the peers that are known by message only and not by a view.
+	maxUnlisted = 1024
+	// suspectAfter is the time without an answer to an offer after which an agent is offered flows only as a last resort.
+	suspectAfter = 300 * time.Millisecond
+)
+
+// peer is one incarnation of another agent.
+type peer struct {
+	id          peerID
+	addr        netip.AddrPort
+	incarnation uint64
+	// load is the last number of open flows that the agent itself reported.
+	load atomic.Uint32
+	// waiting is the number of offers without an answer.
+	waiting atomic.Int32
+	// since is when waiting rose from 0, or the last sign of life after that.
+	since atomic.Uint32
+	// gone is set when a view drops the agent or shows a newer incarnation.
+	gone atomic.Bool
+	// listed is set once a view has named the agent.
+	listed atomic.Bool
+}
+
+// heard notes a message of the agent with its load.
+func (p *peer) heard(now stamp, load uint32) {
+	p.load.Store(load)
+	p.since.Store(uint32(now))
+}
+
+// reported notes a periodic load report; offers that were not answered by then are lost or about to be answered.
+func (p *peer) reported(now stamp, load uint32) {
+	if stamp(p.since.Load()).since(now) > suspectAfter {
+		p.waiting.Store(0)
+	}
+	p.heard(now, load)
+}
+
+// offered notes an offer to the agent.
+func (p *peer) offered(now stamp) {
+	if p.waiting.Add(1) == 1 {
+		p.since.Store(uint32(now))
+	}
+}
+
+// answered notes the answer to an offer.
+func (p *peer) answered() {
+	if p.waiting.Add(-1) < 0 {
+		p.waiting.Store(0)
+	}
+}
+
+// suspect reports whether the agent owes an answer for too long.
+func (p *peer) suspect(now stamp) bool {
+	return p.waiting.Load() > 0 && stamp(p.since.Load()).since(now) > suspectAfter
+}
+
+// estimate is the agent's number of open flows as far as it is known here.
+func (p *peer) estimate() uint32 {
+	return p.load.Load() + uint32(max(p.waiting.Load(), 0))
+}
+
+type peerKey struct {
+	addr        netip.AddrPort
+	incarnation uint64
+}
+
+// peers finds peers by address and incarnation, and by number.
+type peers struct {
+	mu       sync.RWMutex
+	byKey    map[peerKey]*peer
+	newest   map[netip.AddrPort]*peer
+	unlisted int
+	list     atomic.Pointer[[]*peer]
+}
+
+func newPeers() *peers {
+	p := &peers{byKey: make(map[peerKey]*peer), newest: make(map[netip.AddrPort]*peer)}
+	p.list.Store(&[]*peer{})
+	return p
+}
+
+// get returns the peer with the number.
+func (p *peers) get(id peerID) *peer { return (*p.list.Load())[id] }
+
+// at returns the newest known incarnation of the agent at an address, or nil.
+func (p *peers) at(addr netip.AddrPort) *peer {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.newest[addr]
+}
+
+// listed adds an incarnation that a view names.
+func (p *peers) listed(addr netip.AddrPort, incarnation uint64) *peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	q := p.add(addr, incarnation)
+	if q != nil && !q.listed.Swap(true) && p.unlisted > 0 {
+		p.unlisted--
+	}
+	return q
+}
+
+// sender returns the peer that sent a message; incarnation 0 means the newest one. It returns nil when there is no room for an unknown one.
+func (p *peers) sender(addr netip.AddrPort, incarnation uint64) *peer {
+	p.mu.RLock()
+	q := p.newest[addr]
+	if incarnation != 0 && (q == nil || q.incarnation != incarnation) {
+		q = p.byKey[peerKey{addr, incarnation}]
+	}
+	room := p.unlisted < maxUnlisted
+	p.mu.RUnlock()
+	if q != nil || incarnation == 0 || !room {
+		return q
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unlisted++
+	return p.add(addr, incarnation)
+}
+
+func (p *peers) add(addr netip.AddrPort, incarnation uint64) *peer {
+	key := peerKey{addr, incarnation}
+	if q := p.byKey[key]; q != nil {
+		return q
+	}
+	old := *p.list.Load()
+	if len(old) >= maxPeers {
+		return nil
+	}
+	q := &peer{id: peerID(len(old)), addr: addr, incarnation: incarnation}
+	list := append(old[:len(old):len(old)], q)
+	p.list.Store(&list)
+	p.byKey[key] = q
+	if n := p.newest[addr]; n == nil || n.incarnation < incarnation {
+		p.newest[addr] = q
+	}
+	return q
+}
--- /dev/null
+++ b/pkg/arbiter/service.go
@@ -0,0 +1,160 @@
+package arbiter
+
+import (
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/placement"
+	"github.com/auburnwood/auburnwood/pkg/view"
+	"github.com/auburnwood/auburnwood/pkg/wire"
+)
+
+// paceMessages is the number of announcements that SetService or one Tick returns.
+const paceMessages = 16
+
+// SetService adopts a snapshot of the agent's service and returns the first announcements to new first agents; Tick returns the rest. A nil snapshot is ignored: the last one stays in force.
+func (a *Arbiter) SetService(now time.Time, s *view.Service) []Message {
+	if s == nil {
+		return nil
+	}
+	a.stamp(now)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	old := a.members.Load()
+	if old != nil && old.service == s {
+		return nil
+	}
+	m := a.newMembers(now, s, old)
+	a.members.Store(m)
+	a.dropGone(m)
+	if old == nil || old.table != m.table || old.next != m.next {
+		a.announce = append(a.announce, a.movedFlows(old, m)...)
+	}
+	return a.takeAnnouncements()
+}
+
+// dropGone marks the agents that the new snapshot no longer names.
+func (a *Arbiter) dropGone(m *members) {
+	for i, p := range m.peers {
+		if p == nil || i == m.self {
+			continue
+		}
+		p.gone.Store(false)
+	}
+	for _, p := range *a.peers.list.Load() {
+		if p.listed.Load() && m.peerAt(p.addr) != p && !p.newer(m) {
+			p.gone.Store(true)
+		}
+	}
+}
+
+// newer reports whether p is a later incarnation of an agent than the view names.
+func (p *peer) newer(m *members) bool {
+	q := m.peerAt(p.addr)
+	return q != nil && p.incarnation > q.incarnation
+}
+
+// destination is the agent that has to know of a flow, and what it has to know.
+type destination struct {
+	to    peerID
+	owner peerID
+	open  bool
+	own   bool
+}
+
+// movedFlows lists the announcements of flows whose first agent changes from old to m.
+func (a *Arbiter) movedFlows(old, m *members) []Message {
+	moved := make(map[destination][]uint64)
+	for i := range a.shards {
+		s := &a.shards[i]
+		s.mu.Lock()
+		for flow, e := range s.flows {
+			a.collectMoved(moved, old, m, flow, e)
+		}
+		s.mu.Unlock()
+	}
+	var out []Message
+	for d, flows := range moved {
+		out = append(out, batches(a.movedMessage(d), flows)...)
+	}
+	return out
+}
+
+// collectMoved adds a flow for each agent that becomes its first one, at once or once the joining targets are active.
+func (a *Arbiter) collectMoved(moved map[destination][]uint64, old, m *members, flow uint64, e entry) {
+	own := e.state == stateOwn
+	if !own && (e.state != stateRedirect || e.has(flagEnded|flagYielded)) {
+		return
+	}
+	if !own && (old == nil || old.table.FirstAgent(flow) != a.cfg.Self) {
+		return
+	}
+	now := firstPeer(m, m.table, flow)
+	add := func(p *peer) {
+		if p != nil && (own || p.id != e.peer) {
+			d := destination{to: p.id, owner: e.peer, open: e.has(flagOpen), own: own}
+			moved[d] = append(moved[d], flow)
+		}
+	}
+	if old == nil || firstPeer(old, old.table, flow) != now && firstPeer(old, old.next, flow) != now {
+		add(now)
+	}
+	next := firstPeer(m, m.next, flow)
+	if next != now && (old == nil || firstPeer(old, old.next, flow) != next) {
+		add(next)
+	}
+}
+
+// firstPeer returns the peer that is first for the flow, or nil when it is this agent or nobody.
+func firstPeer(m *members, t *placement.Table, flow uint64) *peer {
+	i := t.First(flow)
+	if i < 0 {
+		return nil
+	}
+	return m.peers[i]
+}
+
+func (a *Arbiter) movedMessage(d destination) Message {
+	m := Message{
+		To: a.peers.get(d.to).addr, Kind: wire.Kind_KIND_MOVED, Owner: a.cfg.Self,
+		Incarnation: a.cfg.Incarnation, Load: uint32(a.load.Load()), Final: d.open,
+	}
+	if !d.own {
+		m.Owner = a.peers.get(d.owner).addr
+	}
+	return m
+}
+
+// takeAnnouncements returns the next waiting announcements; a.mu is held.
+func (a *Arbiter) takeAnnouncements() []Message {
+	n := min(len(a.announce), paceMessages)
+	out := a.announce[:n:n]
+	a.announce = a.announce[n:]
+	if len(a.announce) == 0 {
+		a.announce = nil
+	}
+	return out
+}
+
+// live lists the agents of the view other than this one.
+func (m *members) live() []*peer {
+	var live []*peer
+	for _, p := range m.peers {
+		if p != nil {
+			live = append(live, p)
+		}
+	}
+	return live
+}
+
+// counts returns the number of active and draining targets.
+func (m *members) counts() (active, draining int) {
+	for _, t := range m.service.Targets {
+		switch t.State {
+		case view.StateActive:
+			active++
+		case view.StateDraining:
+			draining++
+		}
+	}
+	return active, draining
+}
