Admit, steer, ticket and claim requests at the agent

Cause: the request server passed everything to its target at once and promised nothing about repeats. Change: admission by pkg/limit, steering of waiting requests to free peers, tickets and their endpoints, claims of keys by create-if-absent, drain, problem documents with records.

--- a/pkg/request/answer.go
+++ b/pkg/request/answer.go
@@ -28,41 +28,51 @@
 	w.WriteHeader(res.StatusCode)
 }
 
-// copyBody streams the answer's body and trailers and flushes each part. An error means that the caller does not have
-// the whole answer.
-func copyBody(w http.ResponseWriter, res *http.Response, keep io.Writer) error {
+// copyBody streams the answer's body and trailers and flushes each part. After a failed write it goes on reading while
+// keep still wants the answer. The errors say which side ended early.
+func copyBody(w http.ResponseWriter, res *http.Response, keep io.Writer) (fromTarget, toCaller error) {
 	announced := len(res.Trailer)
-	c := http.NewResponseController(w)
+	out := &partWriter{w: w, c: http.NewResponseController(w)}
 	if res.ContentLength != 0 {
-		if err := c.Flush(); err != nil {
-			return err
-		}
+		toCaller = out.c.Flush()
 	}
 	buf := make([]byte, copyBufferSize)
 	for {
 		n, err := res.Body.Read(buf)
-		if n > 0 {
-			_, _ = keep.Write(buf[:n])
-			if werr := writePart(w, c, buf[:n]); werr != nil {
-				return werr
-			}
+		if n > 0 && toCaller == nil {
+			toCaller = out.write(buf[:n])
 		}
+		_, _ = keep.Write(buf[:n])
 		if err == io.EOF {
-			break
+			copyTrailers(w, res, announced)
+			return nil, toCaller
 		}
 		if err != nil {
-			return err
+			return err, toCaller
+		}
+		if toCaller != nil && !wanted(keep) {
+			return nil, toCaller
 		}
 	}
-	copyTrailers(w, res, announced)
-	return nil
 }
 
-func writePart(w http.ResponseWriter, c *http.ResponseController, b []byte) error {
-	if _, err := w.Write(b); err != nil {
+// wanted reports whether keep takes more of the answer.
+func wanted(keep io.Writer) bool {
+	k, ok := keep.(*keptAnswer)
+	return ok && !k.over
+}
+
+// partWriter writes and flushes parts of an answer.
+type partWriter struct {
+	w http.ResponseWriter
+	c *http.ResponseController
+}
+
+func (p *partWriter) write(b []byte) error {
+	if _, err := p.w.Write(b); err != nil {
 		return err
 	}
-	return c.Flush()
+	return p.c.Flush()
 }
 
 // copyTrailers sets the trailers; those that were not announced need the prefix of net/http.
--- /dev/null
+++ b/pkg/request/claims.go
@@ -0,0 +1,127 @@
+package request
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/time/rate"
+
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
+	"github.com/auburnwood/auburnwood/pkg/ticket"
+)
+
+// KindClaim is the kind of the objects that bind a caller's key to a ticket.
+const KindClaim objectapi.Kind = "claim"
+
+const (
+	// claimTimeout bounds one call of the object API for a claim.
+	claimTimeout = 500 * time.Millisecond
+	// claimReadBacks bounds the reads after a lost answer.
+	claimReadBacks = 3
+)
+
+// Errors of a claim.
+var (
+	errNoStore     = errors.New("no object API is configured")
+	errClaimRate   = errors.New("the agent's share of the object API's writes is used up")
+	errClaimBroken = errors.New("the claim is no ticket")
+)
+
+// claims binds callers' keys to tickets by create-if-absent, so that every agent finds the one ticket of a key.
+type claims struct {
+	store   objectapi.Store
+	writes  *rate.Limiter
+	service string
+	now     func() time.Time
+}
+
+func newClaims(o Options) *claims {
+	burst := max(int(o.ClaimRate), 1)
+	return &claims{store: o.Store, writes: rate.NewLimiter(rate.Limit(o.ClaimRate), burst), service: o.Service, now: o.Now}
+}
+
+// name returns the object name of a key: keys are the callers' own text, and of one service.
+func (c *claims) name(key string) string {
+	sum := sha256.Sum256([]byte(c.service + "\x00" + key))
+	return hex.EncodeToString(sum[:])
+}
+
+// claim binds the key to the offered ticket unless it is bound already, and returns the stored object and its ticket.
+// After an error the offered ticket may be stored; it must be cancelled.
+func (c *claims) claim(ctx context.Context, name string, offered ticket.Ticket) (objectapi.Object, ticket.Ticket, error) {
+	ctx, cancel, err := c.begin(ctx)
+	if err != nil {
+		return objectapi.Object{}, ticket.Ticket{}, err
+	}
+	defer cancel()
+	o, err := c.store.Create(ctx, KindClaim, name, []byte(offered.String()))
+	switch {
+	case err == nil:
+		return o, offered, nil
+	case errors.Is(err, objectapi.ErrConflict), errors.Is(err, objectapi.ErrOutcomeUnknown):
+		return c.readBack(ctx, name, offered)
+	}
+	return objectapi.Object{}, ticket.Ticket{}, trace.Wrap(err, "create claim")
+}
+
+// replace binds the key to another ticket, if the stored object is still the given one. The caller has made sure that
+// the stored ticket never runs.
+func (c *claims) replace(ctx context.Context, old objectapi.Object, offered ticket.Ticket) (objectapi.Object, ticket.Ticket, error) {
+	ctx, cancel, err := c.begin(ctx)
+	if err != nil {
+		return objectapi.Object{}, ticket.Ticket{}, err
+	}
+	defer cancel()
+	name := old.Name
+	old.Value = []byte(offered.String())
+	o, err := c.store.Update(ctx, old)
+	switch {
+	case err == nil:
+		return o, offered, nil
+	case errors.Is(err, objectapi.ErrConflict), errors.Is(err, objectapi.ErrOutcomeUnknown):
+		return c.readBack(ctx, name, offered)
+	}
+	return objectapi.Object{}, ticket.Ticket{}, trace.Wrap(err, "replace claim")
+}
+
+func (c *claims) begin(ctx context.Context) (context.Context, context.CancelFunc, error) {
+	if c.store == nil {
+		return nil, nil, errNoStore
+	}
+	if !c.writes.AllowN(c.now(), 1) {
+		return nil, nil, errClaimRate
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	return ctx, cancel, nil
+}
+
+// readBack reads which ticket is stored. When the own write can't be found it is written again, which is safe: it
+// creates the same claim or none.
+func (c *claims) readBack(ctx context.Context, name string, offered ticket.Ticket) (objectapi.Object, ticket.Ticket, error) {
+	var err error
+	for range claimReadBacks {
+		var o objectapi.Object
+		o, err = c.store.Get(ctx, KindClaim, name)
+		if err == nil {
+			held, perr := ticket.Parse(string(o.Value))
+			if perr != nil {
+				return o, ticket.Ticket{}, trace.Wrap(errClaimBroken, "claim %s", name)
+			}
+			return o, held, nil
+		}
+		if errors.Is(err, objectapi.ErrNotFound) {
+			o, err = c.store.Create(ctx, KindClaim, name, []byte(offered.String()))
+			if err == nil {
+				return o, offered, nil
+			}
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return objectapi.Object{}, ticket.Ticket{}, trace.Wrap(err, "read claim back")
+}
--- a/pkg/request/headers.go
+++ b/pkg/request/headers.go
@@ -30,11 +30,12 @@
 
 // Headers between agents.
 const (
-	headerHop     = "Auburnwood-Hop"
-	headerKind    = "Auburnwood-Hop-Kind"
-	headerService = "Auburnwood-Service"
-	headerCaller  = "Auburnwood-Caller"
-	headerLoad    = "Auburnwood-Load"
+	headerHop         = "Auburnwood-Hop"
+	headerKind        = "Auburnwood-Hop-Kind"
+	headerService     = "Auburnwood-Service"
+	headerCaller      = "Auburnwood-Caller"
+	headerDestination = "Auburnwood-Destination"
+	headerLoad        = "Auburnwood-Load"
 )
 
 const ownPrefix = "Auburnwood-"
--- a/pkg/request/options.go
+++ b/pkg/request/options.go
@@ -1,12 +1,17 @@
 package request
 
 import (
+	"context"
+	"math/rand/v2"
+	"net"
 	"net/netip"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/auburnwood/auburnwood/pkg/limit"
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
 	"github.com/auburnwood/auburnwood/pkg/refusal"
 )
 
@@ -15,8 +20,14 @@
 	DefaultDeadline   = 10 * time.Second
 	DefaultMaxTimeout = 10 * time.Minute
 	DefaultGrace      = 500 * time.Millisecond
+	DefaultSlots      = 1
+	DefaultClaimRate  = 20
+	DefaultAnswers    = 1024
 )
 
+// DialFunc opens a TCP connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Options configures a Server.
 type Options struct {
 	// Agent is the name of this agent; it is the issuer of its tickets.
@@ -27,12 +38,41 @@
 	Service string
 	// Target is the address of the target.
 	Target netip.AddrPort
+	// Slots is the number of requests that the target runs at once; 0 means DefaultSlots.
+	Slots int
+	// Queue is the highest number of waiting requests; 0 means limit.DefaultQueue.
+	Queue int
+	// Cold is true when the target has just started.
+	Cold bool
+	// Unbounded lets every request wait, whatever its deadline; it is for measured comparisons only.
+	Unbounded bool
 	// Deadline is the time that a request gets when it names none; 0 means DefaultDeadline.
 	Deadline time.Duration
 	// MaxTimeout is the longest time that a request may ask for; 0 means DefaultMaxTimeout.
 	MaxTimeout time.Duration
 	// Grace is how long after its deadline a started request may still answer; 0 means DefaultGrace.
 	Grace time.Duration
+	// TicketLife is the time in which a ticket must be submitted; 0 means ticket.DefaultLife.
+	TicketLife time.Duration
+	// TicketRetention is how long after its expiry the fate of a ticket is remembered; 0 means
+	// ticket.DefaultRetention.
+	TicketRetention time.Duration
+	// TicketMax bounds the remembered tickets; 0 means ticket.DefaultMax.
+	TicketMax int
+	// Answers is the number of small answers that are kept for repeats of a ticket; 0 means DefaultAnswers.
+	Answers int
+	// Store keeps the claims; nil refuses requests that need one.
+	Store objectapi.Store
+	// ClaimRate is the highest number of claims a second of this agent; 0 means DefaultClaimRate.
+	ClaimRate float64
+	// RetryRatio is the number of retries that one request pays for; 0 means limit.DefaultRetryRatio.
+	RetryRatio float64
+	// Peers are the other agents of the service; nil means none.
+	Peers Peers
+	// DialTarget opens connections to the target; nil means net.Dialer.
+	DialTarget DialFunc
+	// DialPeer opens connections to the control addresses of peers; nil means net.Dialer.
+	DialPeer DialFunc
 	// Revision returns the configuration revision in force; nil means 0.
 	Revision func() uint64
 	// Recorder takes the refusal records.
@@ -43,17 +83,27 @@
 	Metrics tally.Scope
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
+	// Seed makes the secrets of tickets; nil takes it from the operating system.
+	Seed *[32]byte
 }
 
 func (o Options) withDefaults() Options {
-	if o.Deadline == 0 {
-		o.Deadline = DefaultDeadline
+	o.Slots = or(o.Slots, DefaultSlots)
+	o.Deadline = or(o.Deadline, DefaultDeadline)
+	o.MaxTimeout = or(o.MaxTimeout, DefaultMaxTimeout)
+	o.Grace = or(o.Grace, DefaultGrace)
+	o.ClaimRate = or(o.ClaimRate, DefaultClaimRate)
+	o.RetryRatio = or(o.RetryRatio, limit.DefaultRetryRatio)
+	o.Answers = or(o.Answers, DefaultAnswers)
+	if o.Peers == nil {
+		o.Peers = noPeers{}
 	}
-	if o.MaxTimeout == 0 {
-		o.MaxTimeout = DefaultMaxTimeout
+	d := &net.Dialer{Timeout: dialTimeout}
+	if o.DialTarget == nil {
+		o.DialTarget = d.DialContext
 	}
-	if o.Grace == 0 {
-		o.Grace = DefaultGrace
+	if o.DialPeer == nil {
+		o.DialPeer = d.DialContext
 	}
 	if o.Revision == nil {
 		o.Revision = func() uint64 { return 0 }
@@ -66,3 +116,20 @@
 	}
 	return o
 }
+
+// or returns v, or fallback when v is zero.
+func or[T comparable](v, fallback T) T {
+	var zero T
+	if v == zero {
+		return fallback
+	}
+	return v
+}
+
+// newRand returns a cryptographic generator, for secrets that callers can't guess.
+func (o Options) newRand() *rand.Rand {
+	if o.Seed != nil {
+		return rand.New(rand.NewChaCha8(*o.Seed))
+	}
+	return rand.New(rand.NewChaCha8(randomSeed()))
+}
--- /dev/null
+++ b/pkg/request/outgoing.go
@@ -0,0 +1,53 @@
+package request
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// outgoing returns the request as the target gets it.
+func (s *Server) outgoing(ctx context.Context, u *submission, host string) *http.Request {
+	out := u.r.Clone(ctx)
+	out.RequestURI = ""
+	out.URL.Scheme = "http"
+	out.URL.Host = host
+	removeConnectionHeaders(out.Header)
+	removeOwnHeaders(out.Header)
+	hideReplayHeaders(out.Header)
+	out.Header.Del("Expect")
+	out.Header.Set(HeaderTimeout, milliseconds(u.deadline.Sub(s.o.Now())))
+	if caller := callerOf(u.r.Context()).Source; caller.IsValid() {
+		out.Header.Set("X-Forwarded-For", caller.Addr().String())
+	}
+	u.body.attach(out)
+	return out
+}
+
+// toPeer returns the request as another agent gets it.
+func (s *Server) toPeer(ctx context.Context, u *submission, p Peer, kind hopKind) *http.Request {
+	out := s.outgoing(ctx, u, p.Control.String())
+	s.markHop(out.Header, u.r.Context(), kind, u.hops+1)
+	if kind == hopTicket {
+		out.Header.Set(HeaderTicket, u.ticket.String())
+	}
+	if !u.body.whole {
+		out.Header.Set("Expect", "100-continue")
+	}
+	return out
+}
+
+func (s *Server) markHop(h http.Header, ctx context.Context, kind hopKind, hops int) {
+	key := callerOf(ctx)
+	h.Set(headerHop, strconv.Itoa(hops))
+	h.Set(headerKind, string(kind))
+	h.Set(headerService, s.o.Service)
+	h.Set(headerCaller, key.Source.String())
+	h.Set(headerDestination, key.Destination.String())
+}
+
+// milliseconds writes a duration for HeaderTimeout; a duration that is over is 0.
+func milliseconds(d time.Duration) string {
+	return strconv.FormatInt(max(d, 0).Milliseconds(), 10)
+}
--- /dev/null
+++ b/pkg/request/probe.go
@@ -0,0 +1,62 @@
+package request
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+)
+
+// Probes ask peers for their load while a request waits here.
+const (
+	probeRate    = 100
+	probeBurst   = 4
+	maxProbing   = 2
+	probeTimeout = 200 * time.Millisecond
+)
+
+// probe asks one peer of unknown load in the background. The rate is bounded for the whole agent.
+func (s *Server) probe() {
+	now := s.o.Now()
+	var stale []Peer
+	for _, p := range sample(s.o.Peers.Candidates()) {
+		if _, fresh := s.loads.fresh(now, p.Agent); !fresh {
+			stale = append(stale, p)
+		}
+	}
+	if len(stale) == 0 || s.probing.Load() >= maxProbing || !s.probes.AllowN(now, 1) {
+		return
+	}
+	p := stale[rand.IntN(len(stale))]
+	s.probing.Add(1)
+	go func() {
+		defer s.probing.Add(-1)
+		s.askLoad(p)
+	}()
+}
+
+func (s *Server) askLoad(p Peer) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Control.String()+wellKnown+"load", nil)
+	if err != nil {
+		return
+	}
+	s.markHop(req.Header, ctx, hopLoad, 1)
+	res, err := s.peers.RoundTrip(req)
+	if err != nil {
+		s.loads.unusable(s.o.Now(), p.Agent)
+		return
+	}
+	defer res.Body.Close()
+	s.learn(p, res)
+}
+
+// learn takes the load from a peer's answer and removes it, so that no caller sees it.
+func (s *Server) learn(p Peer, res *http.Response) {
+	l, ok := decodeLoad(res.Header.Get(headerLoad))
+	res.Header.Del(headerLoad)
+	if ok {
+		s.loads.learn(s.o.Now(), p.Agent, l)
+	}
+}
--- /dev/null
+++ b/pkg/request/ran.go
@@ -0,0 +1,41 @@
+package request
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"github.com/auburnwood/auburnwood/pkg/refusal"
+)
+
+// RunYes is the run state of a repeat whose work has run and whose answer is no longer kept.
+const RunYes refusal.Run = "yes"
+
+// Ran is the document for a repeat whose work has run and whose answer is no longer kept. It is no refusal.
+type Ran struct {
+	// Title is a sentence for people.
+	Title string `json:"title"`
+	// Ticket is the ticket.
+	Ticket string `json:"ticket"`
+	// Run is RunYes.
+	Run refusal.Run `json:"run"`
+	// Outcome is the HTTP status of the target's answer.
+	Outcome int `json:"outcome"`
+}
+
+// sendRan tells a repeat that the work has run.
+func (s *Server) sendRan(u *submission, status int) {
+	body, err := json.Marshal(Ran{Title: fmt.Sprintf("the work has run and was answered with %d", status),
+		Ticket: u.ticket.String(), Run: RunYes, Outcome: status})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	h := u.w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set(HeaderRun, string(RunYes))
+	h.Set(HeaderReason, string(refusal.ReasonTicketSpent))
+	u.w.WriteHeader(http.StatusConflict)
+	_, _ = u.w.Write(body)
+}
--- /dev/null
+++ b/pkg/request/refusals.go
@@ -0,0 +1,105 @@
+package request
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/limit"
+	"github.com/auburnwood/auburnwood/pkg/refusal"
+)
+
+// statusClosed is the status in the record of a caller that went away; nobody reads the answer.
+const statusClosed = 499
+
+// retryLater is what callers are told when nothing better is known.
+const retryLater = time.Second
+
+// Causes of the end of a started request's context.
+var (
+	errDeadline  = errors.New("the deadline is over")
+	errCancelled = errors.New("the caller cancelled")
+)
+
+func malformed(detail string) *Refusal {
+	return &Refusal{Reason: refusal.ReasonMalformed, Status: http.StatusBadRequest, Detail: detail, Run: refusal.RunNo}
+}
+
+func callerGone() *Refusal {
+	return &Refusal{Reason: refusal.ReasonCancelled, Status: statusClosed,
+		Detail: "the caller went away or cancelled before the start", Run: refusal.RunNo}
+}
+
+func callerGoneRunning(cause error) *Refusal {
+	return &Refusal{Reason: refusal.ReasonCancelled, Status: statusClosed,
+		Detail: "the caller went away or cancelled after the start: " + cause.Error(), Run: refusal.RunUnknown}
+}
+
+func tooLate() *Refusal {
+	return &Refusal{Reason: refusal.ReasonDeadline, Status: http.StatusGatewayTimeout,
+		Detail: "the target did not answer before the deadline", Run: refusal.RunUnknown}
+}
+
+func tooLateToSend() *Refusal {
+	return &Refusal{Reason: refusal.ReasonDeadline, Status: http.StatusGatewayTimeout,
+		Detail: "no connection before the deadline", Run: refusal.RunNo}
+}
+
+func notAdmitted(d limit.Decision) *Refusal {
+	return &Refusal{Reason: d.Reason, Status: http.StatusServiceUnavailable, Detail: d.Detail, Run: refusal.RunNo,
+		RetryAfter: d.RetryAfter}
+}
+
+func notConnected(err error) *Refusal {
+	return &Refusal{Reason: refusal.ReasonTargetRefused, Status: http.StatusServiceUnavailable,
+		Detail: "the target took no connection: " + err.Error(), Run: refusal.RunNo, RetryAfter: retryLater}
+}
+
+func notAnswered(err error) *Refusal {
+	return &Refusal{Reason: refusal.ReasonTargetFailed, Status: http.StatusBadGateway,
+		Detail: "the connection ended before the answer: " + err.Error(), Run: refusal.RunUnknown}
+}
+
+func noLength() *Refusal {
+	return &Refusal{Reason: refusal.ReasonTargetFailed, Status: http.StatusBadGateway,
+		Detail: "the target's answer has neither a length nor chunks, so a cut could not be seen", Run: refusal.RunUnknown}
+}
+
+func shedByTarget(target string, after time.Duration) *Refusal {
+	return &Refusal{Reason: refusal.ReasonTargetShed, Status: http.StatusServiceUnavailable, DecidedBy: target,
+		Detail: "the target answered 503 with Retry-After", Run: refusal.RunNo, RetryAfter: max(after, retryLater/10)}
+}
+
+func noRetryLeft() *Refusal {
+	return &Refusal{Reason: refusal.ReasonRetryBudget, Status: http.StatusBadGateway,
+		Detail: "the target failed and the retry budget is spent", Run: refusal.RunUnknown, RetryAfter: retryLater}
+}
+
+func wrongService(asked string) *Refusal {
+	return &Refusal{Reason: refusal.ReasonWrongService, Status: http.StatusMisdirectedRequest,
+		Detail: "this agent does not serve " + asked, Run: refusal.RunNo}
+}
+
+func tooManyHops() *Refusal {
+	return &Refusal{Reason: refusal.ReasonAllFull, Status: http.StatusServiceUnavailable,
+		Detail: "the request was passed on too often", Run: refusal.RunNo, RetryAfter: retryLater}
+}
+
+func issuerGone(submission refusal.Run, detail string) *Refusal {
+	return &Refusal{Reason: refusal.ReasonTicketGone, Status: http.StatusBadGateway, Detail: detail,
+		Run: refusal.RunUnknown, Submission: submission}
+}
+
+func claimStore(err error, run refusal.Run) *Refusal {
+	f := &Refusal{Reason: refusal.ReasonClaimStore, Status: http.StatusServiceUnavailable,
+		Detail: "the claim could not be made: " + err.Error(), Run: run, RetryAfter: retryLater}
+	if run == refusal.RunUnknown {
+		f.Submission = refusal.RunNo
+	}
+	return f
+}
+
+func bookFull() *Refusal {
+	return &Refusal{Reason: refusal.ReasonQueueFull, Status: http.StatusServiceUnavailable,
+		Detail: "this agent remembers as many tickets as it may", Run: refusal.RunNo, RetryAfter: retryLater}
+}
--- /dev/null
+++ b/pkg/request/serve_caller.go
@@ -0,0 +1,110 @@
+package request
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/refusal"
+	"github.com/auburnwood/auburnwood/pkg/ticket"
+)
+
+// wellKnown is the path of the endpoints for callers (RFC 8615).
+const wellKnown = "/.well-known/auburnwood/"
+
+// serveCaller handles one request on a caller's connection.
+func (s *Server) serveCaller(w http.ResponseWriter, r *http.Request) {
+	s.active.Add(1)
+	defer s.active.Add(-1)
+	removeOwnHeaders(r.Header, HeaderTicket, HeaderAttempt)
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	if r.ProtoMajor == 1 && r.ProtoMinor == 0 {
+		s.refuse(w, r, malformed("HTTP/1.0 can't show that an answer is cut"))
+		return
+	}
+	if strings.HasPrefix(r.URL.Path, wellKnown) {
+		s.serveWellKnown(w, r)
+		return
+	}
+	u, f := s.newSubmission(w, r)
+	if f != nil {
+		s.refuse(w, r, f)
+		return
+	}
+	s.serve(u)
+}
+
+// newSubmission reads the deadline and a small body.
+func (s *Server) newSubmission(w http.ResponseWriter, r *http.Request) (*submission, *Refusal) {
+	deadline, err := s.deadline(r)
+	if err != nil {
+		return nil, malformed(err.Error())
+	}
+	u := &submission{s: s, w: w, r: r, arrived: s.o.Now(), deadline: deadline}
+	if u.body, err = newRequestBody(r); err != nil {
+		return nil, callerGone()
+	}
+	return u, nil
+}
+
+// deadline returns when the answer of a request must have begun.
+func (s *Server) deadline(r *http.Request) (time.Time, error) {
+	text := r.Header.Get(HeaderTimeout)
+	if text == "" {
+		return s.o.Now().Add(s.o.Deadline), nil
+	}
+	ms, err := strconv.ParseUint(text, 10, 31)
+	if err != nil {
+		return time.Time{}, errBadTimeout
+	}
+	return s.o.Now().Add(min(time.Duration(ms)*time.Millisecond, s.o.MaxTimeout)), nil
+}
+
+// serve chooses among a ticket, a claim and a plain submission.
+func (s *Server) serve(u *submission) {
+	if text := u.r.Header.Get(HeaderTicket); text != "" {
+		t, err := ticket.Parse(text)
+		if err != nil {
+			s.refuse(u.w, u.r, malformed(err.Error()))
+			return
+		}
+		s.serveTicket(u, t)
+		return
+	}
+	if key := u.r.Header.Get(HeaderKey); key != "" && !u.idempotent() {
+		s.serveClaim(u, key)
+		return
+	}
+	s.finish(u, u.run())
+}
+
+// finish tells the caller. An answer that is not whole is cut visibly.
+func (s *Server) finish(u *submission, o *outcome) {
+	u.conclude(o)
+	switch {
+	case o.refusal != nil:
+		if u.ticket != nil {
+			o.refusal.Request = u.ticket.String()
+		}
+		s.refuse(u.w, u.r, o.refusal)
+	case o.relayed != nil:
+		o.relayed.send(u.w)
+	case o.cut:
+		s.recordCut(u, o)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// recordCut leaves a record of an answer that the target did not finish.
+func (s *Server) recordCut(u *submission, o *outcome) {
+	if !o.lost {
+		return
+	}
+	f := &Refusal{Reason: refusal.ReasonTargetFailed, Status: o.status, Run: refusal.RunUnknown,
+		Detail: "the target's answer ended early; the caller's connection was cut"}
+	s.record(u.r, f, s.o.Agent)
+}
--- /dev/null
+++ b/pkg/request/serve_ticket.go
@@ -0,0 +1,119 @@
+package request
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/auburnwood/auburnwood/pkg/refusal"
+	"github.com/auburnwood/auburnwood/pkg/ticket"
+)
+
+// issuerAttempts bounds how often a ticket is sent to its issuer; each is safe, as the issuer runs it once.
+const issuerAttempts = 2
+
+// serveTicket runs the work of a ticket at its issuer.
+func (s *Server) serveTicket(u *submission, t ticket.Ticket) {
+	u.ticket = &t
+	if t.Issuer != s.o.Agent {
+		s.forwardTicket(u)
+		return
+	}
+	if t.Incarnation != s.o.Incarnation {
+		s.refuseTicket(u, issuerGone(refusal.RunNo, "the issuing agent was restarted"))
+		return
+	}
+	own := newFlight()
+	res, holder := s.flights.spend(s.book, s.o.Now(), t, fingerprint(u.r), own)
+	if res.Won {
+		u.flight = own
+		s.finish(u, u.run())
+		return
+	}
+	s.serveRepeat(u, res, holder)
+}
+
+// serveRepeat answers a submission of a ticket that another one holds or held.
+func (s *Server) serveRepeat(u *submission, res ticket.Result, holder *flight) {
+	if res.Other {
+		s.refuseTicket(u, &Refusal{Reason: refusal.ReasonTicketSpent, Status: http.StatusUnprocessableEntity,
+			Detail: "the ticket was used for another request", Run: refusal.RunUnknown, Submission: refusal.RunNo})
+		return
+	}
+	if holder != nil && !u.waitFor(holder) {
+		s.refuseTicket(u, &Refusal{Reason: refusal.ReasonTicketSpent, Status: http.StatusConflict,
+			Detail: "the ticket's work goes on", Run: refusal.RunUnknown, Submission: refusal.RunNo,
+			RetryAfter: retryLater})
+		return
+	}
+	if holder != nil && holder.answer.usable() {
+		holder.answer.send(u.w)
+		return
+	}
+	if kept := s.answers.get(u.ticket.Sequence); kept != nil {
+		kept.send(u.w)
+		return
+	}
+	res = s.book.Look(s.o.Now(), *u.ticket)
+	if res.State == ticket.StateRan {
+		s.sendRan(u, res.Status)
+		return
+	}
+	s.refuseTicket(u, stateRefusal(res.State))
+}
+
+// waitFor waits until the holder of the ticket has ended; false when the deadline or the caller comes first.
+func (u *submission) waitFor(holder *flight) bool {
+	timer := time.NewTimer(u.deadline.Sub(u.s.o.Now()))
+	defer timer.Stop()
+	select {
+	case <-holder.done:
+		return true
+	case <-timer.C:
+	case <-u.r.Context().Done():
+	}
+	return false
+}
+
+// stateRefusal says why a ticket can't be run.
+func stateRefusal(state ticket.State) *Refusal {
+	f := &Refusal{Status: http.StatusConflict, Run: refusal.RunUnknown, Detail: "the ticket is " + state.String()}
+	if state.NeverRuns() {
+		f.Run = refusal.RunNo
+	}
+	switch state {
+	case ticket.StateCancelled:
+		f.Reason = refusal.ReasonCancelled
+		f.Detail = "the ticket was cancelled or refused before"
+	case ticket.StateExpired:
+		f.Reason = refusal.ReasonTicketExpired
+	case ticket.StateLost:
+		f.Reason = refusal.ReasonTargetFailed
+		f.Detail = "the ticket's work was started and its outcome is not known"
+	case ticket.StateWaiting, ticket.StateRunning:
+		f.Reason = refusal.ReasonTicketSpent
+		f.RetryAfter = retryLater
+	default:
+		f.Reason = refusal.ReasonTicketUnknown
+		if state == ticket.StateForgotten {
+			f.Submission = refusal.RunNo
+		}
+	}
+	return f
+}
+
+func (s *Server) refuseTicket(u *submission, f *Refusal) {
+	f.Request = u.ticket.String()
+	s.refuse(u.w, u.r, f)
+}
+
+// fingerprint tells requests apart that use the same ticket.
+func fingerprint(r *http.Request) uint64 {
+	h := xxhash.New()
+	for _, part := range []string{r.Method, r.Host, r.URL.RequestURI(), r.Header.Get("Authorization")} {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	return max(h.Sum64(), 1)
+}
--- a/pkg/request/server.go
+++ b/pkg/request/server.go
@@ -4,31 +4,66 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
 
 	"github.com/auburnwood/auburnwood/pkg/flow"
+	"github.com/auburnwood/auburnwood/pkg/limit"
+	"github.com/auburnwood/auburnwood/pkg/ticket"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	callerIdleTimeout = 10 * time.Minute
+	drainInterval     = 20 * time.Millisecond
 )
 
-// Server serves the callers' connections of one target.
+// Server serves the callers' requests of one target. It has two endpoints: ServeFlow takes callers' connections, and
+// ServeControl takes connections of other agents.
 type Server struct {
 	o        Options
-	http     *http.Server
+	callers  *http.Server
+	control  *http.Server
 	listener *connListener
 	target   *http.Transport
+	peers    *http.Transport
+	limiter  *limit.Limiter
+	budget   *limit.Budget
+	book     *ticket.Book
+	flights  *flights
+	answers  answers
+	loads    *peerLoads
+	claims   *claims
+	probes   *rate.Limiter
+	probing  atomic.Int32
+	active   atomic.Int64
+	draining atomic.Bool
 }
 
-type callerContextKey struct{}
-
-// callerOf returns the flow key of the caller's connection.
-func callerOf(ctx context.Context) flow.Key {
-	key, _ := ctx.Value(callerContextKey{}).(flow.Key)
-	return key
-}
-
-// New returns a running Server; end it with Close.
+// New returns a running Server; end it with Drain and Close.
 func New(o Options) *Server {
-	s := &Server{o: o.withDefaults(), listener: newConnListener(), target: newTargetTransport(o.Target)}
-	s.http = newHTTPServer(http.HandlerFunc(s.serveCaller))
-	go func() { _ = s.http.Serve(s.listener) }()
+	o = o.withDefaults()
+	s := &Server{
+		o:        o,
+		listener: newConnListener(),
+		target:   newTransport(o.DialTarget, maxIdleConns),
+		peers:    newTransport(o.DialPeer, peerIdleConns),
+		limiter: limit.New(limit.Options{Slots: o.Slots, Queue: o.Queue, Cold: o.Cold, Unbounded: o.Unbounded,
+			Rand: o.newRand()}),
+		budget: limit.NewBudget(o.RetryRatio, limit.DefaultRetryBurst),
+		book: ticket.NewBook(ticket.Options{Issuer: o.Agent, Incarnation: o.Incarnation, Life: o.TicketLife,
+			Retention: o.TicketRetention, Max: o.TicketMax, Rand: o.newRand()}),
+		flights: newFlights(),
+		answers: newAnswers(o.Answers),
+		loads:   newPeerLoads(),
+		claims:  newClaims(o),
+		probes:  rate.NewLimiter(probeRate, probeBurst),
+	}
+	s.callers = newHTTPServer(http.HandlerFunc(s.serveCaller))
+	s.control = newHTTPServer(http.HandlerFunc(s.serveControl))
+	go func() { _ = s.callers.Serve(s.listener) }()
 	return s
 }
 
@@ -46,14 +81,6 @@
 	}
 }
 
-func flowContext(ctx context.Context, c net.Conn) context.Context {
-	fc, ok := c.(*flowConn)
-	if !ok {
-		return ctx
-	}
-	return context.WithValue(ctx, callerContextKey{}, fc.key)
-}
-
 // ServeFlow serves HTTP on a caller's connection and returns when the connection is closed. The end of ctx closes it.
 func (s *Server) ServeFlow(ctx context.Context, conn net.Conn, key flow.Key) {
 	c := newFlowConn(conn, key)
@@ -67,8 +94,45 @@
 	}
 }
 
+// ServeControl serves other agents on the control address until Close. Only agents may be able to reach it.
+func (s *Server) ServeControl(l net.Listener) error { return s.control.Serve(l) }
+
+// Load returns what the agent observes of its target.
+func (s *Server) Load() limit.Load { return s.limiter.Load(s.o.Now()) }
+
+// Drain stops new work: waiting requests go to peers or are refused as not run. It returns when everything that had
+// started is answered, or with the error of ctx.
+func (s *Server) Drain(ctx context.Context) error {
+	s.draining.Store(true)
+	s.wake(nil, s.limiter.Close())
+	tick := time.NewTicker(drainInterval)
+	defer tick.Stop()
+	for s.active.Load() > 0 || s.Load().Busy > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+	return nil
+}
+
 // Close cuts everything at once.
 func (s *Server) Close() error {
 	s.target.CloseIdleConnections()
-	return s.http.Close()
+	s.peers.CloseIdleConnections()
+	err := s.control.Close()
+	if cerr := s.callers.Close(); err == nil {
+		err = cerr
+	}
+	return err
+}
+
+// wake tells waiting submissions that the limiter decided about them.
+func (s *Server) wake(lists ...[]*limit.Work) {
+	for _, list := range lists {
+		for _, w := range list {
+			close(w.Wake)
+		}
+	}
 }
--- /dev/null
+++ b/pkg/request/submission.go
@@ -0,0 +1,214 @@
+package request
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/limit"
+	"github.com/auburnwood/auburnwood/pkg/refusal"
+	"github.com/auburnwood/auburnwood/pkg/ticket"
+)
+
+const (
+	// pollInterval is how often a waiting request looks for a free peer and at its deadline.
+	pollInterval = 10 * time.Millisecond
+	// maxSteers bounds the peers that one request is offered to.
+	maxSteers = 4
+	// maxAttempts bounds how often an idempotent request is sent.
+	maxAttempts = 3
+)
+
+// submission is one request on its way to a slot.
+type submission struct {
+	s        *Server
+	w        http.ResponseWriter
+	r        *http.Request
+	arrived  time.Time
+	deadline time.Time
+	hops     int
+	// steered is true at the receiver of hopSteer: start now or refuse.
+	steered bool
+	body    *requestBody
+	// ticket and flight are nil for a plain submission.
+	ticket *ticket.Ticket
+	flight *flight
+
+	work     *limit.Work
+	steers   int
+	attempts int
+	failure  *Refusal
+}
+
+// idempotent reports whether the work may be sent again after it may have reached a target.
+func (u *submission) idempotent() bool {
+	if u.ticket != nil {
+		return false
+	}
+	switch u.r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace, http.MethodPut, http.MethodDelete:
+		return true
+	}
+	return false
+}
+
+func (u *submission) newWork() *limit.Work {
+	caller := callerOf(u.r.Context()).Source.Addr().String()
+	u.work = &limit.Work{Caller: caller, Deadline: u.deadline, Wake: make(chan struct{})}
+	return u.work
+}
+
+// admit asks the limiter for a slot.
+func (u *submission) admit() limit.Decision {
+	now := u.s.o.Now()
+	if u.steered {
+		return u.s.limiter.StartNow(now, u.newWork())
+	}
+	return u.s.limiter.Admit(now, u.newWork())
+}
+
+// run carries the submission to its end.
+func (u *submission) run() *outcome {
+	u.s.budget.Deposit()
+	d := u.admit()
+	for {
+		u.s.wake(d.Started, d.Refused)
+		if d.Verdict == limit.VerdictStart {
+			o := u.runLocal()
+			if o != nil {
+				return o
+			}
+			d = u.admit()
+			continue
+		}
+		if u.r.Context().Err() != nil || u.stopped() {
+			return u.giveUp()
+		}
+		if next, o := u.steer(d); o != nil {
+			return o
+		} else if next != nil {
+			d = *next
+			continue
+		}
+		if d.Verdict == limit.VerdictRefuse {
+			return u.notStarted(d)
+		}
+		u.wait()
+		d = u.s.limiter.Poll(u.s.o.Now(), u.work)
+	}
+}
+
+// notStarted refuses; a failure of the target explains more than the estimate that followed from it.
+func (u *submission) notStarted(d limit.Decision) *outcome {
+	if u.failure == nil {
+		return refused(notAdmitted(d))
+	}
+	u.failure.RetryAfter = max(u.failure.RetryAfter, d.RetryAfter)
+	return refused(u.failure)
+}
+
+// giveUp ends a submission whose caller is gone; it has not started.
+func (u *submission) giveUp() *outcome {
+	if !u.s.limiter.Leave(u.work) {
+		u.done(limit.Outcome{Result: limit.ResultIgnored})
+	}
+	return refused(callerGone())
+}
+
+// wait returns when the limiter decided, the caller is gone, or it is time to look again.
+func (u *submission) wait() {
+	timer := time.NewTimer(pollInterval)
+	defer timer.Stop()
+	select {
+	case <-u.work.Wake:
+	case <-u.stop():
+	case <-u.r.Context().Done():
+	case <-timer.C:
+	}
+}
+
+// stop is closed when the caller cancelled the ticket; it is nil for a plain submission.
+func (u *submission) stop() <-chan struct{} {
+	if u.flight == nil {
+		return nil
+	}
+	return u.flight.stop
+}
+
+func (u *submission) stopped() bool {
+	select {
+	case <-u.stop():
+		return true
+	default:
+		return false
+	}
+}
+
+// done gives the slot back.
+func (u *submission) done(o limit.Outcome) {
+	u.s.wake(u.s.limiter.Done(u.s.o.Now(), u.work, o), nil)
+}
+
+// begin makes the work running; false means that a cancel came first.
+func (u *submission) begin() bool {
+	return u.ticket == nil || u.s.book.Start(*u.ticket)
+}
+
+// back makes the work waiting again after it was proved not to have begun.
+func (u *submission) back() {
+	if u.ticket != nil {
+		u.s.book.Return(*u.ticket)
+	}
+}
+
+// startContext returns the context of started work. Work with a ticket goes on when its caller is gone, so that a
+// repeat learns its outcome; an explicit cancel ends it.
+func (u *submission) startContext() (context.Context, context.CancelCauseFunc) {
+	if u.ticket == nil {
+		return context.WithCancelCause(u.r.Context())
+	}
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(u.r.Context()))
+	u.s.flights.setCancel(u.flight, cancel)
+	return ctx, cancel
+}
+
+// retry reports whether the work may be sent once more after a failure.
+func (u *submission) retry() bool {
+	if !u.idempotent() || !u.body.replayable() || u.steered || u.attempts >= maxAttempts {
+		return false
+	}
+	return u.s.budget.Withdraw()
+}
+
+// sent classifies a request that may have reached its target but got no answer.
+func (u *submission) sent(ctx context.Context, err error) *outcome {
+	cause := context.Cause(ctx)
+	if cause == errDeadline {
+		return refused(tooLate())
+	}
+	if cause != nil {
+		return refused(callerGoneRunning(cause))
+	}
+	if u.retry() {
+		u.failure = noRetryLeft()
+		return nil
+	}
+	return refused(notAnswered(err))
+}
+
+// conclude puts the outcome into the book before anybody is told.
+func (u *submission) conclude(o *outcome) {
+	if u.ticket == nil {
+		return
+	}
+	defer u.s.flights.land(u.ticket.Sequence)
+	switch o.runState() {
+	case refusal.RunNo:
+		u.s.book.Withdraw(u.s.o.Now(), *u.ticket)
+	case refusal.RunUnknown:
+		u.s.book.Lose(*u.ticket)
+	default:
+		u.s.book.Finish(*u.ticket, o.status)
+		u.s.answers.put(u.ticket.Sequence, u.flight.answer)
+	}
+}
--- a/pkg/request/target.go
+++ b/pkg/request/target.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"net/netip"
 	"sync/atomic"
 	"time"
 )
@@ -15,7 +14,7 @@
 	copyBufferSize    = 32 << 10
 	maxAnswerHeaders  = 64 << 10
 	maxIdleConns      = 64
-	continueTimeout   = time.Second
+	continueTimeout   = time.Minute
 	peerIdleConns     = 16
 	peerResponseLimit = 64 << 10
 )
@@ -33,20 +32,19 @@
 	return n, err
 }
 
-// newTargetTransport returns the transport to one target. It follows no proxy settings and asks for no compression.
-func newTargetTransport(target netip.AddrPort) *http.Transport {
-	d := net.Dialer{Timeout: dialTimeout}
-	dial := func(ctx context.Context, _, _ string) (net.Conn, error) {
-		c, err := d.DialContext(ctx, "tcp", target.String())
+// newTransport returns a transport that follows no proxy settings and asks for no compression.
+func newTransport(dial DialFunc, idle int) *http.Transport {
+	counted := func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
 		return &countingConn{Conn: c}, nil
 	}
 	return &http.Transport{
-		DialContext:            dial,
+		DialContext:            counted,
 		DisableCompression:     true,
-		MaxIdleConnsPerHost:    maxIdleConns,
+		MaxIdleConnsPerHost:    idle,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxAnswerHeaders,
 		WriteBufferSize:        copyBufferSize,
--- a/pkg/ticket/book.go
+++ b/pkg/ticket/book.go
@@ -98,7 +98,16 @@
 		return Result{State: state}
 	}
 	e.expire(now)
-	return Result{State: e.state, Status: int(e.status)}
+	return e.result()
+}
+
+// result tells the state and what belongs to it.
+func (e *entry) result() Result {
+	r := Result{State: e.state, Status: int(e.status)}
+	if e.state == StateCancelled {
+		r.Ended = time.UnixMilli(e.ended)
+	}
+	return r
 }
 
 // Spend submits a ticket for the request with the given fingerprint. Only one submission of a ticket ever wins.
@@ -132,8 +141,20 @@
 func (b *Book) Lose(t Ticket) bool { return b.move(t, StateLost, 0, StateRunning) }
 
 // Withdraw records that the work of a waiting or running ticket was proved not to have run.
-func (b *Book) Withdraw(t Ticket) bool {
-	return b.move(t, StateCancelled, 0, StateWaiting, StateRunning)
+func (b *Book) Withdraw(now time.Time, t Ticket) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e, _ := b.find(t)
+	if e == nil || !e.pending() {
+		return false
+	}
+	b.cancel(t.Sequence, e, now)
+	return true
+}
+
+func (b *Book) cancel(seq uint64, e *entry, now time.Time) {
+	e.ended = now.UnixMilli()
+	b.set(seq, e, StateCancelled, 0)
 }
 
 // Cancel ends a ticket that is not running, and returns the state after the call: StateCancelled when the work never
@@ -147,7 +168,7 @@
 	}
 	e.expire(now)
 	if e.state == StateIssued || e.state == StateWaiting {
-		b.set(t.Sequence, e, StateCancelled, 0)
+		b.cancel(t.Sequence, e, now)
 	}
 	return e.state
 }
--- a/pkg/ticket/entry.go
+++ b/pkg/ticket/entry.go
@@ -1,10 +1,11 @@
 package ticket
 
-// entry is what the book keeps of one ticket: 32 bytes.
+// entry is what the book keeps of one ticket: 40 bytes.
 type entry struct {
 	secret      uint64
 	fingerprint uint64
 	expiry      int64
+	ended       int64
 	status      uint16
 	state       State
 }
--- a/pkg/ticket/result.go
+++ b/pkg/ticket/result.go
@@ -1,5 +1,7 @@
 package ticket
 
+import "time"
+
 // Result is the answer to a submission of a ticket.
 type Result struct {
 	// Won is true for the one submission that holds the ticket; it must start, cancel or lose it.
@@ -8,6 +10,8 @@
 	State State
 	// Status is the HTTP status of the answer in StateRan.
 	Status int
+	// Ended is when a ticket in StateCancelled was cancelled.
+	Ended time.Time
 	// Other is true when the ticket was first submitted with another request.
 	Other bool
 }
--- a/pkg/ticket/ticket_test.go
+++ b/pkg/ticket/ticket_test.go
@@ -75,7 +75,7 @@
 		}, StateRan},
 		{"ran is final", func(b *Book, t Ticket) bool {
 			ok := b.Spend(start, t, 1).Won && b.Start(t) && b.Finish(t, 201)
-			return ok && !b.Start(t) && !b.Return(t) && !b.Withdraw(t) && b.Cancel(start, t) == StateRan
+			return ok && !b.Start(t) && !b.Return(t) && !b.Withdraw(start, t) && b.Cancel(start, t) == StateRan
 		}, StateRan},
 		{"lost is final", func(b *Book, t Ticket) bool {
 			return b.Spend(start, t, 1).Won && b.Start(t) && b.Lose(t) && !b.Start(t) && !b.Finish(t, 200)
@@ -84,7 +84,7 @@
 			return b.Spend(start, t, 1).Won && b.Start(t) && b.Return(t) && b.Start(t)
 		}, StateRunning},
 		{"shed is final", func(b *Book, t Ticket) bool {
-			return b.Spend(start, t, 1).Won && b.Start(t) && b.Withdraw(t) && !b.Start(t)
+			return b.Spend(start, t, 1).Won && b.Start(t) && b.Withdraw(start, t) && !b.Start(t)
 		}, StateCancelled},
 	}
 	for _, tt := range tests {
