Report every mistake of a settings file at once

Each key is now decoded by itself, durations must be text, and tables deeper than a section are refused.

--- a/pkg/settings/agent.go
+++ b/pkg/settings/agent.go
@@ -44,7 +44,7 @@
 func DefaultAgent() Agent {
 	return Agent{
 		MTU:               1400,
-		TargetDialTimeout: Duration(2 * time.Second),
+		TargetDialTimeout: NewDuration(2 * time.Second),
 		Log:               DefaultLog(),
 		Control:           DefaultControl(),
 	}
--- a/pkg/settings/balancer.go
+++ b/pkg/settings/balancer.go
@@ -42,7 +42,7 @@
 func DefaultBalancer() Balancer {
 	return Balancer{
 		CachedFlows: 1_000_000,
-		LeaseTime:   Duration(3 * time.Second),
+		LeaseTime:   NewDuration(3 * time.Second),
 		Log:         DefaultLog(),
 		ObjectAPI:   DefaultObjectAPI(),
 		Control:     DefaultControl(),
--- a/pkg/settings/checks.go
+++ b/pkg/settings/checks.go
@@ -107,7 +107,7 @@
 
 // duration checks a duration's bounds, both included.
 func (m *mistakes) duration(key string, v Duration, low, high time.Duration) {
-	if d := time.Duration(v); d < low || d > high {
+	if d := v.Duration(); d < low || d > high {
 		m.add(key, "%s is outside %s to %s", d, low, high)
 	}
 }
--- a/pkg/settings/control.go
+++ b/pkg/settings/control.go
@@ -23,7 +23,7 @@
 
 // DefaultControl returns the defaults of the section.
 func DefaultControl() Control {
-	return Control{BytesPerSecond: 12000, ExchangeInterval: Duration(500 * time.Millisecond), DialTimeout: Duration(2 * time.Second)}
+	return Control{BytesPerSecond: 12000, ExchangeInterval: NewDuration(500 * time.Millisecond), DialTimeout: NewDuration(2 * time.Second)}
 }
 
 // check finds the mistakes of the section.
--- a/pkg/settings/duration.go
+++ b/pkg/settings/duration.go
@@ -6,25 +6,36 @@
 	"github.com/gravitational/trace"
 )
 
-// Duration is a time.Duration that is written as text in TOML, for example "1m30s".
-type Duration time.Duration
+// Duration is a duration that is written as text in TOML, for example "1m30s". It is a struct so that the decoder
+// refuses a bare number, whose unit nobody could tell.
+type Duration struct {
+	d time.Duration
+}
+
+// wantedDuration describes the format of a Duration.
+const wantedDuration = `a duration such as "30s"`
+
+// NewDuration returns d as a Duration.
+func NewDuration(d time.Duration) Duration {
+	return Duration{d: d}
+}
 
 // UnmarshalText reads the duration from text.
 func (d *Duration) UnmarshalText(b []byte) error {
 	v, err := time.ParseDuration(string(b))
 	if err != nil {
-		return trace.BadParameter("%q is not a duration such as \"30s\"", b)
+		return trace.BadParameter("%q is not %s", b, wantedDuration)
 	}
-	*d = Duration(v)
+	d.d = v
 	return nil
 }
 
 // MarshalText writes the duration as text.
 func (d Duration) MarshalText() ([]byte, error) {
-	return []byte(time.Duration(d).String()), nil
+	return []byte(d.d.String()), nil
 }
 
 // Duration returns the value as a time.Duration.
 func (d Duration) Duration() time.Duration {
-	return time.Duration(d)
+	return d.d
 }
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"bytes"
 	"errors"
 	"os"
 	"strings"
@@ -10,6 +9,9 @@
 	"github.com/pelletier/go-toml/v2"
 )
 
+// MaxFileSize is the highest number of bytes of a settings file.
+const MaxFileSize = 1 << 20
+
 // checker finds the mistakes of a settings struct.
 type checker interface {
 	check(m *mistakes)
@@ -33,31 +35,28 @@
 // parse decodes TOML text over the defaults and checks the result.
 func parse[T checker](text []byte, s T) (T, error) {
 	var m mistakes
-	d := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
-	if err := d.Decode(&s); err != nil && !m.decode(err) {
-		var zero T
-		return zero, m.err()
+	if len(text) > MaxFileSize {
+		m.add("", "the file has %d bytes, more than %d", len(text), MaxFileSize)
+		return s, m.err()
 	}
+	var tree map[string]any
+	if err := toml.Unmarshal(text, &tree); err != nil {
+		m.syntax(err)
+		return s, m.err()
+	}
+	decodeTree(&m, nil, tree, &s)
 	s.check(&m)
 	return s, m.err()
 }
 
-// decode records the mistakes of the decoder. It reports whether the known keys were decoded all the same.
-func (m *mistakes) decode(err error) bool {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) {
-		for _, e := range strict.Errors {
-			row, _ := e.Position()
-			m.add(strings.Join(e.Key(), "."), "is not a known key (line %d)", row)
-		}
-		return true
-	}
-	var de *toml.DecodeError
-	if errors.As(err, &de) {
-		row, column := de.Position()
-		m.add(strings.Join(de.Key(), "."), "%s (line %d, column %d)", strings.TrimPrefix(de.Error(), "toml: "), row, column)
-		return false
+// syntax records that the text is not TOML.
+func (m *mistakes) syntax(err error) {
+	reason := strings.TrimPrefix(err.Error(), "toml: ")
+	var e *toml.DecodeError
+	if !errors.As(err, &e) {
+		m.add("", "not TOML: %s", reason)
+		return
 	}
-	m.add("", "%v", err)
-	return false
+	row, column := e.Position()
+	m.add(strings.Join(e.Key(), "."), "not TOML: %s (line %d, column %d)", reason, row, column)
 }
--- a/pkg/settings/mistakes.go
+++ b/pkg/settings/mistakes.go
@@ -46,10 +46,24 @@
 // mistakes collects what the checks of one file find.
 type mistakes struct {
 	found []Mistake
+	// skip holds the keys that could not be decoded; their values are not checked.
+	skip map[string]bool
+}
+
+// undecoded records a key whose value could not be decoded.
+func (m *mistakes) undecoded(key, reason string) {
+	m.add(key, "%s", reason)
+	if m.skip == nil {
+		m.skip = make(map[string]bool)
+	}
+	m.skip[key] = true
 }
 
 // add records a mistake of a key.
 func (m *mistakes) add(key, format string, args ...any) {
+	if m.skip[key] {
+		return
+	}
 	m.found = append(m.found, Mistake{Key: key, Reason: fmt.Sprintf(format, args...)})
 }
 
--- a/pkg/settings/objectapi.go
+++ b/pkg/settings/objectapi.go
@@ -26,7 +26,7 @@
 
 // DefaultObjectAPI returns the defaults of the section.
 func DefaultObjectAPI() ObjectAPI {
-	return ObjectAPI{Timeout: Duration(2 * time.Second), ReadsPerSecond: 4, WritesPerSecond: 2, Burst: 20}
+	return ObjectAPI{Timeout: NewDuration(2 * time.Second), ReadsPerSecond: 4, WritesPerSecond: 2, Burst: 20}
 }
 
 // check finds the mistakes of the section.
