Gate rollouts by the probability of harm in relation to the old version

Cause: fixed limits and bare ratios give up good versions on few failures and on spikes that both versions share.

--- /dev/null
+++ b/pkg/rollout/controller.go
@@ -0,0 +1,110 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/auburnwood/auburnwood/pkg/lease"
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
+	"github.com/auburnwood/auburnwood/pkg/resource"
+)
+
+// LeaseName is the name of the lease of the rollout duty.
+const LeaseName = "rollout"
+
+// DefaultTick is the time between two judgements.
+const DefaultTick = 5 * time.Second
+
+// Controller is the duty that takes the steps of all rollouts.
+type Controller struct {
+	// Store keeps the rollout objects.
+	Store objectapi.Store
+	// Configs returns the accepted configurations, for example those of this process's adopted revision.
+	Configs func() []resource.ServiceConfig
+	// Source reads the counters.
+	Source Source
+	// Gate decides; nil means Default.
+	Gate Gate
+	// Clock is the local clock; nil means lease.SystemClock.
+	Clock lease.Clock
+	// Tick is the time between two judgements; 0 means DefaultTick.
+	Tick time.Duration
+	// Log takes a line for each step.
+	Log zerolog.Logger
+}
+
+// Duty runs until ctx ends or a later term has claimed an object. It is a lease.Duty.
+func (c *Controller) Duty(ctx context.Context, g lease.Grant) error {
+	s := &session{cfg: c.withDefaults(), grant: g, tracks: make(map[string]*track)}
+	for ctx.Err() == nil {
+		if err := s.tick(ctx); err != nil {
+			return err
+		}
+		_ = s.cfg.Clock.Sleep(ctx, s.cfg.Tick)
+	}
+	return nil
+}
+
+func (c *Controller) withDefaults() Controller {
+	d := *c
+	if d.Gate == nil {
+		d.Gate = Default()
+	}
+	if d.Clock == nil {
+		d.Clock = lease.SystemClock{}
+	}
+	if d.Tick == 0 {
+		d.Tick = DefaultTick
+	}
+	return d
+}
+
+// session is the rollout duty within one term.
+type session struct {
+	cfg    Controller
+	grant  lease.Grant
+	tracks map[string]*track
+}
+
+// tick judges each rollout once. A failure of one service does not hold back the others.
+func (s *session) tick(ctx context.Context) error {
+	for _, c := range s.cfg.Configs() {
+		err := s.service(ctx, c)
+		if errors.Is(err, lease.ErrFenced) {
+			return err
+		}
+		if err != nil {
+			delete(s.tracks, c.Name)
+			s.cfg.Log.Warn().Err(err).Str("op", "rollout").Str("service", c.Name).Uint64("term", s.grant.Term).Send()
+		}
+	}
+	return nil
+}
+
+func (s *session) service(ctx context.Context, c resource.ServiceConfig) error {
+	t, ok := s.tracks[c.Name]
+	if c.Spec.Rollout == nil {
+		delete(s.tracks, c.Name)
+		return s.forget(ctx, t)
+	}
+	if !ok {
+		var err error
+		t, err = newTrack(ctx, s.cfg, c.Name, s.grant)
+		if err != nil {
+			return err
+		}
+		s.tracks[c.Name] = t
+	}
+	return t.step(ctx, *c.Spec.Rollout)
+}
+
+// forget clears the state of a rollout that is no longer asked for. The object stays, since its term fences it.
+func (s *session) forget(ctx context.Context, t *track) error {
+	if t == nil {
+		return nil
+	}
+	return t.record.Write(ctx, Record{})
+}
--- /dev/null
+++ b/pkg/rollout/gate.go
@@ -0,0 +1,21 @@
+package rollout
+
+import "time"
+
+// Question is what a gate is asked at one time.
+type Question struct {
+	Limits   Limits
+	Evidence Evidence
+	// Window is the shortest time for which the step is observed.
+	Window time.Duration
+	// Next is the weight of the new version after a promotion, in percent.
+	Next uint32
+}
+
+// Gate decides on a step of a rollout. Gates are functions of the question alone.
+type Gate interface {
+	// Name names the gate in tables and logs.
+	Name() string
+	// Judge returns the verdict and its reason in one sentence.
+	Judge(q Question) (Verdict, string)
+}
--- a/pkg/rollout/record.go
+++ b/pkg/rollout/record.go
@@ -16,6 +16,8 @@
 // Record is the content of a rollout object, written under the rollout lease.
 type Record struct {
 	resource.RolloutStatus
+	// Past holds the counts of the steps that were passed.
+	Past []StepCounts `json:"past,omitempty"`
 	// Holder is the lease holder that wrote the record.
 	Holder string `json:"holder"`
 	// Term is the lease term under which the record was written.
--- /dev/null
+++ b/pkg/rollout/relative.go
@@ -0,0 +1,16 @@
+package rollout
+
+// RelativeBurn compares the burn rates of both versions as they were counted, at the end of the window.
+type RelativeBurn struct{}
+
+// Name implements Gate.
+func (RelativeBurn) Name() string { return "relative" }
+
+// Judge implements Gate.
+func (RelativeBurn) Judge(q Question) (Verdict, string) {
+	if q.Evidence.Elapsed < q.Window {
+		return VerdictObserve, "the window has not passed"
+	}
+	limit := max(q.Limits.MaxBurnRatio*q.Evidence.Old.Rate(), q.Limits.budget())
+	return against(q.Evidence.New.Rate(), limit)
+}
