Run checked flows through changes and failures

Callers use net/http across the sprayed fabric; targets send content that names its service and flow, so that broken, crossed and mixed flows are told apart. Balancers and agents get views from a distributor that can be uneven; the cluster with a control plane takes its place behind an interface.

--- /dev/null
+++ b/internal/lab/flows/judge.go
@@ -0,0 +1,148 @@
+package flows
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/auburnwood/auburnwood/pkg/refusal"
+)
+
+const (
+	histogramMost   = int64(time.Minute / time.Millisecond)
+	histogramDigits = 3
+	percentile      = 95
+	// waitWindow is the time after a kill in which flows that begin count for the wait of new flows.
+	waitWindow = 5 * time.Second
+)
+
+// judge turns the outcomes into a result.
+func (r *run) judge(balances map[string]balance, before PathCounts) Result {
+	r.mu.Lock()
+	outcomes := r.outcomes
+	r.mu.Unlock()
+	result := Result{
+		Flows:      len(outcomes),
+		OpenAtOnce: int(r.mostOpen.Load()),
+		Kills:      len(r.events.kills),
+		Failures:   r.events.failures,
+		Imbalance:  1,
+	}
+	result.addBalances(balances, r.connections())
+	records := r.cluster.Refusals()
+	result.Refused = len(records)
+	byCaller := indexRecords(records)
+	for i := range outcomes {
+		r.judgeFlow(&result, &outcomes[i], byCaller)
+	}
+	r.addTimes(&result, outcomes)
+	after := r.cluster.Counts()
+	if delivered := after.Delivered - before.Delivered; delivered > 0 {
+		result.ExtraHops = float64(after.Passed-before.Passed) / float64(delivered)
+	}
+	return result
+}
+
+func (r *Result) addBalances(balances map[string]balance, connections map[string]uint32) {
+	for name, b := range balances {
+		r.Imbalance = max(r.Imbalance, b.ratio())
+		if r.MeanOpen == 0 || b.mean < r.MeanOpen {
+			r.MeanOpen = b.mean
+			r.Load = b.mean / float64(connections[name])
+		}
+	}
+}
+
+func indexRecords(records []refusal.Record) map[netip.AddrPort]refusal.Record {
+	out := make(map[netip.AddrPort]refusal.Record, len(records))
+	for _, rec := range records {
+		if _, ok := out[rec.Caller]; !ok {
+			out[rec.Caller] = rec
+		}
+	}
+	return out
+}
+
+// judgeFlow counts one outcome and prints a flow that broke.
+func (r *run) judgeFlow(result *Result, o *outcome, records map[netip.AddrPort]refusal.Record) {
+	result.Bytes += o.bytes
+	if drained, ok := r.events.drained[o.target]; ok && o.started.After(drained.Add(MostLeaving)) {
+		result.LateWork++
+	}
+	if o.verdict == verdictIntact {
+		return
+	}
+	record, recorded := records[o.plan.local]
+	switch o.verdict {
+	case verdictCrossed:
+		result.Crossed++
+	case verdictMixed:
+		result.Mixed++
+	default:
+		if r.brokenByKill(o, record, recorded) {
+			result.Killed++
+			if recorded {
+				result.Explained++
+				return
+			}
+		} else {
+			result.Broken++
+		}
+	}
+	r.events.printf("flow %s (%s) to %s at %q from %v, started %.2fs, %s after %d bytes: %v; record %q",
+		o.plan.name, o.plan.kind, o.plan.service, o.target, o.plan.local, o.started.Sub(r.events.start).Seconds(),
+		o.ended.Sub(o.started).Round(time.Millisecond), o.bytes, o.err, record.Reason)
+}
+
+// brokenByKill reports whether the flow's own target was killed before the flow ended. A flow whose target is not known,
+// because it ended before an answer, counts when its record names a killed target.
+func (r *run) brokenByKill(o *outcome, record refusal.Record, recorded bool) bool {
+	id := o.target
+	if id == "" && recorded {
+		id = record.DecidedBy
+	}
+	killed, ok := r.events.killedTargets[id]
+	if ok {
+		return o.ended.After(killed)
+	}
+	return o.target == "" && recorded && record.Reason == refusal.ReasonTargetDied
+}
+
+// addTimes adds stalls and the wait of new flows.
+func (r *run) addTimes(result *Result, outcomes []outcome) {
+	stalls := hdrhistogram.New(1, histogramMost, histogramDigits)
+	waits := hdrhistogram.New(1, histogramMost, histogramDigits)
+	for i := range outcomes {
+		o := &outcomes[i]
+		if o.verdict != verdictIntact {
+			continue
+		}
+		if o.plan.kind.long() {
+			record(stalls, o.stall)
+		}
+		if r.startedAfterKill(o) {
+			record(waits, o.opened)
+		}
+	}
+	result.LongestStall = milliseconds(stalls.Max())
+	result.StallP95 = milliseconds(stalls.ValueAtPercentile(percentile))
+	result.NewFlows = int(waits.TotalCount())
+	result.NewFlowWait = milliseconds(waits.ValueAtPercentile(percentile))
+	result.LongestNewFlowWait = milliseconds(waits.Max())
+}
+
+func (r *run) startedAfterKill(o *outcome) bool {
+	for _, kill := range r.events.kills {
+		if o.started.After(kill) && o.started.Before(kill.Add(waitWindow)) {
+			return true
+		}
+	}
+	return false
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(d.Milliseconds(), 1), histogramMost))
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/lab/flows/run.go
@@ -0,0 +1,210 @@
+package flows
+
+import (
+	"context"
+	"io"
+	"math"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/auburnwood/auburnwood/internal/standin/fabric"
+	"github.com/auburnwood/auburnwood/internal/standin/target"
+)
+
+const (
+	leastConnections = 50
+	// settleTime is the longest time that faults may take after the last flow has ended.
+	settleTime = 10 * time.Second
+)
+
+// run is one run in progress.
+type run struct {
+	opts       Options
+	deployment Deployment
+	timeline   timeline
+	fabric     *fabric.Fabric
+	cluster    Cluster
+	events     *events
+	watched    atomic.Bool
+	open       atomic.Int64
+	mostOpen   atomic.Int64
+
+	mu       sync.Mutex
+	lied     map[string]bool
+	outcomes []outcome
+}
+
+// Run starts a cluster, runs the flows and faults, prints what happens to out, and returns what was measured. The error
+// is trace.CompareFailed when a promise was broken.
+func Run(ctx context.Context, o Options, out io.Writer) (Result, error) {
+	o = o.withDefaults()
+	if err := o.check(); err != nil {
+		return Result{}, trace.Wrap(err)
+	}
+	d, err := FindDeployment(o.Deployment)
+	if err != nil {
+		return Result{}, trace.Wrap(err)
+	}
+	r := &run{opts: o, deployment: d, timeline: newTimeline(o), events: newEvents(out)}
+	defer r.close()
+	if err := r.start(ctx); err != nil {
+		return Result{}, trace.Wrap(err)
+	}
+	result, err := r.flows(ctx)
+	if err != nil {
+		return result, trace.Wrap(err)
+	}
+	r.print(result)
+	if broken := result.BrokenPromises(); len(broken) > 0 {
+		return result, trace.CompareFailed("promises broken: %s", strings.Join(broken, "; "))
+	}
+	return result, nil
+}
+
+func (r *run) start(ctx context.Context) error {
+	var err error
+	r.fabric, err = fabric.New(fabric.Config{
+		Seed:      r.opts.Seed,
+		Loss:      r.opts.Loss,
+		Duplicate: r.opts.Duplicate,
+		Detection: DefaultDetection,
+	})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	r.cluster, err = r.opts.NewCluster(ctx, ClusterConfig{
+		Deployment:  r.deployment,
+		Connections: r.connections(),
+		Balancers:   r.opts.Balancers,
+		Fabric:      r.fabric,
+		Seed:        r.opts.Seed,
+		Uneven:      r.uneven(),
+		Target:      r.configureTarget,
+		Log:         r.opts.Log,
+	})
+	return trace.Wrap(err)
+}
+
+func (r *run) close() {
+	if r.cluster != nil {
+		r.cluster.Close()
+	}
+	if r.fabric != nil {
+		r.fabric.Close()
+	}
+}
+
+// connections gives each target so many connections that the long flows take the wanted part of them.
+func (r *run) connections() map[string]uint32 {
+	targets := 0
+	for _, s := range r.deployment.Services {
+		targets += s.Targets
+	}
+	n := math.Ceil(float64(r.opts.longFlows()) / float64(targets) / targetLoadPart)
+	out := make(map[string]uint32)
+	for _, s := range r.deployment.Services {
+		out[s.Name] = max(uint32(n), leastConnections)
+	}
+	return out
+}
+
+func (r *run) has(f Fault) bool {
+	for _, g := range r.opts.Faults {
+		if f == g {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *run) uneven() time.Duration {
+	if r.has(FaultUneven) {
+		return r.opts.Uneven
+	}
+	return 0
+}
+
+// configureTarget lets the first target of each service report a load of 0 when the run asks for it.
+func (r *run) configureTarget(c *target.Config) {
+	if r.opts.LyingTarget && r.isFirstTarget(c) {
+		c.FalseLoad = func(int) int { return 0 }
+	}
+}
+
+func (r *run) isFirstTarget(c *target.Config) bool {
+	if r.cluster != nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lied == nil {
+		r.lied = map[string]bool{}
+	}
+	first := !r.lied[c.Service]
+	r.lied[c.Service] = true
+	return first
+}
+
+// flows runs the workload and the faults.
+func (r *run) flows(ctx context.Context) (Result, error) {
+	plans := newWorkload(r.opts, r.deployment, r.cluster.Services(), r.timeline).plans(r.opts)
+	r.events.printf("%s: %d balancers, %d targets, %d flows, %d of them long",
+		r.deployment.Name, len(r.cluster.Balancers()), len(r.cluster.Targets()), len(plans), r.opts.longFlows())
+	began := time.Now()
+	var clients sync.WaitGroup
+	for _, p := range plans {
+		clients.Go(func() { r.client(ctx, p) })
+	}
+	if err := pause(ctx, r.timeline.ramp+r.timeline.warm/2); err != nil {
+		return Result{}, trace.Wrap(err)
+	}
+	r.events.printf("warm: %d flows open", r.open.Load())
+	balances := sample(ctx, r.cluster, r.timeline.warm/2)
+	if err := pause(ctx, r.timeline.faults()-time.Since(began)); err != nil {
+		return Result{}, trace.Wrap(err)
+	}
+	counts := r.cluster.Counts()
+	r.watched.Store(true)
+	scriptCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	s := newScript(scriptCtx, r.opts, r.cluster, r.events)
+	s.start()
+	clients.Wait()
+	r.events.printf("all flows ended")
+	waitAtMost(&s.done, settleTime)
+	stop()
+	s.done.Wait()
+	return r.judge(balances, counts), trace.Wrap(ctx.Err())
+}
+
+// client runs one flow at its time.
+func (r *run) client(ctx context.Context, p *plan) {
+	if pause(ctx, p.start) != nil {
+		return
+	}
+	n := r.open.Add(1)
+	for most := r.mostOpen.Load(); n > most && !r.mostOpen.CompareAndSwap(most, n); most = r.mostOpen.Load() {
+	}
+	c := client{plan: p, caller: r.fabric.NewCaller(p.local.Addr()), watched: &r.watched}
+	out := c.run(ctx)
+	r.open.Add(-1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outcomes = append(r.outcomes, out)
+}
+
+func waitAtMost(g *sync.WaitGroup, d time.Duration) {
+	done := make(chan struct{})
+	go func() {
+		g.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/lab/flows/sampler.go
@@ -0,0 +1,66 @@
+package flows
+
+import (
+	"context"
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/view"
+)
+
+const (
+	sampleEvery = 250 * time.Millisecond
+	// judgedMean is the mean of open flows from which one flow more or less does not matter for the imbalance.
+	judgedMean = 100
+)
+
+// balance is the imbalance of one service at one time.
+type balance struct {
+	service       string
+	highest, mean float64
+}
+
+// ratio is the highest over the mean, or 1 without flows.
+func (b balance) ratio() float64 {
+	if b.mean == 0 {
+		return 1
+	}
+	return b.highest / b.mean
+}
+
+// measure counts the open flows of the active targets, by service.
+func measure(targets []TargetStatus) map[string]balance {
+	out := map[string]balance{}
+	n := map[string]float64{}
+	for _, t := range targets {
+		if t.State != view.StateActive {
+			continue
+		}
+		b := out[t.Service]
+		b.service = t.Service
+		b.highest = max(b.highest, float64(t.Open))
+		b.mean += float64(t.Open)
+		n[t.Service]++
+		out[t.Service] = b
+	}
+	for name, b := range out {
+		b.mean /= n[name]
+		out[name] = b
+	}
+	return out
+}
+
+// sample measures until the time is over and returns the worst balance of each service.
+func sample(ctx context.Context, c Cluster, d time.Duration) map[string]balance {
+	worst := map[string]balance{}
+	end := time.Now().Add(d)
+	for {
+		for name, b := range measure(c.Targets()) {
+			if b.ratio() >= worst[name].ratio() {
+				worst[name] = b
+			}
+		}
+		if !time.Now().Add(sampleEvery).Before(end) || pause(ctx, sampleEvery) != nil {
+			return worst
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/flows/workload.go
@@ -0,0 +1,120 @@
+package flows
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/resource"
+)
+
+const (
+	openRate     = 1500 // flows a second during the ramp
+	warmTime     = 3 * time.Second
+	closeTime    = 3 * time.Second
+	leastRamp    = time.Second
+	leastSize    = 1 << 10
+	mostSize     = 64 << 10
+	flowsOfHost  = 40
+	firstPort    = 10000
+	chunksPerSec = 6000 // of all long flows together
+	leastEvery   = 500 * time.Millisecond
+)
+
+// timeline is the course of a run: ramp, warm-up, faults, close.
+type timeline struct {
+	ramp, warm, window, close time.Duration
+}
+
+func newTimeline(o Options) timeline {
+	ramp := time.Duration(o.longFlows()) * time.Second / openRate
+	return timeline{ramp: max(ramp, leastRamp), warm: warmTime, window: o.Window, close: closeTime}
+}
+
+// faults is the time after the start at which the faults begin.
+func (t timeline) faults() time.Duration { return t.ramp + t.warm }
+
+// end is the time after the start at which the last flow ends by itself.
+func (t timeline) end() time.Duration { return t.faults() + t.window }
+
+// workload draws the flows of a run.
+type workload struct {
+	random   *rand.Rand
+	timeline timeline
+	services []resource.Service
+	parts    []int
+	total    int
+	every    time.Duration
+}
+
+func newWorkload(o Options, d Deployment, services []resource.Service, t timeline) *workload {
+	w := &workload{random: rand.New(rand.NewPCG(o.Seed, 3)), timeline: t}
+	for _, s := range services {
+		w.total += d.targetsOf(s.Name)
+		w.parts = append(w.parts, w.total)
+		w.services = append(w.services, s)
+	}
+	w.every = max(leastEvery, time.Duration(o.longFlows())*time.Second/chunksPerSec)
+	return w
+}
+
+// plans draws all flows: the long ones start during the ramp, the short ones at any time.
+func (w *workload) plans(o Options) []*plan {
+	long := o.longFlows()
+	out := make([]*plan, 0, o.Flows)
+	for i := range o.Flows {
+		p := w.plan(i)
+		if i < long {
+			w.makeLong(p, i, long)
+		} else {
+			w.makeShort(p)
+		}
+		out = append(out, p)
+	}
+	return out
+}
+
+// plan draws a flow's service and gives it an address and port of its own.
+func (w *workload) plan(i int) *plan {
+	s := w.service()
+	a := s.Spec.Addresses[0]
+	host := i / flowsOfHost
+	ip := netip.AddrFrom4([4]byte{10, byte(host >> 16), byte(host >> 8), byte(host)})
+	return &plan{
+		name:    fmt.Sprintf("f%d", i),
+		service: s.Name,
+		local:   netip.AddrPortFrom(ip, uint16(firstPort+i%flowsOfHost)),
+		remote:  netip.AddrPortFrom(netip.MustParseAddr(a.IP), a.Port),
+	}
+}
+
+// service draws a service in proportion to its targets.
+func (w *workload) service() *resource.Service {
+	n := w.random.IntN(w.total)
+	for i, upTo := range w.parts {
+		if n < upTo {
+			return &w.services[i]
+		}
+	}
+	return &w.services[len(w.services)-1]
+}
+
+func (w *workload) makeLong(p *plan, i, long int) {
+	p.kind = kindPacedDownload
+	if w.random.IntN(2) == 0 {
+		p.kind = kindEcho
+	}
+	p.start = w.timeline.ramp * time.Duration(i) / time.Duration(long)
+	p.every = w.every
+	p.hold = w.timeline.end() - p.start + time.Duration(w.random.Int64N(int64(w.timeline.close)))
+}
+
+func (w *workload) makeShort(p *plan) {
+	p.kind = kindDownload
+	if w.random.IntN(4) == 0 {
+		p.kind = kindUpload
+	}
+	p.start = time.Duration(w.random.Int64N(int64(w.timeline.end())))
+	p.size = leastSize + w.random.Int64N(mostSize-leastSize)
+}
