Batch, mirror, merge and read refusal records

Cause: records must outlive store outages, lost answers and one death, within bounded memory and few store writes. Change: Log holds records in pools that merge equal ones when full; a record covers an interval of its stream, so that merged copies held by two processes are still counted once. A record that was not mirrored yet dies with its process unless Sync is awaited.

--- /dev/null
+++ b/pkg/refusal/config.go
@@ -0,0 +1,92 @@
+package refusal
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
+)
+
+// Default settings of a Log.
+const (
+	// DefaultMaxHeld is the number of own records in memory.
+	DefaultMaxHeld = 40000
+	// DefaultMaxAdopted is the number of peers' records in memory.
+	DefaultMaxAdopted = 20000
+	// DefaultMinInterval and DefaultMaxInterval bound the time between two objects.
+	DefaultMinInterval = 2 * time.Second
+	DefaultMaxInterval = time.Minute
+	// DefaultMirrorBatch is the highest number of records in one call of the mirror.
+	DefaultMirrorBatch = 256
+	// DefaultMirrorTimeout bounds a call of the mirror.
+	DefaultMirrorTimeout = 2 * time.Second
+	// DefaultWriteTimeout bounds a call of the store.
+	DefaultWriteTimeout = 10 * time.Second
+)
+
+// Config holds the settings of a Log; zero values mean the defaults.
+type Config struct {
+	// Process names the deciding process, and Incarnation its life; together they make record IDs unique, so that a
+	// process must never start twice with one incarnation.
+	Process     string
+	Incarnation uint64
+	// Store takes the batches; without it records are only held.
+	Store objectapi.Store
+	// Mirror takes a copy of each record; without it a death loses the records that are not yet in the store.
+	Mirror Mirror
+	// MaxHeld is the number of own records from which equal ones are merged.
+	MaxHeld int
+	// MaxAdopted is the number of peers' records from which equal ones are merged.
+	MaxAdopted int
+	// MinInterval and MaxInterval bound the time between two objects that this process writes.
+	MinInterval time.Duration
+	MaxInterval time.Duration
+	// MirrorBatch is the highest number of records in one call of the mirror, and MirrorTimeout bounds the call.
+	MirrorBatch   int
+	MirrorTimeout time.Duration
+	// WriteTimeout bounds a call of the store.
+	WriteTimeout time.Duration
+	// Now is the clock; the default is time.Now.
+	Now func() time.Time
+	// Rand returns a number in [0, 1) for jitter; the default is math/rand.
+	Rand func() float64
+	// Logger gets a line for each batch, failure, merge and adoption.
+	Logger zerolog.Logger
+	// Scope gets the counters; the default drops them.
+	Scope tally.Scope
+}
+
+func (c Config) withDefaults() Config {
+	orInt(&c.MaxHeld, DefaultMaxHeld)
+	orInt(&c.MaxAdopted, DefaultMaxAdopted)
+	orInt(&c.MirrorBatch, DefaultMirrorBatch)
+	orTime(&c.MinInterval, DefaultMinInterval)
+	orTime(&c.MaxInterval, DefaultMaxInterval)
+	orTime(&c.MirrorTimeout, DefaultMirrorTimeout)
+	orTime(&c.WriteTimeout, DefaultWriteTimeout)
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Rand == nil {
+		c.Rand = rand.Float64
+	}
+	if c.Scope == nil {
+		c.Scope = tally.NoopScope
+	}
+	return c
+}
+
+func orInt(v *int, fallback int) {
+	if *v == 0 {
+		*v = fallback
+	}
+}
+
+func orTime(v *time.Duration, fallback time.Duration) {
+	if *v == 0 {
+		*v = fallback
+	}
+}
--- /dev/null
+++ b/pkg/refusal/identity.go
@@ -0,0 +1,62 @@
+package refusal
+
+import (
+	"strconv"
+	"strings"
+)
+
+// idBase is the number base of the counters in a record ID.
+const idBase = 36
+
+// maxOrdinal keeps the sum of an ordinal and a count within 64 bits, whatever an ID from outside says.
+const maxOrdinal = 1 << 62
+
+// stream identifies a row of equal refusals of one life of a process. The refusals of a stream are numbered from 1
+// without gaps, and a record covers a closed interval of them; so equal records can be merged and copies of them
+// recognised without a list of the merged IDs.
+type stream struct {
+	// origin is the process and its incarnation.
+	origin string
+	// number counts the streams of the origin.
+	number uint64
+}
+
+// identity is a record ID taken apart: "origin/number.ordinal".
+type identity struct {
+	stream  stream
+	ordinal uint64
+}
+
+// originOf is the first part of the IDs of a process's life.
+func originOf(process string, incarnation uint64) string {
+	return process + "/" + strconv.FormatUint(incarnation, idBase)
+}
+
+// format returns the text of the identity.
+func (i identity) format() string {
+	b := make([]byte, 0, 64)
+	b = append(b, i.stream.origin...)
+	b = append(b, '/')
+	b = strconv.AppendUint(b, i.stream.number, idBase)
+	b = append(b, '.')
+	b = strconv.AppendUint(b, i.ordinal, idBase)
+	return string(b)
+}
+
+// parseID takes an ID apart. An ID of another form is a stream of its own.
+func parseID(id string) identity {
+	own := identity{stream: stream{origin: id}, ordinal: 1}
+	slash, dot := strings.LastIndexByte(id, '/'), strings.LastIndexByte(id, '.')
+	if slash <= 0 || dot < slash {
+		return own
+	}
+	number, err := strconv.ParseUint(id[slash+1:dot], idBase, 64)
+	if err != nil {
+		return own
+	}
+	ordinal, err := strconv.ParseUint(id[dot+1:], idBase, 64)
+	if err != nil || ordinal == 0 || ordinal > maxOrdinal {
+		return own
+	}
+	return identity{stream: stream{origin: id[:slash], number: number}, ordinal: ordinal}
+}
--- a/pkg/refusal/log.go
+++ b/pkg/refusal/log.go
@@ -1,68 +1,157 @@
 package refusal
 
 import (
-	"strconv"
+	"context"
 	"sync"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 var _ Recorder = (*Log)(nil)
 
-// Config holds the settings of a Log.
-type Config struct {
-	// Process names the deciding process, and Incarnation its life; together they make record IDs unique.
-	Process     string
-	Incarnation uint64
-	// Now is the clock; the default is time.Now.
-	Now func() time.Time
-}
-
-// Log is the Recorder of a process; safe for concurrent use.
+// Log is the Recorder of a process. It holds the records, hands them to a peer and writes them in batches; Run does
+// the input and output. Safe for concurrent use.
 type Log struct {
-	cfg Config
+	cfg      Config
+	origin   string
+	counters counters
+	// wake tells the mirror loop that there are records.
+	wake chan struct{}
+
+	// writeMu lets one object be written at a time.
+	writeMu sync.Mutex
 
-	mu   sync.Mutex
-	next uint64
-	held []Record
+	mu      sync.Mutex
+	streams *streams
+	// held are the own records since the last generation was closed.
+	held *pool
+	// oldest is when the first of held came.
+	oldest time.Time
+	// writing is the generation that is on its way to the store; nil when there is none.
+	writing  *generation
+	sequence uint64
+	pace     pace
+	// queue are the records that the peer does not have yet.
+	queue *pool
+	// inCall is the number of records in the current call of the mirror.
+	inCall int
+	// moved is closed and replaced when the mirror took records.
+	moved   chan struct{}
+	adopted map[string]*adoption
+	stats   Stats
 }
 
 // NewLog returns an empty log.
 func NewLog(cfg Config) *Log {
-	if cfg.Now == nil {
-		cfg.Now = time.Now
+	cfg = cfg.withDefaults()
+	origin := originOf(cfg.Process, cfg.Incarnation)
+	return &Log{
+		cfg:      cfg,
+		origin:   origin,
+		counters: newCounters(cfg.Scope),
+		wake:     make(chan struct{}, 1),
+		streams:  newStreams(origin),
+		held:     newPool(poolLimit(cfg.MaxHeld)),
+		pace:     pace{min: cfg.MinInterval, max: cfg.MaxInterval, rand: cfg.Rand},
+		queue:    newPool(poolLimit(cfg.MaxHeld)),
+		moved:    make(chan struct{}),
+		adopted:  make(map[string]*adoption),
 	}
-	return &Log{cfg: cfg}
+}
+
+// poolLimit halves the limit, since a generation may be on its way to the store while the next one fills.
+func poolLimit(n int) int {
+	return max(1, n/2)
+}
+
+// Run mirrors and writes records until the context ends, and returns the context's error. Call Drain afterwards.
+func (l *Log) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return l.mirrorLoop(ctx) })
+	g.Go(func() error { return l.writeLoop(ctx) })
+	return g.Wait()
 }
 
 // Record implements Recorder.
 func (l *Log) Record(r Record) string {
+	bound(&r, l.cfg.Now())
+	if r.DecidedBy == "" {
+		r.DecidedBy = l.cfg.Process
+	}
+	r.Count = max(r.Count, 1)
+	id := l.hold(r)
+	l.counters.recorded.Inc(int64(r.Count))
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+	return id
+}
+
+// hold puts a complete record into memory and returns its ID.
+func (l *Log) hold(r Record) string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.fill(&r)
-	l.held = append(l.held, r)
-	return r.ID
+	e := entry{record: r}
+	if r.ID == "" {
+		id := l.streams.next(&r, l.held.len(), l.held.limit)
+		e.record.ID, e.stream, e.first = id.format(), id.stream, id.ordinal
+	} else {
+		e = entryOf(r)
+	}
+	l.stats.Recorded += uint64(r.Count)
+	l.keep(e)
+	if l.cfg.Mirror != nil {
+		l.queue.add(e)
+	}
+	return e.record.ID
 }
 
-// Held returns the records that are not yet written to the store.
+// keep adds an entry to the held ones; l.mu is held.
+func (l *Log) keep(e entry) {
+	if l.held.len() == 0 {
+		l.oldest = l.cfg.Now()
+	}
+	before := l.held.merged
+	l.held.add(e)
+	l.counters.merged.Inc(int64(l.held.merged - before))
+}
+
+// Held returns the own records that are not yet in the store.
 func (l *Log) Held() []Record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]Record(nil), l.held...)
+	var out []Record
+	for _, e := range l.unwritten() {
+		out = append(out, e.record)
+	}
+	return out
 }
 
-// fill sets the fields that the caller left empty; l.mu is held.
-func (l *Log) fill(r *Record) {
-	if r.ID == "" {
-		l.next++
-		r.ID = l.cfg.Process + "/" + strconv.FormatUint(l.cfg.Incarnation, 36) + "/" + strconv.FormatUint(l.next, 36)
+// unwritten are the entries that the store does not have for sure; l.mu is held.
+func (l *Log) unwritten() []entry {
+	var out []entry
+	if l.writing != nil {
+		out = append(out, l.writing.entries...)
 	}
-	if r.Time.IsZero() {
-		r.Time = l.cfg.Now()
-	}
-	if r.Count == 0 {
-		r.Count = 1
+	return append(out, l.held.entries...)
+}
+
+// Stats returns the counts so far.
+func (l *Log) Stats() Stats {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stats
+	s.Held, s.HeldRefusals = l.held.len(), l.held.refusals()
+	s.Merged += l.held.merged
+	if l.writing != nil {
+		s.Held += len(l.writing.entries)
+		s.HeldRefusals += l.writing.refusals()
 	}
-	if r.DecidedBy == "" {
-		r.DecidedBy = l.cfg.Process
+	for _, a := range l.adopted {
+		s.Adopted += a.pool.len()
+		s.AdoptedRefusals += a.pool.refusals()
 	}
+	return s
 }
--- a/pkg/refusal/record.go
+++ b/pkg/refusal/record.go
@@ -58,8 +58,10 @@
 	Count uint32 `json:"count"`
 	// Service is the service's name; empty for an unknown address.
 	Service string `json:"service,omitempty"`
-	// Caller is the caller's address.
+	// Caller is the caller's address; of a merged record, the first's.
 	Caller netip.AddrPort `json:"caller"`
+	// Callers is the smallest network that holds the callers of a merged record; missing for a single one.
+	Callers netip.Prefix `json:"callers,omitzero"`
 	// Destination is the address that the caller used.
 	Destination netip.AddrPort `json:"destination"`
 	// Flow is the hash of the flow key; 0 when there is none.
