Carry flows from datagrams to targets in an agent

The packet path needs its end: the agent checks the service of each datagram, carries out the arbiter decision, ends TCP and UDP on pkg/netstack and speaks plain TCP and UDP to its target. Target death, drain time and wrong services are answered with a reset and a refusal record; a killed agent is silent.

--- /dev/null
+++ b/pkg/agent/agent_test.go
@@ -0,0 +1,256 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/pires/go-proxyproto"
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwood/auburnwood/pkg/refusal"
+	"github.com/auburnwood/auburnwood/pkg/resource"
+)
+
+func content(n int, seed byte) []byte {
+	b := make([]byte, n)
+	_, _ = rand.NewChaCha8([32]byte{seed}).Read(b)
+	return b
+}
+
+func TestHTTPThroughTwoAgents(t *testing.T) {
+	want := content(1<<20, 1)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got, _ := io.ReadAll(r.Body)
+		if !bytes.Equal(got, want) {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		_, _ = w.Write(want)
+	})
+	one, two := httptest.NewServer(handler), httptest.NewServer(handler)
+	defer one.Close()
+	defer two.Close()
+	l := newLab(t, streams(), one.Listener.Addr(), two.Listener.Addr())
+	for _, to := range []netip.AddrPort{serviceIP, serviceIP6} {
+		client := http.Client{Timeout: 30 * time.Second, Transport: &http.Transport{
+			DialContext: func(context.Context, string, string) (net.Conn, error) { return l.dial(to) },
+		}}
+		for range 4 {
+			res, err := client.Post("http://"+to.String()+"/", "application/octet-stream", bytes.NewReader(want))
+			require.NoError(t, err)
+			got, err := io.ReadAll(res.Body)
+			_ = res.Body.Close()
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, res.StatusCode)
+			require.True(t, bytes.Equal(want, got), "answer differs")
+		}
+		client.CloseIdleConnections()
+	}
+	require.Empty(t, l.records.reasons())
+	eventually(t, func() bool { return l.agents[0].OpenFlows()+l.agents[1].OpenFlows() == 0 }, "flows end")
+}
+
+func TestHalfCloseKeepsTheOtherWay(t *testing.T) {
+	answer := content(300<<10, 2)
+	got := make(chan []byte, 1)
+	target := listenTCP(t, func(c *net.TCPConn) {
+		defer c.Close()
+		b, _ := io.ReadAll(c)
+		got <- b
+		_, _ = c.Write(answer)
+	})
+	l := newLab(t, streams(), target.Addr())
+	conn := l.mustDial(serviceIP)
+	question := content(200<<10, 3)
+	_, err := conn.Write(question)
+	require.NoError(t, err)
+	require.NoError(t, conn.(interface{ CloseWrite() error }).CloseWrite())
+	b, err := io.ReadAll(conn)
+	require.NoError(t, err)
+	require.True(t, bytes.Equal(answer, b), "answer differs")
+	require.True(t, bytes.Equal(question, <-got), "question differs")
+}
+
+func TestBackPressureReachesTheCaller(t *testing.T) {
+	read := make(chan struct{})
+	target := listenTCP(t, func(c *net.TCPConn) {
+		defer c.Close()
+		<-read
+		_, _ = io.Copy(c, c)
+	})
+	l := newLab(t, streams(), target.Addr())
+	conn := l.mustDial(serviceIP)
+	sent := content(32<<20, 4)
+	wrote := make(chan int, 1)
+	go func() {
+		n, _ := conn.Write(sent)
+		wrote <- n
+		_ = conn.(interface{ CloseWrite() error }).CloseWrite()
+	}()
+	select {
+	case n := <-wrote:
+		t.Fatalf("%d bytes were taken although the target reads none", n)
+	case <-time.After(time.Second):
+	}
+	close(read)
+	b, err := io.ReadAll(conn)
+	require.NoError(t, err)
+	require.True(t, bytes.Equal(sent, b), "echo differs")
+}
+
+func TestRefusedByTarget(t *testing.T) {
+	target := listenTCP(t, echo)
+	l := newLab(t, streams(), target.Addr())
+	_ = target.Close()
+	_, err := l.dial(serviceIP)
+	require.ErrorContains(t, err, "refused")
+	eventually(t, func() bool { return len(l.records.reasons()) == 1 }, "record")
+	require.Equal(t, refusal.ReasonTargetRefused, l.records.reasons()[0])
+	eventually(t, func() bool { return l.agents[0].OpenFlows() == 0 }, "flow ends")
+}
+
+// TestKilledTargetResetsItsFlows kills a target in both ways that its kernel may show it: a close and a reset.
+func TestKilledTargetResetsItsFlows(t *testing.T) {
+	for name, linger := range map[string]int{"close": -1, "reset": 0} {
+		t.Run(name, func(t *testing.T) {
+			conns := make(chan *net.TCPConn, 1)
+			target := listenTCP(t, func(c *net.TCPConn) {
+				_, _ = io.CopyN(c, c, 4)
+				conns <- c
+			})
+			other := listenTCP(t, echo)
+			l := newLab(t, streams(), target.Addr(), other.Addr())
+			broken := l.mustDial(serviceIP)
+			exchange(t, broken)
+			l.mu.Lock()
+			l.first = 1
+			l.mu.Unlock()
+			living := l.mustDial(serviceIP)
+			exchange(t, living)
+			_ = target.Close()
+			c := <-conns
+			_ = c.SetLinger(linger)
+			_ = c.Close()
+			_, err := broken.Read(make([]byte, 1))
+			require.ErrorContains(t, err, "reset")
+			exchange(t, living)
+			eventually(t, func() bool { return len(l.records.reasons()) == 1 }, "record")
+			require.Equal(t, refusal.ReasonTargetDied, l.records.reasons()[0])
+		})
+	}
+}
+
+func exchange(t *testing.T, conn net.Conn) {
+	_, err := conn.Write([]byte("ping"))
+	require.NoError(t, err)
+	b := make([]byte, 4)
+	_, err = io.ReadFull(conn, b)
+	require.NoError(t, err)
+	require.Equal(t, "ping", string(b))
+}
+
+func TestDrainWaitsThenResets(t *testing.T) {
+	target := listenTCP(t, echo)
+	spec := streams()
+	spec.DrainTime = resource.Duration(2 * time.Second)
+	l := newLab(t, spec, target.Addr())
+	ends, stays := l.mustDial(serviceIP), l.mustDial(serviceIP)
+	exchange(t, ends)
+	exchange(t, stays)
+	drained := make(chan struct{})
+	go func() {
+		l.agents[0].Drain(context.Background())
+		close(drained)
+	}()
+	eventually(t, func() bool { return l.agents[0].draining.Load() }, "drain begins")
+	exchange(t, ends)
+	require.NoError(t, ends.(interface{ CloseWrite() error }).CloseWrite())
+	_, err := ends.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	<-drained
+	_, err = stays.Read(make([]byte, 1))
+	require.ErrorContains(t, err, "reset")
+	require.Equal(t, []refusal.Reason{refusal.ReasonDrainTimeOver}, l.records.reasons())
+}
+
+func TestKillSendsNothing(t *testing.T) {
+	target := listenTCP(t, echo)
+	l := newLab(t, streams(), target.Addr())
+	conn := l.mustDial(serviceIP)
+	exchange(t, conn)
+	l.agents[0].Kill()
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+	_, err := conn.Read(make([]byte, 1))
+	var timeout net.Error
+	require.ErrorAs(t, err, &timeout)
+	require.True(t, timeout.Timeout(), "got %v", err)
+}
+
+func TestWrongServiceIsRefused(t *testing.T) {
+	target := listenTCP(t, echo)
+	l := newLab(t, streams(), target.Addr())
+	l.name("reports-svc")
+	_, err := l.dial(serviceIP)
+	require.ErrorContains(t, err, "refused")
+	l.name(serviceName)
+	_, err = l.dial(netip.MustParseAddrPort("203.0.113.99:80"))
+	require.ErrorContains(t, err, "refused")
+	require.Equal(t, []refusal.Reason{refusal.ReasonWrongService, refusal.ReasonWrongService}, l.records.reasons())
+	require.Zero(t, l.agents[0].OpenFlows())
+}
+
+func TestProxyHeaderNamesTheCaller(t *testing.T) {
+	callers := make(chan string, 1)
+	plain, err := net.Listen("tcp", local.String())
+	require.NoError(t, err)
+	target := &proxyproto.Listener{Listener: plain}
+	defer target.Close()
+	go func() {
+		c, err := target.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		callers <- c.RemoteAddr().String()
+		_, _ = io.Copy(c, c)
+	}()
+	spec := streams()
+	spec.ProxyProtocol = true
+	l := newLab(t, spec, plain.Addr())
+	conn := l.mustDial(serviceIP6)
+	exchange(t, conn)
+	require.Equal(t, conn.LocalAddr().String(), <-callers)
+}
+
+func TestUDPFlowEndsByIdleTime(t *testing.T) {
+	target := listenUDP(t)
+	go func() {
+		b := make([]byte, 2048)
+		for {
+			n, from, err := target.ReadFromUDPAddrPort(b)
+			if err != nil {
+				return
+			}
+			_, _ = target.WriteToUDPAddrPort(b[:n], from)
+		}
+	}()
+	spec := streams()
+	spec.UDPIdle = resource.Duration(100 * time.Millisecond)
+	l := newLab(t, spec, target.LocalAddr())
+	conn, err := l.caller.DialUDP(callerIP, serviceUDP)
+	require.NoError(t, err)
+	defer conn.Close()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
+	for range 2 {
+		exchange(t, conn)
+		eventually(t, func() bool { return l.agents[0].OpenFlows() == 0 }, "flow ends")
+	}
+}
--- /dev/null
+++ b/pkg/agent/control.go
@@ -0,0 +1,71 @@
+package agent
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/arbiter"
+	"github.com/auburnwood/auburnwood/pkg/wire"
+)
+
+// control hands a message of another agent to the arbiter. The sender must name the address that it sends from, and the
+// agent's own service.
+func (a *Agent) control(m *wire.Datagram, from netip.AddrPort, now time.Time) {
+	sender, ok := wire.Addr(m.Sender)
+	if !ok || sender != from {
+		a.metrics.foreign.Inc(1)
+		return
+	}
+	s := a.service.Load()
+	if s == nil || m.Service != s.Name {
+		a.metrics.wrongService.Inc(1)
+		return
+	}
+	a.metrics.control.Inc(1)
+	owner, _ := wire.Addr(m.Owner)
+	a.sendAll(a.arbiter.Control(now, from, arbiter.Message{
+		Kind:  m.Kind,
+		Flow:  m.Flow,
+		Flows: m.Flows,
+		Owner: owner,
+		Load:  m.Load,
+	}))
+}
+
+// sendAll sends the arbiter's messages; long lists of flows go in several datagrams.
+func (a *Agent) sendAll(messages []arbiter.Message) {
+	s := a.service.Load()
+	if s == nil || len(messages) == 0 {
+		return
+	}
+	d := &wire.Datagram{
+		Service:     s.Name,
+		Revision:    s.Revision,
+		Sender:      a.self[:],
+		Incarnation: a.cfg.Incarnation,
+	}
+	for i := range messages {
+		a.sendMessage(d, &messages[i])
+	}
+}
+
+func (a *Agent) sendMessage(d *wire.Datagram, m *arbiter.Message) {
+	d.Kind, d.Flow, d.Load, d.Owner = m.Kind, m.Flow, m.Load, nil
+	if m.Owner.IsValid() {
+		d.Owner = wire.AppendAddr(nil, m.Owner)
+	}
+	rest := m.Flows
+	for {
+		n := min(len(rest), messageFlows)
+		d.Flows, rest = rest[:n], rest[n:]
+		b, err := d.MarshalVT()
+		if err != nil {
+			a.metrics.sendErrors.Inc(1)
+			return
+		}
+		a.send(b, m.To)
+		if len(rest) == 0 {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/pkg/agent/datagrams.go
@@ -0,0 +1,120 @@
+package agent
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/refusal"
+	"github.com/auburnwood/auburnwood/pkg/resource"
+)
+
+// datagrams is one UDP flow: the caller's socket in the stack and a socket to the target.
+type datagrams struct {
+	a      *Agent
+	s      *service
+	f      *openFlow
+	caller net.Conn
+	mu     sync.Mutex
+	target net.Conn
+	isCut  bool
+	last   atomic.Int64
+}
+
+// serve carries datagrams both ways until none has passed for the service's idle time.
+func (u *datagrams) serve() {
+	defer u.cut()
+	target, err := u.a.dialTarget("udp")
+	if err != nil {
+		u.record(err)
+		return
+	}
+	u.mu.Lock()
+	u.target = target
+	cut := u.isCut
+	u.mu.Unlock()
+	if cut {
+		_ = target.Close()
+		return
+	}
+	now := u.a.deps.Now()
+	u.last.Store(now.UnixNano())
+	u.a.sendAll(u.a.arbiter.Opened(now, u.f.hash))
+	idle := u.s.Spec.UDPIdle.Or(resource.DefaultUDPIdle)
+	var both sync.WaitGroup
+	both.Go(func() { u.copy(target, u.caller) })
+	both.Go(func() { u.copy(u.caller, target) })
+	u.watch(idle)
+	// The arbiter is told first: a datagram that comes now starts a new flow.
+	u.a.end(u.f)
+	u.cut()
+	both.Wait()
+}
+
+// watch returns when the flow is idle or cut.
+func (u *datagrams) watch(idle time.Duration) {
+	for {
+		left := idle - u.a.deps.Now().Sub(time.Unix(0, u.last.Load()))
+		if left <= 0 {
+			return
+		}
+		select {
+		case <-u.a.ctx.Done():
+			return
+		case <-time.After(min(left, time.Second)):
+		}
+		u.mu.Lock()
+		cut := u.isCut
+		u.mu.Unlock()
+		if cut {
+			return
+		}
+	}
+}
+
+// copy carries datagrams until a socket is closed. A target that refuses a datagram may take the next one.
+func (u *datagrams) copy(to, from net.Conn) {
+	b := make([]byte, u.a.cfg.MTU)
+	failures := 0
+	for {
+		n, err := from.Read(b)
+		if err != nil {
+			if failures++; u.over() || failures > maxReadFailures {
+				return
+			}
+			continue
+		}
+		failures = 0
+		u.last.Store(u.a.deps.Now().UnixNano())
+		_, _ = to.Write(b[:n])
+	}
+}
+
+const maxReadFailures = 100
+
+func (u *datagrams) over() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.isCut
+}
+
+// cut closes both sockets.
+func (u *datagrams) cut() {
+	u.mu.Lock()
+	again := u.isCut
+	u.isCut = true
+	target := u.target
+	u.mu.Unlock()
+	if again {
+		return
+	}
+	_ = u.caller.Close()
+	if target != nil {
+		_ = target.Close()
+	}
+}
+
+func (u *datagrams) record(err error) {
+	u.a.record(u.s, u.f.key, u.f.hash, refusal.ReasonTargetRefused, err.Error(), u.a.deps.Now())
+}
--- /dev/null
+++ b/pkg/agent/harness_test.go
@@ -0,0 +1,228 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwood/auburnwood/pkg/netstack"
+	"github.com/auburnwood/auburnwood/pkg/packet"
+	"github.com/auburnwood/auburnwood/pkg/refusal"
+	"github.com/auburnwood/auburnwood/pkg/resource"
+	"github.com/auburnwood/auburnwood/pkg/view"
+	"github.com/auburnwood/auburnwood/pkg/wire"
+)
+
+const serviceName = "route-svc"
+
+var (
+	local      = netip.MustParseAddrPort("127.0.0.1:0")
+	callerIP   = netip.MustParseAddrPort("198.51.100.7:0")
+	callerIP6  = netip.MustParseAddrPort("[2001:db8::7]:0")
+	serviceIP  = netip.MustParseAddrPort("203.0.113.10:80")
+	serviceIP6 = netip.MustParseAddrPort("[2001:db8:f::10]:80")
+	serviceUDP = netip.MustParseAddrPort("203.0.113.10:53")
+)
+
+// records keeps refusal records.
+type records struct {
+	mu  sync.Mutex
+	all []refusal.Record
+}
+
+func (r *records) Record(rec refusal.Record) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all = append(r.all, rec)
+	return "record"
+}
+
+func (r *records) reasons() []refusal.Reason {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []refusal.Reason
+	for _, rec := range r.all {
+		out = append(out, rec.Reason)
+	}
+	return out
+}
+
+// lab is a caller's stack, a fabric, a balancer that ranks by one fixed row, and agents.
+type lab struct {
+	t       testing.TB
+	caller  *netstack.Stack
+	fabric  *net.UDPConn
+	source  *net.UDPConn
+	agents  []*Agent
+	records *records
+	mu      sync.Mutex
+	row     []byte
+	first   int
+	names   string
+}
+
+func newLab(t testing.TB, spec resource.ServiceSpec, targets ...net.Addr) *lab {
+	l := &lab{t: t, records: &records{}, names: serviceName}
+	l.fabric = listenUDP(t)
+	l.source = listenUDP(t)
+	var err error
+	l.caller, err = netstack.New(netstack.Config{Output: l.forward})
+	require.NoError(t, err)
+	t.Cleanup(l.caller.Close)
+	for _, target := range targets {
+		l.start(netip.MustParseAddrPort(target.String()))
+	}
+	go l.deliver()
+	l.setService(spec)
+	return l
+}
+
+func listenUDP(t testing.TB) *net.UDPConn {
+	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(local))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func (l *lab) start(target netip.AddrPort) *Agent {
+	a, err := New(Config{
+		Name:          "agent",
+		Incarnation:   1,
+		Service:       serviceName,
+		PacketAddress: local,
+		FabricAddress: l.fabric.LocalAddr().(*net.UDPAddr).AddrPort(),
+		TargetAddress: target,
+		Linger:        time.Millisecond,
+	}, Deps{Log: zerolog.Nop(), Refusals: l.records})
+	require.NoError(l.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- a.Run(ctx) }()
+	l.t.Cleanup(func() {
+		cancel()
+		require.NoError(l.t, <-done)
+	})
+	l.agents = append(l.agents, a)
+	l.row = wire.AppendAddr(l.row, a.PacketAddr())
+	return a
+}
+
+func (l *lab) setService(spec resource.ServiceSpec) {
+	v := &view.Service{Name: serviceName, Revision: 1, Spec: spec}
+	for i, a := range l.agents {
+		v.Targets = append(v.Targets, view.Target{
+			ID:          string(rune('a' + i)),
+			Incarnation: 1,
+			Agent:       a.PacketAddr(),
+			Weight:      1,
+			State:       view.StateActive,
+			Connections: 1 << 20,
+		})
+	}
+	for _, a := range l.agents {
+		a.SetService(v)
+	}
+}
+
+// name sets the service that the balancer writes in its datagrams.
+func (l *lab) name(service string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.names = service
+}
+
+// forward is the balancer: every packet goes to the agent at index first.
+func (l *lab) forward(raw []byte) {
+	info, err := packet.Parse(raw)
+	if err != nil {
+		return
+	}
+	l.mu.Lock()
+	row, first, name := l.row, l.first, l.names
+	l.mu.Unlock()
+	balancer := wire.AppendAddr(nil, l.source.LocalAddr().(*net.UDPAddr).AddrPort())
+	d := wire.Datagram{
+		Kind: wire.Kind_KIND_FORWARD, Service: name, Revision: 1, Flow: info.Key.Hash(),
+		Row: row, Position: uint32(first), Packet: raw, Sender: balancer, Balancer: balancer,
+	}
+	b, err := d.MarshalVT()
+	if err != nil {
+		return
+	}
+	_, _ = l.source.WriteToUDPAddrPort(b, l.agents[first].PacketAddr())
+}
+
+// deliver gives the agents' packets to the caller.
+func (l *lab) deliver() {
+	b := make([]byte, maxDatagram)
+	for {
+		n, err := l.fabric.Read(b)
+		if err != nil {
+			return
+		}
+		l.caller.Inject(b[:n])
+	}
+}
+
+func (l *lab) dial(to netip.AddrPort) (net.Conn, error) {
+	from := callerIP
+	if to.Addr().Is6() {
+		from = callerIP6
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	return l.caller.DialTCP(ctx, from, to)
+}
+
+func (l *lab) mustDial(to netip.AddrPort) net.Conn {
+	conn, err := l.dial(to)
+	require.NoError(l.t, err)
+	l.t.Cleanup(func() { _ = conn.Close() })
+	require.NoError(l.t, conn.SetDeadline(time.Now().Add(30*time.Second)))
+	return conn
+}
+
+func streams() resource.ServiceSpec {
+	return resource.ServiceSpec{
+		Mode:       resource.ModeStream,
+		Preference: resource.PreferFlows,
+		Addresses: []resource.Address{
+			{IP: serviceIP.Addr().String(), Port: serviceIP.Port()},
+			{IP: serviceIP6.Addr().String(), Port: serviceIP6.Port()},
+			{IP: serviceUDP.Addr().String(), Port: serviceUDP.Port(), Protocol: resource.ProtocolUDP},
+		},
+	}
+}
+
+// listenTCP runs serve for each connection until the test ends.
+func listenTCP(t testing.TB, serve func(*net.TCPConn)) net.Listener {
+	l, err := net.Listen("tcp", local.String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c.(*net.TCPConn))
+		}
+	}()
+	return l
+}
+
+func echo(c *net.TCPConn) {
+	defer c.Close()
+	_, _ = io.Copy(c, c)
+}
+
+func eventually(t testing.TB, condition func() bool, text string) {
+	require.Eventually(t, condition, 20*time.Second, 5*time.Millisecond, text)
+}
--- /dev/null
+++ b/pkg/agent/worker.go
@@ -0,0 +1,185 @@
+package agent
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/arbiter"
+	"github.com/auburnwood/auburnwood/pkg/packet"
+	"github.com/auburnwood/auburnwood/pkg/refusal"
+	"github.com/auburnwood/auburnwood/pkg/wire"
+)
+
+// maxRow is the highest number of agents in a row that a datagram may name.
+const maxRow = 64
+
+// worker handles one datagram at a time with buffers that it reuses.
+type worker struct {
+	a   *Agent
+	in  []byte
+	out []byte
+	msg wire.Datagram
+}
+
+func newWorker(a *Agent) *worker {
+	return &worker{a: a, in: make([]byte, maxDatagram), out: make([]byte, maxDatagram)}
+}
+
+// run reads datagrams until the socket is closed.
+func (w *worker) run() error {
+	for {
+		n, from, err := w.a.conn.ReadFromUDPAddrPort(w.in)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			w.a.metrics.receiveErrors.Inc(1)
+			continue
+		}
+		w.handle(w.in[:n], unmap(from), w.a.deps.Now())
+	}
+}
+
+// handle takes any bytes from any sender.
+func (w *worker) handle(in []byte, from netip.AddrPort, now time.Time) {
+	w.a.metrics.datagrams.Inc(1)
+	m := &w.msg
+	m.Reset()
+	if err := m.UnmarshalVTUnsafe(in); err != nil {
+		w.a.metrics.truncated.Inc(1)
+		return
+	}
+	switch m.Kind {
+	case wire.Kind_KIND_FORWARD, wire.Kind_KIND_OFFER, wire.Kind_KIND_DECLINED:
+		w.packet(m, from, now)
+	case wire.Kind_KIND_PLACED, wire.Kind_KIND_MOVED, wire.Kind_KIND_ENDED,
+		wire.Kind_KIND_LOCATE, wire.Kind_KIND_LOCATED, wire.Kind_KIND_LOAD:
+		w.a.control(m, from, now)
+	default:
+		w.a.metrics.unknownKind.Inc(1)
+	}
+}
+
+// packet handles a datagram with a caller's packet.
+func (w *worker) packet(m *wire.Datagram, from netip.AddrPort, now time.Time) {
+	if len(m.Row)%wire.AddrSize != 0 || wire.RowLen(m.Row) > maxRow {
+		w.a.metrics.foreign.Inc(1)
+		return
+	}
+	info, err := packet.Parse(m.Packet)
+	if err != nil {
+		w.a.metrics.badPacket.Inc(1)
+		return
+	}
+	m.Packet = m.Packet[:info.Length]
+	hash := info.Key.Hash()
+	if hash != m.Flow {
+		w.a.metrics.badFlow.Inc(1)
+		return
+	}
+	s := w.a.service.Load()
+	if !w.belongs(s, m, info, now) {
+		return
+	}
+	d := w.a.arbiter.Packet(now, arbiter.Input{
+		Kind:     m.Kind,
+		Flow:     hash,
+		Opening:  info.Opening,
+		Row:      m.Row,
+		Position: m.Position,
+		Hops:     m.Hops,
+		Sender:   from,
+		Load:     m.Load,
+		Bound:    m.Bound,
+		Final:    m.Final,
+	})
+	w.carryOut(s, m, info, &d, now)
+}
+
+// belongs checks that the packet is for the service that this agent's target announced. A packet that the agent cannot
+// judge, because its view is older than the sender's, is dropped: the caller's TCP sends it again.
+func (w *worker) belongs(s *service, m *wire.Datagram, info packet.Info, now time.Time) bool {
+	if s != nil && m.Service == s.Name && s.has(info.Key) {
+		return true
+	}
+	if s == nil || (m.Service == s.Name && m.Revision > s.Revision) {
+		w.a.metrics.dropped.Inc(1)
+		return false
+	}
+	w.a.metrics.wrongService.Inc(1)
+	w.a.refuse(s, m.Packet, info, m.Flow, refusal.ReasonWrongService, "the packet is for another service than the agent's", now)
+	return false
+}
+
+// carryOut does what the arbiter decided.
+func (w *worker) carryOut(s *service, m *wire.Datagram, info packet.Info, d *arbiter.Decision, now time.Time) {
+	switch d.Action {
+	case arbiter.ActionDeliver:
+		w.deliver(s, m, info, d, now)
+	case arbiter.ActionForward:
+		w.a.metrics.forwarded.Inc(1)
+		w.pass(m, wire.Kind_KIND_FORWARD, d)
+	case arbiter.ActionOffer:
+		w.a.metrics.offered.Inc(1)
+		w.pass(m, wire.Kind_KIND_OFFER, d)
+	case arbiter.ActionDecline:
+		w.a.metrics.declined.Inc(1)
+		w.pass(m, wire.Kind_KIND_DECLINED, d)
+	case arbiter.ActionRefuse:
+		w.a.refuse(s, m.Packet, info, m.Flow, d.Reason, d.Why, now)
+	default:
+		w.a.metrics.dropped.Inc(1)
+	}
+}
+
+func (w *worker) deliver(s *service, m *wire.Datagram, info packet.Info, d *arbiter.Decision, now time.Time) {
+	w.a.metrics.delivered.Inc(1)
+	if d.Accepted {
+		w.a.placed(s, info, m.Flow, d, now)
+	}
+	if m.Hops > 0 {
+		w.a.teach(m, now)
+	}
+	w.a.stack.Inject(m.Packet)
+}
+
+// pass sends the datagram on to another agent.
+func (w *worker) pass(m *wire.Datagram, kind wire.Kind, d *arbiter.Decision) {
+	m.Kind = kind
+	m.Position = d.Position
+	m.Hops++
+	m.Sender = w.a.self[:]
+	m.Load = d.Load
+	m.Bound = d.Bound
+	m.Final = d.Final
+	m.Incarnation = w.a.cfg.Incarnation
+	n, err := m.MarshalToSizedBufferVT(w.out)
+	if err != nil {
+		w.a.metrics.sendErrors.Inc(1)
+		return
+	}
+	w.a.send(w.out[len(w.out)-n:], d.To)
+}
+
+func (a *Agent) send(b []byte, to netip.AddrPort) {
+	if _, err := a.conn.WriteToUDPAddrPort(b, to); err != nil {
+		a.metrics.sendErrors.Inc(1)
+	}
+}
+
+// placed registers a new flow and logs the placement.
+func (a *Agent) placed(s *service, info packet.Info, hash uint64, d *arbiter.Decision, now time.Time) {
+	a.metrics.placed.Inc(1)
+	a.registry.put(&openFlow{hash: hash, key: info.Key, placed: now})
+	a.deps.Log.Info().
+		Str("op", "place").
+		Str("service", s.Name).
+		Uint64("flow", hash).
+		Stringer("caller", info.Key.Source).
+		Str("decision", "accept").
+		Uint32("load", d.Load).
+		Str("reason", d.Why).
+		Send()
+}
