--- a/pkg/resource/duration.go
+++ b/pkg/resource/duration.go
@@ -19,11 +19,11 @@
 func (d *Duration) UnmarshalJSON(b []byte) error {
 	var s string
 	if err := json.Unmarshal(b, &s); err != nil {
-		return trace.BadParameter("duration must be text such as \"30s\"")
+		return trace.BadParameter("must be text such as \"30s\"")
 	}
 	v, err := time.ParseDuration(s)
 	if err != nil {
-		return trace.BadParameter("duration %q: %v", s, err)
+		return trace.BadParameter("%q is not a duration such as \"30s\"", s)
 	}
 	*d = Duration(v)
 	return nil
--- /dev/null
+++ b/pkg/resource/shape.go
@@ -0,0 +1,129 @@
+package resource
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// unmarshaler is the type of values that read their own JSON.
+var unmarshaler = reflect.TypeFor[json.Unmarshaler]()
+
+// shape decodes raw into v field by field and records every unknown field and every value of a wrong type. A wrong value
+// leaves its field zero.
+func (e *fieldErrors) shape(path string, raw json.RawMessage, v reflect.Value) {
+	switch {
+	case string(raw) == "null" && v.Kind() != reflect.Pointer:
+		e.add(path, "is null")
+	case v.Addr().Type().Implements(unmarshaler):
+		e.leaf(path, raw, v)
+	case v.Kind() == reflect.Struct:
+		e.object(path, raw, v)
+	case v.Kind() == reflect.Slice:
+		e.list(path, raw, v)
+	case v.Kind() == reflect.Pointer && string(raw) != "null":
+		v.Set(reflect.New(v.Type().Elem()))
+		e.shape(path, raw, v.Elem())
+	default:
+		e.leaf(path, raw, v)
+	}
+}
+
+// object decodes a JSON object.
+func (e *fieldErrors) object(path string, raw json.RawMessage, v reflect.Value) {
+	var members map[string]json.RawMessage
+	if json.Unmarshal(raw, &members) != nil {
+		e.add(path, "must be an object, not %s", kindOf(raw))
+		return
+	}
+	known := fieldsOf(v.Type())
+	for _, name := range slices.Sorted(maps.Keys(members)) {
+		p := join(path, name)
+		i, ok := known[name]
+		if !ok {
+			e.add(p, "is not a known field")
+			continue
+		}
+		e.shape(p, members[name], v.Field(i))
+	}
+}
+
+// list decodes a JSON list.
+func (e *fieldErrors) list(path string, raw json.RawMessage, v reflect.Value) {
+	var items []json.RawMessage
+	if json.Unmarshal(raw, &items) != nil {
+		e.add(path, "must be a list, not %s", kindOf(raw))
+		return
+	}
+	v.Set(reflect.MakeSlice(v.Type(), len(items), len(items)))
+	for i, item := range items {
+		e.shape(fmt.Sprintf("%s[%d]", path, i), item, v.Index(i))
+	}
+}
+
+// leaf decodes a single value.
+func (e *fieldErrors) leaf(path string, raw json.RawMessage, v reflect.Value) {
+	err := json.Unmarshal(raw, v.Addr().Interface())
+	if err == nil {
+		return
+	}
+	v.SetZero()
+	if v.Addr().Type().Implements(unmarshaler) {
+		e.add(path, "%v", err)
+		return
+	}
+	e.add(path, "must be %s, not %s", wanted(v.Kind()), kindOf(raw))
+}
+
+// fieldsOf returns the index of each field of a struct by its JSON name.
+func fieldsOf(t reflect.Type) map[string]int {
+	m := make(map[string]int, t.NumField())
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		m[name] = i
+	}
+	return m
+}
+
+// join appends a member's name to a path.
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+// wanted describes the values of a kind.
+func wanted(k reflect.Kind) string {
+	switch k {
+	case reflect.String:
+		return "text"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Uint16:
+		return "a whole number from 0 to 65535"
+	case reflect.Uint32:
+		return "a whole number from 0 to 4294967295"
+	}
+	return "a number"
+}
+
+// maxShown is the highest number of bytes of a value in a message.
+const maxShown = 40
+
+// kindOf describes a JSON value in a message.
+func kindOf(raw json.RawMessage) string {
+	switch raw[0] {
+	case '{':
+		return "an object"
+	case '[':
+		return "a list"
+	}
+	if len(raw) > maxShown {
+		return string(raw[:maxShown]) + "..."
+	}
+	return string(raw)
+}
--- a/pkg/resource/versioned.go
+++ b/pkg/resource/versioned.go
@@ -1,6 +1,10 @@
 package resource
 
-import "github.com/auburnwood/auburnwood/pkg/objectapi"
+import (
+	"cmp"
+
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
+)
 
 // VersionedService is a stored service with its object version.
 type VersionedService struct {
@@ -16,7 +20,9 @@
 func ReadService(o objectapi.Object) VersionedService {
 	var s Service
 	if err := Decode(o.Value, &s); err != nil {
-		return VersionedService{Service: Service{Name: o.Name}, Version: o.Version, Unreadable: err.Error()}
+		_, mistakes := DecodeService(o.Value)
+		reason := cmp.Or(JoinFieldErrors(mistakes), err.Error())
+		return VersionedService{Service: Service{Name: o.Name}, Version: o.Version, Unreadable: reason}
 	}
 	if s.Name != o.Name {
 		reason := "the service's name is " + s.Name + " but its object's name is " + o.Name
