Assemble the balancer and agent daemons

Cause: the packages need daemons that join packet path, membership, configuration and refusal records.

--- /dev/null
+++ b/internal/archtest/doc.go
@@ -0,0 +1,2 @@
+// Package archtest checks the direction of imports between the packages of the module.
+package archtest
--- /dev/null
+++ b/pkg/balancerd/duties.go
@@ -0,0 +1,34 @@
+package balancerd
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/auburnwood/auburnwood/pkg/lease"
+	"github.com/auburnwood/auburnwood/pkg/membership"
+	"github.com/auburnwood/auburnwood/pkg/revision"
+)
+
+// candidates is the number of live balancers that compete for a duty. More would only add reads of the lease object.
+const candidates = 3
+
+// compileDuty competes for the duty that compiles services into revisions.
+func (d *Daemon) compileDuty(ctx context.Context) error {
+	c := revision.Compiler{Store: d.store, Acks: d.node, Adopter: d.adopter, Log: d.o.Env.Log}
+	r := d.leaseRunner(revision.LeaseName, func(membership.Member) bool { return true })
+	return r.Run(ctx, c.Duty)
+}
+
+// leaseRunner returns a runner of one duty for which the balancers selected by match are candidates.
+func (d *Daemon) leaseRunner(name string, match func(membership.Member) bool) *lease.Runner {
+	return &lease.Runner{
+		Store: d.store,
+		Config: lease.Config{
+			Name:     name,
+			Holder:   d.o.Settings.Name + "/" + strconv.FormatUint(d.o.Incarnation, 10),
+			Duration: d.o.Settings.LeaseTime.Duration(),
+		},
+		Log:      d.o.Env.Log,
+		Eligible: func() bool { return eligible(name, d.o.Settings.Name, d.node.Table().Balancers(), match) },
+	}
+}
--- /dev/null
+++ b/pkg/balancerd/options.go
@@ -0,0 +1,28 @@
+package balancerd
+
+import (
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
+	"github.com/auburnwood/auburnwood/pkg/settings"
+	"github.com/auburnwood/auburnwood/pkg/telemetry"
+)
+
+// Options are what a Daemon is made of.
+type Options struct {
+	// Settings are the checked settings.
+	Settings settings.Balancer
+	// Env holds logger, metrics and status.
+	Env telemetry.Env
+	// Store replaces the object API client made from the settings; nil keeps it. Programs that embed the daemon use it.
+	Store objectapi.Store
+	// Incarnation replaces the start time in nanoseconds; 0 keeps it.
+	Incarnation uint64
+}
+
+func (o Options) withDefaults() Options {
+	if o.Incarnation == 0 {
+		o.Incarnation = uint64(time.Now().UnixNano())
+	}
+	return o
+}
--- /dev/null
+++ b/pkg/peer/node.go
@@ -0,0 +1,256 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/auburnwood/auburnwood/pkg/membership"
+	"github.com/auburnwood/auburnwood/pkg/peer/peerpb"
+	"github.com/auburnwood/auburnwood/pkg/resource"
+)
+
+// Node is the control side of a balancer: it serves agents and exchanges members and revisions with other balancers.
+type Node struct {
+	cfg      NodeConfig
+	table    *membership.Table
+	detector *membership.Detector
+	regions  *membership.RegionReach
+	acks     *membership.Acks
+	history  *history
+	self     *self
+	budget   *budget
+	dialer   *dialer
+	beats    *heartbeater
+	server   *grpc.Server
+	metrics  *nodeMetrics
+	// changes reports new revisions and shares.
+	changes *broadcast
+
+	mu         sync.Mutex
+	random     *rand.Rand
+	pushed     uint64
+	headPushed uint64
+	ackSent    time.Time
+
+	// higher takes the addresses of peers that have a higher revision.
+	higher chan string
+	// calls are the calls in the background.
+	calls sync.WaitGroup
+	// killed is set when the node ends without telling its peers.
+	killed atomic.Bool
+}
+
+// NewNode returns a node that isn't served yet. It returns an error when the certificates can't be read.
+func NewNode(cfg NodeConfig) (*Node, error) {
+	cfg = cfg.withDefaults()
+	if cfg.Self.ID == "" || cfg.Self.Incarnation == 0 || cfg.Adopter == nil || cfg.Listener == nil {
+		return nil, trace.BadParameter("node needs an ID, an incarnation, an adopter and a listener")
+	}
+	creds, err := newCredentials(cfg.TLS, cfg.Log)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		cfg:      cfg,
+		table:    cfg.Table,
+		detector: membership.NewDetector(cfg.Detector, cfg.Table),
+		regions:  membership.NewRegionReach(),
+		acks:     membership.NewAcks(),
+		history:  &history{},
+		self:     newSelf(cfg.Self, cfg.Now),
+		budget:   newBudget(cfg.BytesPerSecond, cfg.Now, cfg.Metrics),
+		metrics:  newNodeMetrics(cfg.Metrics),
+		changes:  newBroadcast(),
+		higher:   make(chan string, 1),
+		random:   rand.New(rand.NewPCG(cfg.Seed, membershipSeed(cfg.Self.ID))),
+	}
+	n.dialer = newDialer(creds, n.budget)
+	n.beats = newHeartbeater(n.self, n.dialer, cfg.HeartbeatInterval, cfg.Log)
+	n.beats.announce = n.announceTo
+	n.server = grpc.NewServer(serverOptions(grpc.Creds(creds))...)
+	peerpb.RegisterControlServer(n.server, &control{node: n})
+	n.table.Merge(n.self.get(), cfg.Now())
+	cfg.Adopter.OnAdopt(n.adopted)
+	if r, ok := cfg.Adopter.Current(); ok {
+		n.adopted(r)
+	}
+	return n, nil
+}
+
+// Serve makes a node and runs it until ctx ends.
+func Serve(ctx context.Context, cfg NodeConfig) error {
+	n, err := NewNode(cfg)
+	if err != nil {
+		return err
+	}
+	return n.Serve(ctx)
+}
+
+func membershipSeed(id string) uint64 {
+	return uint64(membership.HashID(id))
+}
+
+func serverOptions(creds grpc.ServerOption) []grpc.ServerOption {
+	return []grpc.ServerOption{
+		creds,
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
+		grpc.ReadBufferSize(connBuffer),
+		grpc.WriteBufferSize(connBuffer),
+		grpc.MaxRecvMsgSize(maxMessageBytes),
+	}
+}
+
+// Serve runs the node until ctx ends. It then tells the peers that the balancer has left.
+func (n *Node) Serve(ctx context.Context) error {
+	g, run := errgroup.WithContext(ctx)
+	listener := &countedListener{Listener: n.cfg.Listener, budget: n.budget}
+	g.Go(func() error { return trace.Wrap(n.server.Serve(listener), "serve control calls at %s", n.Addr()) })
+	g.Go(func() error { return n.detectLoop(run) })
+	g.Go(func() error { return n.exchangeLoop(run) })
+	g.Go(func() error { return n.pushLoop(run) })
+	g.Go(func() error { return n.fetchLoop(run) })
+	g.Go(func() error { return n.beats.run(run) })
+	g.Go(func() error { return n.selfLoop(run) })
+	g.Go(func() error {
+		<-run.Done()
+		n.leave()
+		n.server.Stop()
+		n.dialer.close()
+		return nil
+	})
+	err := g.Wait()
+	n.calls.Wait()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// leave tells some peers that this balancer has left.
+func (n *Node) leave() {
+	if n.killed.Load() {
+		return
+	}
+	n.self.update(func(m *membership.Member) { m.State = membership.StateLeft })
+	m := n.self.get()
+	n.table.Merge(m, n.cfg.Now())
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	request := n.newExchange()
+	request.Push = true
+	request.Members = membersToProto([]membership.Member{m})
+	var group sync.WaitGroup
+	for _, p := range n.pick(pushFanOut) {
+		group.Go(func() { _, _ = n.call(ctx, p, request) })
+	}
+	group.Wait()
+}
+
+// Kill closes the listener and all connections at once and tells nobody, as if the VM were gone.
+func (n *Node) Kill() {
+	n.killed.Store(true)
+	_ = n.cfg.Listener.Close()
+	n.server.Stop()
+	n.dialer.close()
+}
+
+// Addr returns the address at which the node listens.
+func (n *Node) Addr() net.Addr {
+	return n.cfg.Listener.Addr()
+}
+
+// Table returns the members known to the node.
+func (n *Node) Table() *membership.Table {
+	return n.table
+}
+
+// Self returns the balancer's own record.
+func (n *Node) Self() membership.Member {
+	return n.self.get()
+}
+
+// Update changes the balancer's own record, for example to the state draining, and spreads it.
+func (n *Node) Update(f func(m *membership.Member)) {
+	n.self.update(f)
+	n.table.Merge(n.self.get(), n.cfg.Now())
+}
+
+// Confirm notes that the packet path of this balancer uses the revision.
+func (n *Node) Confirm(revision uint64) {
+	n.acks.Set(n.cfg.Self.ID, revision)
+}
+
+// InForce returns how many of the m live balancers are known to use the revision or a higher one.
+func (n *Node) InForce(revision uint64) (count, m int) {
+	return n.acks.InForce(revision, n.table.Balancers())
+}
+
+// SharesChanged makes the node send the effective shares to agents again.
+func (n *Node) SharesChanged() {
+	n.changes.notify()
+}
+
+// adopted takes in a revision that this balancer has adopted; pushLoop tells the neighbours.
+func (n *Node) adopted(r resource.Revision) {
+	defer n.changes.notify()
+	if r.Number == 0 {
+		return
+	}
+	if err := n.history.add(r); err != nil {
+		n.cfg.Log.Error().Err(err).Str("op", "encode revision").Uint64("revision", r.Number).Send()
+	}
+}
+
+// selfLoop keeps the balancer's record in the table and its heartbeats on the right watchers.
+func (n *Node) selfLoop(ctx context.Context) error {
+	changes, cancel := n.table.Subscribe()
+	defer cancel()
+	for {
+		n.defend()
+		n.beats.follow(n.watcherAddrs(n.self.get()))
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changes:
+		}
+		sleep(ctx, gatherTime)
+	}
+}
+
+// defend refutes a record of this balancer that isn't true.
+func (n *Node) defend() {
+	seen, ok := n.table.Get(n.cfg.Self.ID)
+	if !ok {
+		n.table.Merge(n.self.get(), n.cfg.Now())
+		return
+	}
+	if seen.Incarnation > n.cfg.Self.Incarnation {
+		n.cfg.Log.Error().Str("op", "announce").Str("reason", "another process uses this name").Uint64("incarnation", seen.Incarnation).Send()
+		return
+	}
+	if n.self.refute(seen) {
+		n.cfg.Log.Warn().Str("op", "announce").Str("reason", "held for "+seen.State.String()).Msg("refuted")
+		n.table.Merge(n.self.get(), n.cfg.Now())
+	}
+}
+
+// watcherAddrs returns the control addresses of a member's watchers.
+func (n *Node) watcherAddrs(m membership.Member) []string {
+	var addrs []string
+	for _, id := range membership.Watchers(&m, n.table.Balancers()) {
+		if b, ok := n.table.Get(id); ok && b.ControlAddr != "" {
+			addrs = append(addrs, b.ControlAddr)
+		}
+	}
+	return addrs
+}
--- /dev/null
+++ b/pkg/peer/session.go
@@ -0,0 +1,273 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/auburnwood/auburnwood/pkg/membership"
+	"github.com/auburnwood/auburnwood/pkg/peer/peerpb"
+)
+
+// Numbers of a session.
+const (
+	// watchCount is the number of balancers from which an agent takes the views of its service.
+	watchCount = 2
+	// announceCount is the number of balancers that an agent announces a change to.
+	announceCount = 2
+)
+
+// Session is the control side of an agent: it announces the agent, sends heartbeats to its watchers and takes the views
+// of its service from two balancers.
+type Session struct {
+	cfg    SessionConfig
+	self   *self
+	budget *budget
+	dialer *dialer
+	beats  *heartbeater
+	state  *serviceState
+
+	mu sync.Mutex
+	// known are control addresses of balancers that were named by others, newest first.
+	known   []string
+	watches map[string]context.CancelFunc
+	// blocked says until when no stream of views is opened to a balancer, because one failed.
+	blocked map[string]time.Time
+	// changed is set when the watchers or the known balancers changed.
+	changed chan struct{}
+	group   sync.WaitGroup
+	// killed is set when the session ends without telling the balancers.
+	killed atomic.Bool
+}
+
+// maxKnown bounds the number of addresses that a session remembers besides its seeds.
+const maxKnown = 16
+
+// NewSession returns a session that doesn't run yet. It returns an error when the record isn't complete or the
+// certificates can't be read.
+func NewSession(cfg SessionConfig) (*Session, error) {
+	cfg = cfg.withDefaults()
+	if cfg.Self.ID == "" || cfg.Self.Incarnation == 0 || cfg.Self.Service == "" || !cfg.Self.PacketAddr.IsValid() {
+		return nil, trace.BadParameter("session needs an ID, an incarnation, a service and a packet address")
+	}
+	if len(cfg.Seeds) == 0 || cfg.OnView == nil {
+		return nil, trace.BadParameter("session needs the address of a balancer and a receiver of views")
+	}
+	creds, err := newCredentials(cfg.TLS, cfg.Log)
+	if err != nil {
+		return nil, err
+	}
+	s := &Session{
+		cfg:     cfg,
+		self:    newSelf(cfg.Self, cfg.Now),
+		budget:  newBudget(cfg.BytesPerSecond, cfg.Now, cfg.Metrics),
+		state:   newServiceState(cfg),
+		watches: make(map[string]context.CancelFunc),
+		blocked: make(map[string]time.Time),
+		changed: make(chan struct{}, 1),
+	}
+	s.dialer = newDialer(creds, s.budget)
+	s.beats = newHeartbeater(s.self, s.dialer, cfg.HeartbeatInterval, cfg.Log)
+	s.beats.load = cfg.Load
+	s.beats.announce = s.announceTo
+	s.beats.watchers = s.learnWatchers
+	return s, nil
+}
+
+// RunSession makes a session and runs it until ctx ends.
+func RunSession(ctx context.Context, cfg SessionConfig) error {
+	s, err := NewSession(cfg)
+	if err != nil {
+		return err
+	}
+	return s.Run(ctx)
+}
+
+// Self returns the agent's own record.
+func (s *Session) Self() membership.Member {
+	return s.self.get()
+}
+
+// Drain makes the agent draining; that is final.
+func (s *Session) Drain() {
+	s.self.update(func(m *membership.Member) { m.State = membership.StateDraining })
+}
+
+// Update changes what the agent announces, for example its slots.
+func (s *Session) Update(f func(m *membership.Member)) {
+	s.self.update(f)
+}
+
+// Mirror hands refusal records to a balancer. It tries the balancers in turn and returns an error when none took them.
+func (s *Session) Mirror(ctx context.Context, records []byte) error {
+	request := &peerpb.MirrorRefusalsRequest{Id: s.cfg.Self.ID, Records: records}
+	err := error(trace.NotFound("no balancer is known"))
+	for _, addr := range s.addrs() {
+		if err = mirrorTo(ctx, s.dialer, addr, request); err == nil {
+			return nil
+		}
+	}
+	return trace.Wrap(err, "mirror refusal records")
+}
+
+// Run runs the session until ctx ends. It then tells the balancers that the agent has left.
+func (s *Session) Run(ctx context.Context) error {
+	g, run := errgroup.WithContext(ctx)
+	g.Go(func() error { return s.announceLoop(run) })
+	g.Go(func() error { return s.watchLoop(run) })
+	g.Go(func() error { return s.joinLoop(run) })
+	g.Go(func() error { return s.beats.run(run) })
+	_ = g.Wait()
+	s.leave()
+	s.group.Wait()
+	s.dialer.close()
+	return nil
+}
+
+// Kill closes all connections at once and tells nobody, as if the VM were gone. End Run's context after it.
+func (s *Session) Kill() {
+	s.killed.Store(true)
+	s.dialer.close()
+}
+
+// joinLoop makes the agent active once it has been joining for the set time and a balancer has its record.
+func (s *Session) joinLoop(ctx context.Context) error {
+	sleep(ctx, s.cfg.JoinTime)
+	for ctx.Err() == nil && len(s.beats.addrs()) == 0 {
+		sleep(ctx, streamRetry)
+	}
+	if ctx.Err() != nil {
+		return nil
+	}
+	s.self.update(func(m *membership.Member) {
+		if m.State == membership.StateJoining {
+			m.State = membership.StateActive
+			m.ActiveSince = s.cfg.Now()
+		}
+	})
+	return nil
+}
+
+// announceLoop announces each change of the record to two balancers, until it is taken.
+func (s *Session) announceLoop(ctx context.Context) error {
+	pause := streamRetry
+	for ctx.Err() == nil {
+		if s.announceAll(ctx) == 0 {
+			s.cfg.Log.Warn().Str("op", "announce").Str("reason", "no balancer answered").Send()
+			sleep(ctx, jitter(pause))
+			pause = min(pause*2, streamRetryMax)
+			continue
+		}
+		pause = streamRetry
+		select {
+		case <-ctx.Done():
+		case <-s.self.changed:
+		}
+	}
+	return nil
+}
+
+// announceAll announces the record to up to two balancers and returns the number of those that took it.
+func (s *Session) announceAll(ctx context.Context) int {
+	taken := 0
+	for _, addr := range s.addrs() {
+		if taken == announceCount {
+			break
+		}
+		reply, err := announce(ctx, s.dialer, s.self, addr)
+		if err != nil {
+			s.cfg.Log.Debug().Err(err).Str("op", "announce").Str("peer", addr).Send()
+			continue
+		}
+		taken++
+		s.learn(reply)
+	}
+	return taken
+}
+
+// announceTo hands the record to a watcher that asked for it.
+func (s *Session) announceTo(ctx context.Context, addr string) {
+	reply, err := announce(ctx, s.dialer, s.self, addr)
+	if err != nil {
+		s.cfg.Log.Debug().Err(err).Str("op", "announce").Str("peer", addr).Send()
+		return
+	}
+	s.refute(reply)
+}
+
+func (s *Session) refute(reply *peerpb.AnnounceReply) {
+	seen := memberFromProto(reply.GetMember())
+	if s.self.refute(seen) {
+		s.cfg.Log.Warn().Str("op", "announce").Str("reason", "held for "+seen.State.String()).Msg("refuted")
+	}
+}
+
+// learn takes over what a balancer answered to the announcement.
+func (s *Session) learn(reply *peerpb.AnnounceReply) {
+	s.refute(reply)
+	s.mu.Lock()
+	s.known = addrsBefore(reply.GetPeers(), s.known)
+	s.mu.Unlock()
+	if len(reply.GetWatchers()) > 0 {
+		s.beats.follow(reply.GetWatchers())
+	}
+	s.notify()
+}
+
+func (s *Session) notify() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// addrsBefore returns the addresses of both lists without doubles, at most maxKnown.
+func addrsBefore(first, then []string) []string {
+	all := make([]string, 0, len(first)+len(then))
+	for _, addr := range append(slices.Clone(first), then...) {
+		if addr != "" && !slices.Contains(all, addr) {
+			all = append(all, addr)
+		}
+	}
+	return all[:min(len(all), maxKnown)]
+}
+
+// addrs returns the addresses to call in the order of preference: watchers, known balancers, seeds.
+func (s *Session) addrs() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seeds := slices.Clone(s.cfg.Seeds)
+	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	all := s.beats.addrs()
+	for _, addr := range append(slices.Clone(s.known), seeds...) {
+		if !slices.Contains(all, addr) {
+			all = append(all, addr)
+		}
+	}
+	return all
+}
+
+// leave tells two balancers that the agent has left.
+func (s *Session) leave() {
+	if s.killed.Load() {
+		return
+	}
+	s.self.update(func(m *membership.Member) { m.State = membership.StateLeft })
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	taken := 0
+	for _, addr := range s.addrs() {
+		if taken == announceCount || ctx.Err() != nil {
+			return
+		}
+		if _, err := announce(ctx, s.dialer, s.self, addr); err == nil {
+			taken++
+		}
+	}
+}
