--- /dev/null
+++ b/pkg/objectapi/informer_test.go
@@ -0,0 +1,150 @@
+package objectapi_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwood/auburnwood/internal/standin/store"
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
+)
+
+// picture is what a follower of a kind believes; it notes any version that falls.
+type picture struct {
+	versions map[string]uint64
+	reached  uint64
+	fell     bool
+}
+
+func (p *picture) batch(events []objectapi.Event, version uint64) {
+	for _, e := range events {
+		p.fell = p.fell || e.Object.Version < p.reached
+		p.reached = e.Object.Version
+		if e.Type == objectapi.EventDelete {
+			delete(p.versions, e.Object.Name)
+			continue
+		}
+		p.versions[e.Object.Name] = e.Object.Version
+	}
+	p.fell = p.fell || version < p.reached
+	p.reached = version
+}
+
+// TestInformerUnderFaults changes objects of two kinds under a random mix of faults; the picture must end exact.
+func TestInformerUnderFaults(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { informerRun(t, seed) })
+		})
+	}
+}
+
+func informerRun(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	mem := store.New(store.Config{Seed: seed, History: 20, WatchWait: 5 * time.Second})
+	p := &picture{versions: make(map[string]uint64)}
+	in := objectapi.NewInformer(mem, kind, objectapi.InformerConfig{}, p.batch)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- in.Run(ctx) }()
+	for range 400 {
+		if rng.IntN(20) == 0 {
+			mem.SetFaults(randomFaults(rng))
+		}
+		if rng.IntN(50) == 0 {
+			mem.CutHistory()
+		}
+		change(t, mem, rng)
+		time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+	}
+	mem.SetFaults(store.Faults{})
+	time.Sleep(time.Minute)
+	cancel()
+	require.ErrorIs(t, <-done, context.Canceled)
+	require.False(t, p.fell)
+	items, _, err := mem.List(t.Context(), kind)
+	require.NoError(t, err)
+	want := make(map[string]uint64)
+	for _, o := range items {
+		want[o.Name] = o.Version
+	}
+	require.True(t, maps.Equal(want, p.versions), "want %v, got %v", want, p.versions)
+	require.Greater(t, in.Stats().Lists, uint64(1))
+}
+
+func randomFaults(rng *rand.Rand) store.Faults {
+	return store.Faults{
+		Outage:    rng.IntN(4) == 0,
+		Latency:   time.Duration(rng.IntN(100)) * time.Millisecond,
+		Jitter:    time.Second,
+		Duplicate: rng.IntN(5),
+		HoldKinds: map[objectapi.Kind]time.Duration{kind: time.Duration(rng.IntN(2000)) * time.Millisecond},
+	}
+}
+
+// change creates, updates or deletes one object, or leaves it when the store refuses.
+func change(t *testing.T, mem *store.Store, rng *rand.Rand) {
+	k := []objectapi.Kind{kind, "other"}[rng.IntN(2)]
+	name := string(rune('a' + rng.IntN(6)))
+	o, err := mem.Get(t.Context(), k, name)
+	if err != nil {
+		_, _ = mem.Create(t.Context(), k, name, nil)
+		return
+	}
+	if rng.IntN(3) == 0 {
+		_ = mem.Delete(t.Context(), k, name, o.Version)
+		return
+	}
+	_, _ = mem.Update(t.Context(), o)
+}
+
+// TestInformerLeavesOlderAnswersOut puts an older store in place of the one that was followed.
+func TestInformerLeavesOlderAnswersOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		current, older := store.New(store.Config{}), store.New(store.Config{})
+		for i := range 5 {
+			_, err := current.Create(t.Context(), kind, fmt.Sprint(i), nil)
+			require.NoError(t, err)
+		}
+		_, err := older.Create(t.Context(), kind, "0", nil)
+		require.NoError(t, err)
+		s := &switching{}
+		s.now.Store(current)
+		p := &picture{versions: make(map[string]uint64)}
+		in := objectapi.NewInformer(s, kind, objectapi.InformerConfig{}, p.batch)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- in.Run(ctx) }()
+		time.Sleep(time.Second)
+		s.now.Store(older)
+		current.CutHistory()
+		time.Sleep(5 * time.Minute)
+		cancel()
+		<-done
+		require.Len(t, p.versions, 5)
+		require.False(t, p.fell)
+		require.NotZero(t, in.Stats().Regressions)
+		require.EqualValues(t, 5, in.Stats().Version)
+	})
+}
+
+// switching is a store that is replaced during a test; only the calls of an informer are answered.
+type switching struct {
+	objectapi.Store
+	now atomic.Pointer[store.Store]
+}
+
+func (s *switching) List(ctx context.Context, k objectapi.Kind) ([]objectapi.Object, uint64, error) {
+	return s.now.Load().List(ctx, k)
+}
+
+func (s *switching) Watch(ctx context.Context, k objectapi.Kind, from uint64) ([]objectapi.Event, uint64, error) {
+	return s.now.Load().Watch(ctx, k, from)
+}
