--- a/pkg/balancerd/store.go
+++ b/pkg/balancerd/store.go
@@ -11,7 +11,7 @@
 func newStore(s settings.ObjectAPI, scope tally.Scope) objectapi.Store {
 	client := objectapi.NewClient(s.URL, objectapi.Options{CallTimeout: s.Timeout.Duration()})
 	return objectapi.NewBudgeted(client, objectapi.BudgetConfig{
-		Rate:  s.ReadsPerSecond + s.WritesPerSecond,
+		Rate:  s.CallsPerSecond,
 		Burst: s.Burst,
 		Scope: scope,
 	})
