Add control calls between agents and balancers

A Node serves agents and exchanges members, revisions and acknowledgements with neighbours; a Session announces an agent and joins the views of two balancers. go test -race ./pkg/peer passes (19 s, 4 and 5 nodes on loopback).

--- a/pkg/membership/digest.go
+++ b/pkg/membership/digest.go
@@ -148,7 +148,7 @@
 		differing, wanted := t.compare(s)
 		want = append(want, wanted...)
 		for _, e := range differing {
-			size += recordSize(&e.member)
+			size += RecordSize(&e.member)
 			if len(members) > 0 && size > maxBytes {
 				return members, want
 			}
@@ -187,7 +187,7 @@
 		if !ok {
 			continue
 		}
-		size += recordSize(&e.member)
+		size += RecordSize(&e.member)
 		if len(members) > 0 && size > maxBytes {
 			return members
 		}
@@ -196,7 +196,7 @@
 	return members
 }
 
-// recordSize is an upper bound of the size of a record on the wire, in bytes.
-func recordSize(m *Member) int {
+// RecordSize is an upper bound of the size of a record on the wire, in bytes.
+func RecordSize(m *Member) int {
 	return recordOverhead + len(m.ID) + len(m.Region) + len(m.DataCentre) + len(m.ControlAddr) + len(m.Service) + len(m.Version)
 }
--- a/pkg/membership/member.go
+++ b/pkg/membership/member.go
@@ -59,6 +59,20 @@
 	return m.State != 0 && !m.State.Gone()
 }
 
+// Valid reports whether the record may be merged: it has a name, an incarnation, a known role and a known state.
+func (m *Member) Valid() bool {
+	if m.ID == "" || m.Incarnation == 0 {
+		return false
+	}
+	if m.Role != RoleAgent && m.Role != RoleBalancer {
+		return false
+	}
+	if m.State < StateJoining || m.State > StateLeft {
+		return false
+	}
+	return m.Final == 0 || m.Final == StateDraining || m.Final == StateLeft
+}
+
 // normalise makes State and Final agree and brings the times into a form that can be compared.
 func (m *Member) normalise() {
 	m.ActiveSince = milliseconds(m.ActiveSince)
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -26,6 +26,8 @@
 	version     uint64
 	unreachable map[string]bool
 	subscribers map[chan struct{}]struct{}
+	// balancers is the result of Balancers; nil when it has to be made again.
+	balancers []Member
 }
 
 // NewTable returns an empty table.
@@ -42,10 +44,10 @@
 	return t
 }
 
-// Merge takes in a record and reports whether the table changed. It ignores records without a name, incarnation or
-// state, and tombstones whose lifetime is over.
+// Merge takes in a record and reports whether the table changed. It ignores records that aren't valid and
+// tombstones whose lifetime is over.
 func (t *Table) Merge(m Member, now time.Time) bool {
-	if m.ID == "" || m.Incarnation == 0 || m.State == 0 || m.State > StateLeft {
+	if !m.Valid() {
 		return false
 	}
 	m.normalise()
@@ -106,6 +108,23 @@
 	return members
 }
 
+// Balancers returns the records of all balancers, tombstones included, sorted by ID. The list is shared: don't change it.
+func (t *Table) Balancers() []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.balancers != nil {
+		return t.balancers
+	}
+	t.balancers = []Member{}
+	for _, e := range t.entries {
+		if e.member.Role == RoleBalancer {
+			t.balancers = append(t.balancers, t.export(e))
+		}
+	}
+	slices.SortFunc(t.balancers, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return t.balancers
+}
+
 // Version returns a number that rises with every change of this table; it means nothing in other processes.
 func (t *Table) Version() uint64 {
 	t.mu.Lock()
@@ -143,16 +162,19 @@
 	t.notify()
 }
 
-// SetUnreachable marks the members of a region as unreachable from here, or as reachable again.
-func (t *Table) SetUnreachable(region string, unreachable bool) {
+// SetUnreachable marks the members of a region as unreachable from here, or as reachable again, and reports whether that
+// is a change.
+func (t *Table) SetUnreachable(region string, unreachable bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.unreachable[region] == unreachable {
-		return
+		return false
 	}
 	t.unreachable[region] = unreachable
+	t.balancers = nil
 	t.version++
 	t.notify()
+	return true
 }
 
 // Subscribe returns a channel that gets a value after changes; changes that come faster than they are taken are
@@ -200,6 +222,8 @@
 func (t *Table) replace(e *entry, m Member) {
 	b := bucketOf(e.idHash)
 	t.hashes[b] ^= e.hash
+	t.forgetBalancers(&e.member)
+	t.forgetBalancers(&m)
 	e.member = m
 	e.hash = recordHash(&m)
 	t.hashes[b] ^= e.hash
@@ -207,7 +231,15 @@
 	e.modified = t.version
 }
 
+// forgetBalancers drops the cached list when a balancer's record changes.
+func (t *Table) forgetBalancers(m *Member) {
+	if m.Role == RoleBalancer {
+		t.balancers = nil
+	}
+}
+
 func (t *Table) remove(e *entry) {
+	t.forgetBalancers(&e.member)
 	b := bucketOf(e.idHash)
 	t.hashes[b] ^= e.hash
 	delete(t.buckets[b], e.idHash)
--- a/pkg/membership/table_test.go
+++ b/pkg/membership/table_test.go
@@ -44,7 +44,7 @@
 func TestDeltaKeepsByteBound(t *testing.T) {
 	a, b := NewTable(TableConfig{}), NewTable(TableConfig{})
 	for i := range 500 {
-		a.Merge(Member{ID: fmt.Sprintf("t%d", i), Incarnation: 1, Sequence: 1, State: StateActive}, testTime)
+		a.Merge(Member{ID: fmt.Sprintf("t%d", i), Role: RoleAgent, Incarnation: 1, Sequence: 1, State: StateActive}, testTime)
 	}
 	var all []uint32
 	for i := range uint32(bucketCount) {
@@ -58,9 +58,9 @@
 
 func TestTombstonesExpire(t *testing.T) {
 	table := NewTable(TableConfig{TombstoneLifetime: time.Minute})
-	dead := Member{ID: "t1", Incarnation: 1, Sequence: 1, State: StateDead, Changed: testTime}
+	dead := Member{ID: "t1", Role: RoleAgent, Incarnation: 1, Sequence: 1, State: StateDead, Changed: testTime}
 	table.Merge(dead, testTime)
-	table.Merge(Member{ID: "t2", Incarnation: 1, Sequence: 1, State: StateActive, Changed: testTime}, testTime)
+	table.Merge(Member{ID: "t2", Role: RoleAgent, Incarnation: 1, Sequence: 1, State: StateActive, Changed: testTime}, testTime)
 	empty := table.Root()
 	require.Zero(t, table.Expire(testTime.Add(time.Minute)))
 	require.Equal(t, 1, table.Expire(testTime.Add(61*time.Second)))
@@ -74,10 +74,10 @@
 	changes, cancel := table.Subscribe()
 	defer cancel()
 	for i := range 10 {
-		table.Merge(Member{ID: "t1", Incarnation: 1, Sequence: uint64(i + 1), State: StateActive}, testTime)
+		table.Merge(Member{ID: "t1", Role: RoleAgent, Incarnation: 1, Sequence: uint64(i + 1), State: StateActive}, testTime)
 	}
 	require.Len(t, changes, 1)
 	<-changes
-	require.False(t, table.Merge(Member{ID: "t1", Incarnation: 1, Sequence: 3, State: StateActive}, testTime))
+	require.False(t, table.Merge(Member{ID: "t1", Role: RoleAgent, Incarnation: 1, Sequence: 3, State: StateActive}, testTime))
 	require.Empty(t, changes)
 }
--- /dev/null
+++ b/pkg/peer/budget.go
@@ -0,0 +1,55 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
+)
+
+// DefaultBudget is the number of bytes a second that control traffic of one process may take on average, both
+// directions together.
+const DefaultBudget = 12 << 10
+
+// budgetBurst is the time for which unused budget is saved up.
+const budgetBurst = 10 * time.Second
+
+// budget counts the bytes of all control connections of a process. Calls that can't wait are only counted; the exchange
+// of records waits while the budget is overdrawn.
+type budget struct {
+	limiter  *rate.Limiter
+	burst    int
+	now      func() time.Time
+	sent     tally.Counter
+	received tally.Counter
+	overdraw tally.Gauge
+}
+
+func newBudget(bytesPerSecond int, now func() time.Time, metrics tally.Scope) *budget {
+	burst := bytesPerSecond * int(budgetBurst/time.Second)
+	return &budget{
+		limiter:  rate.NewLimiter(rate.Limit(bytesPerSecond), burst),
+		burst:    burst,
+		now:      now,
+		sent:     metrics.Counter("control_bytes_sent"),
+		received: metrics.Counter("control_bytes_received"),
+		overdraw: metrics.Gauge("control_bytes_available"),
+	}
+}
+
+// take counts bytes that were sent or received.
+func (b *budget) take(n int) {
+	now := b.now()
+	for n > 0 {
+		part := min(n, b.burst)
+		b.limiter.ReserveN(now, part)
+		n -= part
+	}
+}
+
+// available returns the number of bytes that may be spent now; it isn't positive while the budget is overdrawn.
+func (b *budget) available() int {
+	tokens := b.limiter.TokensAt(b.now())
+	b.overdraw.Update(tokens)
+	return int(tokens)
+}
--- /dev/null
+++ b/pkg/peer/control_heartbeat.go
@@ -0,0 +1,95 @@
+package peer
+
+import (
+	"errors"
+	"io"
+	"slices"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/auburnwood/auburnwood/pkg/membership"
+	"github.com/auburnwood/auburnwood/pkg/peer/peerpb"
+)
+
+// beatStream is what a watcher keeps for one heartbeat stream.
+type beatStream struct {
+	node                  *Node
+	id                    string
+	incarnation, sequence uint64
+	version               uint64
+	watchers              []string
+}
+
+// Heartbeat implements peerpb.ControlServer.
+func (c *control) Heartbeat(s peerpb.Control_HeartbeatServer) error {
+	b := &beatStream{node: c.node}
+	for {
+		r, err := s.Recv()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			b.broken()
+			return err
+		}
+		reply, err := b.take(r)
+		if err != nil {
+			return err
+		}
+		if reply == nil {
+			continue
+		}
+		if err := s.Send(reply); err != nil {
+			return err
+		}
+	}
+}
+
+// broken notes that the stream ended without a good-bye: the process is likely gone.
+func (b *beatStream) broken() {
+	if b.id != "" {
+		b.node.detector.Refused(b.id, b.incarnation)
+	}
+}
+
+// take notes a heartbeat and returns what there is to say, or nil.
+func (b *beatStream) take(r *peerpb.HeartbeatRequest) (*peerpb.HeartbeatReply, error) {
+	if r.GetId() != "" {
+		b.id = r.GetId()
+	}
+	if b.id == "" {
+		return nil, status.Error(codes.InvalidArgument, "heartbeat: the first message names no process")
+	}
+	if r.GetIncarnation() != 0 {
+		b.incarnation, b.sequence = r.GetIncarnation(), r.GetSequence()
+	}
+	b.node.detector.Heartbeat(b.id, b.incarnation, b.node.cfg.Now())
+	return b.reply(), nil
+}
+
+func (b *beatStream) reply() *peerpb.HeartbeatReply {
+	version := b.node.table.Version()
+	m, ok := b.node.table.Get(b.id)
+	if !ok || b.outdated(&m) {
+		return &peerpb.HeartbeatReply{Announce: true}
+	}
+	if version == b.version {
+		return nil
+	}
+	b.version = version
+	watchers := b.node.watcherAddrs(m)
+	if slices.Equal(watchers, b.watchers) {
+		return nil
+	}
+	b.watchers = watchers
+	return &peerpb.HeartbeatReply{Watchers: watchers}
+}
+
+// outdated reports whether the record held here isn't the one that the sender announced last.
+func (b *beatStream) outdated(m *membership.Member) bool {
+	if m.Incarnation != b.incarnation {
+		return m.Incarnation < b.incarnation
+	}
+	return m.Sequence < b.sequence || m.State == membership.StateDead
+}
--- /dev/null
+++ b/pkg/peer/control_watch.go
@@ -0,0 +1,135 @@
+package peer
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/auburnwood/auburnwood/pkg/membership"
+	"github.com/auburnwood/auburnwood/pkg/peer/peerpb"
+	"github.com/auburnwood/auburnwood/pkg/resource"
+)
+
+// WatchService implements peerpb.ControlServer.
+func (c *control) WatchService(r *peerpb.WatchServiceRequest, s peerpb.Control_WatchServiceServer) error {
+	if r.GetService() == "" {
+		return status.Error(codes.InvalidArgument, "watch service: no service named")
+	}
+	n := c.node
+	changes, cancel := n.table.Subscribe()
+	defer cancel()
+	revisions, stop := n.changes.subscribe()
+	defer stop()
+	w := &serviceWatch{node: n, service: r.GetService(), sent: make(map[string]sentConfig)}
+	for {
+		if u := w.next(); u != nil {
+			if err := s.Send(u); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-s.Context().Done():
+			return nil
+		case <-changes:
+		case <-revisions:
+		}
+	}
+}
+
+// sentConfig is what a stream has sent of a service.
+type sentConfig struct {
+	spec   []byte
+	shares []byte
+}
+
+// serviceWatch is the state of one stream of a target service.
+type serviceWatch struct {
+	node     *Node
+	service  string
+	started  bool
+	version  uint64
+	revision uint64
+	sent     map[string]sentConfig
+}
+
+// next returns what has changed since the last call, or nil. The first update is a snapshot.
+func (w *serviceWatch) next() *peerpb.ServiceUpdate {
+	version := w.node.table.Version()
+	members := w.members()
+	configs, changed := w.configs()
+	r, _ := w.node.cfg.Adopter.Current()
+	w.version = version
+	if w.started && len(members) == 0 && !changed && r.Number == w.revision {
+		return nil
+	}
+	u := &peerpb.ServiceUpdate{Revision: r.Number, Snapshot: !w.started, Members: members, Configs: configs}
+	w.started = true
+	w.revision = r.Number
+	return u
+}
+
+func (w *serviceWatch) members() []*peerpb.Member {
+	var members []*peerpb.Member
+	for _, m := range w.node.table.ChangedSince(w.version) {
+		if m.Role == membership.RoleAgent && m.Service == w.service {
+			members = append(members, memberToProto(&m))
+		}
+	}
+	return members
+}
+
+// configs returns the services that the targets serve. Specifications that the stream has sent are left out.
+func (w *serviceWatch) configs() (configs []*peerpb.ServiceConfig, changed bool) {
+	r, _ := w.node.cfg.Adopter.Current()
+	names := make(map[string]bool)
+	for _, s := range r.Services {
+		if cmp.Or(s.Spec.Targets, s.Name) != w.service {
+			continue
+		}
+		names[s.Name] = true
+		config, news := w.config(s)
+		configs = append(configs, config)
+		changed = changed || news
+	}
+	for name := range w.sent {
+		if !names[name] {
+			delete(w.sent, name)
+			changed = true
+		}
+	}
+	return configs, changed
+}
+
+func (w *serviceWatch) config(s resource.ServiceConfig) (config *peerpb.ServiceConfig, changed bool) {
+	spec, err := json.Marshal(s.Spec)
+	if err != nil {
+		w.node.cfg.Log.Error().Err(err).Str("op", "encode service").Str("service", s.Name).Send()
+	}
+	last := w.sent[s.Name]
+	now := sentConfig{spec: spec, shares: w.shares(s.Name)}
+	w.sent[s.Name] = now
+	config = &peerpb.ServiceConfig{Name: s.Name, Shares: now.shares}
+	if !bytes.Equal(last.spec, now.spec) {
+		config.Spec = now.spec
+		changed = true
+	}
+	return config, changed || !bytes.Equal(last.shares, now.shares)
+}
+
+func (w *serviceWatch) shares(service string) []byte {
+	if w.node.cfg.Shares == nil {
+		return nil
+	}
+	shares := w.node.cfg.Shares(service)
+	if shares == nil {
+		return nil
+	}
+	b, err := json.Marshal(shares)
+	if err != nil {
+		w.node.cfg.Log.Error().Err(err).Str("op", "encode shares").Str("service", service).Send()
+	}
+	return b
+}
--- /dev/null
+++ b/pkg/peer/counted_conn.go
@@ -0,0 +1,55 @@
+package peer
+
+import (
+	"context"
+	"net"
+)
+
+// countedConn counts the bytes of a connection, those of TLS included.
+type countedConn struct {
+	net.Conn
+	budget *budget
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.budget.received.Inc(int64(n))
+	c.budget.take(n)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.budget.sent.Inc(int64(n))
+	c.budget.take(n)
+	return n, err
+}
+
+// countedListener counts the bytes of the connections that it accepts.
+type countedListener struct {
+	net.Listener
+	budget *budget
+}
+
+// Accept implements net.Listener.
+func (l *countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: c, budget: l.budget}, nil
+}
+
+// dialCounted returns a dialer whose connections are counted.
+func dialCounted(b *budget) func(context.Context, string) (net.Conn, error) {
+	var d net.Dialer
+	return func(ctx context.Context, addr string) (net.Conn, error) {
+		c, err := d.DialContext(ctx, "tcp", addr)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: c, budget: b}, nil
+	}
+}
--- /dev/null
+++ b/pkg/peer/dialer.go
@@ -0,0 +1,71 @@
+package peer
+
+import (
+	"sync"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/auburnwood/auburnwood/pkg/peer/peerpb"
+)
+
+// dialer keeps one connection to each balancer that is called. gRPC closes a connection that isn't used.
+type dialer struct {
+	credentials credentials.TransportCredentials
+	budget      *budget
+
+	mu     sync.Mutex
+	conns  map[string]*grpc.ClientConn
+	closed bool
+}
+
+func newDialer(c credentials.TransportCredentials, b *budget) *dialer {
+	return &dialer{credentials: c, budget: b, conns: make(map[string]*grpc.ClientConn)}
+}
+
+// client returns the control calls of the balancer at addr. It doesn't wait for the connection.
+func (d *dialer) client(addr string) (peerpb.ControlClient, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return nil, trace.ConnectionProblem(nil, "connect to peer %s: the process is ending", addr)
+	}
+	if c, ok := d.conns[addr]; ok {
+		return peerpb.NewControlClient(c), nil
+	}
+	c, err := grpc.NewClient("passthrough:///"+addr, d.options()...)
+	if err != nil {
+		return nil, trace.Wrap(err, "connect to peer %s", addr)
+	}
+	d.conns[addr] = c
+	return peerpb.NewControlClient(c), nil
+}
+
+func (d *dialer) options() []grpc.DialOption {
+	retry := backoff.Config{BaseDelay: streamRetry, Multiplier: 2, Jitter: 0.2, MaxDelay: streamRetryMax}
+	return []grpc.DialOption{
+		grpc.WithTransportCredentials(d.credentials),
+		grpc.WithContextDialer(dialCounted(d.budget)),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: retry, MinConnectTimeout: callTimeout}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
+		grpc.WithIdleTimeout(idleTimeout),
+		grpc.WithReadBufferSize(connBuffer),
+		grpc.WithWriteBufferSize(connBuffer),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		grpc.WithUserAgent(""),
+	}
+}
+
+// close ends all connections; no new one is made.
+func (d *dialer) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.conns {
+		_ = c.Close()
+	}
+	clear(d.conns)
+	d.closed = true
+}
--- /dev/null
+++ b/pkg/peer/heartbeater.go
@@ -0,0 +1,202 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/auburnwood/auburnwood/pkg/membership"
+	"github.com/auburnwood/auburnwood/pkg/peer/peerpb"
+)
+
+// heartbeater keeps one heartbeat stream to each watcher of this process.
+type heartbeater struct {
+	self     *self
+	dialer   *dialer
+	interval time.Duration
+	load     func() uint32
+	log      zerolog.Logger
+	// announce is called when a watcher asks for the record of this process.
+	announce func(ctx context.Context, addr string)
+	// watchers, when not nil, is called when a watcher names other watchers.
+	watchers func(addrs []string)
+
+	mu      sync.Mutex
+	wanted  []string
+	changed chan struct{}
+}
+
+func newHeartbeater(s *self, d *dialer, interval time.Duration, log zerolog.Logger) *heartbeater {
+	return &heartbeater{self: s, dialer: d, interval: interval, log: log, changed: make(chan struct{}, 1)}
+}
+
+func (h *heartbeater) loadNow() uint32 {
+	if h.load == nil {
+		return 0
+	}
+	return h.load()
+}
+
+// follow sets the addresses of the watchers.
+func (h *heartbeater) follow(addrs []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.wanted = slices.Clone(addrs)
+	select {
+	case h.changed <- struct{}{}:
+	default:
+	}
+}
+
+// addrs returns the addresses of the watchers.
+func (h *heartbeater) addrs() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.wanted)
+}
+
+// run keeps the streams until ctx ends, and returns when all have ended.
+func (h *heartbeater) run(ctx context.Context) error {
+	var group sync.WaitGroup
+	defer group.Wait()
+	streams := make(map[string]context.CancelFunc)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-h.changed:
+		}
+		h.reconcile(ctx, streams, &group)
+	}
+}
+
+// reconcile starts streams to new addresses and ends those to addresses that are no longer wanted.
+func (h *heartbeater) reconcile(ctx context.Context, streams map[string]context.CancelFunc, group *sync.WaitGroup) {
+	wanted := h.addrs()
+	for addr, cancel := range streams {
+		if !slices.Contains(wanted, addr) {
+			cancel()
+			delete(streams, addr)
+		}
+	}
+	for _, addr := range wanted {
+		if _, ok := streams[addr]; ok || addr == "" {
+			continue
+		}
+		stop, cancel := context.WithCancel(ctx)
+		streams[addr] = cancel
+		group.Go(func() {
+			defer cancel()
+			h.keep(stop, addr)
+		})
+	}
+}
+
+// keep keeps a stream to one watcher until stop ends.
+func (h *heartbeater) keep(stop context.Context, addr string) {
+	pause := streamRetry
+	for stop.Err() == nil {
+		start := time.Now()
+		err := h.stream(stop, addr)
+		if stop.Err() != nil {
+			return
+		}
+		if time.Since(start) > streamRetryMax {
+			pause = streamRetry
+		}
+		h.log.Debug().Err(err).Str("op", "heartbeat").Str("peer", addr).Msg("stream ended")
+		sleep(stop, jitter(pause))
+		pause = min(pause*2, streamRetryMax)
+	}
+}
+
+// stream sends heartbeats until the stream breaks or stop ends; then it closes the stream in an orderly way, so that the
+// watcher doesn't take the end for a failure.
+func (h *heartbeater) stream(stop context.Context, addr string) error {
+	client, err := h.dialer.client(addr)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
+	defer cancel()
+	s, err := client.Heartbeat(ctx)
+	if err != nil {
+		return err
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- h.receive(ctx, s, addr) }()
+	ticker := time.NewTicker(h.interval)
+	defer ticker.Stop()
+	sent := membership.Member{}
+	for {
+		m := h.self.get()
+		if err := s.Send(h.beat(m, sent)); err != nil {
+			return err
+		}
+		sent = m
+		select {
+		case err := <-failed:
+			return err
+		case <-ticker.C:
+		case <-stop.Done():
+			_ = s.CloseSend()
+			waitFor(failed, callTimeout)
+			return nil
+		}
+	}
+}
+
+// beat returns a heartbeat; what the watcher knows from the stream's last message is left out.
+func (h *heartbeater) beat(m, sent membership.Member) *peerpb.HeartbeatRequest {
+	r := &peerpb.HeartbeatRequest{Load: h.loadNow()}
+	if sent.ID != "" && sent.Sequence == m.Sequence {
+		return r
+	}
+	r.Incarnation, r.Sequence = m.Incarnation, m.Sequence
+	if sent.ID == "" {
+		r.Id = m.ID
+	}
+	return r
+}
+
+func (h *heartbeater) receive(ctx context.Context, s peerpb.Control_HeartbeatClient, addr string) error {
+	for {
+		r, err := s.Recv()
+		if err != nil {
+			return err
+		}
+		if r.GetAnnounce() {
+			h.announce(ctx, addr)
+		}
+		if len(r.GetWatchers()) > 0 && h.watchers != nil {
+			h.watchers(r.GetWatchers())
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func waitFor(c <-chan error, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-c:
+	case <-t.C:
+	}
+}
+
+// jitter returns a time between half and the whole of d.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d/2+1)
+}
--- /dev/null
+++ b/pkg/peer/node_exchange.go
@@ -0,0 +1,203 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/encoding/gzip"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/auburnwood/auburnwood/pkg/membership"
+	"github.com/auburnwood/auburnwood/pkg/peer/peerpb"
+)
+
+// exchangeLoop compares tables with a few neighbours in each interval, as far as the byte budget allows.
+func (n *Node) exchangeLoop(ctx context.Context) error {
+	n.joinPeers(ctx)
+	for {
+		sleep(ctx, n.jitter(n.cfg.ExchangeInterval))
+		if ctx.Err() != nil {
+			return nil
+		}
+		if n.budget.available() <= 0 {
+			n.metrics.skipped.Inc(1)
+			continue
+		}
+		for _, p := range n.partners() {
+			n.exchange(ctx, p, maxCompareBytes)
+		}
+	}
+}
+
+// jitter returns d with up to 20% more or less, so that the balancers' rounds don't fall together.
+func (n *Node) jitter(d time.Duration) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return d*8/10 + time.Duration(n.random.Int64N(int64(d)*4/10+1))
+}
+
+// joinPeers takes the members of the first peer that answers, beyond the byte budget: a newcomer needs them all.
+func (n *Node) joinPeers(ctx context.Context) {
+	for _, p := range append(n.seeds(), n.pick(pushFanOut)...) {
+		if n.exchange(ctx, p, maxJoinBytes) {
+			return
+		}
+	}
+}
+
+// seeds returns the configured addresses as peers whose ID isn't known.
+func (n *Node) seeds() []membership.Member {
+	var seeds []membership.Member
+	for _, addr := range n.cfg.Seeds {
+		if addr != n.self.get().ControlAddr {
+			seeds = append(seeds, membership.Member{ControlAddr: addr})
+		}
+	}
+	return seeds
+}
+
+// partners returns the peers of one round: some neighbours, and now and then a peer that was lost.
+func (n *Node) partners() []membership.Member {
+	partners := n.pick(exchangeFanOut)
+	lost := n.lost()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(lost) == 0 || len(partners) > 0 && n.random.IntN(lostPeerOdds) > 0 {
+		return partners
+	}
+	return append(partners, lost[n.random.IntN(len(lost))])
+}
+
+// lost returns the balancers that are held for dead, and the seeds.
+func (n *Node) lost() []membership.Member {
+	lost := n.seeds()
+	for _, b := range n.table.Balancers() {
+		if b.State == membership.StateDead && b.ControlAddr != "" {
+			lost = append(lost, b)
+		}
+	}
+	return lost
+}
+
+// pick returns up to count random neighbours.
+func (n *Node) pick(count int) []membership.Member {
+	m := n.self.get()
+	neighbours := membership.Neighbours(&m, n.table.Balancers())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.random.Shuffle(len(neighbours), func(i, j int) { neighbours[i], neighbours[j] = neighbours[j], neighbours[i] })
+	return neighbours[:min(count, len(neighbours))]
+}
+
+// newExchange returns a request with what this balancer knows in short.
+func (n *Node) newExchange() *peerpb.ExchangeRequest {
+	return &peerpb.ExchangeRequest{
+		Id:       n.cfg.Self.ID,
+		Root:     n.table.Root(),
+		Revision: n.cfg.Adopter.Number(),
+		AcksRoot: n.acks.Root(),
+	}
+}
+
+// exchange compares tables with a peer and reports whether the peer answered. Each of the up to three calls carries at
+// most maxBytes of records.
+func (n *Node) exchange(ctx context.Context, p membership.Member, maxBytes int) bool {
+	n.metrics.exchanges.Inc(1)
+	reply, err := n.call(ctx, p, n.newExchange())
+	n.note(p, err == nil)
+	if err != nil {
+		n.metrics.exchangeFails.Inc(1)
+		n.cfg.Log.Debug().Err(err).Str("op", "exchange").Str("peer", p.ControlAddr).Send()
+		return false
+	}
+	n.take(p, reply)
+	differing := n.table.Differing(reply.GetBuckets())
+	if len(differing) == 0 {
+		return true
+	}
+	n.shuffle(differing)
+	request := n.newExchange()
+	request.Summaries = summariesToProto(n.table.Summaries(differing, maxBytes))
+	reply, err = n.call(ctx, p, request)
+	if err != nil {
+		return true
+	}
+	n.take(p, reply)
+	n.give(ctx, p, reply.GetWant(), maxBytes)
+	return true
+}
+
+func (n *Node) shuffle(buckets []uint32) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.random.Shuffle(len(buckets), func(i, j int) { buckets[i], buckets[j] = buckets[j], buckets[i] })
+}
+
+// give sends the records that a peer asked for.
+func (n *Node) give(ctx context.Context, p membership.Member, want []uint32, maxBytes int) {
+	members := n.table.Select(want, maxBytes)
+	if len(members) == 0 {
+		return
+	}
+	request := n.newExchange()
+	request.Push = true
+	request.Members = membersToProto(members)
+	if _, err := n.call(ctx, p, request); err != nil {
+		n.cfg.Log.Debug().Err(err).Str("op", "exchange").Str("peer", p.ControlAddr).Send()
+	}
+}
+
+// take merges a reply and fetches the peer's revision when it is higher.
+func (n *Node) take(p membership.Member, reply *peerpb.ExchangeReply) {
+	n.merge(reply.GetMembers())
+	n.acks.Merge(acksFromProto(reply.GetAcks()))
+	if reply.GetRevision() > n.cfg.Adopter.Number() {
+		n.fetchSoon(p.ControlAddr)
+	}
+}
+
+// merge takes in records of a peer.
+func (n *Node) merge(members []*peerpb.Member) {
+	now := n.cfg.Now()
+	for _, p := range members {
+		if n.table.Merge(memberFromProto(p), now) {
+			n.metrics.merged.Inc(1)
+		}
+	}
+}
+
+// note tells the failure detector whether a peer could be reached.
+func (n *Node) note(p membership.Member, ok bool) {
+	now := n.cfg.Now()
+	if p.State != membership.StateDead {
+		n.detector.PeerResult(p.ControlAddr, ok, now)
+	}
+	if p.Region == "" || p.Region == n.cfg.Self.Region {
+		return
+	}
+	reachable := n.regions.Result(p.Region, ok, now)
+	if n.table.SetUnreachable(p.Region, !reachable) {
+		n.cfg.Log.Warn().Str("op", "reach region").Str("region", p.Region).Bool("reachable", reachable).Msg("members are kept as they are")
+	}
+}
+
+// call sends an exchange request; a large one is compressed.
+func (n *Node) call(ctx context.Context, p membership.Member, request *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	client, err := n.dialer.client(p.ControlAddr)
+	if err != nil {
+		return nil, err
+	}
+	var options []grpc.CallOption
+	if proto.Size(request) > compressAbove {
+		options = append(options, grpc.UseCompressor(gzip.Name))
+	}
+	reply, err := client.Exchange(ctx, request, options...)
+	if err != nil {
+		return nil, trace.Wrap(err, "exchange with peer %s at %s", p.ID, p.ControlAddr)
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/pkg/peer/node_fetch.go
@@ -0,0 +1,80 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/encoding/gzip"
+
+	"github.com/auburnwood/auburnwood/pkg/peer/peerpb"
+	"github.com/auburnwood/auburnwood/pkg/resource"
+	"github.com/auburnwood/auburnwood/pkg/revision"
+)
+
+// fetchSoon makes fetchLoop ask a peer that has a higher revision. When a fetch is under way, the next exchange brings the
+// peer up again.
+func (n *Node) fetchSoon(addr string) {
+	select {
+	case n.higher <- addr:
+	default:
+	}
+}
+
+// fetchLoop takes higher revisions from peers.
+func (n *Node) fetchLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case addr := <-n.higher:
+			n.fetch(ctx, addr)
+		}
+	}
+}
+
+func (n *Node) fetch(ctx context.Context, addr string) {
+	n.metrics.fetches.Inc(1)
+	r, err := n.fetchFrom(ctx, addr)
+	if err != nil {
+		n.cfg.Adopter.Missing(revision.SourcePeer, err.Error())
+		n.cfg.Log.Warn().Err(err).Str("op", "fetch revision").Str("peer", addr).Send()
+		return
+	}
+	n.cfg.Adopter.Offer(r, revision.SourcePeer)
+}
+
+// fetchFrom asks for the difference to the revision held here, and for the whole revision when that doesn't fit.
+func (n *Node) fetchFrom(ctx context.Context, addr string) (resource.Revision, error) {
+	have := n.cfg.Adopter.Number()
+	reply, err := n.askRevision(ctx, addr, have)
+	if err != nil {
+		return resource.Revision{}, err
+	}
+	r, err := n.history.apply(reply)
+	if err == nil || reply.GetBase() == 0 {
+		return r, err
+	}
+	if reply, err = n.askRevision(ctx, addr, 0); err != nil {
+		return resource.Revision{}, err
+	}
+	return n.history.apply(reply)
+}
+
+func (n *Node) askRevision(ctx context.Context, addr string, have uint64) (*peerpb.FetchRevisionReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	client, err := n.dialer.client(addr)
+	if err != nil {
+		return nil, err
+	}
+	var options []grpc.CallOption
+	if have == 0 {
+		options = append(options, grpc.UseCompressor(gzip.Name))
+	}
+	reply, err := client.FetchRevision(ctx, &peerpb.FetchRevisionRequest{Have: have}, options...)
+	if err != nil {
+		return nil, trace.Wrap(err, "fetch revision from peer %s", addr)
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/pkg/peer/node_push.go
@@ -0,0 +1,95 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/auburnwood/auburnwood/pkg/membership"
+	"github.com/auburnwood/auburnwood/pkg/peer/peerpb"
+)
+
+// pushLoop passes changes of the table and new revisions on to a few neighbours. A change is passed on once by each
+// balancer that learns it; the exchange repairs what the pushes miss.
+func (n *Node) pushLoop(ctx context.Context) error {
+	changes, cancel := n.table.Subscribe()
+	defer cancel()
+	revisions, stop := n.changes.subscribe()
+	defer stop()
+	n.pushed = n.table.Version()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changes:
+		case <-revisions:
+		}
+		sleep(ctx, gatherTime)
+		n.push(ctx)
+	}
+}
+
+func (n *Node) push(ctx context.Context) {
+	version := n.table.Version()
+	members := n.table.ChangedSince(n.pushed)
+	n.pushed = version
+	revision := n.cfg.Adopter.Number()
+	if len(members) == 0 && revision == n.headPushed {
+		return
+	}
+	n.headPushed = revision
+	for n.budget.available() <= 0 && ctx.Err() == nil {
+		n.metrics.skipped.Inc(1)
+		sleep(ctx, gatherTime)
+	}
+	request := n.newExchange()
+	request.Push = true
+	request.Members, request.Verdicts = splitVerdicts(members)
+	n.metrics.pushes.Inc(1)
+	for _, p := range n.pick(pushFanOut) {
+		n.calls.Go(func() { n.pushTo(ctx, p, request) })
+	}
+}
+
+func (n *Node) pushTo(ctx context.Context, p membership.Member, request *peerpb.ExchangeRequest) {
+	reply, err := n.call(ctx, p, request)
+	n.note(p, err == nil)
+	if err != nil {
+		n.cfg.Log.Debug().Err(err).Str("op", "push").Str("peer", p.ControlAddr).Send()
+		return
+	}
+	n.take(p, reply)
+}
+
+// splitVerdicts puts deaths into their short form and bounds the size of the rest.
+func splitVerdicts(members []membership.Member) (records []*peerpb.Member, verdicts []*peerpb.Verdict) {
+	size := 0
+	for i := range members {
+		m := &members[i]
+		if m.State == membership.StateDead {
+			verdicts = append(verdicts, &peerpb.Verdict{
+				Member: membership.HashID(m.ID), Incarnation: m.Incarnation, Sequence: m.Sequence, ChangedMs: timeToProto(m.Changed),
+			})
+			continue
+		}
+		size += membership.RecordSize(m)
+		if size > maxPushBytes {
+			continue
+		}
+		records = append(records, memberToProto(m))
+	}
+	return records, verdicts
+}
+
+// mergeVerdicts takes in deaths in short form. One that isn't about the record held here is left to the exchange.
+func (n *Node) mergeVerdicts(verdicts []*peerpb.Verdict) {
+	now := n.cfg.Now()
+	for _, v := range verdicts {
+		for _, m := range n.table.Select([]uint32{v.GetMember()}, 0) {
+			if m.Incarnation != v.GetIncarnation() || m.Sequence != v.GetSequence() {
+				continue
+			}
+			m.State = membership.StateDead
+			m.Changed = timeFromProto(v.GetChangedMs())
+			n.table.Merge(m, now)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/peer/service_state.go
@@ -0,0 +1,172 @@
+package peer
+
+import (
+	"encoding/json"
+	"maps"
+	"reflect"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/auburnwood/auburnwood/pkg/membership"
+	"github.com/auburnwood/auburnwood/pkg/peer/peerpb"
+	"github.com/auburnwood/auburnwood/pkg/resource"
+	"github.com/auburnwood/auburnwood/pkg/view"
+)
+
+// serviceState joins the updates that an agent gets from several balancers: the records of members merge, and of the
+// configurations the one with the highest revision counts.
+type serviceState struct {
+	now       func() time.Time
+	onView    func(*view.Service)
+	onRemoved func(string)
+
+	mu       sync.Mutex
+	table    *membership.Table
+	sources  map[string]*watchSource
+	revision uint64
+	configs  []resource.ServiceConfig
+	shares   map[string][]resource.Share
+	known    map[string]*view.Service
+}
+
+// watchSource is what one balancer's stream has sent.
+type watchSource struct {
+	members map[string]bool
+	specs   map[string]resource.ServiceSpec
+}
+
+func newServiceState(c SessionConfig) *serviceState {
+	return &serviceState{
+		now:       c.Now,
+		onView:    c.OnView,
+		onRemoved: c.OnRemoved,
+		table:     membership.NewTable(membership.TableConfig{}),
+		sources:   make(map[string]*watchSource),
+		known:     make(map[string]*view.Service),
+	}
+}
+
+// apply takes in an update of the balancer at addr.
+func (s *serviceState) apply(addr string, u *peerpb.ServiceUpdate) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	source := s.source(addr, u.GetSnapshot())
+	for _, p := range u.GetMembers() {
+		m := memberFromProto(p)
+		source.members[m.ID] = true
+		s.table.Merge(m, s.now())
+	}
+	if u.GetSnapshot() {
+		s.dropUnlisted()
+	}
+	if err := s.applyConfigs(source, u); err != nil {
+		return err
+	}
+	s.publish()
+	return nil
+}
+
+func (s *serviceState) source(addr string, snapshot bool) *watchSource {
+	source, ok := s.sources[addr]
+	if ok && !snapshot {
+		return source
+	}
+	source = &watchSource{members: make(map[string]bool), specs: make(map[string]resource.ServiceSpec)}
+	s.sources[addr] = source
+	return source
+}
+
+// forget ends the part of a balancer whose stream won't be opened again. Its members stay until a snapshot of another
+// balancer doesn't list them.
+func (s *serviceState) forget(addr string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sources, addr)
+}
+
+// dropUnlisted forgets members that no balancer lists any longer; their tombstones have expired.
+func (s *serviceState) dropUnlisted() {
+	for _, m := range s.table.Members() {
+		listed := false
+		for _, source := range s.sources {
+			listed = listed || source.members[m.ID]
+		}
+		if !listed {
+			s.table.Forget(m.ID)
+		}
+	}
+}
+
+// applyConfigs takes over the configurations unless another balancer has sent those of a higher revision.
+func (s *serviceState) applyConfigs(source *watchSource, u *peerpb.ServiceUpdate) error {
+	configs := make([]resource.ServiceConfig, 0, len(u.GetConfigs()))
+	shares := make(map[string][]resource.Share)
+	for _, p := range u.GetConfigs() {
+		spec, err := source.spec(p)
+		if err != nil {
+			return err
+		}
+		configs = append(configs, resource.ServiceConfig{Name: p.GetName(), Spec: spec})
+		if len(p.GetShares()) == 0 {
+			continue
+		}
+		var list []resource.Share
+		if err := json.Unmarshal(p.GetShares(), &list); err != nil {
+			return trace.Wrap(err, "decode shares of service %s", p.GetName())
+		}
+		shares[p.GetName()] = list
+	}
+	if u.GetRevision() < s.revision {
+		return nil
+	}
+	s.revision, s.configs, s.shares = u.GetRevision(), configs, shares
+	return nil
+}
+
+// spec returns a service's specification, which an update leaves out when the stream has sent it before.
+func (w *watchSource) spec(p *peerpb.ServiceConfig) (resource.ServiceSpec, error) {
+	if len(p.GetSpec()) == 0 {
+		spec, ok := w.specs[p.GetName()]
+		if !ok {
+			return spec, trace.NotFound("service %s came without a specification", p.GetName())
+		}
+		return spec, nil
+	}
+	var spec resource.ServiceSpec
+	if err := json.Unmarshal(p.GetSpec(), &spec); err != nil {
+		return spec, trace.Wrap(err, "decode specification of service %s", p.GetName())
+	}
+	w.specs[p.GetName()] = spec
+	return spec, nil
+}
+
+// publish reports the services whose view has changed.
+func (s *serviceState) publish() {
+	rev := resource.Revision{Number: s.revision, Services: s.configs}
+	shares := func(name string) []resource.Share { return s.shares[name] }
+	v := view.Build(rev, s.table.Members(), shares, s.now())
+	names := make(map[string]bool)
+	for _, service := range v.Services {
+		names[service.Name] = true
+		if reflect.DeepEqual(service, s.known[service.Name]) {
+			continue
+		}
+		s.known[service.Name] = service
+		s.onView(service)
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.known)) {
+		if names[name] {
+			continue
+		}
+		delete(s.known, name)
+		s.onRemoved(name)
+	}
+}
+
+// seen returns the record of a member as the balancers hold it.
+func (s *serviceState) seen(id string) (membership.Member, bool) {
+	return s.table.Get(id)
+}
--- /dev/null
+++ b/pkg/peer/session_config.go
@@ -0,0 +1,60 @@
+package peer
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/auburnwood/auburnwood/pkg/membership"
+	"github.com/auburnwood/auburnwood/pkg/view"
+)
+
+// SessionConfig holds the settings of a Session.
+type SessionConfig struct {
+	// Self is the agent's record: ID, Incarnation, Region, DataCentre, PacketAddr and Service are required, State isn't
+	// used.
+	Self membership.Member
+	// Seeds are control addresses of balancers to start from; at least one.
+	Seeds []string
+	// TLS names the files for mutual TLS; empty means plain TCP.
+	TLS TLSConfig
+	// JoinTime is how long the agent stays joining; 0 means DefaultJoinTime.
+	JoinTime time.Duration
+	// HeartbeatInterval is the time between two heartbeats; 0 means DefaultHeartbeatInterval.
+	HeartbeatInterval time.Duration
+	// Load returns the number of open flows; nil means 0.
+	Load func() uint32
+	// OnView is called with each service of the target when its view has changed, one call at a time.
+	OnView func(*view.Service)
+	// OnRemoved is called with the name of a service that the target serves no longer; may be nil.
+	OnRemoved func(service string)
+	// BytesPerSecond is the budget of control traffic; 0 means DefaultBudget. A session has no traffic that can wait, so
+	// the budget is only reported.
+	BytesPerSecond int
+	// Log takes session events.
+	Log zerolog.Logger
+	// Metrics takes the counters; nil drops them.
+	Metrics tally.Scope
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+}
+
+func (c SessionConfig) withDefaults() SessionConfig {
+	if c.Metrics == nil {
+		c.Metrics = tally.NoopScope
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.OnRemoved == nil {
+		c.OnRemoved = func(string) {}
+	}
+	c.JoinTime = cmp.Or(c.JoinTime, DefaultJoinTime)
+	c.HeartbeatInterval = cmp.Or(c.HeartbeatInterval, DefaultHeartbeatInterval)
+	c.BytesPerSecond = cmp.Or(c.BytesPerSecond, DefaultBudget)
+	c.Self.Role = membership.RoleAgent
+	c.Self.State = membership.StateJoining
+	return c
+}
