Add the caller package and the request lab

Cause: nothing compared what callers are told with what targets ran; under the first trial net/http panicked with invalid concurrent Body.Read call, as full duplex was set on requests whose body was never read. Change: pkg/caller, internal/lab/requests (stand-ins, faults, checker, baselines); full duplex only for streamed bodies, on a connection that then closes; claims carry the attempt, so that an older submission never starts after a refusal.

--- /dev/null
+++ b/internal/lab/requests/breakdown.go
@@ -0,0 +1,64 @@
+package requests
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+
+	"github.com/auburnwood/auburnwood/pkg/caller"
+)
+
+// ending is how a piece of work ended, for the printed breakdown.
+type ending struct {
+	outcome caller.Outcome
+	promise string
+	reason  string
+	gone    bool
+}
+
+func endingOf(t told) ending {
+	e := ending{outcome: t.result.Outcome, promise: promiseName(t.work), reason: t.result.Reason}
+	if t.result.Outcome == caller.OutcomeUnknown {
+		e.gone = t.work.goneAfter > 0
+	}
+	if t.result.Outcome == caller.OutcomeRan {
+		e.reason = ""
+	}
+	return e
+}
+
+func promiseName(w work) string {
+	switch {
+	case w.idem:
+		return "idempotent"
+	case w.promise == caller.PromiseTicket:
+		return "ticket"
+	case w.promise == caller.PromiseKey:
+		return "key"
+	}
+	return "plain"
+}
+
+// String is one part of a line of the breakdown.
+func (e ending) String() string {
+	s := e.outcome.String() + "/" + e.promise
+	if e.reason != "" {
+		s += "/" + e.reason
+	}
+	if e.gone {
+		s += "/caller-gone"
+	}
+	return s
+}
+
+// printEndings writes how often each ending occurred.
+func printEndings(out io.Writer, endings map[ending]int) {
+	lines := make(map[string]int)
+	for e, n := range endings {
+		lines[e.String()] += n
+	}
+	for _, text := range slices.Sorted(maps.Keys(lines)) {
+		fmt.Fprintf(out, "  %6d %s\n", lines[text], text)
+	}
+}
--- /dev/null
+++ b/internal/lab/requests/client.go
@@ -0,0 +1,74 @@
+package requests
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/caller"
+)
+
+const (
+	callerCount = 40
+	// takeAhead is the number of tickets of one call.
+	takeAhead = 4
+	// callerIdle ends idle connections, so that callers come to other agents in time.
+	callerIdle = time.Second
+)
+
+// client is a stand-in for one caller, with an address of its own on loopback.
+type client struct {
+	byService map[string]*caller.Client
+}
+
+func newClient(index int, d deployment, dialer Dialer, seed uint64) *client {
+	c := &client{byService: make(map[string]*caller.Client)}
+	addr := netip.AddrFrom4([4]byte{127, 1, byte(index >> 8), byte(index + 1)})
+	for _, s := range d {
+		t := &http.Transport{
+			DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+				return dialer.DialService(ctx, s.name, addr)
+			},
+			DisableCompression:  true,
+			MaxIdleConnsPerHost: 16,
+			IdleConnTimeout:     callerIdle,
+		}
+		c.byService[s.name] = caller.New(caller.Options{
+			Base:      "http://" + s.name,
+			Transport: &impatient{next: t},
+			Ahead:     takeAhead,
+			Rand:      rand.New(rand.NewPCG(seed, uint64(index))),
+		})
+	}
+	return c
+}
+
+// do carries one piece of work to its end.
+func (c *client) do(ctx context.Context, w work) caller.Result {
+	ctx, cancel := context.WithTimeout(ctx, deadlineTime)
+	defer cancel()
+	if w.goneAfter > 0 {
+		time.AfterFunc(w.goneAfter, cancel)
+	}
+	if w.cutAfter > 0 {
+		ctx = withCut(ctx, w.cutAfter)
+	}
+	r := caller.Request{
+		Method:  http.MethodPost,
+		Path:    "/orders",
+		Header:  http.Header{headerWork: {strconv.Itoa(w.id)}, headerSize: {strconv.Itoa(w.size)}},
+		Body:    fmt.Appendf(nil, "order %d", w.id),
+		Promise: w.promise,
+		Key:     fmt.Sprintf("order-key-%024d", w.id),
+	}
+	if w.idem {
+		r.Method = http.MethodGet
+		r.Body = nil
+	}
+	return c.byService[w.service].Do(ctx, r)
+}
--- /dev/null
+++ b/internal/lab/requests/cluster.go
@@ -0,0 +1,163 @@
+package requests
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
+
+	"github.com/auburnwood/auburnwood/pkg/request"
+)
+
+const (
+	// viewDelay is how long others go on using a dead agent.
+	viewDelay = 200 * time.Millisecond
+	// claimRate is the writes a second of one agent: 400 of the object API over eleven agents.
+	claimRate = 36
+)
+
+// cluster is the agents and targets of one run.
+type cluster struct {
+	policy policy
+	store  *store
+	truth  *truth
+	log    zerolog.Logger
+	rec    *recorder
+
+	mu      sync.RWMutex
+	rand    *rand.Rand
+	agents  map[string][]*agent
+	targets []*target
+	next    uint64
+}
+
+func newCluster(d deployment, p policy, t *truth, seed uint64, log zerolog.Logger) (*cluster, error) {
+	c := &cluster{policy: p, store: newStore(seed), truth: t, log: log, rec: &recorder{},
+		rand: rand.New(rand.NewPCG(seed, 5)), agents: make(map[string][]*agent)}
+	for _, s := range d {
+		for i := range s.targets {
+			if _, err := c.join(s, fmt.Sprintf("%s-%d", s.name, i+1), false); err != nil {
+				return nil, trace.Wrap(err, "start target of %s", s.name)
+			}
+		}
+	}
+	return c, nil
+}
+
+// join starts a target with its agent.
+func (c *cluster) join(s serviceSize, name string, cold bool) (*agent, error) {
+	c.mu.Lock()
+	c.next++
+	incarnation := c.next
+	c.mu.Unlock()
+	g, err := newTarget(s.name, s.slots, c.truth, incarnation)
+	if err != nil {
+		return nil, err
+	}
+	if cold {
+		g.makeCold()
+	}
+	c.mu.Lock()
+	c.targets = append(c.targets, g)
+	c.mu.Unlock()
+	return c.startAgent(s, name, g, cold)
+}
+
+// startAgent starts an agent, or the next incarnation of one.
+func (c *cluster) startAgent(s serviceSize, name string, g *target, cold bool) (*agent, error) {
+	c.mu.Lock()
+	c.next++
+	incarnation := c.next
+	c.mu.Unlock()
+	o := request.Options{
+		Agent: name, Incarnation: incarnation, Service: s.name, Slots: s.slots, Cold: cold, Store: c.store,
+		ClaimRate: claimRate, Recorder: c.rec, Log: c.log, Peers: &view{cluster: c, service: s.name, self: name},
+		Deadline: deadlineTime,
+	}
+	switch c.policy {
+	case policyNoShed:
+		o.Slots, o.Queue, o.Unbounded = noShedSlots, noShedSlots, true
+	case policyUnbounded:
+		o.Queue, o.Unbounded = noShedSlots, true
+	}
+	a, err := startAgent(o, g)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.agents[s.name] = append(c.agents[s.name], a)
+	return a, nil
+}
+
+// remove takes an agent out of the view.
+func (c *cluster) remove(service string, a *agent) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var rest []*agent
+	for _, other := range c.agents[service] {
+		if other != a {
+			rest = append(rest, other)
+		}
+	}
+	c.agents[service] = rest
+}
+
+func (c *cluster) list(service string) []*agent {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.agents[service]
+}
+
+// DialService connects to an agent: the less loaded of two chosen at random, or the one of the caller's hash.
+func (c *cluster) DialService(ctx context.Context, service string, caller netip.Addr) (net.Conn, error) {
+	a := c.pick(service, caller)
+	if a == nil {
+		return nil, trace.ConnectionProblem(nil, "no agent of %s", service)
+	}
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: caller.AsSlice()}}
+	return d.DialContext(ctx, "tcp", a.callers.Addr().String())
+}
+
+func (c *cluster) pick(service string, _ netip.Addr) *agent {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var active []*agent
+	for _, a := range c.agents[service] {
+		if !a.leaving.Load() {
+			active = append(active, a)
+		}
+	}
+	if len(active) == 0 {
+		return nil
+	}
+	first := active[c.rand.IntN(len(active))]
+	if !c.policy.steers() {
+		return first
+	}
+	second := active[c.rand.IntN(len(active))]
+	if second.flows.Load() < first.flows.Load() {
+		return second
+	}
+	return first
+}
+
+// close ends everything.
+func (c *cluster) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, list := range c.agents {
+		for _, a := range list {
+			a.kill()
+		}
+	}
+	for _, g := range c.targets {
+		g.kill()
+	}
+}
--- /dev/null
+++ b/internal/lab/requests/requests_test.go
@@ -0,0 +1,52 @@
+package requests
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwood/auburnwood/pkg/caller"
+)
+
+func TestAllFaultsKeepThePromises(t *testing.T) {
+	for _, name := range []string{"zarqa", "saobien"} {
+		t.Run(name, func(t *testing.T) {
+			o := Options{Deployment: name, Requests: 1500, Loads: []float64{0.9}, Faults: "all", Seed: 7, NoBaselines: true}
+			r, err := Run(context.Background(), o, t.Output())
+			require.NoError(t, err)
+			require.Positive(t, r.Goodput)
+		})
+	}
+}
+
+func TestCheckerSeesBrokenPromises(t *testing.T) {
+	whole := func(body string) caller.Result {
+		return caller.Result{Outcome: caller.OutcomeRan, Whole: true, Status: 200, Body: []byte(body)}
+	}
+	right := workBody("route-svc", 0, 100)
+	tests := []struct {
+		name   string
+		runs   int
+		result caller.Result
+		want   string
+	}{
+		{"kept", 1, whole(right), ""},
+		{"doubled", 2, whole(right), "non-idempotent work ran twice"},
+		{"said no but ran", 1, caller.Result{Outcome: caller.OutcomeNotRun}, "a caller was told the opposite of the truth"},
+		{"said ran but did not", 0, whole(right), "a caller was told the opposite of the truth"},
+		{"cut", 1, whole(right[:20]), "a short answer looked whole"},
+		{"another's", 1, whole("reports-svc work 1\n"), "an answer reached the wrong caller, or a request the wrong service"},
+		{"unknown", 1, caller.Result{Outcome: caller.OutcomeUnknown}, "an outcome is unknown although no process died"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newChecker(newTruth(1), newDeaths())
+			for range tt.runs {
+				c.truth.began(0)
+			}
+			c.add(told{work: work{service: "route-svc", size: 100}, result: tt.result})
+			require.Equal(t, tt.want, c.result.broken())
+		})
+	}
+}
--- /dev/null
+++ b/internal/lab/requests/run.go
@@ -0,0 +1,160 @@
+package requests
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// peakPart is the part of the highest goodput that overload must keep.
+	peakPart = 0.95
+	// baselineShare is the part of the requests that each baseline gets.
+	baselineShare = 4
+	// warmUp is how long the measured balance waits.
+	warmUp = 500 * time.Millisecond
+)
+
+// Run drives the loads of the options one after the other and returns the result of the last. It writes a line for each
+// run, and an error when a promise is broken.
+func Run(ctx context.Context, o Options, out io.Writer) (Result, error) {
+	faults, err := parseFaults(o.Faults)
+	if err != nil {
+		return Result{}, err
+	}
+	d, ok := deployments[o.Deployment]
+	if !ok {
+		return Result{}, trace.BadParameter("unknown deployment %q", o.Deployment)
+	}
+	var results []Result
+	for _, load := range o.Loads {
+		r, err := runLoad(ctx, o, d, faults, load, out)
+		if err != nil {
+			return r, err
+		}
+		results = append(results, r)
+	}
+	return last(results), verdict(results)
+}
+
+func last(results []Result) Result {
+	if len(results) == 0 {
+		return Result{}
+	}
+	return results[len(results)-1]
+}
+
+// verdict returns an error for the first broken promise.
+func verdict(results []Result) error {
+	peak := 0.0
+	for _, r := range results {
+		if why := r.broken(); why != "" {
+			return trace.CompareFailed("load %.1f: %s (%s)", r.Load, why, r)
+		}
+		peak = max(peak, r.Goodput)
+	}
+	for _, r := range results {
+		if r.Load >= 2 && r.Goodput < peakPart*peak {
+			return trace.CompareFailed("load %.1f: goodput %.1f is below %.2f of the peak %.1f", r.Load, r.Goodput,
+				peakPart, peak)
+		}
+	}
+	return nil
+}
+
+// runLoad runs one load with the system, and with the baselines.
+func runLoad(ctx context.Context, o Options, d deployment, faults faultSet, load float64, out io.Writer) (Result, error) {
+	r, err := runPolicy(ctx, o, d, faults, load, policyFull, o.Requests, out)
+	if err != nil {
+		return r, err
+	}
+	if o.NoBaselines {
+		return r, nil
+	}
+	for _, p := range baselines {
+		b, err := runPolicy(ctx, o, d, faults, load, p, max(o.Requests/baselineShare, 1), out)
+		if err != nil {
+			return r, err
+		}
+		r.GoodputBaseline = max(r.GoodputBaseline, b.Goodput)
+	}
+	return r, nil
+}
+
+// runPolicy offers n pieces of work to a new cluster.
+func runPolicy(ctx context.Context, o Options, d deployment, faults faultSet, load float64, p policy, n int, out io.Writer) (Result, error) {
+	t := newTruth(n)
+	c, err := newCluster(d, p, t, o.Seed, o.Log)
+	if err != nil {
+		return Result{}, trace.Wrap(err, "start cluster")
+	}
+	defer c.close()
+	dead := newDeaths()
+	plan := planner{d: d, faults: faults, rand: rand.New(rand.NewPCG(o.Seed, 1)), rate: load * d.capacity()}
+	inj := &injector{cluster: c, d: d, faults: faults, deaths: dead, rand: rand.New(rand.NewPCG(o.Seed, 2))}
+	inj.standing()
+	bal := &balance{cluster: c, busy: make(map[*target]float64), samples: make(map[*target]float64)}
+	var dialer Dialer = c
+	if o.Dialer != nil {
+		dialer = o.Dialer
+	}
+	list, took := drive(ctx, plan.plan(n, callerCount), d, dialer, inj, bal, o.Seed)
+	check := newChecker(t, dead)
+	for _, told := range list {
+		check.add(told)
+	}
+	r := check.finish(p, load, bal, took)
+	fmt.Fprintf(out, "load=%.1f policy=%s unexplained=%d %v\n", load, p, r.Unexplained, r)
+	printEndings(out, check.endings)
+	return r, ctx.Err()
+}
+
+func (c *checker) finish(p policy, load float64, bal *balance, took time.Duration) Result {
+	c.result.Policy = string(p)
+	c.result.Load = load
+	c.result.Mixed += int(c.truth.wrong.Load())
+	c.result.Imbalance = bal.worst()
+	c.result.Goodput = float64(c.inTime) / took.Seconds()
+	c.result.P50 = time.Duration(c.latencies.ValueAtQuantile(50)) * time.Microsecond
+	c.result.P99 = time.Duration(c.latencies.ValueAtQuantile(99)) * time.Microsecond
+	return c.result
+}
+
+// drive lets the callers submit the work at its time. It returns what they were told and the time until the last
+// arrival.
+func drive(ctx context.Context, list []work, d deployment, dialer Dialer, inj *injector, bal *balance, seed uint64) ([]told, time.Duration) {
+	clients := make([]*client, callerCount)
+	for i := range clients {
+		clients[i] = newClient(i, d, dialer, seed)
+	}
+	ends := make([]told, len(list))
+	side, stop := context.WithCancel(ctx)
+	defer stop()
+	go inj.run(side)
+	start := time.Now()
+	sampling, stopSampling := context.WithCancel(ctx)
+	defer stopSampling()
+	sampled := make(chan struct{})
+	time.AfterFunc(warmUp, func() { bal.sample(sampling); close(sampled) })
+	var g errgroup.Group
+	for i, w := range list {
+		time.Sleep(time.Until(start.Add(w.at)))
+		g.Go(func() error {
+			began := time.Now()
+			r := clients[w.caller].do(ctx, w)
+			ends[i] = told{work: w, result: r, began: began, ended: time.Now()}
+			return nil
+		})
+	}
+	took := time.Since(start)
+	stopSampling()
+	stop()
+	_ = g.Wait() // no part returns an error
+	<-sampled
+	return ends, took
+}
--- /dev/null
+++ b/pkg/caller/options.go
@@ -0,0 +1,65 @@
+package caller
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+)
+
+// Defaults of Options.
+const (
+	DefaultAhead       = 8
+	DefaultSubmissions = 6
+	// firstBackoff is the first pause after a failure that names no time; it doubles up to maxBackoff.
+	firstBackoff = 50 * time.Millisecond
+	maxBackoff   = 2 * time.Second
+)
+
+// Options configures a Client.
+type Options struct {
+	// Base is the service's URL without a path, for example http://192.0.2.1:8080.
+	Base string
+	// Transport sends requests. It must not repeat requests with an Idempotency-Key by itself; New wraps it so.
+	Transport http.RoundTripper
+	// Ahead is the number of tickets that are taken at once; 0 means DefaultAhead.
+	Ahead int
+	// Submissions is the highest number of submissions of one request; 0 means DefaultSubmissions.
+	Submissions int
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+	// Sleep waits; nil means a timer. It returns early with the error of ctx.
+	Sleep func(ctx context.Context, d time.Duration) error
+	// Rand spreads repeats over time; nil takes a random seed.
+	Rand *rand.Rand
+}
+
+func (o Options) withDefaults() Options {
+	if o.Ahead == 0 {
+		o.Ahead = DefaultAhead
+	}
+	if o.Submissions == 0 {
+		o.Submissions = DefaultSubmissions
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Sleep == nil {
+		o.Sleep = sleep
+	}
+	if o.Rand == nil {
+		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	return o
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/pkg/request/claims.go
+++ b/pkg/request/claims.go
@@ -11,7 +11,6 @@
 	"golang.org/x/time/rate"
 
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
-	"github.com/auburnwood/auburnwood/pkg/ticket"
 )
 
 // KindClaim is the kind of the objects that bind a caller's key to a ticket.
@@ -28,7 +27,7 @@
 var (
 	errNoStore     = errors.New("no object API is configured")
 	errClaimRate   = errors.New("the agent's share of the object API's writes is used up")
-	errClaimBroken = errors.New("the claim is no ticket")
+	errClaimBroken = errors.New("the stored claim is malformed")
 )
 
 // claims binds callers' keys to tickets by create-if-absent, so that every agent finds the one ticket of a key.
@@ -50,42 +49,44 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// claim binds the key to the offered ticket unless it is bound already, and returns the stored object and its ticket.
-// After an error the offered ticket may be stored; it must be cancelled.
-func (c *claims) claim(ctx context.Context, name string, offered ticket.Ticket) (objectapi.Object, ticket.Ticket, error) {
+// claim binds the key to the offered ticket unless it is bound already, and returns the stored claim. After an error
+// the offered ticket may be stored; it must be cancelled.
+func (c *claims) claim(ctx context.Context, name string, offered claim) (claim, error) {
 	ctx, cancel, err := c.begin(ctx)
 	if err != nil {
-		return objectapi.Object{}, ticket.Ticket{}, err
+		return claim{}, err
 	}
 	defer cancel()
-	o, err := c.store.Create(ctx, KindClaim, name, []byte(offered.String()))
+	o, err := c.store.Create(ctx, KindClaim, name, offered.encode())
 	switch {
 	case err == nil:
-		return o, offered, nil
+		offered.object = o
+		return offered, nil
 	case errors.Is(err, objectapi.ErrConflict), errors.Is(err, objectapi.ErrOutcomeUnknown):
 		return c.readBack(ctx, name, offered)
 	}
-	return objectapi.Object{}, ticket.Ticket{}, trace.Wrap(err, "create claim")
+	return claim{}, trace.Wrap(err, "create claim")
 }
 
-// replace binds the key to another ticket, if the stored object is still the given one. The caller has made sure that
-// the stored ticket never runs.
-func (c *claims) replace(ctx context.Context, old objectapi.Object, offered ticket.Ticket) (objectapi.Object, ticket.Ticket, error) {
+// replace binds the key to another ticket, if the stored claim is still the given one. The caller has made sure that the
+// stored ticket never runs.
+func (c *claims) replace(ctx context.Context, old, offered claim) (claim, error) {
 	ctx, cancel, err := c.begin(ctx)
 	if err != nil {
-		return objectapi.Object{}, ticket.Ticket{}, err
+		return claim{}, err
 	}
 	defer cancel()
-	name := old.Name
-	old.Value = []byte(offered.String())
-	o, err := c.store.Update(ctx, old)
+	next := old.object
+	next.Value = offered.encode()
+	o, err := c.store.Update(ctx, next)
 	switch {
 	case err == nil:
-		return o, offered, nil
+		offered.object = o
+		return offered, nil
 	case errors.Is(err, objectapi.ErrConflict), errors.Is(err, objectapi.ErrOutcomeUnknown):
-		return c.readBack(ctx, name, offered)
+		return c.readBack(ctx, old.object.Name, offered)
 	}
-	return objectapi.Object{}, ticket.Ticket{}, trace.Wrap(err, "replace claim")
+	return claim{}, trace.Wrap(err, "replace claim")
 }
 
 func (c *claims) begin(ctx context.Context) (context.Context, context.CancelFunc, error) {
@@ -99,29 +100,26 @@
 	return ctx, cancel, nil
 }
 
-// readBack reads which ticket is stored. When the own write can't be found it is written again, which is safe: it
-// creates the same claim or none.
-func (c *claims) readBack(ctx context.Context, name string, offered ticket.Ticket) (objectapi.Object, ticket.Ticket, error) {
+// readBack reads which ticket is stored. When no claim is found it is written again, which is safe: it creates the same
+// claim or none.
+func (c *claims) readBack(ctx context.Context, name string, offered claim) (claim, error) {
 	var err error
 	for range claimReadBacks {
 		var o objectapi.Object
 		o, err = c.store.Get(ctx, KindClaim, name)
 		if err == nil {
-			held, perr := ticket.Parse(string(o.Value))
-			if perr != nil {
-				return o, ticket.Ticket{}, trace.Wrap(errClaimBroken, "claim %s", name)
-			}
-			return o, held, nil
+			return decodeClaim(o)
 		}
 		if errors.Is(err, objectapi.ErrNotFound) {
-			o, err = c.store.Create(ctx, KindClaim, name, []byte(offered.String()))
+			o, err = c.store.Create(ctx, KindClaim, name, offered.encode())
 			if err == nil {
-				return o, offered, nil
+				offered.object = o
+				return offered, nil
 			}
 		}
 		if ctx.Err() != nil {
 			break
 		}
 	}
-	return objectapi.Object{}, ticket.Ticket{}, trace.Wrap(err, "read claim back")
+	return claim{}, trace.Wrap(err, "read claim back")
 }
--- a/pkg/request/forward_ticket.go
+++ b/pkg/request/forward_ticket.go
@@ -18,6 +18,7 @@
 	defer cancel(nil)
 	late := time.AfterFunc(u.deadline.Add(2*s.o.Grace).Sub(s.o.Now()), func() { cancel(errDeadline) })
 	defer late.Stop()
+	u.stream()
 	res, f := s.askIssuer(ctx, u)
 	if f != nil {
 		s.refuseTicket(u, f)
--- a/pkg/request/problem.go
+++ b/pkg/request/problem.go
@@ -98,6 +98,15 @@
 	return int64((d + time.Second - 1) / time.Second)
 }
 
+// refuseEarly refuses before the ticket or key was looked at: an earlier submission of it may have run.
+func (s *Server) refuseEarly(w http.ResponseWriter, r *http.Request, f *Refusal) {
+	if f.Run == refusal.RunNo && (r.Header.Get(HeaderTicket) != "" || attemptOf(r) > 1) {
+		f.Run = refusal.RunUnknown
+		f.Submission = refusal.RunNo
+	}
+	s.refuse(w, r, f)
+}
+
 func (s *Server) record(r *http.Request, f *Refusal, by string) string {
 	key := callerOf(r.Context())
 	id := s.o.Recorder.Record(refusal.Record{
--- a/pkg/request/run_local.go
+++ b/pkg/request/run_local.go
@@ -22,6 +22,7 @@
 	u.s.logPlacement(u.r, "start", u.s.o.Agent, "slot free")
 	ctx, cancel := u.startContext()
 	defer cancel(nil)
+	u.stream()
 	u.attempts++
 	start := u.s.o.Now()
 	late := time.AfterFunc(u.deadline.Add(u.s.o.Grace).Sub(start), func() { cancel(errDeadline) })
--- a/pkg/request/serve_caller.go
+++ b/pkg/request/serve_caller.go
@@ -21,9 +21,8 @@
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	_ = http.NewResponseController(w).EnableFullDuplex()
 	if r.ProtoMajor == 1 && r.ProtoMinor == 0 {
-		s.refuse(w, r, malformed("HTTP/1.0 can't show that an answer is cut"))
+		s.refuseEarly(w, r, malformed("HTTP/1.0 can't show that an answer is cut"))
 		return
 	}
 	if strings.HasPrefix(r.URL.Path, wellKnown) {
@@ -32,7 +31,7 @@
 	}
 	u, f := s.newSubmission(w, r)
 	if f != nil {
-		s.refuse(w, r, f)
+		s.refuseEarly(w, r, f)
 		return
 	}
 	s.serve(u)
--- a/pkg/request/serve_claim.go
+++ b/pkg/request/serve_claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -23,69 +24,78 @@
 		s.refuse(u.w, u.r, malformed(HeaderKey+" must have 16 to 255 characters"))
 		return
 	}
-	offered, err := s.offerTicket()
+	name := s.claims.name(key)
+	tickets, err := s.book.Issue(s.o.Now(), 1)
+	if err != nil {
+		s.refuseClaim(u, name, err)
+		return
+	}
+	offered := claim{ticket: tickets[0], attempt: attemptOf(u.r)}
+	held, err := s.bind(u, name, offered)
 	if err != nil {
-		s.claimFailed(u, key, ticket.Ticket{}, err)
+		s.claimFailed(u, name, offered, err)
 		return
 	}
-	o, held, err := s.claims.claim(u.r.Context(), s.claims.name(key), offered)
+	if held.ticket != offered.ticket {
+		s.book.Cancel(s.o.Now(), offered.ticket)
+	}
+	s.serveTicket(u, held.ticket)
+}
+
+// bind returns the claim of the key: the offered one, an earlier one, or the offered one in place of one that never
+// runs.
+func (s *Server) bind(u *submission, name string, offered claim) (claim, error) {
+	ctx := u.r.Context()
+	held, err := s.claims.claim(ctx, name, offered)
 	for range maxReplaces {
-		if err != nil || held == offered || !s.replaceable(u, held) {
+		if err != nil || held.ticket == offered.ticket || !s.replaceable(u, held, offered) {
 			break
 		}
-		o, held, err = s.claims.replace(u.r.Context(), o, offered)
+		held, err = s.claims.replace(ctx, held, offered)
 	}
+	return held, err
+}
+
+// attemptOf returns the caller's count of submissions; 0 when it doesn't count.
+func attemptOf(r *http.Request) uint64 {
+	n, err := strconv.ParseUint(r.Header.Get(HeaderAttempt), 10, 31)
 	if err != nil {
-		s.claimFailed(u, key, offered, err)
-		return
+		return 0
 	}
-	s.runClaim(u, offered, held)
+	return n
 }
 
-// offerTicket issues the ticket that the key is to be bound to.
-func (s *Server) offerTicket() (ticket.Ticket, error) {
-	tickets, err := s.book.Issue(s.o.Now(), 1)
-	if err != nil {
-		return ticket.Ticket{}, err
+// claimFailed cancels the offered ticket before it refuses: the claim may be stored, but its ticket never runs.
+func (s *Server) claimFailed(u *submission, name string, offered claim, err error) {
+	if s.book.Cancel(s.o.Now(), offered.ticket).NeverRuns() {
+		s.refuseClaim(u, name, err)
+		return
 	}
-	return tickets[0], nil
+	// Another submission found the stored claim and started its ticket.
+	s.serveTicket(u, offered.ticket)
 }
 
-// claimFailed cancels the offered ticket before it refuses: the claim may be stored, but its ticket never runs. Only a
-// first submission of the key is known not to have run.
-func (s *Server) claimFailed(u *submission, key string, offered ticket.Ticket, err error) {
+// refuseClaim refuses without knowledge of earlier submissions: only a first one is known not to have run.
+func (s *Server) refuseClaim(u *submission, name string, err error) {
 	run := refusal.RunNo
-	if attempt, perr := strconv.Atoi(u.r.Header.Get(HeaderAttempt)); perr == nil && attempt > 1 {
-		run = refusal.RunUnknown
-	}
-	if !s.unrunnable(offered) {
+	if attemptOf(u.r) > 1 {
 		run = refusal.RunUnknown
 	}
 	f := claimStore(err, run)
-	f.Request = s.claims.name(key)
+	f.Request = name
 	s.refuse(u.w, u.r, f)
 }
 
-// unrunnable makes an offered ticket unusable. It fails when another submission found the claim and started it.
-func (s *Server) unrunnable(offered ticket.Ticket) bool {
-	return offered.Sequence == 0 || s.book.Cancel(s.o.Now(), offered).NeverRuns()
-}
-
-// runClaim submits the ticket of the key. An offered ticket that was not bound is made unusable.
-func (s *Server) runClaim(u *submission, offered, held ticket.Ticket) {
-	if held != offered {
-		s.book.Cancel(s.o.Now(), offered)
-	}
-	s.serveTicket(u, held)
-}
-
-// replaceable asks the issuer of a claimed ticket whether it never runs, and whether that was so before this submission
-// came. A submission that is older than the cancel must not start: its caller may have been told that nothing ran.
-func (s *Server) replaceable(u *submission, t ticket.Ticket) bool {
-	status, ok := s.claimedStatus(u.r.Context(), t)
+// replaceable reports whether the stored claim never runs and may make way for the offered one. A caller may have been
+// told that its work did not run: a submission that it made before must not start after that.
+func (s *Server) replaceable(u *submission, held, offered claim) bool {
+	status, ok := s.claimedStatus(u.r.Context(), held.ticket)
 	if !ok || status.Run != refusal.RunNo {
 		return false
 	}
+	if held.attempt > 0 && offered.attempt > 0 {
+		return offered.attempt > held.attempt
+	}
 	if status.State != ticket.StateCancelled.String() {
 		return true
 	}
--- a/pkg/request/serve_control.go
+++ b/pkg/request/serve_control.go
@@ -23,14 +23,13 @@
 	}
 	hops, err := strconv.ParseUint(r.Header.Get(headerHop), 10, 8)
 	if f := s.checkHop(r, int(hops), err); f != nil {
-		s.refuse(w, r, f)
+		s.refuseEarly(w, r, f)
 		return
 	}
 	if strings.HasPrefix(r.URL.Path, wellKnown) {
 		s.serveHopWellKnown(w, r, kind)
 		return
 	}
-	_ = http.NewResponseController(w).EnableFullDuplex()
 	removeOwnHeaders(r.Header, HeaderTicket)
 	if kind == hopSteer {
 		r.Header.Del(HeaderTicket)
@@ -46,7 +45,7 @@
 	}
 	u, f := s.newSubmission(w, r)
 	if f != nil {
-		s.refuse(w, r, f)
+		s.refuseEarly(w, r, f)
 		return
 	}
 	u.hops = hops
--- a/pkg/request/server_test.go
+++ b/pkg/request/server_test.go
@@ -98,3 +98,15 @@
 	_, err = io.ReadAll(res.Body)
 	require.Error(t, err)
 }
+
+func TestUnreadStreamLeavesTheServerUsable(t *testing.T) {
+	target := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(http.StatusTeapot) })
+	_, url := newTestServer(t, target, nil)
+	for range 3 {
+		body := io.MultiReader(strings.NewReader(strings.Repeat("x", 1<<20)))
+		res, err := http.Post(url, "text/plain", body)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusTeapot, res.StatusCode)
+		require.NoError(t, res.Body.Close())
+	}
+}
--- a/pkg/request/steer.go
+++ b/pkg/request/steer.go
@@ -84,6 +84,7 @@
 	defer cancel(nil)
 	late := time.AfterFunc(u.deadline.Add(2*u.s.o.Grace).Sub(u.s.o.Now()), func() { cancel(errDeadline) })
 	defer late.Stop()
+	u.stream()
 	u.s.loads.sending(p.Agent, 1)
 	res, sent, err := send(u.s.peers, u.s.toPeer(ctx, u, p, hopSteer))
 	if err != nil {
--- a/pkg/request/submission.go
+++ b/pkg/request/submission.go
@@ -149,6 +149,16 @@
 	u.s.wake(u.s.limiter.Done(u.s.o.Now(), u.work, o), nil)
 }
 
+// stream lets a body that is not whole in memory flow while the answer does. After that net/http can't use an HTTP/1.1
+// connection again: it panics when a handler returns before it has read such a body.
+func (u *submission) stream() {
+	if u.body.whole || u.r.ProtoMajor != 1 {
+		return
+	}
+	u.w.Header().Set("Connection", "close")
+	_ = http.NewResponseController(u.w).EnableFullDuplex()
+}
+
 // begin makes the work running; false means that a cancel came first.
 func (u *submission) begin() bool {
 	return u.ticket == nil || u.s.book.Start(*u.ticket)
