Add the commands of auburnwoodctl

Operators need validate, apply, get, watch, delete and explain. Racing operators with lost answers showed that a write reported as a conflict could have been stored: an earlier attempt whose answer was lost had taken effect.

--- /dev/null
+++ b/cmd/auburnwoodctl/main.go
@@ -0,0 +1,45 @@
+// Command auburnwoodctl lets operators validate, apply, read, watch and delete services and explains refusals.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/ctl"
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
+	"github.com/auburnwood/auburnwood/pkg/refusal"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	code := app().Main(ctx, os.Args[1:])
+	stop()
+	os.Exit(code)
+}
+
+// app returns the program on the streams of the process.
+func app() ctl.App {
+	return ctl.App{
+		Stdin:    os.Stdin,
+		Stdout:   os.Stdout,
+		Stderr:   os.Stderr,
+		Open:     open,
+		Refusals: func(s objectapi.Store) ctl.RefusalReader { return refusal.NewReader(s) },
+		Now:      time.Now,
+	}
+}
+
+// Calls a second of one run, and calls at once; an operator's run is short and may store many services.
+const (
+	callRate  = 50
+	callBurst = 50
+)
+
+// open returns the object API at a URL, with reads that are tried again within a budget.
+func open(server string, timeout time.Duration) objectapi.Store {
+	client := objectapi.NewClient(server, objectapi.Options{CallTimeout: timeout})
+	return objectapi.NewBudgeted(client, objectapi.BudgetConfig{Rate: callRate, Burst: callBurst})
+}
--- a/pkg/ctl/applier.go
+++ b/pkg/ctl/applier.go
@@ -52,7 +52,9 @@
 	base objectapi.Object
 	// conflicts counts the changes of other operators that were overwritten.
 	conflicts int
-	result    ApplyResult
+	// lost says that a write over the base may have taken effect, doubt that one over an earlier base may have.
+	lost, doubt bool
+	result      ApplyResult
 }
 
 // read returns the stored object; one of version 0 when there is none.
@@ -111,20 +113,18 @@
 
 // resolve reads back after a write that failed. It reports whether the write is over, and its error.
 func (w *write) resolve(ctx context.Context, action Action, cause error) (bool, error) {
-	unknown := errors.Is(cause, objectapi.ErrOutcomeUnknown)
-	if !unknown && !errors.Is(cause, objectapi.ErrConflict) && !errors.Is(cause, objectapi.ErrNotFound) {
-		return true, w.fail(ActionFailed, cause, "nothing was written")
+	if errors.Is(cause, objectapi.ErrOutcomeUnknown) {
+		w.lost = true
+	} else if !errors.Is(cause, objectapi.ErrConflict) && !errors.Is(cause, objectapi.ErrNotFound) {
+		return true, w.giveUp(ActionFailed, cause, "the object API did not take the call")
 	}
 	before := w.base
 	now, err := w.read(ctx, before.Name)
-	if err != nil && unknown {
-		return true, w.fail(ActionUnknown, objectapi.ErrOutcomeUnknown, "the write may have taken effect, and reading it back failed: %v", err)
-	}
 	if err != nil {
-		return true, w.fail(ActionFailed, err, "another operator changed the service, and reading it back failed")
+		return true, w.giveUp(ActionFailed, err, "reading back failed")
 	}
 	w.base = now
-	if unknown && w.stored(now) {
+	if w.lost && w.stored(now) {
 		w.result.Detail = "the answer was lost; confirmed by reading back"
 		return true, w.done(action, now.Version)
 	}
@@ -132,12 +132,16 @@
 		// The condition still holds, so the same write is safe to repeat: at most one of the two takes effect.
 		return false, nil
 	}
-	return w.overtaken(before, now, unknown)
+	return w.overtaken(ctx, before, now)
 }
 
 // overtaken handles another operator's change between reading and writing.
-func (w *write) overtaken(before, now objectapi.Object, unknown bool) (bool, error) {
-	if w.stored(now) || (!unknown && sameContent(before.Value, now.Value)) {
+func (w *write) overtaken(ctx context.Context, before, now objectapi.Object) (bool, error) {
+	if w.lost && !w.lostBefore(ctx, before) {
+		w.doubt = true
+	}
+	w.lost = false
+	if w.stored(now) || (!w.doubt && sameContent(before.Value, now.Value)) {
 		return false, nil
 	}
 	w.conflicts++
@@ -145,10 +149,33 @@
 		w.result.Detail = fmt.Sprintf("overwrote version %d, which another operator wrote meanwhile", now.Version)
 		return false, nil
 	}
-	if unknown {
-		return true, w.fail(ActionUnknown, objectapi.ErrOutcomeUnknown, "version %d of another operator is stored; the answer to this write was lost, so it may have been stored before that", now.Version)
+	return true, w.giveUp(ActionConflict, objectapi.ErrConflict, "another operator "+describe(before, now)+"; that change stays")
+}
+
+// giveUp ends with a failure. When the answer to an earlier write was lost, the outcome is unknown whatever the cause.
+func (w *write) giveUp(a Action, cause error, detail string) error {
+	if w.lost || w.doubt {
+		return w.fail(ActionUnknown, objectapi.ErrOutcomeUnknown, "%s; the answer to an earlier write was lost, so it may have been stored", detail)
+	}
+	return w.fail(a, cause, "%s; nothing was written", detail)
+}
+
+// lostBefore reports whether the history shows that a write whose answer was lost did not take effect: only the first
+// change after the version of its condition can be that write.
+func (w *write) lostBefore(ctx context.Context, before objectapi.Object) bool {
+	if before.Version == 0 {
+		return false
+	}
+	events, _, err := w.applier.Store.Watch(ctx, before.Kind, before.Version)
+	if err != nil {
+		return false
+	}
+	for _, e := range events {
+		if e.Object.Name == before.Name && e.Object.Version > before.Version {
+			return e.Type == objectapi.EventDelete || !sameContent(e.Object.Value, w.value)
+		}
 	}
-	return true, w.fail(ActionConflict, objectapi.ErrConflict, "another operator %s; that change stays, this one was not written", describe(before, now))
+	return false
 }
 
 // describe says what another operator did.
--- a/pkg/ctl/document.go
+++ b/pkg/ctl/document.go
@@ -17,11 +17,13 @@
 // Document is one service of an input.
 type Document struct {
 	// Source is where the document stands, for example "services.json, document 2".
-	Source string
-	// Service is the decoded service; its zero value when Errors tells that the document could not be read.
-	Service resource.Service
-	// Errors are the mistakes of the document alone.
-	Errors []resource.FieldError
+	Source string `json:"source"`
+	// Service is the decoded service; fields that could not be read are zero.
+	Service resource.Service `json:"-"`
+	// Name is the service's name, as far as it could be read.
+	Name string `json:"name,omitempty"`
+	// Errors are the mistakes of the document.
+	Errors []resource.FieldError `json:"errors,omitempty"`
 }
 
 // ReadDocuments reads a stream of JSON documents, each of them one service, and validates each. Mistakes of documents
@@ -50,10 +52,8 @@
 // readDocument reads and validates one document.
 func readDocument(name string, raw json.RawMessage) Document {
 	d := Document{Source: name}
-	if err := resource.Decode(raw, &d.Service); err != nil {
-		return unreadable(name, err.Error())
-	}
-	d.Errors = resource.ValidateService(d.Service)
+	d.Service, d.Errors = resource.DecodeService(raw)
+	d.Name = d.Service.Name
 	return d
 }
 
@@ -61,3 +61,18 @@
 func unreadable(name, reason string) Document {
 	return Document{Source: name, Errors: []resource.FieldError{{Reason: reason}}}
 }
+
+// markDuplicates adds a mistake to each document that has the name of an earlier one.
+func markDuplicates(list []Document) {
+	first := make(map[string]string, len(list))
+	for i, d := range list {
+		if d.Name == "" {
+			continue
+		}
+		if source, ok := first[d.Name]; ok {
+			list[i].Errors = append(list[i].Errors, resource.FieldError{Field: "name", Reason: fmt.Sprintf("%q is also the name in %s", d.Name, source)})
+			continue
+		}
+		first[d.Name] = d.Source
+	}
+}
--- /dev/null
+++ b/pkg/ctl/kinds.go
@@ -0,0 +1,31 @@
+package ctl
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
+	"github.com/auburnwood/auburnwood/pkg/resource"
+)
+
+// kinds are the kinds that get and watch show.
+var kinds = []objectapi.Kind{
+	resource.KindService, resource.KindServiceStatus, resource.KindHead, resource.KindRevision,
+	resource.KindLease, resource.KindMembers, resource.KindAck, resource.KindClaim,
+}
+
+// parseKind reads the name of a kind.
+func parseKind(name string) (objectapi.Kind, error) {
+	k := objectapi.Kind(name)
+	if k == "services" {
+		k = resource.KindService
+	}
+	if slices.Contains(kinds, k) {
+		return k, nil
+	}
+	names := make([]string, 0, len(kinds))
+	for _, k := range kinds {
+		names = append(names, string(k))
+	}
+	return "", &usageError{reason: "unknown kind " + name + "; known are " + strings.Join(names, ", ")}
+}
--- /dev/null
+++ b/pkg/ctl/wait.go
@@ -0,0 +1,77 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
+	"github.com/auburnwood/auburnwood/pkg/resource"
+)
+
+// waiter follows the status of services until each is in force or rejected.
+type waiter struct {
+	// want has the object version of each service that is waited for.
+	want map[string]uint64
+	// last describes the last status seen of each.
+	last map[string]string
+	// rejected has the reason of each service that is not accepted.
+	rejected []string
+}
+
+// waitInForce waits until the services are in force at their versions on every known balancer. It returns an error when
+// one of them is rejected, or when the context ends before.
+func waitInForce(ctx context.Context, store objectapi.Store, want map[string]uint64) error {
+	w := waiter{want: maps.Clone(want), last: make(map[string]string, len(want))}
+	for name := range want {
+		w.last[name] = "no status yet"
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	_ = objectapi.WatchKind(ctx, store, resource.KindServiceStatus, objectapi.InformerConfig{}, func(events []objectapi.Event, _ uint64) {
+		for _, e := range events {
+			w.see(e)
+		}
+		if len(w.want) == 0 {
+			cancel()
+		}
+	})
+	return w.err()
+}
+
+// see takes one event.
+func (w *waiter) see(e objectapi.Event) {
+	want, ok := w.want[e.Object.Name]
+	if !ok || e.Type != objectapi.EventPut {
+		return
+	}
+	s, err := objectapi.Decode[resource.ServiceStatus](e.Object)
+	if err != nil || s.Value.ObservedVersion < want {
+		return
+	}
+	w.last[e.Object.Name] = "in force on " + s.Value.InForce.String()
+	c, _ := s.Value.Condition(resource.ConditionAccepted)
+	if c.Status == resource.StatusFalse {
+		w.rejected = append(w.rejected, fmt.Sprintf("%s is not accepted: %s: %s", e.Object.Name, c.Reason, c.Message))
+		delete(w.want, e.Object.Name)
+	}
+	if s.Value.AcceptedVersion >= want && s.Value.InForce.Complete() {
+		delete(w.want, e.Object.Name)
+	}
+}
+
+// err returns what is rejected or was not in force in time.
+func (w *waiter) err() error {
+	lines := slices.Sorted(slices.Values(w.rejected))
+	for _, name := range slices.Sorted(maps.Keys(w.want)) {
+		lines = append(lines, fmt.Sprintf("%s is stored, but was not in force on every balancer in time: %s", name, w.last[name]))
+	}
+	if len(lines) == 0 {
+		return nil
+	}
+	return trace.Errorf("%s", strings.Join(lines, "\n"))
+}
--- /dev/null
+++ b/pkg/ctl/watch.go
@@ -0,0 +1,172 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
+	"github.com/auburnwood/auburnwood/pkg/resource"
+)
+
+// watchCommand follows changes.
+type watchCommand struct {
+	Count int `long:"count" default:"0" value-name:"N" description:"End after N lines; 0 follows until interrupted"`
+}
+
+// run implements command.
+func (c *watchCommand) run(ctx context.Context, s *session, args []string) error {
+	kind := resource.KindService
+	if len(args) > 0 {
+		k, err := parseKind(args[0])
+		if err != nil {
+			return err
+		}
+		kind = k
+	}
+	if len(args) > 2 {
+		return &usageError{reason: "watch takes one kind and at most one name"}
+	}
+	store, err := s.store()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f := follower{session: s, cancel: cancel, left: c.Count, limited: c.Count > 0, services: make(map[string]objectapi.Object), statuses: make(map[string]objectapi.Object)}
+	if len(args) == 2 {
+		f.name = args[1]
+	}
+	return f.follow(ctx, store, kind)
+}
+
+// follower prints changes.
+type follower struct {
+	session *session
+	cancel  context.CancelFunc
+	// name limits the changes to one object; empty means all.
+	name string
+	// left is the number of lines to go when limited is true.
+	left    int
+	limited bool
+	// services and statuses are what was seen last, by name.
+	services, statuses map[string]objectapi.Object
+	// err is why the output could not be written.
+	err error
+}
+
+// follow prints the changes of a kind until the context ends. Changes of a service's status count as changes of the
+// service.
+func (f *follower) follow(ctx context.Context, store objectapi.Store, kind objectapi.Kind) error {
+	batches := make(chan []objectapi.Event)
+	g, ctx := errgroup.WithContext(ctx)
+	watched := []objectapi.Kind{kind}
+	if kind == resource.KindService {
+		watched = append(watched, resource.KindServiceStatus)
+	}
+	for _, k := range watched {
+		g.Go(func() error { return send(ctx, store, k, batches) })
+	}
+	g.Go(func() error { return f.print(ctx, kind, batches) })
+	if err := g.Wait(); !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return f.err
+}
+
+// send hands the changes of a kind over.
+func send(ctx context.Context, store objectapi.Store, kind objectapi.Kind, out chan<- []objectapi.Event) error {
+	return objectapi.WatchKind(ctx, store, kind, objectapi.InformerConfig{}, func(events []objectapi.Event, _ uint64) {
+		select {
+		case out <- events:
+		case <-ctx.Done():
+		}
+	})
+}
+
+// print prints changes until the context ends.
+func (f *follower) print(ctx context.Context, kind objectapi.Kind, in <-chan []objectapi.Event) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case events := <-in:
+			for _, e := range events {
+				f.event(kind, e)
+			}
+		}
+	}
+}
+
+// event prints one change.
+func (f *follower) event(kind objectapi.Kind, e objectapi.Event) {
+	if f.limited && f.left == 0 || f.name != "" && f.name != e.Object.Name {
+		return
+	}
+	if kind == resource.KindService {
+		f.service(e)
+		return
+	}
+	f.line(e.Type, rawOf(e.Object), []string{string(e.Type), e.Object.Name, fmt.Sprintf("version %d", e.Object.Version), fmt.Sprintf("%d bytes", len(e.Object.Value))})
+}
+
+// service prints a change of a service or its status.
+func (f *follower) service(e objectapi.Event) {
+	name := e.Object.Name
+	seen := f.services
+	if e.Object.Kind == resource.KindServiceStatus {
+		seen = f.statuses
+	}
+	seen[name] = e.Object
+	if e.Type == objectapi.EventDelete {
+		delete(seen, name)
+	}
+	service, stored := f.services[name]
+	if e.Type == objectapi.EventDelete && e.Object.Kind == resource.KindService {
+		f.line(e.Type, ServiceRow{Name: name, Version: e.Object.Version}, []string{string(e.Type), name})
+		return
+	}
+	if !stored {
+		return
+	}
+	row := serviceRow(service, f.statuses[name])
+	f.line(e.Type, row, append([]string{string(e.Type)}, row.columns()...))
+}
+
+// watchLine is one line of the JSON output.
+type watchLine struct {
+	Type   objectapi.EventType `json:"type"`
+	Object any                 `json:"object"`
+}
+
+// line writes one change as a line.
+func (f *follower) line(t objectapi.EventType, object any, columns []string) {
+	out := strings.Join(columns, "  ")
+	if f.session.json() {
+		b, err := json.Marshal(watchLine{Type: t, Object: object})
+		if err != nil {
+			f.stop(trace.Wrap(err, "encoding a change"))
+			return
+		}
+		out = string(b)
+	}
+	if _, err := fmt.Fprintln(f.session.app.Stdout, strings.TrimRight(out, " ")); err != nil {
+		f.stop(trace.Wrap(err, "writing the output"))
+		return
+	}
+	f.left--
+	if f.limited && f.left == 0 {
+		f.stop(nil)
+	}
+}
+
+// stop ends the watch.
+func (f *follower) stop(err error) {
+	f.err = err
+	f.cancel()
+}
