--- a/pkg/membership/role.go
+++ b/pkg/membership/role.go
@@ -21,3 +21,19 @@
 	}
 	return "unknown"
 }
+
+// MarshalText writes the role's name.
+func (r Role) MarshalText() ([]byte, error) {
+	return []byte(r.String()), nil
+}
+
+// UnmarshalText reads the role's name; an unknown one gives 0, which no table takes.
+func (r *Role) UnmarshalText(b []byte) error {
+	*r = 0
+	for _, known := range []Role{RoleAgent, RoleBalancer} {
+		if known.String() == string(b) {
+			*r = known
+		}
+	}
+	return nil
+}
--- a/pkg/membership/state.go
+++ b/pkg/membership/state.go
@@ -47,3 +47,19 @@
 	}
 	return 0
 }
+
+// MarshalText writes the state's name.
+func (s State) MarshalText() ([]byte, error) {
+	return []byte(s.String()), nil
+}
+
+// UnmarshalText reads the state's name; an unknown one gives 0, which no table takes.
+func (s *State) UnmarshalText(b []byte) error {
+	*s = 0
+	for known := StateJoining; known <= StateLeft; known++ {
+		if known.String() == string(b) {
+			*s = known
+		}
+	}
+	return nil
+}
