--- a/pkg/resource/kinds.go
+++ b/pkg/resource/kinds.go
@@ -16,10 +16,8 @@
 	KindLease objectapi.Kind = "lease"
 	// KindMembers is the membership of a data centre.
 	KindMembers objectapi.Kind = "members"
-	// KindRefusals is a batch of refusal records.
-	KindRefusals objectapi.Kind = "refusals"
-	// KindAck is the revisions in force on the balancers of a data centre.
-	KindAck objectapi.Kind = "ack"
+	// KindRollout is the state of a service's rollout, written by the holder of the rollout lease.
+	KindRollout objectapi.Kind = "rollout"
 	// KindClaim is the claim of one idempotency key.
 	KindClaim objectapi.Kind = "claim"
 )
--- a/pkg/resource/revision.go
+++ b/pkg/resource/revision.go
@@ -24,8 +24,8 @@
 type Head struct {
 	// Revision is the number of the accepted revision.
 	Revision uint64 `json:"revision"`
-	// Object is the name of the object that holds the revision: RevisionName and the term that wrote it, so that two
-	// holders never write to one name.
+	// Object is the name of the object that holds the revision: RevisionName and the checksum of the content, so that
+	// different contents never meet under one name.
 	Object string `json:"object,omitempty"`
 	// Holder is the lease holder that advanced the head.
 	Holder string `json:"holder"`
