Carry requests end to end through real daemons on loopback

Cause: the packages had never run together. Change: internal/lab/cluster runs balancer and agent daemons with their control plane against stand-ins; the demo sends checked downloads of net/http clients through a fabric that sprays every packet.

--- /dev/null
+++ b/cmd/auburnwood-lab/main.go
@@ -0,0 +1,18 @@
+// Command auburnwood-lab runs auburnwood on loopback with stand-ins: the demo, the fault runs and the measurements.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/auburnwood/auburnwood/internal/lab/command"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := command.Main(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/internal/lab/cluster/balancer.go
@@ -0,0 +1,167 @@
+package cluster
+
+import (
+	"context"
+	"slices"
+
+	"github.com/gravitational/trace"
+
+	"github.com/auburnwood/auburnwood/pkg/balancerd"
+	"github.com/auburnwood/auburnwood/pkg/membership"
+	"github.com/auburnwood/auburnwood/pkg/settings"
+	"github.com/auburnwood/auburnwood/pkg/telemetry"
+	"github.com/auburnwood/auburnwood/pkg/view"
+)
+
+// balancer is a running balancer daemon.
+type balancer struct {
+	name   string
+	daemon *balancerd.Daemon
+	stop   context.CancelFunc
+	ended  chan struct{}
+}
+
+func (b *balancer) activeTargets() int {
+	n := 0
+	for _, m := range b.daemon.Members() {
+		if m.Role == membership.RoleAgent && m.State == membership.StateActive {
+			n++
+		}
+	}
+	return n
+}
+
+// JoinBalancer implements flows.Cluster.
+func (c *Cluster) JoinBalancer(ctx context.Context) (string, error) {
+	n := c.nextNumber()
+	s := settings.DefaultBalancer()
+	s.Name = processName("balancer", n)
+	s.Region = c.cfg.Deployment.Region
+	s.DataCentre = c.dataCentre(n)
+	s.PacketAddress, s.ControlAddress = loopback, loopback
+	s.FabricAddress = c.cfg.Fabric.Addr().String()
+	s.Peers = c.controlAddrs()
+	s.ObjectAPI.URL = c.apiURL
+	s.ObjectAPI.CallsPerSecond = callRate
+	s.CachedFlows = 1 << 16
+	d, err := balancerd.New(balancerd.Options{Settings: s, Env: c.env(s.Process), WrapView: wrapView[*view.View](c.delay)})
+	if err != nil {
+		return "", trace.Wrap(err)
+	}
+	run, stop := context.WithCancel(c.ctx)
+	b := &balancer{name: s.Name, daemon: d, stop: stop, ended: make(chan struct{})}
+	c.done.Go(func() {
+		defer close(b.ended)
+		if err := d.Run(run); err != nil {
+			c.cfg.Log.Error().Err(err).Str("op", "run").Str("process", s.Name).Send()
+		}
+	})
+	c.mu.Lock()
+	first := len(c.balancers) == 0
+	c.balancers = append(c.balancers, b)
+	c.mu.Unlock()
+	// A newcomer takes packets at once only while nothing is configured; later it is added when it can route.
+	if !first {
+		if err := c.awaitRevision(ctx, b); err != nil {
+			return "", trace.Wrap(err)
+		}
+	}
+	c.cfg.Fabric.AddBalancer(d.PacketAddr())
+	return s.Name, nil
+}
+
+// awaitRevision waits until a newcomer has the revision of the others.
+func (c *Cluster) awaitRevision(ctx context.Context, b *balancer) error {
+	return await(ctx, func() bool { return b.daemon.Revision() >= c.lowestRevision(b) })
+}
+
+func (c *Cluster) lowestRevision(except *balancer) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	lowest := ^uint64(0)
+	for _, b := range c.balancers {
+		if b != except {
+			lowest = min(lowest, b.daemon.Revision())
+		}
+	}
+	return lowest
+}
+
+func (c *Cluster) controlAddrs() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []string
+	for _, b := range c.balancers {
+		out = append(out, b.daemon.ControlAddr())
+	}
+	return out
+}
+
+func (c *Cluster) env(p settings.Process) telemetry.Env {
+	return telemetry.Env{
+		Log:    c.cfg.Log.With().Str(telemetry.FieldProcess, p.Name).Logger(),
+		Scope:  c.scope,
+		Status: &telemetry.Status{},
+	}
+}
+
+// Balancers implements flows.Cluster.
+func (c *Cluster) Balancers() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []string
+	for _, b := range c.balancers {
+		out = append(out, b.name)
+	}
+	return out
+}
+
+// LeaveBalancer implements flows.Cluster.
+func (c *Cluster) LeaveBalancer(ctx context.Context, name string) error {
+	b, err := c.takeBalancer(name)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	c.cfg.Fabric.RemoveBalancer(b.daemon.PacketAddr())
+	b.stop()
+	select {
+	case <-ctx.Done():
+		return trace.Wrap(ctx.Err())
+	case <-b.ended:
+		return nil
+	}
+}
+
+// KillBalancer implements flows.Cluster.
+func (c *Cluster) KillBalancer(name string) error {
+	b, err := c.takeBalancer(name)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	b.daemon.Kill()
+	b.stop()
+	c.cfg.Fabric.RemoveBalancer(b.daemon.PacketAddr())
+	return nil
+}
+
+func (c *Cluster) takeBalancer(name string) (*balancer, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, b := range c.balancers {
+		if b.name == name {
+			c.balancers = slices.Delete(c.balancers, i, i+1)
+			c.gone = append(c.gone, b)
+			return b, nil
+		}
+	}
+	return nil, trace.NotFound("balancer %s does not live", name)
+}
+
+func (b *balancer) knowsActive(id string) bool {
+	for _, m := range b.daemon.Members() {
+		if m.ID == id {
+			return m.State == membership.StateActive
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/lab/cluster/target.go
@@ -0,0 +1,216 @@
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/auburnwood/auburnwood/internal/lab/flows"
+	standin "github.com/auburnwood/auburnwood/internal/standin/target"
+	"github.com/auburnwood/auburnwood/pkg/agentd"
+	"github.com/auburnwood/auburnwood/pkg/settings"
+	"github.com/auburnwood/auburnwood/pkg/view"
+)
+
+// target is a target stand-in and the agent daemon beside it.
+type target struct {
+	id, service string
+	standin     *standin.Target
+	daemon      *agentd.Daemon
+	stop        context.CancelFunc
+	ended       chan struct{}
+	// state and since are guarded by the cluster's lock.
+	state view.TargetState
+	since time.Time
+}
+
+func (t *target) kill() {
+	t.daemon.Kill()
+	t.standin.Kill()
+}
+
+// addTarget starts a target and its agent; the target announces itself.
+func (c *Cluster) addTarget(size flows.ServiceSize) (*target, error) {
+	n := c.nextNumber()
+	id := processName(size.Name, n)
+	cfg := standin.Config{
+		Service: size.Name, ID: id, Slots: int(size.Slots), Connections: int(c.cfg.Connections[size.Name]), Seed: c.cfg.Seed,
+	}
+	if c.cfg.Target != nil {
+		c.cfg.Target(&cfg)
+	}
+	st, err := standin.Start(cfg, nil)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	t, err := c.startAgent(id, n, st)
+	if err != nil {
+		st.Kill()
+		return nil, trace.Wrap(err)
+	}
+	t.service = size.Name
+	a := agentd.Announcement{Service: size.Name, Slots: size.Slots, Connections: c.cfg.Connections[size.Name]}
+	if err := announce(c.ctx, t.daemon.AnnounceAddr(), a); err != nil {
+		t.kill()
+		return nil, trace.Wrap(err)
+	}
+	c.mu.Lock()
+	c.targets = append(c.targets, t)
+	c.mu.Unlock()
+	c.setState(t, view.StateActive)
+	return t, nil
+}
+
+func (c *Cluster) startAgent(id string, n int, st *standin.Target) (*target, error) {
+	s := settings.DefaultAgent()
+	s.Name = id
+	s.Region = c.cfg.Deployment.Region
+	s.DataCentre = c.dataCentre(n)
+	s.PacketAddress, s.AnnounceAddress = loopback, loopback
+	s.FabricAddress = c.cfg.Fabric.Addr().String()
+	s.TargetAddress = st.Addr().String()
+	s.Balancers = c.controlAddrs()
+	d, err := agentd.New(agentd.Options{Settings: s, Env: c.env(s.Process), WrapView: wrapView[*view.Service](c.delay)})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	run, stop := context.WithCancel(c.ctx)
+	t := &target{id: id, standin: st, daemon: d, stop: stop, ended: make(chan struct{})}
+	c.done.Go(func() {
+		defer close(t.ended)
+		if err := d.Run(run); err != nil {
+			c.cfg.Log.Error().Err(err).Str("op", "run").Str("process", id).Send()
+		}
+	})
+	return t, nil
+}
+
+// announce sends a target's announcement to its agent, as the target's program does.
+func announce(ctx context.Context, addr string, a agentd.Announcement) error {
+	body, err := json.Marshal(a)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return call(ctx, http.MethodPut, "http://"+addr+agentd.PathTarget, body)
+}
+
+func call(ctx context.Context, method, url string, body []byte) error {
+	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return trace.Errorf("%s %s: %s", method, url, resp.Status)
+	}
+	return nil
+}
+
+func (c *Cluster) setState(t *target, s view.TargetState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t.state, t.since = s, time.Now()
+}
+
+func (c *Cluster) find(id string) (*target, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, t := range c.targets {
+		if t.id == id && t.state != 0 {
+			return t, nil
+		}
+	}
+	return nil, trace.NotFound("target %s does not live", id)
+}
+
+// Targets implements flows.Cluster.
+func (c *Cluster) Targets() []flows.TargetStatus {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]flows.TargetStatus, 0, len(c.targets))
+	for _, t := range c.targets {
+		out = append(out, flows.TargetStatus{ID: t.id, Service: t.service, State: t.state, Open: t.standin.Open(), Since: t.since})
+	}
+	return out
+}
+
+// JoinTarget implements flows.Cluster.
+func (c *Cluster) JoinTarget(ctx context.Context, service string) (string, error) {
+	for _, size := range c.cfg.Deployment.Services {
+		if size.Name != service {
+			continue
+		}
+		t, err := c.addTarget(size)
+		if err != nil {
+			return "", trace.Wrap(err)
+		}
+		c.setState(t, view.StateJoining)
+		err = await(ctx, func() bool { return c.activeEverywhere(t.id) })
+		c.setState(t, view.StateActive)
+		return t.id, trace.Wrap(err, "target %s becomes active", t.id)
+	}
+	return "", trace.NotFound("unknown service %q", service)
+}
+
+// activeEverywhere reports whether every balancer knows the target as active.
+func (c *Cluster) activeEverywhere(id string) bool {
+	c.mu.Lock()
+	balancers := append([]*balancer(nil), c.balancers...)
+	c.mu.Unlock()
+	for _, b := range balancers {
+		if !b.knowsActive(id) {
+			return false
+		}
+	}
+	return true
+}
+
+// DrainTarget implements flows.Cluster.
+func (c *Cluster) DrainTarget(ctx context.Context, id string) error {
+	t, err := c.find(id)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	c.setState(t, view.StateDraining)
+	if err := call(ctx, http.MethodPost, "http://"+t.daemon.AnnounceAddr()+agentd.PathDrain, nil); err != nil {
+		return trace.Wrap(err, "drain %s", id)
+	}
+	select {
+	case <-ctx.Done():
+		return trace.Wrap(ctx.Err(), "drain %s", id)
+	case <-t.ended:
+	}
+	c.setState(t, 0)
+	t.standin.Kill()
+	return nil
+}
+
+// KillTarget implements flows.Cluster.
+func (c *Cluster) KillTarget(id string) error {
+	t, err := c.find(id)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	t.standin.Kill()
+	c.setState(t, view.StateDraining)
+	return nil
+}
+
+// KillAgent implements flows.Cluster.
+func (c *Cluster) KillAgent(id string) error {
+	t, err := c.find(id)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	c.setState(t, 0)
+	t.kill()
+	return nil
+}
--- /dev/null
+++ b/internal/lab/command/doc.go
@@ -0,0 +1,2 @@
+// Package command is the command line of auburnwood-lab.
+package command
--- a/internal/lab/flows/direct.go
+++ b/internal/lab/flows/direct.go
@@ -240,10 +240,10 @@
 func (d *direct) Refusals() []refusal.Record { return d.recorder.records() }
 
 // Counts implements Cluster.
-func (d *direct) Counts() PathCounts { return countPath(d.scope.Snapshot()) }
+func (d *direct) Counts() PathCounts { return CountPath(d.scope.Snapshot()) }
 
-// countPath reads the totals of all agents that share a scope.
-func countPath(s tally.Snapshot) PathCounts {
+// CountPath reads the totals of all agents that share a scope.
+func CountPath(s tally.Snapshot) PathCounts {
 	var c PathCounts
 	for _, counter := range s.Counters() {
 		if counter.Name() != "agent.decisions" {
--- a/internal/lab/flows/judge.go
+++ b/internal/lab/flows/judge.go
@@ -36,6 +36,7 @@
 	for i := range outcomes {
 		r.judgeFlow(&result, &outcomes[i], byCaller)
 	}
+	r.slowFlows(outcomes)
 	r.addTimes(&result, outcomes)
 	after := r.cluster.Counts()
 	if delivered := after.Delivered - before.Delivered; delivered > 0 {
@@ -93,6 +94,7 @@
 	r.events.printf("flow %s (%s) to %s at %q from %v, started %.2fs, %s after %d bytes: %v; record %q",
 		o.plan.name, o.plan.kind, o.plan.service, o.target, o.plan.local, o.started.Sub(r.events.start).Seconds(),
 		o.ended.Sub(o.started).Round(time.Millisecond), o.bytes, o.err, record.Reason)
+	r.printTrace(o.plan.local)
 }
 
 // brokenByKill reports whether the flow's own target was killed before the flow ended. A flow whose target is not known,
--- a/internal/lab/flows/options.go
+++ b/internal/lab/flows/options.go
@@ -50,6 +50,8 @@
 	Loss, Duplicate float64
 	// LyingTarget lets the first target of each service report a load of 0.
 	LyingTarget bool
+	// Trace prints the packets of flows that broke or were slow.
+	Trace bool
 	// Log takes the log lines of balancers and agents.
 	Log zerolog.Logger
 	// NewCluster makes the system under test; nil drives balancers and agents without a control plane.
--- a/internal/lab/flows/print.go
+++ b/internal/lab/flows/print.go
@@ -1,6 +1,17 @@
 package flows
 
-import "fmt"
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/refusal"
+)
+
+// slowest is the number of flows that slowFlows prints.
+const slowest = 5
 
 // print writes the summary; the last line is Result.Line.
 func (r *run) print(x Result) {
@@ -19,7 +30,7 @@
 		line("new flows after a kill      %d, waited %d ms at p95, %d ms at most",
 			x.NewFlows, x.NewFlowWait.Milliseconds(), x.LongestNewFlowWait.Milliseconds())
 	}
-	line("refusal records             %d", x.Refused)
+	line("refusal records             %d %s", x.Refused, reasons(r.cluster.Refusals()))
 	if x.Killed > 0 {
 		line("flows of killed targets     %d, %d of them with a record", x.Killed, x.Explained)
 	}
@@ -29,3 +40,45 @@
 	}
 	line("%s", x.Line())
 }
+
+// reasons lists how often each reason occurs.
+func reasons(records []refusal.Record) string {
+	count := map[refusal.Reason]int{}
+	var order []refusal.Reason
+	for _, rec := range records {
+		if count[rec.Reason] == 0 {
+			order = append(order, rec.Reason)
+		}
+		count[rec.Reason] += int(rec.Count)
+	}
+	text := ""
+	for _, reason := range order {
+		text += fmt.Sprintf(" %s=%d", reason, count[reason])
+	}
+	return text
+}
+
+// slowFlows prints the flows that were late to open or stalled for longest.
+func (r *run) slowFlows(outcomes []outcome) {
+	delay := func(o outcome) time.Duration { return max(o.opened, o.stall) }
+	slow := slices.SortedFunc(slices.Values(outcomes), func(a, b outcome) int { return cmp.Compare(delay(b), delay(a)) })
+	for _, o := range slow[:min(slowest, len(slow))] {
+		if delay(o) < MostWait {
+			return
+		}
+		r.events.printf("slow flow %s (%s) to %s at %q from %v, started %.2fs: opened after %s, stalled for %s", o.plan.name,
+			o.plan.kind, o.plan.service, o.target, o.plan.local, o.started.Sub(r.events.start).Seconds(),
+			o.opened.Round(time.Millisecond), o.stall.Round(time.Millisecond))
+		r.printTrace(o.plan.local)
+	}
+}
+
+// printTrace prints the packets of one flow when they were traced.
+func (r *run) printTrace(caller netip.AddrPort) {
+	if r.trace == nil {
+		return
+	}
+	for _, line := range r.trace.lines(caller) {
+		_, _ = fmt.Fprintf(r.events.out, "    %s\n", line)
+	}
+}
--- a/internal/lab/flows/run.go
+++ b/internal/lab/flows/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -29,6 +30,7 @@
 	fabric     *fabric.Fabric
 	cluster    Cluster
 	events     *events
+	trace      *tracer
 	watched    atomic.Bool
 	open       atomic.Int64
 	mostOpen   atomic.Int64
@@ -72,6 +74,7 @@
 		Loss:      r.opts.Loss,
 		Duplicate: r.opts.Duplicate,
 		Detection: DefaultDetection,
+		Tap:       r.tap(),
 	})
 	if err != nil {
 		return trace.Wrap(err)
@@ -89,6 +92,15 @@
 	return trace.Wrap(err)
 }
 
+// tap returns the tap of the fabric, or nil without Options.Trace.
+func (r *run) tap() func(netip.AddrPort, bool, []byte) {
+	if !r.opts.Trace {
+		return nil
+	}
+	r.trace = newTracer(r.events.start)
+	return r.trace.tap
+}
+
 func (r *run) close() {
 	if r.cluster != nil {
 		r.cluster.Close()
--- a/pkg/agentd/daemon.go
+++ b/pkg/agentd/daemon.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -16,7 +18,6 @@
 	"github.com/auburnwood/auburnwood/pkg/membership"
 	"github.com/auburnwood/auburnwood/pkg/peer"
 	"github.com/auburnwood/auburnwood/pkg/refusal"
-	"github.com/auburnwood/auburnwood/pkg/view"
 )
 
 // leaveLinger is how long a drained agent goes on forwarding packets of other agents' flows after it has left, so that
@@ -208,10 +209,11 @@
 		DialTimeout:   s.TargetDialTimeout.Duration(),
 		DrainTime:     s.DrainTime.Duration(),
 	}, agent.Deps{
-		Log:        d.o.Env.Log,
-		Metrics:    d.o.Env.Scope,
-		Refusals:   d.refusals,
-		OnDraining: d.announceDrain,
+		Log:          d.o.Env.Log,
+		Metrics:      d.o.Env.Scope,
+		Refusals:     d.refusals,
+		OnDraining:   d.announceDrain,
+		OnTargetDown: d.targetDown,
 	})
 }
 
@@ -234,7 +236,7 @@
 		TLS:            peer.TLSConfig{CA: s.TLS.CA, Cert: s.TLS.Certificate, Key: s.TLS.Key},
 		JoinTime:       d.o.JoinTime,
 		Load:           func() uint32 { return uint32(p.OpenFlows()) },
-		OnView:         func(v *view.Service) { p.SetService(v) },
+		OnView:         d.o.WrapView(p.SetService),
 		OnRemoved:      func(string) { p.SetService(nil) },
 		BytesPerSecond: s.Control.BytesPerSecond,
 		Log:            d.o.Env.Log,
@@ -248,6 +250,15 @@
 	}
 }
 
+// targetDown ends the agent's life when its target takes no connection any more: a target that comes back announces
+// itself to the agent's next incarnation.
+func (d *Daemon) targetDown(err error) {
+	d.o.Env.Log.Warn().Err(err).Str("op", "target-down").Str("peer", d.o.Settings.TargetAddress).Send()
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		d.announce.startDrain()
+	}
+}
+
 // Kill closes every socket at once and tells nobody, as if the VM were gone.
 func (d *Daemon) Kill() {
 	d.once.Do(func() {
--- a/pkg/balancerd/daemon.go
+++ b/pkg/balancerd/daemon.go
@@ -138,7 +138,7 @@
 	g, run := errgroup.WithContext(ctx)
 	g.Go(func() error { return d.balancer.Run(run) })
 	g.Go(func() error { return d.node.Serve(run) })
-	g.Go(func() error { return d.node.WatchViews(run, d.adoptView) })
+	g.Go(func() error { return d.node.WatchViews(run, d.o.WrapView(d.adoptView)) })
 	g.Go(func() error { return d.follow(run) })
 	g.Go(func() error { return d.compileDuty(run) })
 	g.Go(func() error { return d.runRefusals(run) })
--- a/pkg/balancerd/options.go
+++ b/pkg/balancerd/options.go
@@ -6,6 +6,7 @@
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
 	"github.com/auburnwood/auburnwood/pkg/settings"
 	"github.com/auburnwood/auburnwood/pkg/telemetry"
+	"github.com/auburnwood/auburnwood/pkg/view"
 )
 
 // Options are what a Daemon is made of.
@@ -16,6 +17,8 @@
 	Env telemetry.Env
 	// Store replaces the object API client made from the settings; nil keeps it. Programs that embed the daemon use it.
 	Store objectapi.Store
+	// WrapView, when not nil, wraps the receiver of views. Programs that embed the daemon use it to hold views back.
+	WrapView func(next func(*view.View)) func(*view.View)
 	// Incarnation replaces the start time in nanoseconds; 0 keeps it.
 	Incarnation uint64
 }
@@ -24,5 +27,8 @@
 	if o.Incarnation == 0 {
 		o.Incarnation = uint64(time.Now().UnixNano())
 	}
+	if o.WrapView == nil {
+		o.WrapView = func(next func(*view.View)) func(*view.View) { return next }
+	}
 	return o
 }
