--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -174,9 +174,7 @@
 		a.end(f)
 	}
 	for _, f := range lost {
-		a.metrics.conflictsLost.Inc(1)
-		a.deps.Log.Warn().Str("op", "silence").Uint64("flow", f.hash).Str("reason", "another agent owns the flow").Send()
-		f.abort()
+		a.lost(f)
 	}
 	a.metrics.openFlows.Update(float64(a.registry.open()))
 }
--- a/pkg/agent/control.go
+++ b/pkg/agent/control.go
@@ -24,11 +24,13 @@
 	a.metrics.control.Inc(1)
 	owner, _ := wire.Addr(m.Owner)
 	a.sendAll(a.arbiter.Control(now, from, arbiter.Message{
-		Kind:  m.Kind,
-		Flow:  m.Flow,
-		Flows: m.Flows,
-		Owner: owner,
-		Load:  m.Load,
+		Kind:        m.Kind,
+		Flow:        m.Flow,
+		Flows:       m.Flows,
+		Owner:       owner,
+		Load:        m.Load,
+		Incarnation: m.Incarnation,
+		Final:       m.Final,
 	}))
 }
 
@@ -38,19 +40,39 @@
 	if s == nil || len(messages) == 0 {
 		return
 	}
-	d := &wire.Datagram{
-		Service:     s.Name,
-		Revision:    s.Revision,
-		Sender:      a.self[:],
-		Incarnation: a.cfg.Incarnation,
-	}
+	d := &wire.Datagram{Service: s.Name, Revision: s.Revision, Sender: a.self[:], Incarnation: a.cfg.Incarnation}
 	for i := range messages {
+		if messages[i].To == a.addr {
+			a.drop(&messages[i])
+			continue
+		}
 		a.sendMessage(d, &messages[i])
 	}
 }
 
+// drop cuts flows that another agent owns; their callers hear nothing of it.
+func (a *Agent) drop(m *arbiter.Message) {
+	flows := m.Flows
+	if len(flows) == 0 {
+		flows = []uint64{m.Flow}
+	}
+	for _, hash := range flows {
+		if f := a.registry.get(hash); f != nil && f.silence() {
+			a.lost(f)
+		}
+	}
+}
+
+// lost ends a flow that is silenced.
+func (a *Agent) lost(f *openFlow) {
+	a.metrics.conflictsLost.Inc(1)
+	a.deps.Log.Warn().Str("op", "silence").Uint64("flow", f.hash).Str("reason", "another agent owns the flow").Send()
+	f.abort()
+	a.end(f)
+}
+
 func (a *Agent) sendMessage(d *wire.Datagram, m *arbiter.Message) {
-	d.Kind, d.Flow, d.Load, d.Owner = m.Kind, m.Flow, m.Load, nil
+	d.Kind, d.Flow, d.Load, d.Final, d.Owner = m.Kind, m.Flow, m.Load, m.Final, nil
 	if m.Owner.IsValid() {
 		d.Owner = wire.AppendAddr(nil, m.Owner)
 	}
--- a/pkg/agent/datagrams.go
+++ b/pkg/agent/datagrams.go
@@ -38,13 +38,11 @@
 		_ = target.Close()
 		return
 	}
-	now := u.a.deps.Now()
-	u.last.Store(now.UnixNano())
-	u.a.sendAll(u.a.arbiter.Opened(now, u.f.hash))
+	u.last.Store(u.a.deps.Now().UnixNano())
 	idle := u.s.Spec.UDPIdle.Or(resource.DefaultUDPIdle)
 	var both sync.WaitGroup
-	both.Go(func() { u.copy(target, u.caller) })
-	both.Go(func() { u.copy(u.caller, target) })
+	both.Go(func() { u.copy(target, u.caller, u.opened) })
+	both.Go(func() { u.copy(u.caller, target, func() {}) })
 	u.watch(idle)
 	// The arbiter is told first: a datagram that comes now starts a new flow.
 	u.a.end(u.f)
@@ -73,9 +71,16 @@
 	}
 }
 
-// copy carries datagrams until a socket is closed. A target that refuses a datagram may take the next one.
-func (u *datagrams) copy(to, from net.Conn) {
+// opened tells the arbiter that the flow is in use.
+func (u *datagrams) opened() {
+	u.a.sendAll(u.a.arbiter.Opened(u.a.deps.Now(), u.f.hash))
+}
+
+// copy carries datagrams until a socket is closed; it calls second when the second one has come. A target that refuses a
+// datagram may take the next one.
+func (u *datagrams) copy(to, from net.Conn, second func()) {
 	b := make([]byte, u.a.cfg.MTU)
+	count := 0
 	failures := 0
 	for {
 		n, err := from.Read(b)
@@ -86,6 +91,9 @@
 			continue
 		}
 		failures = 0
+		if count++; count == 2 {
+			second()
+		}
 		u.last.Store(u.a.deps.Now().UnixNano())
 		_, _ = to.Write(b[:n])
 	}
--- a/pkg/agent/open_flow.go
+++ b/pkg/agent/open_flow.go
@@ -36,7 +36,7 @@
 func (f *openFlow) serve(cut func()) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.state != flowPlaced {
+	if f.state != flowPlaced || f.silent {
 		return false
 	}
 	f.state, f.cut = flowServed, cut
--- a/pkg/agent/refuse.go
+++ b/pkg/agent/refuse.go
@@ -9,20 +9,21 @@
 	"github.com/auburnwood/auburnwood/pkg/refusal"
 )
 
-// refuse answers a caller's packet with a reset and records why. A caller's own reset needs neither.
+// refuse records why a caller's packet is refused, and then answers it with a reset. A caller's own reset needs neither.
 func (a *Agent) refuse(s *service, raw []byte, info packet.Info, hash uint64, reason refusal.Reason, detail string, now time.Time) {
 	a.metrics.refused.Inc(1)
 	if info.Reset {
 		return
 	}
-	if info.Key.Protocol == flow.ProtocolTCP {
-		if reset, ok := netstack.Reset(raw); ok {
-			a.fabric.send(reset)
-		}
-	}
 	if a.refused.first(hash, now) {
 		a.record(s, info.Key, hash, reason, detail, now)
 	}
+	if info.Key.Protocol != flow.ProtocolTCP {
+		return
+	}
+	if reset, ok := netstack.Reset(raw); ok {
+		a.fabric.send(reset)
+	}
 }
 
 // record leaves a refusal record and a log line. No work of the flow will be run after it; whether some was run is not
--- a/pkg/agent/stream.go
+++ b/pkg/agent/stream.go
@@ -21,6 +21,8 @@
 	caller *netstack.Conn
 	target *net.TCPConn
 	isCut  bool
+	// died is set when the target's death was recorded.
+	died bool
 	// targetDone is set when the target has closed its sending side and lives.
 	targetDone bool
 }
@@ -29,8 +31,8 @@
 func (st *stream) serveBytes(in netstack.Accepted) {
 	target, err := st.a.dialTarget("tcp")
 	if err != nil {
-		in.Reject()
 		st.record(refusal.ReasonTargetRefused, err.Error())
+		in.Reject()
 		return
 	}
 	defer target.Close()
@@ -110,17 +112,18 @@
 	}
 }
 
-// targetDied resets the caller's connection and records it, unless the flow was cut before.
+// targetDied records the target's death and resets the caller's connection, unless the flow was cut before.
 func (st *stream) targetDied(detail string) {
 	st.mu.Lock()
-	first := !st.isCut
+	again := st.isCut || st.died
+	st.died = true
 	st.mu.Unlock()
-	st.cut()
-	if !first {
+	if again {
 		return
 	}
 	st.a.metrics.targetDied.Inc(1)
 	st.record(refusal.ReasonTargetDied, detail)
+	st.cut()
 }
 
 func (st *stream) record(reason refusal.Reason, detail string) {
--- a/pkg/agent/worker.go
+++ b/pkg/agent/worker.go
@@ -132,6 +132,9 @@
 	default:
 		w.a.metrics.dropped.Inc(1)
 	}
+	if d.Notify.To.IsValid() {
+		w.a.sendAll([]arbiter.Message{d.Notify})
+	}
 }
 
 func (w *worker) deliver(s *service, m *wire.Datagram, info packet.Info, d *arbiter.Decision, now time.Time) {
