Cut the cost of validation and of a log line; name arguments in the help of ctl

Deleting accepted services from the middle of a list copied it each time, and the time of a line was an allocation.

--- a/pkg/ctl/app.go
+++ b/pkg/ctl/app.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strconv"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -46,8 +47,8 @@
 
 // command is one command with its options.
 type command interface {
-	// run runs the command with the arguments that are not options.
-	run(ctx context.Context, s *session, args []string) error
+	// run runs the command.
+	run(ctx context.Context, s *session) error
 }
 
 // commandInfo is what help says about a command.
@@ -61,9 +62,9 @@
 	return []commandInfo{
 		{"validate", "Check services without a server", "Reads services from files, or from standard input for \"-\", and reports every mistake with its field.", &validateCommand{}},
 		{"apply", "Create or replace services", "Reads services from files, or from standard input for \"-\", and stores each by a conditional write. Nothing is written when any document has a mistake.", &applyCommand{}},
-		{"get", "Show objects", "Shows services with their status, or the objects of another kind: get [KIND [NAME...]].", &getCommand{}},
-		{"watch", "Follow changes", "Prints the objects of a kind and then each change: watch [KIND [NAME]].", &watchCommand{}},
-		{"delete", "Delete services", "Deletes services by name: delete NAME...", &deleteCommand{}},
+		{"get", "Show objects", "Shows services with their status, or the objects of another kind.", &getCommand{}},
+		{"watch", "Follow changes", "Prints the objects of a kind and then each change.", &watchCommand{}},
+		{"delete", "Delete services", "Deletes services by name.", &deleteCommand{}},
 		{"explain", "Say why callers were refused", "Finds refusal records by caller, service, reason and time.", &explainCommand{}},
 	}
 }
@@ -99,7 +100,10 @@
 	if c == nil {
 		return a.fail(&usageError{reason: "a command is required\nTry --help."})
 	}
-	return a.fail(c.run(ctx, &session{app: a, flags: g}, rest))
+	if len(rest) > 0 {
+		return a.fail(&usageError{reason: "unexpected argument " + strconv.Quote(rest[0])})
+	}
+	return a.fail(c.run(ctx, &session{app: a, flags: g}))
 }
 
 // find returns the active command, or nil when there is none.
--- a/pkg/ctl/apply.go
+++ b/pkg/ctl/apply.go
@@ -15,14 +15,17 @@
 	DryRun  bool          `long:"dry-run" description:"Check everything and say what would be done, without writing"`
 	Retries int           `long:"retries" default:"0" value-name:"N" description:"Write over the change of another operator up to N times; by default it stays and the exit code is 3"`
 	Wait    time.Duration `long:"wait" value-name:"TIME" description:"Wait until the services are in force on every balancer, at most this long"`
+	Args    struct {
+		Files []string `positional-arg-name:"FILE"`
+	} `positional-args:"yes"`
 }
 
 // run implements command.
-func (c *applyCommand) run(ctx context.Context, s *session, args []string) error {
+func (c *applyCommand) run(ctx context.Context, s *session) error {
 	if c.Retries < 0 {
 		return &usageError{reason: "--retries must not be negative"}
 	}
-	list, err := s.documents(args)
+	list, err := s.documents(c.Args.Files)
 	if err != nil {
 		return err
 	}
--- a/pkg/ctl/delete.go
+++ b/pkg/ctl/delete.go
@@ -15,10 +15,14 @@
 type deleteCommand struct {
 	DryRun  bool   `long:"dry-run" description:"Say what would be deleted, without writing"`
 	Version uint64 `long:"version-is" value-name:"N" description:"Delete only when the stored version is N"`
+	Args    struct {
+		Names []string `positional-arg-name:"NAME"`
+	} `positional-args:"yes"`
 }
 
 // run implements command.
-func (c *deleteCommand) run(ctx context.Context, s *session, args []string) error {
+func (c *deleteCommand) run(ctx context.Context, s *session) error {
+	args := c.Args.Names
 	if len(args) == 0 {
 		return &usageError{reason: "name at least one service"}
 	}
--- a/pkg/ctl/explain.go
+++ b/pkg/ctl/explain.go
@@ -24,10 +24,7 @@
 }
 
 // run implements command.
-func (c *explainCommand) run(ctx context.Context, s *session, args []string) error {
-	if len(args) > 0 {
-		return &usageError{reason: "unexpected argument " + strconv.Quote(args[0])}
-	}
+func (c *explainCommand) run(ctx context.Context, s *session) error {
 	q, err := c.query(s.app.Now())
 	if err != nil {
 		return err
--- a/pkg/ctl/get.go
+++ b/pkg/ctl/get.go
@@ -15,23 +15,24 @@
 )
 
 // getCommand shows objects.
-type getCommand struct{}
+type getCommand struct {
+	Args struct {
+		Kind  string   `positional-arg-name:"KIND"`
+		Names []string `positional-arg-name:"NAME"`
+	} `positional-args:"yes"`
+}
 
 // run implements command.
-func (*getCommand) run(ctx context.Context, s *session, args []string) error {
-	kind, names := resource.KindService, args
-	if len(args) > 0 {
-		k, err := parseKind(args[0])
-		if err != nil {
-			return err
-		}
-		kind, names = k, args[1:]
+func (c *getCommand) run(ctx context.Context, s *session) error {
+	kind, err := parseKind(c.Args.Kind)
+	if err != nil {
+		return err
 	}
 	store, err := s.store()
 	if err != nil {
 		return err
 	}
-	list, missing, err := fetch(ctx, store, kind, names)
+	list, missing, err := fetch(ctx, store, kind, c.Args.Names)
 	if err != nil {
 		return err
 	}
--- a/pkg/ctl/kinds.go
+++ b/pkg/ctl/kinds.go
@@ -14,10 +14,10 @@
 	resource.KindLease, resource.KindMembers, resource.KindRollout, resource.KindClaim,
 }
 
-// parseKind reads the name of a kind.
+// parseKind reads the name of a kind; no name means services.
 func parseKind(name string) (objectapi.Kind, error) {
 	k := objectapi.Kind(name)
-	if k == "services" {
+	if k == "" || k == "services" {
 		k = resource.KindService
 	}
 	if slices.Contains(kinds, k) {
--- a/pkg/ctl/validate.go
+++ b/pkg/ctl/validate.go
@@ -8,11 +8,15 @@
 )
 
 // validateCommand checks services without a server.
-type validateCommand struct{}
+type validateCommand struct {
+	Args struct {
+		Files []string `positional-arg-name:"FILE"`
+	} `positional-args:"yes"`
+}
 
 // run implements command.
-func (*validateCommand) run(_ context.Context, s *session, args []string) error {
-	list, err := s.documents(args)
+func (c *validateCommand) run(_ context.Context, s *session) error {
+	list, err := s.documents(c.Args.Files)
 	if err != nil {
 		return err
 	}
--- a/pkg/ctl/watch.go
+++ b/pkg/ctl/watch.go
@@ -17,20 +17,17 @@
 // watchCommand follows changes.
 type watchCommand struct {
 	Count int `long:"count" default:"0" value-name:"N" description:"End after N lines; 0 follows until interrupted"`
+	Args  struct {
+		Kind string `positional-arg-name:"KIND"`
+		Name string `positional-arg-name:"NAME"`
+	} `positional-args:"yes"`
 }
 
 // run implements command.
-func (c *watchCommand) run(ctx context.Context, s *session, args []string) error {
-	kind := resource.KindService
-	if len(args) > 0 {
-		k, err := parseKind(args[0])
-		if err != nil {
-			return err
-		}
-		kind = k
-	}
-	if len(args) > 2 {
-		return &usageError{reason: "watch takes one kind and at most one name"}
+func (c *watchCommand) run(ctx context.Context, s *session) error {
+	kind, err := parseKind(c.Args.Kind)
+	if err != nil {
+		return err
 	}
 	store, err := s.store()
 	if err != nil {
@@ -38,10 +35,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	f := follower{session: s, cancel: cancel, left: c.Count, limited: c.Count > 0, services: make(map[string]objectapi.Object), statuses: make(map[string]objectapi.Object)}
-	if len(args) == 2 {
-		f.name = args[1]
-	}
+	f := follower{session: s, cancel: cancel, name: c.Args.Name, left: c.Count, limited: c.Count > 0, services: make(map[string]objectapi.Object), statuses: make(map[string]objectapi.Object)}
 	return f.follow(ctx, store, kind)
 }
 
--- a/pkg/resource/validateall.go
+++ b/pkg/resource/validateall.go
@@ -108,17 +108,24 @@
 // accept accepts pending services in order of precedence. When one gives an address up, it starts over, so that the
 // service of the highest precedence gets it.
 func (r *resolver) accept() {
-	for i := 0; i < len(r.pending); {
+	accepted := make([]bool, len(r.pending))
+	for i := 0; i < len(r.pending); i++ {
 		s := r.pending[i]
-		if len(r.conflicts(s)) > 0 {
-			i++
+		if accepted[i] || len(r.conflicts(s)) > 0 {
 			continue
 		}
-		r.pending = slices.Delete(r.pending, i, i+1)
+		accepted[i] = true
 		if r.put(ServiceConfig{Name: s.Name, Version: s.Version, Spec: s.Spec}) {
-			i = 0
+			i = -1
 		}
 	}
+	left := r.pending[:0]
+	for i, s := range r.pending {
+		if !accepted[i] {
+			left = append(left, s)
+		}
+	}
+	r.pending = left
 }
 
 // conflicts returns one mistake for each address of s that another service holds.
--- a/pkg/telemetry/logger.go
+++ b/pkg/telemetry/logger.go
@@ -38,5 +38,6 @@
 
 // Run implements zerolog.Hook.
 func (timestamp) Run(e *zerolog.Event, _ zerolog.Level, _ string) {
-	e.Str(zerolog.TimestampFieldName, time.Now().UTC().Format(timeFormat))
+	var b [len(timeFormat)]byte
+	e.Bytes(zerolog.TimestampFieldName, time.Now().UTC().AppendFormat(b[:0], timeFormat))
 }
