--- a/pkg/lease/loop.go
+++ b/pkg/lease/loop.go
@@ -15,6 +15,8 @@
 	duty   Duty
 	group  *errgroup.Group
 	active *term
+	// last is closed when the duty that was begun last has ended; nil before the first.
+	last <-chan struct{}
 }
 
 func newLoop(r *Runner, d Duty) *loop {
@@ -52,7 +54,7 @@
 // follow starts or ends the duty after a step.
 func (l *loop) follow(ctx context.Context) {
 	number, held := l.state.Term(l.clock.Now())
-	if l.active != nil && (!held || l.active.grant.Term != number) {
+	if l.active != nil && (!held || l.active.grant.Term != number || l.active.over()) {
 		l.end("lapsed")
 	}
 	if !held {
@@ -67,9 +69,11 @@
 func (l *loop) begin(ctx context.Context, g Grant) {
 	l.log("acquired", g)
 	t := newTerm(ctx, l.clock, g, l.state.Until())
+	before := l.last
 	l.active = t
+	l.last = t.done
 	l.group.Go(func() error { return t.watch() })
-	l.group.Go(func() error { return t.work(l.duty, l.runner) })
+	l.group.Go(func() error { return t.work(l.duty, l.runner, before) })
 }
 
 func (l *loop) end(reason string) {
--- a/pkg/lease/runner_test.go
+++ b/pkg/lease/runner_test.go
@@ -7,10 +7,12 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/auburnwood/auburnwood/internal/standin/store"
 	"github.com/auburnwood/auburnwood/pkg/lease"
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
 )
 
 func newRunner(s *store.Store, holder string) *lease.Runner {
@@ -62,7 +64,8 @@
 		time.Sleep(2 * time.Minute)
 		require.Len(t, a, 1, "one term only")
 		stop()
-		synctest.Wait()
+		// The release needs several calls while answers are lost.
+		time.Sleep(time.Minute)
 	})
 }
 
@@ -88,3 +91,46 @@
 		synctest.Wait()
 	})
 }
+
+// lateRenewalStore answers the third write only after the validity has ended.
+type lateRenewalStore struct {
+	*store.Store
+	writes int
+}
+
+func (s *lateRenewalStore) Update(ctx context.Context, o objectapi.Object) (objectapi.Object, error) {
+	s.writes++
+	done, err := s.Store.Update(ctx, o)
+	if s.writes == 3 {
+		time.Sleep(5 * time.Second)
+	}
+	return done, err
+}
+
+// The duty that was told to end must begin again when the renewal turns out to have succeeded.
+func TestDutyBeginsAgainAfterALateRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &lateRenewalStore{Store: store.New(store.Config{})}
+		r := newRunner(s.Store, "a")
+		r.Store = s
+		ctx, stop := context.WithCancel(t.Context())
+		running, begun := 0, 0
+		go func() {
+			_ = r.Run(ctx, func(ctx context.Context, _ lease.Grant) error {
+				running++
+				begun++
+				assert.Equal(t, 1, running, "one duty at a time")
+				<-ctx.Done()
+				time.Sleep(time.Second)
+				running--
+				return nil
+			})
+		}()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		require.Equal(t, 1, running)
+		require.Equal(t, 2, begun)
+		stop()
+		time.Sleep(time.Minute)
+	})
+}
--- a/pkg/lease/term.go
+++ b/pkg/lease/term.go
@@ -13,6 +13,8 @@
 	clock  Clock
 	ctx    context.Context
 	cancel context.CancelFunc
+	// done is closed when the duty has ended.
+	done chan struct{}
 
 	mu    sync.Mutex
 	until time.Time
@@ -20,7 +22,7 @@
 
 func newTerm(ctx context.Context, c Clock, g Grant, until time.Time) *term {
 	ctx, cancel := context.WithCancel(ctx)
-	return &term{grant: g, clock: c, ctx: ctx, cancel: cancel, until: until}
+	return &term{grant: g, clock: c, ctx: ctx, cancel: cancel, done: make(chan struct{}), until: until}
 }
 
 func (t *term) extend(until time.Time) {
@@ -48,8 +50,16 @@
 	return nil
 }
 
-// work runs the duty, and again after a failure, until the term ends.
-func (t *term) work(d Duty, r *Runner) error {
+// over reports whether the duty was told to end: a renewal may succeed just after the validity has ended.
+func (t *term) over() bool { return t.ctx.Err() != nil }
+
+// work waits until the duty begun before has ended, and then runs the duty, and again after a failure, until the term
+// ends.
+func (t *term) work(d Duty, r *Runner, before <-chan struct{}) error {
+	defer close(t.done)
+	if before != nil {
+		<-before
+	}
 	for t.ctx.Err() == nil {
 		err := d(t.ctx, t.grant)
 		if errors.Is(err, ErrFenced) {
--- a/pkg/revision/archive.go
+++ b/pkg/revision/archive.go
@@ -49,16 +49,17 @@
 
 // save stores a revision for the head to name, and returns the name. Each value is created once; after a lost answer
 // the same value is found again.
-func save(ctx context.Context, s objectapi.Store, r resource.Revision, term uint64, partSize int) (string, error) {
+func save(ctx context.Context, s objectapi.Store, r resource.Revision, partSize int) (string, error) {
 	b, err := Encode(r)
 	if err != nil {
 		return "", err
 	}
-	values, err := split(r.Number, b, partSize)
+	sum := xxhash.Sum64(b)
+	values, err := split(r.Number, sum, b, partSize)
 	if err != nil {
 		return "", err
 	}
-	name := objectName(r.Number, term)
+	name := objectName(r.Number, sum)
 	for i, v := range values {
 		if err := lease.CreateSame(ctx, s, resource.KindRevision, partName(name, i), v); err != nil {
 			return "", trace.Wrap(err, "store revision %d", r.Number)
--- a/pkg/revision/compile.go
+++ b/pkg/revision/compile.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"reflect"
 
 	"github.com/auburnwood/auburnwood/pkg/resource"
 	"github.com/auburnwood/auburnwood/pkg/rollout"
@@ -77,6 +78,9 @@
 
 // sameSpec compares the stored forms, in which empty and absent lists are equal.
 func sameSpec(a, b resource.ServiceSpec) bool {
+	if reflect.DeepEqual(a, b) {
+		return true
+	}
 	x, errX := json.Marshal(a)
 	y, errY := json.Marshal(b)
 	return errX == nil && errY == nil && bytes.Equal(x, y)
--- a/pkg/revision/compile_test.go
+++ b/pkg/revision/compile_test.go
@@ -107,7 +107,7 @@
 func TestLargeRevisionIsSplit(t *testing.T) {
 	s := store.New(store.Config{})
 	r := Compile(resource.Revision{}, Inputs{Services: manyServices(680)}).Revision
-	name, err := save(t.Context(), s, r, 3, 1000)
+	name, err := save(t.Context(), s, r, 1000)
 	require.NoError(t, err)
 	list, _, err := s.List(t.Context(), resource.KindRevision)
 	require.NoError(t, err)
@@ -116,7 +116,7 @@
 	got, err := Load(t.Context(), s, head)
 	require.NoError(t, err)
 	require.Equal(t, r, got)
-	same, err := save(t.Context(), s, r, 3, 1000)
+	same, err := save(t.Context(), s, r, 1000)
 	require.NoError(t, err, "the same revision again, as after a lost answer")
 	require.Equal(t, name, same)
 	require.NoError(t, s.Delete(t.Context(), resource.KindRevision, list[3].Name, list[3].Version))
@@ -125,7 +125,7 @@
 }
 
 func TestFullPartFitsTheStore(t *testing.T) {
-	values, err := split(1, make([]byte, 2*maxPart), maxPart)
+	values, err := split(1, 7, make([]byte, 2*maxPart), maxPart)
 	require.NoError(t, err)
 	require.Len(t, values, 2)
 	require.LessOrEqual(t, len(values[0]), objectapi.MaxValueSize)
@@ -153,7 +153,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		values, _ := split(1, packed, maxPart)
+		values, _ := split(1, 7, packed, maxPart)
 		b.ReportMetric(float64(len(values[0])), "object-bytes")
 	}
 	b.ReportMetric(float64(len(plain)), "json-bytes")
--- /dev/null
+++ b/pkg/revision/main_test.go
@@ -0,0 +1,20 @@
+package revision
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// historyChecks is the number of drawn histories unless -rapid.checks says another.
+const historyChecks = "15"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.checks" })
+	if !given {
+		_ = flag.Set("rapid.checks", historyChecks)
+	}
+	os.Exit(m.Run())
+}
--- a/pkg/revision/part.go
+++ b/pkg/revision/part.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
@@ -26,9 +25,10 @@
 	Data []byte `json:"data"`
 }
 
-// objectName names the revision's first object. The term keeps a former holder's writes under other names.
-func objectName(number, term uint64) string {
-	return fmt.Sprintf("%s-%d", resource.RevisionName(number), term)
+// objectName names the revision's first object. The checksum of the content keeps apart what two holders, or two
+// attempts of one holder, make of the same number; only the head says which of them is accepted.
+func objectName(number, sum uint64) string {
+	return fmt.Sprintf("%s-%016x", resource.RevisionName(number), sum)
 }
 
 func partName(object string, index int) string {
@@ -39,9 +39,8 @@
 }
 
 // split cuts the encoded revision into values of stored objects.
-func split(number uint64, b []byte, size int) ([][]byte, error) {
+func split(number, sum uint64, b []byte, size int) ([][]byte, error) {
 	count := (len(b) + size - 1) / size
-	sum := xxhash.Sum64(b)
 	out := make([][]byte, 0, count)
 	for i := range count {
 		p := part{Number: number, Parts: count, Sum: sum, Data: b[i*size : min(len(b), (i+1)*size)]}
--- a/pkg/revision/session.go
+++ b/pkg/revision/session.go
@@ -105,7 +105,7 @@
 // publish stores the revision and then advances the head. When the head was written by somebody else of an earlier
 // term, the revision that it names is loaded, and the next round compiles on top of it.
 func (s *session) publish(ctx context.Context, r resource.Revision) error {
-	name, err := save(ctx, s.cfg.Store, r, s.grant.Term, maxPart)
+	name, err := save(ctx, s.cfg.Store, r, maxPart)
 	if err != nil {
 		return err
 	}
