--- a/pkg/revision/follower.go
+++ b/pkg/revision/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -35,6 +36,9 @@
 	Clock lease.Clock
 	// PeerInterval is the time between two questions to the peers; 0 means DefaultPeerInterval.
 	PeerInterval time.Duration
+	// MinPeers is the number of peers that have to answer before the first revision is taken from them; 0 means 1. All
+	// known peers are asked, so that a process which lost its memory does not come back with less than its peers hold.
+	MinPeers int
 	// Log takes failures.
 	Log zerolog.Logger
 }
@@ -154,6 +158,10 @@
 		f.Adopter.Missing(SourcePeer, "no peer knows a revision")
 		return
 	}
+	if _, known := f.Adopter.Current(); !known && len(list) < f.MinPeers {
+		f.Adopter.Missing(SourcePeer, fmt.Sprintf("%d of %d peers needed have answered", len(list), f.MinPeers))
+		return
+	}
 	if best.Number > f.Adopter.Number() {
 		f.Adopter.Offer(best, SourcePeer)
 	}
