--- a/pkg/netstack/accept.go
+++ b/pkg/netstack/accept.go
@@ -25,6 +25,7 @@
 // Accept completes the handshake, which blocks until the caller answers. The connection is a *Conn.
 func (a Accepted) Accept() (net.Conn, error) {
 	var queue waiter.Queue
+	id := a.request.ID()
 	endpoint, terr := a.request.CreateEndpoint(&queue)
 	if terr != nil {
 		a.request.Complete(false)
@@ -32,7 +33,9 @@
 	}
 	a.request.Complete(false)
 	a.stack.tune(endpoint)
-	return newConn(&queue, endpoint), nil
+	c := newConn(&queue, endpoint)
+	a.stack.accepted.add(c, id)
+	return c, nil
 }
 
 // Reject answers the caller with a reset.
--- /dev/null
+++ b/pkg/netstack/accepted_conns.go
@@ -0,0 +1,50 @@
+package netstack
+
+import (
+	"sync"
+	"time"
+
+	"gvisor.dev/gvisor/pkg/tcpip/header"
+	"gvisor.dev/gvisor/pkg/tcpip/stack"
+)
+
+// acceptedConns knows the accepted connections, to let a caller open a new one while the old one of the same ports is in
+// TIME-WAIT (RFC 9293, section 3.10.7.4). The stack does that for listeners only, not for its forwarder.
+type acceptedConns struct {
+	timeWait time.Duration
+	conns    sync.Map
+}
+
+func (a *acceptedConns) add(c *Conn, id stack.TransportEndpointID) {
+	c.accepted, c.id = a, id
+	a.conns.Store(id, c)
+}
+
+func (a *acceptedConns) forget(c *Conn) { a.conns.CompareAndDelete(c.id, c) }
+
+// retire forgets a closed connection once nothing of it is left.
+func (a *acceptedConns) retire(c *Conn) {
+	if c.gone() {
+		a.forget(c)
+		return
+	}
+	time.AfterFunc(a.timeWait, func() { a.retire(c) })
+}
+
+// reopen ends the connection in TIME-WAIT, if any, whose ports an opening segment uses.
+func (a *acceptedConns) reopen(packet []byte) {
+	source, destination, segment, ok := tcpOf(packet)
+	if !ok || segment.Flags()&(header.TCPFlagSyn|header.TCPFlagAck) != header.TCPFlagSyn {
+		return
+	}
+	id := stack.TransportEndpointID{
+		LocalPort:     segment.DestinationPort(),
+		LocalAddress:  destination,
+		RemotePort:    segment.SourcePort(),
+		RemoteAddress: source,
+	}
+	c, ok := a.conns.Load(id)
+	if ok && c.(*Conn).inTimeWait() {
+		c.(*Conn).Abort()
+	}
+}
--- a/pkg/netstack/conn.go
+++ b/pkg/netstack/conn.go
@@ -6,6 +6,7 @@
 
 	"gvisor.dev/gvisor/pkg/tcpip"
 	"gvisor.dev/gvisor/pkg/tcpip/adapters/gonet"
+	"gvisor.dev/gvisor/pkg/tcpip/stack"
 	"gvisor.dev/gvisor/pkg/tcpip/transport/tcp"
 	"gvisor.dev/gvisor/pkg/waiter"
 )
@@ -13,16 +14,47 @@
 // Conn is a TCP connection of a Stack. It has CloseRead and CloseWrite for half-close.
 type Conn struct {
 	*gonet.TCPConn
+	queue    *waiter.Queue
 	endpoint tcpip.Endpoint
+	// accepted is nil for a connection that was dialled.
+	accepted *acceptedConns
+	id       stack.TransportEndpointID
 }
 
 func newConn(queue *waiter.Queue, endpoint tcpip.Endpoint) *Conn {
-	return &Conn{TCPConn: gonet.NewTCPConn(queue, endpoint), endpoint: endpoint}
+	return &Conn{TCPConn: gonet.NewTCPConn(queue, endpoint), queue: queue, endpoint: endpoint}
+}
+
+// Close closes both ways; the stack still sends what was written.
+func (c *Conn) Close() error {
+	err := c.TCPConn.Close()
+	if c.accepted != nil {
+		c.accepted.retire(c)
+	}
+	return err
+}
+
+// WaitReadable waits until Read would not block. It needs no buffer, so that an idle connection holds none.
+func (c *Conn) WaitReadable() {
+	if c.endpoint.Readiness(waiter.ReadableEvents) != 0 {
+		return
+	}
+	entry, ready := waiter.NewChannelEntry(waiter.ReadableEvents | waiter.EventErr | waiter.EventHUp)
+	c.queue.EventRegister(&entry)
+	defer c.queue.EventUnregister(&entry)
+	for c.endpoint.Readiness(waiter.ReadableEvents) == 0 {
+		<-ready
+	}
 }
 
 // Abort resets the connection: the peer sees a reset and unsent bytes are lost. It may be called at any time, also
 // while other goroutines read and write.
-func (c *Conn) Abort() { c.endpoint.Abort() }
+func (c *Conn) Abort() {
+	c.endpoint.Abort()
+	if c.accepted != nil {
+		c.accepted.forget(c)
+	}
+}
 
 // WaitClosed waits until the connection, on which Close or Abort was called, has nothing left to send, or until ctx ends.
 // The stack tells nobody of that state, so that it is polled.
@@ -43,11 +75,16 @@
 }
 
 func (c *Conn) silent() bool {
-	switch tcp.EndpointState(c.endpoint.State()) {
-	case tcp.StateClose, tcp.StateError, tcp.StateTimeWait:
-		return true
-	}
-	return false
+	return c.gone() || c.inTimeWait()
+}
+
+func (c *Conn) gone() bool {
+	state := tcp.EndpointState(c.endpoint.State())
+	return state == tcp.StateClose || state == tcp.StateError
+}
+
+func (c *Conn) inTimeWait() bool {
+	return tcp.EndpointState(c.endpoint.State()) == tcp.StateTimeWait
 }
 
 func (s *Stack) tune(endpoint tcpip.Endpoint) {
--- a/pkg/netstack/stack.go
+++ b/pkg/netstack/stack.go
@@ -22,9 +22,11 @@
 	config Config
 	stack  *stack.Stack
 	link   *channel.Endpoint
-	closed atomic.Bool
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	// accepted knows the connections that callers opened.
+	accepted acceptedConns
+	closed   atomic.Bool
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
 }
 
 // New returns a running stack. The caller must Close it.
@@ -38,6 +40,7 @@
 		NetworkProtocols:   []stack.NetworkProtocolFactory{ipv4.NewProtocol, ipv6.NewProtocol},
 		TransportProtocols: []stack.TransportProtocolFactory{tcp.NewProtocol, udp.NewProtocol},
 	})
+	s.accepted.timeWait = c.TimeWait
 	s.link = channel.New(c.Queue, uint32(c.MTU), "")
 	if err := s.setUp(); err != nil {
 		s.stack.Destroy()
@@ -97,6 +100,7 @@
 	if !ok {
 		return false
 	}
+	s.accepted.reopen(packet)
 	p := stack.NewPacketBuffer(stack.PacketBufferOptions{Payload: buffer.MakeWithData(packet)})
 	s.link.InjectInbound(number, p)
 	p.DecRef()
--- a/pkg/netstack/stack_test.go
+++ b/pkg/netstack/stack_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"gvisor.dev/gvisor/pkg/tcpip"
+	"gvisor.dev/gvisor/pkg/tcpip/transport/tcp"
 
 	"github.com/auburnwood/auburnwood/pkg/flow"
 )
@@ -103,6 +105,28 @@
 	require.ErrorContains(t, err, "reset")
 }
 
+// TestPortsAreReusedInTimeWait opens a connection from the port of one that the server has closed first.
+func TestPortsAreReusedInTimeWait(t *testing.T) {
+	caller, server := pair(t, DefaultMTU)
+	server.AcceptTCP(func(a Accepted) {
+		conn, err := a.Accept()
+		if err == nil {
+			_ = conn.Close()
+		}
+	})
+	server.accepted.timeWait = time.Minute
+	wait := tcpip.TCPTimeWaitTimeoutOption(time.Minute)
+	require.Nil(t, server.stack.SetTransportProtocolOption(tcp.ProtocolNumber, &wait))
+	for range 3 {
+		conn, err := caller.DialTCP(deadline(t), netip.MustParseAddrPort("198.51.100.1:4000"), netip.MustParseAddrPort(ends[0].remote))
+		require.NoError(t, err)
+		_, err = conn.Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.EOF)
+		require.NoError(t, conn.Close())
+		conn.(*Conn).WaitClosed(deadline(t))
+	}
+}
+
 func TestUDPBothWays(t *testing.T) {
 	for _, e := range ends {
 		t.Run(e.name, func(t *testing.T) {
