Look only at statuses that may need a write; add metrics of leases and revisions

Cause: every pass over 680 statuses described and encoded all of them, ten times a second. Change: only statuses whose judgement changed or whose count in force is unfinished are looked at; statuses are listed again each minute; lease and compile duties count into a tally scope.

--- a/pkg/lease/loop.go
+++ b/pkg/lease/loop.go
@@ -9,18 +9,26 @@
 
 // loop is one call of Runner.Run.
 type loop struct {
-	runner *Runner
-	clock  Clock
-	state  *State
-	duty   Duty
-	group  *errgroup.Group
-	active *term
+	runner  *Runner
+	clock   Clock
+	state   *State
+	duty    Duty
+	group   *errgroup.Group
+	metrics metrics
+	active  *term
 	// last is closed when the duty that was begun last has ended; nil before the first.
 	last <-chan struct{}
 }
 
 func newLoop(r *Runner, d Duty) *loop {
-	return &loop{runner: r, clock: r.clock(), state: NewState(r.Config), duty: d, group: &errgroup.Group{}}
+	return &loop{
+		runner:  r,
+		clock:   r.clock(),
+		state:   NewState(r.Config),
+		duty:    d,
+		group:   &errgroup.Group{},
+		metrics: newMetrics(r.Metrics, r.Config.Name),
+	}
 }
 
 func (l *loop) run(ctx context.Context) {
@@ -68,12 +76,15 @@
 
 func (l *loop) begin(ctx context.Context, g Grant) {
 	l.log("acquired", g)
+	l.metrics.begun.Inc(1)
+	l.metrics.held.Update(1)
+	l.metrics.term.Update(float64(g.Term))
 	t := newTerm(ctx, l.clock, g, l.state.Until())
 	before := l.last
 	l.active = t
 	l.last = t.done
 	l.group.Go(func() error { return t.watch() })
-	l.group.Go(func() error { return t.work(l.duty, l.runner, before) })
+	l.group.Go(func() error { return t.work(l, before) })
 }
 
 func (l *loop) end(reason string) {
@@ -81,6 +92,8 @@
 		return
 	}
 	l.log(reason, l.active.grant)
+	l.metrics.ended.Inc(1)
+	l.metrics.held.Update(0)
 	l.active.cancel()
 	l.active = nil
 }
--- a/pkg/lease/runner.go
+++ b/pkg/lease/runner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
 )
@@ -32,6 +33,8 @@
 	Clock Clock
 	// Log takes a line for each change of holder.
 	Log zerolog.Logger
+	// Metrics takes the counters; nil means none.
+	Metrics tally.Scope
 	// Eligible reports whether this process is a candidate; nil means always. Few candidates keep the store's reads few.
 	Eligible func() bool
 }
--- a/pkg/lease/term.go
+++ b/pkg/lease/term.go
@@ -55,20 +55,26 @@
 
 // work waits until the duty begun before has ended, and then runs the duty, and again after a failure, until the term
 // ends.
-func (t *term) work(d Duty, r *Runner, before <-chan struct{}) error {
+func (t *term) work(l *loop, before <-chan struct{}) error {
 	defer close(t.done)
 	if before != nil {
 		<-before
 	}
 	for t.ctx.Err() == nil {
-		err := d(t.ctx, t.grant)
-		if errors.Is(err, ErrFenced) {
-			t.cancel()
-		}
-		if err != nil && t.ctx.Err() == nil {
-			r.Log.Warn().Err(err).Str("op", "duty").Str("lease", r.Config.Name).Uint64("term", t.grant.Term).Send()
-		}
-		_ = t.clock.Sleep(t.ctx, r.Config.retryAfter())
+		t.once(l)
+		_ = t.clock.Sleep(t.ctx, l.runner.Config.retryAfter())
 	}
 	return nil
 }
+
+func (t *term) once(l *loop) {
+	err := l.duty(t.ctx, t.grant)
+	if errors.Is(err, ErrFenced) {
+		t.cancel()
+	}
+	if err == nil || t.ctx.Err() != nil {
+		return
+	}
+	l.metrics.failed.Inc(1)
+	l.runner.Log.Warn().Err(err).Str("op", "duty").Str("lease", l.runner.Config.Name).Uint64("term", t.grant.Term).Send()
+}
--- /dev/null
+++ b/pkg/revision/cachedacks.go
@@ -0,0 +1,23 @@
+package revision
+
+import "github.com/auburnwood/auburnwood/pkg/resource"
+
+// cachedAcks counts each revision once, for one pass over the statuses.
+type cachedAcks struct {
+	acks   Acks
+	counts map[uint64]resource.InForce
+}
+
+func newCachedAcks(a Acks) *cachedAcks {
+	return &cachedAcks{acks: a, counts: make(map[uint64]resource.InForce)}
+}
+
+// InForce implements Acks.
+func (c *cachedAcks) InForce(revision uint64) (n, m int) {
+	f, ok := c.counts[revision]
+	if !ok {
+		f.Adopted, f.Known = c.acks.InForce(revision)
+		c.counts[revision] = f
+	}
+	return f.Adopted, f.Known
+}
--- a/pkg/revision/compile_test.go
+++ b/pkg/revision/compile_test.go
@@ -1,6 +1,7 @@
 package revision
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/auburnwood/auburnwood/internal/standin/store"
+	"github.com/auburnwood/auburnwood/pkg/lease"
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
 	"github.com/auburnwood/auburnwood/pkg/resource"
 )
@@ -169,3 +171,36 @@
 		}
 	}
 }
+
+// fixedAcks counts the same for every revision.
+type fixedAcks resource.InForce
+
+func (f fixedAcks) InForce(uint64) (n, m int) { return f.Adopted, f.Known }
+
+func benchmarkStatusPass(b *testing.B, acks fixedAcks) {
+	clock := &steppedClock{now: time.Unix(1, 0)}
+	c := Compiler{Store: store.New(store.Config{Now: clock.Now}), Acks: acks, Clock: clock, StatusRate: 1 << 20}
+	cfg := c.withDefaults()
+	w := newStatusWriter(cfg, lease.Grant{Holder: "a", Term: 1}, cfg.Metrics.Counter("writes"))
+	w.set(Compile(resource.Revision{}, Inputs{Services: manyServices(680)}), nil)
+	for range 3 {
+		require.NoError(b, w.write(b.Context()))
+	}
+	for b.Loop() {
+		clock.now = clock.now.Add(statusTick)
+		if err := w.write(b.Context()); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// steppedClock stands still between steps.
+type steppedClock struct{ now time.Time }
+
+func (c *steppedClock) Now() time.Time { return c.now }
+
+func (c *steppedClock) Sleep(context.Context, time.Duration) error { return nil }
+
+func BenchmarkStatusPass680InForce(b *testing.B) { benchmarkStatusPass(b, fixedAcks{490, 490}) }
+
+func BenchmarkStatusPass680Spreading(b *testing.B) { benchmarkStatusPass(b, fixedAcks{489, 490}) }
--- a/pkg/revision/compiler.go
+++ b/pkg/revision/compiler.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/auburnwood/auburnwood/pkg/lease"
@@ -47,6 +48,8 @@
 	Clock lease.Clock
 	// Log takes a line for each accepted revision and each rejected service.
 	Log zerolog.Logger
+	// Metrics takes the counters; nil means none.
+	Metrics tally.Scope
 	// Window, Resync, Keep, ReadRate, StatusRate and StatusInterval replace the defaults unless they are 0.
 	Window         time.Duration
 	Resync         time.Duration
@@ -77,6 +80,9 @@
 	if d.Acks == nil {
 		d.Acks = noAcks{}
 	}
+	if d.Metrics == nil {
+		d.Metrics = tally.NoopScope
+	}
 	d.Window = or(d.Window, DefaultWindow)
 	d.Resync = or(d.Resync, DefaultResync)
 	d.Keep = or(d.Keep, DefaultKeep)
--- a/pkg/revision/describe.go
+++ b/pkg/revision/describe.go
@@ -15,6 +15,23 @@
 	current uint64
 }
 
+// follows reports whether the judgement is the same as an earlier one. The earlier one may know the revision that
+// brought the accepted version, which a later compilation no longer tells.
+func (j judgement) follows(old *judgement) bool {
+	r := j.result
+	if r.Revision == 0 && r.ConfigVersion == old.result.ConfigVersion {
+		r.Revision = old.result.Revision
+	}
+	return r == old.result && sameRollout(j.rollout, old.rollout)
+}
+
+func sameRollout(a, b *resource.RolloutStatus) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return *a == *b
+}
+
 // acceptedRevision returns the revision that brought the accepted version. When it is not known, the current one is
 // returned: what is in force on a balancer with the current revision is in force with it too.
 func (j judgement) acceptedRevision(stored resource.ServiceStatus) uint64 {
--- a/pkg/revision/result.go
+++ b/pkg/revision/result.go
@@ -58,3 +58,14 @@
 	}
 	return r
 }
+
+// refused counts the services whose observed version is not accepted.
+func refused(list []Result) int {
+	n := 0
+	for _, r := range list {
+		if !r.Accepted() {
+			n++
+		}
+	}
+	return n
+}
--- a/pkg/revision/session.go
+++ b/pkg/revision/session.go
@@ -20,6 +20,7 @@
 	head     *fencedHead
 	current  resource.Revision
 	statuses *statusWriter
+	metrics  metrics
 	signal   chan struct{}
 	last     time.Time
 	// collected is the number below which revisions were deleted.
@@ -32,8 +33,8 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "claim head")
 	}
-	s := &session{cfg: cfg, grant: g, head: head, signal: make(chan struct{}, 1)}
-	s.statuses = newStatusWriter(cfg, g)
+	s := &session{cfg: cfg, grant: g, head: head, signal: make(chan struct{}, 1), metrics: newMetrics(cfg.Metrics)}
+	s.statuses = newStatusWriter(cfg, g, s.metrics.statuses)
 	if err := s.load(ctx); err != nil {
 		return nil, err
 	}
@@ -60,6 +61,7 @@
 			return err
 		}
 		if err != nil {
+			s.metrics.failed.Inc(1)
 			s.warn(err, "round")
 			_ = s.cfg.Clock.Sleep(ctx, retryPause)
 		}
@@ -74,7 +76,11 @@
 	if err != nil {
 		return err
 	}
+	s.metrics.rounds.Inc(1)
+	begin := s.cfg.Clock.Now()
 	c := Compile(s.current, in)
+	s.metrics.compile.Record(s.cfg.Clock.Now().Sub(begin))
+	s.metrics.refused.Update(float64(refused(c.Results)))
 	if c.Changed {
 		if err := s.publish(ctx, c.Revision); err != nil {
 			return err
@@ -118,6 +124,8 @@
 		return trace.Wrap(err, "advance head to %d", r.Number)
 	}
 	s.current = r
+	s.metrics.accepted.Inc(1)
+	s.metrics.head.Update(float64(r.Number))
 	s.cfg.Log.Info().Str("op", "accept").Uint64("revision", r.Number).Uint64("term", s.grant.Term).
 		Int("services", len(r.Services)).Send()
 	if s.cfg.Adopter != nil {
--- a/pkg/revision/statuswriter.go
+++ b/pkg/revision/statuswriter.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/time/rate"
 
 	"github.com/auburnwood/auburnwood/pkg/lease"
@@ -22,11 +23,20 @@
 	cfg     Compiler
 	grant   lease.Grant
 	limiter *rate.Limiter
+	writes  tally.Counter
 	// stored are the statuses as read or written last; nil asks for a list.
 	stored map[string]storedStatus
 	wanted map[string]judgement
+	// open are the services whose status may need a write.
+	open map[string]openStatus
+	// loaded is when stored was listed last.
+	loaded time.Time
 }
 
+// statusReload is the time after which statuses are listed again: a former holder may have written one that no service
+// of this term has, and so was never claimed.
+const statusReload = time.Minute
+
 // storedStatus is one status object.
 type storedStatus struct {
 	object objectapi.Object
@@ -36,6 +46,13 @@
 	written time.Time
 }
 
+// openStatus is when and how to look at a status again.
+type openStatus struct {
+	// judged says that the stored status tells the judgement, so that only the count in force may differ.
+	judged bool
+	look   time.Time
+}
+
 // statusWrite is one write that is due.
 type statusWrite struct {
 	name  string
@@ -44,19 +61,27 @@
 	rank int
 }
 
-func newStatusWriter(cfg Compiler, g lease.Grant) *statusWriter {
-	return &statusWriter{cfg: cfg, grant: g, limiter: rate.NewLimiter(rate.Limit(cfg.StatusRate), cfg.StatusRate)}
+func newStatusWriter(cfg Compiler, g lease.Grant, writes tally.Counter) *statusWriter {
+	l := rate.NewLimiter(rate.Limit(cfg.StatusRate), cfg.StatusRate)
+	return &statusWriter{cfg: cfg, grant: g, limiter: l, writes: writes, open: make(map[string]openStatus)}
 }
 
-// set replaces what was judged.
+// set replaces what was judged, and opens the statuses of the services whose judgement changed.
 func (w *statusWriter) set(c Compiled, states map[string]resource.RolloutStatus) {
+	before := w.wanted
 	w.wanted = make(map[string]judgement, len(c.Results))
 	for _, r := range c.Results {
 		j := judgement{result: r, current: c.Revision.Number}
 		if s, ok := states[r.Name]; ok {
 			j.rollout = &s
 		}
+		old, known := before[r.Name]
+		if known && j.follows(&old) {
+			w.wanted[r.Name] = old
+			continue
+		}
 		w.wanted[r.Name] = j
+		w.open[r.Name] = openStatus{}
 	}
 }
 
@@ -78,13 +103,18 @@
 }
 
 func (w *statusWriter) load(ctx context.Context) error {
-	if w.stored != nil {
+	now := w.cfg.Clock.Now()
+	if w.stored != nil && now.Sub(w.loaded) < statusReload {
 		return nil
 	}
 	list, _, err := w.cfg.Store.List(ctx, resource.KindServiceStatus)
 	if err != nil {
 		return trace.Wrap(err, "list statuses")
 	}
+	w.loaded = now
+	for name := range w.wanted {
+		w.open[name] = openStatus{}
+	}
 	w.stored = make(map[string]storedStatus, len(list))
 	for _, o := range list {
 		s := storedStatus{object: o}
@@ -99,13 +129,14 @@
 // due returns the writes that are due in the order of their rank.
 func (w *statusWriter) due(now time.Time) []statusWrite {
 	var list []statusWrite
-	for name, j := range w.wanted {
-		s := w.stored[name]
-		next := j.describe(s.status, w.cfg.Acks, now)
-		next.Term = w.grant.Term
-		rank, ok := w.rank(s, next, now)
+	acks := newCachedAcks(w.cfg.Acks)
+	for name, o := range w.open {
+		if now.Before(o.look) {
+			continue
+		}
+		d, ok := w.look(name, o, acks, now)
 		if ok {
-			list = append(list, statusWrite{name: name, after: next, rank: rank})
+			list = append(list, d)
 		}
 	}
 	slices.SortFunc(list, func(a, b statusWrite) int {
@@ -114,6 +145,35 @@
 	return list
 }
 
+// look returns the write of one status, and false when none is due. A status that tells all is closed.
+func (w *statusWriter) look(name string, o openStatus, acks Acks, now time.Time) (statusWrite, bool) {
+	j, ok := w.wanted[name]
+	if !ok {
+		delete(w.open, name)
+		return statusWrite{}, false
+	}
+	s := w.stored[name]
+	again := openStatus{judged: true, look: now.Add(w.cfg.StatusInterval / countLooks)}
+	if o.judged && count(j.acceptedRevision(s.status), s.status, acks) == s.status.InForce {
+		w.open[name] = again
+		return statusWrite{}, false
+	}
+	next := j.describe(s.status, acks, now)
+	next.Term = w.grant.Term
+	rank, due := w.rank(s, next, now)
+	if due {
+		return statusWrite{name: name, after: next, rank: rank}, true
+	}
+	w.open[name] = again
+	if next.AcceptedRevision == 0 || next.InForce.Complete() {
+		delete(w.open, name)
+	}
+	return statusWrite{}, false
+}
+
+// countLooks is the number of looks at an unfinished count within one status interval.
+const countLooks = 4
+
 const (
 	rankJudgement = iota
 	rankCount
@@ -167,6 +227,7 @@
 		return trace.Wrap(err, "write status of %s", d.name)
 	}
 	w.stored[d.name] = storedStatus{object: o, status: d.after, claimed: true, written: now}
+	w.writes.Inc(1)
 	w.log(d)
 	return nil
 }
