--- a/pkg/peer/budget.go
+++ b/pkg/peer/budget.go
@@ -15,7 +15,8 @@
 const budgetBurst = 10 * time.Second
 
 // budget counts the bytes of all control connections of a process. Calls that can't wait are only counted; the exchange
-// of records waits while the budget is overdrawn.
+// of records slows down while the budget is overdrawn. The debt is bounded, so that a burst of calls that can't wait, as
+// when all targets of a large service join at once, doesn't hold the exchange back for long.
 type budget struct {
 	limiter  *rate.Limiter
 	burst    int
@@ -40,11 +41,13 @@
 // take counts bytes that were sent or received.
 func (b *budget) take(n int) {
 	now := b.now()
-	for n > 0 {
-		part := min(n, b.burst)
-		b.limiter.ReserveN(now, part)
-		n -= part
-	}
+	debtLeft := int(b.limiter.TokensAt(now)) + b.burst
+	b.limiter.ReserveN(now, max(0, min(n, b.burst, debtLeft)))
+}
+
+// overdrawn reports whether more was spent than the budget allows.
+func (b *budget) overdrawn() bool {
+	return b.available() <= 0
 }
 
 // available returns the number of bytes that may be spent now; it isn't positive while the budget is overdrawn.
--- a/pkg/peer/control.go
+++ b/pkg/peer/control.go
@@ -87,7 +87,7 @@
 func (c *control) Exchange(_ context.Context, r *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
 	n := c.node
 	n.merge(r.GetMembers())
-	n.mergeVerdicts(r.GetVerdicts())
+	mergeVerdicts(n.table, r.GetVerdicts(), n.cfg.Now())
 	n.acks.Merge(acksFromProto(r.GetAcks()))
 	c.learnRevision(r)
 	reply := &peerpb.ExchangeReply{Revision: n.cfg.Adopter.Number()}
--- a/pkg/peer/control_watch.go
+++ b/pkg/peer/control_watch.go
@@ -5,7 +5,9 @@
 	"cmp"
 	"encoding/json"
 
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/encoding/gzip"
 	"google.golang.org/grpc/status"
 
 	"github.com/auburnwood/auburnwood/pkg/membership"
@@ -18,6 +20,9 @@
 	if r.GetService() == "" {
 		return status.Error(codes.InvalidArgument, "watch service: no service named")
 	}
+	if err := grpc.SetSendCompressor(s.Context(), gzip.Name); err != nil {
+		return status.Errorf(codes.Internal, "watch service: %v", err)
+	}
 	n := c.node
 	changes, cancel := n.table.Subscribe()
 	defer cancel()
@@ -36,6 +41,7 @@
 		case <-changes:
 		case <-revisions:
 		}
+		sleep(s.Context(), watchGatherTime)
 	}
 }
 
--- a/pkg/peer/limits.go
+++ b/pkg/peer/limits.go
@@ -19,6 +19,10 @@
 	detectInterval = 250 * time.Millisecond
 	// gatherTime is how long changes are gathered before they are sent.
 	gatherTime = 50 * time.Millisecond
+	// overdrawnFactor stretches the time between exchanges, and between pushes, while the byte budget is overdrawn.
+	overdrawnFactor = 4
+	// watchGatherTime is how long changes are gathered before they are sent to an agent.
+	watchGatherTime = 100 * time.Millisecond
 	// ackInterval is the shortest time between two answers with acknowledgements.
 	ackInterval = 500 * time.Millisecond
 	// expireInterval is the time between two removals of old tombstones.
--- a/pkg/peer/node_exchange.go
+++ b/pkg/peer/node_exchange.go
@@ -13,24 +13,29 @@
 	"github.com/auburnwood/auburnwood/pkg/peer/peerpb"
 )
 
-// exchangeLoop compares tables with a few neighbours in each interval, as far as the byte budget allows.
+// exchangeLoop compares tables with a few neighbours in each interval; less often while the byte budget is overdrawn.
 func (n *Node) exchangeLoop(ctx context.Context) error {
 	n.joinPeers(ctx)
 	for {
-		sleep(ctx, n.jitter(n.cfg.ExchangeInterval))
+		sleep(ctx, n.jitter(n.stretched(n.cfg.ExchangeInterval)))
 		if ctx.Err() != nil {
 			return nil
 		}
-		if n.budget.available() <= 0 {
-			n.metrics.skipped.Inc(1)
-			continue
-		}
 		for _, p := range n.partners() {
 			n.exchange(ctx, p, maxCompareBytes)
 		}
 	}
 }
 
+// stretched returns d, or a multiple of it while the byte budget is overdrawn.
+func (n *Node) stretched(d time.Duration) time.Duration {
+	if !n.budget.overdrawn() {
+		return d
+	}
+	n.metrics.stretched.Inc(1)
+	return d * overdrawnFactor
+}
+
 // jitter returns d with up to 20% more or less, so that the balancers' rounds don't fall together.
 func (n *Node) jitter(d time.Duration) time.Duration {
 	n.mu.Lock()
--- a/pkg/peer/node_push.go
+++ b/pkg/peer/node_push.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/membership"
 	"github.com/auburnwood/auburnwood/pkg/peer/peerpb"
@@ -22,7 +23,7 @@
 		case <-changes:
 		case <-revisions:
 		}
-		sleep(ctx, gatherTime)
+		sleep(ctx, n.stretched(gatherTime))
 		n.push(ctx)
 	}
 }
@@ -36,10 +37,6 @@
 		return
 	}
 	n.headPushed = revision
-	for n.budget.available() <= 0 && ctx.Err() == nil {
-		n.metrics.skipped.Inc(1)
-		sleep(ctx, gatherTime)
-	}
 	request := n.newExchange()
 	request.Push = true
 	request.Members, request.Verdicts = splitVerdicts(members)
@@ -80,16 +77,15 @@
 }
 
 // mergeVerdicts takes in deaths in short form. One that isn't about the record held here is left to the exchange.
-func (n *Node) mergeVerdicts(verdicts []*peerpb.Verdict) {
-	now := n.cfg.Now()
+func mergeVerdicts(t *membership.Table, verdicts []*peerpb.Verdict, now time.Time) {
 	for _, v := range verdicts {
-		for _, m := range n.table.Select([]uint32{v.GetMember()}, 0) {
+		for _, m := range t.Select([]uint32{v.GetMember()}, 0) {
 			if m.Incarnation != v.GetIncarnation() || m.Sequence != v.GetSequence() {
 				continue
 			}
 			m.State = membership.StateDead
 			m.Changed = timeFromProto(v.GetChangedMs())
-			n.table.Merge(m, now)
+			t.Merge(m, now)
 		}
 	}
 }
--- a/pkg/peer/node_test.go
+++ b/pkg/peer/node_test.go
@@ -31,7 +31,7 @@
 	done    chan error
 }
 
-func startNode(t *testing.T, id string, change func(*NodeConfig)) *testNode {
+func startNode(t testing.TB, id string, change func(*NodeConfig)) *testNode {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -58,7 +58,7 @@
 }
 
 // end stops the node in an orderly way.
-func (n *testNode) end(t *testing.T) {
+func (n *testNode) end(t testing.TB) {
 	n.stop()
 	select {
 	case err := <-n.done:
@@ -75,7 +75,7 @@
 	n.server.Stop()
 }
 
-func startNodes(t *testing.T, count int, change func(i int, c *NodeConfig)) []*testNode {
+func startNodes(t testing.TB, count int, change func(i int, c *NodeConfig)) []*testNode {
 	var nodes []*testNode
 	for i := range count {
 		nodes = append(nodes, startNode(t, fmt.Sprintf("b%d", i), func(c *NodeConfig) {
@@ -99,7 +99,7 @@
 	views map[string]*view.Service
 }
 
-func startSession(t *testing.T, id string, seeds []string, change func(*SessionConfig)) *testSession {
+func startSession(t testing.TB, id string, seeds []string, change func(*SessionConfig)) *testSession {
 	t.Helper()
 	test := &testSession{done: make(chan error, 1), views: make(map[string]*view.Service)}
 	cfg := SessionConfig{
@@ -145,7 +145,7 @@
 	return s.views[name]
 }
 
-func (s *testSession) end(t *testing.T) {
+func (s *testSession) end(t testing.TB) {
 	s.stop()
 	select {
 	case err := <-s.done:
@@ -156,7 +156,7 @@
 	}
 }
 
-func eventually(t *testing.T, what string, f func() bool) {
+func eventually(t testing.TB, what string, f func() bool) {
 	t.Helper()
 	require.Eventually(t, f, waitTime, 5*time.Millisecond, what)
 }
