--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -26,6 +26,7 @@
 	self      encodedAddr
 	fabric    *fabric
 	stack     *netstack.Stack
+	inject    func(packet []byte) bool
 	arbiter   Arbiter
 	registry  *registry
 	refused   *recentFlows
@@ -60,6 +61,7 @@
 		Incarnation: cfg.Incarnation,
 		Connections: cfg.Connections,
 	})
+	a.inject = a.stack.Inject
 	a.stack.AcceptTCP(a.acceptTCP)
 	a.stack.HandleUDP(a.acceptUDP)
 	return a, nil
--- a/pkg/agent/copy.go
+++ b/pkg/agent/copy.go
@@ -6,6 +6,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/netstack"
 )
 
 // copyBuffer bounds the bytes of a flow that are neither in the caller's nor in the target's connection, one way.
@@ -24,7 +26,7 @@
 
 // copyUp carries the caller's bytes to the target.
 func (st *stream) copyUp() {
-	readErr, writeErr := transfer(st.target, st.caller)
+	readErr, writeErr := transfer(st.target, callerSource{st.caller})
 	switch {
 	case writeErr != nil:
 		st.targetGone(writeErr)
@@ -38,7 +40,12 @@
 // copyDown carries the target's bytes to the caller. A killed process closes its connections like one that has finished,
 // so that the target is probed after each close.
 func (st *stream) copyDown() {
-	readErr, writeErr := transfer(st.caller, st.target)
+	raw, err := st.target.SyscallConn()
+	if err != nil {
+		st.cut()
+		return
+	}
+	readErr, writeErr := transfer(st.caller, targetSource{raw})
 	switch {
 	case writeErr != nil:
 		st.cut()
@@ -70,21 +77,64 @@
 	st.targetDied(err.Error())
 }
 
-// transfer copies from r to w until r ends; it says on which side an error was.
-func transfer(w io.Writer, r io.Reader) (readErr, writeErr error) {
+// source is one end of a flow to read from. An idle source holds no buffer.
+type source interface {
+	// read returns a buffer with at least one byte, which the caller gives back, or an error.
+	read() (*[]byte, int, error)
+}
+
+type callerSource struct{ conn *netstack.Conn }
+
+func (c callerSource) read() (*[]byte, int, error) {
+	c.conn.WaitReadable()
 	b := buffers.Get().(*[]byte)
-	defer buffers.Put(b)
+	n, err := c.conn.Read(*b)
+	return b, n, err
+}
+
+type targetSource struct{ conn syscall.RawConn }
+
+func (t targetSource) read() (b *[]byte, n int, err error) {
+	waitErr := t.conn.Read(func(fd uintptr) bool {
+		b = buffers.Get().(*[]byte)
+		n, err = syscall.Read(int(fd), *b)
+		for errors.Is(err, syscall.EINTR) {
+			n, err = syscall.Read(int(fd), *b)
+		}
+		if errors.Is(err, syscall.EAGAIN) {
+			buffers.Put(b)
+			b = nil
+			return false
+		}
+		return true
+	})
+	switch {
+	case waitErr != nil:
+		return b, 0, waitErr
+	case err != nil:
+		return b, 0, err
+	case n == 0:
+		return b, 0, io.EOF
+	}
+	return b, n, nil
+}
+
+// transfer copies from r to w until r ends; it says on which side an error was.
+func transfer(w io.Writer, r source) (readErr, writeErr error) {
 	for {
-		n, err := r.Read(*b)
+		b, n, err := r.read()
 		if n > 0 {
-			if _, werr := w.Write((*b)[:n]); werr != nil {
-				return nil, werr
-			}
+			_, writeErr = w.Write((*b)[:n])
 		}
-		if errors.Is(err, io.EOF) {
-			return nil, nil
+		if b != nil {
+			buffers.Put(b)
 		}
-		if err != nil {
+		switch {
+		case writeErr != nil:
+			return nil, writeErr
+		case errors.Is(err, io.EOF):
+			return nil, nil
+		case err != nil:
 			return err, nil
 		}
 	}
--- a/pkg/agent/harness_test.go
+++ b/pkg/agent/harness_test.go
@@ -94,15 +94,17 @@
 }
 
 func (l *lab) start(target netip.AddrPort) *Agent {
-	a, err := New(Config{
-		Name:          "agent",
-		Incarnation:   1,
-		Service:       serviceName,
-		PacketAddress: local,
-		FabricAddress: l.fabric.LocalAddr().(*net.UDPAddr).AddrPort(),
-		TargetAddress: target,
-		Linger:        time.Millisecond,
-	}, Deps{Log: zerolog.Nop(), Refusals: l.records})
+	return l.startWith(Config{TargetAddress: target}, Deps{Log: zerolog.Nop(), Refusals: l.records})
+}
+
+func (l *lab) startWith(c Config, d Deps) *Agent {
+	c.Name = "agent"
+	c.Incarnation = 1
+	c.Service = serviceName
+	c.PacketAddress = local
+	c.FabricAddress = l.fabric.LocalAddr().(*net.UDPAddr).AddrPort()
+	c.Linger = time.Millisecond
+	a, err := New(c, d)
 	require.NoError(l.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/pkg/agent/worker.go
+++ b/pkg/agent/worker.go
@@ -145,7 +145,7 @@
 	if m.Hops > 0 {
 		w.a.teach(m, now)
 	}
-	w.a.stack.Inject(m.Packet)
+	w.a.inject(m.Packet)
 }
 
 // pass sends the datagram on to another agent.
