--- a/internal/lab/flows/judge.go
+++ b/internal/lab/flows/judge.go
@@ -71,10 +71,16 @@
 	if drained, ok := r.events.drained[o.target]; ok && o.started.After(drained.Add(MostLeaving)) {
 		result.LateWork++
 	}
+	record, recorded := records[o.plan.local]
 	if o.verdict == verdictIntact {
+		if recorded {
+			result.FalseRecords++
+			r.events.printf("flow %s (%s) ended well at %q after %s but has record %q of %s", o.plan.name, o.plan.kind,
+				o.target, o.ended.Sub(r.events.start).Round(time.Millisecond), record.Reason, record.DecidedBy)
+			r.printTrace(o.plan.local)
+		}
 		return
 	}
-	record, recorded := records[o.plan.local]
 	switch o.verdict {
 	case verdictCrossed:
 		result.Crossed++
--- a/internal/lab/flows/print.go
+++ b/internal/lab/flows/print.go
@@ -31,6 +31,7 @@
 			x.NewFlows, x.NewFlowWait.Milliseconds(), x.LongestNewFlowWait.Milliseconds())
 	}
 	line("refusal records             %d %s", x.Refused, reasons(r.cluster.Refusals()))
+	line("records of flows that ended well %d", x.FalseRecords)
 	if x.Killed > 0 {
 		line("flows of killed targets     %d, %d of them with a record", x.Killed, x.Explained)
 	}
--- a/internal/lab/flows/result.go
+++ b/internal/lab/flows/result.go
@@ -39,6 +39,8 @@
 	Killed, Explained int
 	// Refused is the number of refusal records.
 	Refused int
+	// FalseRecords is the number of flows that ended well and yet have a refusal record.
+	FalseRecords int
 	// Kills is the number of balancers and agents that were killed.
 	Kills int
 	// LongestStall is the longest stall of a flow that ended well, StallP95 the 95th percentile of the longest stalls.
--- a/internal/standin/fabric/config.go
+++ b/internal/standin/fabric/config.go
@@ -27,8 +27,9 @@
 	Detection time.Duration
 	// JoinLag is the time in which the fabric learns of a new balancer.
 	JoinLag time.Duration
-	// Tap sees every packet to a balancer; it may be nil and must not keep the slice.
-	Tap func(balancer netip.AddrPort, packet []byte)
+	// Tap sees every packet of callers, with the balancer that gets it, and every packet to callers, with its sender. It
+	// may be nil, must not keep the slice and is called by several goroutines.
+	Tap func(peer netip.AddrPort, toCaller bool, packet []byte)
 }
 
 func (c Config) withDefaults() (Config, error) {
--- a/internal/standin/fabric/fabric.go
+++ b/internal/standin/fabric/fabric.go
@@ -142,17 +142,20 @@
 func (f *Fabric) readReplies() {
 	b := make([]byte, maxPacketSize)
 	for {
-		n, _, err := f.conn.ReadFromUDPAddrPort(b)
+		n, from, err := f.conn.ReadFromUDPAddrPort(b)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err == nil {
-			f.deliver(b[:n])
+			f.deliver(b[:n], from)
 		}
 	}
 }
 
-func (f *Fabric) deliver(b []byte) {
+func (f *Fabric) deliver(b []byte, from netip.AddrPort) {
+	if f.cfg.Tap != nil {
+		f.cfg.Tap(from, true, b)
+	}
 	info, err := packet.Parse(b)
 	if err != nil {
 		f.counts.stray.Add(1)
@@ -218,7 +221,7 @@
 func (s *side) send(to netip.AddrPort, p []byte) {
 	f := s.fabric
 	if f.cfg.Tap != nil {
-		f.cfg.Tap(to, p)
+		f.cfg.Tap(to, false, p)
 	}
 	if _, err := s.conn.WriteToUDPAddrPort(p, to); err != nil {
 		f.counts.lost.Add(1)
--- a/internal/standin/fabric/fabric_test.go
+++ b/internal/standin/fabric/fabric_test.go
@@ -119,7 +119,7 @@
 	f, err := New(Config{Seed: 3})
 	require.NoError(t, err)
 	sent := map[netip.AddrPort]int{}
-	f.cfg.Tap = func(b netip.AddrPort, _ []byte) { sent[b]++ }
+	f.cfg.Tap = func(b netip.AddrPort, _ bool, _ []byte) { sent[b]++ }
 	for port := uint16(1); port <= 4; port++ {
 		f.AddBalancer(netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port))
 	}
@@ -151,8 +151,8 @@
 	f, err := New(Config{})
 	require.NoError(t, err)
 	defer f.Close()
-	f.deliver([]byte("no packet"))
-	f.deliver(nil)
+	f.deliver([]byte("no packet"), service)
+	f.deliver(nil, service)
 	require.EqualValues(t, 2, f.Counts().Stray)
 }
 
