--- a/pkg/peer/convert.go
+++ b/pkg/peer/convert.go
@@ -37,11 +37,11 @@
 func memberFromProto(p *peerpb.Member) membership.Member {
 	return membership.Member{
 		ID:          p.GetId(),
-		Role:        membership.Role(p.GetRole()),
+		Role:        roleFromProto(p.GetRole()),
 		Incarnation: p.GetIncarnation(),
 		Sequence:    p.GetSequence(),
-		State:       membership.State(p.GetState()),
-		Final:       membership.State(p.GetFinal()),
+		State:       stateFromProto(p.GetState()),
+		Final:       stateFromProto(p.GetFinal()),
 		Region:      p.GetRegion(),
 		DataCentre:  p.GetDataCentre(),
 		PacketAddr:  addrFromProto(p.GetPacketAddr()),
@@ -64,6 +64,22 @@
 	return out
 }
 
+// roleFromProto returns 0, which no table takes, for a role that this version doesn't know.
+func roleFromProto(r peerpb.Role) membership.Role {
+	if _, ok := peerpb.Role_name[int32(r)]; !ok {
+		return 0
+	}
+	return membership.Role(r)
+}
+
+// stateFromProto returns 0, which no table takes, for a state that this version doesn't know.
+func stateFromProto(s peerpb.State) membership.State {
+	if _, ok := peerpb.State_name[int32(s)]; !ok {
+		return 0
+	}
+	return membership.State(s)
+}
+
 // addrToProto encodes an address; nil when it isn't valid.
 func addrToProto(a netip.AddrPort) []byte {
 	if !a.IsValid() {
@@ -81,7 +97,7 @@
 	if !ok {
 		return netip.AddrPort{}
 	}
-	return netip.AddrPortFrom(ip, binary.BigEndian.Uint16(b[len(b)-portSize:]))
+	return netip.AddrPortFrom(ip.Unmap(), binary.BigEndian.Uint16(b[len(b)-portSize:]))
 }
 
 func timeToProto(t time.Time) int64 {
