Ask the live agents before a flow of a dead owner is refused

Cause: a random history showed refusals by redirects that were older than the flow, a stale answer that started a second owner, and answers that were lost when a redirect changed. Change: location before refusal, marks of probed redirects, answers to the asking first agent, hop limits by kind of packet.

--- a/pkg/arbiter/control.go
+++ b/pkg/arbiter/control.go
@@ -150,7 +150,7 @@
 		e := s.flows[flow]
 		if e.state == stateRedirect && e.peer == p.id && !e.has(flagEnded) {
 			e.at = at
-			e.flags = flagEnded
+			e.flags = e.flags&flagProbed | flagEnded
 			s.set(flow, e)
 		}
 		return nil
--- a/pkg/arbiter/ended.go
+++ b/pkg/arbiter/ended.go
@@ -75,14 +75,18 @@
 	return flows
 }
 
-// tickEnded reports ended flows to their first agents.
+// tickEnded reports ended flows to their first agents, present and next.
 func (a *Arbiter) tickEnded(m *members) []Message {
 	byFirst := make(map[netip.AddrPort][]uint64)
 	for _, flow := range a.ended.take() {
-		if first := m.table.FirstAgent(flow); first.IsValid() && first != a.cfg.Self {
-			byFirst[first] = append(byFirst[first], flow)
+		first, next := m.table.FirstAgent(flow), m.next.FirstAgent(flow)
+		byFirst[first] = append(byFirst[first], flow)
+		if next != first {
+			byFirst[next] = append(byFirst[next], flow)
 		}
 	}
+	delete(byFirst, a.cfg.Self)
+	delete(byFirst, netip.AddrPort{})
 	var out []Message
 	for to, flows := range byFirst {
 		out = append(out, batches(Message{To: to, Kind: wire.Kind_KIND_ENDED, Incarnation: a.cfg.Incarnation}, flows)...)
--- a/pkg/arbiter/entry.go
+++ b/pkg/arbiter/entry.go
@@ -46,6 +46,10 @@
 	flagFinal
 	// flagYielded marks a redirect to another arbiter, which may not have placed the flow yet.
 	flagYielded
+	// flagDied marks a located or lost flow whose last known owner is gone.
+	flagDied
+	// flagProbed marks a redirect on which an opening packet went to the owner; the owner may answer that it does not know the flow.
+	flagProbed
 )
 
 // entry is what the arbiter knows of one flow. It is 8 bytes.
@@ -63,6 +67,8 @@
 type pending struct {
 	// excluded has a bit for each row position that has no room.
 	excluded uint8
+	// offered has a bit for each row position to which the flow was offered before.
+	offered uint8
 	// tries counts the offers made within the row, or the agents asked.
 	tries uint8
 	// beyond counts the offers made outside the row.
--- a/pkg/arbiter/locate.go
+++ b/pkg/arbiter/locate.go
@@ -27,7 +27,9 @@
 	since  time.Time
 	asked  time.Time
 	denied []peerID
-	done   bool
+	// died is true when the last known owner is gone; then the answers of the live agents are enough.
+	died bool
+	done bool
 }
 
 // locator holds the open questions for owners.
@@ -37,16 +39,17 @@
 }
 
 // add starts a question unless there is one; it returns false when there are too many.
-func (l *locator) add(flow uint64, now time.Time) bool {
+func (l *locator) add(flow uint64, now time.Time, died bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.flows[flow] != nil {
+	if q := l.flows[flow]; q != nil && !q.done {
+		q.died = q.died || died
 		return true
 	}
 	if len(l.flows) >= maxLocates {
 		return false
 	}
-	l.flows[flow] = &locate{since: now}
+	l.flows[flow] = &locate{since: now, died: died}
 	return true
 }
 
@@ -76,7 +79,7 @@
 		}
 		missing := q.missing(live)
 		if len(missing) == 0 {
-			if settled {
+			if settled || q.died {
 				q.done = true
 				lost = append(lost, flow)
 			}
@@ -134,8 +137,8 @@
 	s := a.shard(flow)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.flows[flow].state == stateLocating {
-		s.set(flow, entry{at: at, state: stateLost})
+	if e := s.flows[flow]; e.state == stateLocating {
+		s.set(flow, entry{at: at, state: stateLost, flags: e.flags & flagDied})
 	}
 }
 
--- a/pkg/arbiter/offer.go
+++ b/pkg/arbiter/offer.go
@@ -34,6 +34,8 @@
 	if p.gone.Load() || p.addr == c.in.Sender || c.e.has(flagEnded|flagYielded) {
 		return Decision{}, false
 	}
+	c.e.flags |= flagProbed
+	c.s.flows[c.in.Flow] = c.e
 	return c.forwardTo(p.addr, true, "redirect to owner"), true
 }
 
@@ -73,7 +75,9 @@
 	p := c.s.pending[c.in.Flow]
 	switch c.e.state {
 	case stateAsked:
-		q.since.Store(uint32(c.at))
+		if c.in.Final {
+			return c.drop("late answer")
+		}
 		return c.askFrom(p)
 	case stateOffered, stateBeyond:
 		return c.offerDeclined(q, p)
@@ -99,7 +103,7 @@
 
 // ownerDeclined starts a flow anew when the supposed owner says that the former one has ended.
 func (c *call) ownerDeclined() Decision {
-	if !c.in.Final {
+	if !c.in.Final || !c.e.has(flagProbed) {
 		return c.drop("late answer")
 	}
 	c.s.drop(c.in.Flow)
@@ -110,11 +114,14 @@
 	return c.open()
 }
 
-// returnToFirst gives an opening packet back to the first agent of its row.
+// returnToFirst answers the first agent of the row, which asked this one or offered it the flow.
 func (c *call) returnToFirst() Decision {
 	first, ok := wire.RowAddr(c.in.Row, 0)
 	if !ok {
 		return c.drop("row is empty")
 	}
-	return c.forwardTo(first, false, "owner does not know the flow")
+	d := c.decide(ActionDecline, "owner does not know the flow")
+	d.To = first
+	d.Bound = declinedLoaded
+	return d
 }
--- a/pkg/arbiter/open.go
+++ b/pkg/arbiter/open.go
@@ -139,8 +139,10 @@
 		}
 		return c.excludeAndPlace(p, uint32(best.position))
 	}
-	final := p.tries >= maxTries || cs.n == 1
+	bit := uint8(1) << best.position
+	final := p.tries >= maxTries || cs.n == 1 || p.offered&bit != 0
 	p.tries++
+	p.offered |= bit
 	c.e = entry{at: c.at, peer: best.peer.id, state: stateOffered}
 	if final {
 		c.e.flags = flagFinal
--- a/pkg/arbiter/packet.go
+++ b/pkg/arbiter/packet.go
@@ -11,6 +11,8 @@
 const (
 	// maxHops is the number of agents that a packet may pass; it covers a walk down a row and two redirects.
 	maxHops = 12
+	// maxOpeningHops is the same for an opening packet; it covers the questions and offers, each with its answer.
+	maxOpeningHops = 2 * (maxPast + 1 + maxTries + maxRow + maxBeyond)
 	// tellEvery is the least time between two messages about one own flow to a first agent that does not know it.
 	tellEvery = time.Second
 	// lateness is the time after the end of a flow within which its packets are taken for late ones without a question to the other agents.
@@ -90,12 +92,16 @@
 		// The owner itself does not know the flow.
 		return c.forget()
 	}
-	if c.in.Hops >= maxHops {
+	if c.in.Hops >= c.hopLimit() {
 		// Redirects that form a circle are wrong; the owner is asked for anew.
 		c.s.drop(c.in.Flow)
 		return c.drop("too many hops")
 	}
 	c.touch()
+	if c.in.Opening {
+		c.e.flags |= flagProbed
+		c.s.flows[c.in.Flow] = c.e
+	}
 	return c.forwardTo(p.addr, true, "redirect to owner")
 }
 
@@ -114,7 +120,7 @@
 	}
 }
 
-// ownerGone decides about a packet of a flow whose owner has died.
+// ownerGone decides about a packet of a flow whose owner has died. The redirect may be older than the flow, so the other agents are asked before the flow is refused.
 func (c *call) ownerGone() Decision {
 	if c.in.Opening || c.e.has(flagYielded) {
 		return c.forget()
@@ -122,7 +128,8 @@
 	if c.e.has(flagEnded) {
 		return c.drop("late packet of a flow whose owner is gone")
 	}
-	return c.refuse(refusal.ReasonTargetDied, "owner is gone")
+	c.e = entry{flags: flagDied}
+	return c.unknown()
 }
 
 // afterEnd decides about a packet of an own flow that has ended.
@@ -140,17 +147,20 @@
 	}
 	if c.e.at.since(c.at) > lateness {
 		// The key may be in use again, and the message about its new owner lost.
-		c.a.locator.add(c.in.Flow, c.now)
+		c.a.locator.add(c.in.Flow, c.now, false)
 	}
 	return c.drop("late packet of an ended flow")
 }
 
 // whilePending decides about a packet of a flow that this agent is about to place.
 func (c *call) whilePending() Decision {
-	if !c.in.Opening {
-		return c.drop("flow is not placed yet")
+	if c.in.Opening {
+		return c.again()
+	}
+	if c.in.Final {
+		return c.notHere()
 	}
-	return c.again()
+	return c.drop("flow is not placed yet")
 }
 
 // unknown decides about a packet of a flow without a live entry.
@@ -209,7 +219,7 @@
 // unknownFirst decides about a packet of an established flow at the first agent.
 func (c *call) unknownFirst() Decision {
 	if c.e.state == stateLost {
-		return c.refuse(refusal.ReasonOwnerLost, "no agent owns the flow")
+		return c.lost()
 	}
 	if c.m == nil {
 		return c.refuse(refusal.ReasonNoConfiguration, "no view of the service")
@@ -218,17 +228,25 @@
 		return c.drop("owner is being located")
 	}
 	if c.e.state != stateLocating {
-		if !c.a.locator.add(c.in.Flow, c.now) {
+		if !c.a.locator.add(c.in.Flow, c.now, c.e.has(flagDied)) {
 			return c.drop("too many flows are being located")
 		}
-		c.s.set(c.in.Flow, entry{at: c.at, state: stateLocating})
+		c.s.set(c.in.Flow, entry{at: c.at, state: stateLocating, flags: c.e.flags & flagDied})
 	}
 	return c.walk()
 }
 
+// lost refuses a packet of a flow that every agent denies.
+func (c *call) lost() Decision {
+	if c.e.has(flagDied) {
+		return c.refuse(refusal.ReasonTargetDied, "owner is gone")
+	}
+	return c.refuse(refusal.ReasonOwnerLost, "no agent owns the flow")
+}
+
 // forwardTo sends the packet on. Expected is true when the receiver should own the flow.
 func (c *call) forwardTo(to netip.AddrPort, expected bool, why string) Decision {
-	if c.in.Hops >= maxHops {
+	if c.in.Hops >= c.hopLimit() {
 		return c.drop("too many hops")
 	}
 	d := c.decide(ActionForward, why)
@@ -238,6 +256,14 @@
 	return d
 }
 
+// hopLimit is the number of agents that the packet may pass.
+func (c *call) hopLimit() uint32 {
+	if c.in.Opening {
+		return maxOpeningHops
+	}
+	return maxHops
+}
+
 // answer sends the packet back to its sender.
 func (c *call) answer(action Action, why string) Decision {
 	d := c.decide(action, why)
--- a/pkg/arbiter/service.go
+++ b/pkg/arbiter/service.go
@@ -95,7 +95,8 @@
 			moved[d] = append(moved[d], flow)
 		}
 	}
-	if old == nil || firstPeer(old, old.table, flow) != now && firstPeer(old, old.next, flow) != now {
+	// A joining agent is told again once it is active: flows were placed since it joined.
+	if old == nil || firstPeer(old, old.table, flow) != now {
 		add(now)
 	}
 	next := firstPeer(m, m.next, flow)
