Mirror refusal records within a byte budget, and relay those of agents

Change: a log without a store hands its records over and retains them for 30 s; Accept takes them at the relay, which mirrors them too. Receipts travel with mirrored records and let a peer forget what is in the store. Mirroring has a byte budget; records that wait for it are merged. Pools remember the ordinals they hold, so that records that come again or out of order are kept once.

--- a/pkg/refusal/batch.go
+++ b/pkg/refusal/batch.go
@@ -57,30 +57,31 @@
 // encode packs entries of one bucket from the front, as many as fit, and returns the value and how many it holds.
 func encode(h header, entries []entry) ([]byte, int, error) {
 	var out bytes.Buffer
-	z := gzip.NewWriter(&out)
-	w := &countingWriter{w: z}
-	j := json.NewEncoder(w)
+	var f footer
+	err := compressTo(&out, func(z io.Writer) error {
+		w := &countingWriter{w: z}
+		full := func() bool { return out.Len() >= targetBatchSize || w.n >= maxBatchText }
+		return encodeLines(json.NewEncoder(w), h, entries, &f, full)
+	})
+	return out.Bytes(), f.Records, trace.Wrap(err, "op=encode-batch process=%s sequence=%d", h.Process, h.Sequence)
+}
+
+// encodeLines writes the header, records until the batch is full, and the footer.
+func encodeLines(j *json.Encoder, h header, entries []entry, f *footer, full func() bool) error {
 	if err := j.Encode(h); err != nil {
-		return nil, 0, trace.Wrap(err, "op=encode-batch")
+		return err
 	}
-	f := footer{}
 	for i := range entries {
-		if out.Len() >= targetBatchSize || w.n >= maxBatchText {
+		if full() {
 			break
 		}
 		if err := j.Encode(entries[i].record); err != nil {
-			return nil, 0, trace.Wrap(err, "op=encode-batch id=%s", entries[i].record.ID)
+			return err
 		}
 		f.Records++
 		f.Refusals += uint64(entries[i].record.Count)
 	}
-	if err := j.Encode(f); err != nil {
-		return nil, 0, trace.Wrap(err, "op=encode-batch")
-	}
-	if err := z.Close(); err != nil {
-		return nil, 0, trace.Wrap(err, "op=encode-batch")
-	}
-	return out.Bytes(), f.Records, nil
+	return j.Encode(*f)
 }
 
 // decode unpacks a batch. Records before a fault are returned with the error.
--- a/pkg/refusal/batch_test.go
+++ b/pkg/refusal/batch_test.go
@@ -1,7 +1,9 @@
 package refusal
 
 import (
+	"bytes"
 	"encoding/base64"
+	"io"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -52,9 +54,17 @@
 func FuzzDecode(f *testing.F) {
 	value, _, err := encode(header{Format: batchFormat}, many(3))
 	require.NoError(f, err)
-	f.Add(value)
-	f.Add([]byte{})
-	f.Fuzz(func(t *testing.T, value []byte) {
+	f.Add(value, false)
+	f.Add([]byte("{\"format\":1}\n{\"id\":\"a/1/2.3\",\"count\":2}\n{\"records\":1,\"refusals\":2}\n"), true)
+	f.Fuzz(func(t *testing.T, value []byte, text bool) {
+		if text {
+			var out bytes.Buffer
+			require.NoError(t, compressTo(&out, func(z io.Writer) error {
+				_, err := z.Write(value)
+				return err
+			}))
+			value = out.Bytes()
+		}
 		records, err := decode(value)
 		if err != nil {
 			return
@@ -80,5 +90,5 @@
 		refuse(l, i)
 		now = now.Add(time.Millisecond)
 	}
-	return l.held.entries
+	return l.held.all()
 }
--- a/pkg/refusal/config.go
+++ b/pkg/refusal/config.go
@@ -13,9 +13,17 @@
 // Default settings of a Log.
 const (
 	// DefaultMaxHeld is the number of own records in memory.
-	DefaultMaxHeld = 40000
+	DefaultMaxHeld = 20000
 	// DefaultMaxAdopted is the number of peers' records in memory.
 	DefaultMaxAdopted = 20000
+	// DefaultMaxQueue is the number of records that wait for the mirror.
+	DefaultMaxQueue = 2000
+	// DefaultMirrorRate is the number of bytes a second that mirroring may send, about half of what a process may spend
+	// for control at the size to design for, and DefaultMirrorBurst what it may send at once.
+	DefaultMirrorRate  = 6000
+	DefaultMirrorBurst = 100000
+	// DefaultRetain is how long records that were handed over are kept by a process without a store.
+	DefaultRetain = 30 * time.Second
 	// DefaultMinInterval and DefaultMaxInterval bound the time between two objects.
 	DefaultMinInterval = 2 * time.Second
 	DefaultMaxInterval = time.Minute
@@ -33,7 +41,7 @@
 	// process must never start twice with one incarnation.
 	Process     string
 	Incarnation uint64
-	// Store takes the batches; without it records are only held.
+	// Store takes the batches. A process without it hands its records to a peer by Mirror, which accepts and writes them.
 	Store objectapi.Store
 	// Mirror takes a copy of each record; without it a death loses the records that are not yet in the store.
 	Mirror Mirror
@@ -41,6 +49,13 @@
 	MaxHeld int
 	// MaxAdopted is the number of peers' records from which equal ones are merged.
 	MaxAdopted int
+	// MaxQueue is the number of records that wait for the mirror from which equal ones are merged.
+	MaxQueue int
+	// MirrorRate is the number of bytes a second that mirroring may send, after a burst of MirrorBurst.
+	MirrorRate  int
+	MirrorBurst int
+	// Retain is how long a process without a store keeps records that were handed over, for MirrorChanged.
+	Retain time.Duration
 	// MinInterval and MaxInterval bound the time between two objects that this process writes.
 	MinInterval time.Duration
 	MaxInterval time.Duration
@@ -62,6 +77,10 @@
 func (c Config) withDefaults() Config {
 	orInt(&c.MaxHeld, DefaultMaxHeld)
 	orInt(&c.MaxAdopted, DefaultMaxAdopted)
+	orInt(&c.MaxQueue, DefaultMaxQueue)
+	orInt(&c.MirrorRate, DefaultMirrorRate)
+	orInt(&c.MirrorBurst, DefaultMirrorBurst)
+	orTime(&c.Retain, DefaultRetain)
 	orInt(&c.MirrorBatch, DefaultMirrorBatch)
 	orTime(&c.MinInterval, DefaultMinInterval)
 	orTime(&c.MaxInterval, DefaultMaxInterval)
--- a/pkg/refusal/coverage_test.go
+++ b/pkg/refusal/coverage_test.go
@@ -14,6 +14,16 @@
 		for range rapid.IntRange(1, 30).Draw(t, "n") {
 			first := rapid.Uint64Range(1, 60).Draw(t, "first")
 			last := first + rapid.Uint64Range(0, 15).Draw(t, "length")
+			if rapid.IntRange(0, 4).Draw(t, "remove") == 0 {
+				c.remove(interval{first, last})
+				for i := first; i <= last; i++ {
+					delete(set, i)
+				}
+				continue
+			}
+			if end := c.through(first); (end > 0) != set[first] || end > 0 && (!set[end] || set[end+1]) {
+				t.Fatalf("through %d is %d", first, end)
+			}
 			var want uint64
 			for i := first; i <= last; i++ {
 				if !set[i] {
@@ -28,7 +38,7 @@
 	})
 }
 
-// TestPoolKeepsTheCount adds entries of few or many classes, some twice, and takes some away.
+// TestPoolKeepsTheCount adds entries of few or many classes, some twice, takes some away and gives some back.
 func TestPoolKeepsTheCount(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.IntRange(1, 20).Draw(t, "limit")
@@ -39,7 +49,7 @@
 			r := Record{Service: rapid.StringMatching("[a-z]").Draw(t, "service"), Count: rapid.Uint32Range(1, 3).Draw(t, "count")}
 			r.Revision = uint64(rapid.IntRange(0, classes).Draw(t, "class"))
 			r.DecidedBy = string(rune('a' + r.Revision))
-			id := s.next(&r, p.len(), limit)
+			id := s.next(&r, p.pressure())
 			e := entry{record: r, stream: id.stream, first: id.ordinal}
 			p.add(e)
 			added += uint64(r.Count)
@@ -47,7 +57,14 @@
 				p.add(e)
 			}
 			if rapid.IntRange(0, 30).Draw(t, "take") == 0 {
-				taken += sum(p.take(rapid.IntRange(1, 5).Draw(t, "taken")))
+				out := p.take(rapid.IntRange(1, 5).Draw(t, "taken"))
+				if rapid.Bool().Draw(t, "back") {
+					for _, e := range out {
+						p.add(e)
+					}
+					continue
+				}
+				taken += sum(out)
 				s.renew()
 			}
 		}
--- a/pkg/refusal/generation.go
+++ b/pkg/refusal/generation.go
@@ -14,6 +14,8 @@
 	entries []entry
 	// through is the number of the last own stream in it.
 	through uint64
+	// others are the streams of other processes in what is written, with the last ordinal.
+	others map[stream]uint64
 	// object is the object that is being written, with size entries from the front; nil before it is packed.
 	object *objectapi.Object
 	size   int
@@ -55,6 +57,20 @@
 	return written
 }
 
+// foreign notes the streams of other processes among written entries.
+func (g *generation) foreign(own string, written []entry) {
+	for i := range written {
+		e := &written[i]
+		if e.stream.origin == own {
+			continue
+		}
+		if g.others == nil {
+			g.others = make(map[stream]uint64)
+		}
+		g.others[e.stream] = max(g.others[e.stream], e.end())
+	}
+}
+
 // objectName is the same for every attempt to write a batch, so that an attempt whose answer is lost is found again.
 func objectName(h header) string {
 	return originOf(h.Process, h.Incarnation) + "/" + strconv.FormatUint(h.Sequence, idBase)
--- a/pkg/refusal/identity.go
+++ b/pkg/refusal/identity.go
@@ -45,18 +45,26 @@
 
 // parseID takes an ID apart. An ID of another form is a stream of its own.
 func parseID(id string) identity {
-	own := identity{stream: stream{origin: id}, ordinal: 1}
+	i, ok := splitID(id)
+	if !ok || i.ordinal == 0 {
+		return identity{stream: stream{origin: id}, ordinal: 1}
+	}
+	return i
+}
+
+// splitID takes an ID apart; false when it has another form.
+func splitID(id string) (identity, bool) {
 	slash, dot := strings.LastIndexByte(id, '/'), strings.LastIndexByte(id, '.')
 	if slash <= 0 || dot < slash {
-		return own
+		return identity{}, false
 	}
 	number, err := strconv.ParseUint(id[slash+1:dot], idBase, 64)
 	if err != nil {
-		return own
+		return identity{}, false
 	}
 	ordinal, err := strconv.ParseUint(id[dot+1:], idBase, 64)
-	if err != nil || ordinal == 0 || ordinal > maxOrdinal {
-		return own
+	if err != nil || ordinal > maxOrdinal {
+		return identity{}, false
 	}
-	return identity{stream: stream{origin: id[:slash], number: number}, ordinal: ordinal}
+	return identity{stream: stream{origin: id[:slash], number: number}, ordinal: ordinal}, true
 }
--- a/pkg/refusal/log.go
+++ b/pkg/refusal/log.go
@@ -38,8 +38,12 @@
 	inCall int
 	// moved is closed and replaced when the mirror took records.
 	moved   chan struct{}
-	adopted map[string]*adoption
-	stats   Stats
+	adopted map[adoptionKey]*pool
+	// receipts wait to be sent to the peer.
+	receipts []Record
+	// retainUntil is when a process without a store forgets the generation that it has handed over.
+	retainUntil time.Time
+	stats       Stats
 }
 
 // NewLog returns an empty log.
@@ -54,9 +58,9 @@
 		streams:  newStreams(origin),
 		held:     newPool(poolLimit(cfg.MaxHeld)),
 		pace:     pace{min: cfg.MinInterval, max: cfg.MaxInterval, rand: cfg.Rand},
-		queue:    newPool(poolLimit(cfg.MaxHeld)),
+		queue:    newPool(cfg.MaxQueue),
 		moved:    make(chan struct{}),
-		adopted:  make(map[string]*adoption),
+		adopted:  make(map[adoptionKey]*pool),
 	}
 }
 
@@ -69,7 +73,7 @@
 func (l *Log) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return l.mirrorLoop(ctx) })
-	g.Go(func() error { return l.writeLoop(ctx) })
+	g.Go(func() error { return l.tickLoop(ctx) })
 	return g.Wait()
 }
 
@@ -82,11 +86,16 @@
 	r.Count = max(r.Count, 1)
 	id := l.hold(r)
 	l.counters.recorded.Inc(int64(r.Count))
+	l.signal()
+	return id
+}
+
+// signal tells the mirror loop that there is something to send.
+func (l *Log) signal() {
 	select {
 	case l.wake <- struct{}{}:
 	default:
 	}
-	return id
 }
 
 // hold puts a complete record into memory and returns its ID.
@@ -95,20 +104,17 @@
 	defer l.mu.Unlock()
 	e := entry{record: r}
 	if r.ID == "" {
-		id := l.streams.next(&r, l.held.len(), l.held.limit)
+		id := l.streams.next(&r, max(l.held.pressure(), l.queue.pressure()))
 		e.record.ID, e.stream, e.first = id.format(), id.stream, id.ordinal
 	} else {
 		e = entryOf(r)
 	}
 	l.stats.Recorded += uint64(r.Count)
 	l.keep(e)
-	if l.cfg.Mirror != nil {
-		l.queue.add(e)
-	}
 	return e.record.ID
 }
 
-// keep adds an entry to the held ones; l.mu is held.
+// keep adds an entry to the held ones and queues it for the mirror; l.mu is held.
 func (l *Log) keep(e entry) {
 	if l.held.len() == 0 {
 		l.oldest = l.cfg.Now()
@@ -116,6 +122,9 @@
 	before := l.held.merged
 	l.held.add(e)
 	l.counters.merged.Inc(int64(l.held.merged - before))
+	if l.cfg.Mirror != nil {
+		l.queue.add(e)
+	}
 }
 
 // Held returns the own records that are not yet in the store.
@@ -135,7 +144,7 @@
 	if l.writing != nil {
 		out = append(out, l.writing.entries...)
 	}
-	return append(out, l.held.entries...)
+	return append(out, l.held.all()...)
 }
 
 // Stats returns the counts so far.
@@ -150,8 +159,8 @@
 		s.HeldRefusals += l.writing.refusals()
 	}
 	for _, a := range l.adopted {
-		s.Adopted += a.pool.len()
-		s.AdoptedRefusals += a.pool.refusals()
+		s.Adopted += a.len()
+		s.AdoptedRefusals += a.refusals()
 	}
 	return s
 }
--- a/pkg/refusal/log_bench_test.go
+++ b/pkg/refusal/log_bench_test.go
@@ -36,7 +36,7 @@
 		runtime.ReadMemStats(&after)
 		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/n, "B/held")
 		start := time.Now()
-		value, packed, err := encode(header{Format: batchFormat}, l.held.entries)
+		value, packed, err := encode(header{Format: batchFormat}, l.held.all())
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/pkg/refusal/log_mirror.go
+++ b/pkg/refusal/log_mirror.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
 )
 
@@ -13,14 +15,28 @@
 	mirrorBackoffMax = 5 * time.Second
 )
 
-// mirrorLoop hands records to the peer as soon as they come; those that come during a call go with the next.
+// Estimates of what a call sends, in bytes. EncodeRecords packs one record into about 250 bytes and each further one of
+// a batch into 15 to 40; the transport adds its headers.
+const (
+	mirrorCallCost   = 450
+	mirrorRecordCost = 40
+)
+
+// mirrorLoop hands records to the peer as soon as they come; those that come during a call go with the next. Its bytes
+// a second are bounded; records that wait too long are merged.
 func (l *Log) mirrorLoop(ctx context.Context) error {
 	backoff := objectapi.Backoff{Min: mirrorBackoffMin, Max: mirrorBackoffMax, Rand: l.cfg.Rand}
+	budget := rate.NewLimiter(rate.Limit(l.cfg.MirrorRate), l.cfg.MirrorBurst)
 	for {
 		if err := l.awaitRecords(ctx); err != nil {
 			return err
 		}
-		if l.mirrorOnce(ctx) == nil {
+		records := l.takeQueued()
+		if err := budget.WaitN(ctx, min(l.cfg.MirrorBurst, mirrorCallCost+mirrorRecordCost*len(records))); err != nil {
+			l.giveBack(records, err)
+			return err
+		}
+		if l.send(ctx, records) == nil {
 			backoff.Reset()
 			continue
 		}
@@ -30,11 +46,11 @@
 	}
 }
 
-// awaitRecords returns when there are records to mirror.
+// awaitRecords returns when there is something to send.
 func (l *Log) awaitRecords(ctx context.Context) error {
 	for {
 		l.mu.Lock()
-		n := l.queue.len()
+		n := l.queue.len() + len(l.receipts)
 		l.mu.Unlock()
 		if n > 0 {
 			return ctx.Err()
@@ -47,29 +63,40 @@
 	}
 }
 
-// mirrorOnce makes one call. After a failure all unwritten records are queued again, since the next call may reach
-// another peer, which has none of them.
-func (l *Log) mirrorOnce(ctx context.Context) error {
-	records := l.takeQueued()
-	ctx, cancel := context.WithTimeout(ctx, l.cfg.MirrorTimeout)
+// send makes one call of the mirror.
+func (l *Log) send(ctx context.Context, records []Record) error {
+	call, cancel := context.WithTimeout(ctx, l.cfg.MirrorTimeout)
 	defer cancel()
-	err := l.cfg.Mirror.Mirror(ctx, records)
+	if err := l.cfg.Mirror.Mirror(call, records); err != nil {
+		l.giveBack(records, err)
+		return err
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.inCall = 0
-	if err != nil {
-		l.stats.MirrorErrors++
-		l.counters.mirrorErrors.Inc(1)
-		l.cfg.Logger.Warn().Err(err).Str("op", "mirror").Int("records", len(records)).Msg("refusal records not mirrored")
-		l.requeue()
-		return err
-	}
 	l.stats.Mirrored += uint64(len(records))
 	l.counters.mirrored.Inc(int64(len(records)))
 	l.noteMoved()
 	return nil
 }
 
+// giveBack queues the records of a failed call again.
+func (l *Log) giveBack(records []Record, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inCall = 0
+	l.stats.MirrorErrors++
+	l.counters.mirrorErrors.Inc(1)
+	l.cfg.Logger.Warn().Err(err).Str("op", "mirror").Int("records", len(records)).Msg("refusal records not mirrored")
+	for _, r := range records {
+		if r.Count > 0 {
+			l.queue.add(entryOf(r))
+		}
+	}
+}
+
+// takeQueued takes the records of the next call, receipts last. Receipts that do not arrive are not sent again: the
+// next one for the process says the same.
 func (l *Log) takeQueued() []Record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -78,17 +105,17 @@
 		out = append(out, e.record)
 	}
 	l.inCall = len(out)
+	n := min(l.cfg.MirrorBatch, len(l.receipts))
+	out = append(out, l.receipts[:n]...)
+	l.receipts = append([]Record(nil), l.receipts[n:]...)
 	return out
 }
 
-// requeue queues all unwritten own records for the mirror; l.mu is held. Records of dead peers are left out, since
-// only a second death could lose them.
+// requeue queues all unwritten records for the mirror; l.mu is held.
 func (l *Log) requeue() {
 	l.queue = newPool(l.queue.limit)
 	for _, e := range l.unwritten() {
-		if e.stream.origin == l.origin {
-			l.queue.add(e)
-		}
+		l.queue.add(e)
 	}
 }
 
@@ -98,12 +125,9 @@
 		return
 	}
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.requeue()
-	l.mu.Unlock()
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
+	l.signal()
 }
 
 // Sync waits until a peer or the store has every record so far, or the context ends. A process that must not lose a
@@ -124,6 +148,12 @@
 	}
 }
 
+// noteMoved wakes those who wait in Sync; l.mu is held.
+func (l *Log) noteMoved() {
+	close(l.moved)
+	l.moved = make(chan struct{})
+}
+
 // pause waits for d or the end of the context.
 func pause(ctx context.Context, d time.Duration) error {
 	t := time.NewTimer(d)
--- a/pkg/refusal/log_test.go
+++ b/pkg/refusal/log_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"testing/synctest"
@@ -30,14 +31,14 @@
 	return nil
 }
 
-func (p *peerLog) Release(_ context.Context, origin string, through uint64) error {
-	p.to.Release(origin, through)
-	return nil
-}
-
 // start runs a log until the returned function is called, which ends it without a last write, as a death does.
 func start(t *testing.T, cfg Config) (*Log, func()) {
 	l := NewLog(cfg)
+	return l, run(t, l)
+}
+
+// run is start for a log that is there already.
+func run(t *testing.T, l *Log) func() {
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -49,7 +50,7 @@
 		<-done
 	}
 	t.Cleanup(kill)
-	return l, kill
+	return kill
 }
 
 // refuse records one refusal of a caller; the detail tells the refusals apart.
@@ -179,6 +180,7 @@
 		time.Sleep(time.Second)
 		require.NotZero(t, l.Stats().MirrorErrors)
 		p.down, p.to = false, second
+		l.MirrorChanged()
 		require.NoError(t, l.Sync(t.Context()))
 		kill()
 		require.EqualValues(t, 501, second.Stats().AdoptedRefusals)
@@ -212,6 +214,30 @@
 	})
 }
 
+// TestRelayDies kills a process that took records of one without a store, before it mirrored or wrote them.
+func TestRelayDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New(store.Config{})
+		s.SetFaults(store.Faults{Outage: true})
+		silent := &peerLog{down: true}
+		relay, kill := start(t, Config{Process: "balancer-1", Store: s, Mirror: silent})
+		next, _ := start(t, Config{Process: "balancer-2", Store: s})
+		p := &process{name: "agent-1", relay: true, to: &process{log: relay}, rng: rand.New(rand.NewPCG(1, 1))}
+		p.log = NewLog(Config{Process: "agent-1", Mirror: p})
+		run(t, p.log)
+		for i := range 10 {
+			refuse(p.log, i)
+		}
+		time.Sleep(5 * time.Second)
+		kill()
+		p.turn(&process{log: next})
+		s.SetFaults(store.Faults{})
+		time.Sleep(5 * time.Minute)
+		require.EqualValues(t, 10, find(t, s, Query{}).Refusals)
+		require.Empty(t, p.log.Held(), "handed over and retained long enough")
+	})
+}
+
 // TestSharedIncarnation checks that two processes that wrongly share their identity overwrite nothing.
 func TestSharedIncarnation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/refusal/log_write.go
+++ b/pkg/refusal/log_write.go
@@ -10,15 +10,19 @@
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
 )
 
-// writeTick is how often the write loop looks whether an object is due.
-const writeTick = 250 * time.Millisecond
+// tick is how often a log looks whether an object is due.
+const tick = 250 * time.Millisecond
 
-// writeLoop writes objects at the pace that the store and the number of records allow.
-func (l *Log) writeLoop(ctx context.Context) error {
+// tickLoop writes objects at the pace that the store and the number of records allow, or forgets what was handed over.
+func (l *Log) tickLoop(ctx context.Context) error {
 	for {
-		if err := pause(ctx, writeTick); err != nil {
+		if err := pause(ctx, tick); err != nil {
 			return err
 		}
+		if l.cfg.Store == nil {
+			l.forget()
+			continue
+		}
 		if l.due() {
 			_ = l.writeOnce(ctx) // Counted and logged; the records stay for the next time.
 		}
@@ -29,9 +33,6 @@
 func (l *Log) due() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.cfg.Store == nil {
-		return false
-	}
 	full := l.held.len() >= l.held.limit/2
 	if l.writing != nil {
 		return l.pace.due(l.cfg.Now(), time.Time{}, full)
@@ -79,7 +80,7 @@
 		l.writeFailed(o, err)
 		return err
 	}
-	l.wrote(ctx, o)
+	l.wrote(o)
 	return nil
 }
 
@@ -132,7 +133,7 @@
 	if l.held.len() == 0 {
 		return
 	}
-	entries := l.held.entries
+	entries := l.held.all()
 	slices.SortStableFunc(entries, func(a, b entry) int {
 		return bucketOf(a.record.Time).Compare(bucketOf(b.record.Time))
 	})
@@ -142,23 +143,8 @@
 	l.streams.renew()
 }
 
-// wrote notes a written object and, after the last of a generation, releases the peer's copies.
-func (l *Log) wrote(ctx context.Context, o *objectapi.Object) {
-	through, whole := l.noteWritten(o)
-	if !whole {
-		return
-	}
-	r, ok := l.cfg.Mirror.(Releaser)
-	if !ok {
-		return
-	}
-	if err := r.Release(ctx, l.origin, through); err != nil {
-		l.cfg.Logger.Debug().Err(err).Str("op", "release").Msg("the peer keeps copies of written refusal records")
-	}
-}
-
-// noteWritten returns the last stream of the generation, and whether all of it is written.
-func (l *Log) noteWritten(o *objectapi.Object) (uint64, bool) {
+// wrote notes a written object.
+func (l *Log) wrote(o *objectapi.Object) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	written := l.writing.done()
@@ -169,14 +155,45 @@
 		Int("bytes", len(o.Value)).Msg("refusal records written")
 	more := len(l.writing.entries) > 0
 	l.pace.wrote(l.cfg.Now(), more)
+	l.writing.foreign(l.origin, written)
 	if more {
-		return 0, false
+		return
 	}
-	through := l.writing.through
+	l.acknowledge()
 	l.writing = nil
-	l.queue.dropStreams(l.origin, through)
 	l.noteMoved()
-	return through, true
+}
+
+// acknowledge takes a generation that is all in the store out of the queue and prepares receipts for the peer; l.mu is
+// held.
+func (l *Log) acknowledge() {
+	if l.cfg.Mirror == nil {
+		return
+	}
+	done := []receipt{{stream: stream{origin: l.origin, number: l.writing.through}}}
+	for s, ordinal := range l.writing.others {
+		if _, later := l.held.tracks[s]; !later {
+			done = append(done, receipt{stream: s, ordinal: ordinal})
+		}
+	}
+	for _, r := range done {
+		l.receipts = append(l.receipts, r.record())
+	}
+	l.queue.dropAll(done)
+	l.signal()
+}
+
+// forget lets go of records that a process without a store has handed over, after a time in which MirrorChanged can
+// still send them to another peer.
+func (l *Log) forget() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cfg.Mirror == nil || l.queue.len()+l.inCall > 0 || l.cfg.Now().Before(l.retainUntil) {
+		return
+	}
+	l.writing = nil
+	l.closeGeneration()
+	l.retainUntil = l.cfg.Now().Add(l.cfg.Retain)
 }
 
 func (l *Log) writeFailed(o *objectapi.Object, err error) {
@@ -188,9 +205,3 @@
 	l.cfg.Logger.Warn().Err(err).Str("op", "write-refusals").Str("name", o.Name).
 		Int("held", l.held.len()+len(l.writing.entries)).Msg("refusal records not written, kept")
 }
-
-// noteMoved wakes those who wait in Sync; l.mu is held.
-func (l *Log) noteMoved() {
-	close(l.moved)
-	l.moved = make(chan struct{})
-}
--- a/pkg/refusal/record.go
+++ b/pkg/refusal/record.go
@@ -54,7 +54,8 @@
 	Time time.Time `json:"time"`
 	// Last is the time of the last refusal of a merged record; zero for a single one.
 	Last time.Time `json:"last,omitzero"`
-	// Count is the number of refusals in the record, at least 1.
+	// Count is the number of refusals in the record, at least 1. Only in mirrored records it may be 0: such a record is
+	// no refusal but tells the peer that others are in the store.
 	Count uint32 `json:"count"`
 	// Service is the service's name; empty for an unknown address.
 	Service string `json:"service,omitempty"`
--- a/pkg/refusal/streams.go
+++ b/pkg/refusal/streams.go
@@ -1,8 +1,5 @@
 package refusal
 
-// widthSteps is the number of steps above the limit, as parts of the limit, at which classes get wider.
-const widthSteps = 8
-
 // streams gives each refusal its place in the stream of its class.
 type streams struct {
 	origin  string
@@ -14,9 +11,10 @@
 	return &streams{origin: origin, byClass: make(map[class]*identity)}
 }
 
-// next returns the identity of a record's first refusal and moves the stream by its count.
-func (s *streams) next(r *Record, held, limit int) identity {
-	c := classOf(r, widths[pressure(held, limit)])
+// next returns the identity of a record's first refusal and moves the stream by its count. pressure is the index of the
+// width of classes.
+func (s *streams) next(r *Record, pressure int) identity {
+	c := classOf(r, widths[pressure])
 	last, ok := s.byClass[c]
 	if !ok {
 		s.number++
@@ -34,12 +32,12 @@
 }
 
 // pressure is the index of the width to use: 0 below the limit, and more when merging did not keep to it.
-func pressure(held, limit int) int {
+func (p *pool) pressure() int {
 	switch {
-	case held < limit:
+	case p.len() < p.limit:
 		return 0
-	case held < limit+limit/widthSteps:
+	case p.len() < p.limit+p.limit/widthSteps:
 		return 1
 	}
-	return 2
+	return len(widths) - 1
 }
--- a/pkg/refusal/transfer.go
+++ b/pkg/refusal/transfer.go
@@ -1,21 +1,36 @@
 package refusal
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
+	"io"
 
 	"github.com/gravitational/trace"
 )
 
-// EncodeRecords returns the form in which records travel between processes.
+// maxTransfer bounds what DecodeRecords unpacks, in bytes.
+const maxTransfer = 8 << 20
+
+// EncodeRecords returns the form in which records travel between processes: compressed JSON.
 func EncodeRecords(records []Record) ([]byte, error) {
-	b, err := json.Marshal(records)
-	return b, trace.Wrap(err, "encode refusal records")
+	var out bytes.Buffer
+	err := compressTo(&out, func(z io.Writer) error { return json.NewEncoder(z).Encode(records) })
+	return out.Bytes(), trace.Wrap(err, "encode refusal records")
 }
 
 // DecodeRecords reads the form of EncodeRecords.
 func DecodeRecords(b []byte) ([]Record, error) {
+	z, err := gzip.NewReader(bytes.NewReader(b))
+	if err != nil {
+		return nil, trace.BadParameter("decode refusal records: %v", err)
+	}
+	text, err := io.ReadAll(io.LimitReader(z, maxTransfer))
+	if err != nil {
+		return nil, trace.BadParameter("decode refusal records: %v", err)
+	}
 	var records []Record
-	if err := json.Unmarshal(b, &records); err != nil {
+	if err := json.Unmarshal(text, &records); err != nil {
 		return nil, trace.BadParameter("decode refusal records: %v", err)
 	}
 	return records, nil
