Spread acknowledgements by pushes; keep the agents' streams on their watchers

Cause: acknowledgements went by the exchange only; an agent opened its streams of views to the seeds and left them there, and a peer that did not answer held up the round of exchange.

--- a/pkg/membership/acks.go
+++ b/pkg/membership/acks.go
@@ -22,13 +22,20 @@
 // change of all balancers' records with each revision would cost each balancer the size of all records; an entry here
 // takes 4 bytes. All methods may be called from any goroutine.
 type Acks struct {
-	mu        sync.Mutex
-	revisions map[uint32]uint64
+	mu      sync.Mutex
+	entries map[uint32]ackEntry
+	version uint64
+	changed chan struct{}
+}
+
+type ackEntry struct {
+	revision uint64
+	modified uint64
 }
 
 // NewAcks returns an empty set.
 func NewAcks() *Acks {
-	return &Acks{revisions: make(map[uint32]uint64)}
+	return &Acks{entries: make(map[uint32]ackEntry), changed: make(chan struct{}, 1)}
 }
 
 // Set notes that a balancer has a revision in force; a lower revision than known changes nothing.
@@ -39,11 +46,22 @@
 }
 
 func (a *Acks) set(hash uint32, revision uint64) {
-	if revision > a.revisions[hash] {
-		a.revisions[hash] = revision
+	if revision <= a.entries[hash].revision {
+		return
+	}
+	a.version++
+	a.entries[hash] = ackEntry{revision: revision, modified: a.version}
+	select {
+	case a.changed <- struct{}{}:
+	default:
 	}
 }
 
+// Changed returns a channel that gets a value after changes. There is one channel only.
+func (a *Acks) Changed() <-chan struct{} {
+	return a.changed
+}
+
 // Merge takes in what another balancer knows.
 func (a *Acks) Merge(acks []Ack) {
 	a.mu.Lock()
@@ -57,11 +75,19 @@
 
 // All returns everything known, by rising revision.
 func (a *Acks) All() []Ack {
+	acks, _ := a.ChangedSince(0)
+	return acks
+}
+
+// ChangedSince returns what changed after the given version, by rising revision, and the present version.
+func (a *Acks) ChangedSince(version uint64) ([]Ack, uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	byRevision := make(map[uint64][]uint32)
-	for hash, revision := range a.revisions {
-		byRevision[revision] = append(byRevision[revision], hash)
+	for hash, e := range a.entries {
+		if e.modified > version {
+			byRevision[e.revision] = append(byRevision[e.revision], hash)
+		}
 	}
 	acks := make([]Ack, 0, len(byRevision))
 	for revision, hashes := range byRevision {
@@ -69,7 +95,7 @@
 		acks = append(acks, Ack{Revision: revision, Balancers: hashes})
 	}
 	slices.SortFunc(acks, func(x, y Ack) int { return cmp.Compare(x.Revision, y.Revision) })
-	return acks
+	return acks, a.version
 }
 
 // Retain forgets all balancers but the given ones.
@@ -80,7 +106,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	maps.DeleteFunc(a.revisions, func(hash uint32, _ uint64) bool { return !keep[hash] })
+	maps.DeleteFunc(a.entries, func(hash uint32, _ ackEntry) bool { return !keep[hash] })
 }
 
 // Root returns a hash of everything known.
@@ -88,10 +114,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var root uint64
-	for hash, revision := range a.revisions {
+	for hash, e := range a.entries {
 		var b [12]byte
 		binary.BigEndian.PutUint32(b[:], hash)
-		binary.BigEndian.PutUint64(b[4:], revision)
+		binary.BigEndian.PutUint64(b[4:], e.revision)
 		root ^= xxhash.Sum64(b[:])
 	}
 	return root
@@ -106,7 +132,7 @@
 			continue
 		}
 		m++
-		if a.revisions[HashID(b.ID)] >= revision {
+		if a.entries[HashID(b.ID)].revision >= revision {
 			n++
 		}
 	}
--- a/pkg/membership/detector.go
+++ b/pkg/membership/detector.go
@@ -126,26 +126,23 @@
 	}
 }
 
-// refresh takes over the members of the table when it has changed.
+// refresh takes over what has changed in the table. When a balancer comes or goes, all members get their watchers anew.
 func (d *Detector) refresh(now time.Time) {
 	version := d.table.Version()
 	if version == d.version {
 		return
 	}
-	d.version = version
-	members := d.table.Members()
-	balancers := balancersOf(members)
+	balancers := d.table.Balancers()
 	moved := !sameBalancers(balancers, d.balancers)
 	d.balancers = balancers
-	known := make(map[string]bool, len(d.watched))
-	for i := range members {
-		if d.follow(&members[i], moved, now) {
-			known[members[i].ID] = true
-		}
+	members := d.table.ChangedSince(d.version)
+	if moved {
+		members = d.table.Members()
 	}
-	for id := range d.watched {
-		if !known[id] {
-			delete(d.watched, id)
+	d.version = version
+	for i := range members {
+		if !d.follow(&members[i], moved, now) {
+			delete(d.watched, members[i].ID)
 		}
 	}
 }
@@ -156,7 +153,7 @@
 		return false
 	}
 	w, ok := d.watched[m.ID]
-	if ok && !moved {
+	if ok && !moved && w.member.Region == m.Region && w.member.DataCentre == m.DataCentre {
 		w.update(m, now)
 		return true
 	}
--- a/pkg/membership/detector_members.go
+++ b/pkg/membership/detector_members.go
@@ -5,17 +5,6 @@
 	"slices"
 )
 
-// balancersOf returns the balancers among members, dead and left ones included.
-func balancersOf(members []Member) []Member {
-	var balancers []Member
-	for _, m := range members {
-		if m.Role == RoleBalancer {
-			balancers = append(balancers, m)
-		}
-	}
-	return balancers
-}
-
 // sameBalancers reports whether two sorted lists give the same watchers.
 func sameBalancers(a, b []Member) bool {
 	return slices.EqualFunc(a, b, func(x, y Member) bool {
--- a/pkg/membership/detector_test.go
+++ b/pkg/membership/detector_test.go
@@ -47,6 +47,16 @@
 	return o
 }
 
+func balancersOf(members []Member) []Member {
+	var balancers []Member
+	for _, m := range members {
+		if m.Role == RoleBalancer {
+			balancers = append(balancers, m)
+		}
+	}
+	return balancers
+}
+
 // fleet returns balancers and agents, spread over the data centres of a region.
 func fleet(region string, dcs, balancers, agents int) []Member {
 	var members []Member
--- /dev/null
+++ b/pkg/peer/budget_test.go
@@ -0,0 +1,29 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+)
+
+func TestBudgetBoundsRateAndDebt(t *testing.T) {
+	now := spreadTime
+	b := newBudget(1000, func() time.Time { return now }, tally.NoopScope)
+	require.Equal(t, 10_000, b.available(), "ten seconds are saved up")
+	b.take(9_999)
+	require.False(t, b.overdrawn())
+	b.take(1)
+	require.True(t, b.overdrawn())
+	now = now.Add(time.Second)
+	require.Equal(t, 1000, b.available())
+	for range 100 {
+		b.take(50_000)
+	}
+	require.GreaterOrEqual(t, b.available(), -10_000, "a burst isn't paid off for ever")
+	now = now.Add(11 * time.Second)
+	require.False(t, b.overdrawn())
+	now = now.Add(time.Hour)
+	require.Equal(t, 10_000, b.available())
+}
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -118,6 +118,7 @@
 	g.Go(func() error { return n.detectLoop(run) })
 	g.Go(func() error { return n.exchangeLoop(run) })
 	g.Go(func() error { return n.pushLoop(run) })
+	g.Go(func() error { return n.ackLoop(run) })
 	g.Go(func() error { return n.fetchLoop(run) })
 	g.Go(func() error { return n.beats.run(run) })
 	g.Go(func() error { return n.selfLoop(run) })
--- a/pkg/peer/node_exchange.go
+++ b/pkg/peer/node_exchange.go
@@ -22,7 +22,7 @@
 			return nil
 		}
 		for _, p := range n.partners() {
-			n.exchange(ctx, p, maxCompareBytes)
+			n.calls.Go(func() { n.exchange(ctx, p, maxCompareBytes) })
 		}
 	}
 }
--- a/pkg/peer/node_push.go
+++ b/pkg/peer/node_push.go
@@ -38,14 +38,40 @@
 	}
 	n.headPushed = revision
 	request := n.newExchange()
-	request.Push = true
 	request.Members, request.Verdicts = splitVerdicts(members)
+	n.pushAll(ctx, request)
+}
+
+// pushAll sends a request to some neighbours.
+func (n *Node) pushAll(ctx context.Context, request *peerpb.ExchangeRequest) {
+	request.Push = true
 	n.metrics.pushes.Inc(1)
 	for _, p := range n.pick(pushFanOut) {
 		n.calls.Go(func() { n.pushTo(ctx, p, request) })
 	}
 }
 
+// ackLoop passes new acknowledgements on to a few neighbours.
+func (n *Node) ackLoop(ctx context.Context) error {
+	pushed := uint64(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.acks.Changed():
+		}
+		sleep(ctx, n.stretched(ackGatherTime))
+		acks, version := n.acks.ChangedSince(pushed)
+		pushed = version
+		if len(acks) == 0 {
+			continue
+		}
+		request := n.newExchange()
+		request.Acks = acksToProto(acks)
+		n.pushAll(ctx, request)
+	}
+}
+
 func (n *Node) pushTo(ctx context.Context, p membership.Member, request *peerpb.ExchangeRequest) {
 	reply, err := n.call(ctx, p, request)
 	n.note(p, err == nil)
--- a/pkg/peer/node_test.go
+++ b/pkg/peer/node_test.go
@@ -22,7 +22,7 @@
 const waitTime = 20 * time.Second
 
 // testDetector gives members long limits, so that a busy machine doesn't fail a test.
-var testDetector = membership.DetectorConfig{SuspectAfter: 6 * time.Second, PauseLimit: 2 * time.Second, Grace: 8 * time.Second}
+var testDetector = membership.DetectorConfig{SuspectAfter: 6 * time.Second, PauseLimit: 2 * time.Second, Grace: 8 * time.Second, MassLossHold: time.Second}
 
 type testNode struct {
 	*Node
--- a/pkg/peer/service_state.go
+++ b/pkg/peer/service_state.go
@@ -87,6 +87,13 @@
 	delete(s.sources, addr)
 }
 
+// ready reports whether the balancer at addr has sent a view.
+func (s *serviceState) ready(addr string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sources[addr] != nil
+}
+
 // dropUnlisted forgets members that no balancer lists any longer; their tombstones have expired.
 func (s *serviceState) dropUnlisted() {
 	for _, m := range s.table.Members() {
--- a/pkg/peer/session.go
+++ b/pkg/peer/session.go
@@ -203,6 +203,10 @@
 
 func (s *Session) refute(reply *peerpb.AnnounceReply) {
 	seen := memberFromProto(reply.GetMember())
+	if seen.Incarnation > s.cfg.Self.Incarnation {
+		s.cfg.Log.Error().Str("op", "announce").Str("reason", "another process uses this name").Uint64("incarnation", seen.Incarnation).Send()
+		return
+	}
 	if s.self.refute(seen) {
 		s.cfg.Log.Warn().Str("op", "announce").Str("reason", "held for "+seen.State.String()).Msg("refuted")
 	}
--- a/pkg/peer/session_watch.go
+++ b/pkg/peer/session_watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/gravitational/trace"
 
@@ -11,7 +12,7 @@
 // watchLoop keeps the streams of views on two balancers. A stream that fails is replaced by one to another balancer.
 func (s *Session) watchLoop(ctx context.Context) error {
 	for ctx.Err() == nil {
-		s.startWatches(ctx)
+		s.moveWatches(ctx)
 		select {
 		case <-ctx.Done():
 		case <-s.changed:
@@ -20,44 +21,78 @@
 	return nil
 }
 
-// startWatches opens streams until there are enough of them.
-func (s *Session) startWatches(ctx context.Context) {
+// moveWatches opens streams to the preferred balancers. Once these have sent a view, the others are closed.
+func (s *Session) moveWatches(ctx context.Context) {
 	addrs := s.addrs()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, addr := range addrs {
-		if len(s.watches) >= watchCount {
-			return
+	if len(s.known) == 0 {
+		// Before a balancer has answered only the seeds are known, and these would get the streams of all agents.
+		return
+	}
+	preferred := s.preferred(addrs)
+	ready := 0
+	for _, addr := range preferred {
+		if s.watches[addr] == nil {
+			s.openWatch(ctx, addr)
+		}
+		if s.state.ready(addr) {
+			ready++
 		}
-		if _, ok := s.watches[addr]; ok || s.failed(addr) {
-			continue
+	}
+	if ready < len(preferred) {
+		return
+	}
+	for addr, cancel := range s.watches {
+		if !slices.Contains(preferred, addr) {
+			cancel()
 		}
-		stop, cancel := context.WithCancel(ctx)
-		s.watches[addr] = cancel
-		s.group.Go(func() { s.watch(stop, addr) })
 	}
 }
 
-// failed reports whether a stream to the address failed of late; mu is held.
-func (s *Session) failed(addr string) bool {
-	return s.cfg.Now().Before(s.blocked[addr])
+// preferred returns the first addresses to which no stream failed of late; mu is held.
+func (s *Session) preferred(addrs []string) []string {
+	now := s.cfg.Now()
+	var list []string
+	for _, addr := range addrs {
+		if len(list) < watchCount && !now.Before(s.blocked[addr]) {
+			list = append(list, addr)
+		}
+	}
+	return list
 }
 
-// watch takes updates from one balancer until the stream fails.
+// openWatch starts a stream; mu is held.
+func (s *Session) openWatch(ctx context.Context, addr string) {
+	stop, cancel := context.WithCancel(ctx)
+	s.watches[addr] = cancel
+	s.group.Go(func() { s.watch(stop, addr) })
+}
+
+// watch takes updates from one balancer until the stream fails or is closed.
 func (s *Session) watch(ctx context.Context, addr string) {
 	err := s.watchStream(ctx, addr)
-	if ctx.Err() == nil {
-		s.cfg.Log.Info().Err(err).Str("op", "watch service").Str("peer", addr).Msg("stream ended")
-	}
 	s.state.forget(addr)
+	if !s.endWatch(ctx, addr) {
+		return
+	}
+	s.cfg.Log.Info().Err(err).Str("op", "watch service").Str("peer", addr).Msg("stream ended")
+	s.notify()
+	sleep(ctx, streamRetryMax)
+	s.notify()
+}
+
+// endWatch forgets a stream and reports whether it failed. A balancer whose stream failed is left out for a while.
+func (s *Session) endWatch(ctx context.Context, addr string) bool {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	failed := ctx.Err() == nil
 	s.watches[addr]()
 	delete(s.watches, addr)
-	s.blocked[addr] = s.cfg.Now().Add(streamRetryMax)
-	s.mu.Unlock()
-	s.notify()
-	sleep(ctx, streamRetryMax+streamRetry)
-	s.notify()
+	if failed {
+		s.blocked[addr] = s.cfg.Now().Add(streamRetryMax)
+	}
+	return failed
 }
 
 func (s *Session) watchStream(ctx context.Context, addr string) error {
@@ -77,6 +112,9 @@
 		if err := s.state.apply(addr, u); err != nil {
 			return trace.Wrap(err, "take update of peer %s", addr)
 		}
+		if u.GetSnapshot() {
+			s.notify()
+		}
 		if seen, ok := s.state.seen(s.cfg.Self.ID); ok && s.self.refute(seen) {
 			s.cfg.Log.Warn().Str("op", "watch service").Str("reason", "held for "+seen.State.String()).Msg("refuted")
 		}
