--- a/pkg/revision/history_model_test.go
+++ b/pkg/revision/history_model_test.go
@@ -11,6 +11,7 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/auburnwood/auburnwood/pkg/lease"
 	"github.com/auburnwood/auburnwood/pkg/resource"
 )
 
@@ -101,9 +102,24 @@
 	last [maxProcesses]int64
 	// accepted are the contents that were written to the head, by number.
 	accepted map[uint64]resource.Revision
+	// holders are the holders of each term.
+	holders map[uint64]string
+	// shared names a term that two processes held.
+	shared string
 }
 
-func newHistory() *history { return &history{accepted: make(map[uint64]resource.Revision)} }
+func newHistory() *history {
+	return &history{accepted: make(map[uint64]resource.Revision), holders: make(map[uint64]string)}
+}
+
+func (h *history) granted(g lease.Grant) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if other, ok := h.holders[g.Term]; ok && other != g.Holder {
+		h.shared = fmt.Sprintf("term %d is held by %s and %s", g.Term, other, g.Holder)
+	}
+	h.holders[g.Term] = g.Holder
+}
 
 func (h *history) tick() int64 { return h.clock.Add(1) }
 
@@ -132,6 +148,9 @@
 func (h *history) check() string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.shared != "" {
+		return h.shared
+	}
 	if got := porcupine.CheckOperationsTimeout(headModel, h.ops, 20*time.Second); got != porcupine.Ok {
 		return fmt.Sprintf("history of %d operations is not linearizable: %s", len(h.ops), got)
 	}
--- a/pkg/revision/history_world_test.go
+++ b/pkg/revision/history_world_test.go
@@ -145,7 +145,12 @@
 	c := &Compiler{Store: p, Acks: p.world, Adopter: p.adopter, Clock: p, Log: log, Keep: 3}
 	r := &lease.Runner{Store: p, Clock: p, Log: log, Config: lease.Config{
 		Name: LeaseName, Holder: fmt.Sprintf("p%d", p.id), Duration: 3 * time.Second}}
-	go func() { _ = r.Run(p.ctx, c.Duty) }()
+	go func() {
+		_ = r.Run(p.ctx, func(ctx context.Context, g lease.Grant) error {
+			p.world.history.granted(g)
+			return c.Duty(ctx, g)
+		})
+	}()
 }
 
 // adoptAnything is the broken balancer of the variant lowering.
