Never reset an open flow at a balancer

Cause: a newcomer balancer that had adopted the revision but not yet its view answered packets of established flows with a reset (no-configuration). Ruled out: the draining agent (no refusal of its own), packet loss (resets, not stalls). Change: a balancer refuses opening packets only; for 2 s after its start it drops those too when configuration or targets are still missing, since the caller sends them again.

--- a/internal/lab/demo/faults.go
+++ b/internal/lab/demo/faults.go
@@ -40,8 +40,12 @@
 	return r
 }
 
-func (r *running) wait() int {
+// wait returns the number of downloads that were cut or wrong, and prints the first reason.
+func (r *running) wait(s *show) int {
 	r.group.Wait()
+	if len(r.errors) > 0 {
+		s.say("first of %d failures: %v", len(r.errors), trace.UserMessage(r.errors[0]))
+	}
 	return len(r.errors)
 }
 
@@ -58,7 +62,7 @@
 	if _, err := s.cluster.JoinBalancer(ctx); err != nil {
 		return trace.Wrap(err)
 	}
-	cut := long.wait()
+	cut := long.wait(s)
 	if err := <-drained; err != nil {
 		return trace.Wrap(err)
 	}
@@ -75,7 +79,7 @@
 	if err := s.cluster.KillBalancer(s.cluster.Balancers()[0]); err != nil {
 		return trace.Wrap(err)
 	}
-	cut := long.wait()
+	cut := long.wait(s)
 	s.cluster.StoreDown(false)
 	s.wrong += cut
 	s.say("killed a balancer during an outage of the object API and %d long downloads: %d cut", longFlows, cut)
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -31,6 +31,7 @@
 	suspects suspects
 	refusals *rate.Limiter
 	overflow overflow
+	started  time.Time
 	// lastPacket is the time of the last datagram in Unix nanoseconds.
 	lastPacket atomic.Int64
 	table      atomic.Pointer[table]
@@ -51,6 +52,7 @@
 	b := &Balancer{
 		cfg:      cfg,
 		deps:     deps,
+		started:  deps.Now(),
 		metrics:  newMetrics(deps.Metrics),
 		conn:     conn,
 		cache:    newCache(cfg.CachedFlows, deps.Now()),
--- a/pkg/balancer/config.go
+++ b/pkg/balancer/config.go
@@ -15,6 +15,7 @@
 	DefaultRefusalRate   = 200
 	DefaultDrainTime     = 10 * time.Second
 	DefaultQuietTime     = 500 * time.Millisecond
+	DefaultStartTime     = 2 * time.Second
 	DefaultSocketBuffer  = 8 << 20
 	maxWorkers           = 256
 	maxPacketSize        = 64 << 10
@@ -42,6 +43,9 @@
 	RefusalRate int
 	// DrainTime bounds how long Run forwards packets after its context ended; 0 means DefaultDrainTime.
 	DrainTime time.Duration
+	// StartTime is how long after its start a balancer without configuration or targets drops opening packets instead of
+	// refusing them; 0 means DefaultStartTime.
+	StartTime time.Duration
 	// QuietTime without any packet ends the draining early; 0 means DefaultQuietTime.
 	QuietTime time.Duration
 }
@@ -52,6 +56,7 @@
 	c.CacheTime = orDefault(c.CacheTime, DefaultCacheTime)
 	c.RefusalRate = orDefault(c.RefusalRate, DefaultRefusalRate)
 	c.DrainTime = orDefault(c.DrainTime, DefaultDrainTime)
+	c.StartTime = orDefault(c.StartTime, DefaultStartTime)
 	c.QuietTime = orDefault(c.QuietTime, DefaultQuietTime)
 	return c
 }
@@ -70,7 +75,7 @@
 	if c.Workers < 0 || c.Workers > maxWorkers {
 		errs = append(errs, trace.BadParameter("workers %d is not in 0 to %d", c.Workers, maxWorkers))
 	}
-	if c.CachedFlows < 0 || c.RefusalRate < 0 || c.CacheTime < 0 || c.DrainTime < 0 || c.QuietTime < 0 {
+	if c.CachedFlows < 0 || c.RefusalRate < 0 || c.CacheTime < 0 || c.DrainTime < 0 || c.QuietTime < 0 || c.StartTime < 0 {
 		errs = append(errs, trace.BadParameter("a size or time is negative"))
 	}
 	return trace.NewAggregate(errs...)
--- a/pkg/balancer/metrics.go
+++ b/pkg/balancer/metrics.go
@@ -19,6 +19,7 @@
 	sendErrors   tally.Counter
 	unreachable  tally.Counter
 	receiveError tally.Counter
+	unroutable   tally.Counter
 	revision     tally.Gauge
 }
 
@@ -38,6 +39,7 @@
 		sendErrors:   s.Counter("send_errors"),
 		unreachable:  s.Counter("unreachable_agents"),
 		receiveError: s.Counter("receive_errors"),
+		unroutable:   s.Counter("unroutable_packets_dropped"),
 		revision:     s.Gauge("revision"),
 	}
 }
--- a/pkg/balancer/refuse.go
+++ b/pkg/balancer/refuse.go
@@ -14,11 +14,19 @@
 
 // refuse leaves a refusal record and returns the reset for the caller. Above the configured rate, refusals are counted
 // and written as one record a second, and the caller gets no answer.
+//
+// A packet of a flow that is open already is dropped instead: other balancers may know more than this one, and a reset
+// would cut a flow whose owner lives. So is an opening packet while this balancer has just started and may not have
+// heard of configuration and targets yet; the caller sends it again.
 func (w *worker) refuse(in []byte, info packet.Info, reason refusal.Reason, service string, revision uint64, now time.Time) (netip.AddrPort, []byte) {
 	none := netip.AddrPort{}
 	if info.Reset {
 		return none, nil
 	}
+	if !info.Opening || w.b.starting(reason, now) {
+		w.b.metrics.unroutable.Inc(1)
+		return none, nil
+	}
 	w.b.metrics.refused.Inc(1)
 	if !w.b.refusals.AllowN(now, 1) {
 		w.b.metrics.overRate.Inc(1)
@@ -36,6 +44,11 @@
 	return w.b.cfg.Fabric, reset
 }
 
+// starting reports whether the balancer may not have learned yet what it lacks.
+func (b *Balancer) starting(reason refusal.Reason, now time.Time) bool {
+	return reason != refusal.ReasonUnknownAddress && now.Sub(b.started) < b.cfg.StartTime
+}
+
 func (b *Balancer) recordRefusal(k flow.Key, reason refusal.Reason, service string, revision uint64, now time.Time) {
 	id := b.deps.Refusals.Record(refusal.Record{
 		Time:        now,
