Pace revisions by the reads of the whole fleet

Cause: each revision costs every balancer two calls, the read and the next watch; only one was counted, and rounds that published nothing held the next change back. Change: count both, from the last publication.

--- a/pkg/revision/session.go
+++ b/pkg/revision/session.go
@@ -22,7 +22,9 @@
 	statuses *statusWriter
 	metrics  metrics
 	signal   chan struct{}
-	last     time.Time
+	// last is when the last round began, and published when the head was advanced last.
+	last      time.Time
+	published time.Time
 	// collected is the number below which revisions were deleted.
 	collected uint64
 }
@@ -124,6 +126,7 @@
 		return trace.Wrap(err, "advance head to %d", r.Number)
 	}
 	s.current = r
+	s.published = s.cfg.Clock.Now()
 	s.metrics.accepted.Inc(1)
 	s.metrics.head.Update(float64(r.Number))
 	s.cfg.Log.Info().Str("op", "accept").Uint64("revision", r.Number).Uint64("term", s.grant.Term).
@@ -185,12 +188,15 @@
 	}
 }
 
+// readsPerAdoption is what a balancer spends on one revision: it reads the object and waits for the next head.
+const readsPerAdoption = 2
+
 // holdBack returns how long to gather changes: the window, and longer when the balancers need longer to fetch the
 // revision before within their rate of reads.
 func (s *session) holdBack() time.Duration {
 	_, m := s.cfg.Acks.InForce(s.current.Number)
-	pace := time.Duration(m) * time.Second / time.Duration(s.cfg.ReadRate)
-	next := s.last.Add(pace)
+	pace := time.Duration(m*readsPerAdoption) * time.Second / time.Duration(s.cfg.ReadRate)
+	next := s.published.Add(pace)
 	return max(s.cfg.Window, next.Sub(s.cfg.Clock.Now()))
 }
 
