--- a/pkg/resource/validateall_test.go
+++ b/pkg/resource/validateall_test.go
@@ -113,6 +113,14 @@
 	}
 }
 
+func TestValidateAllDoesNotFreeAnAddressOfAnotherHolder(t *testing.T) {
+	// A revision in which two services have one address can only come from a fault; the second does not free it.
+	list := []VersionedService{service("a", 1, "10.0.0.1"), service("b", 9, "10.0.0.2"), service("c", 10, "10.0.0.1")}
+	current := []ServiceConfig{inForce(service("a", 1, "10.0.0.1")), inForce(service("b", 2, "10.0.0.1"))}
+	services, _ := summary(ValidateAll(list, current))
+	require.Equal(t, []string{"a@1", "b@9"}, services)
+}
+
 // TestValidateAllProperties runs random changes: no address has two holders, no service in force disappears while it
 // exists, a rejected service keeps what was in force, the order of the input does not matter, and a second call changes
 // nothing.
