--- a/pkg/resource/service.go
+++ b/pkg/resource/service.go
@@ -57,7 +57,7 @@
 	Slots uint32 `json:"slots,omitempty"`
 	// Connections is the number of open flows of a target; 0 takes what the target announces.
 	Connections uint32 `json:"connections,omitempty"`
-	// Queue is the highest number of requests that wait for a slot of one target.
+	// Queue is the highest number of requests that wait for a slot of one target; 0 takes limit.DefaultQueue.
 	Queue uint32 `json:"queue,omitempty"`
 	// Deadline is the default deadline of a request; 0 means DefaultDeadline.
 	Deadline Duration `json:"deadline,omitempty"`
--- a/pkg/settings/agent.go
+++ b/pkg/settings/agent.go
@@ -26,7 +26,7 @@
 	Workers int `toml:"workers"`
 	// TargetDialTimeout bounds the opening of a connection to the target. Default 2s.
 	TargetDialTimeout Duration `toml:"target_dial_timeout"`
-	// Log, TLS and Control are the sections that all daemons share. An agent makes no call to the object API.
+	// Log, TLS and Control are the sections of the file. An agent makes no call to the object API.
 	Log     Log     `toml:"log"`
 	TLS     TLS     `toml:"tls"`
 	Control Control `toml:"control"`
--- a/pkg/settings/balancer.go
+++ b/pkg/settings/balancer.go
@@ -22,11 +22,11 @@
 	CachedFlows int `toml:"cached_flows"`
 	// LeaseTime is the time for which a lease of a duty is held without renewal. Default 3s.
 	LeaseTime Duration `toml:"lease_time"`
-	// Log, TLS, ObjectAPI and Control are the sections that all daemons share.
-	Log       Log       `toml:"log"`
-	TLS       TLS       `toml:"tls"`
-	ObjectAPI ObjectAPI `toml:"object_api"`
-	Control   Control   `toml:"control"`
+	// Log, TLS, ObjectAPI and Control are the sections of the file.
+	Log       Log             `toml:"log"`
+	TLS       TLS             `toml:"tls"`
+	ObjectAPI ObjectAPI       `toml:"object_api"`
+	Control   BalancerControl `toml:"control"`
 }
 
 // Bounds of the balancer's keys.
@@ -45,7 +45,7 @@
 		LeaseTime:   NewDuration(3 * time.Second),
 		Log:         DefaultLog(),
 		ObjectAPI:   DefaultObjectAPI(),
-		Control:     DefaultControl(),
+		Control:     DefaultBalancerControl(),
 	}
 }
 
--- /dev/null
+++ b/pkg/settings/balancercontrol.go
@@ -0,0 +1,27 @@
+package settings
+
+import "time"
+
+// BalancerControl bounds the traffic between balancers and paces their exchanges.
+type BalancerControl struct {
+	Control
+	// ExchangeInterval is the time between two exchanges with a peer. Default 500ms.
+	ExchangeInterval Duration `toml:"exchange_interval"`
+}
+
+// Bounds of the section's keys.
+const (
+	minExchangeInterval = 50 * time.Millisecond
+	maxExchangeInterval = time.Minute
+)
+
+// DefaultBalancerControl returns the defaults of the section.
+func DefaultBalancerControl() BalancerControl {
+	return BalancerControl{Control: DefaultControl(), ExchangeInterval: NewDuration(500 * time.Millisecond)}
+}
+
+// check finds the mistakes of the section.
+func (c BalancerControl) check(m *mistakes) {
+	c.Control.check(m)
+	m.duration("control.exchange_interval", c.ExchangeInterval, minExchangeInterval, maxExchangeInterval)
+}
