Let the fabric use a newcomer balancer at once, and let it wait for its first view

Cause: with updates held back by up to 3 s, balancers refused opening packets with no-target although targets were known elsewhere; the run also began before all packet paths had their view. Change: the time in which a starting balancer drops instead of refusing is 4 s, the time in which a configuration is in force everywhere; the lab waits for the views of the packet paths and no longer shields a newcomer from the fabric.

--- a/internal/lab/cluster/balancer.go
+++ b/internal/lab/cluster/balancer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 
 	"github.com/gravitational/trace"
 
@@ -19,20 +20,28 @@
 	daemon *balancerd.Daemon
 	stop   context.CancelFunc
 	ended  chan struct{}
+	// view is the view that the packet path uses.
+	view atomic.Pointer[view.View]
 }
 
 func (b *balancer) activeTargets() int {
+	v := b.view.Load()
+	if v == nil {
+		return 0
+	}
 	n := 0
-	for _, m := range b.daemon.Members() {
-		if m.Role == membership.RoleAgent && m.State == membership.StateActive {
-			n++
+	for _, s := range v.Services {
+		for _, t := range s.Targets {
+			if t.State == view.StateActive {
+				n++
+			}
 		}
 	}
 	return n
 }
 
 // JoinBalancer implements flows.Cluster.
-func (c *Cluster) JoinBalancer(ctx context.Context) (string, error) {
+func (c *Cluster) JoinBalancer(context.Context) (string, error) {
 	n := c.nextNumber()
 	s := settings.DefaultBalancer()
 	s.Name = processName("balancer", n)
@@ -44,12 +53,14 @@
 	s.ObjectAPI.URL = c.apiURL
 	s.ObjectAPI.CallsPerSecond = callRate
 	s.CachedFlows = 1 << 16
-	d, err := balancerd.New(balancerd.Options{Settings: s, Env: c.env(s.Process), WrapView: wrapView[*view.View](c.delay)})
+	b := &balancer{name: s.Name, ended: make(chan struct{})}
+	wrap := wrapView(c.delay, func(v *view.View) { b.view.Store(v) })
+	d, err := balancerd.New(balancerd.Options{Settings: s, Env: c.env(s.Process), WrapView: wrap})
 	if err != nil {
 		return "", trace.Wrap(err)
 	}
 	run, stop := context.WithCancel(c.ctx)
-	b := &balancer{name: s.Name, daemon: d, stop: stop, ended: make(chan struct{})}
+	b.daemon, b.stop = d, stop
 	c.done.Go(func() {
 		defer close(b.ended)
 		if err := d.Run(run); err != nil {
@@ -57,36 +68,13 @@
 		}
 	})
 	c.mu.Lock()
-	first := len(c.balancers) == 0
 	c.balancers = append(c.balancers, b)
 	c.mu.Unlock()
-	// A newcomer takes packets at once only while nothing is configured; later it is added when it can route.
-	if !first {
-		if err := c.awaitRevision(ctx, b); err != nil {
-			return "", trace.Wrap(err)
-		}
-	}
+	// The fabric hands packets to a newcomer at once, before it has heard of configuration and targets.
 	c.cfg.Fabric.AddBalancer(d.PacketAddr())
 	return s.Name, nil
 }
 
-// awaitRevision waits until a newcomer has the revision of the others.
-func (c *Cluster) awaitRevision(ctx context.Context, b *balancer) error {
-	return await(ctx, func() bool { return b.daemon.Revision() >= c.lowestRevision(b) })
-}
-
-func (c *Cluster) lowestRevision(except *balancer) uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	lowest := ^uint64(0)
-	for _, b := range c.balancers {
-		if b != except {
-			lowest = min(lowest, b.daemon.Revision())
-		}
-	}
-	return lowest
-}
-
 func (c *Cluster) controlAddrs() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/lab/cluster/delays.go
+++ b/internal/lab/cluster/delays.go
@@ -26,13 +26,20 @@
 	return time.Duration(d.random.Int64N(int64(d.most)))
 }
 
-// wrapView returns a wrapper that holds each view back for a drawn time and keeps their order.
-func wrapView[V any](d *delays) func(func(V)) func(V) {
+// wrapView returns a wrapper that holds each view back for a drawn time and keeps their order. Seen is called with each
+// view that was handed over; it may be nil.
+func wrapView[V any](d *delays, seen func(V)) func(func(V)) func(V) {
 	return func(next func(V)) func(V) {
+		pass := func(v V) {
+			next(v)
+			if seen != nil {
+				seen(v)
+			}
+		}
 		if d.most == 0 {
-			return next
+			return pass
 		}
-		h := &holdBack[V]{next: next, delays: d}
+		h := &holdBack[V]{next: pass, delays: d}
 		return h.take
 	}
 }
--- a/internal/lab/cluster/target.go
+++ b/internal/lab/cluster/target.go
@@ -74,7 +74,7 @@
 	s.FabricAddress = c.cfg.Fabric.Addr().String()
 	s.TargetAddress = st.Addr().String()
 	s.Balancers = c.controlAddrs()
-	d, err := agentd.New(agentd.Options{Settings: s, Env: c.env(s.Process), WrapView: wrapView[*view.Service](c.delay)})
+	d, err := agentd.New(agentd.Options{Settings: s, Env: c.env(s.Process), WrapView: wrapView[*view.Service](c.delay, nil)})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/pkg/balancer/config.go
+++ b/pkg/balancer/config.go
@@ -15,7 +15,7 @@
 	DefaultRefusalRate   = 200
 	DefaultDrainTime     = 10 * time.Second
 	DefaultQuietTime     = 500 * time.Millisecond
-	DefaultStartTime     = 2 * time.Second
+	DefaultStartTime     = 4 * time.Second
 	DefaultSocketBuffer  = 8 << 20
 	maxWorkers           = 256
 	maxPacketSize        = 64 << 10
