--- a/pkg/membership/detector.go
+++ b/pkg/membership/detector.go
@@ -61,6 +61,14 @@
 	return true
 }
 
+// Hears reports whether a member is watched here and was heard.
+func (d *Detector) Hears(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	w, ok := d.watched[id]
+	return ok && w.heard
+}
+
 // Refused notes that a member's host refused a packet or that its heartbeat connection broke; it is suspected at once,
 // until it is heard again.
 func (d *Detector) Refused(id string, incarnation uint64) {
@@ -157,7 +165,7 @@
 		w.update(m, now)
 		return true
 	}
-	watchers := Watchers(m, d.balancers)
+	watchers := d.table.Watchers(m)
 	if !slices.Contains(watchers, d.cfg.Self) {
 		return false
 	}
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -28,6 +28,8 @@
 	subscribers map[chan struct{}]struct{}
 	// balancers is the result of Balancers; nil when it has to be made again.
 	balancers []Member
+	// watchers assigns watchers among balancers; nil when it has to be made again.
+	watchers *WatcherSet
 }
 
 // NewTable returns an empty table.
@@ -112,6 +114,21 @@
 func (t *Table) Balancers() []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.balancerList()
+}
+
+// Watchers returns the IDs of the balancers that watch m, see WatcherSet.
+func (t *Table) Watchers(m *Member) []string {
+	t.mu.Lock()
+	if t.watchers == nil {
+		t.watchers = NewWatcherSet(t.balancerList())
+	}
+	set := t.watchers
+	t.mu.Unlock()
+	return set.Of(m)
+}
+
+func (t *Table) balancerList() []Member {
 	if t.balancers != nil {
 		return t.balancers
 	}
@@ -235,6 +252,7 @@
 func (t *Table) forgetBalancers(m *Member) {
 	if m.Role == RoleBalancer {
 		t.balancers = nil
+		t.watchers = nil
 	}
 }
 
--- a/pkg/membership/watchers.go
+++ b/pkg/membership/watchers.go
@@ -1,11 +1,6 @@
 package membership
 
-import (
-	"cmp"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "github.com/cespare/xxhash/v2"
 
 // WatcherCount is the number of balancers that watch a member.
 const WatcherCount = 3
@@ -17,69 +12,105 @@
 	localWatchersOfBalancer = 1
 )
 
-// Watchers returns the IDs of the balancers that watch m, by rendezvous hashing. The watchers are in m's region, so that
-// no region decides on the members of another one; only when the region has never had a balancer are they elsewhere. The
-// list balancers may hold dead and left ones. The result doesn't depend on its order.
+// Watchers returns the IDs of the balancers that watch m, see WatcherSet.
 func Watchers(m *Member, balancers []Member) []string {
-	candidates, known := candidatesIn(m, balancers, func(b *Member) bool { return b.Region == m.Region })
-	if !known {
-		candidates, _ = candidatesIn(m, balancers, func(*Member) bool { return true })
-	}
-	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
-	return pickWatchers(m, candidates)
+	return NewWatcherSet(balancers).Of(m)
 }
 
-type candidate struct {
-	id    string
-	local bool
-	score uint64
+// WatcherSet assigns watchers to members by rendezvous hashing. The watchers are in the member's region, so that no
+// region decides on the members of another one; only when the region has never had a balancer are they elsewhere.
+type WatcherSet struct {
+	// regions holds the live balancers by region, and has a key for each region in which balancers are known.
+	regions map[string][]watcher
+	all     []watcher
 }
 
-// candidatesIn returns the live balancers that match and aren't m itself, and whether any balancer matched at all.
-func candidatesIn(m *Member, balancers []Member, match func(*Member) bool) (candidates []candidate, known bool) {
-	seed := xxhash.Sum64String(m.ID)
+type watcher struct {
+	id, dataCentre string
+	hash           uint64
+}
+
+// NewWatcherSet returns the set for a list of balancers, which may hold dead and left ones. Their order doesn't matter.
+func NewWatcherSet(balancers []Member) *WatcherSet {
+	s := &WatcherSet{regions: make(map[string][]watcher)}
 	for i := range balancers {
 		b := &balancers[i]
-		if b.ID == m.ID || !match(b) {
-			continue
-		}
-		known = true
-		if !b.Live() {
-			continue
+		inRegion := s.regions[b.Region]
+		if b.Live() {
+			w := watcher{id: b.ID, dataCentre: b.DataCentre, hash: xxhash.Sum64String(b.ID)}
+			inRegion = append(inRegion, w)
+			s.all = append(s.all, w)
 		}
-		score := mix(seed ^ xxhash.Sum64String(b.ID))
-		candidates = append(candidates, candidate{id: b.ID, local: b.DataCentre == m.DataCentre, score: score})
+		s.regions[b.Region] = inRegion
 	}
-	return candidates, known || m.Role == RoleBalancer
+	return s
 }
 
-// mix is the finalizer of SplitMix64.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
+// Of returns the IDs of the balancers that watch m.
+func (s *WatcherSet) Of(m *Member) []string {
+	candidates, known := s.regions[m.Region]
+	if !known && m.Role != RoleBalancer {
+		candidates = s.all
+	}
+	var local, other best
+	seed := xxhash.Sum64String(m.ID)
+	for i := range candidates {
+		c := &candidates[i]
+		if c.id == m.ID {
+			continue
+		}
+		if c.dataCentre == m.DataCentre {
+			local.add(c, mix(seed^c.hash))
+		} else {
+			other.add(c, mix(seed^c.hash))
+		}
+	}
+	return pickWatchers(m, &local, &other)
 }
 
-func pickWatchers(m *Member, sorted []candidate) []string {
-	local := localWatchersOfAgent
+// pickWatchers takes the set number of local watchers and fills up with the others, or else with more local ones.
+func pickWatchers(m *Member, local, other *best) []string {
+	wanted := localWatchersOfAgent
 	if m.Role == RoleBalancer {
-		local = localWatchersOfBalancer
+		wanted = localWatchersOfBalancer
 	}
+	near := min(local.count, max(wanted, WatcherCount-other.count))
 	ids := make([]string, 0, WatcherCount)
-	ids = appendCandidates(ids, sorted, local, func(c candidate) bool { return c.local })
-	ids = appendCandidates(ids, sorted, WatcherCount, func(c candidate) bool { return !c.local })
-	return appendCandidates(ids, sorted, WatcherCount, func(c candidate) bool { return true })
+	ids = local.appendIDs(ids, near)
+	return other.appendIDs(ids, WatcherCount-near)
 }
 
-// appendCandidates adds matching candidates until ids has limit elements.
-func appendCandidates(ids []string, sorted []candidate, limit int, match func(candidate) bool) []string {
-	for _, c := range sorted {
-		if len(ids) >= limit {
-			break
-		}
-		if match(c) && !slices.Contains(ids, c.id) {
-			ids = append(ids, c.id)
-		}
+// best keeps the candidates with the highest scores, the highest first.
+type best struct {
+	watchers [WatcherCount]*watcher
+	scores   [WatcherCount]uint64
+	count    int
+}
+
+func (b *best) add(w *watcher, score uint64) {
+	if b.count == WatcherCount && score <= b.scores[WatcherCount-1] {
+		return
+	}
+	b.count = min(b.count+1, WatcherCount)
+	i := b.count - 1
+	for i > 0 && score > b.scores[i-1] {
+		b.watchers[i], b.scores[i] = b.watchers[i-1], b.scores[i-1]
+		i--
+	}
+	b.watchers[i], b.scores[i] = w, score
+}
+
+// appendIDs appends the IDs of the first n candidates.
+func (b *best) appendIDs(ids []string, n int) []string {
+	for _, w := range b.watchers[:min(n, b.count)] {
+		ids = append(ids, w.id)
 	}
 	return ids
 }
+
+// mix is the finalizer of SplitMix64.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- a/pkg/peer/bytes_bench_test.go
+++ b/pkg/peer/bytes_bench_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"fmt"
+	"runtime"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/uber-go/tally/v4"
 
 	"github.com/auburnwood/auburnwood/pkg/membership"
@@ -46,6 +50,7 @@
 	for b.Loop() {
 		before := sumBytes(scopes[:balancers])
 		beforeAgents := sumBytes(scopes[balancers:])
+		cpu := processorTime(b)
 		begin := time.Now()
 		if act != nil {
 			act(nodes)
@@ -53,10 +58,18 @@
 		time.Sleep(window - time.Since(begin))
 		seconds := window.Seconds()
 		b.ReportMetric((sumBytes(scopes[:balancers])-before)/seconds/float64(balancers), "B/s/balancer")
+		b.ReportMetric((processorTime(b)-cpu).Seconds()/seconds/float64(balancers+agents)*100, "%core/process")
 		b.ReportMetric((sumBytes(scopes[balancers:])-beforeAgents)/seconds/float64(max(agents, 1)), "B/s/agent")
 	}
 }
 
+// processorTime returns what the test process has used.
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 func sumBytes(scopes []tally.TestScope) float64 {
 	sum := 0.0
 	for _, s := range scopes {
@@ -84,16 +97,68 @@
 	}
 	b.Run("revisions/balancers=16", func(b *testing.B) {
 		number := uint64(1)
+		var adopted, counted time.Duration
 		benchmarkFleet(b, 16, 0, func(nodes []*testNode) {
 			for range 5 {
 				number++
+				begin := time.Now()
 				nodes[0].adopter.Offer(routeRevision(number, "route-svc"), revision.SourceHead)
 				for _, n := range nodes {
 					eventually(b, "in force", func() bool { return n.adopter.Number() == number })
 					n.Confirm(number)
 				}
-				time.Sleep(time.Second)
+				adopted += time.Since(begin)
+				eventually(b, "counted", func() bool { count, _ := nodes[15].InForce(number); return count == 16 })
+				counted += time.Since(begin)
 			}
 		})
+		b.ReportMetric(adopted.Seconds()/5, "s/adopted")
+		b.ReportMetric(counted.Seconds()/5, "s/counted")
 	})
 }
+
+// BenchmarkTableMemory measures what a table of the largest fleet takes.
+func BenchmarkTableMemory(b *testing.B) {
+	members := fleetMembers(fleetBalancers, fleetAgents)
+	for b.Loop() {
+		before := liveHeap()
+		t := membership.NewTable(membership.TableConfig{})
+		for _, m := range members {
+			t.Merge(m, spreadTime)
+		}
+		b.ReportMetric(float64(liveHeap()-before), "B/table")
+		runtime.KeepAlive(t)
+	}
+}
+
+func liveHeap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkDetectorTick measures a judgement at the largest fleet, with one changed member and, rarer, a changed
+// balancer.
+func BenchmarkDetectorTick(b *testing.B) {
+	for name, id := range map[string]string{"agent": "target-0000", "balancer": "balancer-0001"} {
+		b.Run("changed="+name, func(b *testing.B) {
+			t := membership.NewTable(membership.TableConfig{})
+			for _, m := range fleetMembers(fleetBalancers, fleetAgents) {
+				t.Merge(m, spreadTime)
+			}
+			d := membership.NewDetector(membership.DetectorConfig{Self: "balancer-0000"}, t)
+			d.Tick(spreadTime)
+			for b.Loop() {
+				m, _ := t.Get(id)
+				m.Sequence++
+				m.State = membership.StateActive
+				if m.Role == membership.RoleBalancer && m.Sequence%2 == 0 {
+					m.State = membership.StateDead
+				}
+				t.Merge(m, spreadTime)
+				d.Tick(spreadTime)
+			}
+		})
+	}
+}
--- a/pkg/peer/config.go
+++ b/pkg/peer/config.go
@@ -48,6 +48,9 @@
 	Metrics tally.Scope
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
+
+	// dial opens connections to peers; nil means TCP. Tests cut peers off by it.
+	dial dialFunc
 }
 
 func (c NodeConfig) withDefaults() NodeConfig {
--- a/pkg/peer/counted_conn.go
+++ b/pkg/peer/counted_conn.go
@@ -42,11 +42,18 @@
 	return &countedConn{Conn: c, budget: l.budget}, nil
 }
 
-// dialCounted returns a dialer whose connections are counted.
-func dialCounted(b *budget) func(context.Context, string) (net.Conn, error) {
+// dialFunc opens a connection to an address.
+type dialFunc func(ctx context.Context, addr string) (net.Conn, error)
+
+func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
 	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// counted returns a dialer whose connections are counted.
+func (f dialFunc) counted(b *budget) dialFunc {
 	return func(ctx context.Context, addr string) (net.Conn, error) {
-		c, err := d.DialContext(ctx, "tcp", addr)
+		c, err := f(ctx, addr)
 		if err != nil {
 			return nil, err
 		}
--- a/pkg/peer/dialer.go
+++ b/pkg/peer/dialer.go
@@ -15,15 +15,19 @@
 // dialer keeps one connection to each balancer that is called. gRPC closes a connection that isn't used.
 type dialer struct {
 	credentials credentials.TransportCredentials
-	budget      *budget
+	dial        dialFunc
 
 	mu     sync.Mutex
 	conns  map[string]*grpc.ClientConn
 	closed bool
 }
 
-func newDialer(c credentials.TransportCredentials, b *budget) *dialer {
-	return &dialer{credentials: c, budget: b, conns: make(map[string]*grpc.ClientConn)}
+// newDialer returns a dialer that counts its connections; a nil dial means TCP.
+func newDialer(c credentials.TransportCredentials, b *budget, dial dialFunc) *dialer {
+	if dial == nil {
+		dial = dialTCP
+	}
+	return &dialer{credentials: c, dial: dial.counted(b), conns: make(map[string]*grpc.ClientConn)}
 }
 
 // client returns the control calls of the balancer at addr. It doesn't wait for the connection.
@@ -48,7 +52,7 @@
 	retry := backoff.Config{BaseDelay: streamRetry, Multiplier: 2, Jitter: 0.2, MaxDelay: streamRetryMax}
 	return []grpc.DialOption{
 		grpc.WithTransportCredentials(d.credentials),
-		grpc.WithContextDialer(dialCounted(d.budget)),
+		grpc.WithContextDialer(d.dial),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: retry, MinConnectTimeout: callTimeout}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.WithIdleTimeout(idleTimeout),
--- a/pkg/peer/failure_test.go
+++ b/pkg/peer/failure_test.go
@@ -24,6 +24,9 @@
 	for _, o := range others {
 		eventually(t, "all targets", func() bool { v := o.view("route-svc"); return v != nil && len(v.Targets) == 4 })
 	}
+	for _, n := range nodes {
+		eventually(t, "heard", func() bool { return n.detector.Hears("t0") })
+	}
 	killed.kill()
 	for _, n := range nodes {
 		eventually(t, "agent dead", func() bool { return n.state("t0") == membership.StateDead })
--- a/pkg/peer/limits.go
+++ b/pkg/peer/limits.go
@@ -24,9 +24,9 @@
 	// watchGatherTime is how long changes are gathered before they are sent to an agent.
 	watchGatherTime = 100 * time.Millisecond
 	// ackInterval is the shortest time between two answers with all acknowledgements.
-	ackInterval = 2 * time.Second
+	ackInterval = time.Second
 	// ackGatherTime is how long acknowledgements are gathered before they are passed on.
-	ackGatherTime = 250 * time.Millisecond
+	ackGatherTime = 100 * time.Millisecond
 	// expireInterval is the time between two removals of old tombstones.
 	expireInterval = time.Minute
 	// keepaliveTime is the time without traffic after which a connection is probed.
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -73,7 +73,7 @@
 		higher:   make(chan string, 1),
 		random:   rand.New(rand.NewPCG(cfg.Seed, membershipSeed(cfg.Self.ID))),
 	}
-	n.dialer = newDialer(creds, n.budget)
+	n.dialer = newDialer(creds, n.budget, cfg.dial)
 	n.beats = newHeartbeater(n.self, n.dialer, cfg.HeartbeatInterval, cfg.Log)
 	n.beats.announce = n.announceTo
 	n.server = grpc.NewServer(serverOptions(grpc.Creds(creds))...)
@@ -248,7 +248,7 @@
 // watcherAddrs returns the control addresses of a member's watchers.
 func (n *Node) watcherAddrs(m membership.Member) []string {
 	var addrs []string
-	for _, id := range membership.Watchers(&m, n.table.Balancers()) {
+	for _, id := range n.table.Watchers(&m) {
 		if b, ok := n.table.Get(id); ok && b.ControlAddr != "" {
 			addrs = append(addrs, b.ControlAddr)
 		}
--- a/pkg/peer/session.go
+++ b/pkg/peer/session.go
@@ -72,7 +72,7 @@
 		blocked: make(map[string]time.Time),
 		changed: make(chan struct{}, 1),
 	}
-	s.dialer = newDialer(creds, s.budget)
+	s.dialer = newDialer(creds, s.budget, nil)
 	s.beats = newHeartbeater(s.self, s.dialer, cfg.HeartbeatInterval, cfg.Log)
 	s.beats.load = cfg.Load
 	s.beats.announce = s.announceTo
--- a/pkg/peer/tls_test.go
+++ b/pkg/peer/tls_test.go
@@ -129,7 +129,7 @@
 			before := log.String()
 			creds, err := newCredentials(config, zerolog.Nop())
 			require.NoError(t, err)
-			d := newDialer(creds, newBudget(DefaultBudget, time.Now, node.cfg.Metrics))
+			d := newDialer(creds, newBudget(DefaultBudget, time.Now, node.cfg.Metrics), nil)
 			defer d.close()
 			s := newSelf(fleetMember("intruder", membership.RoleAgent, 1), time.Now)
 			_, err = announce(context.Background(), d, s, node.Addr().String())
