Resolve lost answers by reading first; count a follower's calls

The stand-in copied its whole history with each write, and scanned it with each watch. Change: after a lost answer the resolver reads and only writes again when the write is absent; the stand-in trims in one go and searches by version.

--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -212,10 +212,11 @@
 // publish adds an event to the history and wakes the watches of its kind; s.mu is held.
 func (s *Store) publish(e objectapi.Event) {
 	s.history = append(s.history, event{Event: e, at: s.cfg.Now()})
-	if len(s.history) > s.cfg.History {
-		n := len(s.history) - s.cfg.History
+	if n := len(s.history) - s.cfg.History; n > 0 {
 		s.trimmed = s.history[n-1].Object.Version
-		s.history = slices.Delete(s.history, 0, n)
+	}
+	if len(s.history) >= 2*s.cfg.History { // Moved in one go, so that a write costs no copy of the history.
+		s.history = slices.Delete(s.history, 0, len(s.history)-s.cfg.History)
 	}
 	s.wake(e.Object.Kind)
 }
--- a/internal/standin/store/watch.go
+++ b/internal/standin/store/watch.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -61,8 +62,8 @@
 	}
 	p := polled{next: s.version, changed: s.waiter(kind)}
 	hold, now := s.faults.HoldKinds[kind], s.cfg.Now()
-	for _, e := range s.history {
-		if e.Object.Kind != kind || e.Object.Version <= from {
+	for _, e := range s.history[s.after(from):] {
+		if e.Object.Kind != kind {
 			continue
 		}
 		if due := e.at.Add(hold).Sub(now); due > 0 {
@@ -82,12 +83,21 @@
 // repeats are the last events up to a version, which the duplicate fault reports again; s.mu is held.
 func (s *Store) repeats(kind objectapi.Kind, from uint64) []objectapi.Event {
 	var out []objectapi.Event
-	for _, e := range s.history {
-		if e.Object.Kind == kind && e.Object.Version <= from {
-			out = append(out, cloneEvent(e.Event))
+	for i := s.after(from) - 1; i >= 0 && len(out) < s.faults.Duplicate; i-- {
+		if s.history[i].Object.Kind == kind {
+			out = append(out, cloneEvent(s.history[i].Event))
 		}
 	}
-	return slices.Clone(out[max(0, len(out)-s.faults.Duplicate):])
+	slices.Reverse(out)
+	return out
+}
+
+// after is the index of the first event above a version; s.mu is held.
+func (s *Store) after(version uint64) int {
+	i, _ := slices.BinarySearchFunc(s.history, version+1, func(e event, v uint64) int {
+		return cmp.Compare(e.Object.Version, v)
+	})
+	return i
 }
 
 // waiter returns the channel that closes at the kind's next change; s.mu is held.
--- a/pkg/objectapi/informer_test.go
+++ b/pkg/objectapi/informer_test.go
@@ -105,6 +105,37 @@
 	_, _ = mem.Update(t.Context(), o)
 }
 
+// TestInformerCalls counts the calls of one follower of a quiet kind and of one that changes all the time.
+func TestInformerCalls(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		changes time.Duration
+		lasts   time.Duration
+		most    uint64
+	}{{"Quiet", 0, time.Hour, 3600/30 + 2}, {"Busy", 50 * time.Millisecond, 10 * time.Minute, 10*600 + 2}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				mem := store.New(store.Config{})
+				o, err := mem.Create(t.Context(), kind, "a", nil)
+				require.NoError(t, err)
+				ctx, cancel := context.WithTimeout(t.Context(), c.lasts)
+				defer cancel()
+				p := &picture{versions: make(map[string]uint64)}
+				done := make(chan error)
+				go func() { done <- objectapi.WatchKind(ctx, mem, kind, objectapi.InformerConfig{}, p.batch) }()
+				for c.changes > 0 && ctx.Err() == nil {
+					time.Sleep(c.changes)
+					o, err = mem.Update(t.Context(), o)
+					require.NoError(t, err)
+				}
+				require.ErrorIs(t, <-done, context.DeadlineExceeded)
+				require.LessOrEqual(t, mem.Counts().Reads(), c.most)
+				t.Logf("reads=%d writes=%d in %s", mem.Counts().Reads(), mem.Counts().Writes(), c.lasts)
+			})
+		})
+	}
+}
+
 // TestInformerLeavesOlderAnswersOut puts an older store in place of the one that was followed.
 func TestInformerLeavesOlderAnswersOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/objectapi/resolve.go
+++ b/pkg/objectapi/resolve.go
@@ -21,8 +21,8 @@
 
 var errToken = errors.New("the value does not hold the token")
 
-// CreateResolved creates an object and resolves a lost answer: it sends the create again, and when an object is there
-// looks for the token in it. The token must be unique to this write and part of the value. It returns
+// CreateResolved creates an object and resolves a lost answer: it looks for the token in the object, and creates it
+// again when there is none. The token must be unique to this write and part of the value. It returns
 // ErrOutcomeUnknown only when the store does not answer in time, or with ErrSuperseded.
 func CreateResolved(ctx context.Context, s Store, kind Kind, name string, value []byte, token string) (Object, error) {
 	w := resolver{
@@ -35,8 +35,8 @@
 	return w.run(ctx)
 }
 
-// UpdateResolved updates an object and resolves a lost answer: it sends the update again while the version is
-// unchanged, and otherwise looks for the token in the object and, when that was replaced since, in its history. The
+// UpdateResolved updates an object and resolves a lost answer: it looks for the token in the object and, when that was
+// replaced since, in its history, and sends the update again while the version is unchanged. The
 // token must be unique to this write and part of the value. It returns ErrConflict only when the write did not take
 // effect, and ErrOutcomeUnknown only when the store does not answer in time, or with ErrSuperseded.
 func UpdateResolved(ctx context.Context, s Store, o Object, token string) (Object, error) {
@@ -80,8 +80,15 @@
 	return Object{}, w.fail(ErrOutcomeUnknown, last)
 }
 
-// attempt sends the write once and says whether the outcome is known.
+// attempt sends the write once and says whether the outcome is known. After a lost answer it reads first, which costs
+// the store less than a write.
 func (w *resolver) attempt(ctx context.Context) (Object, error, bool) { //nolint:staticcheck // done qualifies both.
+	if w.lost {
+		o, err, again := w.readBack(ctx)
+		if !again {
+			return o, err, err == nil || !errors.Is(err, ErrUnavailable)
+		}
+	}
 	o, err := w.send()
 	if err == nil {
 		return o, nil, true
@@ -93,46 +100,52 @@
 	if !w.lost {
 		return Object{}, err, true
 	}
-	if errors.Is(err, ErrConflict) {
-		return w.readBack(ctx, err)
-	}
-	return Object{}, err, !errors.Is(err, ErrUnavailable)
+	// A conflict may be with an earlier attempt that arrived late; the next reading tells.
+	return Object{}, err, !errors.Is(err, ErrConflict) && !errors.Is(err, ErrUnavailable)
 }
 
-// readBack looks for the token after a conflict that an earlier attempt of this write may have caused.
-func (w *resolver) readBack(ctx context.Context, conflict error) (Object, error, bool) { //nolint:staticcheck // As above.
-	o, err := w.store.Get(ctx, w.in.Kind, w.in.Name)
-	if err == nil && bytes.Contains(o.Value, []byte(w.token)) {
-		return o, nil, true
-	}
-	if err != nil && !errors.Is(err, ErrNotFound) {
+// readBack looks for the token after a lost answer. again says that the write did not take effect so far.
+func (w *resolver) readBack(ctx context.Context) (o Object, err error, again bool) { //nolint:staticcheck // As above.
+	o, err = w.store.Get(ctx, w.in.Kind, w.in.Name)
+	absent := errors.Is(err, ErrNotFound)
+	switch {
+	case err != nil && !absent:
 		return Object{}, err, false
+	case absent && w.op == OpCreate:
+		return Object{}, nil, true
+	case absent:
+		o, err = w.fromHistory(ctx)
+		return o, err, false
+	case bytes.Contains(o.Value, []byte(w.token)):
+		return o, nil, false
+	case w.op == OpCreate:
+		return Object{}, w.fail(ErrOutcomeUnknown, ErrSuperseded), false
+	case o.Version == w.in.Version:
+		return Object{}, nil, true
 	}
-	if w.op == OpUpdate {
-		return w.fromHistory(ctx, conflict)
-	}
-	return Object{}, w.fail(ErrOutcomeUnknown, ErrSuperseded), true
+	o, err = w.fromHistory(ctx)
+	return o, err, false
 }
 
 // fromHistory finds the first change after the version of the condition: only that one can be this write.
-func (w *resolver) fromHistory(ctx context.Context, conflict error) (Object, error, bool) { //nolint:staticcheck // As above.
+func (w *resolver) fromHistory(ctx context.Context) (Object, error) {
 	events, _, err := w.store.Watch(ctx, w.in.Kind, w.in.Version)
 	if errors.Is(err, ErrExpired) {
-		return Object{}, w.fail(ErrOutcomeUnknown, ErrSuperseded), true
+		return Object{}, w.fail(ErrOutcomeUnknown, ErrSuperseded)
 	}
 	if err != nil {
-		return Object{}, err, false
+		return Object{}, err
 	}
 	for _, e := range events {
 		if e.Object.Name != w.in.Name || e.Object.Version <= w.in.Version {
 			continue
 		}
 		if e.Type == EventPut && bytes.Contains(e.Object.Value, []byte(w.token)) {
-			return e.Object, nil, true
+			return e.Object, nil
 		}
-		return Object{}, conflict, true
+		return Object{}, w.fail(ErrConflict, nil)
 	}
-	return Object{}, w.fail(ErrOutcomeUnknown, ErrSuperseded), true
+	return Object{}, w.fail(ErrOutcomeUnknown, ErrSuperseded)
 }
 
 func (w *resolver) fail(err, cause error) error {
