Settle claims with the owners; measure imbalance and cost of the arbiter

Cause: a first agent with a redirect older than the flow told the true owner to give the flow up, and stale redirects formed a circle. Change: a redirect is checked with its owner before it outweighs a claim; circles end after 8 agents. Baselines (hash, round robin on each balancer, least of lagging reports) in internal/lab/baseline.

--- /dev/null
+++ b/internal/lab/baseline/baseline.go
@@ -0,0 +1,71 @@
+// Package baseline holds simple ways to choose a target, against which the project measures its own.
+//
+// The choosers keep no count of open flows themselves; the measurement does. They are not safe for concurrent use.
+package baseline
+
+import "github.com/cespare/xxhash/v2"
+
+// Chooser chooses the target of a new flow.
+type Chooser interface {
+	// Choose returns the index of the target for a flow whose first packet reached the balancer of that index.
+	Choose(balancer int, flow uint64) int
+}
+
+// Hash chooses by the flow's hash alone.
+type Hash struct {
+	// Targets is the number of targets.
+	Targets int
+}
+
+// Choose implements Chooser.
+func (h Hash) Choose(_ int, flow uint64) int {
+	return int(flow % uint64(h.Targets))
+}
+
+// RoundRobin lets each balancer go through the targets in turn, without knowledge of the other balancers.
+type RoundRobin struct {
+	targets int
+	next    []int
+}
+
+// NewRoundRobin returns a RoundRobin whose balancers start at different targets.
+func NewRoundRobin(targets, balancers int) *RoundRobin {
+	r := &RoundRobin{targets: targets, next: make([]int, balancers)}
+	for i := range r.next {
+		r.next[i] = int(xxhash.Sum64([]byte{byte(i)}) % uint64(targets))
+	}
+	return r
+}
+
+// Choose implements Chooser.
+func (r *RoundRobin) Choose(balancer int, _ uint64) int {
+	i := r.next[balancer]
+	r.next[balancer] = (i + 1) % r.targets
+	return i
+}
+
+// LeastReported chooses the target that last reported the fewest open flows; between reports the choice stays the same.
+type LeastReported struct {
+	loads []int
+}
+
+// NewLeastReported returns a LeastReported for which every target has reported 0.
+func NewLeastReported(targets int) *LeastReported {
+	return &LeastReported{loads: make([]int, targets)}
+}
+
+// Report notes what a target says about its load, true or not.
+func (l *LeastReported) Report(target, load int) { l.loads[target] = load }
+
+// Choose implements Chooser. Targets with the same report are told apart by the flow's hash.
+func (l *LeastReported) Choose(_ int, flow uint64) int {
+	n := len(l.loads)
+	start := int(flow % uint64(n))
+	best := start
+	for i := range n {
+		if at := (start + i) % n; l.loads[at] < l.loads[best] {
+			best = at
+		}
+	}
+	return best
+}
--- a/pkg/arbiter/control.go
+++ b/pkg/arbiter/control.go
@@ -78,7 +78,7 @@
 	return nil
 }
 
-// claimAgainst settles a claim on a flow that is redirected: an open flow beats a half-open one, else the earlier claim stands.
+// claimAgainst settles a claim on a flow that is redirected: an open flow beats a half-open one, else the earlier redirect stands until its owner denies the flow. The redirect may be older than the flow, so the claimant is not told to give up on its account.
 func (a *Arbiter) claimAgainst(s *shard, flow uint64, e entry, p *peer, mine entry) []Message {
 	q := a.peers.get(e.peer)
 	if q == p {
@@ -92,17 +92,20 @@
 	}
 	if mine.has(flagOpen) && !e.has(flagOpen) {
 		s.set(flow, mine)
-		return []Message{a.ownerIs(q.addr, flow, p.addr, true)}
+		return []Message{a.ownerIs(q.addr, flow, p.addr)}
 	}
-	return []Message{a.ownerIs(p.addr, flow, q.addr, e.has(flagOpen))}
+	return []Message{{To: q.addr, Kind: wire.Kind_KIND_LOCATE, Flow: flow, Incarnation: a.cfg.Incarnation}}
 }
 
-// claimAgainstOwn settles a claim on a flow that this agent owns itself.
+// claimAgainstOwn settles a claim on a flow that this agent owns itself; of two half-open ones, that which the caller did not answer ends by itself.
 func (a *Arbiter) claimAgainstOwn(s *shard, flow uint64, e entry, p *peer, mine entry) []Message {
-	if mine.has(flagOpen) && !e.has(flagOpen) {
+	if e.has(flagOpen) {
+		return []Message{a.ownerIs(p.addr, flow, a.cfg.Self)}
+	}
+	if mine.has(flagOpen) {
 		return a.abandon(s, flow, mine)
 	}
-	return []Message{a.ownerIs(p.addr, flow, a.cfg.Self, e.has(flagOpen))}
+	return nil
 }
 
 // abandon gives up an own flow to another owner.
@@ -112,9 +115,9 @@
 	return []Message{{To: a.cfg.Self, Kind: wire.Kind_KIND_ENDED, Flow: flow, Flows: []uint64{flow}}}
 }
 
-// ownerIs tells an agent who owns a flow.
-func (a *Arbiter) ownerIs(to netip.AddrPort, flow uint64, owner netip.AddrPort, open bool) Message {
-	return Message{To: to, Kind: wire.Kind_KIND_LOCATED, Flow: flow, Owner: owner, Incarnation: a.cfg.Incarnation, Final: open}
+// ownerIs tells an agent who owns a flow whose handshake is complete.
+func (a *Arbiter) ownerIs(to netip.AddrPort, flow uint64, owner netip.AddrPort) Message {
+	return Message{To: to, Kind: wire.Kind_KIND_LOCATED, Flow: flow, Owner: owner, Incarnation: a.cfg.Incarnation, Final: true}
 }
 
 // moved handles the announcement of flows to this agent as the new first one of their rows.
@@ -169,7 +172,7 @@
 		return a.claimed(at, p, m)
 	}
 	return a.each(m, func(s *shard, flow uint64) []Message {
-		return a.overruled(at, s, flow, p, m)
+		return a.overruled(at, s, flow, m)
 	})
 }
 
@@ -182,23 +185,14 @@
 	a.locator.deny(flow, p.id)
 }
 
-// overruled handles word from the first agent that another agent owns the flow.
-func (a *Arbiter) overruled(at stamp, s *shard, flow uint64, from *peer, m Message) []Message {
+// overruled handles word that another agent has completed the handshake of a flow; a half-open own flow is given up.
+func (a *Arbiter) overruled(at stamp, s *shard, flow uint64, m Message) []Message {
 	e := s.flows[flow]
-	if e.state != stateOwn || m.Owner == a.cfg.Self {
-		return nil
-	}
-	if e.has(flagOpen) {
-		if m.Final {
-			return nil
-		}
-		return []Message{a.claimOf(from.addr, flow, true)}
-	}
 	owner := a.peers.at(m.Owner)
-	if owner == nil {
+	if e.state != stateOwn || e.has(flagOpen) || !m.Final || owner == nil {
 		return nil
 	}
-	return a.abandon(s, flow, entry{at: at, peer: owner.id, state: stateRedirect})
+	return a.abandon(s, flow, entry{at: at, peer: owner.id, state: stateRedirect, flags: flagOpen})
 }
 
 // claimOf is the message by which this agent claims a flow.
--- a/pkg/arbiter/open.go
+++ b/pkg/arbiter/open.go
@@ -2,16 +2,12 @@
 
 import (
 	"net/netip"
-	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/refusal"
 	"github.com/auburnwood/auburnwood/pkg/view"
 	"github.com/auburnwood/auburnwood/pkg/wire"
 )
 
-// repeatAfter is the age of an opening from which a repeated opening packet means that an answer was lost, and not that the packet was duplicated.
-const repeatAfter = 500 * time.Millisecond
-
 // open starts the arbitration of a new flow at the first agent of its row.
 func (c *call) open() Decision {
 	if c.m == nil {
@@ -40,7 +36,7 @@
 	n := 0
 	add := func(addr netip.AddrPort) {
 		q := c.m.peerAt(addr)
-		if q == nil || q.gone.Load() || q.suspect(c.at) {
+		if q == nil || q.gone.Load() {
 			return
 		}
 		for _, known := range list[:n] {
@@ -96,14 +92,14 @@
 	if c.e.state == stateAsked && q.addr == c.in.Sender {
 		return c.mutual(q, p)
 	}
-	lost := q.gone.Load() || q.suspect(c.at)
-	repeated := c.e.at.since(c.at) > repeatAfter
+	gone := q.gone.Load()
 	switch {
-	case c.e.state == stateAsked && (lost || repeated):
+	case c.e.state == stateAsked && gone:
 		return c.askFrom(p)
 	case c.e.state == stateAsked:
+		// Placing the flow without the answer could give it a second owner.
 		return c.forwardTo(q.addr, false, "another agent may have placed the flow")
-	case lost:
+	case gone || q.suspect(c.at):
 		return c.excludeAndPlace(p, c.position(q.addr))
 	}
 	// The receiver answers a repeated offer as it did the first one.
@@ -127,7 +123,7 @@
 	if c.m == nil {
 		return c.refuse(refusal.ReasonNoConfiguration, "no view of the service")
 	}
-	cs := c.a.candidates(c.now, c.m, c.in, p)
+	cs := c.a.candidates(c.now, c.m, &c.in, p)
 	if cs.n == 0 {
 		p.full = p.full || cs.full > 0
 		return c.placeBeyond(p)
--- a/pkg/arbiter/packet.go
+++ b/pkg/arbiter/packet.go
@@ -13,6 +13,8 @@
 	maxHops = 12
 	// maxOpeningHops is the same for an opening packet; it covers the questions and offers, each with its answer.
 	maxOpeningHops = 2 * (maxPast + 1 + maxTries + maxRow + maxBeyond)
+	// maxProbeHops is the number of agents after which an opening packet is not sent along further redirects.
+	maxProbeHops = 8
 	// tellEvery is the least time between two messages about one own flow to a first agent that does not know it.
 	tellEvery = time.Second
 	// lateness is the time after the end of a flow within which its packets are taken for late ones without a question to the other agents.
@@ -24,7 +26,7 @@
 	a   *Arbiter
 	now time.Time
 	at  stamp
-	in  *Input
+	in  Input
 	m   *members
 	s   *shard
 	e   entry
@@ -33,7 +35,7 @@
 // Packet decides about one packet.
 func (a *Arbiter) Packet(now time.Time, in Input) Decision {
 	s := a.shard(in.Flow)
-	c := call{a: a, now: now, at: a.stamp(now), in: &in, m: a.members.Load(), s: s}
+	c := call{a: a, now: now, at: a.stamp(now), in: in, m: a.members.Load(), s: s}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.e = s.flows[in.Flow]
@@ -92,12 +94,21 @@
 		// The owner itself does not know the flow.
 		return c.forget()
 	}
+	if c.in.Opening && c.in.Final && c.in.Hops > maxProbeHops {
+		// Redirects that form a circle are wrong; each loses one on such a packet.
+		c.s.drop(c.in.Flow)
+		return c.notHere()
+	}
 	if c.in.Hops >= c.hopLimit() {
 		// Redirects that form a circle are wrong; the owner is asked for anew.
 		c.s.drop(c.in.Flow)
 		return c.drop("too many hops")
 	}
-	c.touch()
+	if c.e.has(flagEnded) {
+		c.doubtEnd()
+	} else {
+		c.touch()
+	}
 	if c.in.Opening {
 		c.e.flags |= flagProbed
 		c.s.flows[c.in.Flow] = c.e
@@ -112,6 +123,13 @@
 	return c.unknown()
 }
 
+// doubtEnd asks for the owner when packets arrive long after the end of a flow: the key may be in use again, and the message about its new owner lost.
+func (c *call) doubtEnd() {
+	if !c.in.Opening && c.e.at.since(c.at) > lateness {
+		c.a.locator.add(c.in.Flow, c.now, false)
+	}
+}
+
 // touch notes the time of the last packet, at a coarse grain to save writes.
 func (c *call) touch() {
 	if c.e.at.since(c.at) > time.Second {
@@ -145,19 +163,18 @@
 	if !c.a.isFirst(c.in.Row) {
 		return c.unknownLater()
 	}
-	if c.e.at.since(c.at) > lateness {
-		// The key may be in use again, and the message about its new owner lost.
-		c.a.locator.add(c.in.Flow, c.now, false)
-	}
+	c.doubtEnd()
 	return c.drop("late packet of an ended flow")
 }
 
 // whilePending decides about a packet of a flow that this agent is about to place.
 func (c *call) whilePending() Decision {
-	if c.in.Opening {
+	switch {
+	case c.in.Opening && c.in.Final && c.in.Hops > maxProbeHops:
+		return c.notHere()
+	case c.in.Opening:
 		return c.again()
-	}
-	if c.in.Final {
+	case c.in.Final:
 		return c.notHere()
 	}
 	return c.drop("flow is not placed yet")
