--- a/pkg/balancerd/daemon.go
+++ b/pkg/balancerd/daemon.go
@@ -100,6 +100,7 @@
 		TLS:              peer.TLSConfig{CA: s.TLS.CA, Cert: s.TLS.Certificate, Key: s.TLS.Key},
 		Adopter:          d.adopter,
 		Mirror:           d.takeMirrored,
+		Dial:             d.o.Dial,
 		BytesPerSecond:   s.Control.BytesPerSecond,
 		ExchangeInterval: s.Control.ExchangeInterval.Duration(),
 		Seed:             d.o.Incarnation,
@@ -141,6 +142,7 @@
 	g.Go(func() error { return d.node.WatchViews(run, d.o.WrapView(d.adoptView)) })
 	g.Go(func() error { return d.follow(run) })
 	g.Go(func() error { return d.compileDuty(run) })
+	g.Go(func() error { return d.membersDuty(run) })
 	g.Go(func() error { return d.runRefusals(run) })
 	err := g.Wait()
 	if ctx.Err() != nil {
--- a/pkg/balancerd/duties.go
+++ b/pkg/balancerd/duties.go
@@ -14,7 +14,7 @@
 
 // compileDuty competes for the duty that compiles services into revisions.
 func (d *Daemon) compileDuty(ctx context.Context) error {
-	c := revision.Compiler{Store: d.store, Acks: d.node, Adopter: d.adopter, Log: d.o.Env.Log}
+	c := revision.Compiler{Store: d.store, Acks: d.node, Adopter: d.adopter, Metrics: d.o.Env.Scope, Log: d.o.Env.Log}
 	r := d.leaseRunner(revision.LeaseName, func(membership.Member) bool { return true })
 	return r.Run(ctx, c.Duty)
 }
@@ -29,6 +29,7 @@
 			Duration: d.o.Settings.LeaseTime.Duration(),
 		},
 		Log:      d.o.Env.Log,
+		Metrics:  d.o.Env.Scope,
 		Eligible: func() bool { return eligible(name, d.o.Settings.Name, d.node.Table().Balancers(), match) },
 	}
 }
--- a/pkg/balancerd/options.go
+++ b/pkg/balancerd/options.go
@@ -1,6 +1,8 @@
 package balancerd
 
 import (
+	"context"
+	"net"
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
@@ -19,6 +21,9 @@
 	Store objectapi.Store
 	// WrapView, when not nil, wraps the receiver of views. Programs that embed the daemon use it to hold views back.
 	WrapView func(next func(*view.View)) func(*view.View)
+	// Dial replaces TCP for the connections to other balancers; nil keeps it. Programs that embed the daemon cut peers off
+	// by it.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// Incarnation replaces the start time in nanoseconds; 0 keeps it.
 	Incarnation uint64
 }
