Serve request services in the agent daemon

Cause: the request server had no place in the daemon. Change: the agent starts it with the first view in request mode, other agents reach it at control_address, claims go through the optional object_api section; views carry the control addresses of the agents. Measured: go test ./pkg/agentd ./pkg/settings ./pkg/view passes; no request run through the daemons yet.

--- a/pkg/agentd/daemon.go
+++ b/pkg/agentd/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/auburnwood/auburnwood/pkg/membership"
 	"github.com/auburnwood/auburnwood/pkg/peer"
 	"github.com/auburnwood/auburnwood/pkg/refusal"
+	"github.com/auburnwood/auburnwood/pkg/view"
 )
 
 // leaveLinger is how long a drained agent goes on forwarding packets of other agents' flows after it has left, so that
@@ -31,6 +32,8 @@
 	announce  *announceHandler
 	refusals  *refusal.Log
 	transport *transport
+	requests  *requests
+	control   net.Listener
 	agent     atomic.Pointer[agent.Agent]
 	session   atomic.Pointer[peer.Session]
 	killed    context.Context
@@ -47,6 +50,7 @@
 	}
 	d := &Daemon{o: o, listener: l, transport: &transport{}}
 	d.announce = newAnnounceHandler(d.state)
+	d.requests = &requests{d: d}
 	d.killed, d.kill = context.WithCancel(context.Background())
 	d.refusals = refusal.NewLog(refusal.Config{
 		Process:     o.Settings.Name,
@@ -55,12 +59,38 @@
 		Logger:      o.Env.Log,
 		Scope:       o.Env.Scope,
 	})
+	if err := d.openControl(); err != nil {
+		_ = l.Close()
+		return nil, trace.Wrap(err)
+	}
 	if o.Env.Status != nil {
 		o.Env.Status.Set(d.status)
 	}
 	return d, nil
 }
 
+// openControl listens for the requests of other agents when the settings ask for it.
+func (d *Daemon) openControl() error {
+	addr := d.o.Settings.ControlAddress
+	if addr == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return trace.Wrap(err, "listen for other agents at %s", addr)
+	}
+	d.control = l
+	return nil
+}
+
+// controlAddr returns the address at which other agents hand over requests; empty when there is none.
+func (d *Daemon) controlAddr() string {
+	if d.control == nil {
+		return ""
+	}
+	return d.control.Addr().String()
+}
+
 // AnnounceAddr returns the address of the announcement listener.
 func (d *Daemon) AnnounceAddr() string { return d.listener.Addr().String() }
 
@@ -111,6 +141,7 @@
 	defer leave()
 	agentCtx, stop := context.WithCancel(run)
 	defer stop()
+	defer d.requests.close()
 	var g errgroup.Group
 	g.Go(func() error { return parts.agent.Run(agentCtx) })
 	g.Go(func() error { return parts.session.Run(sessionCtx) })
@@ -196,18 +227,20 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "target_address")
 	}
+	d.requests.announced = a
 	return agent.New(agent.Config{
-		Name:          s.Name,
-		Incarnation:   d.o.Incarnation,
-		Service:       a.Service,
-		PacketAddress: packets,
-		FabricAddress: fabric,
-		TargetAddress: target,
-		MTU:           s.MTU,
-		Workers:       s.Workers,
-		Connections:   a.Connections,
-		DialTimeout:   s.TargetDialTimeout.Duration(),
-		DrainTime:     s.DrainTime.Duration(),
+		RequestHandler: d.requests,
+		Name:           s.Name,
+		Incarnation:    d.o.Incarnation,
+		Service:        a.Service,
+		PacketAddress:  packets,
+		FabricAddress:  fabric,
+		TargetAddress:  target,
+		MTU:            s.MTU,
+		Workers:        s.Workers,
+		Connections:    a.Connections,
+		DialTimeout:    s.TargetDialTimeout.Duration(),
+		DrainTime:      s.DrainTime.Duration(),
 	}, agent.Deps{
 		Log:          d.o.Env.Log,
 		Metrics:      d.o.Env.Scope,
@@ -226,17 +259,21 @@
 			Region:      s.Region,
 			DataCentre:  s.DataCentre,
 			PacketAddr:  p.PacketAddr(),
+			ControlAddr: d.controlAddr(),
 			Service:     a.Service,
 			Version:     a.Version,
 			Slots:       a.Slots,
 			Connections: a.Connections,
 			Weight:      a.Weight,
 		},
-		Seeds:          s.Balancers,
-		TLS:            peer.TLSConfig{CA: s.TLS.CA, Cert: s.TLS.Certificate, Key: s.TLS.Key},
-		JoinTime:       d.o.JoinTime,
-		Load:           func() uint32 { return uint32(p.OpenFlows()) },
-		OnView:         d.o.WrapView(p.SetService),
+		Seeds:    s.Balancers,
+		TLS:      peer.TLSConfig{CA: s.TLS.CA, Cert: s.TLS.Certificate, Key: s.TLS.Key},
+		JoinTime: d.o.JoinTime,
+		Load:     func() uint32 { return uint32(p.OpenFlows()) },
+		OnView: d.o.WrapView(func(v *view.Service) {
+			d.requests.setService(v)
+			p.SetService(v)
+		}),
 		OnRemoved:      func(string) { p.SetService(nil) },
 		BytesPerSecond: s.Control.BytesPerSecond,
 		Log:            d.o.Env.Log,
@@ -244,7 +281,9 @@
 	})
 }
 
+// announceDrain spreads that the target leaves, and stops new requests on connections that are open.
 func (d *Daemon) announceDrain() {
+	d.requests.drain()
 	if s := d.session.Load(); s != nil {
 		s.Drain()
 	}
@@ -269,6 +308,7 @@
 			a.Kill()
 		}
 		_ = d.listener.Close()
+		d.requests.close()
 		d.kill()
 	})
 }
--- /dev/null
+++ b/pkg/agentd/requests.go
@@ -0,0 +1,144 @@
+package agentd
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"github.com/auburnwood/auburnwood/pkg/flow"
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
+	"github.com/auburnwood/auburnwood/pkg/request"
+	"github.com/auburnwood/auburnwood/pkg/resource"
+	"github.com/auburnwood/auburnwood/pkg/view"
+)
+
+// requests is the request side of an agent. Its server starts with the first view in request mode.
+type requests struct {
+	d         *Daemon
+	announced Announcement
+	service   atomic.Pointer[view.Service]
+	peers     atomic.Pointer[peerTable]
+
+	mu     sync.Mutex
+	server *request.Server
+	closed bool
+}
+
+// ServeFlow implements agent.StreamHandler.
+func (r *requests) ServeFlow(ctx context.Context, conn net.Conn, key flow.Key) {
+	s := r.current()
+	if s == nil {
+		_ = conn.Close()
+		return
+	}
+	s.ServeFlow(ctx, conn, key)
+}
+
+func (r *requests) current() *request.Server {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.server
+}
+
+// setService adopts a view of the agent's service, and starts the server when it is in request mode.
+func (r *requests) setService(v *view.Service) {
+	r.service.Store(v)
+	r.peers.Store(newPeerTable(v, r.d.o.Settings.Name))
+	if v.Spec.Mode != resource.ModeRequest {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.server != nil || r.closed {
+		return
+	}
+	r.server = request.New(r.options(v))
+	if r.d.control != nil {
+		go func() { _ = r.server.ServeControl(r.d.control) }()
+	}
+}
+
+func (r *requests) options(v *view.Service) request.Options {
+	s := r.d.o.Settings
+	slots := r.announced.Slots
+	if v.Spec.Limits.Slots > 0 {
+		slots = min(slots, v.Spec.Limits.Slots)
+	}
+	// The settings were checked, so that the address is valid.
+	target, _ := netip.ParseAddrPort(s.TargetAddress)
+	return request.Options{
+		Agent:       s.Name,
+		Incarnation: r.d.o.Incarnation,
+		Service:     v.Name,
+		Target:      target,
+		Slots:       int(slots),
+		Queue:       int(v.Spec.Limits.Queue),
+		Cold:        v.Spec.SlowStart > 0,
+		Deadline:    v.Spec.Limits.Deadline.Or(resource.DefaultDeadline),
+		Store:       r.store(),
+		Peers:       r,
+		Revision:    r.revision,
+		Recorder:    r.d.refusals,
+		Log:         r.d.o.Env.Log,
+		Metrics:     r.d.o.Env.Scope,
+	}
+}
+
+// store returns the object API for claims; nil when the settings name none.
+func (r *requests) store() objectapi.Store {
+	s := r.d.o.Settings.ObjectAPI
+	if s.URL == "" {
+		return nil
+	}
+	client := objectapi.NewClient(s.URL, objectapi.Options{CallTimeout: s.Timeout.Duration()})
+	return objectapi.NewBudgeted(client, objectapi.BudgetConfig{
+		Rate: s.CallsPerSecond, Burst: s.Burst, Scope: r.d.o.Env.Scope,
+	})
+}
+
+func (r *requests) revision() uint64 {
+	if v := r.service.Load(); v != nil {
+		return v.Revision
+	}
+	return 0
+}
+
+// Candidates implements request.Peers.
+func (r *requests) Candidates() []request.Peer {
+	if t := r.peers.Load(); t != nil {
+		return t.candidates
+	}
+	return nil
+}
+
+// Find implements request.Peers.
+func (r *requests) Find(agent string) (request.Peer, bool) {
+	t := r.peers.Load()
+	if t == nil {
+		return request.Peer{}, false
+	}
+	p, ok := t.all[agent]
+	return p, ok
+}
+
+// drain stops new requests; those that run are answered.
+func (r *requests) drain() {
+	if s := r.current(); s != nil {
+		go func() { _ = s.Drain(r.d.killed) }()
+	}
+}
+
+// close ends the server; connections that are still open are cut.
+func (r *requests) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	if r.server != nil {
+		_ = r.server.Close()
+	}
+	if r.d.control != nil {
+		_ = r.d.control.Close()
+	}
+}
--- a/pkg/membership/member.go
+++ b/pkg/membership/member.go
@@ -26,7 +26,8 @@
 	DataCentre string `json:"dataCentre"`
 	// PacketAddr is the address of the packet socket (UDP).
 	PacketAddr netip.AddrPort `json:"packetAddr"`
-	// ControlAddr is the host:port at which a balancer serves control calls; empty for an agent.
+	// ControlAddr is the host:port at which a balancer serves control calls, or at which an agent takes requests of other
+	// agents; an agent's may be empty.
 	ControlAddr string `json:"controlAddr,omitempty"`
 	// Service is the service name that a target announces.
 	Service string `json:"service,omitempty"`
--- a/pkg/settings/agent.go
+++ b/pkg/settings/agent.go
@@ -7,7 +7,7 @@
 	Process
 	// PacketAddress is the UDP address for packets from balancers and other agents. Required.
 	PacketAddress string `toml:"packet_address"`
-	// ControlAddress is the TCP address of the gRPC listener for other agents; empty switches it off.
+	// ControlAddress is the TCP address at which other agents hand over requests; empty switches it off.
 	ControlAddress string `toml:"control_address"`
 	// FabricAddress is the UDP address to which reply packets for callers are sent. Required.
 	FabricAddress string `toml:"fabric_address"`
@@ -26,10 +26,12 @@
 	Workers int `toml:"workers"`
 	// TargetDialTimeout bounds the opening of a connection to the target. Default 2s.
 	TargetDialTimeout Duration `toml:"target_dial_timeout"`
-	// Log, TLS and Control are the sections of the file. An agent makes no call to the object API.
+	// Log, TLS and Control are sections that all daemons share.
 	Log     Log     `toml:"log"`
 	TLS     TLS     `toml:"tls"`
 	Control Control `toml:"control"`
+	// ObjectAPI serves the claims of idempotency keys only; without a url, requests that need a claim are refused.
+	ObjectAPI ObjectAPI `toml:"object_api"`
 }
 
 // Bounds of the agent's keys.
@@ -47,6 +49,7 @@
 		TargetDialTimeout: NewDuration(2 * time.Second),
 		Log:               DefaultLog(),
 		Control:           DefaultControl(),
+		ObjectAPI:         DefaultObjectAPI(),
 	}
 }
 
@@ -79,4 +82,7 @@
 	a.Log.check(m)
 	a.TLS.check(m)
 	a.Control.check(m)
+	if a.ObjectAPI.URL != "" {
+		a.ObjectAPI.check(m)
+	}
 }
--- a/pkg/view/build.go
+++ b/pkg/view/build.go
@@ -69,6 +69,7 @@
 		ID:          m.ID,
 		Incarnation: m.Incarnation,
 		Agent:       m.PacketAddr,
+		Control:     m.ControlAddr,
 		Weight:      weight,
 		State:       targetState(m.State),
 		Version:     m.Version,
--- a/pkg/view/view.go
+++ b/pkg/view/view.go
@@ -41,6 +41,8 @@
 	Incarnation uint64
 	// Agent is the address of the agent's packet socket (UDP).
 	Agent netip.AddrPort
+	// Control is the host:port at which the agent takes requests of other agents; empty when it takes none.
+	Control string
 	// Weight is the target's part of new flows in relation to the other targets; 0 takes none.
 	Weight uint32
 	// State is the target's state.
