Show that mirroring refusal records keeps to its byte budget

Cause: the control bytes of a storm of refusals were bounded on paper only. Change: a test with callers of ever new networks at 5 and 500 refusals a second over 100 s; the estimate of a mirrored record's cost is 25 bytes instead of 40, since a batch measured about 17.

--- a/pkg/refusal/log_mirror.go
+++ b/pkg/refusal/log_mirror.go
@@ -16,10 +16,10 @@
 )
 
 // Estimates of what a call sends, in bytes. EncodeRecords packs one record into about 250 bytes and each further one of
-// a batch into 15 to 40; the transport adds its headers.
+// a batch into 15 to 20; the transport adds its headers.
 const (
 	mirrorCallCost   = 450
-	mirrorRecordCost = 40
+	mirrorRecordCost = 25
 )
 
 // mirrorLoop hands records to the peer as soon as they come; those that come during a call go with the next. Its bytes
--- a/pkg/refusal/log_test.go
+++ b/pkg/refusal/log_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -293,6 +294,54 @@
 	})
 }
 
+// meter is a Mirror that counts what would be sent.
+type meter struct {
+	to    *Log
+	bytes int
+}
+
+func (m *meter) Mirror(_ context.Context, records []Record) error {
+	b, err := EncodeRecords(records)
+	m.bytes += len(b)
+	m.to.Adopt("agent-1", records)
+	return err
+}
+
+// TestMirrorBudget refuses callers of ever new networks at two rates: the bytes to the peer stay within
+// the budget, the records that wait stay bounded, and no refusal is missing at the peer when the process dies.
+func TestMirrorBudget(t *testing.T) {
+	for _, perSecond := range []int{5, 500} {
+		t.Run(strconv.Itoa(perSecond), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const seconds, burst = 100, 20000
+				s := store.New(store.Config{})
+				m := &meter{to: NewLog(Config{Process: "agent-2", Store: s})}
+				l, kill := start(t, Config{Process: "agent-1", Store: s, Mirror: m, MirrorBurst: burst})
+				most := 0
+				for i := range seconds {
+					for j := range perSecond {
+						refuse(l, i*perSecond+j)
+					}
+					time.Sleep(time.Second)
+					l.mu.Lock()
+					most = max(most, l.queue.len())
+					l.mu.Unlock()
+				}
+				began := time.Now()
+				require.NoError(t, l.Sync(t.Context()))
+				lag := time.Since(began)
+				kill()
+				m.to.PeerDied("agent-1")
+				require.NoError(t, m.to.Drain(t.Context()))
+				require.EqualValues(t, seconds*perSecond, find(t, s, Query{}).Refusals)
+				require.Less(t, m.bytes, burst+DefaultMirrorRate*(seconds+int(lag.Seconds())+1))
+				require.Less(t, most, DefaultMaxQueue*3/2)
+				t.Logf("bytes_s=%d most_waiting=%d lag=%s objects=%d", m.bytes/seconds, most, lag, s.Counts().Writes())
+			})
+		})
+	}
+}
+
 func TestRetention(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := store.New(store.Config{})
