Measure the first slopes of the capacity page

Cause: nothing told what a balancer costs at the size to design for. Change: auburnwood-lab capacity measures costs at several sizes, fits lines and writes the tables of docs/CAPACITY.md.

--- /dev/null
+++ b/internal/lab/capacity/point.go
@@ -0,0 +1,9 @@
+package capacity
+
+// Point is one measured value.
+type Point struct {
+	// Size is the size at which it was measured.
+	Size float64 `json:"size"`
+	// Value is what was measured, in the unit of the series.
+	Value float64 `json:"value"`
+}
--- /dev/null
+++ b/internal/lab/capacity/samples.go
@@ -0,0 +1,82 @@
+package capacity
+
+import (
+	"encoding/json"
+	"errors"
+	"io/fs"
+	"os"
+	"strings"
+
+	"github.com/gravitational/trace"
+)
+
+// Samples are all measured values.
+type Samples struct {
+	// Machine describes the processor and the Go release.
+	Machine string `json:"machine"`
+	// Measured is the date of the last run.
+	Measured string `json:"measured"`
+	// Seconds is how long the last whole run took.
+	Seconds float64 `json:"seconds"`
+	// PeakMemory is the largest resident memory of the last whole run, in bytes.
+	PeakMemory float64 `json:"peakMemory"`
+	// Probes are the measured series, by probe.
+	Probes []ProbeSamples `json:"probes"`
+}
+
+// ProbeSamples are the series of one probe.
+type ProbeSamples struct {
+	// Probe is the name of the probe.
+	Probe string `json:"probe"`
+	// Series are its outputs.
+	Series []Series `json:"series"`
+}
+
+// put replaces the series of a probe.
+func (s *Samples) put(probe string, series []Series) {
+	for i := range s.Probes {
+		if s.Probes[i].Probe == probe {
+			s.Probes[i].Series = series
+			return
+		}
+	}
+	s.Probes = append(s.Probes, ProbeSamples{Probe: probe, Series: series})
+}
+
+// Series returns the series of a name.
+func (s Samples) Series(name string) (Series, bool) {
+	for _, p := range s.Probes {
+		for _, one := range p.Series {
+			if one.Name == name {
+				return one, true
+			}
+		}
+	}
+	return Series{}, false
+}
+
+// samplesPath returns the file of the samples that belong to a page.
+func samplesPath(page string) string {
+	return strings.TrimSuffix(page, ".md") + ".json"
+}
+
+// ReadSamples reads the samples that belong to a page; a missing file holds none.
+func ReadSamples(page string) (Samples, error) {
+	var s Samples
+	b, err := os.ReadFile(samplesPath(page))
+	if errors.Is(err, fs.ErrNotExist) {
+		return s, nil
+	}
+	if err != nil {
+		return s, trace.Wrap(err, "read samples")
+	}
+	return s, trace.Wrap(json.Unmarshal(b, &s), "read samples %s", samplesPath(page))
+}
+
+func (s Samples) write(page string) error {
+	b, err := json.MarshalIndent(s, "", " ")
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(os.WriteFile(samplesPath(page), append(b, '\n'), 0o644), "write samples")
+}
--- /dev/null
+++ b/internal/lab/capacity/size.go
@@ -0,0 +1,37 @@
+package capacity
+
+import "time"
+
+// The size to design for.
+const (
+	fleetBalancers    = 490
+	fleetTargets      = 3300
+	fleetMembers      = fleetBalancers + fleetTargets
+	fleetServices     = 680
+	fleetRegions      = 2
+	fleetDataCentres  = 7
+	fleetOpenFlows    = 6.4e6
+	fleetNewFlows     = 21000
+	fleetConfigs      = 920
+	fleetVMFailures   = 19
+	fleetRestarts     = 960
+	secondsOfDay      = 24 * 60 * 60
+	watchersOfMember  = 3
+	restartMinutes    = 5
+	changesOfRestart  = 3
+	deadInDataCentre  = fleetMembers / fleetDataCentres
+	flowsOfAgent      = fleetOpenFlows / fleetTargets
+	newFlowsOfAgent   = fleetNewFlows / fleetTargets
+	packetsOfNewFlow  = 10
+	changesInForce    = 4 * time.Second
+	membersDataCentre = fleetMembers / fleetDataCentres
+)
+
+// The budgets of one daemon for control, and of the object API for all.
+const (
+	budgetCore   = 2.0
+	budgetMemory = 256.0
+	budgetBytes  = 12000.0
+	budgetWrites = 300.0
+	budgetReads  = 2000.0
+)
--- a/internal/lab/command/main.go
+++ b/internal/lab/command/main.go
@@ -41,8 +41,10 @@
 func commands() []commandInfo {
 	return []commandInfo{
 		{"demo", "Show a small installation at work", "Starts an installation on loopback, sends requests through it, drains, kills and explains a refusal.", &demoCommand{}},
+		{"control", "Run checked changes of services through failures of the control side", "Starts balancers and the control sessions of targets, lets operators change services, makes the faults and compares what was told with what the store holds.", &controlCommand{}},
 		{"flows", "Run checked flows through changes and failures", "Opens flows through a fabric that sprays every packet, makes the faults, checks every byte and prints what was measured.", &flowsCommand{}},
 		{"requests", "Run checked requests through overload and failures", "Sends requests with tickets, claims and neither, makes the faults, and compares what ran with what the callers were told.", &requestsCommand{}},
+		{"capacity", "Measure what each part costs by its size", "Measures costs at several sizes, fits lines to them and writes the tables of docs/CAPACITY.md.", &capacityCommand{}},
 		{"standin", "Serve stand-ins for separate processes", "Serves the object API and the fabric on fixed addresses, so that daemons can be started as processes of their own.", &standinCommand{}},
 	}
 }
