Run checked changes of the control side with faults

Cause: nothing showed that accepted changes survive faults of the store, the network and the processes. Conclusion: a thin whole run works; faults are not run yet.

--- /dev/null
+++ b/internal/lab/command/control.go
@@ -0,0 +1,28 @@
+package command
+
+import "github.com/auburnwood/auburnwood/internal/lab/control"
+
+type controlCommand struct {
+	Balancers int    `long:"balancers" default:"8" description:"Balancers at the start"`
+	Targets   int    `long:"targets" default:"20" description:"Targets at the start"`
+	Changes   int    `long:"changes" default:"200" description:"Changes that operators make"`
+	Faults    string `long:"faults" default:"none" description:"Faults, separated by commas; all and none are short forms"`
+	Seed      uint64 `long:"seed" default:"1" description:"Makes the choices repeatable"`
+}
+
+func (c *controlCommand) run(e env) error {
+	faults, err := control.ParseFaults(c.Faults)
+	if err != nil {
+		return err
+	}
+	o := control.Options{
+		Balancers: c.Balancers,
+		Targets:   c.Targets,
+		Changes:   c.Changes,
+		Faults:    faults,
+		Seed:      c.Seed,
+		Log:       e.log,
+	}
+	_, err = control.Run(e.ctx, o, e.out)
+	return err
+}
--- /dev/null
+++ b/internal/lab/control/truth.go
@@ -0,0 +1,246 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/auburnwood/auburnwood/internal/standin/store"
+	"github.com/auburnwood/auburnwood/pkg/lease"
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
+	"github.com/auburnwood/auburnwood/pkg/resource"
+	"github.com/auburnwood/auburnwood/pkg/revision"
+)
+
+// truth is the store of a run with a record of every write that took effect, in the order of the effects. It loses
+// answers and delays calls itself, so that it knows the outcome of a write whose answer is lost.
+type truth struct {
+	inner *store.Store
+
+	mu     sync.Mutex
+	random *rand.Rand
+	// loseShare is the probability that a write's answer is lost.
+	loseShare float64
+	// latency and jitter delay every call.
+	latency, jitter time.Duration
+	// armed, when not nil, is called once, right after the head was advanced.
+	armed func(number uint64)
+
+	parts    map[string]objectapi.Object
+	heads    []headWrite
+	services []serviceWrite
+	statuses []statusWrite
+	lease    lease.Record
+	// late describes writes of a former lease holder that took effect after a later one had claimed the object.
+	late []string
+}
+
+// headWrite is one write of the head.
+type headWrite struct {
+	began, done time.Time
+	head        resource.Head
+	revision    resource.Revision
+	sum         uint64
+}
+
+// serviceWrite is one write of a service.
+type serviceWrite struct {
+	at      time.Time
+	version uint64
+	change  uint32
+	service resource.Service
+}
+
+// statusWrite is one write of a service's status.
+type statusWrite struct {
+	at     time.Time
+	status resource.ServiceStatus
+}
+
+func newTruth(seed uint64) *truth {
+	return &truth{
+		inner:  store.New(store.Config{Seed: seed, WatchWait: watchWait}),
+		random: rand.New(rand.NewPCG(seed, 1)),
+		parts:  make(map[string]objectapi.Object),
+	}
+}
+
+// watchWait is how long the store holds a watch without events.
+const watchWait = 10 * time.Second
+
+// delay waits out the latency.
+func (t *truth) delay(ctx context.Context) {
+	t.mu.Lock()
+	d := t.latency
+	if t.jitter > 0 {
+		d += time.Duration(t.random.Int64N(int64(t.jitter)))
+	}
+	t.mu.Unlock()
+	wait(ctx, d)
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// Get implements objectapi.Store, as the methods that follow.
+func (t *truth) Get(ctx context.Context, k objectapi.Kind, name string) (objectapi.Object, error) {
+	t.delay(ctx)
+	return t.inner.Get(ctx, k, name)
+}
+
+func (t *truth) List(ctx context.Context, k objectapi.Kind) ([]objectapi.Object, uint64, error) {
+	t.delay(ctx)
+	return t.inner.List(ctx, k)
+}
+
+func (t *truth) Watch(ctx context.Context, k objectapi.Kind, from uint64) ([]objectapi.Event, uint64, error) {
+	t.delay(ctx)
+	return t.inner.Watch(ctx, k, from)
+}
+
+func (t *truth) Create(ctx context.Context, k objectapi.Kind, name string, value []byte) (objectapi.Object, error) {
+	return t.write(ctx, func() (objectapi.Object, error) { return t.inner.Create(ctx, k, name, value) })
+}
+
+func (t *truth) Update(ctx context.Context, o objectapi.Object) (objectapi.Object, error) {
+	return t.write(ctx, func() (objectapi.Object, error) { return t.inner.Update(ctx, o) })
+}
+
+func (t *truth) Delete(ctx context.Context, k objectapi.Kind, name string, version uint64) error {
+	t.delay(ctx)
+	return t.inner.Delete(ctx, k, name, version)
+}
+
+// write makes one write and records its effect before anybody learns of it from the answer.
+func (t *truth) write(ctx context.Context, call func() (objectapi.Object, error)) (objectapi.Object, error) {
+	t.delay(ctx)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	began := time.Now()
+	o, err := call()
+	if err != nil {
+		return o, err
+	}
+	cutNow := t.record(o, began)
+	if !cutNow && t.random.Float64() < t.loseShare {
+		return objectapi.Object{}, objectapi.Fail(objectapi.OpUpdate, o.Kind, o.Name, "lab", objectapi.ErrOutcomeUnknown, nil)
+	}
+	return o, nil
+}
+
+// record keeps the effect and reports whether it set off what was armed; t.mu is held.
+func (t *truth) record(o objectapi.Object, began time.Time) bool {
+	now := time.Now()
+	switch o.Kind {
+	case resource.KindRevision:
+		t.parts[o.Name] = o
+	case resource.KindService:
+		v := resource.ReadService(o)
+		t.services = append(t.services, serviceWrite{at: now, version: o.Version, change: v.Spec.Limits.Queue, service: v.Service})
+	case resource.KindServiceStatus:
+		t.recordStatus(o, now)
+	case resource.KindLease:
+		if o.Name == revision.LeaseName {
+			_ = json.Unmarshal(o.Value, &t.lease)
+		}
+	case resource.KindHead:
+		return t.recordHead(o, began, now)
+	}
+	return false
+}
+
+func (t *truth) recordStatus(o objectapi.Object, now time.Time) {
+	var s resource.ServiceStatus
+	if json.Unmarshal(o.Value, &s) != nil {
+		return
+	}
+	t.statuses = append(t.statuses, statusWrite{at: now, status: s})
+}
+
+func (t *truth) recordHead(o objectapi.Object, began, now time.Time) bool {
+	var h resource.Head
+	if json.Unmarshal(o.Value, &h) != nil {
+		return false
+	}
+	w := headWrite{began: began, done: now, head: h}
+	r, err := revision.Load(context.Background(), partsOf{parts: t.parts}, h)
+	if err == nil {
+		w.revision, w.sum = r, sumOfRevision(r)
+	}
+	var before headWrite
+	if len(t.heads) > 0 {
+		before = t.heads[len(t.heads)-1]
+	}
+	if h.Term < before.head.Term {
+		t.late = append(t.late, "head written by "+h.Holder+" after "+before.head.Holder+" had claimed it")
+	}
+	t.heads = append(t.heads, w)
+	if t.armed == nil || h.Revision <= before.head.Revision {
+		return false
+	}
+	armed := t.armed
+	t.armed = nil
+	armed(h.Revision)
+	return true
+}
+
+// partsOf is a store that only gets the recorded revisions.
+type partsOf struct {
+	objectapi.Store
+	parts map[string]objectapi.Object
+}
+
+// Get implements objectapi.Store.
+func (p partsOf) Get(_ context.Context, k objectapi.Kind, name string) (objectapi.Object, error) {
+	if o, ok := p.parts[name]; ok {
+		return o, nil
+	}
+	return objectapi.Object{}, objectapi.Fail(objectapi.OpGet, k, name, "lab", objectapi.ErrNotFound, nil)
+}
+
+// stored reports whether a change was stored.
+func (t *truth) stored(change uint32) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.services {
+		if s.change == change {
+			return true
+		}
+	}
+	return false
+}
+
+// holder returns the holder of the compile lease, and the term.
+func (t *truth) holder() lease.Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lease
+}
+
+// set changes the faults that truth makes itself.
+func (t *truth) set(change func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	change()
+}
+
+// head returns the number that the head names.
+func (t *truth) head() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.heads) == 0 {
+		return 0
+	}
+	return t.heads[len(t.heads)-1].head.Revision
+}
--- /dev/null
+++ b/internal/lab/control/usage.go
@@ -0,0 +1,88 @@
+package control
+
+import (
+	"runtime"
+	"syscall"
+	"time"
+)
+
+// usage is what the installation has used so far.
+type usage struct {
+	at time.Time
+	// cpu is the processor time of the whole process, the store and the operators included.
+	cpu time.Duration
+	// bytes are the control bytes of each balancer by its number, sessions those of all sessions together.
+	bytes    map[int]int64
+	sessions int64
+	// reads and writes are the balancers' calls of the store.
+	reads, writes int64
+}
+
+func (c *cluster) usage() usage {
+	u := usage{at: time.Now(), cpu: processorTime(), bytes: make(map[int]int64)}
+	for _, b := range c.live() {
+		u.bytes[b.number] = b.bytes()
+	}
+	u.sessions = sessionBytes(c.sessions)
+	u.reads, u.writes = c.api.counts.reads.Load(), c.api.counts.writes.Load()
+	return u
+}
+
+func processorTime() time.Duration {
+	var r syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &r) != nil {
+		return 0
+	}
+	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
+}
+
+// heap returns the bytes of live objects.
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// Rates are what a time costs.
+type Rates struct {
+	// Bytes is the control traffic of a balancer in bytes a second, both directions together: the mean, and MaxBytes that
+	// of the balancer with the most.
+	Bytes, MaxBytes float64
+	// SessionBytes is the control traffic of one target's session in bytes a second.
+	SessionBytes float64
+	// CPU is the processor time of the whole process for each daemon (balancers and sessions), in percent of one core.
+	CPU float64
+	// Cores is the processor time of the whole process in cores.
+	Cores float64
+	// Reads and Writes are the balancers' calls of the store a second.
+	Reads, Writes float64
+}
+
+// ratesBetween compares two usages. Balancers that joined or died in between are left out of the bytes.
+func ratesBetween(a, b usage, daemons, targets int) Rates {
+	s := b.at.Sub(a.at).Seconds()
+	r := Rates{
+		Cores:  (b.cpu - a.cpu).Seconds() / s,
+		Reads:  float64(b.reads-a.reads) / s,
+		Writes: float64(b.writes-a.writes) / s,
+	}
+	r.CPU = 100 * r.Cores / float64(daemons)
+	n := 0
+	for number, end := range b.bytes {
+		begin, ok := a.bytes[number]
+		if !ok {
+			continue
+		}
+		x := float64(end-begin) / s
+		r.Bytes += x
+		r.MaxBytes = max(r.MaxBytes, x)
+		n++
+	}
+	r.Bytes /= float64(max(n, 1))
+	if targets > 0 {
+		r.SessionBytes = float64(b.sessions-a.sessions) / s / float64(targets)
+	}
+	return r
+}
--- a/pkg/peer/config.go
+++ b/pkg/peer/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"net"
 	"time"
 
@@ -49,7 +50,10 @@
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 
-	// dial opens connections to peers; nil means TCP. Tests cut peers off by it.
+	// Dial opens connections to peers; nil means TCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+
+	// dial opens connections to peers; nil means Dial. Tests cut peers off by it.
 	dial dialFunc
 }
 
@@ -73,6 +77,9 @@
 	if c.Self.ControlAddr == "" && c.Listener != nil {
 		c.Self.ControlAddr = c.Listener.Addr().String()
 	}
+	if c.dial == nil {
+		c.dial = c.Dial
+	}
 	c.Detector.Self = c.Self.ID
 	return c
 }
