Never call an idempotent request not run after an attempt that may have run

Change: a submission that was once exposed answers unknown; the caller package listens a little past the deadline, so that the last word of the agent arrives; goodput is counted in a steady window; fault table of targets.

--- a/internal/lab/requests/breakdown.go
+++ b/internal/lab/requests/breakdown.go
@@ -14,13 +14,13 @@
 	outcome caller.Outcome
 	promise string
 	reason  string
-	gone    bool
+	cause   string
 }
 
-func endingOf(t told) ending {
+func (c *checker) endingOf(t told) ending {
 	e := ending{outcome: t.result.Outcome, promise: promiseName(t.work), reason: t.result.Reason}
 	if t.result.Outcome == caller.OutcomeUnknown {
-		e.gone = t.work.goneAfter > 0
+		e.cause = c.cause(t)
 	}
 	if t.result.Outcome == caller.OutcomeRan {
 		e.reason = ""
@@ -46,8 +46,8 @@
 	if e.reason != "" {
 		s += "/" + e.reason
 	}
-	if e.gone {
-		s += "/caller-gone"
+	if e.cause != "" {
+		s += "/" + e.cause
 	}
 	return s
 }
--- /dev/null
+++ b/internal/lab/requests/window.go
@@ -0,0 +1,22 @@
+package requests
+
+import "time"
+
+// window is the time in which goodput is counted: the offered load is steady, and the queues had time to fill.
+type window struct{ from, to time.Time }
+
+// newWindow leaves out the time of one deadline, but at most a third of the run.
+func newWindow(start, end time.Time) window {
+	return window{from: start.Add(min(deadlineTime, end.Sub(start)/3)), to: end}
+}
+
+// rate returns the events of the window in a second.
+func (w window) rate(events []time.Time) float64 {
+	n := 0
+	for _, at := range events {
+		if !at.Before(w.from) && !at.After(w.to) {
+			n++
+		}
+	}
+	return float64(n) / w.to.Sub(w.from).Seconds()
+}
--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -38,7 +38,7 @@
 			break
 		}
 		f.result.Submissions++
-		s := c.submit(ctx, r, f.ticket, f.result.Submissions)
+		s := c.listen(ctx, r, f.ticket, f.result.Submissions)
 		if f.add(s) {
 			return f.result
 		}
@@ -49,13 +49,35 @@
 	return f.end()
 }
 
+// listen submits and hears the end of the submission, for a while also after the deadline. A cancelled ctx ends it at
+// once.
+func (c *Client) listen(ctx context.Context, r Request, ticket string, attempt int) submission {
+	longer, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	if deadline, ok := ctx.Deadline(); ok {
+		longer, cancel = context.WithDeadline(longer, deadline.Add(c.o.Grace))
+		defer cancel()
+	}
+	stop := context.AfterFunc(ctx, func() {
+		if ctx.Err() == context.Canceled {
+			cancel()
+		}
+	})
+	defer stop()
+	left := noTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		left = max(deadline.Sub(c.o.Now()), 0)
+	}
+	return c.submit(longer, r, ticket, attempt, left)
+}
+
 // submit does one HTTP exchange and reads the whole answer.
-func (c *Client) submit(ctx context.Context, r Request, ticket string, attempt int) submission {
+func (c *Client) submit(ctx context.Context, r Request, ticket string, attempt int, left time.Duration) submission {
 	req, err := http.NewRequestWithContext(ctx, r.Method, c.o.Base+r.Path, bytes.NewReader(r.Body))
 	if err != nil {
 		return submission{err: err}
 	}
-	c.setHeaders(ctx, req, r, ticket, attempt)
+	setHeaders(req, r, ticket, attempt, left)
 	var wrote atomic.Bool
 	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) },
@@ -74,7 +96,7 @@
 
 // setHeaders writes the key in a form that http.Transport doesn't know, as it would repeat such requests by itself, and
 // takes away its means to send the body again.
-func (c *Client) setHeaders(ctx context.Context, req *http.Request, r Request, ticket string, attempt int) {
+func setHeaders(req *http.Request, r Request, ticket string, attempt int, left time.Duration) {
 	for name, values := range r.Header {
 		req.Header[name] = values
 	}
@@ -82,8 +104,7 @@
 	if len(r.Body) == 0 {
 		req.Body = nil
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		left := max(deadline.Sub(c.o.Now()), 0)
+	if left != noTimeout {
 		req.Header.Set(request.HeaderTimeout, strconv.FormatInt(left.Milliseconds(), 10))
 	}
 	switch r.Promise {
@@ -189,4 +210,8 @@
 	return status.Run == refusal.RunNo
 }
 
-const cancelTimeout = time.Second
+const (
+	cancelTimeout = time.Second
+	// noTimeout leaves the deadline to the service.
+	noTimeout time.Duration = -1
+)
--- a/pkg/caller/options.go
+++ b/pkg/caller/options.go
@@ -11,6 +11,8 @@
 const (
 	DefaultAhead       = 8
 	DefaultSubmissions = 6
+	// DefaultGrace is longer than the agents' grace, so that their last word arrives.
+	DefaultGrace = 750 * time.Millisecond
 	// firstBackoff is the first pause after a failure that names no time; it doubles up to maxBackoff.
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = 2 * time.Second
@@ -26,6 +28,8 @@
 	Ahead int
 	// Submissions is the highest number of submissions of one request; 0 means DefaultSubmissions.
 	Submissions int
+	// Grace is how long after the deadline a submission that was sent is still listened to; 0 means DefaultGrace.
+	Grace time.Duration
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 	// Sleep waits; nil means a timer. It returns early with the error of ctx.
@@ -41,6 +45,9 @@
 	if o.Submissions == 0 {
 		o.Submissions = DefaultSubmissions
 	}
+	if o.Grace == 0 {
+		o.Grace = DefaultGrace
+	}
 	if o.Now == nil {
 		o.Now = time.Now
 	}
--- a/pkg/request/refusals.go
+++ b/pkg/request/refusals.go
@@ -70,9 +70,9 @@
 		Detail: "the target answered 503 with Retry-After", Run: refusal.RunNo, RetryAfter: max(after, retryLater/10)}
 }
 
-func noRetryLeft() *Refusal {
+func noRetryLeft(err error) *Refusal {
 	return &Refusal{Reason: refusal.ReasonRetryBudget, Status: http.StatusBadGateway,
-		Detail: "the target failed and the retry budget is spent", Run: refusal.RunUnknown, RetryAfter: retryLater}
+		Detail: "the retry budget is spent; " + err.Error(), Run: refusal.RunUnknown, RetryAfter: retryLater}
 }
 
 func wrongService(asked string) *Refusal {
--- a/pkg/request/run_local.go
+++ b/pkg/request/run_local.go
@@ -84,7 +84,7 @@
 func (u *submission) localShed(after time.Duration) *outcome {
 	u.done(limit.Outcome{Result: limit.ResultShed, RetryAfter: after})
 	u.failure = shedByTarget(u.s.o.Target.String(), after)
-	if u.retry() {
+	if u.repeatable() && u.s.budget.Withdraw() {
 		return nil
 	}
 	return refused(u.failure)
--- a/pkg/request/serve_caller.go
+++ b/pkg/request/serve_caller.go
@@ -83,6 +83,7 @@
 
 // finish tells the caller. An answer that is not whole is cut visibly.
 func (s *Server) finish(u *submission, o *outcome) {
+	o = u.honest(o)
 	u.conclude(o)
 	switch {
 	case o.refusal != nil:
--- a/pkg/request/serve_control.go
+++ b/pkg/request/serve_control.go
@@ -59,7 +59,7 @@
 
 // finishSteered declines without a record: the agent that asked still has the request, and records its end.
 func (s *Server) finishSteered(u *submission) {
-	o := u.run()
+	o := u.honest(u.run())
 	if o.refusal != nil && o.refusal.Run == refusal.RunNo && o.refusal.Reason != refusal.ReasonTargetShed {
 		s.refuseQuietly(u.w, o.refusal.Reason)
 		return
--- a/pkg/request/steer.go
+++ b/pkg/request/steer.go
@@ -109,7 +109,10 @@
 // peerDeclined reports whether the submission may go on elsewhere: a target that shed it may have seen it, so that only
 // idempotent work does.
 func (u *submission) peerDeclined(res *http.Response) bool {
-	return refusal.Reason(res.Header.Get(HeaderReason)) != refusal.ReasonTargetShed || u.retry()
+	if refusal.Reason(res.Header.Get(HeaderReason)) != refusal.ReasonTargetShed {
+		return true
+	}
+	return u.repeatable() && u.s.budget.Withdraw()
 }
 
 func (u *submission) peerFailure(ctx context.Context, p Peer, err error, sent bool) *outcome {
--- a/pkg/request/submission.go
+++ b/pkg/request/submission.go
@@ -38,6 +38,8 @@
 	steers   int
 	attempts int
 	failure  *Refusal
+	// exposed is true once an attempt may have run the work; no later refusal may then say that it did not run.
+	exposed bool
 }
 
 // idempotent reports whether the work may be sent again after it may have reached a target.
@@ -182,16 +184,14 @@
 	return ctx, cancel
 }
 
-// retry reports whether the work may be sent once more after a failure.
-func (u *submission) retry() bool {
-	if !u.idempotent() || !u.body.replayable() || u.steered || u.attempts >= maxAttempts {
-		return false
-	}
-	return u.s.budget.Withdraw()
+// repeatable reports whether the work may be sent once more after it may have reached a target.
+func (u *submission) repeatable() bool {
+	return u.idempotent() && u.body.replayable() && !u.steered && u.attempts < maxAttempts
 }
 
 // sent classifies a request that may have reached its target but got no answer.
 func (u *submission) sent(ctx context.Context, err error) *outcome {
+	u.exposed = true
 	cause := context.Cause(ctx)
 	if cause == errDeadline {
 		return refused(tooLate())
@@ -199,11 +199,28 @@
 	if cause != nil {
 		return refused(callerGoneRunning(cause))
 	}
-	if u.retry() {
-		u.failure = noRetryLeft()
-		return nil
+	if !u.repeatable() {
+		return refused(notAnswered(err))
+	}
+	if !u.s.budget.Withdraw() {
+		return refused(noRetryLeft(err))
+	}
+	u.failure = notAnswered(err)
+	return nil
+}
+
+// honest corrects a refusal that speaks only of the last attempt.
+func (u *submission) honest(o *outcome) *outcome {
+	if !u.exposed || o.runState() != refusal.RunNo {
+		return o
+	}
+	f := o.refusal
+	if f == nil {
+		f = notAdmitted(limit.Decision{Reason: refusal.ReasonAllFull})
 	}
-	return refused(notAnswered(err))
+	f.Run = refusal.RunUnknown
+	f.Detail = "an earlier attempt may have run; then: " + f.Detail
+	return refused(f)
 }
 
 // conclude puts the outcome into the book before anybody is told.
