--- a/internal/lab/flows/judge.go
+++ b/internal/lab/flows/judge.go
@@ -1,7 +1,9 @@
 package flows
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -18,7 +20,7 @@
 )
 
 // judge turns the outcomes into a result.
-func (r *run) judge(balances map[string]balance, before PathCounts) Result {
+func (r *run) judge(balances map[string]balance, times []time.Time, before PathCounts) Result {
 	r.mu.Lock()
 	outcomes := r.outcomes
 	r.mu.Unlock()
@@ -30,6 +32,8 @@
 		Imbalance:  1,
 	}
 	result.addBalances(balances, r.connections())
+	result.Baselines = r.baselines(outcomes, times)
+	result.BaselineImbalance = slices.Min(slices.Collect(maps.Values(result.Baselines)))
 	records := r.cluster.Refusals()
 	result.Refused = len(records)
 	byCaller := indexRecords(records)
--- a/internal/lab/flows/options.go
+++ b/internal/lab/flows/options.go
@@ -21,11 +21,11 @@
 )
 
 const (
-	longPart       = 0.8
+	longPart       = 0.75
 	spareFiles     = 1500
 	filesOfFlow    = 2
 	targetLoadPart = 0.6
-	shortAtOnce    = 500
+	shortAtOnce    = 800
 )
 
 // Options say what to run.
@@ -34,7 +34,7 @@
 	Deployment string
 	// Balancers is the number of balancers at the start; 0 means DefaultBalancers.
 	Balancers int
-	// Flows is the number of flows in the whole run; 0 means DefaultFlows. About four of five are long and open at once.
+	// Flows is the number of flows in the whole run; 0 means DefaultFlows. About three of four are long and open at once.
 	Flows int
 	// Faults happen together, after the warm-up.
 	Faults []Fault
--- a/internal/lab/flows/print.go
+++ b/internal/lab/flows/print.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -21,8 +22,9 @@
 	line("flows open at once          %d", x.OpenAtOnce)
 	line("bytes checked               %d", x.Bytes)
 	line("open flows per target       %.0f on average after the warm-up, %.0f%% of the limit", x.MeanOpen, 100*x.Load)
-	for name, ratio := range x.Baselines {
-		line("imbalance of baseline       %.3f %s", ratio, name)
+	line("imbalance                   %.3f, highest over mean of open flows", x.Imbalance)
+	for _, name := range slices.Sorted(maps.Keys(x.Baselines)) {
+		line("  of the same flows by      %.3f %s", x.Baselines[name], name)
 	}
 	line("extra hops per packet       %.4f", x.ExtraHops)
 	line("longest stall               %d ms (p95 of flows %d ms)", x.LongestStall.Milliseconds(), x.StallP95.Milliseconds())
--- a/internal/lab/flows/result.go
+++ b/internal/lab/flows/result.go
@@ -27,7 +27,7 @@
 	Imbalance float64
 	// BaselineImbalance is the best ratio that any baseline reaches on the same flows.
 	BaselineImbalance float64
-	// Baselines are the ratios of each baseline.
+	// Baselines are the ratios of each baseline by its name.
 	Baselines map[string]float64
 	// MeanOpen is the lowest mean of open flows among the services while the imbalance was measured.
 	MeanOpen float64
--- a/internal/lab/flows/run.go
+++ b/internal/lab/flows/run.go
@@ -175,7 +175,7 @@
 		return Result{}, trace.Wrap(err)
 	}
 	r.events.printf("warm: %d flows open", r.open.Load())
-	balances := sample(ctx, r.cluster, r.timeline.warm/2)
+	balances, times := sample(ctx, r.cluster, r.timeline.warm/2)
 	if err := pause(ctx, r.timeline.faults()-time.Since(began)); err != nil {
 		return Result{}, trace.Wrap(err)
 	}
@@ -190,7 +190,7 @@
 	waitAtMost(&s.done, settleTime)
 	stop()
 	s.done.Wait()
-	return r.judge(balances, counts), trace.Wrap(ctx.Err())
+	return r.judge(balances, times, counts), trace.Wrap(ctx.Err())
 }
 
 // client runs one flow at its time.
--- a/internal/lab/flows/sampler.go
+++ b/internal/lab/flows/sampler.go
@@ -49,18 +49,19 @@
 	return out
 }
 
-// sample measures until the time is over and returns the worst balance of each service.
-func sample(ctx context.Context, c Cluster, d time.Duration) map[string]balance {
-	worst := map[string]balance{}
+// sample measures until the time is over and returns the worst balance of each service, and when it measured.
+func sample(ctx context.Context, c Cluster, d time.Duration) (worst map[string]balance, times []time.Time) {
+	worst = map[string]balance{}
 	end := time.Now().Add(d)
 	for {
+		times = append(times, time.Now())
 		for name, b := range measure(c.Targets()) {
 			if b.ratio() >= worst[name].ratio() {
 				worst[name] = b
 			}
 		}
 		if !time.Now().Add(sampleEvery).Before(end) || pause(ctx, sampleEvery) != nil {
-			return worst
+			return worst, times
 		}
 	}
 }
--- a/internal/lab/flows/workload.go
+++ b/internal/lab/flows/workload.go
@@ -18,7 +18,9 @@
 	mostSize     = 64 << 10
 	flowsOfHost  = 40
 	firstPort    = 10000
-	chunksPerSec = 6000 // of all long flows together
+	mediumPart   = 0.5             // of the flows that are not long
+	mediumHold   = 4 * time.Second // on average
+	chunksPerSec = 6000            // of all long flows together
 	leastEvery   = 500 * time.Millisecond
 )
 
@@ -59,15 +61,18 @@
 	return w
 }
 
-// plans draws all flows: the long ones start during the ramp, the short ones at any time.
+// plans draws all flows: the long ones start during the ramp, the others at any time.
 func (w *workload) plans(o Options) []*plan {
 	long := o.longFlows()
 	out := make([]*plan, 0, o.Flows)
 	for i := range o.Flows {
 		p := w.plan(i)
-		if i < long {
+		switch {
+		case i < long:
 			w.makeLong(p, i, long)
-		} else {
+		case w.random.Float64() < mediumPart:
+			w.makeMedium(p)
+		default:
 			w.makeShort(p)
 		}
 		out = append(out, p)
@@ -110,6 +115,14 @@
 	p.hold = w.timeline.end() - p.start + time.Duration(w.random.Int64N(int64(w.timeline.close)))
 }
 
+// makeMedium lets a flow start at any time and last for a few seconds, so that flows end while others start.
+func (w *workload) makeMedium(p *plan) {
+	p.kind = kindPacedDownload
+	p.start = time.Duration(w.random.Int64N(int64(w.timeline.end())))
+	p.every = w.every
+	p.hold = min(time.Duration(w.random.ExpFloat64()*float64(mediumHold)), w.timeline.end()-p.start+w.timeline.close)
+}
+
 func (w *workload) makeShort(p *plan) {
 	p.kind = kindDownload
 	if w.random.IntN(4) == 0 {
