Keep the rows of services whose ranking did not change

Change: placement.NextTable takes the rows of the table before when the ranked targets are the same; a balancer uses it. Conclusion: a change costs what it touches; the rest is copied.

--- a/pkg/balancer/table.go
+++ b/pkg/balancer/table.go
@@ -47,18 +47,22 @@
 	return t
 }
 
-// reuse returns the earlier route when the service's snapshot is the same object, and a new one otherwise.
+// reuse returns the earlier route when the service's snapshot is the same object, and a new one otherwise. Each view has
+// new snapshots of all services, so that a new route takes the earlier rows when the ranking did not change.
 func (t *table) reuse(s *view.Service) *route {
-	if t != nil {
-		if r, ok := t.services[s.Name]; ok && r.service == s {
-			return r
-		}
+	if t == nil || t.services[s.Name] == nil {
+		return newRoute(s, nil)
+	}
+	r := t.services[s.Name]
+	if r.service == s {
+		return r
 	}
-	return newRoute(s)
+	return newRoute(s, r.rows)
 }
 
-func newRoute(s *view.Service) *route {
-	r := &route{service: s, rows: placement.NewTable(s), agents: make(map[agentKey]struct{}, len(s.Targets))}
+func newRoute(s *view.Service, previous *placement.Table) *route {
+	rows := placement.NextTable(previous, s)
+	r := &route{service: s, rows: rows, agents: make(map[agentKey]struct{}, len(s.Targets))}
 	for i := range s.Targets {
 		r.agents[encodeAgent(s.Targets[i].Agent)] = struct{}{}
 	}
--- a/pkg/placement/table.go
+++ b/pkg/placement/table.go
@@ -36,24 +36,49 @@
 	addrs   []byte
 	rows    []uint16
 	size    int
+	joined  bool
 }
 
 // NewTable ranks the targets of s that are active or draining.
 func NewTable(s *view.Service) *Table {
-	return newTable(s, func(t view.Target) bool { return t.State != view.StateJoining })
+	t := newTable(s, false)
+	t.rank()
+	return t
+}
+
+// NextTable returns the same table as NewTable(s). It takes the rows of previous, the table of an earlier snapshot, when
+// the ranked targets are the same, which saves nearly all of the work; previous may be nil.
+func NextTable(previous *Table, s *view.Service) *Table {
+	t := newTable(s, false)
+	if previous != nil && t.sameRows(previous) {
+		t.rows, t.size = previous.rows, previous.size
+		return t
+	}
+	t.rank()
+	return t
 }
 
 // NewJoinedTable ranks all targets of s, also the joining ones: the table that is in force once they are active.
 func NewJoinedTable(s *view.Service) *Table {
-	return newTable(s, func(view.Target) bool { return true })
+	t := newTable(s, true)
+	t.rank()
+	return t
+}
+
+// newTable returns a table without rows; joined ranks the joining targets too.
+func newTable(s *view.Service, joined bool) *Table {
+	t := &Table{service: s, addrs: make([]byte, 0, len(s.Targets)*wire.AddrSize), joined: joined}
+	for i := range s.Targets {
+		t.addrs = wire.AppendAddr(t.addrs, s.Targets[i].Agent)
+	}
+	return t
 }
 
-func newTable(s *view.Service, member func(view.Target) bool) *Table {
-	t := &Table{service: s, addrs: make([]byte, 0, len(s.Targets)*wire.AddrSize)}
+// rank fills the rows.
+func (t *Table) rank() {
 	var members []ranked
-	for i, target := range s.Targets {
-		t.addrs = wire.AppendAddr(t.addrs, target.Agent)
-		if member(target) {
+	for i, target := range t.service.Targets {
+		if t.ranks(target) {
 			members = append(members, newRanked(i, target))
 		}
 	}
@@ -62,7 +87,25 @@
 	for slot := range uint64(slots) {
 		t.rows = appendBest(t.rows, members, slot, t.size)
 	}
-	return t
+}
+
+// ranks reports whether the target is in the ranking.
+func (t *Table) ranks(target view.Target) bool {
+	return t.joined || target.State != view.StateJoining
+}
+
+// sameRows reports whether the ranking has the same input as that of other.
+func (t *Table) sameRows(other *Table) bool {
+	a, b := t.service.Targets, other.service.Targets
+	if t.joined != other.joined || len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].ID != b[i].ID || capacity(a[i]) != capacity(b[i]) || t.ranks(a[i]) != other.ranks(b[i]) {
+			return false
+		}
+	}
+	return true
 }
 
 // Service returns the snapshot that the table was made of.
