Run every daemon as a process of its own, with kills, freezes and an outage

Cause: the whole path had run in one process only; kill -9 and SIGSTOP need processes. Change: auburnwood-lab standin writes settings and serves the stand-ins; scripts/run-processes.sh starts the daemons, applies the services with auburnwoodctl and checks downloads through drain, kill -9, freeze and outage.

--- a/internal/lab/command/standin.go
+++ b/internal/lab/command/standin.go
@@ -1,32 +1,32 @@
 package command
 
 import (
-	"context"
-	"fmt"
-	"net"
-	"net/http"
-	"time"
-
 	"github.com/gravitational/trace"
 
-	"github.com/auburnwood/auburnwood/internal/standin/store"
+	"github.com/auburnwood/auburnwood/internal/lab/flows"
+	"github.com/auburnwood/auburnwood/internal/lab/processes"
 )
 
+// standinCommand accompanies daemons that run as processes of their own.
 type standinCommand struct {
-	Listen string `long:"listen" default:"127.0.0.1:7000" value-name:"ADDRESS" description:"Address of the object API"`
+	Deployment string `long:"deployment" choice:"zarqa" choice:"saobien" default:"zarqa" description:"Whose services and targets"`
+	Balancers  int    `long:"balancers" default:"3" description:"Number of balancers"`
+	BasePort   int    `long:"base-port" default:"27000" description:"First of 700 ports on 127.0.0.1"`
+	Write      string `long:"write" value-name:"DIR" description:"Write the daemons' settings and the services to a directory, and end"`
+	Call       string `long:"call" value-name:"PATH" description:"Call running stand-ins, for example /downloads?service=route-svc&count=10&bytes=1000, and end"`
 }
 
 func (c *standinCommand) run(e env) error {
-	l, err := net.Listen("tcp", c.Listen)
+	d, err := flows.FindDeployment(c.Deployment)
 	if err != nil {
-		return trace.Wrap(err, "listen for the object API at %s", c.Listen)
-	}
-	s := &http.Server{Handler: store.Handler(store.New(store.Config{})), ReadHeaderTimeout: time.Second}
-	stop := context.AfterFunc(e.ctx, func() { _ = s.Close() })
-	defer stop()
-	_, _ = fmt.Fprintln(e.out, "object API at http://"+l.Addr().String())
-	if err := s.Serve(l); err != http.ErrServerClosed {
 		return trace.Wrap(err)
 	}
-	return nil
+	l := processes.Layout{Deployment: d, Balancers: c.Balancers, BasePort: c.BasePort}
+	if c.Write != "" {
+		return l.WriteFiles(c.Write)
+	}
+	if c.Call != "" {
+		return processes.Call(e.ctx, l, c.Call, e.out)
+	}
+	return processes.Serve(e.ctx, l, e.out)
 }
--- a/internal/lab/demo/answers.go
+++ b/internal/lab/demo/answers.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"maps"
 	"slices"
 	"sync"
@@ -27,5 +26,3 @@
 	counts := slices.Sorted(maps.Values(a.counts))
 	return fmt.Sprintf("%d to %d each", counts[0], counts[len(counts)-1])
 }
-
-func copyAll(dst io.Writer, src io.Reader) (int64, error) { return io.Copy(dst, src) }
--- a/internal/lab/demo/faults.go
+++ b/internal/lab/demo/faults.go
@@ -9,6 +9,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/auburnwood/auburnwood/internal/lab/download"
 	"github.com/auburnwood/auburnwood/internal/lab/flows"
 	"github.com/auburnwood/auburnwood/pkg/refusal"
 )
@@ -29,7 +30,9 @@
 	for i := range longFlows {
 		client := s.client()
 		r.group.Go(func() {
-			if _, err := download(ctx, client, size, fmt.Sprint(name, i), longBytes, longChunk, longEvery); err != nil {
+			d := spec(size, fmt.Sprint(name, i), longBytes)
+			d.Chunk, d.Every = longChunk, longEvery
+			if _, err := download.Get(ctx, client, d); err != nil {
 				r.mu.Lock()
 				r.errors = append(r.errors, err)
 				r.mu.Unlock()
--- a/internal/lab/demo/run.go
+++ b/internal/lab/demo/run.go
@@ -13,9 +13,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/auburnwood/auburnwood/internal/lab/cluster"
+	"github.com/auburnwood/auburnwood/internal/lab/download"
 	"github.com/auburnwood/auburnwood/internal/lab/flows"
 	"github.com/auburnwood/auburnwood/internal/standin/fabric"
-	"github.com/auburnwood/auburnwood/internal/standin/target"
 )
 
 // Numbers of the demo.
@@ -109,15 +109,16 @@
 	}
 }
 
-// client returns an HTTP client whose TCP packets cross the fabric one by one.
+// client returns the HTTP client of a new caller.
 func (s *show) client() *http.Client {
 	s.callers++
 	ip := netip.AddrFrom4([4]byte{10, 1, byte(s.callers >> 8), byte(s.callers)})
-	c := s.fabric.NewCaller(ip)
-	return &http.Client{
-		Transport: &http.Transport{DialContext: c.DialContext, DisableKeepAlives: true},
-		Timeout:   requestTimeout,
-	}
+	return download.Client(s.fabric, ip, requestTimeout)
+}
+
+func spec(size flows.ServiceSize, flow string, bytes int) download.Spec {
+	address := netip.AddrPortFrom(netip.MustParseAddr(size.Address.IP), size.Address.Port)
+	return download.Spec{Service: size.Name, Address: address, Flow: flow, Bytes: bytes}
 }
 
 // requests sends many downloads to each service and checks each byte and the service that answered.
@@ -141,7 +142,7 @@
 	for i := range requestsOfService {
 		client := s.client()
 		g.Go(func() error {
-			id, err := download(run, client, size, fmt.Sprint("demo-", i), downloadBytes, downloadBytes, 0)
+			id, err := download.Get(run, client, spec(size, fmt.Sprint("demo-", i), downloadBytes))
 			if err != nil {
 				return trace.Wrap(err)
 			}
@@ -151,35 +152,3 @@
 	}
 	return tally, g.Wait()
 }
-
-// download gets the content of one flow, checks it, and returns the ID of the target that answered.
-func download(ctx context.Context, c *http.Client, size flows.ServiceSize, flow string, bytes, chunk int, every time.Duration) (string, error) {
-	url := fmt.Sprintf("http://%s%s?flow=%s&size=%d",
-		netip.AddrPortFrom(netip.MustParseAddr(size.Address.IP), size.Address.Port), target.PathDownload, flow, bytes)
-	if every > 0 {
-		url += fmt.Sprintf("&chunk=%d&every=%s", chunk, every)
-	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return "", trace.Wrap(err)
-	}
-	resp, err := c.Do(r)
-	if err != nil {
-		return "", trace.Wrap(err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return "", trace.Errorf("%s answered %s", size.Name, resp.Status)
-	}
-	if got := resp.Header.Get(target.HeaderService); got != size.Name {
-		return "", trace.CompareFailed("asked %s, answered by %q", size.Name, got)
-	}
-	checker := target.NewChecker(size.Name, flow)
-	if _, err := copyAll(checker, resp.Body); err != nil {
-		return "", trace.Wrap(err)
-	}
-	if checker.Size() != int64(bytes) {
-		return "", trace.CompareFailed("%s: %d of %d bytes", size.Name, checker.Size(), bytes)
-	}
-	return resp.Header.Get(target.HeaderTarget), nil
-}
--- /dev/null
+++ b/scripts/run-processes.sh
@@ -0,0 +1,83 @@
+#!/bin/sh
+# Runs an installation with each daemon as a process of its own on loopback, and proves by checked downloads that no flow
+# is cut while processes are replaced, frozen and killed. Usage: run-processes.sh [zarqa|saobien]
+set -eu
+cd "$(dirname "$0")/.."
+deployment=${1:-zarqa}
+case $deployment in
+zarqa) first=route-svc second=reports-svc ;;
+saobien) first=airtime-core second=report-svc ;;
+*) echo "unknown deployment $deployment" >&2; exit 2 ;;
+esac
+
+work=$(mktemp -d)
+pids=""
+# Only processes that this script started are ended, by their process numbers.
+trap 'for p in $pids; do kill -CONT "$p" 2>/dev/null || true; kill -9 "$p" 2>/dev/null || true; done; rm -rf "$work"' EXIT
+
+go build -o "$work/bin/" ./cmd/...
+lab="$work/bin/auburnwood-lab standin --deployment $deployment"
+$lab --write "$work/etc"
+export AUBURNWOOD_SERVER=http://127.0.0.1:27000
+
+start() { # name program
+  "$work/bin/$2" --settings "$work/etc/$1.toml" 2>>"$work/$1.log" &
+  echo $! > "$work/$1.pid"
+  pids="$pids $!"
+}
+pid() { cat "$work/$1.pid"; }
+failed=0
+downloads() { # description service count bytes chunk every
+  out=$($lab --call "/downloads?service=$2&count=$3&bytes=$4&chunk=$5&every=$6")
+  echo "$1: $out"
+  case $out in *'"broken":0,'*) ;; *) failed=1 ;; esac
+}
+
+$lab > "$work/standin.log" 2>&1 &
+pids="$pids $!"
+sleep 1
+for file in "$work"/etc/balancer-*.toml; do start "$(basename "$file" .toml)" auburnwood-balancer; done
+for file in "$work"/etc/*-svc-*.toml "$work"/etc/airtime-core-*.toml; do
+  [ -e "$file" ] && start "$(basename "$file" .toml)" auburnwood-agent
+done
+"$work/bin/auburnwoodctl" apply --wait 20s "$work/etc/services.json"
+sleep 2
+
+downloads "plain" $first 300 65536 0 0s
+downloads "plain" $second 300 65536 0 0s
+
+downloads "while a target drains, a balancer is killed and the object API is down" $first 40 2097152 16384 40ms > "$work/long.txt" &
+long=$!
+sleep 1
+kill -TERM "$(pid $first-1)"
+$lab --call "/store?down=true"
+kill -9 "$(pid balancer-1)"
+sleep 1
+$lab --call "/balancer?number=1&present=false"
+wait $long || failed=1
+cat "$work/long.txt"
+case $(cat "$work/long.txt") in *'"broken":0,'*) ;; *) failed=1 ;; esac
+$lab --call "/store?down=false"
+
+start balancer-1 auburnwood-balancer
+$lab --call "/balancer?number=1&present=true"
+downloads "just after the balancer came back" $second 200 65536 0 0s
+
+downloads "while a balancer is frozen for 5 s" $first 40 1048576 16384 40ms > "$work/long.txt" &
+long=$!
+sleep 1
+kill -STOP "$(pid balancer-2)"
+sleep 5
+kill -CONT "$(pid balancer-2)"
+wait $long || failed=1
+cat "$work/long.txt"
+case $(cat "$work/long.txt") in *'"broken":0,'*) ;; *) failed=1 ;; esac
+
+downloads "after everything" $first 300 65536 0 0s
+"$work/bin/auburnwoodctl" get
+if [ $failed -ne 0 ]; then
+  echo "a download was broken"
+  mkdir -p out && cp "$work"/*.log out/
+  exit 1
+fi
+echo "separate processes: every download whole"
