--- a/pkg/arbiter/choice.go
+++ b/pkg/arbiter/choice.go
@@ -26,7 +26,9 @@
 const (
 	declinedDraining uint32 = 0
 	declinedLoaded   uint32 = 1
-	declinedFull     uint32 = math.MaxUint32
+	// declinedUnknown answers the question of another arbiter, not an offer.
+	declinedUnknown uint32 = 2
+	declinedFull    uint32 = math.MaxUint32
 	// declinedLimit is the highest bound of an offer.
 	declinedLimit = math.MaxUint32 - 1
 )
--- a/pkg/arbiter/control.go
+++ b/pkg/arbiter/control.go
@@ -60,6 +60,7 @@
 // claim notes that p owns the flow, or settles the conflict when another agent does.
 func (a *Arbiter) claim(at stamp, s *shard, flow uint64, p *peer, open bool) []Message {
 	e := s.flows[flow]
+	a.locator.found(flow)
 	mine := entry{at: at, peer: p.id, state: stateRedirect}
 	if open {
 		mine.flags = flagOpen
--- a/pkg/arbiter/entry.go
+++ b/pkg/arbiter/entry.go
@@ -50,6 +50,8 @@
 	flagDied
 	// flagProbed marks a redirect on which an opening packet went to the owner; the owner may answer that it does not know the flow.
 	flagProbed
+	// flagByOffer marks a probed redirect whose opening packet came by an offer.
+	flagByOffer
 )
 
 // entry is what the arbiter knows of one flow. It is 8 bytes.
--- a/pkg/arbiter/locate.go
+++ b/pkg/arbiter/locate.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/wire"
@@ -36,6 +37,8 @@
 type locator struct {
 	mu    sync.Mutex
 	flows map[uint64]*locate
+	// open is the number of flows; it is read without the lock.
+	open atomic.Int64
 }
 
 // add starts a question unless there is one; it returns false when there are too many.
@@ -50,9 +53,21 @@
 		return false
 	}
 	l.flows[flow] = &locate{since: now, died: died}
+	l.open.Store(int64(len(l.flows)))
 	return true
 }
 
+// found ends the question for a flow.
+func (l *locator) found(flow uint64) {
+	if l.open.Load() == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.flows, flow)
+	l.open.Store(int64(len(l.flows)))
+}
+
 // deny notes that an agent does not own the flow.
 func (l *locator) deny(flow uint64, p peerID) {
 	l.mu.Lock()
@@ -96,6 +111,7 @@
 			ask[p.addr] = append(ask[p.addr], flow)
 		}
 	}
+	l.open.Store(int64(len(l.flows)))
 	return ask, lost
 }
 
@@ -110,15 +126,9 @@
 	return missing
 }
 
-func (l *locator) len() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.flows)
-}
-
 // tickLocate asks for owners and settles the flows that nobody owns.
 func (a *Arbiter) tickLocate(now time.Time, m *members) []Message {
-	if a.locator.len() == 0 {
+	if a.locator.open.Load() == 0 {
 		return nil
 	}
 	ask, lost := a.locator.due(now, m.live(), m.settled(now, a.cfg.Window))
--- a/pkg/arbiter/offer.go
+++ b/pkg/arbiter/offer.go
@@ -34,7 +34,7 @@
 	if p.gone.Load() || p.addr == c.in.Sender || c.e.has(flagEnded|flagYielded) {
 		return Decision{}, false
 	}
-	c.e.flags |= flagProbed
+	c.e.flags |= flagProbed | flagByOffer
 	c.s.flows[c.in.Flow] = c.e
 	return c.forwardTo(p.addr, true, "redirect to owner"), true
 }
@@ -75,7 +75,7 @@
 	p := c.s.pending[c.in.Flow]
 	switch c.e.state {
 	case stateAsked:
-		if c.in.Final {
+		if c.in.Final || c.in.Bound != declinedUnknown {
 			return c.drop("late answer")
 		}
 		return c.askFrom(p)
@@ -89,7 +89,7 @@
 
 // offerDeclined chooses again after an offer was declined.
 func (c *call) offerDeclined(q *peer, p pending) Decision {
-	if c.in.Final != c.e.has(flagFinal) {
+	if c.in.Final != c.e.has(flagFinal) || c.in.Bound == declinedUnknown {
 		return c.drop("answer to an earlier offer")
 	}
 	q.answered()
@@ -107,7 +107,6 @@
 		return c.drop("late answer")
 	}
 	c.s.drop(c.in.Flow)
-	c.e = entry{}
 	if !c.a.isFirst(c.in.Row) {
 		return c.returnToFirst()
 	}
@@ -122,6 +121,9 @@
 	}
 	d := c.decide(ActionDecline, "owner does not know the flow")
 	d.To = first
-	d.Bound = declinedLoaded
+	d.Bound = declinedUnknown
+	if c.e.has(flagByOffer) {
+		d.Bound = declinedLoaded
+	}
 	return d
 }
--- a/pkg/arbiter/open.go
+++ b/pkg/arbiter/open.go
@@ -2,12 +2,16 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/refusal"
 	"github.com/auburnwood/auburnwood/pkg/view"
 	"github.com/auburnwood/auburnwood/pkg/wire"
 )
 
+// askLimit is the time after which an agent that does not answer a question is taken for dead, though the view still names it.
+const askLimit = 3 * time.Second
+
 // open starts the arbitration of a new flow at the first agent of its row.
 func (c *call) open() Decision {
 	if c.m == nil {
@@ -49,9 +53,7 @@
 	}
 	settled := c.m.settled(c.now, c.a.cfg.Window)
 	if first := c.m.table.FirstAgent(c.in.Flow); first != c.a.cfg.Self {
-		if settled || c.position(first) < uint32(wire.RowLen(c.in.Row)) {
-			add(first)
-		}
+		add(first)
 	}
 	if settled {
 		return list, n
@@ -73,7 +75,9 @@
 	if q := c.senderPeer(); q != nil {
 		c.s.set(c.in.Flow, entry{at: c.at, peer: q.id, state: stateRedirect, flags: flagYielded})
 	}
-	return c.answer(ActionDecline, "flow is not here")
+	d := c.answer(ActionDecline, "flow is not here")
+	d.Bound = declinedUnknown
+	return d
 }
 
 func (c *call) senderPeer() *peer {
@@ -94,7 +98,7 @@
 	}
 	gone := q.gone.Load()
 	switch {
-	case c.e.state == stateAsked && gone:
+	case c.e.state == stateAsked && (gone || c.e.at.since(c.at) > askLimit):
 		return c.askFrom(p)
 	case c.e.state == stateAsked:
 		// Placing the flow without the answer could give it a second owner.
--- a/pkg/arbiter/packet.go
+++ b/pkg/arbiter/packet.go
@@ -110,7 +110,7 @@
 		c.touch()
 	}
 	if c.in.Opening {
-		c.e.flags |= flagProbed
+		c.e.flags = c.e.flags&^flagByOffer | flagProbed
 		c.s.flows[c.in.Flow] = c.e
 	}
 	return c.forwardTo(p.addr, true, "redirect to owner")
@@ -188,10 +188,14 @@
 	if !c.a.isFirst(c.in.Row) {
 		return c.unknownLater()
 	}
-	if c.in.Opening {
-		return c.open()
+	if !c.in.Opening {
+		return c.unknownFirst()
+	}
+	if c.e.state == stateLocating && !c.e.has(flagDied) {
+		// Packets of an established flow came before; this one is late.
+		return c.drop("owner is being located")
 	}
-	return c.unknownFirst()
+	return c.open()
 }
 
 // notHere answers a packet that the sender holds to be for a flow of this agent.
