--- a/pkg/refusal/batch_test.go
+++ b/pkg/refusal/batch_test.go
@@ -26,7 +26,7 @@
 	}
 	for name, entries := range map[string][]entry{"Noise": noise, "Equal": many(20000)} {
 		t.Run(name, func(t *testing.T) {
-			total := 0
+			total, objects := 0, 0
 			for total < len(entries) {
 				value, n, err := encode(header{Format: batchFormat}, entries[total:])
 				require.NoError(t, err)
@@ -36,7 +36,9 @@
 				require.Len(t, records, n)
 				require.NotZero(t, n)
 				total += n
+				objects++
 			}
+			require.Greater(t, objects, 1, "the limit was reached")
 		})
 	}
 }
