--- a/internal/lab/requests/checker.go
+++ b/internal/lab/requests/checker.go
@@ -7,6 +7,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/auburnwood/auburnwood/pkg/caller"
+	"github.com/auburnwood/auburnwood/pkg/refusal"
 )
 
 // checker compares what callers were told with what the targets ran.
@@ -95,17 +96,21 @@
 const (
 	causeGone  = "caller-gone"
 	causeDeath = "process-died"
+	causeStore = "caller-dropped-submission-and-store-down"
 	causeNone  = "UNEXPLAINED"
 )
 
 // cause says why an outcome may be unknown: the caller itself went away from started work, or
-// dropped a submission that it had not protected, or a process died meanwhile.
+// dropped a submission that it had not protected, or a process died meanwhile, or the
+// object API was down when a caller asked again for the key of a submission that it had dropped.
 func (c *checker) cause(t told) string {
 	switch {
 	case t.work.goneAfter > 0, t.work.cutAfter > 0 && t.work.idem:
 		return causeGone
 	case c.deaths.explain(t):
 		return causeDeath
+	case t.work.cutAfter > 0 && t.result.Reason == string(refusal.ReasonClaimStore):
+		return causeStore
 	}
 	return causeNone
 }
--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -94,13 +93,11 @@
 	return readSubmission(res, body)
 }
 
-// setHeaders writes the key in a form that http.Transport doesn't know, as it would repeat such requests by itself, and
-// takes away its means to send the body again.
+// setHeaders writes the headers of the service.
 func setHeaders(req *http.Request, r Request, ticket string, attempt int, left time.Duration) {
 	for name, values := range r.Header {
 		req.Header[name] = values
 	}
-	req.GetBody = nil
 	if len(r.Body) == 0 {
 		req.Body = nil
 	}
@@ -111,9 +108,10 @@
 	case PromiseTicket:
 		req.Header.Set(request.HeaderTicket, ticket)
 	case PromiseKey:
-		req.Header[strings.ToLower(request.HeaderKey)] = []string{r.Key}
+		req.Header.Set(request.HeaderKey, r.Key)
 		req.Header.Set(request.HeaderAttempt, strconv.Itoa(attempt))
 	}
+	request.NoReplay(req)
 }
 
 func readSubmission(res *http.Response, body []byte) submission {
--- a/pkg/caller/options.go
+++ b/pkg/caller/options.go
@@ -22,7 +22,7 @@
 type Options struct {
 	// Base is the service's URL without a path, for example http://192.0.2.1:8080.
 	Base string
-	// Transport sends requests. It must not repeat requests with an Idempotency-Key by itself; New wraps it so.
+	// Transport sends requests; requests are written so that http.Transport doesn't repeat them by itself.
 	Transport http.RoundTripper
 	// Ahead is the number of tickets that are taken at once; 0 means DefaultAhead.
 	Ahead int
--- a/pkg/caller/request.go
+++ b/pkg/caller/request.go
@@ -20,7 +20,7 @@
 // idempotent reports whether the work may run more than once (RFC 9110, section 9.2.2).
 func (r Request) idempotent() bool {
 	switch r.Method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace, http.MethodPut, http.MethodDelete:
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
 		return r.Promise == PromisePlain
 	}
 	return false
--- /dev/null
+++ b/pkg/request/claim_test.go
@@ -0,0 +1,87 @@
+package request
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwood/auburnwood/pkg/refusal"
+)
+
+const testKey = "order-7-of-marka-hall"
+
+func TestClaimStoreFaults(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults []storeFault
+		status int
+		run    refusal.Run
+		hits   int32
+	}{
+		{"stored", nil, 200, "", 1},
+		{"answer lost after the write", []storeFault{faultLostAfter}, 200, "", 1},
+		{"answer lost before the write", []storeFault{faultLostBefore}, 200, "", 1},
+		{"answer lost, first read fails", []storeFault{faultLostAfter, faultDown}, 200, "", 1},
+		{"down", []storeFault{faultDown}, 503, "no", 0},
+		{"answer lost, then down", []storeFault{faultLostAfter, faultDown, faultDown, faultDown}, 503, "no", 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			target := newScriptedTarget(t, answerOK)
+			_, url := newFaultServer(t, target.addr(), func(o *Options) { o.Store = newMemoryStore(tt.faults...) })
+			res, body := call(t, "POST", url, "order", HeaderKey, testKey)
+			require.Equal(t, tt.status, res.StatusCode, body)
+			require.Equal(t, string(tt.run), res.Header.Get(HeaderRun))
+			require.Equal(t, tt.hits, target.hits.Load())
+			if tt.run != "" {
+				require.Equal(t, string(refusal.ReasonClaimStore), res.Header.Get(HeaderReason))
+				require.NotEmpty(t, res.Header.Get("Retry-After"))
+			}
+		})
+	}
+}
+
+// After a refusal the claim may be stored; its ticket never runs, and the next submission takes its place.
+func TestRefusedClaimMakesWay(t *testing.T) {
+	target := newScriptedTarget(t, answerOK)
+	store := newMemoryStore(faultLostAfter, faultDown, faultDown, faultDown)
+	_, url := newFaultServer(t, target.addr(), func(o *Options) { o.Store = store })
+	res, _ := call(t, "POST", url, "order", HeaderKey, testKey, HeaderAttempt, "1")
+	require.Equal(t, "no", res.Header.Get(HeaderRun))
+	res, _ = call(t, "POST", url, "order", HeaderKey, testKey, HeaderAttempt, "2")
+	require.Equal(t, 200, res.StatusCode)
+	res, _ = call(t, "POST", url, "order", HeaderKey, testKey, HeaderAttempt, "1")
+	require.Equal(t, "true", res.Header.Get(HeaderRepeated))
+	require.EqualValues(t, 1, target.hits.Load())
+}
+
+// A submission that was made before the refused one must not start after its caller was told that nothing ran.
+func TestOlderSubmissionNeverStartsAfterARefusal(t *testing.T) {
+	target := newScriptedTarget(t, answerFit, answerOK)
+	_, url := newFaultServer(t, target.addr(), func(o *Options) { o.Store = newMemoryStore() })
+	res, _ := call(t, "POST", url, "order", HeaderKey, testKey, HeaderAttempt, "2")
+	require.Equal(t, string(refusal.ReasonTargetShed), res.Header.Get(HeaderReason))
+	require.Equal(t, "no", res.Header.Get(HeaderRun))
+	res, _ = call(t, "POST", url, "order", HeaderKey, testKey, HeaderAttempt, "1")
+	require.Equal(t, "no", res.Header.Get(HeaderRun))
+	require.EqualValues(t, 1, target.hits.Load())
+}
+
+func TestRepeatedKeyWithoutStoreIsUnknown(t *testing.T) {
+	target := newScriptedTarget(t, answerOK)
+	_, url := newFaultServer(t, target.addr(), func(o *Options) { o.Store = newMemoryStore(faultDown) })
+	res, _ := call(t, "POST", url, "order", HeaderKey, testKey, HeaderAttempt, "2")
+	require.Equal(t, "unknown", res.Header.Get(HeaderRun))
+	require.Equal(t, "no", res.Header.Get(HeaderSubmission))
+}
+
+func TestClaimsStayWithinTheWriteBudget(t *testing.T) {
+	target := newScriptedTarget(t, answerOK)
+	store := newMemoryStore()
+	_, url := newFaultServer(t, target.addr(), func(o *Options) { o.Store, o.ClaimRate = store, 0.001 })
+	res, _ := call(t, "POST", url, "order", HeaderKey, testKey)
+	require.Equal(t, 200, res.StatusCode)
+	res, _ = call(t, "POST", url, "order", HeaderKey, testKey+"-next")
+	require.Equal(t, string(refusal.ReasonClaimStore), res.Header.Get(HeaderReason))
+	require.EqualValues(t, 1, store.version)
+}
--- a/pkg/request/fault_test.go
+++ b/pkg/request/fault_test.go
@@ -165,7 +165,17 @@
 	require.Less(t, time.Since(begin), 10*time.Second)
 }
 
-// A transport repeats requests with an Idempotency-Key after a lost connection, when it has used the connection before.
+// A transport repeats requests that it takes for idempotent after a lost connection, when it has used the connection
+// before. Here the second of the transport's own tries would be shed, and the caller told that nothing ran.
+func TestGetIsNotRepeatedByTheTransport(t *testing.T) {
+	target := newScriptedTarget(t, answerOK, stepBreak, answerFit)
+	_, url := newFaultServer(t, target.addr(), func(o *Options) { o.RetryRatio = 1e-9 })
+	call(t, "GET", url, "")
+	res, _ := call(t, "GET", url, "", HeaderTimeout, "300")
+	require.Equal(t, "unknown", res.Header.Get(HeaderRun))
+}
+
+// The same holds for a request with an idempotency header.
 func TestKeyIsNotRepeatedByTheTransport(t *testing.T) {
 	for _, name := range []string{HeaderKey, "X-Idempotency-Key"} {
 		target := newScriptedTarget(t, answerOK, stepBreak, answerOK)
--- a/pkg/request/headers.go
+++ b/pkg/request/headers.go
@@ -75,16 +75,3 @@
 	}
 	return false
 }
-
-// hideReplayHeaders writes the idempotency headers under a map key that http.Transport does not know: it would send a
-// request with them a second time after a lost connection. On the wire the names of headers have no case.
-func hideReplayHeaders(h http.Header) {
-	for _, name := range []string{HeaderKey, "X-Idempotency-Key"} {
-		values, ok := h[name]
-		if !ok {
-			continue
-		}
-		delete(h, name)
-		h[strings.ToLower(name)] = values
-	}
-}
--- a/pkg/request/outgoing.go
+++ b/pkg/request/outgoing.go
@@ -15,13 +15,13 @@
 	out.URL.Host = host
 	removeConnectionHeaders(out.Header)
 	removeOwnHeaders(out.Header)
-	hideReplayHeaders(out.Header)
 	out.Header.Del("Expect")
 	out.Header.Set(HeaderTimeout, milliseconds(u.deadline.Sub(s.o.Now())))
 	if caller := callerOf(u.r.Context()).Source; caller.IsValid() {
 		out.Header.Set("X-Forwarded-For", caller.Addr().String())
 	}
 	u.body.attach(out)
+	NoReplay(out)
 	return out
 }
 
--- a/pkg/request/refusals.go
+++ b/pkg/request/refusals.go
@@ -18,6 +18,7 @@
 // Causes of the end of a started request's context.
 var (
 	errDeadline  = errors.New("the deadline is over")
+	errClosed    = errors.New("the agent ended")
 	errCancelled = errors.New("the caller cancelled")
 )
 
--- a/pkg/request/request_body.go
+++ b/pkg/request/request_body.go
@@ -39,7 +39,6 @@
 
 // attach gives the body, its length and its trailers to an outgoing request.
 func (b *requestBody) attach(out *http.Request) {
-	out.GetBody = nil
 	if !b.whole {
 		out.Trailer = b.request.Trailer
 		out.ContentLength = b.request.ContentLength
--- a/pkg/request/serve_caller.go
+++ b/pkg/request/serve_caller.go
@@ -25,6 +25,10 @@
 		s.refuseEarly(w, r, malformed("HTTP/1.0 can't show that an answer is cut"))
 		return
 	}
+	if r.Method == http.MethodTrace || r.Method == http.MethodConnect {
+		s.refuseEarly(w, r, malformed("the method "+r.Method+" is not served"))
+		return
+	}
 	if strings.HasPrefix(r.URL.Path, wellKnown) {
 		s.serveWellKnown(w, r)
 		return
--- a/pkg/request/server.go
+++ b/pkg/request/server.go
@@ -40,6 +40,8 @@
 	probing  atomic.Int32
 	active   atomic.Int64
 	draining atomic.Bool
+	life     context.Context
+	end      context.CancelFunc
 }
 
 // New returns a running Server; end it with Drain and Close.
@@ -61,6 +63,7 @@
 		claims:  newClaims(o),
 		probes:  rate.NewLimiter(probeRate, probeBurst),
 	}
+	s.life, s.end = context.WithCancel(context.Background())
 	s.callers = newHTTPServer(http.HandlerFunc(s.serveCaller))
 	s.control = newHTTPServer(http.HandlerFunc(s.serveControl))
 	go func() { _ = s.callers.Serve(s.listener) }()
@@ -119,6 +122,7 @@
 
 // Close cuts everything at once.
 func (s *Server) Close() error {
+	s.end()
 	s.target.CloseIdleConnections()
 	s.peers.CloseIdleConnections()
 	err := s.control.Close()
--- a/pkg/request/submission.go
+++ b/pkg/request/submission.go
@@ -48,7 +48,7 @@
 		return false
 	}
 	switch u.r.Method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace, http.MethodPut, http.MethodDelete:
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
 		return true
 	}
 	return false
@@ -181,7 +181,11 @@
 	}
 	ctx, cancel := context.WithCancelCause(context.WithoutCancel(u.r.Context()))
 	u.s.flights.setCancel(u.flight, cancel)
-	return ctx, cancel
+	unlink := context.AfterFunc(u.s.life, func() { cancel(errClosed) })
+	return ctx, func(cause error) {
+		unlink()
+		cancel(cause)
+	}
 }
 
 // repeatable reports whether the work may be sent once more after it may have reached a target.
--- /dev/null
+++ b/pkg/request/ticket_test.go
@@ -0,0 +1,221 @@
+package request
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwood/auburnwood/pkg/refusal"
+	"github.com/auburnwood/auburnwood/pkg/ticket"
+)
+
+// gate is a target that counts its requests and holds each until it is let go.
+type gate struct {
+	hits  atomic.Int32
+	began chan struct{}
+	leave chan struct{}
+	size  int
+}
+
+func newGate() *gate {
+	return &gate{began: make(chan struct{}, 100), leave: make(chan struct{}, 100), size: 10}
+}
+
+func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.hits.Add(1)
+	_, _ = io.Copy(io.Discard, r.Body)
+	g.began <- struct{}{}
+	select {
+	case <-g.leave:
+	case <-r.Context().Done():
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, strings.Repeat("a", g.size))
+}
+
+func take(t *testing.T, url string) string {
+	t.Helper()
+	res, body := call(t, "POST", url+"/.well-known/auburnwood/tickets?n=1", "")
+	require.Equal(t, 200, res.StatusCode, body)
+	var list TicketList
+	require.NoError(t, json.Unmarshal([]byte(body), &list))
+	require.Len(t, list.Tickets, 1)
+	return list.Tickets[0]
+}
+
+func TestRepeatsOfATicketGetTheOneAnswer(t *testing.T) {
+	g := newGate()
+	_, url := newTestServer(t, g, nil)
+	text := take(t, url)
+	var repeated atomic.Int32
+	var wg sync.WaitGroup
+	for range 5 {
+		wg.Go(func() {
+			res, body := call(t, "POST", url+"/orders", "order", HeaderTicket, text)
+			if res.StatusCode != 200 || body != "aaaaaaaaaa" {
+				t.Error(res.StatusCode, body)
+			}
+			if res.Header.Get(HeaderRepeated) == "true" {
+				repeated.Add(1)
+			}
+		})
+	}
+	<-g.began
+	g.leave <- struct{}{}
+	wg.Wait()
+	require.EqualValues(t, 1, g.hits.Load())
+	require.EqualValues(t, 4, repeated.Load())
+}
+
+func TestRepeatOfALargeAnswerIsToldThatTheWorkRan(t *testing.T) {
+	g := newGate()
+	g.size = maxKeptAnswer + 1
+	g.leave <- struct{}{}
+	_, url := newTestServer(t, g, nil)
+	text := take(t, url)
+	_, body := call(t, "POST", url, "order", HeaderTicket, text)
+	require.Len(t, body, g.size)
+	res, body := call(t, "POST", url, "order", HeaderTicket, text)
+	require.Equal(t, 409, res.StatusCode)
+	var ran Ran
+	require.NoError(t, json.Unmarshal([]byte(body), &ran))
+	require.Equal(t, RunYes, ran.Run)
+	require.Equal(t, 200, ran.Outcome)
+}
+
+func TestTicketRefusals(t *testing.T) {
+	g := newGate()
+	s, url := newTestServer(t, g, nil)
+	state := func(change func(text string)) string {
+		text := take(t, url)
+		change(text)
+		return text
+	}
+	spent := state(func(text string) {
+		g.leave <- struct{}{}
+		call(t, "POST", url, "order", HeaderTicket, text)
+	})
+	cancelled := state(func(text string) {
+		call(t, "DELETE", url+"/.well-known/auburnwood/tickets/"+text, "")
+	})
+	parsed, err := ticket.Parse(take(t, url))
+	require.NoError(t, err)
+	change := func(f func(k *ticket.Ticket)) string {
+		k := parsed
+		f(&k)
+		return k.String()
+	}
+	tests := []struct {
+		name       string
+		ticket     string
+		path       string
+		reason     refusal.Reason
+		run        refusal.Run
+		submission refusal.Run
+	}{
+		{"another request", spent, "/other", refusal.ReasonTicketSpent, "unknown", "no"},
+		{"cancelled", cancelled, "/", refusal.ReasonCancelled, "no", ""},
+		{"guessed", change(func(k *ticket.Ticket) { k.Secret++ }), "/", refusal.ReasonTicketUnknown, "no", ""},
+		{"earlier incarnation", change(func(k *ticket.Ticket) { k.Incarnation-- }), "/", refusal.ReasonTicketGone, "unknown", "no"},
+		{"unknown agent", change(func(k *ticket.Ticket) { k.Issuer = "agent-9" }), "/", refusal.ReasonTicketGone, "unknown", "no"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			res, body := call(t, "POST", url+tt.path, "order", HeaderTicket, tt.ticket)
+			require.Equal(t, string(tt.reason), res.Header.Get(HeaderReason), body)
+			require.Equal(t, string(tt.run), res.Header.Get(HeaderRun))
+			require.Equal(t, string(tt.submission), res.Header.Get(HeaderSubmission))
+		})
+	}
+	require.EqualValues(t, 1, g.hits.Load())
+	require.Equal(t, 3, s.book.Size())
+}
+
+func submitAndForget(t *testing.T, url, text string) context.CancelFunc {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	req, err := http.NewRequestWithContext(ctx, "POST", url, strings.NewReader("order"))
+	require.NoError(t, err)
+	req.Header.Set(HeaderTicket, text)
+	go func() {
+		if res, err := http.DefaultClient.Do(req); err == nil {
+			_ = res.Body.Close()
+		}
+	}()
+	return cancel
+}
+
+func stateOf(t *testing.T, url, text string) TicketStatus {
+	t.Helper()
+	var status TicketStatus
+	_, body := call(t, "GET", url+"/.well-known/auburnwood/tickets/"+text, "")
+	require.NoError(t, json.Unmarshal([]byte(body), &status))
+	return status
+}
+
+func TestStartedWorkOfATicketOutlivesItsCaller(t *testing.T) {
+	g := newGate()
+	_, url := newTestServer(t, g, nil)
+	text := take(t, url)
+	gone := submitAndForget(t, url, text)
+	<-g.began
+	gone()
+	g.leave <- struct{}{}
+	res, _ := call(t, "POST", url, "order", HeaderTicket, text)
+	require.Equal(t, 200, res.StatusCode)
+	require.Equal(t, "true", res.Header.Get(HeaderRepeated))
+	require.EqualValues(t, 1, g.hits.Load())
+}
+
+func TestWaitingWorkOfAGoneCallerIsNotStarted(t *testing.T) {
+	g := newGate()
+	_, url := newTestServer(t, g, nil)
+	first, second := take(t, url), take(t, url)
+	submitAndForget(t, url, first)
+	<-g.began
+	gone := submitAndForget(t, url, second)
+	require.Eventually(t, func() bool { return stateOf(t, url, second).State == "waiting" }, 5*time.Second, time.Millisecond)
+	gone()
+	require.Eventually(t, func() bool { return stateOf(t, url, second).State == "cancelled" }, 5*time.Second, time.Millisecond)
+	g.leave <- struct{}{}
+	require.Eventually(t, func() bool { return stateOf(t, url, first).Run == RunYes }, 5*time.Second, time.Millisecond)
+	require.EqualValues(t, 1, g.hits.Load())
+}
+
+func TestCancelOfStartedWorkReachesTheTarget(t *testing.T) {
+	g := newGate()
+	_, url := newTestServer(t, g, nil)
+	text := take(t, url)
+	submitAndForget(t, url, text)
+	<-g.began
+	require.Eventually(t, func() bool {
+		call(t, "DELETE", url+"/.well-known/auburnwood/tickets/"+text, "")
+		return stateOf(t, url, text).State == "lost"
+	}, 5*time.Second, time.Millisecond)
+	require.Equal(t, refusal.RunUnknown, stateOf(t, url, text).Run)
+}
+
+func TestOverloadIsRefusedAtOnceWithATimeToComeBack(t *testing.T) {
+	g := newGate()
+	_, url := newTestServer(t, g, func(o *Options) { o.Queue = 1 })
+	submitAndForget(t, url, take(t, url))
+	<-g.began
+	waiting := take(t, url)
+	submitAndForget(t, url, waiting)
+	require.Eventually(t, func() bool { return stateOf(t, url, waiting).State == "waiting" }, 5*time.Second, time.Millisecond)
+	text := take(t, url)
+	res, _ := call(t, "POST", url, "order", HeaderTicket, text, HeaderTimeout, "60000")
+	require.Equal(t, 503, res.StatusCode)
+	require.Equal(t, "no", res.Header.Get(HeaderRun))
+	require.NotEmpty(t, res.Header.Get("Retry-After"))
+	require.Equal(t, "cancelled", stateOf(t, url, text).State)
+}
