Compile a waiting change before all statuses are written

Change: at most 5 statuses are written while a change waits; at least as many between two rounds, so that operators still learn of theirs.

--- a/pkg/revision/session.go
+++ b/pkg/revision/session.go
@@ -37,6 +37,7 @@
 	}
 	s := &session{cfg: cfg, grant: g, head: head, signal: make(chan struct{}, 1), metrics: newMetrics(cfg.Metrics)}
 	s.statuses = newStatusWriter(cfg, g, s.metrics.statuses)
+	s.statuses.yield = func() bool { return len(s.signal) > 0 }
 	if err := s.load(ctx); err != nil {
 		return nil, err
 	}
@@ -159,14 +160,14 @@
 func (s *session) wait(ctx context.Context) error {
 	due := s.last.Add(s.cfg.Resync)
 	for ctx.Err() == nil && s.cfg.Clock.Now().Before(due) {
+		if err := s.statuses.write(ctx); err != nil {
+			return err
+		}
 		if s.signalled() {
 			_ = s.cfg.Clock.Sleep(ctx, s.holdBack())
 			s.signalled()
 			return nil
 		}
-		if err := s.statuses.write(ctx); err != nil {
-			return err
-		}
 		s.pause(ctx, statusTick)
 	}
 	return nil
--- a/pkg/revision/statuswriter.go
+++ b/pkg/revision/statuswriter.go
@@ -26,6 +26,8 @@
 	wanted map[string]judgement
 	// open are the services whose status may need a write.
 	open map[string]openStatus
+	// yield reports whether a change waits to be compiled; nil means that none ever does.
+	yield func() bool
 	// loaded is when stored was listed last.
 	loaded time.Time
 }
@@ -34,6 +36,11 @@
 // of this term has, and so was never claimed.
 const statusReload = time.Minute
 
+// statusesBetween is the number of statuses that are written before a waiting change is compiled. Calls of the store are
+// few, so that acceptance would wait for seconds behind the statuses of many services; without any of them, operators
+// would not learn what became of their changes while others come.
+const statusesBetween = 5
+
 func newStatusWriter(cfg Compiler, g lease.Grant, writes tally.Counter) *statusWriter {
 	l := rate.NewLimiter(rate.Limit(cfg.StatusRate), cfg.StatusRate)
 	return &statusWriter{cfg: cfg, grant: g, limiter: l, writes: writes, open: make(map[string]openStatus)}
@@ -58,13 +65,16 @@
 	}
 }
 
-// write carries out the writes that are due, as far as the rate allows.
+// write carries out the writes that are due, as far as the rate allows, and only some of them while a change waits.
 func (w *statusWriter) write(ctx context.Context) error {
 	if err := w.load(ctx); err != nil {
 		return err
 	}
 	now := w.cfg.Clock.Now()
-	for _, d := range w.due(now) {
+	for i, d := range w.due(now) {
+		if i >= statusesBetween && w.yield != nil && w.yield() {
+			return nil
+		}
 		if !w.limiter.AllowN(now, 1) {
 			return nil
 		}
