Let an agent that loses all its watchers find others

Cause: an agent announced itself on changes of its record only, so after the loss of all three watchers at once its new watchers did not hear it and held it for dead until it refuted that. Change: a broken heartbeat stream makes the agent ask for its watchers again; balancers that failed of late are asked last, and two are asked at a time. A test kills all three watchers: nobody holds the agent for dead.

--- a/pkg/peer/bytes_bench_test.go
+++ b/pkg/peer/bytes_bench_test.go
@@ -47,6 +47,8 @@
 		eventually(b, "all active", func() bool { return n.countActive() == balancers+agents })
 	}
 	time.Sleep(2 * time.Second)
+	b.ReportMetric(float64(liveHeap())/float64(balancers+agents), "B-heap/process")
+	b.ReportMetric(float64(runtime.NumGoroutine())/float64(balancers+agents), "goroutines/process")
 	for b.Loop() {
 		before := sumBytes(scopes[:balancers])
 		beforeAgents := sumBytes(scopes[balancers:])
--- a/pkg/peer/config.go
+++ b/pkg/peer/config.go
@@ -33,6 +33,8 @@
 	Shares func(service string) []resource.Share
 	// Mirror keeps refusal records of another process; nil refuses them.
 	Mirror func(id string, records []byte) error
+	// OnLoad is called with the number of open flows that a watched agent sent with a heartbeat; may be nil.
+	OnLoad func(id string, load uint32)
 	// BytesPerSecond is the budget of control traffic, both directions together; 0 means DefaultBudget.
 	BytesPerSecond int
 	// ExchangeInterval is the time between two exchanges; 0 means DefaultExchangeInterval.
--- a/pkg/peer/control_heartbeat.go
+++ b/pkg/peer/control_heartbeat.go
@@ -65,6 +65,9 @@
 		b.incarnation, b.sequence = r.GetIncarnation(), r.GetSequence()
 	}
 	b.node.detector.Heartbeat(b.id, b.incarnation, b.node.cfg.Now())
+	if b.node.cfg.OnLoad != nil {
+		b.node.cfg.OnLoad(b.id, r.GetLoad())
+	}
 	return b.reply(), nil
 }
 
--- a/pkg/peer/failure_test.go
+++ b/pkg/peer/failure_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -60,6 +61,37 @@
 	require.Equal(t, membership.StateActive, nodes[4].state("t0"))
 }
 
+func TestAgentThatLosesAllItsWatchersFindsOthers(t *testing.T) {
+	nodes := startNodes(t, 6, nil)
+	for _, n := range nodes {
+		eventually(t, "all known", func() bool { return len(n.table.Balancers()) == 6 })
+	}
+	agent := startSession(t, "t0", addrsOf(nodes), nil)
+	eventually(t, "active", func() bool { return agent.Self().State == membership.StateActive })
+	m := agent.Self()
+	watchers := nodes[0].table.Watchers(&m)
+	survivors := nodes[:0:0]
+	for _, n := range nodes {
+		eventually(t, "active everywhere", func() bool { return n.state("t0") == membership.StateActive })
+		if slices.Contains(watchers, n.cfg.Self.ID) {
+			eventually(t, "heard", func() bool { return n.detector.Hears("t0") })
+			continue
+		}
+		survivors = append(survivors, n)
+	}
+	for _, n := range nodes {
+		if slices.Contains(watchers, n.cfg.Self.ID) {
+			n.kill()
+		}
+	}
+	for _, n := range survivors {
+		eventually(t, "heard by others", func() bool { return n.detector.Hears("t0") })
+		now, _ := n.table.Get("t0")
+		require.Equal(t, m.Sequence, now.Sequence, "nobody held the agent for dead")
+		require.Equal(t, membership.StateActive, now.State)
+	}
+}
+
 func TestFalseVerdictIsRefuted(t *testing.T) {
 	nodes := startNodes(t, 3, nil)
 	agent := startSession(t, "t0", addrsOf(nodes), nil)
--- a/pkg/peer/heartbeater.go
+++ b/pkg/peer/heartbeater.go
@@ -24,6 +24,8 @@
 	announce func(ctx context.Context, addr string)
 	// watchers, when not nil, is called when a watcher names other watchers.
 	watchers func(addrs []string)
+	// failed, when not nil, is called when a stream broke.
+	failed func()
 
 	mu      sync.Mutex
 	wanted  []string
@@ -109,6 +111,9 @@
 			pause = streamRetry
 		}
 		h.log.Debug().Err(err).Str("op", "heartbeat").Str("peer", addr).Msg("stream ended")
+		if h.failed != nil {
+			h.failed()
+		}
 		sleep(stop, jitter(pause))
 		pause = min(pause*2, streamRetryMax)
 	}
--- a/pkg/peer/self.go
+++ b/pkg/peer/self.go
@@ -59,6 +59,11 @@
 func (s *self) raise(above uint64) {
 	s.member.Sequence = above + 1
 	s.member.Changed = s.now()
+	s.announceAgain()
+}
+
+// announceAgain makes the process announce its record as it is.
+func (s *self) announceAgain() {
 	select {
 	case s.changed <- struct{}{}:
 	default:
--- a/pkg/peer/session.go
+++ b/pkg/peer/session.go
@@ -72,11 +72,13 @@
 		blocked: make(map[string]time.Time),
 		changed: make(chan struct{}, 1),
 	}
-	s.dialer = newDialer(creds, s.budget, nil)
+	s.dialer = newDialer(creds, s.budget, cfg.dial)
 	s.beats = newHeartbeater(s.self, s.dialer, cfg.HeartbeatInterval, cfg.Log)
 	s.beats.load = cfg.Load
 	s.beats.announce = s.announceTo
 	s.beats.watchers = s.learnWatchers
+	// A watcher that fails may soon be replaced, and the others may have failed too, so the agent asks again.
+	s.beats.failed = s.self.announceAgain
 	return s, nil
 }
 
@@ -173,24 +175,36 @@
 	return nil
 }
 
-// announceAll announces the record to up to two balancers and returns the number of those that took it.
+// announceAll announces the record to two balancers at a time until two have taken it, and returns their number.
 func (s *Session) announceAll(ctx context.Context) int {
 	taken := 0
-	for _, addr := range s.addrs() {
-		if taken == announceCount {
+	for batch := range slices.Chunk(s.addrs(), announceCount) {
+		taken += s.announceBatch(ctx, batch)
+		if taken >= announceCount || ctx.Err() != nil {
 			break
 		}
-		reply, err := announce(ctx, s.dialer, s.self, addr)
-		if err != nil {
-			s.cfg.Log.Debug().Err(err).Str("op", "announce").Str("peer", addr).Send()
-			continue
-		}
-		taken++
-		s.learn(reply)
 	}
 	return taken
 }
 
+func (s *Session) announceBatch(ctx context.Context, addrs []string) int {
+	var taken atomic.Int32
+	var group sync.WaitGroup
+	for _, addr := range addrs {
+		group.Go(func() {
+			reply, err := announce(ctx, s.dialer, s.self, addr)
+			if err != nil {
+				s.cfg.Log.Debug().Err(err).Str("op", "announce").Str("peer", addr).Send()
+				return
+			}
+			taken.Add(1)
+			s.learn(reply)
+		})
+	}
+	group.Wait()
+	return int(taken.Load())
+}
+
 // announceTo hands the record to a watcher that asked for it.
 func (s *Session) announceTo(ctx context.Context, addr string) {
 	reply, err := announce(ctx, s.dialer, s.self, addr)
@@ -242,19 +256,25 @@
 	return all[:min(len(all), maxKnown)]
 }
 
-// addrs returns the addresses to call in the order of preference: watchers, known balancers, seeds.
+// addrs returns the addresses to call in the order of preference: watchers, known balancers, seeds. Those to which a
+// stream failed of late come last.
 func (s *Session) addrs() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	seeds := slices.Clone(s.cfg.Seeds)
 	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
-	all := s.beats.addrs()
-	for _, addr := range append(slices.Clone(s.known), seeds...) {
-		if !slices.Contains(all, addr) {
-			all = append(all, addr)
+	now := s.cfg.Now()
+	var working, failing []string
+	for _, addr := range slices.Concat(s.beats.addrs(), s.known, seeds) {
+		switch {
+		case slices.Contains(working, addr) || slices.Contains(failing, addr):
+		case now.Before(s.blocked[addr]):
+			failing = append(failing, addr)
+		default:
+			working = append(working, addr)
 		}
 	}
-	return all
+	return append(working, failing...)
 }
 
 // leave tells two balancers that the agent has left.
--- a/pkg/peer/session_config.go
+++ b/pkg/peer/session_config.go
@@ -39,6 +39,9 @@
 	Metrics tally.Scope
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
+
+	// dial opens connections to balancers; nil means TCP. Tests cut balancers off by it.
+	dial dialFunc
 }
 
 func (c SessionConfig) withDefaults() SessionConfig {
--- a/pkg/peer/split_test.go
+++ b/pkg/peer/split_test.go
@@ -59,16 +59,17 @@
 	})
 	near, far := nodes[:2], nodes[2:]
 	nodes[0].adopter.Offer(routeRevision(1, "route-svc"), revision.SourceHead)
-	agents := []*testSession{startSession(t, "t0", addrsOf(near), nil), startSession(t, "t1", addrsOf(far), func(c *SessionConfig) {
-		c.Self.Region, c.Self.DataCentre = "hcm", "hcm-1"
-	})}
+	startSession(t, "t0", addrsOf(near), func(c *SessionConfig) { c.dial = b.dial("amman-east") })
+	drained := startSession(t, "t1", addrsOf(far), func(c *SessionConfig) {
+		c.Self.Region, c.Self.DataCentre, c.dial = "hcm", "hcm-1", b.dial("hcm")
+	})
 	for _, n := range nodes {
 		eventually(t, "all known", func() bool { return n.countActive() == 6 && n.adopter.Number() == 1 })
 	}
 	b.set(true)
 	nodes[0].adopter.Offer(routeRevision(2, "route-svc"), revision.SourceHead)
 	eventually(t, "this side goes on", func() bool { return near[1].adopter.Number() == 2 })
-	agents[1].Drain()
+	drained.Drain()
 	eventually(t, "the other side goes on", func() bool { return far[0].state("t1") == membership.StateDraining })
 	for _, n := range near {
 		eventually(t, "other side unreachable", func() bool { m, _ := n.table.Get("t1"); return m.Unreachable })
