Give the compile duty a call budget of its own

Cause: a revision takes four calls and each status one, within the 6 calls a second that are meant for a reading balancer. Options.WrapStore wraps every client, for programs that hold calls back.

--- a/internal/lab/control/balancer.go
+++ b/internal/lab/control/balancer.go
@@ -148,13 +148,13 @@
 		s.LeaseTime = settings.NewDuration(c.o.LeaseTime)
 	}
 	b := &balancer{name: s.Name, region: s.Region, number: n, scope: tally.NewTestScope("", nil), started: time.Now()}
-	b.gate = &gate{unfenced: c.o.unfenced, Store: newBudgeted(s.ObjectAPI)}
+	b.gate = &gate{unfenced: c.o.unfenced}
 	d, err := balancerd.New(balancerd.Options{
-		Settings: s,
-		Env:      telemetry.Env{Log: c.o.Log.With().Str(telemetry.FieldProcess, s.Name).Logger(), Scope: b.scope, Status: &telemetry.Status{}},
-		Store:    b.gate,
-		WrapView: b.wrapView,
-		Dial:     c.boundary.dialer(s.Region),
+		Settings:  s,
+		Env:       telemetry.Env{Log: c.o.Log.With().Str(telemetry.FieldProcess, s.Name).Logger(), Scope: b.scope, Status: &telemetry.Status{}},
+		WrapStore: func(s objectapi.Store) objectapi.Store { return b.gate.through(s) },
+		WrapView:  b.wrapView,
+		Dial:      c.boundary.dialer(s.Region),
 	})
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -172,9 +172,3 @@
 	c.balancers = append(c.balancers, b)
 	return b, nil
 }
-
-// newBudgeted returns the store of a balancer as balancerd makes it from its settings.
-func newBudgeted(s settings.ObjectAPI) objectapi.Store {
-	client := objectapi.NewClient(s.URL, objectapi.Options{CallTimeout: s.Timeout.Duration()})
-	return objectapi.NewBudgeted(client, objectapi.BudgetConfig{Rate: s.CallsPerSecond, Burst: s.Burst})
-}
--- a/internal/lab/control/gate.go
+++ b/internal/lab/control/gate.go
@@ -10,10 +10,9 @@
 	"github.com/auburnwood/auburnwood/pkg/resource"
 )
 
-// gate is a balancer's way to the store. It can hold the calls for a time, after which they go through late, and it
+// gate is on a balancer's ways to the store. It can hold the calls for a time, after which they go through late, and it
 // ends with the balancer's death.
 type gate struct {
-	objectapi.Store
 	// unfenced makes the writes of the head unconditional.
 	unfenced bool
 	dead     atomic.Bool
@@ -76,8 +75,17 @@
 	return ctx, nil
 }
 
+// through returns a store whose calls pass the gate.
+func (g *gate) through(s objectapi.Store) objectapi.Store { return gated{Store: s, gate: g} }
+
+// gated is one way to the store.
+type gated struct {
+	objectapi.Store
+	*gate
+}
+
 // Get implements objectapi.Store, as the methods that follow.
-func (g *gate) Get(ctx context.Context, k objectapi.Kind, name string) (objectapi.Object, error) {
+func (g gated) Get(ctx context.Context, k objectapi.Kind, name string) (objectapi.Object, error) {
 	ctx, err := g.pass(ctx, k, false)
 	if err != nil {
 		return objectapi.Object{}, err
@@ -85,7 +93,7 @@
 	return g.Store.Get(ctx, k, name)
 }
 
-func (g *gate) List(ctx context.Context, k objectapi.Kind) ([]objectapi.Object, uint64, error) {
+func (g gated) List(ctx context.Context, k objectapi.Kind) ([]objectapi.Object, uint64, error) {
 	ctx, err := g.pass(ctx, k, false)
 	if err != nil {
 		return nil, 0, err
@@ -93,14 +101,14 @@
 	return g.Store.List(ctx, k)
 }
 
-func (g *gate) Watch(ctx context.Context, k objectapi.Kind, from uint64) ([]objectapi.Event, uint64, error) {
+func (g gated) Watch(ctx context.Context, k objectapi.Kind, from uint64) ([]objectapi.Event, uint64, error) {
 	if _, err := g.pass(ctx, k, false); err != nil {
 		return nil, 0, err
 	}
 	return g.Store.Watch(ctx, k, from)
 }
 
-func (g *gate) Create(ctx context.Context, k objectapi.Kind, name string, value []byte) (objectapi.Object, error) {
+func (g gated) Create(ctx context.Context, k objectapi.Kind, name string, value []byte) (objectapi.Object, error) {
 	ctx, err := g.pass(ctx, k, true)
 	if err != nil {
 		return objectapi.Object{}, err
@@ -108,7 +116,7 @@
 	return g.Store.Create(ctx, k, name, value)
 }
 
-func (g *gate) Update(ctx context.Context, o objectapi.Object) (objectapi.Object, error) {
+func (g gated) Update(ctx context.Context, o objectapi.Object) (objectapi.Object, error) {
 	ctx, err := g.pass(ctx, o.Kind, true)
 	if err != nil {
 		return objectapi.Object{}, err
@@ -121,7 +129,7 @@
 	return g.Store.Update(ctx, o)
 }
 
-func (g *gate) Delete(ctx context.Context, k objectapi.Kind, name string, version uint64) error {
+func (g gated) Delete(ctx context.Context, k objectapi.Kind, name string, version uint64) error {
 	ctx, err := g.pass(ctx, k, true)
 	if err != nil {
 		return err
--- a/internal/lab/control/judge.go
+++ b/internal/lab/control/judge.go
@@ -17,6 +17,8 @@
 	// byChange are the versions under which a change was stored, and last the last version of each service.
 	byChange map[uint32][]uint64
 	last     map[string]uint64
+	// storedAt is when a version was stored.
+	storedAt map[uint64]time.Time
 	// accepted is the first head that names a version.
 	accepted map[uint64]headWrite
 	result   *Result
@@ -26,10 +28,12 @@
 	j := &judge{
 		t: c.truth, changes: changes, balancers: c.everyBalancer(), outages: outages, result: r,
 		byChange: make(map[uint32][]uint64), last: make(map[string]uint64), accepted: make(map[uint64]headWrite),
+		storedAt: make(map[uint64]time.Time),
 	}
 	for _, s := range j.t.services {
 		j.byChange[s.change] = append(j.byChange[s.change], s.version)
 		j.last[s.service.Name] = s.version
+		j.storedAt[s.version] = s.at
 	}
 	for _, h := range j.t.heads {
 		for _, s := range h.revision.Services {
@@ -90,6 +94,7 @@
 	v := versions[len(versions)-1]
 	if h, ok := j.accepted[v]; ok {
 		j.result.Accepted++
+		j.result.Judged = append(j.result.Judged, h.done.Sub(j.storedAt[v]))
 		if x.kind == changeInvalid {
 			j.broken("change %d of %s is invalid, but revision %d holds it", x.number, x.service.Name, h.head.Revision)
 		}
--- a/internal/lab/control/result.go
+++ b/internal/lab/control/result.go
@@ -26,6 +26,8 @@
 	// InForce are the times from acceptance to the last living balancer, with the store up; WithoutStore those of changes
 	// after whose acceptance the store went down.
 	InForce, WithoutStore []time.Duration
+	// Judged are the times from the store of a change to its acceptance.
+	Judged []time.Duration
 	// Newcomers are the times from the start of a balancer that joined to its first revision.
 	Newcomers []time.Duration
 	// Idle and Busy are what the time without and with changes costs.
--- a/internal/lab/control/run.go
+++ b/internal/lab/control/run.go
@@ -107,6 +107,7 @@
 	line("changes                     accepted %d, rejected %d, superseded %d, conflicts %d, not stored %d",
 		x.Accepted, x.Rejected, x.Superseded, x.Conflicts, x.Failed)
 	line("revisions                   %d; history of %d operations checked", x.Revisions, x.Operations)
+	line("accepted after              %s", times(x.Judged))
 	line("in force, store up          %s", times(x.InForce))
 	line("in force, store down        %s", times(x.WithoutStore))
 	line("newcomers' first revision   %s", times(x.Newcomers))
--- a/pkg/balancerd/daemon.go
+++ b/pkg/balancerd/daemon.go
@@ -20,27 +20,27 @@
 
 // Daemon is one balancer process.
 type Daemon struct {
-	o        Options
-	store    objectapi.Store
-	listener net.Listener
-	adopter  *revision.Adopter
-	node     *peer.Node
-	balancer *balancer.Balancer
-	refusals *refusal.Log
-	holders  holders
-	killed   context.Context
-	kill     context.CancelFunc
-	once     sync.Once
+	o     Options
+	store objectapi.Store
+	// compileStore is the store within the call budget of the compile duty.
+	compileStore objectapi.Store
+	listener     net.Listener
+	adopter      *revision.Adopter
+	node         *peer.Node
+	balancer     *balancer.Balancer
+	refusals     *refusal.Log
+	holders      holders
+	killed       context.Context
+	kill         context.CancelFunc
+	once         sync.Once
 }
 
 // New opens the sockets of a balancer. Run starts it.
 func New(o Options) (*Daemon, error) {
 	o = o.withDefaults()
-	d := &Daemon{o: o, store: o.Store, adopter: revision.NewAdopter(o.Env.Log)}
+	d := &Daemon{o: o, adopter: revision.NewAdopter(o.Env.Log)}
 	d.killed, d.kill = context.WithCancel(context.Background())
-	if d.store == nil {
-		d.store = newStore(o.Settings.ObjectAPI, o.Env.Scope)
-	}
+	d.openStores()
 	d.refusals = d.newRefusals()
 	if err := d.openBalancer(); err != nil {
 		return nil, trace.Wrap(err)
--- a/pkg/balancerd/duties.go
+++ b/pkg/balancerd/duties.go
@@ -14,8 +14,9 @@
 
 // compileDuty competes for the duty that compiles services into revisions.
 func (d *Daemon) compileDuty(ctx context.Context) error {
-	c := revision.Compiler{Store: d.store, Acks: d.node, Adopter: d.adopter, Metrics: d.o.Env.Scope, Log: d.o.Env.Log}
+	c := revision.Compiler{Store: d.compileStore, Acks: d.node, Adopter: d.adopter, Metrics: d.o.Env.Scope, Log: d.o.Env.Log}
 	r := d.leaseRunner(revision.LeaseName, func(membership.Member) bool { return true })
+	r.Store = d.compileStore
 	return r.Run(ctx, c.Duty)
 }
 
--- a/pkg/balancerd/options.go
+++ b/pkg/balancerd/options.go
@@ -19,6 +19,8 @@
 	Env telemetry.Env
 	// Store replaces the object API client made from the settings; nil keeps it. Programs that embed the daemon use it.
 	Store objectapi.Store
+	// WrapStore, when not nil, wraps each client of the object API. Programs that embed the daemon use it to hold calls back.
+	WrapStore func(objectapi.Store) objectapi.Store
 	// WrapView, when not nil, wraps the receiver of views. Programs that embed the daemon use it to hold views back.
 	WrapView func(next func(*view.View)) func(*view.View)
 	// Dial replaces TCP for the connections to other balancers; nil keeps it. Programs that embed the daemon cut peers off
@@ -32,6 +34,9 @@
 	if o.Incarnation == 0 {
 		o.Incarnation = uint64(time.Now().UnixNano())
 	}
+	if o.WrapStore == nil {
+		o.WrapStore = func(s objectapi.Store) objectapi.Store { return s }
+	}
 	if o.WrapView == nil {
 		o.WrapView = func(next func(*view.View)) func(*view.View) { return next }
 	}
