--- a/pkg/balancerd/refusals.go
+++ b/pkg/balancerd/refusals.go
@@ -67,17 +67,18 @@
 	return held
 }
 
-// takeMirrored keeps the records that another process hands over. An agent has no way to the store, so the balancer
-// writes an agent's records at once; those of a balancer only when that balancer is dead.
+// takeMirrored keeps the records that another process hands over. An agent does not write to the store, so the balancer
+// writes an agent's records like its own; those of a balancer only when that balancer is dead.
 func (d *Daemon) takeMirrored(id string, b []byte) error {
 	records, err := refusal.DecodeRecords(b)
 	if err != nil {
 		return err
 	}
-	d.refusals.Adopt(id, records)
-	if m, ok := d.node.Table().Get(id); !ok || m.Role != membership.RoleBalancer {
-		d.refusals.PeerDied(id)
+	if m, ok := d.node.Table().Get(id); ok && m.Role == membership.RoleBalancer {
+		d.refusals.Adopt(id, records)
+		return nil
 	}
+	d.refusals.Accept(records)
 	return nil
 }
 
--- a/pkg/peer/session.go
+++ b/pkg/peer/session.go
@@ -21,6 +21,8 @@
 	watchCount = 2
 	// announceCount is the number of balancers that an agent announces a change to.
 	announceCount = 2
+	// mirrorCount is the number of balancers that an agent hands its refusal records to.
+	mirrorCount = 2
 )
 
 // Session is the control side of an agent: it announces the agent, sends heartbeats to its watchers and takes the views
@@ -106,14 +108,24 @@
 	s.self.update(f)
 }
 
-// Mirror hands refusal records to a balancer. It tries the balancers in turn and returns an error when none took them.
+// Mirror hands refusal records to two balancers, so that the death of one loses none, or to one when no other answers. It
+// tries the balancers in turn and returns an error when none took them; readers leave out what was taken twice.
 func (s *Session) Mirror(ctx context.Context, records []byte) error {
 	request := &peerpb.MirrorRefusalsRequest{Id: s.cfg.Self.ID, Records: records}
 	err := error(trace.NotFound("no balancer is known"))
+	taken := 0
 	for _, addr := range s.addrs() {
-		if err = mirrorTo(ctx, s.dialer, addr, request); err == nil {
-			return nil
+		if taken == mirrorCount {
+			break
+		}
+		if e := mirrorTo(ctx, s.dialer, addr, request); e != nil {
+			err = e
+			continue
 		}
+		taken++
+	}
+	if taken > 0 {
+		return nil
 	}
 	return trace.Wrap(err, "mirror refusal records")
 }
