Check histories of tickets and claims with porcupine

Cause: at-most-once was only checked by counts. Change: histories of the ticket book, and of two agents with shed, lost, dropped and cut work, store faults and the end of one agent; broken variants (runs a ticket twice, says no before it is final) are caught.

--- a/pkg/request/flight.go
+++ b/pkg/request/flight.go
@@ -32,7 +32,7 @@
 func newFlights() *flights { return &flights{open: make(map[uint64]*flight)} }
 
 // spend submits a ticket. It returns the flight of the submission that holds the ticket, if any.
-func (f *flights) spend(b *ticket.Book, now time.Time, t ticket.Ticket, fingerprint uint64, own *flight) (ticket.Result, *flight) {
+func (f *flights) spend(b ticketBook, now time.Time, t ticket.Ticket, fingerprint uint64, own *flight) (ticket.Result, *flight) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	res := b.Spend(now, t, fingerprint)
--- /dev/null
+++ b/pkg/request/history_test.go
@@ -0,0 +1,270 @@
+package request
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwood/auburnwood/pkg/refusal"
+	"github.com/auburnwood/auburnwood/pkg/ticket"
+)
+
+// event is what happened to one piece of work: the target began it, or a caller was told its fate. attempt counts the
+// submissions of a key; those of a ticket all have 1.
+type event struct {
+	work    string
+	kind    string
+	attempt int
+}
+
+// Kinds of events.
+const (
+	eventBegan   = "began"
+	eventNo      = "told no"
+	eventRan     = "told ran"
+	eventUnknown = "told unknown"
+)
+
+// fate is the state of one piece of work in the model.
+type fate struct {
+	runs   int
+	denied int
+}
+
+// promise is the model: work begins at most once, and never for a submission up to one whose caller was told that
+// nothing ran; a caller is told that work ran only when it did.
+var promise = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		parts := make(map[string][]porcupine.Operation)
+		for _, op := range history {
+			k := op.Input.(event).work
+			parts[k] = append(parts[k], op)
+		}
+		var list [][]porcupine.Operation
+		for _, p := range parts {
+			list = append(list, p)
+		}
+		return list
+	},
+	Init: func() any { return fate{} },
+	Step: func(state, input, _ any) (bool, any) {
+		f, e := state.(fate), input.(event)
+		switch e.kind {
+		case eventBegan:
+			return f.runs == 0 && e.attempt > f.denied, fate{runs: 1, denied: f.denied}
+		case eventNo:
+			return f.runs == 0, fate{denied: max(f.denied, e.attempt)}
+		case eventRan:
+			return f.runs == 1, f
+		}
+		return true, f
+	},
+	DescribeOperation: func(input, _ any) string { return fmt.Sprint(input) },
+}
+
+// chronicle collects the history.
+type chronicle struct {
+	mu    sync.Mutex
+	begin time.Time
+	ops   []porcupine.Operation
+	last  int
+}
+
+func (c *chronicle) now() int64 { return time.Since(c.begin).Nanoseconds() }
+
+func (c *chronicle) add(client int, e event, from, to int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ops = append(c.ops, porcupine.Operation{ClientId: client, Input: e, Call: from, Return: to})
+}
+
+// ServeHTTP is the target: it sheds some work, loses some answers and is slow at times.
+func (c *chronicle) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	dice := rand.IntN(20)
+	if dice < 5 {
+		w.Header().Set("Retry-After", "0")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	from := c.now()
+	c.mu.Lock()
+	c.last++
+	client := 1000 + c.last
+	c.mu.Unlock()
+	attempt, err := strconv.Atoi(r.Header.Get("X-Attempt"))
+	if err != nil {
+		panic(err) // the test's own header
+	}
+	c.add(client, event{r.Header.Get("X-Work"), eventBegan, attempt}, from, c.now())
+	time.Sleep(time.Duration(dice) * 100 * time.Microsecond)
+	if dice == 5 {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, "done")
+}
+
+// submit sends work once, drops some submissions, and notes what the caller was told. It returns true when the work ran.
+func (c *chronicle) submit(client int, url, work string, header, value string, attempt int) bool {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if rand.IntN(6) == 0 {
+		time.AfterFunc(time.Duration(rand.IntN(2000))*time.Microsecond, cancel)
+	}
+	req, err := http.NewRequestWithContext(ctx, "POST", url, strings.NewReader("order"))
+	if err != nil {
+		panic(err) // the test's own URL
+	}
+	req.Header.Set(header, value)
+	req.Header.Set("X-Work", work)
+	req.Header.Set(HeaderAttempt, strconv.Itoa(attempt))
+	req.Header.Set("X-Attempt", strconv.Itoa(attempt))
+	NoReplay(req)
+	from := c.now()
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, res.Body)
+	_ = res.Body.Close()
+	kind := eventUnknown
+	switch {
+	case err == nil && (res.StatusCode == 200 || res.Header.Get(HeaderRun) == string(RunYes)):
+		kind = eventRan
+	case res.Header.Get(HeaderRun) == string(refusal.RunNo):
+		kind = eventNo
+	}
+	c.add(client, event{work, kind, attempt}, from, c.now())
+	return kind == eventRan
+}
+
+// doubleBook runs a ticket for every submission.
+type doubleBook struct{ ticketBook }
+
+func (b doubleBook) Spend(now time.Time, t ticket.Ticket, f uint64) ticket.Result {
+	res := b.ticketBook.Spend(now, t, f)
+	res.Won = true
+	return res
+}
+
+func (b doubleBook) Start(t ticket.Ticket) bool {
+	b.ticketBook.Start(t)
+	return true
+}
+
+// hastyBook lets a refused ticket be submitted again, so that "no" is said before it is final.
+type hastyBook struct {
+	ticketBook
+	mu      sync.Mutex
+	refused map[ticket.Ticket]bool
+}
+
+func (b *hastyBook) Withdraw(now time.Time, t ticket.Ticket) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refused[t] = true
+	return b.ticketBook.Withdraw(now, t)
+}
+
+func (b *hastyBook) Spend(now time.Time, t ticket.Ticket, f uint64) ticket.Result {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	res := b.ticketBook.Spend(now, t, f)
+	if b.refused[t] {
+		delete(b.refused, t)
+		res.Won = true
+	}
+	return res
+}
+
+func (b *hastyBook) Start(t ticket.Ticket) bool {
+	b.ticketBook.Start(t)
+	return true
+}
+
+// history runs concurrent submissions of the same tickets and keys at two agents, one of which dies on the way.
+func history(t *testing.T, wrap func(ticketBook) ticketBook) porcupine.CheckResult {
+	c := &chronicle{begin: time.Now()}
+	faults := make([]storeFault, 400)
+	for i := range faults {
+		faults[i] = []storeFault{faultNone, faultNone, faultDown, faultLostAfter, faultLostBefore}[rand.IntN(5)]
+	}
+	store := newMemoryStore(faults...)
+	a, b := newHistoryMember(t, "agent-a", c, store), newHistoryMember(t, "agent-b", c, store)
+	a.peers.set(b.peer)
+	b.peers.set(a.peer)
+	a.server.book, b.server.book = wrap(a.server.book), wrap(b.server.book)
+	var wg sync.WaitGroup
+	for client := range 8 {
+		wg.Go(func() {
+			for i := range 8 {
+				work := fmt.Sprintf("key-%010d-%010d", client, i)
+				ran := false
+				for attempt := 1; attempt <= 6 && !ran; attempt++ {
+					m := []*member{a, b}[rand.IntN(2)]
+					ran = c.submit(client, m.url, work, HeaderKey, work, attempt)
+				}
+			}
+		})
+	}
+	issued := append(a.server.issue(30), b.server.issue(30)...)
+	for client := range 4 {
+		wg.Go(func() {
+			for _, k := range issued {
+				m := []*member{a, b}[rand.IntN(2)]
+				c.submit(100+client, m.url, k.String(), HeaderTicket, k.String(), 1)
+			}
+		})
+	}
+	time.AfterFunc(100*time.Millisecond, func() { _ = b.server.Close() })
+	wg.Wait()
+	time.Sleep(20 * time.Millisecond) // work whose caller is gone may still begin
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return porcupine.CheckOperationsTimeout(promise, c.ops, 20*time.Second)
+}
+
+func newHistoryMember(t *testing.T, name string, target http.Handler, store *memoryStore) *member {
+	t.Helper()
+	m := &member{peers: &testPeers{}}
+	m.server, m.url = newTestServer(t, target, func(o *Options) {
+		o.Agent, o.Peers, o.Store, o.Slots, o.ClaimRate = name, m.peers, store, 3, 1e6
+	})
+	m.peer = serveControlOf(t, m.server, name)
+	return m
+}
+
+func TestHistoriesOfTicketsAndClaims(t *testing.T) {
+	tests := []struct {
+		name string
+		wrap func(ticketBook) ticketBook
+		want bool
+	}{
+		{"agent", func(b ticketBook) ticketBook { return b }, true},
+		{"runs a ticket twice", func(b ticketBook) ticketBook { return doubleBook{b} }, false},
+		{"says no before it is final", func(b ticketBook) ticketBook {
+			return &hastyBook{ticketBook: b, refused: make(map[ticket.Ticket]bool)}
+		}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			kept := true
+			for n := 0; n < 10 && kept && (n < 2 || !tt.want); n++ {
+				result := history(t, tt.wrap)
+				require.NotEqual(t, porcupine.Unknown, result)
+				kept = kept && result == porcupine.Ok
+			}
+			require.Equal(t, tt.want, kept)
+		})
+	}
+}
--- a/pkg/request/peer_test.go
+++ b/pkg/request/peer_test.go
@@ -61,11 +61,16 @@
 			change(o)
 		}
 	})
+	m.peer = serveControlOf(t, m.server, name)
+	return m
+}
+
+func serveControlOf(t *testing.T, s *Server, name string) Peer {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	go func() { _ = m.server.ServeControl(l) }()
-	m.peer = Peer{Agent: name, Control: l.Addr().(*net.TCPAddr).AddrPort()}
-	return m
+	go func() { _ = s.ServeControl(l) }()
+	return Peer{Agent: name, Control: l.Addr().(*net.TCPAddr).AddrPort()}
 }
 
 func newPair(t *testing.T) (*member, *member) {
--- a/pkg/request/server.go
+++ b/pkg/request/server.go
@@ -31,7 +31,7 @@
 	peers    *http.Transport
 	limiter  *limit.Limiter
 	budget   *limit.Budget
-	book     *ticket.Book
+	book     ticketBook
 	flights  *flights
 	answers  answers
 	loads    *peerLoads
