--- a/pkg/ticket/ticket_test.go
+++ b/pkg/ticket/ticket_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -171,3 +172,27 @@
 		}
 	}
 }
+
+// BenchmarkSpentTicket measures the memory of a ticket that was used.
+func BenchmarkSpentTicket(b *testing.B) {
+	const spent = 1 << 16
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		book := newTestBook(1, 0)
+		for range spent {
+			tickets, err := book.Issue(start, 1)
+			if err != nil {
+				b.Fatal(err)
+			}
+			book.Spend(start, tickets[0], 1)
+			book.Start(tickets[0])
+			book.Finish(tickets[0], 200)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/spent, "B/ticket")
+		runtime.KeepAlive(book)
+	}
+}
