--- a/pkg/limit/limiter.go
+++ b/pkg/limit/limiter.go
@@ -53,6 +53,19 @@
 	return waiting
 }
 
+// SetSlots changes the number of slots. It returns the waiting work that starts by it. A target that was used to the
+// full is so at once with the new number; another goes on growing.
+func (l *Limiter) SetSlots(now time.Time, slots int) []*Work {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	full := l.limit == float64(l.o.Slots)
+	l.o.Slots = max(slots, 1)
+	if full || l.limit > float64(l.o.Slots) {
+		l.limit = float64(l.o.Slots)
+	}
+	return l.startReady(now)
+}
+
 // Admit decides about a new request.
 func (l *Limiter) Admit(now time.Time, w *Work) Decision {
 	l.mu.Lock()
--- a/pkg/limit/limiter_test.go
+++ b/pkg/limit/limiter_test.go
@@ -148,6 +148,19 @@
 	}
 }
 
+func TestSlotsChangeWhileWorkWaits(t *testing.T) {
+	l := newTestLimiter(1)
+	first, second := work("a", time.Hour), work("a", time.Hour)
+	l.Admit(start, first)
+	l.Admit(start, second)
+	require.Equal(t, []*Work{second}, l.SetSlots(start, 2))
+	require.Empty(t, l.SetSlots(start, 1))
+	third := work("a", time.Hour)
+	require.Equal(t, VerdictWait, l.Admit(start, third).Verdict)
+	require.Empty(t, l.Done(start, first, Outcome{Result: ResultIgnored}))
+	require.Equal(t, []*Work{third}, l.Done(start, second, Outcome{Result: ResultIgnored}))
+}
+
 func TestCloseReturnsTheWaiting(t *testing.T) {
 	l := newTestLimiter(1)
 	running, waiting := work("a", time.Hour), work("b", time.Hour)
--- a/pkg/request/claim_test.go
+++ b/pkg/request/claim_test.go
@@ -1,7 +1,9 @@
 package request
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -85,3 +87,20 @@
 	require.Equal(t, string(refusal.ReasonClaimStore), res.Header.Get(HeaderReason))
 	require.EqualValues(t, 1, store.version)
 }
+
+func TestSweepDeletesOnlyOldClaims(t *testing.T) {
+	target := newScriptedTarget(t, answerOK)
+	store := newMemoryStore()
+	_, url := newFaultServer(t, target.addr(), func(o *Options) { o.Store = store })
+	for _, end := range []string{"a", "b", "c"} {
+		call(t, "POST", url, "order", HeaderKey, testKey+end)
+	}
+	now := time.Now()
+	n, err := SweepClaims(context.Background(), store, now, time.Hour, 10)
+	require.NoError(t, err)
+	require.Zero(t, n)
+	n, err = SweepClaims(context.Background(), store, now.Add(2*time.Hour), time.Hour, 2)
+	require.NoError(t, err)
+	require.Equal(t, 2, n)
+	require.Len(t, store.objects, 1)
+}
--- a/pkg/request/serve_caller.go
+++ b/pkg/request/serve_caller.go
@@ -58,7 +58,7 @@
 func (s *Server) deadline(r *http.Request) (time.Time, error) {
 	text := r.Header.Get(HeaderTimeout)
 	if text == "" {
-		return s.o.Now().Add(s.o.Deadline), nil
+		return s.o.Now().Add(time.Duration(s.patience.Load())), nil
 	}
 	ms, err := strconv.ParseUint(text, 10, 31)
 	if err != nil {
--- a/pkg/request/server.go
+++ b/pkg/request/server.go
@@ -40,6 +40,7 @@
 	probing  atomic.Int32
 	active   atomic.Int64
 	draining atomic.Bool
+	patience atomic.Int64
 	life     context.Context
 	end      context.CancelFunc
 }
@@ -63,6 +64,7 @@
 		claims:  newClaims(o),
 		probes:  rate.NewLimiter(probeRate, probeBurst),
 	}
+	s.patience.Store(int64(o.Deadline))
 	s.life, s.end = context.WithCancel(context.Background())
 	s.callers = newHTTPServer(http.HandlerFunc(s.serveCaller))
 	s.control = newHTTPServer(http.HandlerFunc(s.serveControl))
@@ -103,6 +105,12 @@
 // Load returns what the agent observes of its target.
 func (s *Server) Load() limit.Load { return s.limiter.Load(s.o.Now()) }
 
+// SetLimits takes a change of the service's limits: the slots of the target, and the time of a request that names none.
+func (s *Server) SetLimits(slots int, deadline time.Duration) {
+	s.patience.Store(int64(or(deadline, DefaultDeadline)))
+	s.wake(s.limiter.SetSlots(s.o.Now(), or(slots, DefaultSlots)))
+}
+
 // Drain stops new work: waiting requests go to peers or are refused as not run. It returns when everything that had
 // started is answered, or with the error of ctx.
 func (s *Server) Drain(ctx context.Context) error {
--- a/pkg/request/store_test.go
+++ b/pkg/request/store_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
@@ -90,3 +92,19 @@
 	}
 	return m.write(o, f)
 }
+
+func (m *memoryStore) List(context.Context, objectapi.Kind) ([]objectapi.Object, uint64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Collect(maps.Values(m.objects)), m.version, nil
+}
+
+func (m *memoryStore) Delete(_ context.Context, _ objectapi.Kind, name string, version uint64) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.objects[name].Version != version {
+		return objectapi.ErrConflict
+	}
+	delete(m.objects, name)
+	return nil
+}
