Let the next agent of a row stand in for a first agent whose host refuses datagrams

Cause: after a VM of a target was killed, opening packets of its rows went to the dead agent until the views dropped it; callers repeat them after 1 and 3 s only. Ruled out: the fabric (its detection is 1 s), the balancers (alive). Change: a balancer leaves agents whose host refused a datagram out of the front of rows for 2 s. A closed port is proof that the agent does not run, so no second arbiter can arise from it.

--- a/pkg/balancer/suspects.go
+++ b/pkg/balancer/suspects.go
@@ -4,10 +4,13 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/wire"
 )
 
-// suspectTime is how long an agent that refused a datagram is not used from the cache.
-const suspectTime = time.Second
+// suspectTime is how long an agent whose host refused a datagram gets no packets. It is longer than the first wait of a
+// caller's TCP, so that a repeated opening packet does not meet the dead agent again.
+const suspectTime = 2 * time.Second
 
 // suspects remembers the agents whose hosts refused a datagram of late.
 type suspects struct {
@@ -49,3 +52,15 @@
 	defer s.mu.Unlock()
 	return now.Before(s.until[k])
 }
+
+// skip returns a row without its leading marked agents, so that the next agent of the row stands in for a dead first one
+// before the views say so. The last agent is kept in any case.
+func (s *suspects) skip(row []byte, now time.Time) []byte {
+	if now.UnixNano() >= s.latest.Load() {
+		return row
+	}
+	for wire.RowLen(row) > 1 && s.has(agentKey(row[:wire.AddrSize]), now) {
+		row = row[wire.AddrSize:]
+	}
+	return row
+}
--- a/pkg/balancer/worker.go
+++ b/pkg/balancer/worker.go
@@ -17,8 +17,9 @@
 	b   *Balancer
 	in  []byte
 	out []byte
-	row []byte
-	msg wire.Datagram
+	// ranked is the row of the view, and row the part of it that is used.
+	ranked, row []byte
+	msg         wire.Datagram
 }
 
 func newWorker(b *Balancer) *worker {
@@ -71,7 +72,8 @@
 		return w.refuse(in, info, refusal.ReasonUnknownAddress, "", t.revision, now)
 	}
 	hash := info.Key.Hash()
-	w.row = r.rows.AppendRow(w.row[:0], hash)
+	w.ranked = r.rows.AppendRow(w.ranked[:0], hash)
+	w.row = w.b.suspects.skip(w.ranked, now)
 	first, ok := wire.RowAddr(w.row, 0)
 	if !ok {
 		return w.refuse(in, info, refusal.ReasonNoTarget, r.service.Name, r.service.Revision, now)
