--- a/internal/lab/flows/run.go
+++ b/internal/lab/flows/run.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,12 +15,15 @@
 
 	"github.com/auburnwood/auburnwood/internal/standin/fabric"
 	"github.com/auburnwood/auburnwood/internal/standin/target"
+	"github.com/auburnwood/auburnwood/pkg/refusal"
 )
 
 const (
 	leastConnections = 50
 	// settleTime is the longest time that faults may take after the last flow has ended.
 	settleTime = 10 * time.Second
+	// recordPoll is the time between two looks for missing refusal records.
+	recordPoll = 500 * time.Millisecond
 )
 
 // run is one run in progress.
@@ -190,9 +194,36 @@
 	waitAtMost(&s.done, settleTime)
 	stop()
 	s.done.Wait()
+	r.awaitRecords(ctx)
 	return r.judge(balances, times, counts), trace.Wrap(ctx.Err())
 }
 
+// awaitRecords gives the records of flows whose target was killed some time: a caller that hears nothing more closes its
+// connection in the end, and only that packet is refused.
+func (r *run) awaitRecords(ctx context.Context) {
+	end := time.Now().Add(settleTime)
+	for time.Now().Before(end) {
+		records := indexRecords(r.cluster.Refusals())
+		if !slices.ContainsFunc(r.outcomes, func(o outcome) bool { return r.lacksRecord(&o, records) }) {
+			return
+		}
+		if pause(ctx, recordPoll) != nil {
+			return
+		}
+	}
+}
+
+func (r *run) lacksRecord(o *outcome, records map[netip.AddrPort]refusal.Record) bool {
+	if o.verdict != verdictBroken {
+		return false
+	}
+	if _, killed := r.events.killedTargets[o.target]; !killed {
+		return false
+	}
+	_, recorded := records[o.plan.local]
+	return !recorded
+}
+
 // client runs one flow at its time.
 func (r *run) client(ctx context.Context, p *plan) {
 	if pause(ctx, p.start) != nil {
