--- a/internal/lab/command/control.go
+++ b/internal/lab/command/control.go
@@ -8,9 +8,13 @@
 	Changes   int    `long:"changes" default:"200" description:"Changes that operators make"`
 	Faults    string `long:"faults" default:"none" description:"Faults, separated by commas; all and none are short forms"`
 	Seed      uint64 `long:"seed" default:"1" description:"Makes the choices repeatable"`
+	Sweep     bool   `long:"sweep" description:"Measure several sizes without faults and print the slopes instead"`
 }
 
 func (c *controlCommand) run(e env) error {
+	if c.Sweep {
+		return control.Sweep(e.ctx, e.out)
+	}
 	faults, err := control.ParseFaults(c.Faults)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/lab/control/measure.go
@@ -0,0 +1,94 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Size is the size of one measured installation.
+type Size struct {
+	// Balancers and Targets are the numbers of daemons.
+	Balancers, Targets int
+	// ChangeRate is the number of changes a second; 0 measures without changes only.
+	ChangeRate float64
+}
+
+// Point is what an installation of a size costs, without faults.
+type Point struct {
+	Size
+	// Idle are the rates without changes, Busy those with ChangeRate changes a second.
+	Idle, Busy Rates
+	// Heap is the growth of live memory from before the start, in bytes, of all daemons together: balancers with small
+	// flow caches, control sessions without a packet path, the store stand-in and what the run remembers.
+	Heap uint64
+	// Accepted is the 99th percentile of the time from store to acceptance, InForce that from acceptance to the last
+	// balancer; 0 without changes.
+	Accepted, InForce time.Duration
+	// Revisions is the number of revisions a second with changes.
+	Revisions float64
+}
+
+const (
+	// measureTime is the time of the measurement with changes, and idleTime without.
+	measureTime = 10 * time.Second
+	idleTime    = 8 * time.Second
+	// calmTime is what an installation gets to become calm after its start: the byte budget saves up for ten seconds.
+	calmTime = 6 * time.Second
+	// measureSeed makes the changes repeatable.
+	measureSeed = 1
+)
+
+// Measure runs an installation of each size, one after the other, and returns what it cost. The processor time of a
+// point is that of the whole process, with the store stand-in and the operators, so nothing else may run in it.
+func Measure(ctx context.Context, sizes ...Size) ([]Point, error) {
+	points := make([]Point, 0, len(sizes))
+	for _, s := range sizes {
+		p, err := measure(ctx, s)
+		if err != nil {
+			return points, trace.Wrap(err, "%d balancers, %d targets", s.Balancers, s.Targets)
+		}
+		points = append(points, p)
+	}
+	return points, nil
+}
+
+func measure(ctx context.Context, s Size) (Point, error) {
+	p := Point{Size: s}
+	before := heap()
+	o := Options{Balancers: s.Balancers, Targets: s.Targets, Seed: measureSeed, ChangeRate: max(s.ChangeRate, 1)}.withDefaults()
+	c, err := startCluster(ctx, o)
+	if err != nil {
+		return p, trace.Wrap(err)
+	}
+	defer c.close()
+	wait(ctx, calmTime)
+	daemons := s.Balancers + s.Targets
+	begin := c.usage()
+	wait(ctx, idleTime)
+	idle := c.usage()
+	p.Idle = ratesBetween(begin, idle, daemons, s.Targets)
+	p.Heap = heap() - min(before, heap())
+	if s.ChangeRate == 0 {
+		return p, trace.Wrap(ctx.Err())
+	}
+	operators := newOperators(c, measureSeed)
+	idle = c.usage()
+	head := c.truth.head()
+	operators.run(ctx, int(s.ChangeRate*measureTime.Seconds()), measureTime)
+	p.Busy = ratesBetween(idle, c.usage(), daemons, s.Targets)
+	p.Revisions = float64(c.truth.head()-head) / measureTime.Seconds()
+	if err := c.await(settleTime, func() bool { return c.unadopted() == "" && c.unjudged() == "" }); err != nil {
+		return p, trace.Wrap(err, "changes are not in force")
+	}
+	var r Result
+	c.truth.mu.Lock()
+	newJudge(c, operators.changes, nil, &r).run()
+	c.truth.mu.Unlock()
+	p.Accepted, p.InForce = percentile(r.Judged, 0.99), percentile(r.InForce, 0.99)
+	if len(r.Broken) > 0 {
+		return p, trace.Errorf("%s", r.Broken[0])
+	}
+	return p, nil
+}
