--- a/pkg/agent/agent_test.go
+++ b/pkg/agent/agent_test.go
@@ -254,3 +254,30 @@
 		eventually(t, func() bool { return l.agents[0].OpenFlows() == 0 }, "flow ends")
 	}
 }
+
+// TestDrainingAgentTakesNoNewFlow opens flows while one of two agents drains; the old flow of that agent goes on.
+func TestDrainingAgentTakesNoNewFlow(t *testing.T) {
+	one, two := listenTCP(t, echo), listenTCP(t, echo)
+	spec := streams()
+	spec.Preference = resource.PreferBalance
+	l := newLab(t, spec, one.Addr(), two.Addr())
+	first, second := l.mustDial(serviceIP), l.mustDial(serviceIP)
+	exchange(t, first)
+	exchange(t, second)
+	leaving := l.owner(first)
+	drained := make(chan struct{})
+	go func() {
+		leaving.Drain(context.Background())
+		close(drained)
+	}()
+	eventually(t, func() bool { return leaving.draining.Load() }, "drain begins")
+	for range 8 {
+		conn := l.mustDial(serviceIP)
+		exchange(t, conn)
+		require.NotEqual(t, leaving, l.owner(conn))
+	}
+	exchange(t, first)
+	require.NoError(t, first.Close())
+	<-drained
+	require.Empty(t, l.records.reasons())
+}
--- a/pkg/agent/worker_test.go
+++ b/pkg/agent/worker_test.go
@@ -360,8 +360,10 @@
 	from := b.peerAddr()
 	b.w.handle(encode(t, b.envelope(syn)), from, now)
 	require.Equal(t, 1, b.OpenFlows())
-	b.arbiter = k
 	later := encode(t, b.envelope(established(syn)))
+	require.Zero(t, testing.AllocsPerRun(200, func() { b.w.handle(later, from, now) }), "with the real arbiter")
+	require.Positive(t, b.count("agent.decisions", ""), "nothing was decided")
+	b.arbiter = k
 	for _, d := range []arbiter.Decision{
 		{Action: arbiter.ActionDeliver},
 		{Action: arbiter.ActionForward, To: from},
