Bound the records of an exchange by what the caller asks for; let a newcomer take all

Cause: an answer held up to 256 KB of records also in an ordinary exchange, and a newcomer took what was left over in ordinary rounds. Change: the caller states its bound, large answers are compressed, and a newcomer asks until nothing differs.

--- a/pkg/peer/bytes_bench_test.go
+++ b/pkg/peer/bytes_bench_test.go
@@ -47,8 +47,6 @@
 		eventually(b, "all active", func() bool { return n.countActive() == balancers+agents })
 	}
 	time.Sleep(2 * time.Second)
-	b.ReportMetric(float64(liveHeap())/float64(balancers+agents), "B-heap/process")
-	b.ReportMetric(float64(runtime.NumGoroutine())/float64(balancers+agents), "goroutines/process")
 	for b.Loop() {
 		before := sumBytes(scopes[:balancers])
 		beforeAgents := sumBytes(scopes[balancers:])
@@ -62,6 +60,8 @@
 		b.ReportMetric((sumBytes(scopes[:balancers])-before)/seconds/float64(balancers), "B/s/balancer")
 		b.ReportMetric((processorTime(b)-cpu).Seconds()/seconds/float64(balancers+agents)*100, "%core/process")
 		b.ReportMetric((sumBytes(scopes[balancers:])-beforeAgents)/seconds/float64(max(agents, 1)), "B/s/agent")
+		b.ReportMetric(float64(liveHeap())/float64(balancers+agents), "B-heap/process")
+		b.ReportMetric(float64(runtime.NumGoroutine())/float64(balancers+agents), "goroutines/process")
 	}
 }
 
@@ -119,6 +119,25 @@
 	})
 }
 
+// BenchmarkJoin measures what a newcomer takes from a peer that knows the largest fleet. Run it with -benchtime 1x.
+func BenchmarkJoin(b *testing.B) {
+	for b.Loop() {
+		known := startNode(b, "known", func(c *NodeConfig) { c.BytesPerSecond = 0 })
+		for _, m := range fleetMembers(fleetBalancers, fleetAgents) {
+			m.ControlAddr = ""
+			known.table.Merge(m, time.Now())
+		}
+		scope := tally.NewTestScope("", nil)
+		begin := time.Now()
+		late := startNode(b, "late", func(c *NodeConfig) {
+			c.Seeds, c.BytesPerSecond, c.Metrics = addrsOf([]*testNode{known}), 0, scope
+		})
+		eventually(b, "all known", func() bool { return len(late.table.Members()) == fleetBalancers+fleetAgents+2 })
+		b.ReportMetric(time.Since(begin).Seconds(), "s")
+		b.ReportMetric(controlBytes(scope), "B")
+	}
+}
+
 // BenchmarkTableMemory measures what a table of the largest fleet takes.
 func BenchmarkTableMemory(b *testing.B) {
 	members := fleetMembers(fleetBalancers, fleetAgents)
--- a/pkg/peer/control.go
+++ b/pkg/peer/control.go
@@ -4,8 +4,11 @@
 	"context"
 	"time"
 
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/encoding/gzip"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/auburnwood/auburnwood/pkg/membership"
 	"github.com/auburnwood/auburnwood/pkg/peer/peerpb"
@@ -84,7 +87,7 @@
 }
 
 // Exchange implements peerpb.ControlServer.
-func (c *control) Exchange(_ context.Context, r *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+func (c *control) Exchange(ctx context.Context, r *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
 	n := c.node
 	n.merge(r.GetMembers())
 	mergeVerdicts(n.table, r.GetVerdicts(), n.cfg.Now())
@@ -92,9 +95,13 @@
 	c.learnRevision(r)
 	reply := &peerpb.ExchangeReply{Revision: n.cfg.Adopter.Number()}
 	if len(r.GetSummaries()) > 0 {
-		members, want := n.table.Delta(summariesFromProto(r.GetSummaries()), maxJoinBytes)
+		limit := min(max(int(r.GetMaxBytes()), maxCompareBytes), maxJoinBytes)
+		members, want := n.table.Delta(summariesFromProto(r.GetSummaries()), limit)
 		reply.Members, reply.Want = membersToProto(members), want
 	}
+	if proto.Size(reply) > compressAbove {
+		_ = grpc.SetSendCompressor(ctx, gzip.Name)
+	}
 	if r.GetPush() {
 		return reply, nil
 	}
--- a/pkg/peer/limits.go
+++ b/pkg/peer/limits.go
@@ -49,6 +49,8 @@
 	maxCompareBytes = 8 << 10
 	// maxJoinBytes bounds the records that a newcomer takes in one call.
 	maxJoinBytes = 256 << 10
+	// maxJoinCalls is the number of such calls that a newcomer makes before it goes on within the byte budget.
+	maxJoinCalls = 16
 	// maxMessageBytes bounds a control message.
 	maxMessageBytes = 8 << 20
 	// peersInReply is the number of balancers named in the answer to an announcement.
--- a/pkg/peer/node_exchange.go
+++ b/pkg/peer/node_exchange.go
@@ -46,9 +46,17 @@
 // joinPeers takes the members of the first peer that answers, beyond the byte budget: a newcomer needs them all.
 func (n *Node) joinPeers(ctx context.Context) {
 	for _, p := range append(n.seeds(), n.pick(pushFanOut)...) {
-		if n.exchange(ctx, p, maxJoinBytes) {
-			return
+		if !n.exchange(ctx, p, maxJoinBytes) {
+			continue
 		}
+		for range maxJoinCalls {
+			before := n.table.Version()
+			n.exchange(ctx, p, maxJoinBytes)
+			if n.table.Version() == before {
+				break
+			}
+		}
+		return
 	}
 }
 
@@ -125,6 +133,7 @@
 	n.shuffle(differing)
 	request := n.newExchange()
 	request.Summaries = summariesToProto(n.table.Summaries(differing, maxBytes))
+	request.MaxBytes = uint32(maxBytes)
 	reply, err = n.call(ctx, p, request)
 	if err != nil {
 		return true
