Run request services through the real daemons

Cause: nothing had been sent to a service in request mode through fabric, balancers, agents and target stand-ins together.

--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -122,16 +122,25 @@
 func (c *Cluster) Services() []resource.Service {
 	var out []resource.Service
 	for _, s := range c.cfg.Deployment.Services {
+		limits := c.cfg.Limits
+		limits.Connections = c.cfg.Connections[s.Name]
 		out = append(out, resource.Service{Name: s.Name, Spec: resource.ServiceSpec{
 			Addresses:  []resource.Address{s.Address},
-			Mode:       resource.ModeStream,
+			Mode:       c.mode(),
 			Preference: c.cfg.Deployment.Preference,
-			Limits:     resource.Limits{Connections: c.cfg.Connections[s.Name]},
+			Limits:     limits,
 		}})
 	}
 	return out
 }
 
+func (c *Cluster) mode() resource.Mode {
+	if c.cfg.Mode == "" {
+		return resource.ModeStream
+	}
+	return c.cfg.Mode
+}
+
 // Store returns the stand-in, for faults and counts.
 func (c *Cluster) Store() *store.Store { return c.store }
 
--- a/internal/lab/cluster/target.go
+++ b/internal/lab/cluster/target.go
@@ -12,6 +12,7 @@
 	"github.com/auburnwood/auburnwood/internal/lab/flows"
 	standin "github.com/auburnwood/auburnwood/internal/standin/target"
 	"github.com/auburnwood/auburnwood/pkg/agentd"
+	"github.com/auburnwood/auburnwood/pkg/resource"
 	"github.com/auburnwood/auburnwood/pkg/settings"
 	"github.com/auburnwood/auburnwood/pkg/view"
 )
@@ -43,7 +44,7 @@
 	if c.cfg.Target != nil {
 		c.cfg.Target(&cfg)
 	}
-	st, err := standin.Start(cfg, nil)
+	st, err := standin.Start(cfg, c.cfg.Journal)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -74,6 +75,11 @@
 	s.FabricAddress = c.cfg.Fabric.Addr().String()
 	s.TargetAddress = st.Addr().String()
 	s.Balancers = c.controlAddrs()
+	if c.mode() == resource.ModeRequest {
+		s.ControlAddress = loopback
+		s.ObjectAPI.URL = c.apiURL
+		s.ObjectAPI.CallsPerSecond = callRate
+	}
 	d, err := agentd.New(agentd.Options{Settings: s, Env: c.env(s.Process), WrapView: wrapView[*view.Service](c.delay, nil)})
 	if err != nil {
 		return nil, trace.Wrap(err)
--- a/internal/lab/flows/cluster.go
+++ b/internal/lab/flows/cluster.go
@@ -29,6 +29,13 @@
 	Uneven time.Duration
 	// Target changes the settings of a target stand-in before it starts; may be nil.
 	Target func(c *target.Config)
+	// Mode is the mode of every service; empty means resource.ModeStream. In request mode the agents listen for each
+	// other, and keep claims in the object API.
+	Mode resource.Mode
+	// Limits are the limits of every service; the number of connections is taken from Connections.
+	Limits resource.Limits
+	// Journal takes what the target stand-ins run; nil gives each its own.
+	Journal *target.Journal
 	// Log takes the log lines of balancers and agents.
 	Log zerolog.Logger
 }
--- a/pkg/agentd/status.go
+++ b/pkg/agentd/status.go
@@ -1,5 +1,7 @@
 package agentd
 
+import "github.com/auburnwood/auburnwood/pkg/limit"
+
 // Status describes an agent for its status listener.
 type Status struct {
 	// State is the target's state in the membership; "unannounced" before the target's announcement.
@@ -12,6 +14,15 @@
 	RefusalsHeld int `json:"refusalsHeld"`
 }
 
+// Load returns what the agent observes of its target's requests; zero unless the service is in request mode.
+func (d *Daemon) Load() limit.Load {
+	s := d.requests.current()
+	if s == nil {
+		return limit.Load{}
+	}
+	return s.Load()
+}
+
 const stateUnannounced = "unannounced"
 
 func (d *Daemon) state() string {
