Keep UDP flows with their owner through changes; announce moved flows again

Cause: histories with UDP flows, whose every packet may open, gave second owners after a lost message and after several changes within the window. Change: an opening without an answer stays a redirect to the agent that was asked; moved flows are announced again after half the window and after it; where an earlier first agent is gone the rest of the row is asked; an offer moves on only when the agent is silent for 1.5 s; 1 % slack on the bound.

--- a/pkg/arbiter/arbiter.go
+++ b/pkg/arbiter/arbiter.go
@@ -25,6 +25,8 @@
 	// mu guards what follows; it is taken by SetService and Tick only.
 	mu       sync.Mutex
 	announce []Message
+	// repeat are the times at which moved flows are announced again.
+	repeat   []time.Time
 	sweepAt  int
 	mateAt   int
 	loadSent time.Time
--- a/pkg/arbiter/choice.go
+++ b/pkg/arbiter/choice.go
@@ -18,6 +18,8 @@
 	maxBeyond = 8
 	// keepShare is how far, as a part of the mean, the load of the first agent may lie above the mean of the row before a service that prefers flows hands a flow over.
 	keepShare = 0.02
+	// boundSlack is how far, as a part of the bound, an offered agent may lie above it; it saves offers that are declined for a flow or two.
+	boundSlack = 0.01
 	// leastRamp is the lowest part of its weight that a target has at the start of its slow start.
 	leastRamp = 0.02
 )
@@ -168,7 +170,7 @@
 
 // bound is the load at which best is as loaded as the second best is believed to be, at least the load that best is believed to have.
 func bound(best *candidate, second float64) uint32 {
-	limit := second*best.weight - 1
+	limit := second*best.weight*(1+boundSlack) - 1
 	if limit >= declinedLimit {
 		return declinedLimit
 	}
--- a/pkg/arbiter/entry.go
+++ b/pkg/arbiter/entry.go
@@ -77,4 +77,6 @@
 	beyond uint8
 	// full is set when an agent declined for lack of room.
 	full bool
+	// draining is set when an agent declined because it drains.
+	draining bool
 }
--- a/pkg/arbiter/members.go
+++ b/pkg/arbiter/members.go
@@ -9,7 +9,7 @@
 )
 
 // maxPast is the number of earlier tables that are kept while views are uneven.
-const maxPast = 4
+const maxPast = 8
 
 // past is a table that was in force until a time.
 type past struct {
--- a/pkg/arbiter/offer.go
+++ b/pkg/arbiter/offer.go
@@ -98,6 +98,7 @@
 		return c.place(p)
 	}
 	p.full = p.full || c.in.Bound == declinedFull
+	p.draining = p.draining || c.in.Bound == declinedDraining
 	return c.excludeAndPlace(p, c.position(q.addr))
 }
 
--- a/pkg/arbiter/open.go
+++ b/pkg/arbiter/open.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/refusal"
@@ -23,51 +24,58 @@
 
 // askFrom asks the next other possible arbiter, or places the flow when all have been asked.
 func (c *call) askFrom(p pending) Decision {
-	arbiters, n := c.otherArbiters()
-	if int(p.tries) >= n {
+	arbiters := c.otherArbiters()
+	if int(p.tries) >= arbiters.n {
 		return c.place(pending{})
 	}
-	q := arbiters[p.tries]
+	q := arbiters.list[p.tries]
 	p.tries++
 	c.e = entry{at: c.at, peer: q.id, state: stateAsked}
 	c.s.progress(c.in.Flow, c.e, p)
 	return c.forwardTo(q.addr, false, "another agent may have placed the flow")
 }
 
-// otherArbiters lists the agents that may have arbitrated the flow under another view: the first ones of the tables in force during the window, and the present one if a balancer ranks otherwise.
-func (c *call) otherArbiters() ([maxPast + 1]*peer, int) {
-	var list [maxPast + 1]*peer
-	n := 0
-	add := func(addr netip.AddrPort) {
-		q := c.m.peerAt(addr)
-		if q == nil || q.gone.Load() {
-			return
-		}
-		for _, known := range list[:n] {
-			if known == q {
-				return
-			}
-		}
-		list[n] = q
-		n++
+// arbiterList is a short list of distinct agents.
+type arbiterList struct {
+	list [maxRow + maxPast + 1]*peer
+	n    int
+}
+
+// add adds the live agent at an address.
+func (l *arbiterList) add(m *members, addr netip.AddrPort) {
+	q := m.peerAt(addr)
+	if q == nil || q.gone.Load() || l.n == len(l.list) {
+		return
 	}
-	settled := c.m.settled(c.now, c.a.cfg.Window)
-	if first := c.m.table.FirstAgent(c.in.Flow); first != c.a.cfg.Self {
-		add(first)
+	if !slices.Contains(l.list[:l.n], q) {
+		l.list[l.n] = q
+		l.n++
 	}
-	if settled {
-		return list, n
+}
+
+// otherArbiters lists the agents that may have placed the flow, or know who did: the present first one if a balancer ranks otherwise, and during the window those of earlier tables. Where an earlier first agent is gone or not known, the rest of the row is asked, since it holds the owner.
+func (c *call) otherArbiters() arbiterList {
+	var l arbiterList
+	l.add(c.m, c.m.table.FirstAgent(c.in.Flow))
+	if c.m.settled(c.now, c.a.cfg.Window) {
+		return l
 	}
+	askRow := len(c.m.past) == 0
 	for _, old := range c.m.past {
-		if c.now.Sub(old.until) < c.a.cfg.Window {
-			add(old.table.FirstAgent(c.in.Flow))
+		if c.now.Sub(old.until) >= c.a.cfg.Window {
+			continue
 		}
+		first := old.table.FirstAgent(c.in.Flow)
+		l.add(c.m, first)
+		askRow = askRow || first != c.a.cfg.Self && c.m.peerAt(first) == nil
 	}
-	if next, ok := wire.RowAddr(c.in.Row, 1); ok && len(c.m.past) == 0 {
-		// An agent that has just started does not know earlier tables; without it, the next of the row is first.
-		add(next)
+	if askRow {
+		for i := 1; i < min(wire.RowLen(c.in.Row), maxRow); i++ {
+			addr, _ := wire.RowAddr(c.in.Row, i)
+			l.add(c.m, addr)
+		}
 	}
-	return list, n
+	return l
 }
 
 // yield answers another arbiter that asks about an opening flow which this agent does not know, and leaves the flow to it.
@@ -103,13 +111,27 @@
 	case c.e.state == stateAsked:
 		// Placing the flow without the answer could give it a second owner.
 		return c.forwardTo(q.addr, false, "another agent may have placed the flow")
-	case gone || q.suspect(c.at):
+	case gone, q.silent(c.at) && c.hasOther(q, p):
 		return c.excludeAndPlace(p, c.position(q.addr))
 	}
 	// The receiver answers a repeated offer as it did the first one.
 	return c.offerTo(q, c.e.has(flagFinal), q.estimate())
 }
 
+// hasOther reports whether an agent of the row other than q may take the flow and answers.
+func (c *call) hasOther(q *peer, p pending) bool {
+	if c.m == nil {
+		return false
+	}
+	cs := c.a.candidates(c.now, c.m, &c.in, p)
+	for i := range cs.n {
+		if cs.list[i].peer != q && !cs.list[i].suspect {
+			return true
+		}
+	}
+	return false
+}
+
 // mutual settles two agents that ask each other about one flow: the lower address places it.
 func (c *call) mutual(q *peer, p pending) Decision {
 	if c.in.Final {
@@ -130,6 +152,7 @@
 	cs := c.a.candidates(c.now, c.m, &c.in, p)
 	if cs.n == 0 {
 		p.full = p.full || cs.full > 0
+		p.draining = p.draining || cs.draining > 0
 		return c.placeBeyond(p)
 	}
 	best, limit := cs.pick(c.m.service.Spec.Preference)
@@ -205,14 +228,10 @@
 
 // placeReason says why no agent takes a flow.
 func (c *call) placeReason(p pending) refusal.Reason {
-	if p.full || p.excluded != 0 && !c.a.draining(c.m) {
-		return refusal.ReasonAllFull
-	}
-	active, draining := c.m.counts()
-	if active > 0 && p.beyond > 0 {
+	switch {
+	case p.full:
 		return refusal.ReasonAllFull
-	}
-	if draining > 0 {
+	case p.draining || c.m.draining() > 0:
 		return refusal.ReasonDraining
 	}
 	return refusal.ReasonNoTarget
--- a/pkg/arbiter/packet.go
+++ b/pkg/arbiter/packet.go
@@ -12,7 +12,7 @@
 	// maxHops is the number of agents that a packet may pass; it covers a walk down a row and two redirects.
 	maxHops = 12
 	// maxOpeningHops is the same for an opening packet; it covers the questions and offers, each with its answer.
-	maxOpeningHops = 2 * (maxPast + 1 + maxTries + maxRow + maxBeyond)
+	maxOpeningHops = 2 * (maxPast + 1 + maxRow + maxTries + maxRow + maxBeyond)
 	// maxProbeHops is the number of agents after which an opening packet is not sent along further redirects.
 	maxProbeHops = 8
 	// tellEvery is the least time between two messages about one own flow to a first agent that does not know it.
@@ -177,7 +177,7 @@
 	case c.in.Final:
 		return c.notHere()
 	}
-	return c.drop("flow is not placed yet")
+	return c.forwardTo(c.a.peers.get(c.e.peer).addr, true, "agent that was asked or offered the flow")
 }
 
 // unknown decides about a packet of a flow without a live entry.
--- a/pkg/arbiter/peer.go
+++ b/pkg/arbiter/peer.go
@@ -17,6 +17,8 @@
 	maxUnlisted = 1024
 	// suspectAfter is the time without an answer to an offer after which an agent is offered flows only as a last resort.
 	suspectAfter = 300 * time.Millisecond
+	// silentAfter is the time without any message after which an offer that was not answered is made to another agent. It is longer than several load reports take.
+	silentAfter = 1500 * time.Millisecond
 )
 
 // peer is one incarnation of another agent.
@@ -30,6 +32,8 @@
 	waiting atomic.Int32
 	// since is when waiting rose from 0, or the last sign of life after that.
 	since atomic.Uint32
+	// last is when the agent was last heard.
+	last atomic.Uint32
 	// gone is set when a view drops the agent or shows a newer incarnation.
 	gone atomic.Bool
 	// listed is set once a view has named the agent.
@@ -40,6 +44,7 @@
 func (p *peer) heard(now stamp, load uint32) {
 	p.load.Store(load)
 	p.since.Store(uint32(now))
+	p.last.Store(uint32(now))
 }
 
 // reported notes a periodic load report; offers that were not answered by then are lost or about to be answered.
@@ -69,6 +74,11 @@
 	return p.waiting.Load() > 0 && stamp(p.since.Load()).since(now) > suspectAfter
 }
 
+// silent reports whether the agent is suspect and sent nothing at all for so long that it is likely dead.
+func (p *peer) silent(now stamp) bool {
+	return p.suspect(now) && stamp(p.last.Load()).since(now) > silentAfter
+}
+
 // estimate is the agent's number of open flows as far as it is known here.
 func (p *peer) estimate() uint32 {
 	return p.load.Load() + uint32(max(p.waiting.Load(), 0))
--- a/pkg/arbiter/service.go
+++ b/pkg/arbiter/service.go
@@ -28,6 +28,7 @@
 	a.dropGone(m)
 	if old == nil || old.table != m.table || old.next != m.next {
 		a.announce = append(a.announce, a.movedFlows(old, m)...)
+		a.repeat = []time.Time{now.Add(a.cfg.Window / 2), now.Add(a.cfg.Window + time.Second)}
 	}
 	return a.takeAnnouncements()
 }
@@ -72,6 +73,10 @@
 		}
 		s.mu.Unlock()
 	}
+	return a.movedMessages(moved)
+}
+
+func (a *Arbiter) movedMessages(moved map[destination][]uint64) []Message {
 	var out []Message
 	for d, flows := range moved {
 		out = append(out, batches(a.movedMessage(d), flows)...)
@@ -105,6 +110,48 @@
 	}
 }
 
+// repeatMoved announces moved flows again: datagrams may be lost, and earlier first agents place flows until every process has the new view. a.mu is held.
+func (a *Arbiter) repeatMoved(now time.Time, m *members) {
+	if len(a.repeat) == 0 || now.Before(a.repeat[0]) {
+		return
+	}
+	a.repeat = a.repeat[1:]
+	at := a.stamp(now)
+	moved := make(map[destination][]uint64)
+	a.eachOwn(func(flow uint64, e entry) {
+		p := firstPeer(m, m.table, flow)
+		if p != nil && (m.movedLately(flow) || e.at.since(at) < 2*a.cfg.Window) {
+			d := destination{to: p.id, open: e.has(flagOpen), own: true}
+			moved[d] = append(moved[d], flow)
+		}
+	})
+	a.announce = append(a.announce, a.movedMessages(moved)...)
+}
+
+// eachOwn calls f for each own flow.
+func (a *Arbiter) eachOwn(f func(flow uint64, e entry)) {
+	for i := range a.shards {
+		s := &a.shards[i]
+		s.mu.Lock()
+		for flow, e := range s.flows {
+			if e.state == stateOwn {
+				f(flow, e)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// movedLately reports whether an earlier table has another first agent for the flow.
+func (m *members) movedLately(flow uint64) bool {
+	for _, p := range m.past {
+		if m.table.MovedFrom(p.table, flow) {
+			return true
+		}
+	}
+	return false
+}
+
 // firstPeer returns the peer that is first for the flow, or nil when it is this agent or nobody.
 func firstPeer(m *members, t *placement.Table, flow uint64) *peer {
 	i := t.First(flow)
@@ -147,15 +194,13 @@
 	return live
 }
 
-// counts returns the number of active and draining targets.
-func (m *members) counts() (active, draining int) {
+// draining returns the number of draining targets.
+func (m *members) draining() int {
+	n := 0
 	for _, t := range m.service.Targets {
-		switch t.State {
-		case view.StateActive:
-			active++
-		case view.StateDraining:
-			draining++
+		if t.State == view.StateDraining {
+			n++
 		}
 	}
-	return active, draining
+	return n
 }
--- a/pkg/arbiter/tick.go
+++ b/pkg/arbiter/tick.go
@@ -13,7 +13,7 @@
 	loadPeers = 8
 	// sweepShards is the number of shards that one Tick looks through for expired entries.
 	sweepShards = 8
-	// pendingFor is the time after which an opening without an answer is forgotten.
+	// pendingFor is the time after which an opening without an answer is no longer pursued.
 	pendingFor = 10 * time.Second
 )
 
@@ -25,6 +25,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.repeatMoved(now, m)
 	out := a.takeAnnouncements()
 	out = append(out, a.tickLoad(now, m)...)
 	out = append(out, a.tickLocate(now, m)...)
@@ -59,13 +60,23 @@
 		s.mu.Lock()
 		for flow, e := range s.flows {
 			if limit := a.keep(e); limit > 0 && e.at.since(at) > limit {
-				s.drop(flow)
+				a.expire(at, s, flow, e)
 			}
 		}
 		s.mu.Unlock()
 	}
 }
 
+// expire forgets an entry. An opening without an answer is kept as a redirect to the agent that was asked last: it may have taken the flow and its answer been lost, and it says so if it has not.
+func (a *Arbiter) expire(at stamp, s *shard, flow uint64, e entry) {
+	switch e.state {
+	case stateOffered, stateBeyond, stateAsked:
+		s.set(flow, entry{at: at, peer: e.peer, state: stateRedirect})
+	default:
+		s.drop(flow)
+	}
+}
+
 // keep returns the time for which an entry is kept since its stamp; 0 means for ever.
 func (a *Arbiter) keep(e entry) time.Duration {
 	switch e.state {
