Read and send packets in batches

Cause: with 4 workers the balancer forwarded less than with 1, since the workers took turns at the socket for each packet. Conclusion: kept; more workers than 2 bring nothing here.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -137,20 +137,27 @@
 	}
 }
 
-// send writes a datagram; a refusal by the receiver's host is reported on a later call and handled there.
-func (b *Balancer) send(out []byte, to netip.AddrPort) {
-	_, err := b.conn.WriteToUDPAddrPort(out, to)
-	if err == nil || errors.Is(err, net.ErrClosed) {
-		return
-	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
-		b.metrics.sendErrors.Inc(1)
-		return
-	}
-	// The error belongs to an earlier datagram: this one was not sent and is tried once more.
-	b.drainErrors()
-	if _, err := b.conn.WriteToUDPAddrPort(out, to); err != nil {
-		b.metrics.sendErrors.Inc(1)
+// send sends what is queued. A refusal by an earlier receiver's host is reported in place of a later datagram, which is
+// then tried once more.
+func (b *Balancer) send(q *batch) {
+	rest := q.take()
+	again := true
+	for len(rest) > 0 {
+		n, err := q.conn.WriteBatch(rest, 0)
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case errors.Is(err, syscall.ECONNREFUSED) && again:
+			b.drainErrors()
+			again = false
+		case err != nil:
+			b.metrics.sendErrors.Inc(1)
+			n = max(n, 1)
+			again = true
+		default:
+			again = true
+		}
+		rest = rest[max(n, 0):]
 	}
 }
 
--- /dev/null
+++ b/pkg/balancer/batch.go
@@ -0,0 +1,80 @@
+package balancer
+
+import (
+	"net"
+	"net/netip"
+
+	"golang.org/x/net/ipv4"
+)
+
+// batch holds the datagrams that one system call reads, and those that one system call sends. It works on IPv6 sockets
+// too.
+type batch struct {
+	conn *ipv4.PacketConn
+	in   []ipv4.Message
+	out  []ipv4.Message
+	// buffers and addrs belong to the slots of out.
+	buffers [][]byte
+	addrs   []net.UDPAddr
+	used    int
+}
+
+func newBatch(conn *net.UDPConn) *batch {
+	b := &batch{
+		conn:    ipv4.NewPacketConn(conn),
+		in:      make([]ipv4.Message, batchSize),
+		out:     make([]ipv4.Message, batchSize),
+		buffers: make([][]byte, batchSize),
+		addrs:   make([]net.UDPAddr, batchSize),
+	}
+	for i := range batchSize {
+		b.in[i].Buffers = [][]byte{make([]byte, maxPacketSize)}
+		b.buffers[i] = make([]byte, maxPacketSize+datagramOverhead)
+		b.out[i].Buffers = make([][]byte, 1)
+		b.addrs[i].IP = make(net.IP, 0, net.IPv6len)
+	}
+	return b
+}
+
+// read waits for datagrams and returns how many came.
+func (b *batch) read() (int, error) { return b.conn.ReadBatch(b.in, 0) }
+
+// received returns datagram i and its sender.
+func (b *batch) received(i int) ([]byte, netip.AddrPort) {
+	m := &b.in[i]
+	from, ok := m.Addr.(*net.UDPAddr)
+	if !ok {
+		return nil, netip.AddrPort{}
+	}
+	a := from.AddrPort()
+	return m.Buffers[0][:m.N], netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
+
+// buffer returns the buffer of the next datagram to send.
+func (b *batch) buffer() []byte { return b.buffers[b.used] }
+
+// add queues a datagram; it must stay as it is until the queue was sent.
+func (b *batch) add(out []byte, to netip.AddrPort) {
+	m, addr := &b.out[b.used], &b.addrs[b.used]
+	addr.IP = appendIP(addr.IP[:0], to.Addr())
+	addr.Port = int(to.Port())
+	m.Buffers[0] = out
+	m.Addr = addr
+	b.used++
+}
+
+func appendIP(b net.IP, a netip.Addr) net.IP {
+	if a.Is4() {
+		v := a.As4()
+		return append(b, v[:]...)
+	}
+	v := a.As16()
+	return append(b, v[:]...)
+}
+
+// take returns the queue and empties it.
+func (b *batch) take() []ipv4.Message {
+	out := b.out[:b.used]
+	b.used = 0
+	return out
+}
--- a/pkg/balancer/config.go
+++ b/pkg/balancer/config.go
@@ -20,7 +20,7 @@
 	maxWorkers           = 256
 	maxPacketSize        = 64 << 10
 	datagramOverhead     = 2 << 10
-	readBatch            = 32
+	batchSize            = 32
 	refusalReportPeriod  = time.Second
 	logOpeningAgainAfter = 10 * time.Second
 )
--- a/pkg/balancer/worker.go
+++ b/pkg/balancer/worker.go
@@ -15,7 +15,6 @@
 // worker decides on packets one at a time with buffers that it reuses.
 type worker struct {
 	b   *Balancer
-	in  []byte
 	out []byte
 	// ranked is the row of the view, and row the part of it that is used.
 	ranked, row []byte
@@ -23,13 +22,14 @@
 }
 
 func newWorker(b *Balancer) *worker {
-	return &worker{b: b, in: make([]byte, maxPacketSize), out: make([]byte, maxPacketSize+datagramOverhead)}
+	return &worker{b: b, out: make([]byte, maxPacketSize+datagramOverhead)}
 }
 
-// run reads datagrams until the socket is closed.
+// run reads and sends datagrams in batches until the socket is closed.
 func (w *worker) run() error {
+	q := newBatch(w.b.conn)
 	for {
-		n, from, err := w.b.conn.ReadFromUDPAddrPort(w.in)
+		n, err := q.read()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -38,10 +38,14 @@
 			continue
 		}
 		now := w.b.deps.Now()
-		to, out := w.handle(w.in[:n], from, now)
-		if out != nil {
-			w.b.send(out, to)
+		for i := range n {
+			in, from := q.received(i)
+			w.out = q.buffer()
+			if to, out := w.handle(in, from, now); out != nil {
+				q.add(out, to)
+			}
 		}
+		w.b.send(q)
 	}
 }
 
