Pass HEAD answers without a length; keep secrets of tickets out of records

Cause: a HEAD answer without Content-Length was refused as cut; refusal records held whole tickets, which another caller could have submitted. Both found by reading, each with a test. Change: HEAD needs no length; records name tickets by issuer, incarnation and sequence; the unused Limiter.Refuses goes.

--- a/pkg/limit/limiter.go
+++ b/pkg/limit/limiter.go
@@ -66,6 +66,16 @@
 	return l.startReady(now)
 }
 
+// SetQueue changes the highest number of waiting requests; 0 means DefaultQueue. Requests that wait already stay.
+func (l *Limiter) SetQueue(queue int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.o.Queue = queue
+	if queue == 0 {
+		l.o.Queue = DefaultQueue
+	}
+}
+
 // Admit decides about a new request.
 func (l *Limiter) Admit(now time.Time, w *Work) Decision {
 	l.mu.Lock()
@@ -90,20 +100,6 @@
 	return l.admit(now, w, false)
 }
 
-// Refuses reports the refusal that Admit would give now, without admitting.
-func (l *Limiter) Refuses(now time.Time, w *Work) (Decision, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.queue.size == 0 && l.free(now) && (l.inTime(now, w, 0) || l.trialDue(now)) {
-		return Decision{}, false
-	}
-	reason, ok := l.hopeless(now, w, l.queue.ahead(w.Caller, len(l.queue.callers[w.Caller])))
-	if !ok {
-		return Decision{}, false
-	}
-	return l.refuse(now, w, reason), true
-}
-
 func (l *Limiter) admit(now time.Time, w *Work, front bool) Decision {
 	if l.closed {
 		return l.refuse(now, w, refusal.ReasonDraining)
--- a/pkg/request/answer.go
+++ b/pkg/request/answer.go
@@ -9,7 +9,7 @@
 // closeDelimited reports whether the end of the answer is told only by the end of its connection, so that a cut answer
 // looks like a whole one.
 func closeDelimited(res *http.Response) bool {
-	if res.ContentLength >= 0 || res.ProtoMajor != 1 {
+	if res.ContentLength >= 0 || res.ProtoMajor != 1 || res.Request.Method == http.MethodHead {
 		return false
 	}
 	return !slices.Contains(res.TransferEncoding, "chunked")
--- a/pkg/request/fault_test.go
+++ b/pkg/request/fault_test.go
@@ -243,6 +243,27 @@
 	require.Empty(t, res.Header.Get(HeaderRun))
 }
 
+func TestHeadNeedsNoLength(t *testing.T) {
+	_, url := newTestServer(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Seen", "yes")
+		_ = http.NewResponseController(w).Flush()
+	}), nil)
+	res, _ := call(t, "HEAD", url, "")
+	require.Equal(t, 200, res.StatusCode)
+	require.Equal(t, "yes", res.Header.Get("X-Seen"))
+}
+
+func TestRecordsDoNotHoldSecrets(t *testing.T) {
+	target := newScriptedTarget(t, answerOK)
+	recorder := &memoryRecorder{}
+	s, url := newFaultServer(t, target.addr(), func(o *Options) { o.Recorder = recorder })
+	k := s.issue(1)[0]
+	s.book.Cancel(time.Now(), k)
+	call(t, "POST", url, "order", HeaderTicket, k.String())
+	require.Equal(t, k.ID(), recorder.records[0].Request)
+	require.NotContains(t, recorder.records[0].Request, k.String())
+}
+
 func TestCancelReachesTheTarget(t *testing.T) {
 	began, ended := make(chan struct{}), make(chan struct{})
 	_, url := newTestServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/pkg/request/serve_caller.go
+++ b/pkg/request/serve_caller.go
@@ -90,7 +90,7 @@
 	switch {
 	case o.refusal != nil:
 		if u.ticket != nil {
-			o.refusal.Request = u.ticket.String()
+			o.refusal.Request = u.ticket.ID()
 		}
 		s.refuse(u.w, u.r, o.refusal)
 	case o.relayed != nil:
--- a/pkg/request/serve_ticket.go
+++ b/pkg/request/serve_ticket.go
@@ -104,7 +104,7 @@
 }
 
 func (s *Server) refuseTicket(u *submission, f *Refusal) {
-	f.Request = u.ticket.String()
+	f.Request = u.ticket.ID()
 	s.refuse(u.w, u.r, f)
 }
 
--- a/pkg/request/serve_well_known.go
+++ b/pkg/request/serve_well_known.go
@@ -105,7 +105,7 @@
 	}
 	if t.Issuer != s.o.Agent || t.Incarnation != s.o.Incarnation {
 		f := issuerGone("", "the issuing agent was restarted")
-		f.Request = text
+		f.Request = t.ID()
 		s.refuse(w, r, f)
 		return
 	}
@@ -143,7 +143,7 @@
 // passTicketStatus asks the issuer.
 func (s *Server) passTicketStatus(w http.ResponseWriter, r *http.Request, t ticket.Ticket) {
 	f := issuerGone("", "the issuing agent can't be reached")
-	f.Request = t.String()
+	f.Request = t.ID()
 	p, ok := s.o.Peers.Find(t.Issuer)
 	if !ok {
 		s.refuse(w, r, f)
--- a/pkg/ticket/ticket.go
+++ b/pkg/ticket/ticket.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/base64"
 	"encoding/binary"
+	"strconv"
 	"time"
 )
 
@@ -44,6 +45,11 @@
 	return base64.RawURLEncoding.EncodeToString(b)
 }
 
+// ID names the ticket without its secret, for logs and records.
+func (t Ticket) ID() string {
+	return t.Issuer + "/" + strconv.FormatUint(t.Incarnation, 10) + "/" + strconv.FormatUint(t.Sequence, 10)
+}
+
 // Parse reads a ticket. It returns ErrMalformed for anything that String does not write.
 func Parse(text string) (Ticket, error) {
 	if len(text) > MaxTextLength {
