--- /dev/null
+++ b/pkg/arbiter/packet_test.go
@@ -0,0 +1,243 @@
+package arbiter
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwood/auburnwood/pkg/refusal"
+	"github.com/auburnwood/auburnwood/pkg/resource"
+	"github.com/auburnwood/auburnwood/pkg/view"
+	"github.com/auburnwood/auburnwood/pkg/wire"
+)
+
+const flowUnderTest = 77 << 32
+
+// bed is one arbiter with three peers, first of every row it is given.
+type bed struct {
+	t   *testing.T
+	a   *Arbiter
+	s   *view.Service
+	now time.Time
+	row []byte
+}
+
+func newBed(t *testing.T, change func(s *view.Service)) *bed {
+	b := &bed{t: t, s: benchService(4), now: time.Unix(1000000, 0)}
+	if change != nil {
+		change(b.s)
+	}
+	for _, target := range b.s.Targets {
+		b.row = wire.AppendAddr(b.row, target.Agent)
+	}
+	b.a = New(Config{Self: b.s.Targets[0].Agent, Incarnation: 1, Connections: 2})
+	b.a.SetService(b.now, b.s)
+	b.now = b.now.Add(time.Minute)
+	return b
+}
+
+func (b *bed) peer(i int) netip.AddrPort { return b.s.Targets[i].Agent }
+
+// input is a packet of the flow under test from a balancer.
+func (b *bed) input(opening bool) Input {
+	return Input{Kind: wire.Kind_KIND_FORWARD, Flow: firstFor(b.s, 0), Opening: opening, Row: b.row, Sender: netip.MustParseAddrPort("127.0.0.1:1")}
+}
+
+// firstFor is a flow that target i arbitrates.
+func firstFor(s *view.Service, i int) uint64 {
+	m := (&Arbiter{peers: newPeers()}).newMembers(time.Time{}, s, nil)
+	for flow := uint64(flowUnderTest); ; flow++ {
+		if m.table.First(flow) == i {
+			return flow
+		}
+	}
+}
+
+func (b *bed) answer(i int, d Decision, load, reason uint32) Input {
+	in := b.input(true)
+	in.Kind, in.Sender, in.Load, in.Bound, in.Final, in.Hops = wire.Kind_KIND_DECLINED, b.peer(i), load, reason, d.Final, 2
+	return in
+}
+
+func TestRefusalReasons(t *testing.T) {
+	states := func(st ...view.TargetState) func(*view.Service) {
+		return func(s *view.Service) {
+			for i := range s.Targets {
+				s.Targets[i].State = st[i]
+			}
+		}
+	}
+	const joining, active, draining = view.StateJoining, view.StateActive, view.StateDraining
+	cases := []struct {
+		name   string
+		change func(*view.Service)
+		want   refusal.Reason
+	}{
+		{"all drain", states(draining, draining, draining, draining), refusal.ReasonDraining},
+		{"no weight", func(s *view.Service) {
+			for i := range s.Targets {
+				s.Targets[i].Weight = 0
+			}
+		}, refusal.ReasonNoTarget},
+		{"others join or drain, self has no weight", func(s *view.Service) {
+			states(active, joining, joining, joining)(s)
+			s.Targets[0].Weight = 0
+		}, refusal.ReasonNoTarget},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBed(t, c.change)
+			d := b.a.Packet(b.now, b.input(true))
+			require.Equal(t, ActionRefuse, d.Action)
+			require.Equal(t, c.want, d.Reason)
+		})
+	}
+	d := New(Config{Self: netip.MustParseAddrPort("127.0.0.1:9000")}).Packet(time.Unix(1, 0), newBed(t, nil).input(true))
+	require.Equal(t, refusal.ReasonNoConfiguration, d.Reason)
+}
+
+func TestAllFull(t *testing.T) {
+	b := newBed(t, nil)
+	b.a.load.Store(2)
+	d := b.a.Packet(b.now, b.input(true))
+	for offers := 0; d.Action == ActionOffer; offers++ {
+		require.Less(t, offers, 12)
+		d = b.a.Packet(b.now, b.answer(int(d.Position), d, 50, declinedFull))
+	}
+	require.Equal(t, ActionRefuse, d.Action)
+	require.Equal(t, refusal.ReasonAllFull, d.Reason)
+}
+
+func TestDrainingFirstArbitratesButTakesNothing(t *testing.T) {
+	b := newBed(t, nil)
+	b.a.Drain(b.now)
+	require.Equal(t, ActionOffer, b.a.Packet(b.now, b.input(true)).Action)
+	require.Zero(t, b.a.Load())
+}
+
+func TestOfferIsTakenOnlyWithinBound(t *testing.T) {
+	b := newBed(t, nil)
+	b.a.load.Store(1)
+	in := b.input(true)
+	in.Kind, in.Sender, in.Bound = wire.Kind_KIND_OFFER, b.peer(1), 0
+	d := b.a.Packet(b.now, in)
+	require.Equal(t, ActionDecline, d.Action)
+	require.Equal(t, uint32(1), d.Load)
+	in.Bound = 1
+	require.Equal(t, ActionDecline, b.a.Packet(b.now, in).Action, "a repeated offer is declined again")
+	in.Final = true
+	d = b.a.Packet(b.now, in)
+	require.True(t, d.Accepted)
+	require.Equal(t, wire.Kind_KIND_PLACED, d.Notify.Kind)
+	require.False(t, b.a.Packet(b.now, in).Accepted, "a repeated offer starts no second flow")
+}
+
+// A repeated answer to a question was once taken for the answer to an offer.
+func TestRepeatedAnswerDoesNotDeclineOffer(t *testing.T) {
+	b := newBed(t, nil)
+	b.a.load.Store(1)
+	d := b.a.Packet(b.now, b.input(true))
+	require.Equal(t, ActionOffer, d.Action)
+	repeated := b.answer(int(d.Position), d, 0, declinedUnknown)
+	require.Equal(t, ActionDrop, b.a.Packet(b.now, repeated).Action)
+}
+
+// An opening packet that follows packets of an established flow is late; it once started a second owner.
+func TestOpeningWhileOwnerIsSought(t *testing.T) {
+	b := newBed(t, nil)
+	require.Equal(t, ActionForward, b.a.Packet(b.now, b.input(false)).Action)
+	require.Equal(t, ActionDrop, b.a.Packet(b.now, b.input(true)).Action)
+}
+
+// A redirect to a dead agent may be older than the flow; its packets were once refused at once.
+func TestDeadOwnerIsRefusedOnlyAfterQuestions(t *testing.T) {
+	b := newBed(t, nil)
+	flow := b.input(false).Flow
+	b.a.Control(b.now, b.peer(1), Message{Kind: wire.Kind_KIND_PLACED, Flow: flow, Incarnation: 1, Final: true})
+	d := b.a.Packet(b.now, b.input(false))
+	require.Equal(t, ActionForward, d.Action)
+	require.Equal(t, b.peer(1), d.To)
+
+	less := *b.s
+	less.Targets = append(append([]view.Target(nil), b.s.Targets[0]), b.s.Targets[2:]...)
+	b.a.SetService(b.now, &less)
+	require.NotEqual(t, ActionRefuse, b.a.Packet(b.now, b.input(false)).Action)
+	asked := 0
+	for _, m := range b.a.Tick(b.now) {
+		if m.Kind == wire.Kind_KIND_LOCATE {
+			asked++
+			b.a.Control(b.now, m.To, Message{Kind: wire.Kind_KIND_LOCATED, Flows: m.Flows, Incarnation: 1})
+		}
+	}
+	require.Equal(t, 2, asked)
+	b.a.Tick(b.now)
+	d = b.a.Packet(b.now, b.input(false))
+	require.Equal(t, ActionRefuse, d.Action)
+	require.Equal(t, refusal.ReasonTargetDied, d.Reason)
+	require.NotEqual(t, ActionRefuse, b.a.Packet(b.now, b.input(true)).Action, "an opening packet starts anew")
+}
+
+// A first agent with an old redirect once told the true owner to give the flow up.
+func TestHalfOpenFlowIsKeptAgainstRedirect(t *testing.T) {
+	b := newBed(t, nil)
+	in := b.input(true)
+	require.True(t, b.a.Packet(b.now, in).Accepted)
+	b.a.Control(b.now, b.peer(1), Message{Kind: wire.Kind_KIND_LOCATED, Flow: in.Flow, Owner: b.peer(2), Incarnation: 1})
+	require.True(t, b.a.Owns(in.Flow))
+	out := b.a.Control(b.now, b.peer(1), Message{Kind: wire.Kind_KIND_LOCATED, Flow: in.Flow, Owner: b.peer(2), Incarnation: 1, Final: true})
+	require.False(t, b.a.Owns(in.Flow), "a completed handshake elsewhere wins")
+	require.Equal(t, b.a.cfg.Self, out[0].To)
+	require.Zero(t, b.a.Load())
+}
+
+func TestLatePacketsOfEndedFlow(t *testing.T) {
+	b := newBed(t, nil)
+	require.True(t, b.a.Packet(b.now, b.input(true)).Accepted)
+	b.a.Ended(b.now, b.input(true).Flow)
+	require.Equal(t, ActionDrop, b.a.Packet(b.now, b.input(false)).Action)
+	require.True(t, b.a.Packet(b.now, b.input(true)).Accepted, "the key may be used again")
+	require.Equal(t, 1, b.a.Load())
+}
+
+func TestSlowStartAndShares(t *testing.T) {
+	now := time.Unix(1000000, 0)
+	m := &members{service: &view.Service{Spec: resource.ServiceSpec{SlowStart: resource.Duration(10 * time.Second)}}}
+	require.InDelta(t, 50, weight(now, m, &view.Target{Weight: 100, ActiveSince: now.Add(-5 * time.Second)}), 0.01)
+	require.InDelta(t, 100, weight(now, m, &view.Target{Weight: 100, ActiveSince: now.Add(-time.Hour)}), 0.01)
+
+	m.groups = []group{{"a", 90}, {"b", 10}}
+	b := 0
+	for i := range uint64(10000) {
+		if v, _ := m.versionFor(i * 0x9e3779b97f4a7c15); v == "b" {
+			b++
+		}
+	}
+	require.InDelta(t, 1000, b, 150)
+}
+
+// FuzzPacket gives the arbiter hostile datagrams; it must neither crash nor send a packet on for ever.
+func FuzzPacket(f *testing.F) {
+	f.Add(uint8(1), true, []byte{}, uint32(0), uint32(0), uint32(0), false, uint8(0))
+	f.Add(uint8(3), true, make([]byte, 18*40), uint32(9), uint32(70), uint32(1), true, uint8(2))
+	f.Fuzz(func(t *testing.T, kind uint8, opening bool, row []byte, position, hops, bound uint32, final bool, sender uint8) {
+		b := newBed(t, nil)
+		in := b.input(opening)
+		in.Kind, in.Position, in.Hops, in.Bound, in.Final = wire.Kind(kind), position, hops, bound, final
+		in.Sender = b.peer(int(sender) % 4)
+		in.Row = append(append([]byte(nil), b.row[:int(sender)%73]...), row...)
+		for range 3 {
+			d := b.a.Packet(b.now, in)
+			require.NotZero(t, d.Action)
+			if d.Action == ActionForward {
+				require.Less(t, in.Hops, uint32(maxOpeningHops))
+				require.True(t, d.To.IsValid())
+			}
+			b.a.Control(b.now, in.Sender, Message{Kind: wire.Kind(kind), Flow: in.Flow, Flows: []uint64{in.Flow, 0}, Owner: b.peer(int(position % 4)), Incarnation: uint64(hops), Final: final})
+			b.a.Tick(b.now)
+		}
+		require.LessOrEqual(t, b.a.Load(), 2)
+		require.GreaterOrEqual(t, b.a.Load(), 0)
+	})
+}
