Run UDP, IPv6, lossy and PROXY protocol flows through the same changes

Datagrams are numbered, and echoed with the name of the answering target, so that a UDP flow that moves, crosses or mixes is noticed. Every UDP flow still gets one log line.

--- a/internal/lab/flows/client.go
+++ b/internal/lab/flows/client.go
@@ -36,6 +36,8 @@
 	caller *fabric.Caller
 	// watched is true while stalls count.
 	watched *atomic.Bool
+	// proxied is true when the target should see the caller's address.
+	proxied bool
 	out     outcome
 	last    time.Time
 	idle    *time.Timer
@@ -78,6 +80,8 @@
 		return c.upload(ctx)
 	case kindEcho:
 		return c.echo(ctx)
+	case kindDatagrams:
+		return c.datagrams(ctx)
 	}
 	return c.download(ctx)
 }
@@ -107,6 +111,10 @@
 		_ = resp.Body.Close()
 		return nil, errCrossed
 	}
+	if seen := resp.Header.Get(target.HeaderCaller); c.proxied && seen != c.plan.local.String() {
+		_ = resp.Body.Close()
+		return nil, trace.CompareFailed("the target saw caller %s", seen)
+	}
 	if resp.StatusCode != http.StatusOK {
 		_ = resp.Body.Close()
 		return nil, trace.Errorf("status %s", resp.Status)
@@ -142,6 +150,14 @@
 	return c.check(resp.Body, size)
 }
 
+// pace is the time between two chunks of the flow; short flows have none.
+func (c *client) pace() time.Duration {
+	if c.plan.kind.long() {
+		return c.plan.every
+	}
+	return 0
+}
+
 // check reads and compares the content.
 func (c *client) check(body io.Reader, size int64) error {
 	checker := target.NewChecker(c.plan.service, c.plan.name)
@@ -152,7 +168,7 @@
 			return errMixed
 		}
 		if n > 0 {
-			c.progress(n, c.plan.every)
+			c.progress(n, c.pace())
 		}
 		if errors.Is(err, io.EOF) {
 			break
--- a/internal/lab/flows/cluster.go
+++ b/internal/lab/flows/cluster.go
@@ -10,6 +10,7 @@
 	"github.com/auburnwood/auburnwood/internal/standin/target"
 	"github.com/auburnwood/auburnwood/pkg/refusal"
 	"github.com/auburnwood/auburnwood/pkg/resource"
+	"github.com/auburnwood/auburnwood/pkg/settings"
 	"github.com/auburnwood/auburnwood/pkg/view"
 )
 
@@ -32,6 +33,10 @@
 	// Mode is the mode of every service; empty means resource.ModeStream. In request mode the agents listen for each
 	// other, and keep claims in the object API.
 	Mode resource.Mode
+	// Service changes a service before it is applied; may be nil.
+	Service func(s *resource.Service)
+	// TLS returns the files for mutual TLS of a process; nil means plain TCP.
+	TLS func(process string) settings.TLS
 	// Limits are the limits of every service; the number of connections is taken from Connections.
 	Limits resource.Limits
 	// Journal takes what the target stand-ins run; nil gives each its own.
--- a/internal/lab/flows/deployment.go
+++ b/internal/lab/flows/deployment.go
@@ -1,6 +1,9 @@
 package flows
 
 import (
+	"fmt"
+	"slices"
+
 	"github.com/gravitational/trace"
 
 	"github.com/auburnwood/auburnwood/pkg/resource"
@@ -86,3 +89,18 @@
 	}
 	return 0
 }
+
+// with returns the deployment with the addresses and the transport that the options want.
+func (d Deployment) with(o Options) Deployment {
+	d.Services = slices.Clone(d.Services)
+	for i := range d.Services {
+		a := &d.Services[i].Address
+		if o.IPv6 {
+			a.IP = fmt.Sprintf("2001:db8:1::%x", i+1)
+		}
+		if o.UDP {
+			a.Protocol = resource.ProtocolUDP
+		}
+	}
+	return d
+}
--- a/internal/lab/flows/direct.go
+++ b/internal/lab/flows/direct.go
@@ -75,18 +75,22 @@
 func (d *direct) Services() []resource.Service {
 	var out []resource.Service
 	for _, s := range d.cfg.Deployment.Services {
-		out = append(out, resource.Service{Name: s.Name, Spec: d.spec(s)})
+		out = append(out, d.service(s))
 	}
 	return out
 }
 
-func (d *direct) spec(s ServiceSize) resource.ServiceSpec {
-	return resource.ServiceSpec{
-		Addresses:  []resource.Address{s.Address},
+func (d *direct) service(size ServiceSize) resource.Service {
+	s := resource.Service{Name: size.Name, Spec: resource.ServiceSpec{
+		Addresses:  []resource.Address{size.Address},
 		Mode:       resource.ModeStream,
 		Preference: d.cfg.Deployment.Preference,
-		Limits:     resource.Limits{Connections: d.cfg.Connections[s.Name]},
+		Limits:     resource.Limits{Connections: d.cfg.Connections[size.Name]},
+	}}
+	if d.cfg.Service != nil {
+		d.cfg.Service(&s)
 	}
+	return s
 }
 
 // view makes a snapshot of the present targets.
@@ -95,7 +99,7 @@
 	defer d.mu.Unlock()
 	v := &view.View{Revision: directRevision}
 	for _, s := range d.cfg.Deployment.Services {
-		vs := &view.Service{Name: s.Name, Revision: directRevision, Spec: d.spec(s)}
+		vs := &view.Service{Name: s.Name, Revision: directRevision, Spec: d.service(s).Spec}
 		for _, t := range d.targets {
 			if t.service == s.Name && t.info.State != 0 {
 				vs.Targets = append(vs.Targets, t.info)
--- a/internal/lab/flows/flow.go
+++ b/internal/lab/flows/flow.go
@@ -13,6 +13,7 @@
 	kindUpload
 	kindPacedDownload
 	kindEcho
+	kindDatagrams
 )
 
 // String returns the kind's name.
@@ -26,11 +27,13 @@
 		return "paced-download"
 	case kindEcho:
 		return "echo"
+	case kindDatagrams:
+		return "datagrams"
 	}
 	return "unknown"
 }
 
-func (k kind) long() bool { return k == kindPacedDownload || k == kindEcho }
+func (k kind) long() bool { return k >= kindPacedDownload }
 
 // plan is one flow before it starts.
 type plan struct {
--- a/internal/lab/flows/options.go
+++ b/internal/lab/flows/options.go
@@ -50,6 +50,12 @@
 	Loss, Duplicate float64
 	// LyingTarget lets the first target of each service report a load of 0.
 	LyingTarget bool
+	// IPv6 gives services and callers IPv6 addresses.
+	IPv6 bool
+	// UDP makes every flow a UDP flow.
+	UDP bool
+	// ProxyProtocol lets agents tell targets the callers' addresses; each TCP flow checks its own.
+	ProxyProtocol bool
 	// Trace prints the packets of flows that broke or were slow.
 	Trace bool
 	// Log takes the log lines of balancers and agents.
@@ -74,6 +80,9 @@
 	if o.Balancers < 0 || o.Flows < 0 || o.Rounds < 0 || o.Window < 0 || o.Uneven < 0 {
 		return trace.BadParameter("balancers, flows, rounds, window and uneven must not be negative")
 	}
+	if o.UDP && o.ProxyProtocol {
+		return trace.BadParameter("the PROXY protocol is for TCP only")
+	}
 	return nil
 }
 
--- a/internal/lab/flows/run.go
+++ b/internal/lab/flows/run.go
@@ -16,10 +16,13 @@
 	"github.com/auburnwood/auburnwood/internal/standin/fabric"
 	"github.com/auburnwood/auburnwood/internal/standin/target"
 	"github.com/auburnwood/auburnwood/pkg/refusal"
+	"github.com/auburnwood/auburnwood/pkg/resource"
 )
 
 const (
 	leastConnections = 50
+	// udpIdle ends UDP flows soon after their last datagram, so that drains end within the run.
+	udpIdle = 5 * time.Second
 	// settleTime is the longest time that faults may take after the last flow has ended.
 	settleTime = 10 * time.Second
 	// recordPoll is the time between two looks for missing refusal records.
@@ -55,6 +58,7 @@
 	if err != nil {
 		return Result{}, trace.Wrap(err)
 	}
+	d = d.with(o)
 	r := &run{opts: o, deployment: d, timeline: newTimeline(o), events: newEvents(out)}
 	defer r.close()
 	if err := r.start(ctx); err != nil {
@@ -91,6 +95,7 @@
 		Seed:        r.opts.Seed,
 		Uneven:      r.uneven(),
 		Target:      r.configureTarget,
+		Service:     r.configureService,
 		Log:         r.opts.Log,
 	})
 	return trace.Wrap(err)
@@ -144,8 +149,15 @@
 	return 0
 }
 
+// configureService changes a service as the options want it.
+func (r *run) configureService(s *resource.Service) {
+	s.Spec.ProxyProtocol = r.opts.ProxyProtocol
+	s.Spec.UDPIdle = resource.Duration(udpIdle)
+}
+
 // configureTarget lets the first target of each service report a load of 0 when the run asks for it.
 func (r *run) configureTarget(c *target.Config) {
+	c.ProxyProtocol = r.opts.ProxyProtocol
 	if r.opts.LyingTarget && r.isFirstTarget(c) {
 		c.FalseLoad = func(int) int { return 0 }
 	}
@@ -232,7 +244,7 @@
 	n := r.open.Add(1)
 	for most := r.mostOpen.Load(); n > most && !r.mostOpen.CompareAndSwap(most, n); most = r.mostOpen.Load() {
 	}
-	c := client{plan: p, caller: r.fabric.NewCaller(p.local.Addr()), watched: &r.watched}
+	c := client{plan: p, caller: r.fabric.NewCaller(p.local.Addr()), watched: &r.watched, proxied: r.opts.ProxyProtocol}
 	out := c.run(ctx)
 	r.open.Add(-1)
 	r.mu.Lock()
--- a/internal/lab/flows/workload.go
+++ b/internal/lab/flows/workload.go
@@ -48,10 +48,12 @@
 	parts    []int
 	total    int
 	every    time.Duration
+	ipv6     bool
+	udp      bool
 }
 
 func newWorkload(o Options, d Deployment, services []resource.Service, t timeline) *workload {
-	w := &workload{random: rand.New(rand.NewPCG(o.Seed, 3)), timeline: t}
+	w := &workload{random: rand.New(rand.NewPCG(o.Seed, 3)), timeline: t, ipv6: o.IPv6, udp: o.UDP}
 	for _, s := range services {
 		w.total += d.targetsOf(s.Name)
 		w.parts = append(w.parts, w.total)
@@ -75,6 +77,9 @@
 		default:
 			w.makeShort(p)
 		}
+		if w.udp {
+			p.kind = kindDatagrams
+		}
 		out = append(out, p)
 	}
 	return out
@@ -84,16 +89,24 @@
 func (w *workload) plan(i int) *plan {
 	s := w.service()
 	a := s.Spec.Addresses[0]
-	host := i / flowsOfHost
-	ip := netip.AddrFrom4([4]byte{10, byte(host >> 16), byte(host >> 8), byte(host)})
 	return &plan{
 		name:    fmt.Sprintf("f%d", i),
 		service: s.Name,
-		local:   netip.AddrPortFrom(ip, uint16(firstPort+i%flowsOfHost)),
+		local:   netip.AddrPortFrom(w.host(i/flowsOfHost), uint16(firstPort+i%flowsOfHost)),
 		remote:  netip.AddrPortFrom(netip.MustParseAddr(a.IP), a.Port),
 	}
 }
 
+// host returns the address of a caller's host.
+func (w *workload) host(n int) netip.Addr {
+	if w.ipv6 {
+		ip := netip.MustParseAddr("2001:db8:2::").As16()
+		ip[14], ip[15] = byte(n>>8), byte(n)
+		return netip.AddrFrom16(ip)
+	}
+	return netip.AddrFrom4([4]byte{10, byte(n >> 16), byte(n >> 8), byte(n)})
+}
+
 // service draws a service in proportion to its targets.
 func (w *workload) service() *resource.Service {
 	n := w.random.IntN(w.total)
@@ -129,5 +142,6 @@
 		p.kind = kindUpload
 	}
 	p.start = time.Duration(w.random.Int64N(int64(w.timeline.end())))
+	p.every = w.every
 	p.size = leastSize + w.random.Int64N(mostSize-leastSize)
 }
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -32,7 +32,7 @@
 	killed bool
 }
 
-// Start listens and serves TCP and, on the same port, UDP, which is echoed. The journal may be shared; nil makes a new one.
+// Start listens and serves TCP and, on the same port, UDP, which is echoed behind a Label. The journal may be shared; nil makes a new one.
 func Start(cfg Config, journal *Journal) (*Target, error) {
 	cfg, err := cfg.withDefaults()
 	if err != nil {
@@ -147,21 +147,24 @@
 	delete(t.conns, c)
 }
 
-// serveUDP echoes datagrams; a target whose UDP port is taken serves TCP only.
+// serveUDP echoes datagrams behind a Label; a target whose UDP port is taken serves TCP only.
 func (t *Target) serveUDP() {
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(t.Addr()))
 	if err != nil {
 		return
 	}
 	t.udp = conn
+	label := Label{Service: t.cfg.Service, Target: t.cfg.ID}
 	go func() {
 		b := make([]byte, 64<<10)
+		var answer []byte
 		for {
 			n, from, err := conn.ReadFromUDPAddrPort(b)
 			if err != nil {
 				return
 			}
-			_, _ = conn.WriteToUDPAddrPort(b[:n], from)
+			answer = append(label.Append(answer[:0]), b[:n]...)
+			_, _ = conn.WriteToUDPAddrPort(answer, from)
 		}
 	}()
 }
--- a/internal/standin/target/target_test.go
+++ b/internal/standin/target/target_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -151,3 +152,21 @@
 		require.Equal(t, http.StatusBadRequest, resp.StatusCode, path)
 	}
 }
+
+func TestDatagramsAreEchoedBehindALabel(t *testing.T) {
+	x, _ := newTarget(t, nil)
+	conn, err := net.Dial("udp", x.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = conn.Write([]byte("a\x00b"))
+	require.NoError(t, err)
+	b := make([]byte, 100)
+	n, err := conn.Read(b)
+	require.NoError(t, err)
+	label, rest, ok := CutLabel(b[:n])
+	require.True(t, ok)
+	require.Equal(t, Label{Service: "route-svc", Target: "r1"}, label)
+	require.Equal(t, "a\x00b", string(rest))
+	_, _, ok = CutLabel([]byte("no label"))
+	require.False(t, ok)
+}
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -212,6 +212,37 @@
 	require.Equal(t, first, to, "an opening packet ends the earlier life")
 }
 
+// udpPacket turns a TCP packet into a UDP one of the same addresses and ports.
+func udpPacket(port uint16, to netip.AddrPort) []byte {
+	b := tcpPacket(port, to, 0)
+	ip := header.IPv4(b)
+	header.UDP(ip.Payload()).Encode(&header.UDPFields{SrcPort: port, DstPort: to.Port(), Length: uint16(len(ip.Payload()))})
+	b[9] = flow.ProtocolUDP
+	ip.SetChecksum(0)
+	ip.SetChecksum(^ip.CalculateChecksum())
+	return b
+}
+
+func TestLearnedOwnerOfUDPFlow(t *testing.T) {
+	x := newBench(t, nil)
+	v := zarqa()
+	v.Services[1] = serviceOf("route-svc", 1, routeAddr, 7, resource.ProtocolUDP)
+	x.b.SetView(v)
+	p := udpPacket(1000, routeAddr)
+	first, _ := x.w.handle(p, loopback, start)
+	x.w.handle(p, loopback, start)
+	owner := agentAddr(1, 0)
+	if owner == first {
+		owner = agentAddr(1, 1)
+	}
+	x.w.handle(learnedMessage(t, "route-svc", hashOf(t, p), owner), first, start)
+	for range 3 {
+		to, _ := x.w.handle(p, loopback, start)
+		require.Equal(t, owner, to)
+	}
+	require.Equal(t, 1, bytes.Count(x.log.Bytes(), []byte("\n")), "one line for the flow, none for a packet")
+}
+
 func TestLearnedOwnerEnds(t *testing.T) {
 	without := zarqa()
 	without.Services[1].Targets = without.Services[1].Targets[1:]
--- a/pkg/balancer/worker.go
+++ b/pkg/balancer/worker.go
@@ -82,15 +82,20 @@
 	if !ok {
 		return w.refuse(in, info, refusal.ReasonNoTarget, r.service.Name, r.service.Revision, now)
 	}
-	if info.Opening {
+	// An opening TCP segment may start a new life of a known flow, so that only the first agent may place it. Every UDP
+	// packet counts as opening; those of a known flow go to its owner, which passes them to the first agent once it has
+	// ended the flow.
+	if info.Opening && info.Key.Protocol == flow.ProtocolTCP {
 		w.opening(r, info, hash, first, now)
 		return first, w.encode(r, hash, 0, in)
 	}
-	owner, ok := w.learnedOwner(r, hash, now)
-	if !ok {
-		return first, w.encode(r, hash, 0, in)
+	if owner, ok := w.learnedOwner(r, hash, now); ok {
+		return owner.addr(), w.encode(r, hash, rowPosition(w.row, owner), in)
+	}
+	if info.Opening {
+		w.opening(r, info, hash, first, now)
 	}
-	return owner.addr(), w.encode(r, hash, rowPosition(w.row, owner), in)
+	return first, w.encode(r, hash, 0, in)
 }
 
 // opening logs the first opening packet of a flow.
