Let only agents of the service say who owns a flow

Cause: an agent took PLACED, MOVED, ENDED, LOCATED, offers and declined offers from any process that named its own source address and the service. A process that is no agent could redirect a running flow or mark it as ended. A packet that a stranger passed on is taken while it says nothing of ownership. Conclusion: forged messages are counted as unknown-sender and change nothing.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -33,6 +33,8 @@
 	probe     probe
 	announced atomic.Pointer[string]
 	service   atomic.Pointer[service]
+	senders   atomic.Pointer[senders]
+	held      held
 	draining  atomic.Bool
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -98,8 +100,11 @@
 		a.deps.Log.Warn().Str("op", "set-service").Str("service", s.Name).Str("reason", "not what the target announced").Send()
 		s = nil
 	}
+	now := a.deps.Now()
+	a.senders.Store(a.senders.Load().next(s, now))
 	a.service.Store(newService(s))
-	a.sendAll(a.arbiter.SetService(a.deps.Now(), s))
+	a.sendAll(a.arbiter.SetService(now, s))
+	a.hearHeld(now)
 }
 
 // SetAnnounced changes the service name that the target announced.
--- a/pkg/agent/control.go
+++ b/pkg/agent/control.go
@@ -9,18 +9,22 @@
 )
 
 // control hands a message of another agent to the arbiter. The sender must name the address that it sends from, and the
-// agent's own service.
-func (a *Agent) control(m *wire.Datagram, from netip.AddrPort, now time.Time) {
+// agent's own service, and a view must name the sender: only agents of the service say who owns a flow.
+func (a *Agent) control(m *wire.Datagram, in []byte, from netip.AddrPort, now time.Time) {
 	sender, ok := wire.Addr(m.Sender)
 	if !ok || sender != from {
 		a.metrics.foreign.Inc(1)
 		return
 	}
 	s := a.service.Load()
-	if s == nil || m.Service != s.Name {
+	if s != nil && m.Service != s.Name {
 		a.metrics.wrongService.Inc(1)
 		return
 	}
+	if s == nil || !a.senders.Load().knows(from, now) {
+		a.hold(in, from, now)
+		return
+	}
 	a.metrics.control.Inc(1)
 	owner, _ := wire.Addr(m.Owner)
 	a.sendAll(a.arbiter.Control(now, from, arbiter.Message{
--- a/pkg/agent/metrics.go
+++ b/pkg/agent/metrics.go
@@ -4,13 +4,13 @@
 
 // metrics are the agent's counters; each hostile or foreign input has its own reason.
 type metrics struct {
-	datagrams, delivered, forwarded, offered, declined, dropped, refused tally.Counter
-	placed, neverOpened, conflictsLost, viewRefused                      tally.Counter
-	truncated, foreign, unknownKind, wrongService, badPacket, badFlow    tally.Counter
-	control, learned, sendErrors, receiveErrors                          tally.Counter
-	fabricPackets, fabricErrors, muted                                   tally.Counter
-	targetDials, targetFailures, targetDied                              tally.Counter
-	openFlows                                                            tally.Gauge
+	datagrams, delivered, forwarded, offered, declined, dropped, refused        tally.Counter
+	placed, neverOpened, conflictsLost, viewRefused                             tally.Counter
+	truncated, foreign, stranger, unknownKind, wrongService, badPacket, badFlow tally.Counter
+	control, learned, sendErrors, receiveErrors                                 tally.Counter
+	fabricPackets, fabricErrors, muted                                          tally.Counter
+	targetDials, targetFailures, targetDied                                     tally.Counter
+	openFlows                                                                   tally.Gauge
 }
 
 func newMetrics(s tally.Scope) metrics {
@@ -35,6 +35,7 @@
 		viewRefused:    s.Counter("views_refused"),
 		truncated:      reason("truncated"),
 		foreign:        reason("foreign"),
+		stranger:       reason("unknown-sender"),
 		unknownKind:    reason("unknown-kind"),
 		wrongService:   reason("wrong-service"),
 		badPacket:      reason("packet"),
--- a/pkg/agent/worker.go
+++ b/pkg/agent/worker.go
@@ -42,7 +42,7 @@
 	}
 }
 
-// handle takes any bytes from any sender.
+// handle takes any bytes from any sender. It doesn't change them.
 func (w *worker) handle(in []byte, from netip.AddrPort, now time.Time) {
 	w.a.metrics.datagrams.Inc(1)
 	m := &w.msg
@@ -53,17 +53,17 @@
 	}
 	switch m.Kind {
 	case wire.Kind_KIND_FORWARD, wire.Kind_KIND_OFFER, wire.Kind_KIND_DECLINED:
-		w.packet(m, from, now)
+		w.packet(m, in, from, now)
 	case wire.Kind_KIND_PLACED, wire.Kind_KIND_MOVED, wire.Kind_KIND_ENDED,
 		wire.Kind_KIND_LOCATE, wire.Kind_KIND_LOCATED, wire.Kind_KIND_LOAD:
-		w.a.control(m, from, now)
+		w.a.control(m, in, from, now)
 	default:
 		w.a.metrics.unknownKind.Inc(1)
 	}
 }
 
 // packet handles a datagram with a caller's packet.
-func (w *worker) packet(m *wire.Datagram, from netip.AddrPort, now time.Time) {
+func (w *worker) packet(m *wire.Datagram, in []byte, from netip.AddrPort, now time.Time) {
 	if len(m.Row)%wire.AddrSize != 0 || wire.RowLen(m.Row) > maxRow {
 		w.a.metrics.foreign.Inc(1)
 		return
@@ -83,6 +83,10 @@
 	if !w.belongs(s, m, info, now) {
 		return
 	}
+	if !w.a.mayPass(m, info, from, now) {
+		w.a.hold(in, from, now)
+		return
+	}
 	d := w.a.arbiter.Packet(now, arbiter.Input{
 		Kind:     m.Kind,
 		Flow:     hash,
--- a/pkg/agent/worker_test.go
+++ b/pkg/agent/worker_test.go
@@ -90,6 +90,15 @@
 	}}
 }
 
+// listPeer adopts a view in which the peer is an agent of the service.
+func (b *bare) listPeer() {
+	v := b.view()
+	v.Targets = append(v.Targets, view.Target{
+		ID: "b", Incarnation: 1, Agent: b.peerAddr(), Weight: 1, State: view.StateActive, Connections: 1 << 20,
+	})
+	b.SetService(v)
+}
+
 func (b *bare) peerAddr() netip.AddrPort { return b.peer.LocalAddr().(*net.UDPAddr).AddrPort() }
 
 // count returns the sum of the counters of a name and reason.
@@ -244,6 +253,7 @@
 		t.Run(kind.String(), func(t *testing.T) {
 			a := &scripted{}
 			b := newBare(t, a)
+			b.listPeer()
 			a.decision = arbiter.Decision{Action: action, To: b.peerAddr(), Position: 3, Bound: 7, Final: true, Load: 5}
 			in := b.envelope(opening(t, serviceIP))
 			in.Hops = 2
@@ -292,6 +302,7 @@
 func TestOwnerIsTaughtOnceToEachBalancer(t *testing.T) {
 	a := &scripted{decision: arbiter.Decision{Action: arbiter.ActionDeliver, Accepted: true}}
 	b := newBare(t, a)
+	b.listPeer()
 	in := b.envelope(opening(t, serviceIP))
 	now := time.Now()
 	b.w.handle(encode(t, in), b.peerAddr(), now)
@@ -313,6 +324,7 @@
 func TestLostConflictIsSilent(t *testing.T) {
 	a := &scripted{decision: arbiter.Decision{Action: arbiter.ActionDeliver, Accepted: true}, owns: true}
 	b := newBare(t, a)
+	b.listPeer()
 	syn := opening(t, serviceIP)
 	in := b.envelope(syn)
 	b.w.handle(encode(t, in), b.peerAddr(), time.Now())
@@ -376,6 +388,7 @@
 
 func FuzzDatagrams(f *testing.F) {
 	b := newBare(f, nil)
+	b.listPeer()
 	syn := opening(f, serviceIP)
 	for _, raw := range [][]byte{syn, established(syn)} {
 		d := b.envelope(raw)
