Let tests change services and TLS files of the lab's installation

Cause: the installation in one process had no way to give services other addresses, PROXY protocol or TLS. Change: two hooks in flows.ClusterConfig; settings of balancers and agents are made apart from their start.

--- a/internal/lab/cluster/balancer.go
+++ b/internal/lab/cluster/balancer.go
@@ -42,6 +42,10 @@
 
 // JoinBalancer implements flows.Cluster.
 func (c *Cluster) JoinBalancer(context.Context) (string, error) {
+	return c.runBalancer(c.balancerSettings())
+}
+
+func (c *Cluster) balancerSettings() settings.Balancer {
 	n := c.nextNumber()
 	s := settings.DefaultBalancer()
 	s.Name = processName("balancer", n)
@@ -53,6 +57,11 @@
 	s.ObjectAPI.URL = c.apiURL
 	s.ObjectAPI.CallsPerSecond = callRate
 	s.CachedFlows = 1 << 16
+	s.TLS = c.tls(s.Name)
+	return s
+}
+
+func (c *Cluster) runBalancer(s settings.Balancer) (string, error) {
 	b := &balancer{name: s.Name, ended: make(chan struct{})}
 	wrap := wrapView(c.delay, func(v *view.View) { b.view.Store(v) })
 	d, err := balancerd.New(balancerd.Options{Settings: s, Env: c.env(s.Process), WrapView: wrap})
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
 	"github.com/auburnwood/auburnwood/pkg/refusal"
 	"github.com/auburnwood/auburnwood/pkg/resource"
+	"github.com/auburnwood/auburnwood/pkg/settings"
 )
 
 const (
@@ -124,12 +126,16 @@
 	for _, s := range c.cfg.Deployment.Services {
 		limits := c.cfg.Limits
 		limits.Connections = c.cfg.Connections[s.Name]
-		out = append(out, resource.Service{Name: s.Name, Spec: resource.ServiceSpec{
+		service := resource.Service{Name: s.Name, Spec: resource.ServiceSpec{
 			Addresses:  []resource.Address{s.Address},
 			Mode:       c.mode(),
 			Preference: c.cfg.Deployment.Preference,
 			Limits:     limits,
-		}})
+		}}
+		if c.cfg.Service != nil {
+			c.cfg.Service(&service)
+		}
+		out = append(out, service)
 	}
 	return out
 }
@@ -141,6 +147,13 @@
 	return c.cfg.Mode
 }
 
+func (c *Cluster) tls(process string) settings.TLS {
+	if c.cfg.TLS == nil {
+		return settings.TLS{}
+	}
+	return c.cfg.TLS(process)
+}
+
 // Store returns the stand-in, for faults and counts.
 func (c *Cluster) Store() *store.Store { return c.store }
 
@@ -183,22 +196,24 @@
 	}
 }
 
-// awaitServing waits until every balancer knows every target as active.
+// awaitServing waits until every balancer knows every target as active, and every agent those of its service.
 func (c *Cluster) awaitServing(ctx context.Context) error {
-	want := 0
+	all := 0
+	want := map[string]int{}
 	for _, s := range c.cfg.Deployment.Services {
-		want += s.Targets
+		all += s.Targets
+		want[s.Name] = s.Targets
 	}
 	return await(ctx, func() bool {
 		c.mu.Lock()
-		balancers := append([]*balancer(nil), c.balancers...)
+		balancers, targets := slices.Clone(c.balancers), slices.Clone(c.targets)
 		c.mu.Unlock()
 		for _, b := range balancers {
-			if b.daemon.Revision() == 0 || b.activeTargets() < want {
+			if b.daemon.Revision() == 0 || b.activeTargets() < all {
 				return false
 			}
 		}
-		return true
+		return !slices.ContainsFunc(targets, func(t *target) bool { return !t.knowsActive(want[t.service]) })
 	})
 }
 
--- a/internal/lab/cluster/target.go
+++ b/internal/lab/cluster/target.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -24,6 +25,8 @@
 	daemon      *agentd.Daemon
 	stop        context.CancelFunc
 	ended       chan struct{}
+	// view is the view that the agent uses.
+	view atomic.Pointer[view.Service]
 	// state and since are guarded by the cluster's lock.
 	state view.TargetState
 	since time.Time
@@ -34,6 +37,21 @@
 	t.standin.Kill()
 }
 
+// knowsActive reports whether the agent knows that many active targets of its service.
+func (t *target) knowsActive(targets int) bool {
+	v := t.view.Load()
+	if v == nil {
+		return false
+	}
+	n := 0
+	for _, x := range v.Targets {
+		if x.State == view.StateActive {
+			n++
+		}
+	}
+	return n >= targets
+}
+
 // addTarget starts a target and its agent; the target announces itself.
 func (c *Cluster) addTarget(size flows.ServiceSize) (*target, error) {
 	n := c.nextNumber()
@@ -67,6 +85,10 @@
 }
 
 func (c *Cluster) startAgent(id string, n int, st *standin.Target) (*target, error) {
+	return c.runAgent(c.agentSettings(id, n, st), st)
+}
+
+func (c *Cluster) agentSettings(id string, n int, st *standin.Target) settings.Agent {
 	s := settings.DefaultAgent()
 	s.Name = id
 	s.Region = c.cfg.Deployment.Region
@@ -75,21 +97,28 @@
 	s.FabricAddress = c.cfg.Fabric.Addr().String()
 	s.TargetAddress = st.Addr().String()
 	s.Balancers = c.controlAddrs()
+	s.TLS = c.tls(id)
 	if c.mode() == resource.ModeRequest {
 		s.ControlAddress = loopback
 		s.ObjectAPI.URL = c.apiURL
 		s.ObjectAPI.CallsPerSecond = callRate
 	}
-	d, err := agentd.New(agentd.Options{Settings: s, Env: c.env(s.Process), WrapView: wrapView[*view.Service](c.delay, nil)})
+	return s
+}
+
+func (c *Cluster) runAgent(s settings.Agent, st *standin.Target) (*target, error) {
+	t := &target{id: s.Name, standin: st, ended: make(chan struct{})}
+	wrap := wrapView(c.delay, func(v *view.Service) { t.view.Store(v) })
+	d, err := agentd.New(agentd.Options{Settings: s, Env: c.env(s.Process), WrapView: wrap})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
 	run, stop := context.WithCancel(c.ctx)
-	t := &target{id: id, standin: st, daemon: d, stop: stop, ended: make(chan struct{})}
+	t.daemon, t.stop = d, stop
 	c.done.Go(func() {
 		defer close(t.ended)
 		if err := d.Run(run); err != nil {
-			c.cfg.Log.Error().Err(err).Str("op", "run").Str("process", id).Send()
+			c.cfg.Log.Error().Err(err).Str("op", "run").Str("process", s.Name).Send()
 		}
 	})
 	return t, nil
