Do not deny earlier work when an idle connection of a draining agent ends

Cause: the 408 that ends an idle connection said run: no. A caller that repeats a ticket or key at that moment takes this for the answer, and would run work that had run before once more with another ticket. Change: run unknown, with submission no: only the submission on its way is known not to have run. The test fails before (run no) and passes after.

--- a/pkg/request/leave.go
+++ b/pkg/request/leave.go
@@ -51,7 +51,10 @@
 }
 
 func idleClosed() *Refusal {
-	return &Refusal{Reason: refusal.ReasonDraining, Status: http.StatusRequestTimeout, Run: refusal.RunNo, RetryAfter: retryLater,
+	// The request that was on its way may be the repeat of a ticket or key whose work has run: only this submission is
+	// known not to have run.
+	return &Refusal{Reason: refusal.ReasonDraining, Status: http.StatusRequestTimeout, Run: refusal.RunUnknown,
+		Submission: refusal.RunNo, RetryAfter: retryLater,
 		Detail: "the target leaves, and its idle connection was closed; a request that was on its way was not run"}
 }
 
--- a/pkg/request/ticket_test.go
+++ b/pkg/request/ticket_test.go
@@ -1,9 +1,11 @@
 package request
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -219,3 +221,29 @@
 	require.NotEmpty(t, res.Header.Get("Retry-After"))
 	require.Equal(t, "cancelled", stateOf(t, url, text).State)
 }
+
+// A caller may repeat a ticket on a connection that a draining agent closes. Its work may have run, so that the farewell
+// must not say that nothing ran: the caller would take another ticket and run the work again.
+func TestFarewellOfADrainingAgentDoesNotDenyEarlierWork(t *testing.T) {
+	g := newGate()
+	g.leave <- struct{}{}
+	s, url := newTestServer(t, g, nil)
+	text := take(t, url)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	require.NoError(t, err)
+	defer conn.Close()
+	submission := "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n" + HeaderTicket + ": " + text + "\r\n\r\n"
+	_, err = io.WriteString(conn, submission)
+	require.NoError(t, err)
+	r := bufio.NewReader(conn)
+	res, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	require.Equal(t, 200, res.StatusCode)
+	_, _ = io.Copy(io.Discard, res.Body)
+	require.NoError(t, s.Drain(context.Background()))
+	res, err = http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusRequestTimeout, res.StatusCode)
+	require.Equal(t, "unknown", res.Header.Get(HeaderRun))
+	require.Equal(t, "no", res.Header.Get(HeaderSubmission))
+}
