Count a flow whose owner was lost while it opened as one of the killed target

Cause: a flow placed on a VM that was killed before any answer has no target name; its record owner-lost was taken for unexplained (1 of 6,000 flows; trace: its agent fell silent at the kill). An owner-lost record counts only for a flow that was opening when a target was killed.

--- a/internal/lab/flows/judge.go
+++ b/internal/lab/flows/judge.go
@@ -118,7 +118,21 @@
 	if ok {
 		return o.ended.After(killed)
 	}
-	return o.target == "" && recorded && record.Reason == refusal.ReasonTargetDied
+	if o.target != "" || !recorded {
+		return false
+	}
+	return record.Reason == refusal.ReasonTargetDied || record.Reason == refusal.ReasonOwnerLost && r.openAtKill(o)
+}
+
+// openAtKill reports whether the flow was being opened when some target was killed: only then can it have been placed
+// there and have lost its owner before an answer came.
+func (r *run) openAtKill(o *outcome) bool {
+	for _, killed := range r.events.killedTargets {
+		if o.started.Before(killed) && o.ended.After(killed) {
+			return true
+		}
+	}
+	return false
 }
 
 // addTimes adds stalls and the wait of new flows.
--- a/internal/lab/flows/judge_test.go
+++ b/internal/lab/flows/judge_test.go
@@ -23,6 +23,7 @@
 func TestJudgeFlow(t *testing.T) {
 	local := callerOf(1000)
 	record := map[netip.AddrPort]refusal.Record{local: {Caller: local, Reason: refusal.ReasonTargetDied, DecidedBy: "r1"}}
+	lost := map[netip.AddrPort]refusal.Record{local: {Caller: local, Reason: refusal.ReasonOwnerLost, DecidedBy: "r2"}}
 	none := map[netip.AddrPort]refusal.Record{}
 	killed := began.Add(time.Second)
 	tests := map[string]struct {
@@ -30,16 +31,19 @@
 		records map[netip.AddrPort]refusal.Record
 		want    Result
 	}{
-		"intact":                      {outcome{verdict: verdictIntact, target: "r2"}, none, Result{}},
-		"intact with a record":        {outcome{verdict: verdictIntact, target: "r2"}, record, Result{FalseRecords: 1}},
-		"broken":                      {outcome{verdict: verdictBroken, target: "r2"}, none, Result{Broken: 1}},
-		"broken with a record":        {outcome{verdict: verdictBroken, target: "r2"}, record, Result{Broken: 1}},
-		"crossed":                     {outcome{verdict: verdictCrossed, target: "r2"}, none, Result{Crossed: 1}},
-		"mixed":                       {outcome{verdict: verdictMixed, target: "r1"}, none, Result{Mixed: 1}},
-		"killed":                      {outcome{verdict: verdictBroken, target: "r1"}, record, Result{Killed: 1, Explained: 1}},
-		"killed without a record":     {outcome{verdict: verdictBroken, target: "r1"}, none, Result{Killed: 1}},
-		"broken before the kill":      {outcome{verdict: verdictBroken, target: "r1", ended: began}, none, Result{Broken: 1}},
-		"killed before any answer":    {outcome{verdict: verdictBroken}, record, Result{Killed: 1, Explained: 1}},
+		"intact":                   {outcome{verdict: verdictIntact, target: "r2"}, none, Result{}},
+		"intact with a record":     {outcome{verdict: verdictIntact, target: "r2"}, record, Result{FalseRecords: 1}},
+		"broken":                   {outcome{verdict: verdictBroken, target: "r2"}, none, Result{Broken: 1}},
+		"broken with a record":     {outcome{verdict: verdictBroken, target: "r2"}, record, Result{Broken: 1}},
+		"crossed":                  {outcome{verdict: verdictCrossed, target: "r2"}, none, Result{Crossed: 1}},
+		"mixed":                    {outcome{verdict: verdictMixed, target: "r1"}, none, Result{Mixed: 1}},
+		"killed":                   {outcome{verdict: verdictBroken, target: "r1"}, record, Result{Killed: 1, Explained: 1}},
+		"killed without a record":  {outcome{verdict: verdictBroken, target: "r1"}, none, Result{Killed: 1}},
+		"broken before the kill":   {outcome{verdict: verdictBroken, target: "r1", ended: began}, none, Result{Broken: 1}},
+		"killed before any answer": {outcome{verdict: verdictBroken}, record, Result{Killed: 1, Explained: 1}},
+		"owner lost at the kill":   {outcome{verdict: verdictBroken, started: began}, lost, Result{Killed: 1, Explained: 1}},
+		"owner lost without cause": {outcome{verdict: verdictBroken, started: killed.Add(time.Millisecond)}, lost,
+			Result{Broken: 1}},
 		"refused without any account": {outcome{verdict: verdictBroken}, none, Result{Broken: 1}},
 		"late work": {outcome{verdict: verdictIntact, target: "r3", started: began.Add(MostLeaving + time.Second)}, none,
 			Result{LateWork: 1}},
