--- a/pkg/arbiter/offer.go
+++ b/pkg/arbiter/offer.go
@@ -14,7 +14,12 @@
 		d := c.decide(ActionDeliver, "own flow")
 		d.Notify = c.placed(c.in.Sender)
 		return d
-	case stateAsked, stateOffered, stateBeyond:
+	case stateAsked:
+		// The agent that was asked places the flow itself, and may choose this one.
+		if c.a.peers.get(c.e.peer).addr != c.in.Sender {
+			return c.drop("flow is being placed by this agent too")
+		}
+	case stateOffered, stateBeyond:
 		return c.drop("flow is being placed by this agent too")
 	case stateRedirect:
 		if d, ok := c.offeredElsewhere(); ok {
--- a/pkg/arbiter/packet_test.go
+++ b/pkg/arbiter/packet_test.go
@@ -144,6 +144,20 @@
 	require.Equal(t, ActionDrop, b.a.Packet(b.now, repeated).Action)
 }
 
+// Two agents once waited for each other: one asked, the other offered it the flow.
+func TestOfferByTheAgentThatIsAsked(t *testing.T) {
+	b := newBed(t, nil)
+	in := b.input(true)
+	in.Flow = firstFor(b.s, 2) // this agent's view has another first agent than the balancer's
+	d := b.a.Packet(b.now, in)
+	require.Equal(t, ActionForward, d.Action)
+	require.Equal(t, b.peer(2), d.To)
+	in.Kind, in.Sender, in.Hops = wire.Kind_KIND_OFFER, b.peer(1), 2
+	require.Equal(t, ActionDrop, b.a.Packet(b.now, in).Action)
+	in.Sender = b.peer(2)
+	require.True(t, b.a.Packet(b.now, in).Accepted)
+}
+
 // An opening packet that follows packets of an established flow is late; it once started a second owner.
 func TestOpeningWhileOwnerIsSought(t *testing.T) {
 	b := newBed(t, nil)
