Bound the work of building views while members keep changing

Cause: a balancer built a view of all members 20 ms after each change; with 3,300 targets a view takes milliseconds, so that changes which come one after another took a large part of a core. Change: views are built as often as 1% of a core allows, at most 500 ms apart; a change after a quiet time still waits 20 ms.

--- a/pkg/peer/watch_views.go
+++ b/pkg/peer/watch_views.go
@@ -2,14 +2,10 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/view"
 )
 
-// viewGatherTime is how long changes are gathered before a view is built.
-const viewGatherTime = 20 * time.Millisecond
-
 // WatchViews builds a view whenever the members, the revision or the shares have changed and hands it to onView, until
 // ctx ends. The first view is built once a revision is known.
 func (n *Node) WatchViews(ctx context.Context, onView func(*view.View)) error {
@@ -17,9 +13,12 @@
 	defer cancel()
 	revisions, stop := n.changes.subscribe()
 	defer stop()
+	var pace viewPace
 	for {
 		if r, ok := n.cfg.Adopter.Current(); ok {
-			onView(view.Build(r, n.table.Members(), n.cfg.Shares, n.cfg.Now()))
+			begin := n.cfg.Now()
+			onView(view.Build(r, n.table.Members(), n.cfg.Shares, begin))
+			pace.note(begin, n.cfg.Now())
 		}
 		select {
 		case <-ctx.Done():
@@ -27,6 +26,6 @@
 		case <-changes:
 		case <-revisions:
 		}
-		sleep(ctx, viewGatherTime)
+		sleep(ctx, pace.wait(n.cfg.Now()))
 	}
 }
