Record UDP flows whose target is gone, and end them

Cause: the error by which the target's host refuses a datagram was ignored, so a dead UDP target left no record and the flow stayed until its idle time. Change: the flow ends with a record, target-refused-connection before the first answer and target-died after it; a target that takes no TCP connection either ends the agent's life as for TCP flows. Conclusion: a caller of a dead UDP target finds its record.

--- a/pkg/agent/agent_test.go
+++ b/pkg/agent/agent_test.go
@@ -281,3 +281,36 @@
 	<-drained
 	require.Empty(t, l.records.reasons())
 }
+
+// TestUDPTargetThatIsGoneIsRecorded closes the target's socket before and after its first answer.
+func TestUDPTargetThatIsGoneIsRecorded(t *testing.T) {
+	for name, c := range map[string]struct {
+		answers bool
+		reason  refusal.Reason
+	}{
+		"never there": {false, refusal.ReasonTargetRefused},
+		"died":        {true, refusal.ReasonTargetDied},
+	} {
+		t.Run(name, func(t *testing.T) {
+			target := listenUDP(t)
+			l := newLab(t, streams(), target.LocalAddr())
+			conn, err := l.caller.DialUDP(callerIP, serviceUDP)
+			require.NoError(t, err)
+			defer conn.Close()
+			if c.answers {
+				go func() {
+					b := make([]byte, 2048)
+					n, from, _ := target.ReadFromUDPAddrPort(b)
+					_, _ = target.WriteToUDPAddrPort(b[:n], from)
+				}()
+				exchange(t, conn)
+			}
+			require.NoError(t, target.Close())
+			_, err = conn.Write([]byte("ping"))
+			require.NoError(t, err)
+			eventually(t, func() bool { return len(l.records.reasons()) > 0 }, "refusal is recorded")
+			require.Equal(t, []refusal.Reason{c.reason}, l.records.reasons())
+			eventually(t, func() bool { return l.agents[0].OpenFlows() == 0 }, "flow ends")
+		})
+	}
+}
--- a/pkg/agent/datagrams.go
+++ b/pkg/agent/datagrams.go
@@ -1,9 +1,11 @@
 package agent
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/refusal"
@@ -19,7 +21,11 @@
 	mu     sync.Mutex
 	target net.Conn
 	isCut  bool
-	last   atomic.Int64
+	// died is set when the target's death was recorded.
+	died bool
+	last atomic.Int64
+	// answered is set once the target has sent a datagram.
+	answered atomic.Bool
 }
 
 // serve carries datagrams both ways until none has passed for the service's idle time.
@@ -27,7 +33,7 @@
 	defer u.cut()
 	target, err := u.a.dialTarget("udp")
 	if err != nil {
-		u.record(err)
+		u.record(refusal.ReasonTargetRefused, err)
 		return
 	}
 	u.mu.Lock()
@@ -76,8 +82,7 @@
 	u.a.sendAll(u.a.arbiter.Opened(u.a.deps.Now(), u.f.hash))
 }
 
-// copy carries datagrams until a socket is closed; it calls second when the second one has come. A target that refuses a
-// datagram may take the next one.
+// copy carries datagrams until a socket is closed; it calls second when the second one has come.
 func (u *datagrams) copy(to, from net.Conn, second func()) {
 	b := make([]byte, u.a.cfg.MTU)
 	count := 0
@@ -85,6 +90,7 @@
 	for {
 		n, err := from.Read(b)
 		if err != nil {
+			u.refusedBy(err)
 			if failures++; u.over() || failures > maxReadFailures {
 				return
 			}
@@ -95,7 +101,39 @@
 			second()
 		}
 		u.last.Store(u.a.deps.Now().UnixNano())
-		_, _ = to.Write(b[:n])
+		if from == u.target {
+			u.answered.Store(true)
+		}
+		if _, err := to.Write(b[:n]); err != nil {
+			u.refusedBy(err)
+		}
+	}
+}
+
+// refusedBy ends the flow when the target's host says that nobody takes its datagrams. It does so for UDP as for TCP; a
+// caller's next datagram starts a new flow. Other errors pass.
+func (u *datagrams) refusedBy(err error) {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	u.mu.Lock()
+	again := u.isCut || u.died
+	u.died = true
+	u.mu.Unlock()
+	if again {
+		return
+	}
+	u.a.metrics.targetDied.Inc(1)
+	reason := refusal.ReasonTargetRefused
+	if u.answered.Load() {
+		reason = refusal.ReasonTargetDied
+	}
+	u.record(reason, err)
+	u.a.end(u.f)
+	u.cut()
+	// A target that still takes TCP connections only lacks the UDP port.
+	if !u.a.draining.Load() && u.a.probe.dead(time.Now()) {
+		u.a.targetDown(err)
 	}
 }
 
@@ -123,6 +161,6 @@
 	}
 }
 
-func (u *datagrams) record(err error) {
-	u.a.record(u.s, u.f.key, u.f.hash, refusal.ReasonTargetRefused, err.Error(), u.a.deps.Now())
+func (u *datagrams) record(reason refusal.Reason, err error) {
+	u.a.record(u.s, u.f.key, u.f.hash, reason, err.Error(), u.a.deps.Now())
 }
