--- a/internal/lab/flows/cluster.go
+++ b/internal/lab/flows/cluster.go
@@ -96,3 +96,9 @@
 	// Passed is the number of times that an agent passed a packet to another agent.
 	Passed int64
 }
+
+// Suspecter is a Cluster that can take a target that lives for dead.
+type Suspecter interface {
+	// SuspectTarget drops the target from the views for a time.
+	SuspectTarget(id string, d time.Duration) error
+}
--- a/internal/lab/flows/direct.go
+++ b/internal/lab/flows/direct.go
@@ -237,6 +237,21 @@
 	return nil
 }
 
+// SuspectTarget implements Suspecter.
+func (d *direct) SuspectTarget(id string, t time.Duration) error {
+	x, err := d.find(id)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	d.setState(x, 0)
+	d.views.publish(d.view())
+	time.AfterFunc(t, func() {
+		d.setState(x, view.StateActive)
+		d.views.publish(d.view())
+	})
+	return nil
+}
+
 // StoreDown implements Cluster; there is no store.
 func (d *direct) StoreDown(bool) {}
 
--- a/internal/lab/flows/fault.go
+++ b/internal/lab/flows/fault.go
@@ -22,12 +22,15 @@
 	FaultTargetKill Fault = "target-kill"
 	// FaultAgentKill ends the VM of a target: target and agent.
 	FaultAgentKill Fault = "agent-kill"
+	// FaultFalseDeath lets the views drop a target that lives, and take it up again, as when heartbeats are late. Only
+	// clusters that are a Suspecter can make it.
+	FaultFalseDeath Fault = "false-death"
 )
 
 // Faults lists every fault.
 var Faults = []Fault{
 	FaultBalancerJoin, FaultBalancerLeave, FaultBalancerKill, FaultTargetJoin, FaultTargetDrain, FaultUneven,
-	FaultStoreDown, FaultTargetKill, FaultAgentKill,
+	FaultStoreDown, FaultTargetKill, FaultAgentKill, FaultFalseDeath,
 }
 
 // ParseFaults reads a list that is separated by commas; "planned" stands for all planned changes, uneven updates and an
--- a/internal/lab/flows/judge.go
+++ b/internal/lab/flows/judge.go
@@ -101,9 +101,9 @@
 			result.Broken++
 		}
 	}
-	r.events.printf("flow %s (%s) to %s at %q from %v, started %.2fs, %s after %d bytes: %v; record %q",
+	r.events.printf("flow %s (%s) to %s at %q from %v, started %.2fs, %s after %d bytes: %v; record %q of %s",
 		o.plan.name, o.plan.kind, o.plan.service, o.target, o.plan.local, o.started.Sub(r.events.start).Seconds(),
-		o.ended.Sub(o.started).Round(time.Millisecond), o.bytes, o.err, record.Reason)
+		o.ended.Sub(o.started).Round(time.Millisecond), o.bytes, o.err, record.Reason, record.DecidedBy)
 	r.printTrace(o.plan.local)
 }
 
--- a/internal/lab/flows/run_test.go
+++ b/internal/lab/flows/run_test.go
@@ -47,3 +47,18 @@
 	require.Equal(t, result.Killed, result.Explained)
 	require.Zero(t, result.Broken)
 }
+
+// TestFalseDeathBreaksNoFlow drops a target that lives from the views for a few seconds, as late heartbeats do.
+func TestFalseDeathBreaksNoFlow(t *testing.T) {
+	t.Parallel()
+	var out bytes.Buffer
+	result, err := Run(context.Background(), Options{
+		Deployment: "saobien",
+		Flows:      300,
+		Faults:     []Fault{FaultFalseDeath},
+		Seed:       4,
+		Window:     6 * time.Second,
+	}, &out)
+	require.NoError(t, err, out.String())
+	require.Zero(t, result.Broken)
+}
--- a/internal/lab/flows/script.go
+++ b/internal/lab/flows/script.go
@@ -17,6 +17,8 @@
 	faultSpread = 2 * time.Second
 	// storeDownPart is how long the store is down, as a part of the window.
 	storeDownPart = 0.6
+	// falseDeathTime is how long a live target is taken for dead.
+	falseDeathTime = 3 * time.Second
 )
 
 // script makes the faults of a run, each at its own time.
@@ -73,6 +75,8 @@
 	case FaultAgentKill:
 		s.events.killed()
 		return s.killOne(s.cluster.KillAgent, "VM")
+	case FaultFalseDeath:
+		return s.falseDeath()
 	case FaultStoreDown:
 		return s.storeDown()
 	}
@@ -218,6 +222,19 @@
 	return trace.Wrap(kill(id))
 }
 
+func (s *script) falseDeath() error {
+	suspecter, ok := s.cluster.(Suspecter)
+	if !ok {
+		return trace.NotImplemented("the cluster cannot take a live target for dead")
+	}
+	id, err := s.pickTarget(s.cluster.Services()[0].Name)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	s.events.printf("target %s taken for dead for %s", id, falseDeathTime)
+	return trace.Wrap(suspecter.SuspectTarget(id, falseDeathTime))
+}
+
 func (s *script) storeDown() error {
 	s.cluster.StoreDown(true)
 	s.events.printf("store down")
