Tell the asking first agent of a placed flow; ask anew when the asked agent is gone

Cause: in a history the asked agent placed a flow elsewhere and left; the asking one had not heard of it and placed it again. Change: the taker of an offer tells the first of the row as well; the questions start anew when the asked agent is gone.

--- a/pkg/arbiter/arbiter.go
+++ b/pkg/arbiter/arbiter.go
@@ -21,6 +21,7 @@
 	drains  atomic.Bool
 	locator locator
 	ended   endedFlows
+	tells   tells
 
 	// mu guards what follows; it is taken by SetService and Tick only.
 	mu       sync.Mutex
--- a/pkg/arbiter/open.go
+++ b/pkg/arbiter/open.go
@@ -106,7 +106,10 @@
 	}
 	gone := q.gone.Load()
 	switch {
-	case c.e.state == stateAsked && (gone || c.e.at.since(c.at) > askLimit):
+	case c.e.state == stateAsked && gone:
+		// Without it the list of agents to ask is another one.
+		return c.askFrom(pending{})
+	case c.e.state == stateAsked && c.e.at.since(c.at) > askLimit:
 		return c.askFrom(p)
 	case c.e.state == stateAsked:
 		// Placing the flow without the answer could give it a second owner.
--- a/pkg/arbiter/tick.go
+++ b/pkg/arbiter/tick.go
@@ -31,7 +31,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.repeatMoved(now, m)
-	out := a.takeAnnouncements()
+	out := append(a.takeAnnouncements(), a.tells.take()...)
 	out = append(out, a.tickLoad(now, m)...)
 	out = append(out, a.tickLocate(now, m)...)
 	out = append(out, a.tickEnded(m)...)
