Take back the faster load reports

Cause: an imbalance of 1.11 at 75 flows a target was put down to late load reports; reports every 100 ms while the load changes came in with. Conclusion: a failed try, taken back; reports stay at 500 ms.

--- a/pkg/arbiter/arbiter.go
+++ b/pkg/arbiter/arbiter.go
@@ -31,8 +31,6 @@
 	sweepAt  int
 	mateAt   int
 	loadSent time.Time
-	// loadTold is the load that was reported last.
-	loadTold int64
 
 	epochOnce sync.Once
 	epoch     time.Time
--- a/pkg/arbiter/tick.go
+++ b/pkg/arbiter/tick.go
@@ -1,19 +1,14 @@
 package arbiter
 
 import (
-	"math"
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/wire"
 )
 
 const (
-	// loadEvery is the time between two load reports of an agent whose load stays about the same.
+	// loadEvery is the time between two load reports.
 	loadEvery = 500 * time.Millisecond
-	// loadSoon is the time between two load reports of an agent whose load changes.
-	loadSoon = 100 * time.Millisecond
-	// loadChange is the part of the load that counts as a change; a change of one flow is the least.
-	loadChange = 0.01
 	// loadPeers is the number of agents that get one report.
 	loadPeers = 8
 	// sweepShards is the number of shards that one Tick looks through for expired entries.
@@ -41,11 +36,10 @@
 
 // tickLoad reports the load to the next of the agents that may offer flows to this one.
 func (a *Arbiter) tickLoad(now time.Time, m *members) []Message {
-	load := a.load.Load()
-	if len(m.mates) == 0 || !a.loadDue(now, load) {
+	if now.Sub(a.loadSent) < loadEvery || len(m.mates) == 0 {
 		return nil
 	}
-	a.loadSent, a.loadTold = now, load
+	a.loadSent = now
 	var out []Message
 	for range min(loadPeers, len(m.mates)) {
 		a.mateAt = (a.mateAt + 1) % len(m.mates)
@@ -53,21 +47,11 @@
 		if p == nil {
 			continue
 		}
-		out = append(out, Message{To: p.addr, Kind: wire.Kind_KIND_LOAD, Load: uint32(load), Incarnation: a.cfg.Incarnation})
+		out = append(out, Message{To: p.addr, Kind: wire.Kind_KIND_LOAD, Load: uint32(a.load.Load()), Incarnation: a.cfg.Incarnation})
 	}
 	return out
 }
 
-// loadDue reports whether the other agents should hear of the load now.
-func (a *Arbiter) loadDue(now time.Time, load int64) bool {
-	since := now.Sub(a.loadSent)
-	if since >= loadEvery {
-		return true
-	}
-	change := math.Abs(float64(load - a.loadTold))
-	return since >= loadSoon && change >= max(1, loadChange*float64(load))
-}
-
 // sweep forgets what has expired in the next shards; a.mu is held.
 func (a *Arbiter) sweep(at stamp) {
 	for range sweepShards {
