--- a/pkg/arbiter/control.go
+++ b/pkg/arbiter/control.go
@@ -143,7 +143,7 @@
 // hint notes an owner that another agent named, unless something better is known.
 func (a *Arbiter) hint(at stamp, s *shard, flow uint64, owner *peer) {
 	switch s.flows[flow].state {
-	case 0, stateLocating, stateLost, stateDeclined:
+	case 0, stateLocating, stateLost:
 		s.set(flow, entry{at: at, peer: owner.id, state: stateRedirect})
 	}
 }
--- a/pkg/arbiter/entry.go
+++ b/pkg/arbiter/entry.go
@@ -28,8 +28,6 @@
 	stateOffered
 	// stateBeyond is like stateOffered for an agent outside the row.
 	stateBeyond
-	// stateDeclined is a flow that this agent declined a short time ago.
-	stateDeclined
 	// stateLocating is a flow whose owner is being asked for.
 	stateLocating
 	// stateLost is a flow that every agent of the service denies.
@@ -52,6 +50,8 @@
 	flagProbed
 	// flagByOffer marks a probed redirect whose opening packet came by an offer.
 	flagByOffer
+	// flagDeclined marks a yielded redirect to an arbiter whose offer this agent declined for its load.
+	flagDeclined
 )
 
 // entry is what the arbiter knows of one flow. It is 8 bytes.
--- a/pkg/arbiter/offer.go
+++ b/pkg/arbiter/offer.go
@@ -25,8 +25,7 @@
 		if d, ok := c.offeredElsewhere(); ok {
 			return d
 		}
-	case stateDeclined:
-		if !c.in.Final {
+		if c.e.has(flagDeclined) && !c.in.Final {
 			return c.decline(declinedLoaded)
 		}
 	}
@@ -50,7 +49,9 @@
 		return c.decline(declinedDraining)
 	}
 	if !c.in.Final && uint32(c.a.load.Load()) > c.in.Bound {
-		c.s.set(c.in.Flow, entry{at: c.at, state: stateDeclined})
+		if q := c.senderPeer(); q != nil {
+			c.s.set(c.in.Flow, entry{at: c.at, peer: q.id, state: stateRedirect, flags: flagYielded | flagDeclined})
+		}
 		return c.decline(declinedLoaded)
 	}
 	if !c.accept() {
--- a/pkg/arbiter/packet_test.go
+++ b/pkg/arbiter/packet_test.go
@@ -127,6 +127,8 @@
 	require.Equal(t, uint32(1), d.Load)
 	in.Bound = 1
 	require.Equal(t, ActionDecline, b.a.Packet(b.now, in).Action, "a repeated offer is declined again")
+	d = b.a.Packet(b.now, b.input(true))
+	require.Equal(t, b.peer(1), d.To, "the flow is left to the agent that offered it, whatever another balancer's row says")
 	in.Final = true
 	d = b.a.Packet(b.now, in)
 	require.True(t, d.Accepted)
--- a/pkg/arbiter/tick.go
+++ b/pkg/arbiter/tick.go
@@ -89,8 +89,6 @@
 		return a.cfg.Idle
 	case stateAsked, stateOffered, stateBeyond, stateLocating:
 		return pendingFor
-	case stateDeclined:
-		return a.cfg.Window
 	}
 	return a.cfg.Linger
 }
