--- a/internal/lab/capacity/balancer_view.go
+++ b/internal/lab/capacity/balancer_view.go
@@ -35,10 +35,10 @@
 		name: "balancer-view", per: "service", source: "pkg/view, pkg/placement, pkg/balancer",
 		sizes: []float64{170, 340, 510, 680}, repeats: 3,
 		outputs: []output{
-			{"view and rows in a balancer's memory", "B"},
-			{"first view, processor time", "ms"},
-			{"one target restarted, processor time in a balancer", "ms"},
-			{"one service changed, processor time in a balancer", "ms"},
+			{name: "view and rows in a balancer's memory", unit: "B"},
+			{name: "first view, processor time", unit: "ms"},
+			{name: "one target restarted, processor time in a balancer", unit: "ms"},
+			{name: "one service changed, processor time in a balancer", unit: "ms"},
 		},
 		run: runBalancerView,
 	}
@@ -78,7 +78,7 @@
 	return probe{
 		name: "balancer-cache", per: "cached flow", source: "pkg/balancer",
 		sizes: []float64{1 << 17, 1 << 18, 1 << 19}, repeats: 3,
-		outputs: []output{{"cache of learned owners", "B"}},
+		outputs: []output{{name: "cache of learned owners", unit: "B"}},
 		run: func(_ context.Context, size float64) ([]float64, error) {
 			before := liveHeap()
 			b, err := openBalancer(unusedAddr, 1, int(size))
@@ -99,9 +99,9 @@
 		name: "member-table", per: "member", source: "pkg/membership",
 		sizes: []float64{948, 1895, 3790}, repeats: 3,
 		outputs: []output{
-			{"member table", "B"},
-			{"judging the watched members once, after one change", "us"},
-			{"building a digest", "us"},
+			{name: "member table", unit: "B"},
+			{name: "judging the watched members once, after one change", unit: "us"},
+			{name: "building a digest", unit: "us"},
 		},
 		run: runMemberTable,
 	}
--- a/internal/lab/capacity/figure.go
+++ b/internal/lab/capacity/figure.go
@@ -57,9 +57,10 @@
 		return 0, errMissing(t.series)
 	}
 	f := one.Fit()
-	v := f.At(t.size)
+	x := one.scale(t.size)
+	v := f.At(x)
 	if t.slopeOnly {
-		v = f.Slope * t.size
+		v = f.Slope * x
 	}
 	if t.times != 0 {
 		v *= t.times
@@ -73,7 +74,7 @@
 	}
 	one, _ := s.Series(t.series)
 	f := one.Fit()
-	text := fmt.Sprintf("*%s*: %s %s/%s × %s", t.series, number(f.Slope), one.Unit, one.Per, number(t.size))
+	text := fmt.Sprintf("*%s*: %s %s/%s × %s", t.series, number(f.Slope), one.Unit, one.perText(), number(one.scale(t.size)))
 	if !t.slopeOnly {
 		text += fmt.Sprintf(" + %s", number(f.Intercept))
 	}
--- a/internal/lab/capacity/fleet.go
+++ b/internal/lab/capacity/fleet.go
@@ -67,6 +67,9 @@
 			Addresses:  []resource.Address{{IP: a.Addr().String(), Port: a.Port()}},
 			Mode:       resource.ModeStream,
 			Preference: resource.PreferFlows,
+			Shares:     []resource.Share{{Version: "v1", Weight: uint32(1 + i*7919%100)}, {Version: "v2", Weight: uint32(i * 104729 % 100)}},
+			Limits:     resource.Limits{Slots: uint32(1 + i*31%8), Connections: uint32(1000 + i*7907%2000)},
+			DrainTime:  resource.Duration(time.Duration(1+i*13%20) * time.Minute),
 		}})
 	}
 	return services
--- a/internal/lab/capacity/plots.go
+++ b/internal/lab/capacity/plots.go
@@ -25,6 +25,9 @@
 func drawings() []drawing {
 	return []drawing{
 		{"capacity-view.png", "view and rows in a balancer's memory", fleetServices},
+		{"capacity-change.png", "change of one service, bytes of a balancer", fleetBalancers},
+		{"capacity-churn.png", "members changed one by one, bytes of a balancer", fleetTargets * changesOfRestart / (restartMinutes * 60)},
+		{"capacity-flows.png", "open flow in an agent, heap and stacks", flowsOfAgent},
 	}
 }
 
@@ -59,13 +62,25 @@
 		return err
 	}
 	f := one.Fit()
-	line, err := plotter.NewLine(plotter.XYs{{X: 0, Y: f.At(0)}, {X: d.until, Y: f.At(d.until)}})
+	fitted, err := plotter.NewLine(line(one, f, d.until))
 	if err != nil {
 		return err
 	}
-	p.Add(plotter.NewGrid(), line, scatter)
+	p.Add(plotter.NewGrid(), fitted, scatter)
 	p.Legend.Add("measured", scatter)
-	p.Legend.Add("line to the size to design for", line)
+	p.Legend.Add("line to the size to design for", fitted)
 	p.Legend.Top, p.Legend.Left = true, true
 	return p.Save(plotWidth, plotHeight, filepath.Join(dir, d.file))
 }
+
+// line returns points of the fitted line up to a size.
+func line(s Series, f Fit, until float64) plotter.XYs {
+	const steps = 100
+	var out plotter.XYs
+	first := s.Sizes()[0]
+	for i := range steps + 1 {
+		x := first + (until-first)*float64(i)/steps
+		out = append(out, plotter.XY{X: x, Y: f.At(s.scale(x))})
+	}
+	return out
+}
--- a/internal/lab/capacity/probe.go
+++ b/internal/lab/capacity/probe.go
@@ -4,11 +4,14 @@
 	"context"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
 )
 
 // output names one value that a probe returns.
 type output struct {
 	name, unit string
+	// doublings says that the cost grows with the logarithm of the size.
+	doublings bool
 }
 
 // probe measures some costs at several sizes.
@@ -22,6 +25,8 @@
 	sizes   []float64
 	repeats int
 	outputs []output
+	// parallel measures all sizes at the same time: for counts that do not depend on the processor's load.
+	parallel bool
 	// run measures at one size and returns one value for each output.
 	run func(ctx context.Context, size float64) ([]float64, error)
 }
@@ -30,21 +35,38 @@
 func (p probe) measure(ctx context.Context) ([]Series, error) {
 	series := make([]Series, len(p.outputs))
 	for i, o := range p.outputs {
-		series[i] = Series{Name: o.name, Unit: o.unit, Per: p.per, Source: p.source}
+		series[i] = Series{Name: o.name, Unit: o.unit, Per: p.per, Source: p.source, Doublings: o.doublings}
 	}
 	for range p.repeats {
-		for _, size := range p.sizes {
-			if err := ctx.Err(); err != nil {
-				return nil, trace.Wrap(err, "probe %s", p.name)
-			}
-			values, err := p.run(ctx, size)
-			if err != nil {
-				return nil, trace.Wrap(err, "probe %s at %g %s", p.name, size, p.per)
-			}
-			for i, v := range values {
+		values, err := p.once(ctx)
+		if err != nil {
+			return nil, err
+		}
+		for k, size := range p.sizes {
+			for i, v := range values[k] {
 				series[i].Points = append(series[i].Points, Point{Size: size, Value: v})
 			}
 		}
 	}
 	return series, nil
 }
+
+// once measures each size once.
+func (p probe) once(ctx context.Context) ([][]float64, error) {
+	values := make([][]float64, len(p.sizes))
+	g, ctx := errgroup.WithContext(ctx)
+	if !p.parallel {
+		g.SetLimit(1)
+	}
+	for k, size := range p.sizes {
+		g.Go(func() error {
+			if err := ctx.Err(); err != nil {
+				return trace.Wrap(err, "probe %s", p.name)
+			}
+			var err error
+			values[k], err = p.run(ctx, size)
+			return trace.Wrap(err, "probe %s at %g %s", p.name, size, p.per)
+		})
+	}
+	return values, g.Wait()
+}
--- a/internal/lab/capacity/series.go
+++ b/internal/lab/capacity/series.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"math"
 	"slices"
 
 	"gonum.org/v1/gonum/stat"
@@ -16,6 +17,8 @@
 	Per string `json:"per"`
 	// Source is the package whose code was measured.
 	Source string `json:"source"`
+	// Doublings fits the line over the logarithm of the size to base 2.
+	Doublings bool `json:"doublings,omitempty"`
 	// Points are the measured values, in the order in which they were measured.
 	Points []Point `json:"points"`
 }
@@ -30,6 +33,22 @@
 	return slices.Compact(sizes)
 }
 
+// scale returns where a size stands on the axis of the line.
+func (s Series) scale(size float64) float64 {
+	if s.Doublings {
+		return math.Log2(size)
+	}
+	return size
+}
+
+// perText says what the slope counts.
+func (s Series) perText() string {
+	if s.Doublings {
+		return "doubling of " + s.Per + "s"
+	}
+	return s.Per
+}
+
 // values returns what was measured at a size.
 func (s Series) values(size float64) []float64 {
 	var out []float64
@@ -45,7 +64,7 @@
 func (s Series) Fit() Fit {
 	x, y := make([]float64, len(s.Points)), make([]float64, len(s.Points))
 	for i, p := range s.Points {
-		x[i], y[i] = p.Size, p.Value
+		x[i], y[i] = s.scale(p.Size), p.Value
 	}
 	var f Fit
 	f.Intercept, f.Slope = stat.LinearRegression(x, y, nil, false)
--- a/internal/lab/capacity/tables.go
+++ b/internal/lab/capacity/tables.go
@@ -21,7 +21,7 @@
 		for _, one := range p.Series {
 			f := one.Fit()
 			fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s per %s | %s | %s | %.0f%% | %s |\n", p.Probe, one.Name, one.Unit,
-				joinSizes(one.Sizes()), number(f.Slope), one.Per, number(f.Intercept), number(f.Residual), 100*f.Spread, one.Source)
+				joinSizes(one.Sizes()), number(f.Slope), one.perText(), number(f.Intercept), number(f.Residual), 100*f.Spread, one.Source)
 		}
 	}
 	return b.String()
