Drain request services without cutting, holding up or misleading callers

Cause: an agent that left waited up to the drain time for idle keep-alive connections; a request that another agent had handed over was cut about 6 s after the drain began, because the agent waited for its own flows only; limits that a revision changed reached a running agent only after a restart. Change: the agent waits for requests of other agents too, within its drain time, before and after it leaves; views bring slots, queue and deadline into force.

--- a/internal/lab/cluster/requests_test.go
+++ b/internal/lab/cluster/requests_test.go
@@ -17,6 +17,8 @@
 	"github.com/auburnwood/auburnwood/internal/lab/flows"
 	"github.com/auburnwood/auburnwood/internal/standin/fabric"
 	standin "github.com/auburnwood/auburnwood/internal/standin/target"
+	"github.com/auburnwood/auburnwood/pkg/ctl"
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
 	"github.com/auburnwood/auburnwood/pkg/refusal"
 	"github.com/auburnwood/auburnwood/pkg/request"
 	"github.com/auburnwood/auburnwood/pkg/resource"
@@ -104,7 +106,7 @@
 	status int
 	header http.Header
 	body   string
-	proto  string
+	close  bool
 }
 
 func (r reply) problem(t *testing.T) request.Problem {
@@ -134,7 +136,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
-	return reply{status: resp.StatusCode, header: resp.Header, body: string(body), proto: resp.Proto}, err
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(body), close: resp.Close}, err
 }
 
 func (l *requestLab) ask(c *http.Client, method, service, path string, headers ...string) reply {
@@ -365,3 +367,59 @@
 	}
 	require.Equal(t, 1, l.ran("lost"))
 }
+
+// apply changes the specification of a service as an operator does.
+func (l *requestLab) apply(service string, edit func(*resource.ServiceSpec)) {
+	l.t.Helper()
+	for _, s := range l.c.Services() {
+		if s.Name != service {
+			continue
+		}
+		edit(&s.Spec)
+		applier := ctl.Applier{Store: objectapi.NewClient(l.c.APIURL(), objectapi.Options{})}
+		_, err := applier.Apply(context.Background(), s)
+		require.NoError(l.t, err)
+	}
+}
+
+func TestChangedLimitsReachTheRunningAgent(t *testing.T) {
+	l := newRequestLab(t, func(c *flows.ClusterConfig) {
+		c.Deployment.Services[1].Slots = 4
+		c.Limits.Slots = 1
+	})
+	agent := l.c.targets[len(l.c.targets)-1].daemon
+	require.Equal(t, 1, agent.Load().Limit)
+	c := l.caller(http1)
+	before := l.ask(c, http.MethodPost, reportsService, work("before", time.Millisecond))
+	require.Equal(t, http.StatusOK, before.status)
+	l.apply(reportsService, func(s *resource.ServiceSpec) {
+		s.Limits.Slots = 3
+		s.Limits.Queue = 1
+		s.Limits.Deadline = resource.Duration(2 * time.Second)
+	})
+	require.Eventually(t, func() bool { return agent.Load().Limit == 3 }, patience, 10*time.Millisecond)
+
+	// Three run, one waits, and one more is refused.
+	var running sync.WaitGroup
+	for i := range 4 {
+		caller, id := l.caller(http1), fmt.Sprintf("busy-%d", i)
+		running.Go(func() {
+			r, err := ask(caller, http.MethodPost, l.address(reportsService)+work(id, time.Second))
+			if err != nil || r.status != http.StatusOK {
+				t.Errorf("%s: status %d %s %v", id, r.status, r.body, err)
+			}
+		})
+		require.Eventually(t, func() bool { return agent.Load().Busy+agent.Load().Waiting == i+1 }, patience, time.Millisecond)
+	}
+	r := l.ask(l.caller(http1), http.MethodPost, reportsService, work("over", time.Millisecond))
+	require.Equal(t, refusal.ReasonQueueFull, r.problem(t).Reason)
+	require.Zero(t, l.ran("over"))
+	running.Wait()
+
+	// The connection that was open before the change follows the new deadline too.
+	late := l.ask(c, http.MethodPost, reportsService, work("late", patience))
+	p := late.problem(t)
+	require.Equal(t, refusal.ReasonDeadline, p.Reason)
+	require.Equal(t, refusal.RunUnknown, p.Run)
+	require.Equal(t, 1, l.ran("late"))
+}
--- a/internal/lab/cluster/target.go
+++ b/internal/lab/cluster/target.go
@@ -138,6 +138,8 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	// The port may have belonged to an agent that has ended, so that no connection is used again.
+	r.Close = true
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return trace.Wrap(err)
--- a/pkg/agent/drain.go
+++ b/pkg/agent/drain.go
@@ -18,13 +18,14 @@
 	a.deps.Log.Info().Str("op", "drain").Int("flows", a.OpenFlows()).Send()
 	a.arbiter.Drain(a.deps.Now())
 	a.deps.OnDraining()
-	a.awaitFlows(ctx, a.drainTime())
+	a.awaitFlows(ctx, a.DrainTime())
 	a.resetRest()
 	a.pause(ctx, a.cfg.Linger)
 	a.deps.Log.Info().Str("op", "drained").Int("flows", a.OpenFlows()).Send()
 }
 
-func (a *Agent) drainTime() time.Duration {
+// DrainTime returns the time that flows get to end: that of the settings or else that of the service.
+func (a *Agent) DrainTime() time.Duration {
 	if a.cfg.DrainTime > 0 {
 		return a.cfg.DrainTime
 	}
--- a/pkg/agentd/daemon.go
+++ b/pkg/agentd/daemon.go
@@ -175,20 +175,25 @@
 	}
 }
 
-// drain lets the flows end, hands over the refusal records, leaves the membership and forwards late packets a while.
+// drain lets flows and requests end, hands over the refusal records, leaves the membership and forwards late packets a
+// while. A request that another agent hands over in that while is answered too.
 func (d *Daemon) drain(run context.Context, p parts, leave context.CancelFunc) {
 	if run.Err() != nil {
 		return
 	}
+	limit, cancel := context.WithTimeout(run, p.agent.DrainTime())
+	defer cancel()
 	p.agent.Drain(run)
-	sync, cancel := context.WithTimeout(run, leaveLinger)
+	d.requests.await(limit)
+	sync, stop := context.WithTimeout(run, leaveLinger)
 	_ = d.refusals.Sync(sync)
-	cancel()
+	stop()
 	leave()
 	select {
 	case <-run.Done():
 	case <-time.After(leaveLinger):
 	}
+	d.requests.await(limit)
 }
 
 // parts are what runs once the target has announced itself.
--- a/pkg/agentd/requests.go
+++ b/pkg/agentd/requests.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/flow"
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
@@ -21,9 +22,10 @@
 	service   atomic.Pointer[view.Service]
 	peers     atomic.Pointer[peerTable]
 
-	mu     sync.Mutex
-	server *request.Server
-	closed bool
+	mu       sync.Mutex
+	server   *request.Server
+	draining bool
+	closed   bool
 }
 
 // ServeFlow implements agent.StreamHandler.
@@ -51,21 +53,49 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.server != nil || r.closed {
+	if r.closed {
 		return
 	}
-	r.server = request.New(r.options(v))
+	if r.server != nil {
+		r.follow(v)
+		return
+	}
+	r.start(v)
+}
+
+// start starts the server; the caller holds the lock.
+func (r *requests) start(v *view.Service) {
+	s := request.New(r.options(v))
+	r.server = s
 	if r.d.control != nil {
-		go func() { _ = r.server.ServeControl(r.d.control) }()
+		go func() { _ = s.ServeControl(r.d.control) }()
+	}
+	if r.draining {
+		r.startDrain(s)
 	}
 }
 
-func (r *requests) options(v *view.Service) request.Options {
-	s := r.d.o.Settings
+// follow brings changed limits into force; the caller holds the lock.
+func (r *requests) follow(v *view.Service) {
+	r.server.SetLimits(r.slots(v), deadlineOf(v))
+	r.server.SetQueue(int(v.Spec.Limits.Queue))
+}
+
+// slots returns what the service allows of what the target announced.
+func (r *requests) slots(v *view.Service) int {
 	slots := r.announced.Slots
 	if v.Spec.Limits.Slots > 0 {
 		slots = min(slots, v.Spec.Limits.Slots)
 	}
+	return int(slots)
+}
+
+func deadlineOf(v *view.Service) time.Duration {
+	return v.Spec.Limits.Deadline.Or(resource.DefaultDeadline)
+}
+
+func (r *requests) options(v *view.Service) request.Options {
+	s := r.d.o.Settings
 	// The settings were checked, so that the address is valid.
 	target, _ := netip.ParseAddrPort(s.TargetAddress)
 	return request.Options{
@@ -73,10 +103,10 @@
 		Incarnation: r.d.o.Incarnation,
 		Service:     v.Name,
 		Target:      target,
-		Slots:       int(slots),
+		Slots:       r.slots(v),
 		Queue:       int(v.Spec.Limits.Queue),
 		Cold:        v.Spec.SlowStart > 0,
-		Deadline:    v.Spec.Limits.Deadline.Or(resource.DefaultDeadline),
+		Deadline:    deadlineOf(v),
 		Store:       r.store(),
 		Peers:       r,
 		Revision:    r.revision,
@@ -125,8 +155,22 @@
 
 // drain stops new requests; those that run are answered.
 func (r *requests) drain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.draining = true
+	if r.server != nil {
+		r.startDrain(r.server)
+	}
+}
+
+func (r *requests) startDrain(s *request.Server) {
+	go func() { _ = s.Drain(r.d.killed) }()
+}
+
+// await waits until no request is in progress, also none that another agent handed over, or until ctx ends.
+func (r *requests) await(ctx context.Context) {
 	if s := r.current(); s != nil {
-		go func() { _ = s.Drain(r.d.killed) }()
+		_ = s.Drain(ctx)
 	}
 }
 
