--- a/internal/lab/requests/client.go
+++ b/internal/lab/requests/client.go
@@ -50,7 +50,7 @@
 
 // do carries one piece of work to its end.
 func (c *client) do(ctx context.Context, w work) caller.Result {
-	ctx, cancel := context.WithTimeout(ctx, deadlineTime)
+	ctx, cancel := context.WithTimeout(ctx, w.deadline)
 	defer cancel()
 	if w.goneAfter > 0 {
 		time.AfterFunc(w.goneAfter, cancel)
--- a/internal/lab/requests/cluster.go
+++ b/internal/lab/requests/cluster.go
@@ -27,6 +27,7 @@
 	policy policy
 	store  *store
 	truth  *truth
+	pace   pace
 	log    zerolog.Logger
 	rec    *recorder
 
@@ -37,8 +38,8 @@
 	next    uint64
 }
 
-func newCluster(d deployment, p policy, t *truth, seed uint64, log zerolog.Logger) (*cluster, error) {
-	c := &cluster{policy: p, store: newStore(seed), truth: t, log: log, rec: &recorder{},
+func newCluster(d deployment, p policy, t *truth, scale pace, seed uint64, log zerolog.Logger) (*cluster, error) {
+	c := &cluster{policy: p, store: newStore(seed), truth: t, pace: scale, log: log, rec: &recorder{},
 		rand: rand.New(rand.NewPCG(seed, 5)), agents: make(map[string][]*agent)}
 	for _, s := range d {
 		for i := range s.targets {
@@ -56,7 +57,7 @@
 	c.next++
 	incarnation := c.next
 	c.mu.Unlock()
-	g, err := newTarget(s.name, s.slots, c.truth, incarnation)
+	g, err := newTarget(s.name, s.slots, c.truth, c.pace, incarnation)
 	if err != nil {
 		return nil, err
 	}
@@ -78,7 +79,7 @@
 	o := request.Options{
 		Agent: name, Incarnation: incarnation, Service: s.name, Slots: s.slots, Cold: cold, Store: c.store,
 		ClaimRate: claimRate, Recorder: c.rec, Log: c.log, Peers: &view{cluster: c, service: s.name, self: name},
-		Deadline: deadlineTime,
+		Deadline: c.pace.deadline,
 	}
 	switch c.policy {
 	case policyNoShed:
--- a/internal/lab/requests/deployment.go
+++ b/internal/lab/requests/deployment.go
@@ -1,7 +1,5 @@
 package requests
 
-import "time"
-
 // serviceSize is one service of a deployment.
 type serviceSize struct {
 	name    string
@@ -18,18 +16,11 @@
 	"saobien": {{"airtime-core", 7, 4}, {"report-svc", 3, 4}},
 }
 
-// Times of the workload. The service time is chosen so that the offered load of factor 5 fits on one machine.
-const (
-	serviceTime = 40 * time.Millisecond
-	// deadlineTime is the deadline of every request.
-	deadlineTime = 1500 * time.Millisecond
-)
-
 // capacity is the number of requests a second that the slots can answer.
-func (d deployment) capacity() float64 {
+func (d deployment) capacity(p pace) float64 {
 	slots := 0
 	for _, s := range d {
 		slots += s.targets * s.slots
 	}
-	return float64(slots) / serviceTime.Seconds()
+	return float64(slots) / p.service.Seconds()
 }
--- a/internal/lab/requests/injector.go
+++ b/internal/lab/requests/injector.go
@@ -127,7 +127,7 @@
 		}
 		time.Sleep(lateConnections)
 		i.cluster.remove(s.name, a)
-		time.Sleep(deadlineTime)
+		time.Sleep(i.cluster.pace.deadline)
 		if a.server.Drain(ctx) != nil {
 			return
 		}
--- a/internal/lab/requests/options.go
+++ b/internal/lab/requests/options.go
@@ -1,6 +1,10 @@
 package requests
 
-import "github.com/rs/zerolog"
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+)
 
 // Options are the command line options of the run (go-flags).
 type Options struct {
@@ -12,6 +16,8 @@
 	Loads []float64 `long:"load" default:"0.9" description:"offered load in relation to the capacity; may be repeated"`
 	// Faults is a comma-separated list of faults, "all" or "none".
 	Faults string `long:"faults" default:"none" description:"comma-separated faults, all or none"`
+	// ServiceTime is the mean service time of a request; the deadlines follow it.
+	ServiceTime time.Duration `long:"service-time" default:"40ms" description:"mean service time; deadlines follow it"`
 	// Seed makes the workload and the faults.
 	Seed uint64 `long:"seed" default:"1" description:"seed of the workload and the faults"`
 	// NoBaselines leaves the comparisons out.
--- /dev/null
+++ b/internal/lab/requests/pace.go
@@ -0,0 +1,16 @@
+package requests
+
+import "time"
+
+// deadlineServices is the deadline of a request in mean service times.
+const deadlineServices = 37.5
+
+// pace is the time scale of a run. A busy machine needs a slow one: callers, agents and targets share its processors.
+type pace struct {
+	// service is the mean service time, deadline the deadline of every request.
+	service, deadline time.Duration
+}
+
+func newPace(service time.Duration) pace {
+	return pace{service: service, deadline: time.Duration(deadlineServices * float64(service))}
+}
--- a/internal/lab/requests/requests_test.go
+++ b/internal/lab/requests/requests_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -45,7 +46,7 @@
 			for range tt.runs {
 				c.truth.began(0)
 			}
-			c.add(told{work: work{service: "route-svc", size: 100}, result: tt.result})
+			c.add(told{work: work{service: "route-svc", size: 100, deadline: time.Second}, result: tt.result})
 			require.Equal(t, tt.want, c.result.broken())
 		})
 	}
--- a/internal/lab/requests/result.go
+++ b/internal/lab/requests/result.go
@@ -28,6 +28,8 @@
 	Goodput, GoodputBaseline float64
 	// P50 and P99 are of the answers in time.
 	P50, P99 time.Duration
+
+	deadline time.Duration
 }
 
 // String is the line that ends a run.
@@ -53,7 +55,7 @@
 		return "a short answer looked whole"
 	case r.Unexplained > 0:
 		return "an outcome is unknown although no process died"
-	case r.P99 > deadlineTime:
+	case r.P99 > r.deadline:
 		return "answers in time are later than the deadline"
 	}
 	return ""
--- a/internal/lab/requests/run.go
+++ b/internal/lab/requests/run.go
@@ -19,6 +19,8 @@
 	baselineShare = 1
 	// gcPercent leaves the processor to the agents: callers, agents and targets share one small heap.
 	gcPercent = 800
+	// defaultServiceTime is for options that were not parsed.
+	defaultServiceTime = 40 * time.Millisecond
 	// warmUp is how long the measured balance waits.
 	warmUp = 500 * time.Millisecond
 )
@@ -93,13 +95,15 @@
 // runPolicy offers n pieces of work to a new cluster.
 func runPolicy(ctx context.Context, o Options, d deployment, faults faultSet, load float64, p policy, n int, out io.Writer) (Result, error) {
 	t := newTruth(n)
-	c, err := newCluster(d, p, t, o.Seed, o.Log)
+	scale := newPace(or(o.ServiceTime, defaultServiceTime))
+	c, err := newCluster(d, p, t, scale, o.Seed, o.Log)
 	if err != nil {
 		return Result{}, trace.Wrap(err, "start cluster")
 	}
 	defer c.close()
 	dead := newDeaths()
-	plan := planner{d: d, faults: faults, rand: rand.New(rand.NewPCG(o.Seed, 1)), rate: load * d.capacity()}
+	plan := planner{d: d, faults: faults, rand: rand.New(rand.NewPCG(o.Seed, 1)), rate: load * d.capacity(scale),
+		pace: scale}
 	inj := &injector{cluster: c, d: d, faults: faults, deaths: dead, rand: rand.New(rand.NewPCG(o.Seed, 2))}
 	inj.standing()
 	bal := &balance{cluster: c, busy: make(map[*target]float64), samples: make(map[*target]float64)}
@@ -125,6 +129,7 @@
 func (c *checker) finish(p policy, load float64, bal *balance, w window) Result {
 	c.result.Policy = string(p)
 	c.result.Load = load
+	c.result.deadline = bal.cluster.pace.deadline
 	c.result.Mixed += int(c.truth.wrong.Load())
 	c.result.Imbalance = bal.worst()
 	c.result.Goodput = w.rate(c.ends)
@@ -159,10 +164,18 @@
 			return nil
 		})
 	}
-	w := newWindow(start, time.Now())
+	w := newWindow(start, time.Now(), inj.cluster.pace.deadline)
 	stopSampling()
 	stop()
 	_ = g.Wait() // no part returns an error
 	<-sampled
 	return ends, w
 }
+
+// or returns v, or fallback when v is zero.
+func or(v, fallback time.Duration) time.Duration {
+	if v == 0 {
+		return fallback
+	}
+	return v
+}
--- a/internal/lab/requests/target.go
+++ b/internal/lab/requests/target.go
@@ -31,6 +31,7 @@
 	service string
 	slots   chan struct{}
 	truth   *truth
+	pace    pace
 	addr    netip.AddrPort
 	server  *http.Server
 
@@ -46,12 +47,12 @@
 	busy    atomic.Int64
 }
 
-func newTarget(service string, slots int, t *truth, seed uint64) (*target, error) {
+func newTarget(service string, slots int, t *truth, p pace, seed uint64) (*target, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	g := &target{service: service, slots: make(chan struct{}, slots), truth: t,
+	g := &target{service: service, slots: make(chan struct{}, slots), truth: t, pace: p,
 		addr: l.Addr().(*net.TCPAddr).AddrPort(), rand: rand.New(rand.NewPCG(seed, 3))}
 	g.server = &http.Server{Handler: g}
 	go func() { _ = g.server.Serve(l) }()
@@ -144,7 +145,7 @@
 // pause is the service time: uniform from half to one and a half of the mean.
 func (g *target) pause(ctx context.Context) {
 	g.mu.Lock()
-	d := serviceTime/2 + time.Duration(g.rand.Int64N(int64(serviceTime)))
+	d := g.pace.service/2 + time.Duration(g.rand.Int64N(int64(g.pace.service)))
 	if time.Now().Before(g.coldUntil) {
 		d *= coldFactor
 	}
--- a/internal/lab/requests/told.go
+++ b/internal/lab/requests/told.go
@@ -15,4 +15,4 @@
 }
 
 // late reports whether the answer came after the deadline.
-func (t told) late() bool { return t.ended.Sub(t.began) > deadlineTime }
+func (t told) late() bool { return t.ended.Sub(t.began) > t.work.deadline }
--- a/internal/lab/requests/window.go
+++ b/internal/lab/requests/window.go
@@ -6,8 +6,8 @@
 type window struct{ from, to time.Time }
 
 // newWindow leaves out the time of one deadline, but at most a third of the run.
-func newWindow(start, end time.Time) window {
-	return window{from: start.Add(min(deadlineTime, end.Sub(start)/3)), to: end}
+func newWindow(start, end time.Time, deadline time.Duration) window {
+	return window{from: start.Add(min(deadline, end.Sub(start)/3)), to: end}
 }
 
 // rate returns the events of the window in a second.
--- a/internal/lab/requests/work.go
+++ b/internal/lab/requests/work.go
@@ -28,6 +28,8 @@
 	promise caller.Promise
 	idem    bool
 	size    int
+	// deadline is the time that the caller gives.
+	deadline time.Duration
 	// cutAfter is when the caller drops its first submission and repeats it; 0 means never.
 	cutAfter time.Duration
 	// goneAfter is when the caller gives the work up; 0 means never.
@@ -40,6 +42,7 @@
 	faults faultSet
 	rand   *rand.Rand
 	rate   float64
+	pace   pace
 }
 
 // plan returns n pieces of work with Poisson arrivals.
@@ -54,7 +57,7 @@
 }
 
 func (p *planner) one(id int, at time.Duration, callers int) work {
-	w := work{id: id, at: at, caller: p.rand.IntN(callers), service: p.service()}
+	w := work{id: id, at: at, caller: p.rand.IntN(callers), service: p.service(), deadline: p.pace.deadline}
 	switch x := p.rand.Float64(); {
 	case x < partTicket:
 		w.promise = caller.PromiseTicket
@@ -71,10 +74,10 @@
 	}
 	protected := w.idem || w.promise != caller.PromisePlain
 	if x := p.rand.Float64(); protected && p.faults.has(faultCallerRetry) && x < partRetry {
-		w.cutAfter = time.Duration(1 + p.rand.Int64N(int64(2*serviceTime)))
+		w.cutAfter = time.Duration(1 + p.rand.Int64N(int64(2*p.pace.service)))
 	}
 	if x := p.rand.Float64(); p.faults.has(faultCallerGone) && x < partGone {
-		w.goneAfter = time.Duration(1 + p.rand.Int64N(int64(4*serviceTime)))
+		w.goneAfter = time.Duration(1 + p.rand.Int64N(int64(4*p.pace.service)))
 	}
 	return w
 }
