Keep open flows when their packet reaches an agent of another service

Cause: an agent answered every packet of another service with a reset. When an agent's address goes to an agent of another service, a balancer with an old view sends it packets of flows whose owner lives, and the reset cut them. Change: only opening packets are refused; others are counted and dropped, as balancers do. Conclusion: also a forged envelope cannot make an agent reset a flow.

--- a/pkg/agent/worker.go
+++ b/pkg/agent/worker.go
@@ -103,7 +103,9 @@
 }
 
 // belongs checks that the packet is for the service that this agent's target announced. A packet that the agent cannot
-// judge, because its view is older than the sender's, is dropped: the caller's TCP sends it again.
+// judge, because its view is older than the sender's, is dropped: the caller's TCP sends it again. So is a packet of an
+// open TCP flow of another service: its owner may live, and a balancer whose view is old sent the packet to an address
+// that another agent has now. A reset would cut the flow.
 func (w *worker) belongs(s *service, m *wire.Datagram, info packet.Info, now time.Time) bool {
 	if s != nil && m.Service == s.Name && s.has(info.Key) {
 		return true
@@ -113,6 +115,10 @@
 		return false
 	}
 	w.a.metrics.wrongService.Inc(1)
+	if !info.Opening {
+		w.a.metrics.dropped.Inc(1)
+		return false
+	}
 	w.a.refuse(s, m.Packet, info, m.Flow, refusal.ReasonWrongService, "the packet is for another service than the agent's", now)
 	return false
 }
--- a/pkg/agent/worker_test.go
+++ b/pkg/agent/worker_test.go
@@ -216,6 +216,17 @@
 	return &wire.Datagram{Kind: d.Kind, Service: d.Service, Revision: d.Revision, Flow: info.Key.Hash(), Packet: raw, Row: d.Row}
 }
 
+// TestOpenFlowOfAnotherServiceIsNotReset gives the agent a packet that a balancer with an old view sent to its address.
+func TestOpenFlowOfAnotherServiceIsNotReset(t *testing.T) {
+	b := newBare(t, &scripted{})
+	d := b.envelope(established(opening(t, serviceIP)))
+	d.Service = "reports-svc"
+	b.w.handle(encode(t, d), b.peerAddr(), time.Now())
+	require.Equal(t, int64(1), b.count("agent.bad_datagrams", "wrong-service"))
+	require.Empty(t, b.records.reasons())
+	require.Zero(t, b.count("agent.fabric_packets", ""), "a reset would cut a flow whose owner lives")
+}
+
 func TestTruncatedDatagramsAreCounted(t *testing.T) {
 	b := newBare(t, &scripted{})
 	whole := encode(t, b.envelope(opening(t, serviceIP)))
