--- /dev/null
+++ b/internal/lab/cluster/stream_lab_test.go
@@ -0,0 +1,293 @@
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwood/auburnwood/internal/lab/flows"
+	"github.com/auburnwood/auburnwood/internal/standin/fabric"
+	standin "github.com/auburnwood/auburnwood/internal/standin/target"
+	"github.com/auburnwood/auburnwood/pkg/refusal"
+	"github.com/auburnwood/auburnwood/pkg/resource"
+)
+
+// Addresses of the services of a streamLab; each has a TCP and a UDP address of both IP versions.
+const (
+	routeIP, routeIP6     = "198.51.100.1", "2001:db8:f::1"
+	reportsIP, reportsIP6 = "198.51.100.2", "2001:db8:f::2"
+	tcpPort, udpPort      = 80, 53
+)
+
+// streamLab is an installation in stream mode.
+type streamLab struct {
+	t       *testing.T
+	c       *Cluster
+	fabric  *fabric.Fabric
+	tap     *tap
+	log     *logBuffer
+	callers byte
+}
+
+// newStreamLab starts two services of four and two targets behind three balancers; edit may change the configuration
+// before.
+func newStreamLab(t *testing.T, edit func(*flows.ClusterConfig)) *streamLab {
+	t.Helper()
+	t.Parallel()
+	l := &streamLab{t: t, tap: &tap{}, log: &logBuffer{}}
+	var err error
+	l.fabric, err = fabric.New(fabric.Config{Seed: 1, Tap: l.tap.see})
+	require.NoError(t, err)
+	t.Cleanup(l.fabric.Close)
+	cfg := flows.ClusterConfig{
+		Deployment: flows.Deployment{
+			Name: "test", Region: "amman-east", DataCentres: []string{"marka-hall", "zarqa-hall"},
+			Services: []flows.ServiceSize{
+				{Name: routeService, Address: resource.Address{IP: routeIP, Port: tcpPort}, Targets: 4, Slots: 2},
+				{Name: reportsService, Address: resource.Address{IP: reportsIP, Port: tcpPort}, Targets: 2, Slots: 2},
+			},
+			Preference: resource.PreferBalance,
+		},
+		Connections: map[string]uint32{routeService: 500, reportsService: 500},
+		Balancers:   3, Fabric: l.fabric, Seed: 1, Log: zerolog.New(l.log),
+		Service: allAddresses,
+	}
+	if edit != nil {
+		edit(&cfg)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	c, err := New(ctx, cfg)
+	require.NoError(t, err)
+	l.c = c.(*Cluster)
+	t.Cleanup(l.c.Close)
+	return l
+}
+
+// allAddresses gives a service the three addresses beside that of its deployment.
+func allAddresses(s *resource.Service) {
+	ip6 := routeIP6
+	if s.Name == reportsService {
+		ip6 = reportsIP6
+	}
+	ip := s.Spec.Addresses[0].IP
+	s.Spec.Addresses = append(s.Spec.Addresses,
+		resource.Address{IP: ip6, Port: tcpPort},
+		resource.Address{IP: ip, Port: udpPort, Protocol: resource.ProtocolUDP},
+		resource.Address{IP: ip6, Port: udpPort, Protocol: resource.ProtocolUDP},
+	)
+}
+
+func at(ip string, port uint16) string {
+	return netip.AddrPortFrom(netip.MustParseAddr(ip), port).String()
+}
+
+// caller returns a new caller whose IP version is that of the service address.
+func (l *streamLab) caller(ip string) *fabric.Caller {
+	l.callers++
+	if strings.Contains(ip, ":") {
+		return l.fabric.NewCaller(netip.MustParseAddr(fmt.Sprintf("2001:db8:ca::%x", l.callers)))
+	}
+	return l.fabric.NewCaller(netip.AddrFrom4([4]byte{10, 9, 1, l.callers}))
+}
+
+func (l *streamLab) client(ip string) (*http.Client, *fabric.Caller) {
+	c := l.caller(ip)
+	transport := &http.Transport{DialContext: c.DialContext, DisableKeepAlives: true}
+	return &http.Client{Transport: transport, Timeout: 2 * patience}, c
+}
+
+// download is one flow whose answer is checked byte by byte while it arrives.
+type download struct {
+	service, name string
+	caller        *fabric.Caller
+	header        http.Header
+	done          chan error
+}
+
+// start opens a download of size bytes that takes about the given time, and returns once its answer has begun.
+func (l *streamLab) start(service, ip, name string, size int, takes time.Duration) *download {
+	l.t.Helper()
+	client, caller := l.client(ip)
+	d := &download{service: service, name: name, caller: caller, done: make(chan error, 1)}
+	const pieces = 50
+	url := fmt.Sprintf("http://%s%s?flow=%s&size=%d&chunk=%d&every=%s",
+		at(ip, tcpPort), standin.PathDownload, name, size, size/pieces, takes/pieces)
+	resp, err := client.Get(url)
+	require.NoError(l.t, err, name)
+	require.Equal(l.t, http.StatusOK, resp.StatusCode)
+	require.Equal(l.t, service, resp.Header.Get(standin.HeaderService))
+	d.header = resp.Header
+	go func() {
+		defer resp.Body.Close()
+		checker := standin.NewChecker(service, name)
+		_, err := io.Copy(checker, resp.Body)
+		if err == nil && checker.Size() != int64(size) {
+			err = fmt.Errorf("%s: %d of %d bytes", name, checker.Size(), size)
+		}
+		d.done <- err
+	}()
+	return d
+}
+
+// whole waits until every download has ended, and checks that none was cut or got other bytes.
+func (l *streamLab) whole(downloads []*download) {
+	l.t.Helper()
+	for _, d := range downloads {
+		require.NoError(l.t, <-d.done, "%s of %s", d.name, d.service)
+	}
+}
+
+// running opens downloads of both services and IP versions that take about the given time.
+func (l *streamLab) running(each int, takes time.Duration) []*download {
+	l.t.Helper()
+	const size = 200_000
+	var all []*download
+	for i := range each {
+		for _, at := range []struct{ service, ip string }{
+			{routeService, routeIP}, {routeService, routeIP6}, {reportsService, reportsIP}, {reportsService, reportsIP6},
+		} {
+			all = append(all, l.start(at.service, at.ip, fmt.Sprintf("run-%d-%s", i, at.ip), size, takes))
+		}
+	}
+	return all
+}
+
+// counter sums the counters of a name over all processes; with a reason only those.
+func (l *streamLab) counter(name, reason string) int64 {
+	var sum int64
+	for _, c := range l.c.scope.Snapshot().Counters() {
+		if c.Name() == name && (reason == "" || c.Tags()["reason"] == reason) {
+			sum += c.Value()
+		}
+	}
+	return sum
+}
+
+// records returns the refusal records of a reason.
+func (l *streamLab) records(reason refusal.Reason) []refusal.Record {
+	var out []refusal.Record
+	for _, r := range l.c.Refusals() {
+		if r.Reason == reason {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func (l *streamLab) eventually(text string, ready func() bool) {
+	l.t.Helper()
+	require.Eventually(l.t, ready, patience, 10*time.Millisecond, text)
+}
+
+// of returns the living targets of a service.
+func (l *streamLab) of(service string) []*target {
+	l.c.mu.Lock()
+	defer l.c.mu.Unlock()
+	var out []*target
+	for _, t := range l.c.targets {
+		if t.service == service && t.state != 0 {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+func deadline(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*patience)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// tap keeps the packets that cross the fabric while it is asked to.
+type tap struct {
+	mu   sync.Mutex
+	keep func(toCaller bool, packet []byte) bool
+	seen []tapped
+}
+
+type tapped struct {
+	peer     netip.AddrPort
+	toCaller bool
+	packet   []byte
+}
+
+func (p *tap) see(peer netip.AddrPort, toCaller bool, packet []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.keep != nil && p.keep(toCaller, packet) {
+		p.seen = append(p.seen, tapped{peer, toCaller, bytes.Clone(packet)})
+	}
+}
+
+// start keeps the packets for which keep is true, and forgets the earlier ones.
+func (p *tap) start(keep func(toCaller bool, packet []byte) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keep, p.seen = keep, nil
+}
+
+// taken returns what was kept so far.
+func (p *tap) taken() []tapped {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]tapped(nil), p.seen...)
+}
+
+// logBuffer takes log lines from several goroutines.
+type logBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// mark returns the present end of the log.
+func (l *logBuffer) mark() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Len()
+}
+
+// hasLine reports whether one line after the mark holds all the parts.
+func (l *logBuffer) hasLine(mark int, parts ...string) bool {
+	for line := range strings.Lines(l.String()[mark:]) {
+		all := true
+		for _, p := range parts {
+			all = all && strings.Contains(line, p)
+		}
+		if all {
+			return true
+		}
+	}
+	return false
+}
+
+func mustDial(t *testing.T, c *fabric.Caller, network, address string) net.Conn {
+	t.Helper()
+	conn, err := c.DialContext(deadline(t), network, address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
--- /dev/null
+++ b/internal/lab/cluster/udp_test.go
@@ -0,0 +1,183 @@
+package cluster
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwood/auburnwood/internal/lab/flows"
+	standin "github.com/auburnwood/auburnwood/internal/standin/target"
+	"github.com/auburnwood/auburnwood/pkg/flow"
+	"github.com/auburnwood/auburnwood/pkg/refusal"
+	"github.com/auburnwood/auburnwood/pkg/resource"
+)
+
+// udpFlow is one caller's UDP flow to an echoing service.
+type udpFlow struct {
+	t    *testing.T
+	name string
+	// service must answer, always by the same target.
+	service, target string
+	conn            net.Conn
+	sent            int
+}
+
+func (l *streamLab) udp(ip, name string) *udpFlow {
+	l.t.Helper()
+	service := routeService
+	if ip == reportsIP || ip == reportsIP6 {
+		service = reportsService
+	}
+	return &udpFlow{t: l.t, name: name, service: service, conn: mustDial(l.t, l.caller(ip), "udp", at(ip, udpPort))}
+}
+
+// key is the five-tuple of the flow.
+func (u *udpFlow) key() flow.Key {
+	return flow.Key{
+		Source:      netip.MustParseAddrPort(u.conn.LocalAddr().String()),
+		Destination: netip.MustParseAddrPort(u.conn.RemoteAddr().String()),
+		Protocol:    flow.ProtocolUDP,
+	}
+}
+
+// ping sends a datagram until its echo comes back. Any datagram of another flow is an error.
+func (u *udpFlow) ping() {
+	u.t.Helper()
+	u.sent++
+	text := fmt.Sprintf("%s #%d", u.name, u.sent)
+	b := make([]byte, 2048)
+	for range 40 {
+		_, err := u.conn.Write([]byte(text))
+		require.NoError(u.t, err)
+		require.NoError(u.t, u.conn.SetReadDeadline(time.Now().Add(500*time.Millisecond)))
+		for {
+			n, err := u.conn.Read(b)
+			if err != nil {
+				break
+			}
+			if u.check(b[:n]) == text {
+				return
+			}
+		}
+	}
+	u.t.Fatalf("%s: no echo", text)
+}
+
+// check returns the text of an answer, which must be the flow's own.
+func (u *udpFlow) check(b []byte) string {
+	u.t.Helper()
+	label, rest, ok := standin.CutLabel(b)
+	require.True(u.t, ok, "%s got %q", u.name, b)
+	require.True(u.t, strings.HasPrefix(string(rest), u.name+" #"), "%s got %q", u.name, b)
+	require.Equal(u.t, u.service, label.Service)
+	if u.target == "" {
+		u.target = label.Target
+	}
+	require.Equal(u.t, u.target, label.Target, "%s changed its target", u.name)
+	return string(rest)
+}
+
+// TestUDPFlowsKeepTheirTargets sends datagrams through a killed balancer, a joining target and a draining one.
+func TestUDPFlowsKeepTheirTargets(t *testing.T) {
+	l := newStreamLab(t, func(c *flows.ClusterConfig) {
+		c.Service = func(s *resource.Service) {
+			allAddresses(s)
+			s.Spec.UDPIdle = resource.Duration(3 * time.Second)
+		}
+	})
+	var all []*udpFlow
+	for i := range 10 {
+		for _, ip := range []string{routeIP, routeIP6, reportsIP, reportsIP6} {
+			all = append(all, l.udp(ip, fmt.Sprintf("udp-%d-%s", i, ip)))
+		}
+	}
+	round := func() {
+		for _, u := range all {
+			u.ping()
+		}
+	}
+	round()
+	round()
+	require.NoError(t, l.c.KillBalancer(l.c.Balancers()[0]))
+	round()
+	_, err := l.c.JoinTarget(deadline(t), routeService)
+	require.NoError(t, err)
+	round()
+	var leaving *target
+	for _, x := range l.of(routeService) {
+		if leaving == nil || x.daemon.Agent().OpenFlows() > leaving.daemon.Agent().OpenFlows() {
+			leaving = x
+		}
+	}
+	require.Positive(t, leaving.daemon.Agent().OpenFlows())
+	go func() { _ = l.c.DrainTarget(deadline(t), leaving.id) }()
+	l.eventually("drain is known", func() bool {
+		for _, b := range l.c.Balancers() {
+			if l.activeAt(b, leaving.id) {
+				return false
+			}
+		}
+		return true
+	})
+	for range 3 {
+		round()
+	}
+	kept := leaving.daemon.Agent().OpenFlows()
+	require.Positive(t, kept, "a draining target keeps its flows")
+	require.Empty(t, l.c.Refusals())
+	l.eventually("idle flows end", func() bool {
+		n := 0
+		for _, x := range append(l.of(routeService), l.of(reportsService)...) {
+			n += x.daemon.Agent().OpenFlows()
+		}
+		return n == 0
+	})
+	require.Empty(t, l.c.Refusals())
+	for _, u := range all {
+		u.target = ""
+	}
+	round()
+	for _, u := range all {
+		require.NotEqual(t, leaving.id, u.target, "a draining target took a new flow")
+	}
+}
+
+func (l *streamLab) activeAt(balancer, target string) bool {
+	l.c.mu.Lock()
+	defer l.c.mu.Unlock()
+	for _, b := range l.c.balancers {
+		if b.name == balancer {
+			return b.knowsActive(target)
+		}
+	}
+	return false
+}
+
+// TestUDPFlowOfADeadTargetIsRecorded kills the target process under a UDP flow; its agent lives on.
+func TestUDPFlowOfADeadTargetIsRecorded(t *testing.T) {
+	l := newStreamLab(t, func(c *flows.ClusterConfig) {
+		c.Deployment.Services[1].Targets = 1
+	})
+	doomed := []*udpFlow{l.udp(reportsIP, "doomed-4"), l.udp(reportsIP6, "doomed-6")}
+	for _, u := range doomed {
+		u.ping()
+		u.ping()
+	}
+	require.NoError(t, l.c.KillTarget(l.of(reportsService)[0].id))
+	for _, u := range doomed {
+		l.eventually("refusal record of "+u.name, func() bool {
+			_, _ = u.conn.Write([]byte(u.name + " #0"))
+			for _, r := range l.records(refusal.ReasonTargetDied) {
+				if r.Caller == u.key().Source && r.Destination == u.key().Destination {
+					return r.Run == refusal.RunUnknown && r.Service == reportsService
+				}
+			}
+			return false
+		})
+	}
+}
