Bound stalled answers without a reader, and the tickets of one caller

And one caller could fill the ticket book of an agent. Tests for both. Limit: behind one address translation many callers share a rate.

--- a/pkg/request/refusals.go
+++ b/pkg/request/refusals.go
@@ -19,6 +19,7 @@
 var (
 	errDeadline  = errors.New("the deadline is over")
 	errClosed    = errors.New("the agent ended")
+	errOrphan    = errors.New("nobody reads the answer")
 	errCancelled = errors.New("the caller cancelled")
 )
 
@@ -100,6 +101,11 @@
 	return f
 }
 
+func tooManyTickets(wait time.Duration) *Refusal {
+	return &Refusal{Reason: refusal.ReasonQueueFull, Status: http.StatusTooManyRequests,
+		Detail: "the caller takes more tickets than its share", Run: refusal.RunNo, RetryAfter: wait}
+}
+
 func bookFull() *Refusal {
 	return &Refusal{Reason: refusal.ReasonQueueFull, Status: http.StatusServiceUnavailable,
 		Detail: "this agent remembers as many tickets as it may", Run: refusal.RunNo, RetryAfter: retryLater}
--- a/pkg/request/run_local.go
+++ b/pkg/request/run_local.go
@@ -41,6 +41,7 @@
 		return refused(noLength())
 	}
 	late.Stop()
+	defer u.boundOrphan(cancel)()
 	removeOwnHeaders(res.Header)
 	o := u.answer(res)
 	u.done(limit.Outcome{Result: limit.ResultAnswered, Lead: lead})
--- a/pkg/request/serve_well_known.go
+++ b/pkg/request/serve_well_known.go
@@ -32,6 +32,10 @@
 		s.refuse(w, r, f)
 		return
 	}
+	if wait, ok := s.rates.allow(s.o.Now(), callerOf(r.Context()).Source.Addr(), n); !ok {
+		s.refuse(w, r, tooManyTickets(wait))
+		return
+	}
 	s.sendTickets(w, r, s.placeTickets(r.Context(), n))
 }
 
--- a/pkg/request/server.go
+++ b/pkg/request/server.go
@@ -38,6 +38,7 @@
 	answers  answers
 	loads    *peerLoads
 	claims   *claims
+	rates    ticketRates
 	probes   *rate.Limiter
 	probing  atomic.Int32
 	active   atomic.Int64
@@ -64,6 +65,7 @@
 		answers: newAnswers(o.Answers),
 		loads:   newPeerLoads(),
 		claims:  newClaims(o),
+		rates:   newTicketRates(),
 		probes:  rate.NewLimiter(probeRate, probeBurst),
 	}
 	s.patience.Store(int64(o.Deadline))
--- a/pkg/request/steer.go
+++ b/pkg/request/steer.go
@@ -95,6 +95,7 @@
 	}
 	defer res.Body.Close()
 	late.Stop()
+	defer u.boundOrphan(cancel)()
 	u.s.learn(p, res)
 	run := runOf(res)
 	if run == refusal.RunNo && u.peerDeclined(res) {
--- a/pkg/request/submission.go
+++ b/pkg/request/submission.go
@@ -188,6 +188,17 @@
 	}
 }
 
+// orphanGraces is how many times Options.Grace the answer of a ticket may go on when nobody reads it.
+const orphanGraces = 10
+
+// boundOrphan ends an answer that stalls after its caller is gone: it would keep its slot for ever. The work of a plain
+// submission ends with its caller anyway.
+func (u *submission) boundOrphan(cancel context.CancelCauseFunc) (stop func() bool) {
+	return context.AfterFunc(u.r.Context(), func() {
+		time.AfterFunc(orphanGraces*u.s.o.Grace, func() { cancel(errOrphan) })
+	})
+}
+
 // repeatable reports whether the work may be sent once more after it may have reached a target.
 func (u *submission) repeatable() bool {
 	return u.idempotent() && u.body.replayable() && !u.steered && u.attempts < maxAttempts
--- a/pkg/request/ticket_test.go
+++ b/pkg/request/ticket_test.go
@@ -247,3 +247,27 @@
 	require.Equal(t, "unknown", res.Header.Get(HeaderRun))
 	require.Equal(t, "no", res.Header.Get(HeaderSubmission))
 }
+
+func TestOneCallerCanNotTakeAllTickets(t *testing.T) {
+	now := time.Now()
+	_, url := newTestServer(t, newGate(), func(o *Options) { o.Now = func() time.Time { return now } })
+	ask := url + "/.well-known/auburnwood/tickets?n=64"
+	for range ticketBurst / maxTickets {
+		res, _ := call(t, "POST", ask, "")
+		require.Equal(t, 200, res.StatusCode)
+	}
+	res, _ := call(t, "POST", ask, "")
+	require.Equal(t, http.StatusTooManyRequests, res.StatusCode)
+	require.Equal(t, "1", res.Header.Get("Retry-After"))
+}
+
+func TestStalledAnswerDoesNotKeepItsSlotForever(t *testing.T) {
+	target := newScriptedTarget(t, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+	s, url := newFaultServer(t, target.addr(), nil)
+	text := take(t, url)
+	gone := submitAndForget(t, url, text)
+	require.Eventually(t, func() bool { return s.Load().Busy == 1 }, 5*time.Second, time.Millisecond)
+	gone()
+	require.Eventually(t, func() bool { return stateOf(t, url, text).State == "lost" }, 5*time.Second, time.Millisecond)
+	require.Zero(t, s.Load().Busy)
+}
