--- a/internal/lab/control/measure.go
+++ b/internal/lab/control/measure.go
@@ -69,7 +69,9 @@
 	wait(ctx, idleTime)
 	idle := c.usage()
 	p.Idle = ratesBetween(begin, idle, daemons, s.Targets)
-	p.Heap = heap() - min(before, heap())
+	if now := heap(); now > before {
+		p.Heap = now - before
+	}
 	if s.ChangeRate == 0 {
 		return p, trace.Wrap(ctx.Err())
 	}
