End a ticket whose handler panics

Cause: a panic in the handler would have left the ticket waiting for ever, and its repeats with it (found by reading). Change: the submission ends its ticket in any case; test with a book that panics.

--- a/pkg/request/serve_ticket.go
+++ b/pkg/request/serve_ticket.go
@@ -28,12 +28,20 @@
 	res, holder := s.flights.spend(s.book, s.o.Now(), t, fingerprint(u.r), own)
 	if res.Won {
 		u.flight = own
+		defer s.abandon(t)
 		s.finish(u, u.run())
 		return
 	}
 	s.serveRepeat(u, res, holder)
 }
 
+// abandon ends a ticket whose submission did not come to its own end, because of a panic. Otherwise it does nothing.
+func (s *Server) abandon(t ticket.Ticket) {
+	s.book.Lose(t)
+	s.book.Withdraw(s.o.Now(), t)
+	s.flights.land(t.Sequence)
+}
+
 // serveRepeat answers a submission of a ticket that another one holds or held.
 func (s *Server) serveRepeat(u *submission, res ticket.Result, holder *flight) {
 	if res.Other {
--- a/pkg/request/ticket_test.go
+++ b/pkg/request/ticket_test.go
@@ -271,3 +271,17 @@
 	require.Eventually(t, func() bool { return stateOf(t, url, text).State == "lost" }, 5*time.Second, time.Millisecond)
 	require.Zero(t, s.Load().Busy)
 }
+
+// brokenBook fails at the start of work.
+type brokenBook struct{ ticketBook }
+
+func (brokenBook) Start(ticket.Ticket) bool { panic(http.ErrAbortHandler) }
+
+func TestTicketEndsWithAPanic(t *testing.T) {
+	s, url := newTestServer(t, newGate(), nil)
+	s.book = brokenBook{s.book}
+	text := take(t, url)
+	_, err := http.DefaultClient.Do(newTicketRequest(url, text))
+	require.Error(t, err)
+	require.Eventually(t, func() bool { return stateOf(t, url, text).State == "cancelled" }, 5*time.Second, time.Millisecond)
+}
