--- a/internal/lab/requests/options.go
+++ b/internal/lab/requests/options.go
@@ -23,7 +23,7 @@
 	// NoBaselines leaves the comparisons out.
 	NoBaselines bool `long:"no-baselines" description:"run without the baselines"`
 	// Dialer replaces the loopback connections to the agents; nil means the run's own.
-	Dialer Dialer
+	Dialer Dialer `no-flag:"true"`
 	// Log takes the agents' log lines; the zero value drops them.
-	Log zerolog.Logger
+	Log zerolog.Logger `no-flag:"true"`
 }
--- a/internal/lab/requests/run.go
+++ b/internal/lab/requests/run.go
@@ -25,8 +25,8 @@
 	warmUp = 500 * time.Millisecond
 )
 
-// Run drives the loads of the options one after the other and returns the result of the last. It writes a line for each
-// run, and an error when a promise is broken.
+// Run drives the loads of the options one after the other and returns the result of the last, with an error when a
+// promise is broken. It writes a line and the kinds of endings for each load and policy; the last line is the result.
 func Run(ctx context.Context, o Options, out io.Writer) (Result, error) {
 	defer debug.SetGCPercent(debug.SetGCPercent(gcPercent))
 	faults, err := parseFaults(o.Faults)
@@ -45,7 +45,9 @@
 		}
 		results = append(results, r)
 	}
-	return last(results), verdict(results)
+	r := last(results)
+	fmt.Fprintln(out, r)
+	return r, verdict(results)
 }
 
 func last(results []Result) Result {
