Let a failing history of the arbiter be replayed

Cause: announcements, ends and questions left in the order of Go maps, and the test world ended endpoints in such an order, so that TestFlowsSurviveHistories gave another verdict for the same seed.

--- a/pkg/arbiter/ended.go
+++ b/pkg/arbiter/ended.go
@@ -1,7 +1,9 @@
 package arbiter
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -88,8 +90,8 @@
 	delete(byFirst, a.cfg.Self)
 	delete(byFirst, netip.AddrPort{})
 	var out []Message
-	for to, flows := range byFirst {
-		out = append(out, batches(Message{To: to, Kind: wire.Kind_KIND_ENDED, Incarnation: a.cfg.Incarnation}, flows)...)
+	for _, to := range slices.SortedFunc(maps.Keys(byFirst), netip.AddrPort.Compare) {
+		out = append(out, batches(Message{To: to, Kind: wire.Kind_KIND_ENDED, Incarnation: a.cfg.Incarnation}, byFirst[to])...)
 	}
 	return out
 }
--- a/pkg/arbiter/history_test.go
+++ b/pkg/arbiter/history_test.go
@@ -1,6 +1,7 @@
 package arbiter
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -125,10 +126,12 @@
 
 // drain takes a target out of the choice; it leaves when its flows have ended.
 func (h *history) drain(t *rapid.T) {
-	n := h.pick(t)
-	if n == nil {
-		return
+	if n := h.pick(t); n != nil {
+		h.drainNode(n)
 	}
+}
+
+func (h *history) drainNode(n *node) {
 	n.arbiter.Drain(h.w.now)
 	h.setState(n, view.StateDraining)
 	h.leaveWhenEmpty(n)
@@ -156,10 +159,12 @@
 
 // kill ends an agent without warning; views drop it later.
 func (h *history) kill(t *rapid.T) {
-	n := h.pick(t)
-	if n == nil {
-		return
+	if n := h.pick(t); n != nil {
+		h.killNode(n)
 	}
+}
+
+func (h *history) killNode(n *node) {
 	n.dead = true
 	h.w.after(1500*time.Millisecond, func() { h.remove(n) })
 }
@@ -190,8 +195,8 @@
 			t.Fatalf("flow %x stalls: packet %d of %d acknowledged, owner %v\n%s", c.flow, c.acked, c.sent, c.owner.addr, h.traceOf(c.flow))
 		}
 	}
-	for _, c := range h.w.flows {
-		if !c.ended && c.isn == 0 {
+	for _, flow := range slices.Sorted(maps.Keys(h.w.flows)) {
+		if c := h.w.flows[flow]; !c.ended && c.isn == 0 {
 			t.Fatalf("flow %x is neither open nor refused\n%s", c.flow, h.traceOf(c.flow))
 		}
 	}
@@ -211,6 +216,35 @@
 	})
 }
 
+// A failing history was once not to be replayed, because messages left in the order of Go's maps.
+func TestHistoryReplays(t *testing.T) {
+	first := replayed(t)
+	for range 3 {
+		require.Equal(t, first, replayed(t))
+	}
+}
+
+// replayed runs one busy history and returns all that was noted of it.
+func replayed(t *testing.T) map[uint64][]string {
+	w := newWorld(3, 6, 3, resource.ServiceSpec{Preference: resource.PreferBalance})
+	w.tracing, w.loss, w.dup = true, 0.1, 0.1
+	h := &history{w: w, next: 20}
+	for _, victim := range w.targets[:3] {
+		for range 40 {
+			w.open(w.random.Uint64())
+			w.openUDP(w.random.Uint64())
+		}
+		w.run(500 * time.Millisecond)
+		h.closeFlows(nil)
+		h.killNode(w.nodes[victim.Agent])
+		h.join(nil)
+		w.run(time.Second)
+		h.sendData(nil)
+	}
+	w.run(20 * time.Second)
+	return w.trace
+}
+
 func TestQuietService(t *testing.T) {
 	w := newWorld(1, 7, 5, resource.ServiceSpec{Preference: resource.PreferBalance})
 	for range 1000 {
--- a/pkg/arbiter/locate.go
+++ b/pkg/arbiter/locate.go
@@ -1,6 +1,8 @@
 package arbiter
 
 import (
+	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -84,7 +86,8 @@
 	ask := make(map[netip.AddrPort][]uint64)
 	var lost []uint64
 	messages := 0
-	for flow, q := range l.flows {
+	for _, flow := range l.oldestFirst() {
+		q := l.flows[flow]
 		if now.Sub(q.since) > locateLife {
 			delete(l.flows, flow)
 			continue
@@ -115,6 +118,13 @@
 	return ask, lost
 }
 
+// oldestFirst lists the flows in the order in which they were last asked for, so that a bounded number of messages reaches all of them in turn; l.mu is held.
+func (l *locator) oldestFirst() []uint64 {
+	return slices.SortedFunc(maps.Keys(l.flows), func(a, b uint64) int {
+		return cmp.Or(l.flows[a].asked.Compare(l.flows[b].asked), cmp.Compare(a, b))
+	})
+}
+
 // missing lists the live agents that have not denied the flow.
 func (q *locate) missing(live []*peer) []*peer {
 	var missing []*peer
@@ -136,8 +146,8 @@
 		a.lose(a.stamp(now), flow)
 	}
 	var out []Message
-	for to, flows := range ask {
-		out = append(out, batches(Message{To: to, Kind: wire.Kind_KIND_LOCATE, Incarnation: a.cfg.Incarnation}, flows)...)
+	for _, to := range slices.SortedFunc(maps.Keys(ask), netip.AddrPort.Compare) {
+		out = append(out, batches(Message{To: to, Kind: wire.Kind_KIND_LOCATE, Incarnation: a.cfg.Incarnation}, ask[to])...)
 	}
 	return out
 }
--- a/pkg/arbiter/service.go
+++ b/pkg/arbiter/service.go
@@ -1,6 +1,9 @@
 package arbiter
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/placement"
@@ -62,6 +65,21 @@
 	own   bool
 }
 
+func (d destination) compare(e destination) int {
+	return cmp.Or(cmp.Compare(d.to, e.to), cmp.Compare(d.owner, e.owner), compareBool(d.open, e.open), compareBool(d.own, e.own))
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // movedFlows lists the announcements of flows whose first agent changes from old to m.
 func (a *Arbiter) movedFlows(old, m *members) []Message {
 	moved := make(map[destination][]uint64)
@@ -76,9 +94,12 @@
 	return a.movedMessages(moved)
 }
 
+// movedMessages makes the announcements, in an order that depends on nothing but the flows, so that a run can be replayed.
 func (a *Arbiter) movedMessages(moved map[destination][]uint64) []Message {
 	var out []Message
-	for d, flows := range moved {
+	for _, d := range slices.SortedFunc(maps.Keys(moved), destination.compare) {
+		flows := moved[d]
+		slices.Sort(flows)
 		out = append(out, batches(a.movedMessage(d), flows)...)
 	}
 	return out
--- a/pkg/arbiter/world_test.go
+++ b/pkg/arbiter/world_test.go
@@ -3,9 +3,11 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -368,7 +370,8 @@
 	if n.endpoints[c.flow] == nil {
 		n.endpoints[c.flow] = &endpoint{isn: 1}
 	}
-	for _, other := range w.nodes {
+	for _, addr := range slices.SortedFunc(maps.Keys(w.nodes), netip.AddrPort.Compare) {
+		other := w.nodes[addr]
 		if other != n && !other.dead && other.endpoints[c.flow] != nil {
 			w.fault(c.flow, "second UDP endpoint at %v besides %v", n.addr, other.addr)
 		}
@@ -465,9 +468,10 @@
 
 // expire ends half-open endpoints that no caller completes.
 func (w *world) expire() {
-	for _, n := range w.nodes {
-		for flow, ep := range n.endpoints {
-			c := w.flows[flow]
+	for _, addr := range slices.SortedFunc(maps.Keys(w.nodes), netip.AddrPort.Compare) {
+		n := w.nodes[addr]
+		for _, flow := range slices.Sorted(maps.Keys(n.endpoints)) {
+			c, ep := w.flows[flow], n.endpoints[flow]
 			if !ep.open && (c.ended || c.isn != 0 && c.isn != ep.isn) {
 				w.endLocal(n, flow)
 			}
