Write the refusal records of a balancer that is back before it was found dead

Cause: copies of refusal records were taken over only when their owner was found dead. A balancer that died and started again within seconds was never dead for its peers, so the copies of its earlier life were not written, and a holder that lost its copies that way got no new ones. Change: a later incarnation ends the earlier life as well. The run kills a balancer and starts it again at once.

--- a/internal/lab/control/balancer.go
+++ b/internal/lab/control/balancer.go
@@ -19,12 +19,13 @@
 // balancer is a balancer daemon and what its packet path used.
 type balancer struct {
 	name, region string
-	number       int
-	daemon       *balancerd.Daemon
-	gate         *gate
-	scope        tally.TestScope
-	stop         context.CancelFunc
-	started      time.Time
+	// number is the order of the starts, and place says where the balancer runs.
+	number, place int
+	daemon        *balancerd.Daemon
+	gate          *gate
+	scope         tally.TestScope
+	stop          context.CancelFunc
+	started       time.Time
 
 	mu        sync.Mutex
 	adoptions []adoption
@@ -132,12 +133,21 @@
 	return membership.Member{}, false
 }
 
-// join starts a balancer.
+// join starts a new balancer.
 func (c *cluster) join(ctx context.Context) (*balancer, error) {
 	n := c.next()
+	return c.startBalancer(ctx, n, processName("balancer", n), n)
+}
+
+// restart starts a balancer under the name and in the place of one that has ended.
+func (c *cluster) restart(ctx context.Context, gone *balancer) (*balancer, error) {
+	return c.startBalancer(ctx, c.next(), gone.name, gone.place)
+}
+
+func (c *cluster) startBalancer(ctx context.Context, n int, name string, at int) (*balancer, error) {
 	s := settings.DefaultBalancer()
-	s.Name = processName("balancer", n)
-	s.Region, s.DataCentre = place(n)
+	s.Name = name
+	s.Region, s.DataCentre = place(at)
 	s.PacketAddress, s.ControlAddress = loopback, loopback
 	s.FabricAddress = c.callers.addr().String()
 	s.Peers = c.controlAddrs("")
@@ -147,7 +157,7 @@
 	if c.o.LeaseTime > 0 {
 		s.LeaseTime = settings.NewDuration(c.o.LeaseTime)
 	}
-	b := &balancer{name: s.Name, region: s.Region, number: n, scope: tally.NewTestScope("", nil), started: time.Now()}
+	b := &balancer{name: s.Name, region: s.Region, number: n, place: at, scope: tally.NewTestScope("", nil), started: time.Now()}
 	b.gate = &gate{unfenced: c.o.unfenced}
 	d, err := balancerd.New(balancerd.Options{
 		Settings:  s,
--- a/internal/lab/control/script.go
+++ b/internal/lab/control/script.go
@@ -85,11 +85,11 @@
 		{FaultBalancerJoin, 0.22, s.join},
 		{FaultStoreSlow, 0.38, s.slowStore},
 		{FaultRegionSplit, 0.40, s.splitRegions},
-		{FaultBalancerKill, 0.42, s.kill},
+		{FaultBalancerKill, 0.42, func(ctx context.Context) { s.kill(ctx) }},
 		{FaultLeasePaused, 0.50, s.pauseHolderAtHead},
 		{FaultStoreDown, 0.66, s.outage},
 		{FaultBalancerJoin, 0.70, s.join},
-		{FaultBalancerKill, 0.88, s.kill},
+		{FaultBalancerKill, 0.80, s.killAndRestart},
 	}
 	if s.c.o.has(FaultRegionSplit) {
 		return list
@@ -204,8 +204,19 @@
 	s.printf("%s has revision %d after %s", b.name, n, time.Since(b.started).Round(time.Millisecond))
 }
 
+// killAndRestart kills a balancer and starts it again at once, before anybody can have declared it dead.
+func (s *script) killAndRestart(ctx context.Context) {
+	gone := s.kill(ctx)
+	b, err := s.c.restart(s.c.ctx, gone)
+	if err != nil {
+		s.printf("%s doesn't start again: %v", gone.name, err)
+		return
+	}
+	s.printf("%s starts again at once", b.name)
+}
+
 // kill lets a balancer refuse callers, waits until its records are mirrored and ends it.
-func (s *script) kill(ctx context.Context) {
+func (s *script) kill(ctx context.Context) *balancer {
 	live := s.c.live()
 	b := s.holder()
 	if b == nil || s.pick(2) == 0 {
@@ -225,6 +236,7 @@
 	s.killed = append(s.killed, b.name)
 	s.mu.Unlock()
 	s.printf("%s is killed (mirrored before: %v)", b.name, err == nil)
+	return b
 }
 
 // holder returns the living balancer that holds the compile lease, or nil.
--- a/pkg/balancerd/refusals.go
+++ b/pkg/balancerd/refusals.go
@@ -105,9 +105,10 @@
 func (d *Daemon) watchDeaths(ctx context.Context) error {
 	changes, cancel := d.node.Table().Subscribe()
 	defer cancel()
+	known := lives{}
 	for {
 		for _, m := range d.node.Table().Members() {
-			if m.Live() || m.Role != membership.RoleBalancer {
+			if m.Role != membership.RoleBalancer || !known.ended(&m) {
 				continue
 			}
 			d.refusals.PeerDied(m.ID)
@@ -122,3 +123,14 @@
 		}
 	}
 }
+
+// lives are the incarnations of the balancers that were seen last.
+type lives map[string]uint64
+
+// ended reports whether a life of the balancer is over: it is gone, or a later life has begun before anybody found the
+// earlier one dead.
+func (l lives) ended(m *membership.Member) bool {
+	before, known := l[m.ID]
+	l[m.ID] = m.Incarnation
+	return !m.Live() || known && m.Incarnation > before
+}
