Keep the owner of an idle UDP flow through rows of view changes

Cause, from traces of random histories (seeds 36599 and 15249): a first agent that had left an opening flow to another arbiter forgot that after 30 s without packets, though the owner lived; the repeated announcements that tell a new first agent of its flows were put off anew by each view change, until the flows counted as old. Change: an expired redirect to a live agent is kept, and that agent is asked whether it has the flow; planned announcements stay planned; an owner tells the first agent by its own view at once when the flow came by another row; an arbiter to which a flow was left may name the owner.

--- a/pkg/arbiter/config.go
+++ b/pkg/arbiter/config.go
@@ -17,7 +17,7 @@
 	Window time.Duration
 	// Linger is the time for which an ended flow is remembered; 0 means DefaultLinger.
 	Linger time.Duration
-	// Idle is the time without packets after which a redirect is forgotten; 0 means DefaultIdle.
+	// Idle is the time without packets after which the owner of a redirect is asked whether it still has the flow; 0 means DefaultIdle.
 	Idle time.Duration
 }
 
--- a/pkg/arbiter/control.go
+++ b/pkg/arbiter/control.go
@@ -135,17 +135,25 @@
 		return nil
 	}
 	return a.each(m, func(s *shard, flow uint64) []Message {
-		a.hint(at, s, flow, owner)
+		a.hint(at, s, flow, p, owner)
 		return nil
 	})
 }
 
-// hint notes an owner that another agent named, unless something better is known.
-func (a *Arbiter) hint(at stamp, s *shard, flow uint64, owner *peer) {
-	switch s.flows[flow].state {
+// hint notes an owner that p named, unless something better is known.
+func (a *Arbiter) hint(at stamp, s *shard, flow uint64, p, owner *peer) {
+	e := s.flows[flow]
+	switch e.state {
 	case 0, stateLocating, stateLost:
-		s.set(flow, entry{at: at, peer: owner.id, state: stateRedirect})
+	case stateRedirect:
+		// The flow was left to p, which knows more by now.
+		if !e.has(flagYielded) || e.peer != p.id {
+			return
+		}
+	default:
+		return
 	}
+	s.set(flow, entry{at: at, peer: owner.id, state: stateRedirect})
 }
 
 // endedBy notes that flows of p have ended; the redirect stays for late packets.
--- /dev/null
+++ b/pkg/arbiter/idle_test.go
@@ -0,0 +1,134 @@
+package arbiter
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwood/auburnwood/pkg/view"
+	"github.com/auburnwood/auburnwood/pkg/wire"
+)
+
+// pass lets time go by with a Tick each 100 ms, and returns the messages about the flow.
+func (b *bed) pass(d time.Duration, flow uint64) []Message {
+	var about []Message
+	for end := b.now.Add(d); b.now.Before(end); b.now = b.now.Add(100 * time.Millisecond) {
+		for _, m := range b.a.Tick(b.now) {
+			if m.Flow == flow || slices.Contains(m.Flows, flow) {
+				about = append(about, m)
+			}
+		}
+	}
+	return about
+}
+
+// A first agent once forgot after some time to whom a flow belongs, and gave an idle UDP flow a second owner.
+func TestIdleFlowKeepsItsOwner(t *testing.T) {
+	cases := []struct {
+		name     string
+		idle     time.Duration
+		redirect func(b *bed, in Input)
+	}{
+		{"flow is left to another arbiter", 2 * DefaultLinger, func(b *bed, in Input) {
+			in.Sender, in.Hops = b.peer(1), 1
+			in.Row = append(slices.Clone(b.row[wire.AddrSize:]), b.row[:wire.AddrSize]...)
+			require.Equal(t, ActionDecline, b.a.Packet(b.now, in).Action)
+		}},
+		{"flow is claimed by its owner", 2 * DefaultIdle, func(b *bed, in Input) {
+			b.a.Control(b.now, b.peer(1), Message{Kind: wire.Kind_KIND_PLACED, Flow: in.Flow, Incarnation: 1})
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBed(t, nil)
+			in := b.input(true)
+			c.redirect(b, in)
+			asked := b.pass(c.idle, in.Flow)
+			require.NotEmpty(t, asked)
+			for _, m := range asked {
+				require.Equal(t, wire.Kind_KIND_LOCATE, m.Kind)
+				require.Equal(t, b.peer(1), m.To)
+			}
+			d := b.a.Packet(b.now, in)
+			require.Equal(t, ActionForward, d.Action)
+			require.Equal(t, b.peer(1), d.To)
+
+			b.a.Control(b.now, b.peer(1), Message{Kind: wire.Kind_KIND_LOCATED, Flow: in.Flow, Incarnation: 1})
+			require.True(t, b.a.Packet(b.now, in).Accepted, "an owner that denies the flow ends the redirect")
+		})
+	}
+}
+
+// A redirect to an agent that left the views is not kept by questions.
+func TestRedirectToGoneAgentIsForgotten(t *testing.T) {
+	b := newBed(t, nil)
+	in := b.input(true)
+	b.a.Control(b.now, b.peer(1), Message{Kind: wire.Kind_KIND_PLACED, Flow: in.Flow, Incarnation: 1})
+	less := *b.s
+	less.Targets = append(append([]view.Target(nil), b.s.Targets[0]), b.s.Targets[2:]...)
+	b.a.SetService(b.now, &less)
+	require.Empty(t, b.pass(2*DefaultIdle, in.Flow))
+	require.Zero(t, b.a.Snapshot().Redirects)
+}
+
+// The agent that is first by the placing agent's own view once heard of the flow only by chance.
+func TestPlacedFlowIsToldToTheFirstOfTheView(t *testing.T) {
+	b := newBed(t, nil)
+	b.pass(time.Second, 0)
+	in := b.input(true)
+	in.Flow = firstFor(b.s, 2)
+	d := b.a.Packet(b.now, in)
+	require.Equal(t, b.peer(2), d.To)
+	answer := b.answer(2, d, 0, declinedUnknown)
+	answer.Flow = in.Flow
+	require.True(t, b.a.Packet(b.now, answer).Accepted)
+	told := b.pass(100*time.Millisecond, in.Flow)
+	require.Len(t, told, 1)
+	require.Equal(t, wire.Kind_KIND_PLACED, told[0].Kind)
+	require.Equal(t, b.peer(2), told[0].To)
+}
+
+// An agent to which the flow was left names the owner when it leaves; that once counted for nothing.
+func TestLeavingArbiterNamesTheOwner(t *testing.T) {
+	b := newBed(t, nil)
+	in := b.input(true)
+	question := in
+	question.Sender, question.Hops = b.peer(1), 1
+	question.Row = append(slices.Clone(b.row[wire.AddrSize:]), b.row[:wire.AddrSize]...)
+	require.Equal(t, ActionDecline, b.a.Packet(b.now, question).Action)
+	named := Message{Kind: wire.Kind_KIND_MOVED, Flow: in.Flow, Owner: b.peer(2), Incarnation: 1}
+	b.a.Control(b.now, b.peer(3), named)
+	require.Equal(t, b.peer(1), b.a.Packet(b.now, in).To, "an agent to which the flow was not left counts for nothing")
+	b.a.Control(b.now, b.peer(1), named)
+	require.Equal(t, b.peer(2), b.a.Packet(b.now, in).To)
+}
+
+// Each view change once put the repeated announcements off anew.
+func TestViewChangesDoNotPutOffAnnouncements(t *testing.T) {
+	b := newBed(t, nil)
+	b.pass(time.Second, 0)
+	in := b.input(true)
+	in.Flow = firstFor(b.s, 2)
+	d := b.a.Packet(b.now, in)
+	answer := b.answer(2, d, 0, declinedUnknown)
+	answer.Flow = in.Flow
+	require.True(t, b.a.Packet(b.now, answer).Accepted)
+	b.pass(200*time.Millisecond, in.Flow)
+	announced := 0
+	for i := range 8 {
+		s := *b.s
+		s.Targets = slices.Clone(b.s.Targets)
+		if i%2 == 0 {
+			s.Targets[3].State = view.StateJoining
+		}
+		b.a.SetService(b.now, &s)
+		for _, m := range b.pass(time.Second, in.Flow) {
+			if m.Kind == wire.Kind_KIND_MOVED && m.To == b.peer(2) {
+				announced++
+			}
+		}
+	}
+	require.GreaterOrEqual(t, announced, 4)
+}
--- a/pkg/arbiter/locate.go
+++ b/pkg/arbiter/locate.go
@@ -145,11 +145,7 @@
 	for _, flow := range lost {
 		a.lose(a.stamp(now), flow)
 	}
-	var out []Message
-	for _, to := range slices.SortedFunc(maps.Keys(ask), netip.AddrPort.Compare) {
-		out = append(out, batches(Message{To: to, Kind: wire.Kind_KIND_LOCATE, Incarnation: a.cfg.Incarnation}, ask[to])...)
-	}
-	return out
+	return a.questions(ask)
 }
 
 // lose notes that no agent owns the flow.
--- a/pkg/arbiter/offer.go
+++ b/pkg/arbiter/offer.go
@@ -59,7 +59,8 @@
 	}
 	d := c.accepted("offered by the first agent")
 	d.Notify = c.placed(c.in.Sender)
-	if first, ok := wire.RowAddr(c.in.Row, 0); ok && first != c.in.Sender && first != c.a.cfg.Self {
+	first, ok := wire.RowAddr(c.in.Row, 0)
+	if ok && first != c.in.Sender && first != c.a.cfg.Self && first != c.ranked() {
 		// The offer came from an agent that the first one had asked.
 		c.a.tells.add(c.placed(first))
 	}
--- a/pkg/arbiter/open.go
+++ b/pkg/arbiter/open.go
@@ -254,11 +254,29 @@
 }
 
 func (c *call) accepted(why string) Decision {
+	c.tellRanked()
 	d := c.decide(ActionDeliver, why)
 	d.Accepted = true
 	return d
 }
 
+// tellRanked tells the first agent by this agent's own table of a flow that came by the row of another table: the former arbitrates the flow once views are even.
+func (c *call) tellRanked() {
+	first := c.ranked()
+	notified := c.in.Kind == wire.Kind_KIND_OFFER && first == c.in.Sender
+	if first.IsValid() && first != c.a.cfg.Self && !notified {
+		c.a.tells.add(c.placed(first))
+	}
+}
+
+// ranked is the first agent by this agent's own table, or the zero value.
+func (c *call) ranked() netip.AddrPort {
+	if c.m == nil {
+		return netip.AddrPort{}
+	}
+	return c.m.table.FirstAgent(c.in.Flow)
+}
+
 func (c *call) offerTo(q *peer, final bool, limit uint32) Decision {
 	d := c.decide(ActionOffer, "least loaded agent of the row")
 	d.To = q.addr
--- a/pkg/arbiter/service.go
+++ b/pkg/arbiter/service.go
@@ -14,6 +14,9 @@
 // paceMessages is the number of announcements that SetService or one Tick returns.
 const paceMessages = 16
 
+// repeatGrains is the highest number of repeated announcements within one window; each looks through all own flows.
+const repeatGrains = 10
+
 // SetService adopts a snapshot of the agent's service and returns the first announcements to new first agents; Tick returns the rest. A nil snapshot is ignored: the last one stays in force.
 func (a *Arbiter) SetService(now time.Time, s *view.Service) []Message {
 	if s == nil {
@@ -31,7 +34,8 @@
 	a.dropGone(m)
 	if old == nil || old.table != m.table || old.next != m.next {
 		a.announce = append(a.announce, a.movedFlows(old, m)...)
-		a.repeat = []time.Time{now.Add(a.cfg.Window / 2), now.Add(a.cfg.Window + time.Second)}
+		a.repeatAt(now.Add(a.cfg.Window / 2))
+		a.repeatAt(now.Add(a.cfg.Window + time.Second))
 	}
 	return a.takeAnnouncements()
 }
@@ -131,6 +135,16 @@
 	}
 }
 
+// repeatAt plans a repeated announcement at t or a little later. Those planned before stay: a row of view changes must not put them off until the flows are too old for them. a.mu is held.
+func (a *Arbiter) repeatAt(t time.Time) {
+	grain := a.cfg.Window / repeatGrains
+	t = t.Add(grain - 1).Truncate(grain)
+	i, planned := slices.BinarySearchFunc(a.repeat, t, time.Time.Compare)
+	if !planned {
+		a.repeat = slices.Insert(a.repeat, i, t)
+	}
+}
+
 // repeatMoved announces moved flows again: datagrams may be lost, and earlier first agents place flows until every process has the new view. a.mu is held.
 func (a *Arbiter) repeatMoved(now time.Time, m *members) {
 	if len(a.repeat) == 0 || now.Before(a.repeat[0]) {
--- a/pkg/arbiter/tick.go
+++ b/pkg/arbiter/tick.go
@@ -1,6 +1,9 @@
 package arbiter
 
 import (
+	"maps"
+	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/wire"
@@ -30,8 +33,7 @@
 	out = append(out, a.tickLoad(now, m)...)
 	out = append(out, a.tickLocate(now, m)...)
 	out = append(out, a.tickEnded(m)...)
-	a.sweep(a.stamp(now))
-	return out
+	return append(out, a.sweep(a.stamp(now))...)
 }
 
 // tickLoad reports the load to the next of the agents that may offer flows to this one.
@@ -52,31 +54,54 @@
 	return out
 }
 
-// sweep forgets what has expired in the next shards; a.mu is held.
-func (a *Arbiter) sweep(at stamp) {
+// sweep forgets what has expired in the next shards, and asks the owners of redirects whether they still are; a.mu is held.
+func (a *Arbiter) sweep(at stamp) []Message {
+	doubtful := make(map[netip.AddrPort][]uint64)
 	for range sweepShards {
 		a.sweepAt = (a.sweepAt + 1) % shardCount
 		s := &a.shards[a.sweepAt]
 		s.mu.Lock()
 		for flow, e := range s.flows {
 			if limit := a.keep(e); limit > 0 && e.at.since(at) > limit {
-				a.expire(at, s, flow, e)
+				a.expire(at, s, flow, e, doubtful)
 			}
 		}
 		s.mu.Unlock()
 	}
+	return a.questions(doubtful)
 }
 
-// expire forgets an entry. An opening without an answer is kept as a redirect to the agent that was asked last: it may have taken the flow and its answer been lost, and it says so if it has not.
-func (a *Arbiter) expire(at stamp, s *shard, flow uint64, e entry) {
-	switch e.state {
-	case stateOffered, stateBeyond, stateAsked:
+// questions asks each agent for its flows.
+func (a *Arbiter) questions(ask map[netip.AddrPort][]uint64) []Message {
+	var out []Message
+	for _, to := range slices.SortedFunc(maps.Keys(ask), netip.AddrPort.Compare) {
+		slices.Sort(ask[to])
+		out = append(out, batches(Message{To: to, Kind: wire.Kind_KIND_LOCATE, Incarnation: a.cfg.Incarnation}, ask[to])...)
+	}
+	return out
+}
+
+// expire forgets an entry. An opening without an answer is kept as a redirect to the agent that was asked last: it may have taken the flow and its answer been lost, and it says so if it has not. A redirect to an agent that lives is kept until that agent denies the flow, which may be idle for longer than any time chosen here: without the redirect the flow's next UDP packet would start a second life elsewhere.
+func (a *Arbiter) expire(at stamp, s *shard, flow uint64, e entry, doubtful map[netip.AddrPort][]uint64) {
+	switch {
+	case e.state == stateOffered, e.state == stateBeyond, e.state == stateAsked:
 		s.set(flow, entry{at: at, peer: e.peer, state: stateRedirect})
+	case e.state == stateRedirect && a.mayOwn(e):
+		p := a.peers.get(e.peer)
+		doubtful[p.addr] = append(doubtful[p.addr], flow)
+		e.at = at
+		s.flows[flow] = e
 	default:
 		s.drop(flow)
 	}
 }
 
+// mayOwn reports whether the peer of a redirect may still own the flow.
+func (a *Arbiter) mayOwn(e entry) bool {
+	p := a.peers.get(e.peer)
+	return !e.has(flagEnded) && p.listed.Load() && !p.gone.Load()
+}
+
 // keep returns the time for which an entry is kept since its stamp; 0 means for ever.
 func (a *Arbiter) keep(e entry) time.Duration {
 	switch e.state {
