Let an agent take its place only when it has a view and the owners had time to announce their flows

Cause: with updates held back by up to 3 s, a joined agent was active at the balancers before its own first view and reset established flows with no-configuration; flows of rows it became first of stalled for up to 12 s because their owners had not announced them. Change: an agent stays joining until it has a view and, when others of its service serve, 3 s have passed since.

--- a/pkg/agentd/daemon.go
+++ b/pkg/agentd/daemon.go
@@ -274,6 +274,7 @@
 		Seeds:    s.Balancers,
 		TLS:      peer.TLSConfig{CA: s.TLS.CA, Cert: s.TLS.Certificate, Key: s.TLS.Key},
 		JoinTime: d.o.JoinTime,
+		Ready:    newReadiness(d.requests.service.Load, s.Name).ready,
 		Load:     func() uint32 { return uint32(p.OpenFlows()) },
 		OnView: d.o.WrapView(func(v *view.Service) {
 			d.requests.setService(v)
--- a/pkg/peer/session.go
+++ b/pkg/peer/session.go
@@ -150,10 +150,10 @@
 	s.dialer.close()
 }
 
-// joinLoop makes the agent active once it has been joining for the set time and a balancer has its record.
+// joinLoop makes the agent active once it has been joining for the set time, a balancer has its record and it is ready.
 func (s *Session) joinLoop(ctx context.Context) error {
 	sleep(ctx, s.cfg.JoinTime)
-	for ctx.Err() == nil && len(s.beats.addrs()) == 0 {
+	for ctx.Err() == nil && !s.mayServe() {
 		sleep(ctx, streamRetry)
 	}
 	if ctx.Err() != nil {
@@ -168,6 +168,14 @@
 	return nil
 }
 
+// mayServe reports whether a balancer has the agent's record and the agent is ready for packets.
+func (s *Session) mayServe() bool {
+	if len(s.beats.addrs()) == 0 {
+		return false
+	}
+	return s.cfg.Ready == nil || s.cfg.Ready()
+}
+
 // announceLoop announces each change of the record to two balancers, until it is taken.
 func (s *Session) announceLoop(ctx context.Context) error {
 	pause := streamRetry
--- a/pkg/peer/session_config.go
+++ b/pkg/peer/session_config.go
@@ -22,6 +22,8 @@
 	TLS TLSConfig
 	// JoinTime is how long the agent stays joining; 0 means DefaultJoinTime.
 	JoinTime time.Duration
+	// Ready reports whether the agent can take packets; it stays joining until then. Nil means at once.
+	Ready func() bool
 	// HeartbeatInterval is the time between two heartbeats; 0 means DefaultHeartbeatInterval.
 	HeartbeatInterval time.Duration
 	// Load returns the number of open flows; nil means 0.
