End connections that gVisor leaves in CLOSING

Cause: when caller and agent close at once and the caller's ACK overtakes its FIN, which sprayed packets do, gVisor stays in CLOSING for ever. Change: the wait for a closed connection ends after 2 s in CLOSING, and the endpoint is given back after the TIME-WAIT.

--- a/internal/lab/cluster/requests_drain_test.go
+++ b/internal/lab/cluster/requests_drain_test.go
@@ -98,6 +98,30 @@
 	return r
 }
 
+func TestDrainRefusesWaitingRequestsWithoutAPeer(t *testing.T) {
+	l := newRequestLab(t, nil)
+	victim := l.c.targets[len(l.c.targets)-1]
+	replies := map[string]chan reply{"running": make(chan reply, 1), "waiting": make(chan reply, 1)}
+	for i, id := range []string{"running", "waiting"} {
+		c := l.caller(http1)
+		go func() {
+			r, _ := ask(c, http.MethodPost, l.address(reportsService)+work(id, time.Second))
+			replies[id] <- r
+		}()
+		require.Eventually(t, func() bool { return victim.daemon.Load().Busy+victim.daemon.Load().Waiting == i+1 }, patience, time.Millisecond)
+	}
+	l.startDrain(victim)
+	r := <-replies["waiting"]
+	p := r.problem(t)
+	require.Equal(t, refusal.ReasonDraining, p.Reason)
+	require.Equal(t, refusal.RunNo, p.Run)
+	require.NotEmpty(t, r.header.Get("Retry-After"))
+	require.Equal(t, 0, l.ran("waiting"))
+	require.Equal(t, http.StatusOK, (<-replies["running"]).status)
+	l.awaitGone(victim)
+	require.Equal(t, 0, l.ran("waiting"))
+}
+
 func TestDrainWaitsForWorkOfOtherAgents(t *testing.T) {
 	// The draining agent has no connection of a caller, only work that another agent handed over, and which takes longer
 	// than all times for which the agent lingers.
--- a/internal/lab/cluster/requests_test.go
+++ b/internal/lab/cluster/requests_test.go
@@ -40,7 +40,7 @@
 
 // requestLab is an installation in request mode.
 type requestLab struct {
-	t       *testing.T
+	t       testing.TB
 	c       *Cluster
 	fabric  *fabric.Fabric
 	journal *standin.Journal
@@ -51,6 +51,11 @@
 func newRequestLab(t *testing.T, edit func(*flows.ClusterConfig)) *requestLab {
 	t.Helper()
 	t.Parallel()
+	return startRequestLab(t, edit)
+}
+
+func startRequestLab(t testing.TB, edit func(*flows.ClusterConfig)) *requestLab {
+	t.Helper()
 	f, err := fabric.New(fabric.Config{Seed: 1})
 	require.NoError(t, err)
 	t.Cleanup(f.Close)
--- a/pkg/netstack/accepted_conns.go
+++ b/pkg/netstack/accepted_conns.go
@@ -22,13 +22,21 @@
 
 func (a *acceptedConns) forget(c *Conn) { a.conns.CompareAndDelete(c.id, c) }
 
-// retire forgets a closed connection once nothing of it is left.
+// retire forgets a closed connection once nothing of it is left. One that stays in CLOSING would never end by itself; see
+// Conn.WaitClosed.
 func (a *acceptedConns) retire(c *Conn) {
 	if c.gone() {
 		a.forget(c)
 		return
 	}
-	time.AfterFunc(a.timeWait, func() { a.retire(c) })
+	closing := c.inClosing()
+	time.AfterFunc(a.timeWait, func() {
+		if closing && c.inClosing() {
+			c.Abort()
+			return
+		}
+		a.retire(c)
+	})
 }
 
 // reopen ends the connection in TIME-WAIT, if any, whose ports an opening segment uses.
--- /dev/null
+++ b/pkg/netstack/closing_test.go
@@ -0,0 +1,86 @@
+package netstack
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"gvisor.dev/gvisor/pkg/tcpip/header"
+)
+
+// overtaker passes packets on, but lets the ACK after a FIN overtake it.
+type overtaker struct {
+	mu   sync.Mutex
+	held []byte
+	pass func(p []byte)
+}
+
+func (o *overtaker) output(p []byte) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	_, _, segment, ok := tcpOf(p)
+	if ok && o.held == nil && segment.Flags().Contains(header.TCPFlagFin) {
+		o.held = append(o.held, p...)
+		return
+	}
+	o.pass(p)
+	if len(o.held) > 0 {
+		o.pass(o.held)
+		o.held = o.held[:0]
+	}
+}
+
+// closeBoth closes both sides at once and returns the server's side. The server's FIN is acknowledged before the caller's
+// FIN comes, whose own acknowledgement is older.
+func closeBoth(t *testing.T, timeWait time.Duration) *Conn {
+	t.Helper()
+	var server *Stack
+	o := &overtaker{pass: func(p []byte) { server.Inject(p) }}
+	caller, err := New(Config{Output: o.output})
+	require.NoError(t, err)
+	t.Cleanup(caller.Close)
+	server, err = New(Config{Output: func(p []byte) { caller.Inject(p) }})
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	server.accepted.timeWait = timeWait
+	accepted := make(chan net.Conn, 1)
+	server.AcceptTCP(func(a Accepted) {
+		if conn, err := a.Accept(); err == nil {
+			accepted <- conn
+		}
+	})
+	conn, err := caller.DialTCP(deadline(t), netip.MustParseAddrPort(ends[0].local), netip.MustParseAddrPort(ends[0].remote))
+	require.NoError(t, err)
+	other := (<-accepted).(*Conn)
+	require.NoError(t, conn.Close())
+	require.Eventually(t, o.holds, 20*time.Second, time.Millisecond)
+	require.NoError(t, other.CloseWrite())
+	require.Eventually(t, other.inClosing, 20*time.Second, time.Millisecond, "the state that this test is about")
+	_, err = other.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	require.NoError(t, other.Close())
+	return other
+}
+
+func (o *overtaker) holds() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.held) > 0
+}
+
+func TestWaitClosedEndsInClosing(t *testing.T) {
+	c := closeBoth(t, time.Hour)
+	ctx := deadline(t)
+	c.WaitClosed(ctx)
+	require.NoError(t, ctx.Err())
+	require.True(t, c.inClosing())
+}
+
+func TestConnectionInClosingIsGivenBack(t *testing.T) {
+	c := closeBoth(t, 10*time.Millisecond)
+	require.Eventually(t, c.gone, 20*time.Second, time.Millisecond)
+}
--- a/pkg/netstack/conn.go
+++ b/pkg/netstack/conn.go
@@ -56,14 +56,29 @@
 	}
 }
 
+// closingTime bounds the wait in state CLOSING. It is longer than several retransmissions of a lost FIN.
+const closingTime = 2 * time.Second
+
 // WaitClosed waits until the connection, on which Close or Abort was called, has nothing left to send, or until ctx ends.
 // The stack tells nobody of that state, so that it is polled.
+//
+// When both sides close at once and the peer's ACK overtakes its FIN, the stack takes the FIN's older acknowledgement for
+// the last word and stays in CLOSING for ever, although all was acknowledged. Packets that are sprayed over several ways
+// do overtake each other.
 func (c *Conn) WaitClosed(ctx context.Context) {
 	const longest = 50 * time.Millisecond
 	pause := time.Millisecond
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
+	var closing time.Time
 	for !c.silent() {
+		if !c.inClosing() {
+			closing = time.Time{}
+		} else if closing.IsZero() {
+			closing = time.Now()
+		} else if time.Since(closing) >= closingTime {
+			return
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -78,6 +93,10 @@
 	return c.gone() || c.inTimeWait()
 }
 
+func (c *Conn) inClosing() bool {
+	return tcp.EndpointState(c.endpoint.State()) == tcp.StateClosing
+}
+
 func (c *Conn) gone() bool {
 	state := tcp.EndpointState(c.endpoint.State())
 	return state == tcp.StateClose || state == tcp.StateError
