Do not let callers that keep closed connections hold up a drain

Cause: a pool that does not look at its idle connections leaves the socket open after the agent has closed it; the agent waited 60 s in FIN-WAIT-2 with nothing left to send. Measured: the new test of the cluster fails before (agent not gone after 20 s) and passes after under -race, as do the tests of netstack.

--- a/internal/lab/cluster/requests_drain_test.go
+++ b/internal/lab/cluster/requests_drain_test.go
@@ -362,6 +362,24 @@
 	}
 }
 
+// TestDrainDoesNotWaitForCallersThatKeepClosedConnections has a caller whose pool does not look at idle connections.
+func TestDrainDoesNotWaitForCallersThatKeepClosedConnections(t *testing.T) {
+	l := newRequestLab(t, nil)
+	conn := l.rawCaller(reportsService)
+	b := bufio.NewReader(conn)
+	_, err := io.WriteString(conn, rawWork("first", time.Millisecond))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, readReply(t, b).status)
+	victim := l.c.targets[len(l.c.targets)-1]
+	l.startDrain(victim)
+	l.awaitGone(victim)
+	require.Equal(t, http.StatusRequestTimeout, readReply(t, b).status)
+	require.NoError(t, conn.Close())
+	for _, r := range l.c.Refusals() {
+		require.Equal(t, refusal.ReasonDraining, r.Reason, r.Detail)
+	}
+}
+
 func TestJoinedAgentGetsAndGivesWork(t *testing.T) {
 	l := newRequestLab(t, func(c *flows.ClusterConfig) { c.Deployment.Services[0].Targets = 1 })
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
--- a/pkg/netstack/closing_test.go
+++ b/pkg/netstack/closing_test.go
@@ -84,3 +84,22 @@
 	c := closeBoth(t, 10*time.Millisecond)
 	require.Eventually(t, c.gone, 20*time.Second, time.Millisecond)
 }
+
+func TestWaitClosedDoesNotWaitForAPeerThatStaysOpen(t *testing.T) {
+	caller, server := pair(t, DefaultMTU)
+	accepted := make(chan net.Conn, 1)
+	server.AcceptTCP(func(a Accepted) {
+		if conn, err := a.Accept(); err == nil {
+			accepted <- conn
+		}
+	})
+	conn, err := caller.DialTCP(deadline(t), netip.MustParseAddrPort(ends[0].local), netip.MustParseAddrPort(ends[0].remote))
+	require.NoError(t, err)
+	other := (<-accepted).(*Conn)
+	require.NoError(t, other.Close())
+	ctx := deadline(t)
+	other.WaitClosed(ctx)
+	require.NoError(t, ctx.Err())
+	_, err = conn.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+}
--- a/pkg/netstack/conn.go
+++ b/pkg/netstack/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"gvisor.dev/gvisor/pkg/tcpip"
@@ -56,8 +57,13 @@
 	}
 }
 
-// closingTime bounds the wait in state CLOSING. It is longer than several retransmissions of a lost FIN.
-const closingTime = 2 * time.Second
+const (
+	// closingTime bounds the wait in state CLOSING. It is longer than several retransmissions of a lost FIN.
+	closingTime = 2 * time.Second
+	// finWaitTime bounds the wait in state FIN-WAIT-2: everything was acknowledged, and the peer may keep its side open
+	// for as long as it likes. It is as long as the wait of a closed connection for late packets.
+	finWaitTime = DefaultTimeWait
+)
 
 // WaitClosed waits until the connection, on which Close or Abort was called, has nothing left to send, or until ctx ends.
 // The stack tells nobody of that state, so that it is polled.
@@ -70,13 +76,14 @@
 	pause := time.Millisecond
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
-	var closing time.Time
+	var last tcp.EndpointState
+	var since time.Time
 	for !c.silent() {
-		if !c.inClosing() {
-			closing = time.Time{}
-		} else if closing.IsZero() {
-			closing = time.Now()
-		} else if time.Since(closing) >= closingTime {
+		state := tcp.EndpointState(c.endpoint.State())
+		if state != last {
+			last, since = state, time.Now()
+		}
+		if time.Since(since) >= longestWait(state) {
 			return
 		}
 		select {
@@ -89,6 +96,17 @@
 	}
 }
 
+// longestWait bounds the wait in a state in which nothing is left to send.
+func longestWait(s tcp.EndpointState) time.Duration {
+	switch s {
+	case tcp.StateClosing:
+		return closingTime
+	case tcp.StateFinWait2:
+		return finWaitTime
+	}
+	return math.MaxInt64
+}
+
 func (c *Conn) silent() bool {
 	return c.gone() || c.inTimeWait()
 }
