Give a target stand-in one port for TCP and UDP

Cause: a stand-in whose UDP port was taken served TCP only, without a word; datagrams for it reached another process and a UDP flow got no echo. Change: another port is tried, or the start fails.

--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	ln, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(cfg.Listen))
+	ln, udp, err := listen(cfg.Listen)
 	if err != nil {
 		return nil, trace.Wrap(err, "target %s: listen", cfg.ID)
 	}
@@ -49,6 +49,7 @@
 		cfg:     cfg,
 		started: time.Now(),
 		ln:      ln,
+		udp:     udp,
 		journal: journal,
 		conns:   make(map[net.Conn]struct{}),
 		random:  rand.New(rand.NewPCG(cfg.Seed, 1)),
@@ -94,9 +95,7 @@
 	t.conns, t.killed = nil, true
 	t.mu.Unlock()
 	_ = t.ln.Close()
-	if t.udp != nil {
-		_ = t.udp.Close()
-	}
+	_ = t.udp.Close()
 	for c := range conns {
 		reset(c)
 	}
@@ -147,13 +146,31 @@
 	delete(t.conns, c)
 }
 
-// serveUDP echoes datagrams behind a Label; a target whose UDP port is taken serves TCP only.
-func (t *Target) serveUDP() {
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(t.Addr()))
-	if err != nil {
-		return
+// listenTries bounds the search for a port that is free for TCP and UDP.
+const listenTries = 20
+
+// listen opens both sockets on one port. When the port is free to choose, another one is tried if UDP lacks it: datagrams
+// for this target would reach whoever has the port.
+func listen(at netip.AddrPort) (*net.TCPListener, *net.UDPConn, error) {
+	for try := 1; ; try++ {
+		ln, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(at))
+		if err != nil {
+			return nil, nil, trace.Wrap(err)
+		}
+		udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(ln.Addr().(*net.TCPAddr).AddrPort()))
+		if err == nil {
+			return ln, udp, nil
+		}
+		_ = ln.Close()
+		if at.Port() != 0 || try == listenTries {
+			return nil, nil, trace.Wrap(err)
+		}
 	}
-	t.udp = conn
+}
+
+// serveUDP echoes datagrams behind a Label.
+func (t *Target) serveUDP() {
+	conn := t.udp
 	label := Label{Service: t.cfg.Service, Target: t.cfg.ID}
 	go func() {
 		b := make([]byte, 64<<10)
--- a/internal/standin/target/target_test.go
+++ b/internal/standin/target/target_test.go
@@ -170,3 +170,14 @@
 	_, _, ok = CutLabel([]byte("no label"))
 	require.False(t, ok)
 }
+
+func TestPortOfTargetIsItsOwnForUDPToo(t *testing.T) {
+	x, _ := newTarget(t, nil)
+	_, err := Start(Config{Service: "route-svc", ID: "r2", Listen: x.Addr()}, nil)
+	require.Error(t, err)
+	taken, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	defer taken.Close()
+	_, err = Start(Config{Service: "route-svc", ID: "r3", Listen: taken.LocalAddr().(*net.UDPAddr).AddrPort()}, nil)
+	require.Error(t, err, "a target that cannot take datagrams must not seem to")
+}
