Write the refusal records of balancers in a region that is out of reach

Cause: nobody outside a region finds its members dead, so that the records of the last balancer of a region stayed unwritten copies in the other region. Change: the copies are written when the region is out of reach; readers count records once that the owner writes as well.

--- a/internal/lab/control/balancer.go
+++ b/internal/lab/control/balancer.go
@@ -147,7 +147,7 @@
 func (c *cluster) startBalancer(ctx context.Context, n int, name string, at int) (*balancer, error) {
 	s := settings.DefaultBalancer()
 	s.Name = name
-	s.Region, s.DataCentre = place(at)
+	s.Region, s.DataCentre = c.o.place(at)
 	s.PacketAddress, s.ControlAddress = loopback, loopback
 	s.FabricAddress = c.callers.addr().String()
 	s.Peers = c.controlAddrs("")
--- a/internal/lab/control/cluster.go
+++ b/internal/lab/control/cluster.go
@@ -30,11 +30,17 @@
 	{"amman-east", "marka-hall"}, {"hcm", "hcm-thuduc"}, {"amman-east", "zarqa-hall"}, {"hcm", "hcm-q7"},
 }
 
-func place(n int) (region, dataCentre string) {
+// place returns where the n-th VM runs. Fewer than fewBalancers run in one region, unless regions are to be cut apart.
+func (o Options) place(n int) (region, dataCentre string) {
+	if o.Balancers < fewBalancers && !o.has(FaultRegionSplit) {
+		n = 2 * (n % 2)
+	}
 	p := places[n%len(places)]
 	return p[0], p[1]
 }
 
+const fewBalancers = 4
+
 func processName(kind string, n int) string { return fmt.Sprintf("%s-%03d", kind, n) }
 
 // cluster is a running installation.
--- a/internal/lab/control/target.go
+++ b/internal/lab/control/target.go
@@ -26,7 +26,7 @@
 // addTarget starts a control session that announces a target.
 func (c *cluster) addTarget(ctx context.Context) (*target, error) {
 	n := c.next()
-	region, dataCentre := place(n)
+	region, dataCentre := c.o.place(n)
 	t := &target{id: processName("target", n), region: region}
 	var err error
 	t.session, err = peer.NewSession(peer.SessionConfig{
--- a/pkg/balancerd/refusals.go
+++ b/pkg/balancerd/refusals.go
@@ -127,10 +127,11 @@
 // lives are the incarnations of the balancers that were seen last.
 type lives map[string]uint64
 
-// ended reports whether a life of the balancer is over: it is gone, or a later life has begun before anybody found the
-// earlier one dead.
+// ended reports whether a life of the balancer is over, or may be: it is gone, a later life has begun before anybody found
+// the earlier one dead, or its whole region is out of reach, where nobody may be left to find it dead. Records that are
+// written by two processes count once.
 func (l lives) ended(m *membership.Member) bool {
 	before, known := l[m.ID]
 	l[m.ID] = m.Incarnation
-	return !m.Live() || known && m.Incarnation > before
+	return !m.Live() || m.Unreachable || known && m.Incarnation > before
 }
--- a/pkg/balancerd/refusals_test.go
+++ b/pkg/balancerd/refusals_test.go
@@ -18,6 +18,10 @@
 	m.State, m.Incarnation = membership.StateActive, 6
 	require.True(t, known.ended(&m), "a later life")
 	require.False(t, known.ended(&m))
+	m.Unreachable = true
+	require.True(t, known.ended(&m), "its region may be lost")
+	m.Unreachable = false
+	require.False(t, known.ended(&m))
 	m.State = membership.StateDead
 	require.True(t, known.ended(&m))
 	require.True(t, known.ended(&m), "records that come after the death count too")
