Keep installations of tests apart on a busy machine

Cause: ports of killed balancers were taken by other installations of the same machine; agents announced themselves there ("another process uses this name"), and packets of foreign callers left refusal records. Change: each installation of streamLab has certificates and caller addresses of its own. Measured: go test -race -count=2 ./internal/lab/cluster -run 'IPv6|Proxy|UDP|Certificate|Hostile|Callers|Announcements' passes; before, 3 of 48 runs of the IPv6 test in three processes at once failed so.

--- a/internal/lab/cluster/hostile_test.go
+++ b/internal/lab/cluster/hostile_test.go
@@ -309,8 +309,8 @@
 	}
 	require.Empty(t, a.stolen, "packets of running flows reached the attacker")
 	require.Zero(t, l.counter("agent.flows_owned_elsewhere", ""))
-	require.NotEmpty(t, l.c.Refusals(), "an opening packet in the envelope of another service")
-	for _, r := range l.c.Refusals() {
+	require.NotEmpty(t, l.refusals(), "an opening packet in the envelope of another service")
+	for _, r := range l.refusals() {
 		require.Equal(t, refusal.ReasonWrongService, r.Reason, "%+v", r)
 		require.True(t, r.Caller.IsValid())
 	}
--- a/internal/lab/cluster/stream_lab_test.go
+++ b/internal/lab/cluster/stream_lab_test.go
@@ -3,13 +3,16 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +24,7 @@
 	standin "github.com/auburnwood/auburnwood/internal/standin/target"
 	"github.com/auburnwood/auburnwood/pkg/refusal"
 	"github.com/auburnwood/auburnwood/pkg/resource"
+	"github.com/auburnwood/auburnwood/pkg/settings"
 )
 
 // Addresses of the services of a streamLab; each has a TCP and a UDP address of both IP versions.
@@ -38,14 +42,24 @@
 	tap     *tap
 	log     *logBuffer
 	callers byte
+	// network distinguishes the callers of this installation from those of others on the same machine, which may still
+	// send packets to a port that has changed its owner.
+	network uint16
 }
 
+// networks numbers the installations of this process.
+var networks atomic.Uint32
+
+func newNetwork() uint16 { return uint16(os.Getpid()*31) + uint16(networks.Add(1)) }
+
 // newStreamLab starts two services of four and two targets behind three balancers; edit may change the configuration
 // before.
 func newStreamLab(t *testing.T, edit func(*flows.ClusterConfig)) *streamLab {
 	t.Helper()
 	t.Parallel()
-	l := &streamLab{t: t, tap: &tap{}, log: &logBuffer{}}
+	l := &streamLab{t: t, tap: &tap{}, log: &logBuffer{}, network: newNetwork()}
+	// Certificates of its own keep an installation apart from others on the machine when a port changes its owner.
+	own := newAuthority(t)
 	var err error
 	l.fabric, err = fabric.New(fabric.Config{Seed: 1, Tap: l.tap.see})
 	require.NoError(t, err)
@@ -62,6 +76,7 @@
 		Connections: map[string]uint32{routeService: 500, reportsService: 500},
 		Balancers:   3, Fabric: l.fabric, Seed: 1, Log: zerolog.New(l.log),
 		Service: allAddresses,
+		TLS:     func(process string) settings.TLS { return own.issue(process, time.Now().Add(time.Hour)) },
 	}
 	if edit != nil {
 		edit(&cfg)
@@ -97,9 +112,9 @@
 func (l *streamLab) caller(ip string) *fabric.Caller {
 	l.callers++
 	if strings.Contains(ip, ":") {
-		return l.fabric.NewCaller(netip.MustParseAddr(fmt.Sprintf("2001:db8:ca::%x", l.callers)))
+		return l.fabric.NewCaller(netip.MustParseAddr(fmt.Sprintf("2001:db8:%x::%x", l.network, l.callers)))
 	}
-	return l.fabric.NewCaller(netip.AddrFrom4([4]byte{10, 9, 1, l.callers}))
+	return l.fabric.NewCaller(netip.AddrFrom4([4]byte{10, byte(l.network >> 8), byte(l.network), l.callers}))
 }
 
 func (l *streamLab) client(ip string) (*http.Client, *fabric.Caller) {
@@ -175,10 +190,27 @@
 	return sum
 }
 
+// isOwn reports whether an address is that of a caller of this installation.
+func (l *streamLab) isOwn(a netip.Addr) bool {
+	b := a.AsSlice()
+	return len(b) == 4 && binary.BigEndian.Uint16(b[1:]) == l.network || len(b) == 16 && binary.BigEndian.Uint16(b[4:]) == l.network
+}
+
+// refusals returns the refusal records of this installation's callers, and those without a caller.
+func (l *streamLab) refusals() []refusal.Record {
+	var out []refusal.Record
+	for _, r := range l.c.Refusals() {
+		if !r.Caller.IsValid() || l.isOwn(r.Caller.Addr()) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // records returns the refusal records of a reason.
 func (l *streamLab) records(reason refusal.Reason) []refusal.Record {
 	var out []refusal.Record
-	for _, r := range l.c.Refusals() {
+	for _, r := range l.refusals() {
 		if r.Reason == reason {
 			out = append(out, r)
 		}
--- a/internal/lab/cluster/streams_test.go
+++ b/internal/lab/cluster/streams_test.go
@@ -28,7 +28,7 @@
 	downloads = append(downloads, l.running(2, time.Second)...)
 	l.whole(downloads)
 	l.eventually("the drained target's flows have ended", func() bool { return leaving.daemon.Agent().OpenFlows() == 0 })
-	require.Empty(t, l.c.Refusals())
+	require.Empty(t, l.refusals())
 }
 
 func TestTargetSeesTheCallerByProxyProtocol(t *testing.T) {
--- a/internal/lab/cluster/udp_test.go
+++ b/internal/lab/cluster/udp_test.go
@@ -155,7 +155,7 @@
 	pingAll(all)
 	pingAll(all)
 	require.Equal(t, open, leaving.daemon.Agent().OpenFlows(), "a draining target keeps its flows")
-	require.Empty(t, l.c.Refusals())
+	require.Empty(t, l.refusals())
 }
 
 func TestUDPFlowsEndByIdleTime(t *testing.T) {
@@ -177,7 +177,7 @@
 		u.ping()
 		require.NotEqual(t, leaving.id, u.target, "a draining target took a new flow")
 	}
-	require.Empty(t, l.c.Refusals())
+	require.Empty(t, l.refusals())
 }
 
 func (l *streamLab) activeAt(balancer, target string) bool {
