--- a/internal/lab/cluster/target.go
+++ b/internal/lab/cluster/target.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -21,10 +22,11 @@
 // target is a target stand-in and the agent daemon beside it.
 type target struct {
 	id, service string
-	standin     *standin.Target
-	daemon      *agentd.Daemon
-	stop        context.CancelFunc
-	ended       chan struct{}
+	// standin is nil when the target belongs to another.
+	standin *standin.Target
+	daemon  *agentd.Daemon
+	stop    context.CancelFunc
+	ended   chan struct{}
 	// view is the view that the agent uses.
 	view atomic.Pointer[view.Service]
 	// state and since are guarded by the cluster's lock.
@@ -34,7 +36,9 @@
 
 func (t *target) kill() {
 	t.daemon.Kill()
-	t.standin.Kill()
+	if t.standin != nil {
+		t.standin.Kill()
+	}
 }
 
 // knowsActive reports whether the agent knows that many active targets of its service.
@@ -85,17 +89,17 @@
 }
 
 func (c *Cluster) startAgent(id string, n int, st *standin.Target) (*target, error) {
-	return c.runAgent(c.agentSettings(id, n, st), st)
+	return c.runAgent(c.agentSettings(id, n, st.Addr()), st)
 }
 
-func (c *Cluster) agentSettings(id string, n int, st *standin.Target) settings.Agent {
+func (c *Cluster) agentSettings(id string, n int, target netip.AddrPort) settings.Agent {
 	s := settings.DefaultAgent()
 	s.Name = id
 	s.Region = c.cfg.Deployment.Region
 	s.DataCentre = c.dataCentre(n)
 	s.PacketAddress, s.AnnounceAddress = loopback, loopback
 	s.FabricAddress = c.cfg.Fabric.Addr().String()
-	s.TargetAddress = st.Addr().String()
+	s.TargetAddress = target.String()
 	s.Balancers = c.controlAddrs()
 	s.TLS = c.tls(id)
 	if c.mode() == resource.ModeRequest {
@@ -138,8 +142,6 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	// The port may have belonged to an agent that has ended, so that no connection is used again.
-	r.Close = true
 	// A connection that is kept open may lead to an agent of the same port that is gone.
 	r.Close = true
 	resp, err := http.DefaultClient.Do(r)
--- a/internal/lab/cluster/tls_test.go
+++ b/internal/lab/cluster/tls_test.go
@@ -74,7 +74,11 @@
 		require.False(t, l.knownAnywhere(balancer.name), name)
 	}
 	l.whole(downloads)
-	require.Empty(t, l.c.Refusals())
+	require.Empty(t, l.refusals())
+}
+
+func announcementOf(service string) agentd.Announcement {
+	return agentd.Announcement{Service: service, Slots: 2, Connections: 500}
 }
 
 // agentOutside starts an agent, beside those of the installation, that announces a target of the route service.
@@ -82,12 +86,12 @@
 	l.t.Helper()
 	st, err := standin.Start(standin.Config{Service: routeService, ID: id}, nil)
 	require.NoError(l.t, err)
-	s := l.c.agentSettings(id, 0, st)
+	s := l.c.agentSettings(id, 0, st.Addr())
 	s.TLS, s.Balancers = files, balancers
 	x, err := l.c.runAgent(s, st)
 	require.NoError(l.t, err)
 	l.t.Cleanup(x.kill)
-	a := agentd.Announcement{Service: routeService, Slots: 2, Connections: 10}
+	a := announcementOf(routeService)
 	require.NoError(l.t, announce(deadline(l.t), x.daemon.AnnounceAddr(), a))
 	return x
 }
--- a/internal/lab/requests/agent.go
+++ b/internal/lab/requests/agent.go
@@ -20,6 +20,8 @@
 	control net.Listener
 	flows   atomic.Int64
 	leaving atomic.Bool
+	// daemon replaces server and listeners in a run with real daemons.
+	daemon Daemon
 
 	mu    sync.Mutex
 	dead  bool
@@ -83,6 +85,10 @@
 
 // kill ends everything as the death of the process would: goroutines may go on, but nothing of theirs leaves.
 func (a *agent) kill() {
+	if a.daemon != nil {
+		a.daemon.Kill()
+		return
+	}
 	a.mu.Lock()
 	a.dead = true
 	conns := a.conns
--- a/internal/lab/requests/cluster.go
+++ b/internal/lab/requests/cluster.go
@@ -30,6 +30,8 @@
 	pace   pace
 	log    zerolog.Logger
 	rec    *recorder
+	// daemons is nil in a run without them.
+	daemons Daemons
 
 	mu      sync.RWMutex
 	rand    *rand.Rand
@@ -38,9 +40,9 @@
 	next    uint64
 }
 
-func newCluster(d deployment, p policy, t *truth, scale pace, seed uint64, log zerolog.Logger) (*cluster, error) {
+func newCluster(d deployment, p policy, t *truth, scale pace, seed uint64, log zerolog.Logger, daemons Daemons) (*cluster, error) {
 	c := &cluster{policy: p, store: newStore(seed), truth: t, pace: scale, log: log, rec: &recorder{},
-		rand: rand.New(rand.NewPCG(seed, 5)), agents: make(map[string][]*agent)}
+		rand: rand.New(rand.NewPCG(seed, 5)), agents: make(map[string][]*agent), daemons: daemons}
 	for _, s := range d {
 		for i := range s.targets {
 			if _, err := c.join(s, fmt.Sprintf("%s-%d", s.name, i+1), false); err != nil {
@@ -76,6 +78,9 @@
 	c.next++
 	incarnation := c.next
 	c.mu.Unlock()
+	if c.daemons != nil {
+		return c.startDaemon(s, name, g)
+	}
 	o := request.Options{
 		Agent: name, Incarnation: incarnation, Service: s.name, Slots: s.slots, Cold: cold, Store: c.store,
 		ClaimRate: claimRate, Recorder: c.rec, Log: c.log, Peers: &view{cluster: c, service: s.name, self: name},
@@ -91,10 +96,34 @@
 	if err != nil {
 		return nil, err
 	}
+	c.add(s, a)
+	return a, nil
+}
+
+// startDaemon starts a real agent beside the target.
+func (c *cluster) startDaemon(s serviceSize, name string, g *target) (*agent, error) {
+	d, err := c.daemons.StartAgent(s.name, name, s.slots, g.addr)
+	if err != nil {
+		return nil, err
+	}
+	a := &agent{name: name, target: g, daemon: d}
+	c.add(s, a)
+	return a, nil
+}
+
+func (c *cluster) add(s serviceSize, a *agent) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.agents[s.name] = append(c.agents[s.name], a)
-	return a, nil
+}
+
+// setStoreFaults changes what the object API does.
+func (c *cluster) setStoreFaults(down, loses bool) {
+	c.store.down.Store(down)
+	c.store.loses.Store(loses)
+	if c.daemons != nil {
+		c.daemons.StoreFaults(down, loses)
+	}
 }
 
 // remove takes an agent out of the view.
@@ -149,8 +178,19 @@
 	return first
 }
 
+// awaitActive waits until real daemons know all targets.
+func (c *cluster) awaitActive(ctx context.Context) error {
+	if c.daemons == nil {
+		return nil
+	}
+	return c.daemons.AwaitActive(ctx, len(c.targets))
+}
+
 // close ends everything.
 func (c *cluster) close() {
+	if c.daemons != nil {
+		defer c.daemons.Close()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, list := range c.agents {
--- a/internal/lab/requests/injector.go
+++ b/internal/lab/requests/injector.go
@@ -43,7 +43,7 @@
 			agents[2].target.makeCold()
 		}
 	}
-	i.cluster.store.loses.Store(i.faults.has(faultClaimLost))
+	i.cluster.setStoreFaults(false, i.faults.has(faultClaimLost))
 }
 
 // run causes faults until ctx ends.
@@ -112,13 +112,19 @@
 }
 
 func (i *injector) stopStore(serviceSize, *agent) {
-	i.cluster.store.down.Store(true)
-	time.AfterFunc(storeDownTime, func() { i.cluster.store.down.Store(false) })
+	loses := i.faults.has(faultClaimLost)
+	i.cluster.setStoreFaults(true, loses)
+	time.AfterFunc(storeDownTime, func() { i.cluster.setStoreFaults(false, loses) })
 }
 
 // drain lets a target leave: others learn of it with a delay. A new target takes its place.
 func (i *injector) drain(s serviceSize, a *agent) {
 	time.AfterFunc(viewLag, func() { a.leaving.Store(true) })
+	if a.daemon != nil {
+		go i.drainDaemon(s, a)
+		i.join(s, nil)
+		return
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), drainLimit)
 		defer cancel()
@@ -137,6 +143,17 @@
 	i.join(s, nil)
 }
 
+// drainDaemon lets a real agent leave, which ends by itself.
+func (i *injector) drainDaemon(s serviceSize, a *agent) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*drainLimit)
+	defer cancel()
+	if a.daemon.Drain(ctx) != nil {
+		return
+	}
+	i.cluster.remove(s.name, a)
+	a.target.kill()
+}
+
 func (i *injector) join(s serviceSize, _ *agent) {
 	if len(i.cluster.list(s.name)) > s.targets+1 {
 		return
--- a/internal/lab/requests/options.go
+++ b/internal/lab/requests/options.go
@@ -24,6 +24,8 @@
 	NoBaselines bool `long:"no-baselines" description:"run without the baselines"`
 	// Dialer replaces the loopback connections to the agents; nil means the run's own.
 	Dialer Dialer `no-flag:"true"`
+	// NewDaemons lets the run use real daemons in place of bare request servers; nil means none.
+	NewDaemons NewDaemons `no-flag:"true"`
 	// Log takes the agents' log lines; the zero value drops them.
 	Log zerolog.Logger `no-flag:"true"`
 }
--- a/internal/lab/requests/run.go
+++ b/internal/lab/requests/run.go
@@ -98,11 +98,18 @@
 func runPolicy(ctx context.Context, o Options, d deployment, faults faultSet, load float64, p policy, n int, out io.Writer) (Result, error) {
 	t := newTruth(n)
 	scale := newPace(or(o.ServiceTime, defaultServiceTime))
-	c, err := newCluster(d, p, t, scale, o.Seed, o.Log)
+	daemons, err := startDaemons(ctx, o, p, scale)
+	if err != nil {
+		return Result{}, trace.Wrap(err, "start daemons")
+	}
+	c, err := newCluster(d, p, t, scale, o.Seed, o.Log, daemons)
 	if err != nil {
 		return Result{}, trace.Wrap(err, "start cluster")
 	}
 	defer c.close()
+	if err := c.awaitActive(ctx); err != nil {
+		return Result{}, trace.Wrap(err, "wait for the agents")
+	}
 	dead := newDeaths()
 	plan := planner{d: d, faults: faults, rand: rand.New(rand.NewPCG(o.Seed, 1)), rate: load * d.capacity(scale),
 		pace: scale}
@@ -110,6 +117,9 @@
 	inj.standing()
 	bal := &balance{cluster: c, busy: make(map[*target]float64), samples: make(map[*target]float64)}
 	var dialer Dialer = c
+	if daemons != nil {
+		dialer = daemons
+	}
 	if o.Dialer != nil {
 		dialer = o.Dialer
 	}
@@ -128,6 +138,14 @@
 	return r, ctx.Err()
 }
 
+// startDaemons starts the real daemons of a run; the baselines have none.
+func startDaemons(ctx context.Context, o Options, p policy, scale pace) (Daemons, error) {
+	if o.NewDaemons == nil || p != policyFull {
+		return nil, nil
+	}
+	return o.NewDaemons(ctx, o.Deployment, scale.deadline, o.Seed)
+}
+
 func (c *checker) finish(p policy, load float64, bal *balance, w window) Result {
 	c.result.Policy = string(p)
 	c.result.Load = load
