Count what ends at each target and let watchers hear it

Cause: the gate of a rollout had no counters to judge by. An agent that leaves says its last counters. A flow that its caller reset is no longer noted as broken by the target.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -30,6 +30,7 @@
 	arbiter   Arbiter
 	registry  *registry
 	refused   *recentFlows
+	counts    flowCounts
 	probe     probe
 	announced atomic.Pointer[string]
 	service   atomic.Pointer[service]
--- a/pkg/agent/stream.go
+++ b/pkg/agent/stream.go
@@ -32,6 +32,7 @@
 	target, err := st.a.dialTarget("tcp")
 	if err != nil {
 		st.record(refusal.ReasonTargetRefused, err.Error())
+		st.a.counts.add(true)
 		in.Reject()
 		return
 	}
@@ -44,6 +45,12 @@
 		return
 	}
 	defer st.closeCaller()
+	st.carry()
+	st.a.counts.add(st.hasDied())
+}
+
+// carry carries the bytes of both connections until both have ended.
+func (st *stream) carry() {
 	if err := st.sendProxyHeader(); err != nil {
 		st.targetDied("PROXY header: " + err.Error())
 		return
@@ -51,6 +58,13 @@
 	st.copyBoth()
 }
 
+// hasDied reports whether the target's death was recorded.
+func (st *stream) hasDied() bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.died
+}
+
 // serveRequests hands the connection to the request handler.
 func (st *stream) serveRequests(in netstack.Accepted) {
 	if !st.open(in) {
@@ -116,7 +130,7 @@
 func (st *stream) targetDied(detail string) {
 	st.mu.Lock()
 	again := st.isCut || st.died
-	st.died = true
+	st.died = st.died || !again
 	st.mu.Unlock()
 	if again {
 		return
--- a/pkg/agentd/daemon.go
+++ b/pkg/agentd/daemon.go
@@ -276,6 +276,7 @@
 		JoinTime: d.o.JoinTime,
 		Ready:    newReadiness(d.requests.service.Load, s.Name).ready,
 		Load:     func() uint32 { return uint32(p.OpenFlows()) },
+		Counts:   func() (uint64, uint64) { return d.counts(p) },
 		OnView: d.o.WrapView(func(v *view.Service) {
 			d.requests.setService(v)
 			p.SetService(v)
--- a/pkg/peer/control_heartbeat.go
+++ b/pkg/peer/control_heartbeat.go
@@ -19,6 +19,8 @@
 	incarnation, sequence uint64
 	version               uint64
 	watchers              []string
+	// requests and failures are the counters that the stream sent last.
+	requests, failures uint64
 }
 
 // Heartbeat implements peerpb.ControlServer.
@@ -68,20 +70,27 @@
 	if b.node.cfg.OnLoad != nil {
 		b.node.cfg.OnLoad(b.id, r.GetLoad())
 	}
-	return b.reply(), nil
-}
-
-func (b *beatStream) reply() *peerpb.HeartbeatReply {
+	if r.GetRequests() != 0 {
+		b.requests, b.failures = r.GetRequests(), r.GetFailures()
+	}
 	version := b.node.table.Version()
 	m, ok := b.node.table.Get(b.id)
-	if !ok || b.outdated(&m) {
+	if ok && m.Incarnation == b.incarnation {
+		b.node.readings.note(&m, b.requests, b.failures, b.node.cfg.Now())
+	}
+	return b.reply(&m, ok, version), nil
+}
+
+// reply returns what there is to say to the member as it is recorded here; version is that of the table before.
+func (b *beatStream) reply(m *membership.Member, ok bool, version uint64) *peerpb.HeartbeatReply {
+	if !ok || b.outdated(m) {
 		return &peerpb.HeartbeatReply{Announce: true}
 	}
 	if version == b.version {
 		return nil
 	}
 	b.version = version
-	watchers := b.node.watcherAddrs(m)
+	watchers := b.node.watcherAddrs(*m)
 	if slices.Equal(watchers, b.watchers) {
 		return nil
 	}
--- a/pkg/peer/heartbeater.go
+++ b/pkg/peer/heartbeater.go
@@ -19,7 +19,9 @@
 	dialer   *dialer
 	interval time.Duration
 	load     func() uint32
-	log      zerolog.Logger
+	// counts returns the cumulative requests and failures of this process; nil when it has none.
+	counts func() (requests, failures uint64)
+	log    zerolog.Logger
 	// announce is called when a watcher asks for the record of this process.
 	announce func(ctx context.Context, addr string)
 	// watchers, when not nil, is called when a watcher names other watchers.
@@ -136,18 +138,17 @@
 	go func() { failed <- h.receive(ctx, s, addr) }()
 	ticker := time.NewTicker(h.interval)
 	defer ticker.Stop()
-	sent := membership.Member{}
+	var sent sentBeat
 	for {
-		m := h.self.get()
-		if err := s.Send(h.beat(m, sent)); err != nil {
+		if err := s.Send(h.beat(&sent)); err != nil {
 			return err
 		}
-		sent = m
 		select {
 		case err := <-failed:
 			return err
 		case <-ticker.C:
 		case <-stop.Done():
+			h.sayLast(s, &sent)
 			_ = s.CloseSend()
 			waitFor(failed, callTimeout)
 			return nil
@@ -155,19 +156,48 @@
 	}
 }
 
+// sentBeat is what a stream's messages have said so far.
+type sentBeat struct {
+	member             membership.Member
+	requests, failures uint64
+}
+
 // beat returns a heartbeat; what the watcher knows from the stream's last message is left out.
-func (h *heartbeater) beat(m, sent membership.Member) *peerpb.HeartbeatRequest {
+func (h *heartbeater) beat(sent *sentBeat) *peerpb.HeartbeatRequest {
 	r := &peerpb.HeartbeatRequest{Load: h.loadNow()}
-	if sent.ID != "" && sent.Sequence == m.Sequence {
+	h.addCounts(r, sent)
+	m, last := h.self.get(), sent.member
+	sent.member = m
+	if last.ID != "" && last.Sequence == m.Sequence {
 		return r
 	}
 	r.Incarnation, r.Sequence = m.Incarnation, m.Sequence
-	if sent.ID == "" {
+	if last.ID == "" {
 		r.Id = m.ID
 	}
 	return r
 }
 
+func (h *heartbeater) addCounts(r *peerpb.HeartbeatRequest, sent *sentBeat) {
+	if h.counts == nil {
+		return
+	}
+	requests, failures := h.counts()
+	if requests == sent.requests && failures == sent.failures {
+		return
+	}
+	sent.requests, sent.failures = requests, failures
+	r.Requests, r.Failures = requests, failures
+}
+
+// sayLast sends counters that have changed since the last heartbeat, so that the failures of a target that has just
+// died are not lost with its agent.
+func (h *heartbeater) sayLast(s peerpb.Control_HeartbeatClient, sent *sentBeat) {
+	if r := h.beat(sent); r.GetRequests() != 0 {
+		_ = s.Send(r)
+	}
+}
+
 func (h *heartbeater) receive(ctx context.Context, s peerpb.Control_HeartbeatClient, addr string) error {
 	for {
 		r, err := s.Recv()
--- a/pkg/peer/limits.go
+++ b/pkg/peer/limits.go
@@ -27,6 +27,9 @@
 	ackInterval = time.Second
 	// ackGatherTime is how long acknowledgements are gathered before they are passed on.
 	ackGatherTime = 100 * time.Millisecond
+	// readingTime is how long the counters of an agent are kept after its last heartbeat. It is longer than the time
+	// between two readings of the rollout duty, so that the last counts of an agent that ends are not lost.
+	readingTime = 2 * time.Minute
 	// expireInterval is the time between two removals of old tombstones.
 	expireInterval = time.Minute
 	// keepaliveTime is the time without traffic after which a connection is probed.
@@ -53,6 +56,8 @@
 	maxJoinCalls = 16
 	// maxMessageBytes bounds a control message.
 	maxMessageBytes = 8 << 20
+	// countersAtOnce is the number of watchers that are asked for counters at once.
+	countersAtOnce = 16
 	// peersInReply is the number of balancers named in the answer to an announcement.
 	peersInReply = 5
 	// connBuffer is the size of a connection's read and write buffers, in bytes.
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -25,6 +25,7 @@
 	detector *membership.Detector
 	regions  *membership.RegionReach
 	acks     *membership.Acks
+	readings *readings
 	history  *history
 	self     *self
 	budget   *budget
@@ -65,6 +66,7 @@
 		detector: membership.NewDetector(cfg.Detector, cfg.Table),
 		regions:  membership.NewRegionReach(),
 		acks:     membership.NewAcks(),
+		readings: newReadings(),
 		history:  &history{},
 		self:     newSelf(cfg.Self, cfg.Now),
 		budget:   newBudget(cfg.BytesPerSecond, cfg.Now, cfg.Metrics),
--- a/pkg/peer/node_detect.go
+++ b/pkg/peer/node_detect.go
@@ -35,6 +35,7 @@
 			expired = now
 			n.table.Expire(now)
 			n.acks.Retain(n.table.Balancers())
+			n.readings.expire(now)
 		}
 	}
 }
--- a/pkg/peer/session.go
+++ b/pkg/peer/session.go
@@ -77,6 +77,7 @@
 	s.dialer = newDialer(creds, s.budget, cfg.dial)
 	s.beats = newHeartbeater(s.self, s.dialer, cfg.HeartbeatInterval, cfg.Log)
 	s.beats.load = cfg.Load
+	s.beats.counts = cfg.Counts
 	s.beats.announce = s.announceTo
 	s.beats.watchers = s.learnWatchers
 	// A watcher that fails may soon be replaced, and the others may have failed too, so the agent asks again.
--- a/pkg/peer/session_config.go
+++ b/pkg/peer/session_config.go
@@ -28,6 +28,9 @@
 	HeartbeatInterval time.Duration
 	// Load returns the number of open flows; nil means 0.
 	Load func() uint32
+	// Counts returns the requests that have ended at the target since the incarnation began, and how many of them failed;
+	// nil means that the agent counts none. Both never fall, and failures are requests too.
+	Counts func() (requests, failures uint64)
 	// OnView is called with each service of the target when its view has changed, one call at a time.
 	OnView func(*view.Service)
 	// OnRemoved is called with the name of a service that the target serves no longer; may be nil.
--- /dev/null
+++ b/pkg/request/counts.go
@@ -0,0 +1,42 @@
+package request
+
+import (
+	"net/http"
+	"sync/atomic"
+
+	"github.com/auburnwood/auburnwood/pkg/refusal"
+)
+
+// counts count the requests that ended at the own target, or that this agent refused for want of one.
+type counts struct {
+	ended, failed atomic.Uint64
+}
+
+// add counts an outcome. The caller's own cancel and the drain of the agent say nothing about the target and are not
+// counted.
+func (c *counts) add(o *outcome) {
+	if o.refusal != nil && (o.refusal.Reason == refusal.ReasonCancelled || o.refusal.Reason == refusal.ReasonDraining) {
+		return
+	}
+	failed := o.failedAtTarget()
+	if !failed && o.cut {
+		return
+	}
+	c.ended.Add(1)
+	if failed {
+		c.failed.Add(1)
+	}
+}
+
+// failedAtTarget reports whether the target did not answer, not wholly, or with a status of 500 or above.
+func (o *outcome) failedAtTarget() bool {
+	return o.refusal != nil || o.lost || o.status >= http.StatusInternalServerError
+}
+
+// Counts returns the number of requests that ended at this agent's target, those included that the agent refused, and
+// how many of them failed. Refused, unanswered and cut ones failed, and so did answers of status 500 and above. A
+// request that a peer ran is counted by the peer. Both numbers only rise.
+func (s *Server) Counts() (requests, failures uint64) {
+	failures = s.counts.failed.Load()
+	return s.counts.ended.Load(), failures
+}
--- a/pkg/request/server.go
+++ b/pkg/request/server.go
@@ -42,6 +42,7 @@
 	probes   *rate.Limiter
 	probing  atomic.Int32
 	active   atomic.Int64
+	counts   counts
 	draining atomic.Bool
 	patience atomic.Int64
 	life     context.Context
--- a/pkg/request/submission.go
+++ b/pkg/request/submission.go
@@ -78,6 +78,7 @@
 		if d.Verdict == limit.VerdictStart {
 			o := u.runLocal()
 			if o != nil {
+				u.s.counts.add(o)
 				return o
 			}
 			d = u.admit()
@@ -93,7 +94,7 @@
 			continue
 		}
 		if d.Verdict == limit.VerdictRefuse {
-			return u.notStarted(d)
+			return u.countRefused(u.notStarted(d))
 		}
 		u.wait()
 		d = u.s.limiter.Poll(u.s.o.Now(), u.work)
@@ -109,6 +110,14 @@
 	return refused(u.failure)
 }
 
+// countRefused counts a refusal, unless another agent asked and so still has the request.
+func (u *submission) countRefused(o *outcome) *outcome {
+	if !u.steered {
+		u.s.counts.add(o)
+	}
+	return o
+}
+
 // giveUp ends a submission whose caller is gone; it has not started.
 func (u *submission) giveUp() *outcome {
 	if !u.s.limiter.Leave(u.work) {
