Run the steps of rollouts as a duty of the balancers

Cause: the rollout controller was neither fed nor run; and its gate promoted a version that no request had reached, at last to 100 percent, since the prior alone passes the steps below that (found by reading the gate; the test fails without the change). Change: balancerd runs the controller under its lease; counters of the targets' watchers are summed by version, each agent incarnation once and only what was counted since it was first read. The source reads both versions at one time, so rollout.Source.Read returns both. Nothing is read when the rollout is over, and a reading that fails no longer throws the evidence of the step away. Measured: tests of pkg/rollout (totals, gate, controller) and pkg/balancerd pass.

--- a/pkg/balancerd/options.go
+++ b/pkg/balancerd/options.go
@@ -26,6 +26,8 @@
 	// Dial replaces TCP for the connections to other balancers; nil keeps it. Programs that embed the daemon cut peers off
 	// by it.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// RolloutTick replaces the time between two judgements of a rollout; 0 keeps it.
+	RolloutTick time.Duration
 	// Incarnation replaces the start time in nanoseconds; 0 keeps it.
 	Incarnation uint64
 }
--- a/pkg/rollout/confident.go
+++ b/pkg/rollout/confident.go
@@ -20,7 +20,7 @@
 // ConfidentBurn compares the burn rates of both versions and decides only when the counts carry the decision: it gives
 // the new version up as soon as harm is nearly sure, and promotes at the end of the window when harm is improbable,
 // the more so the more flows the next step brings. A step that stays undecided for maxWindows windows passes
-// when harm is improbable, and is given up otherwise.
+// when harm is improbable, and is given up otherwise. A version that no request reaches is never promoted.
 //
 // Burn rates in relation to the old version with a condition on confidence are the proposal of Canary Raj Mehta,
 // "Canary analysis gates: designing with SLO budgets instead of thresholds". The model is our own. In
@@ -36,6 +36,9 @@
 
 // Judge implements Gate.
 func (ConfidentBurn) Judge(q Question) (Verdict, string) {
+	if q.Evidence.New.Requests == 0 {
+		return unreached(q)
+	}
 	p := harm(q.Evidence, q.Limits)
 	why := fmt.Sprintf("harm has probability %.3f after %d requests with %d failures, old version %d with %d",
 		p, q.Evidence.New.Requests, q.Evidence.New.Failures, q.Evidence.Old.Requests, q.Evidence.Old.Failures)
@@ -54,6 +57,15 @@
 	return VerdictRollBack, why + "; undecided for long"
 }
 
+// unreached judges a version that no request has reached in this step, for example because it has no target. It gets no
+// larger share, and is given up when the old version had requests all the while.
+func unreached(q Question) (Verdict, string) {
+	if q.Evidence.Old.Requests == 0 || q.Evidence.Elapsed < time.Duration(maxWindows)*q.Window {
+		return VerdictObserve, "no request has reached the new version"
+	}
+	return VerdictRollBack, fmt.Sprintf("no request has reached the new version, while the old version had %d", q.Evidence.Old.Requests)
+}
+
 func maxHarm(next uint32) float64 {
 	if next >= full {
 		return maxHarmFull
--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/auburnwood/auburnwood/pkg/lease"
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
@@ -32,13 +33,15 @@
 	Clock lease.Clock
 	// Tick is the time between two judgements; 0 means DefaultTick.
 	Tick time.Duration
+	// Metrics takes the counters; nil means none.
+	Metrics tally.Scope
 	// Log takes a line for each step.
 	Log zerolog.Logger
 }
 
 // Duty runs until ctx ends or a later term has claimed an object. It is a lease.Duty.
 func (c *Controller) Duty(ctx context.Context, g lease.Grant) error {
-	s := &session{cfg: c.withDefaults(), grant: g, tracks: make(map[string]*track)}
+	s := newSession(c.withDefaults(), g)
 	for ctx.Err() == nil {
 		if err := s.tick(ctx); err != nil {
 			return err
@@ -56,6 +59,9 @@
 	if d.Clock == nil {
 		d.Clock = lease.SystemClock{}
 	}
+	if d.Metrics == nil {
+		d.Metrics = tally.NoopScope
+	}
 	if d.Tick == 0 {
 		d.Tick = DefaultTick
 	}
@@ -64,9 +70,14 @@
 
 // session is the rollout duty within one term.
 type session struct {
-	cfg    Controller
-	grant  lease.Grant
-	tracks map[string]*track
+	cfg     Controller
+	grant   lease.Grant
+	tracks  map[string]*track
+	metrics metrics
+}
+
+func newSession(cfg Controller, g lease.Grant) *session {
+	return &session{cfg: cfg, grant: g, tracks: make(map[string]*track), metrics: newMetrics(cfg.Metrics)}
 }
 
 // tick judges each rollout once. A failure of one service does not hold back the others.
@@ -78,12 +89,25 @@
 		}
 		if err != nil {
 			delete(s.tracks, c.Name)
+			s.metrics.failed.Inc(1)
 			s.cfg.Log.Warn().Err(err).Str("op", "rollout").Str("service", c.Name).Uint64("term", s.grant.Term).Send()
 		}
 	}
+	s.metrics.progressing.Update(float64(s.progressing()))
 	return nil
 }
 
+// progressing returns the number of rollouts that have not ended.
+func (s *session) progressing() int {
+	n := 0
+	for _, t := range s.tracks {
+		if t.record.Value().State == resource.RolloutProgressing {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *session) service(ctx context.Context, c resource.ServiceConfig) error {
 	t, ok := s.tracks[c.Name]
 	if c.Spec.Rollout == nil {
@@ -92,13 +116,13 @@
 	}
 	if !ok {
 		var err error
-		t, err = newTrack(ctx, s.cfg, c.Name, s.grant)
+		t, err = newTrack(ctx, s, c.Name)
 		if err != nil {
 			return err
 		}
 		s.tracks[c.Name] = t
 	}
-	return t.step(ctx, *c.Spec.Rollout)
+	return t.step(ctx, c)
 }
 
 // forget clears the state of a rollout that is no longer asked for. The object stays, since its term fences it.
--- a/pkg/rollout/controller_test.go
+++ b/pkg/rollout/controller_test.go
@@ -20,13 +20,12 @@
 	failing float64
 }
 
-func (s risingSource) Read(_, version string) (Counts, error) {
+func (s risingSource) Read(context.Context, resource.ServiceConfig) (StepCounts, error) {
 	n := 50 * time.Since(s.begin).Seconds()
-	c := Counts{Requests: uint64(n), Failures: uint64(n * 0.001)}
-	if version == "new" {
-		c.Failures = uint64(n * s.failing)
-	}
-	return c, nil
+	return StepCounts{
+		Old: Counts{Requests: uint64(n), Failures: uint64(n * 0.001)},
+		New: Counts{Requests: uint64(n), Failures: uint64(n * s.failing)},
+	}, nil
 }
 
 func readRecord(t *testing.T, s *store.Store) Record {
@@ -78,10 +77,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := store.New(store.Config{})
 		c := newController(s, 0.001)
-		former := &session{cfg: c.withDefaults(), grant: lease.Grant{Holder: "a", Term: 1}, tracks: make(map[string]*track)}
+		former := newSession(c.withDefaults(), lease.Grant{Holder: "a", Term: 1})
 		require.NoError(t, former.tick(t.Context()))
 		before := readRecord(t, s)
-		later := &session{cfg: c.withDefaults(), grant: lease.Grant{Holder: "b", Term: 2}, tracks: make(map[string]*track)}
+		later := newSession(c.withDefaults(), lease.Grant{Holder: "b", Term: 2})
 		require.NoError(t, later.tick(t.Context()))
 		time.Sleep(30 * time.Minute)
 		require.ErrorIs(t, former.tick(t.Context()), lease.ErrFenced)
--- a/pkg/rollout/counts.go
+++ b/pkg/rollout/counts.go
@@ -21,6 +21,11 @@
 	return Counts{Requests: c.Requests + d.Requests, Failures: c.Failures + d.Failures}
 }
 
+// highest returns the higher value of each counter.
+func (c Counts) highest(d Counts) Counts {
+	return Counts{Requests: max(c.Requests, d.Requests), Failures: max(c.Failures, d.Failures)}
+}
+
 // Since returns what was counted after an earlier reading, and false when a counter began anew in between.
 func (c Counts) Since(earlier Counts) (Counts, bool) {
 	if c.Requests < earlier.Requests || c.Failures < earlier.Failures {
--- a/pkg/rollout/source.go
+++ b/pkg/rollout/source.go
@@ -1,7 +1,14 @@
 package rollout
 
-// Source reads the counters of a service's versions.
+import (
+	"context"
+
+	"github.com/auburnwood/auburnwood/pkg/resource"
+)
+
+// Source reads the counters of the two versions of a rollout.
 type Source interface {
-	// Read returns the counts of one version since its counters began. Counters only rise, or begin anew.
-	Read(service, version string) (Counts, error)
+	// Read returns what both versions have counted since some time in the past that stays the same from call to call, so
+	// that the counts never fall. It returns an error when nothing could be read.
+	Read(ctx context.Context, c resource.ServiceConfig) (StepCounts, error)
 }
--- a/pkg/rollout/track.go
+++ b/pkg/rollout/track.go
@@ -13,6 +13,7 @@
 // track follows one rollout within one term.
 type track struct {
 	cfg      Controller
+	metrics  metrics
 	service  string
 	record   *lease.Fenced[Record, *Record]
 	evidence Evidence
@@ -22,23 +23,28 @@
 	last *StepCounts
 }
 
-func newTrack(ctx context.Context, cfg Controller, service string, g lease.Grant) (*track, error) {
-	r, err := lease.Claim[Record](ctx, cfg.Store, Kind, service, g)
+func newTrack(ctx context.Context, s *session, service string) (*track, error) {
+	r, err := lease.Claim[Record](ctx, s.cfg.Store, Kind, service, s.grant)
 	if err != nil {
 		return nil, trace.Wrap(err, "claim rollout of %s", service)
 	}
-	t := &track{cfg: cfg, service: service, record: r, began: cfg.Clock.Now()}
+	t := &track{cfg: s.cfg, metrics: s.metrics, service: service, record: r, began: s.cfg.Clock.Now()}
 	t.evidence.Past = r.Value().Past
 	return t, nil
 }
 
 // step reads the counters, judges and stores what changed.
-func (t *track) step(ctx context.Context, r resource.Rollout) error {
-	now := t.cfg.Clock.Now()
+func (t *track) step(ctx context.Context, c resource.ServiceConfig) error {
+	r := *c.Spec.Rollout
 	state := t.record.Value().RolloutStatus
-	if err := t.observe(r, now); err != nil {
-		return err
+	if over(r, state) {
+		return nil
+	}
+	if err := t.observe(ctx, c); err != nil {
+		// Counters only rise, so that the next reading makes up for this one.
+		t.warn(err)
 	}
+	now := t.cfg.Clock.Now()
 	next := Step(r, state, t.evidence, t.cfg.Gate, now)
 	if next == state {
 		return nil
@@ -46,12 +52,18 @@
 	return t.enter(ctx, state, next, now)
 }
 
+// over reports whether the rollout has ended, so that nothing is left to count.
+func over(r resource.Rollout, s resource.RolloutStatus) bool {
+	return s.From == r.From && s.To == r.To && s.State != resource.RolloutProgressing
+}
+
 // observe adds what was counted since the reading before. A reading after a counter began anew only sets the mark.
-func (t *track) observe(r resource.Rollout, now time.Time) error {
-	reading, err := t.read(r)
+func (t *track) observe(ctx context.Context, c resource.ServiceConfig) error {
+	reading, err := t.cfg.Source.Read(ctx, c)
 	if err != nil {
-		return err
+		return trace.Wrap(err, "read counters of %s", t.service)
 	}
+	now := t.cfg.Clock.Now()
 	if t.last != nil {
 		old, okOld := reading.Old.Since(t.last.Old)
 		fresh, okNew := reading.New.Since(t.last.New)
@@ -63,16 +75,9 @@
 	return nil
 }
 
-func (t *track) read(r resource.Rollout) (StepCounts, error) {
-	old, err := t.cfg.Source.Read(t.service, r.From)
-	if err != nil {
-		return StepCounts{}, trace.Wrap(err, "read counters of %s version %s", t.service, r.From)
-	}
-	fresh, err := t.cfg.Source.Read(t.service, r.To)
-	if err != nil {
-		return StepCounts{}, trace.Wrap(err, "read counters of %s version %s", t.service, r.To)
-	}
-	return StepCounts{Old: old, New: fresh}, nil
+func (t *track) warn(err error) {
+	t.metrics.unread.Inc(1)
+	t.cfg.Log.Warn().Err(err).Str("op", "rollout").Str("service", t.service).Send()
 }
 
 // enter stores the next state and begins to observe it.
@@ -84,6 +89,7 @@
 	if err := t.record.Write(ctx, Record{RolloutStatus: next, Past: evidence.Past}); err != nil {
 		return trace.Wrap(err, "store rollout of %s", t.service)
 	}
+	t.metrics.entered(next.State)
 	t.evidence = evidence
 	t.began = now
 	t.cfg.Log.Info().Str("op", "rollout").Str("service", t.service).Str("from", next.From).Str("to", next.To).
