--- a/internal/lab/cluster/balancer.go
+++ b/internal/lab/cluster/balancer.go
@@ -64,7 +64,7 @@
 func (c *Cluster) runBalancer(s settings.Balancer) (string, error) {
 	b := &balancer{name: s.Name, ended: make(chan struct{})}
 	wrap := wrapView(c.delay, func(v *view.View) { b.view.Store(v) })
-	d, err := balancerd.New(balancerd.Options{Settings: s, Env: c.env(s.Process), WrapView: wrap})
+	d, err := balancerd.New(balancerd.Options{Settings: s, Env: c.env(s.Process), WrapView: wrap, RolloutTick: c.cfg.RolloutTick})
 	if err != nil {
 		return "", trace.Wrap(err)
 	}
--- a/internal/lab/cluster/target.go
+++ b/internal/lab/cluster/target.go
@@ -76,7 +76,7 @@
 		return nil, trace.Wrap(err)
 	}
 	t.service = size.Name
-	a := agentd.Announcement{Service: size.Name, Slots: size.Slots, Connections: c.cfg.Connections[size.Name]}
+	a := agentd.Announcement{Service: size.Name, Version: cfg.Version, Slots: size.Slots, Connections: c.cfg.Connections[size.Name]}
 	if err := announce(c.ctx, t.daemon.AnnounceAddr(), a); err != nil {
 		t.kill()
 		return nil, trace.Wrap(err)
--- a/internal/lab/flows/cluster.go
+++ b/internal/lab/flows/cluster.go
@@ -35,6 +35,8 @@
 	Mode resource.Mode
 	// Service changes a service before it is applied; may be nil.
 	Service func(s *resource.Service)
+	// RolloutTick is the time between two judgements of a rollout; 0 means rollout.DefaultTick.
+	RolloutTick time.Duration
 	// TLS returns the files for mutual TLS of a process; nil means plain TCP.
 	TLS func(process string) settings.TLS
 	// Limits are the limits of every service; the number of connections is taken from Connections.
