Let no new flow wait for an agent whose host refuses datagrams

Cause: a balancer that skips a dead first agent gives the flow to the next one, which asked the dead agent whether it had placed the flow; without an answer it went on only when more than 3 s had passed, and the third opening packet of TCP comes after 3.00 s, so that the fourth, after 7 s, was the first to count. Change: the agent asks the kernel for refused datagrams, as the balancer does, and tells the arbiter; an agent that refuses is passed by for 5 s unless it is heard, and the rest of the row is asked in its stead. A silent agent is given up after 2.5 s, one that was heard since after 3 s as before. A datagram that met the report of an earlier refusal is sent again.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -77,6 +77,7 @@
 	}
 	_ = conn.SetReadBuffer(socketBuffer)
 	_ = conn.SetWriteBuffer(socketBuffer)
+	askErrors(conn)
 	a.conn = conn
 	a.addr = unmap(conn.LocalAddr().(*net.UDPAddr).AddrPort())
 	a.self = encodeAddr(a.addr)
--- a/pkg/agent/deps.go
+++ b/pkg/agent/deps.go
@@ -22,6 +22,7 @@
 	Ended(now time.Time, flow uint64) []arbiter.Message
 	Tick(now time.Time) []arbiter.Message
 	Drain(now time.Time)
+	Unreachable(now time.Time, agent netip.AddrPort)
 	Owns(flow uint64) bool
 }
 
--- a/pkg/agent/metrics.go
+++ b/pkg/agent/metrics.go
@@ -7,7 +7,7 @@
 	datagrams, delivered, forwarded, offered, declined, dropped, refused        tally.Counter
 	placed, neverOpened, conflictsLost, viewRefused                             tally.Counter
 	truncated, foreign, stranger, unknownKind, wrongService, badPacket, badFlow tally.Counter
-	control, learned, sendErrors, receiveErrors                                 tally.Counter
+	control, learned, sendErrors, receiveErrors, peerRefused                    tally.Counter
 	fabricPackets, fabricErrors, muted                                          tally.Counter
 	targetDials, targetFailures, targetDied                                     tally.Counter
 	openFlows                                                                   tally.Gauge
@@ -44,6 +44,7 @@
 		learned:        s.Counter("owners_taught"),
 		sendErrors:     s.Counter("send_errors"),
 		receiveErrors:  s.Counter("receive_errors"),
+		peerRefused:    s.Counter("refused_by_peer_hosts"),
 		fabricPackets:  s.Counter("fabric_packets"),
 		fabricErrors:   s.Counter("fabric_errors"),
 		muted:          s.Counter("packets_not_owned"),
--- a/pkg/agent/worker.go
+++ b/pkg/agent/worker.go
@@ -35,7 +35,7 @@
 			return nil
 		}
 		if err != nil {
-			w.a.metrics.receiveErrors.Inc(1)
+			w.a.receiveFailed(err)
 			continue
 		}
 		w.handle(w.in[:n], unmap(from), w.a.deps.Now())
@@ -176,12 +176,24 @@
 	w.a.send(w.out[len(w.out)-n:], d.To)
 }
 
+// send sends a datagram. A refusal by an earlier receiver's host is reported in place of this one, which is then tried
+// once more.
 func (a *Agent) send(b []byte, to netip.AddrPort) {
-	if _, err := a.conn.WriteToUDPAddrPort(b, to); err != nil {
+	_, err := a.conn.WriteToUDPAddrPort(b, to)
+	if err != nil && a.refusedPacket(err) {
+		_, err = a.conn.WriteToUDPAddrPort(b, to)
+	}
+	if err != nil {
 		a.metrics.sendErrors.Inc(1)
 	}
 }
 
+func (a *Agent) receiveFailed(err error) {
+	if !a.refusedPacket(err) {
+		a.metrics.receiveErrors.Inc(1)
+	}
+}
+
 // placed registers a new flow and logs the placement.
 func (a *Agent) placed(s *service, info packet.Info, hash uint64, d *arbiter.Decision, now time.Time) {
 	a.metrics.placed.Inc(1)
--- a/pkg/agent/worker_test.go
+++ b/pkg/agent/worker_test.go
@@ -31,6 +31,8 @@
 	controls []arbiter.Message
 	ended    []uint64
 	owns     bool
+	// unreachable are the agents whose hosts refused a datagram.
+	unreachable []netip.AddrPort
 }
 
 func (s *scripted) SetService(time.Time, *view.Service) []arbiter.Message { return nil }
@@ -50,6 +52,9 @@
 func (s *scripted) Tick(time.Time) []arbiter.Message { return nil }
 func (s *scripted) Drain(time.Time)                  {}
 func (s *scripted) Owns(uint64) bool                 { return s.owns }
+func (s *scripted) Unreachable(_ time.Time, agent netip.AddrPort) {
+	s.unreachable = append(s.unreachable, agent)
+}
 
 // bare is an agent that does not run; its worker is called by hand.
 type bare struct {
--- a/pkg/arbiter/control.go
+++ b/pkg/arbiter/control.go
@@ -34,6 +34,13 @@
 	return nil
 }
 
+// Unreachable tells that the host of an agent refused a datagram, as no process has the socket. New flows pass the agent by until it is heard again; the owners of its flows stay as the views say.
+func (a *Arbiter) Unreachable(now time.Time, agent netip.AddrPort) {
+	if p := a.peers.at(agent); p != nil {
+		p.refused.Store(uint32(a.stamp(now)))
+	}
+}
+
 // each calls f for each flow that the message is about, with its shard locked, and collects the answers.
 func (a *Arbiter) each(m Message, f func(s *shard, flow uint64) []Message) []Message {
 	flows := m.Flows
--- a/pkg/arbiter/offer.go
+++ b/pkg/arbiter/offer.go
@@ -35,7 +35,7 @@
 // offeredElsewhere sends an offered packet to the owner that this agent knows.
 func (c *call) offeredElsewhere() (Decision, bool) {
 	p := c.a.peers.get(c.e.peer)
-	if p.gone.Load() || p.addr == c.in.Sender || c.e.has(flagEnded) {
+	if p.dead(c.at) || p.addr == c.in.Sender || c.e.has(flagEnded) {
 		return Decision{}, false
 	}
 	c.e.flags |= flagProbed | flagByOffer
--- a/pkg/arbiter/open.go
+++ b/pkg/arbiter/open.go
@@ -10,8 +10,12 @@
 	"github.com/auburnwood/auburnwood/pkg/wire"
 )
 
-// askLimit is the time after which an agent that does not answer a question is taken for dead, though the view still names it.
-const askLimit = 3 * time.Second
+const (
+	// askLimit is the time after which an agent that does not answer a question is taken for dead, though the view still names it.
+	askLimit = 3 * time.Second
+	// askSilentLimit is the same for an agent that sent nothing since it was asked. The third opening packet of a caller's TCP, 3 s after the first, must find it over.
+	askSilentLimit = 2500 * time.Millisecond
+)
 
 // open starts the arbitration of a new flow at the first agent of its row.
 func (c *call) open() Decision {
@@ -42,9 +46,9 @@
 }
 
 // add adds the live agent at an address.
-func (l *arbiterList) add(m *members, addr netip.AddrPort) {
-	q := m.peerAt(addr)
-	if q == nil || q.gone.Load() || l.n == len(l.list) {
+func (l *arbiterList) add(c *call, addr netip.AddrPort) {
+	q := c.m.peerAt(addr)
+	if q == nil || q.dead(c.at) || l.n == len(l.list) {
 		return
 	}
 	if !slices.Contains(l.list[:l.n], q) {
@@ -53,29 +57,45 @@
 	}
 }
 
-// otherArbiters lists the agents that may have placed the flow, or know who did: the present first one if a balancer ranks otherwise, and during the window those of earlier tables. Where an earlier first agent is gone or not known, the rest of the row is asked, since it holds the owner.
+// otherArbiters lists the agents that may have placed the flow, or know who did: the present first one if a balancer ranks otherwise, and during the window those of earlier tables. Where a first agent is gone, refuses datagrams or is not known, the rest of the row is asked, since it holds the owner.
 func (c *call) otherArbiters() arbiterList {
 	var l arbiterList
-	l.add(c.m, c.m.table.FirstAgent(c.in.Flow))
-	if c.m.settled(c.now, c.a.cfg.Window) {
-		return l
+	first := c.m.table.FirstAgent(c.in.Flow)
+	l.add(c, first)
+	askRow := c.unreachable(first)
+	if !c.m.settled(c.now, c.a.cfg.Window) {
+		askRow = c.addPast(&l) || askRow
+	}
+	if askRow {
+		for i := 1; i < min(wire.RowLen(c.in.Row), maxRow); i++ {
+			addr, _ := wire.RowAddr(c.in.Row, i)
+			l.add(c, addr)
+		}
 	}
-	askRow := len(c.m.past) == 0
+	return l
+}
+
+// addPast adds the first agents of earlier tables, and reports whether one of them cannot be asked.
+func (c *call) addPast(l *arbiterList) bool {
+	missing := len(c.m.past) == 0
 	for _, old := range c.m.past {
 		if c.now.Sub(old.until) >= c.a.cfg.Window {
 			continue
 		}
 		first := old.table.FirstAgent(c.in.Flow)
-		l.add(c.m, first)
-		askRow = askRow || first != c.a.cfg.Self && c.m.peerAt(first) == nil
+		l.add(c, first)
+		missing = missing || c.unreachable(first)
 	}
-	if askRow {
-		for i := 1; i < min(wire.RowLen(c.in.Row), maxRow); i++ {
-			addr, _ := wire.RowAddr(c.in.Row, i)
-			l.add(c.m, addr)
-		}
+	return missing
+}
+
+// unreachable reports whether another agent cannot be asked, as no view names it or its host refuses datagrams.
+func (c *call) unreachable(addr netip.AddrPort) bool {
+	if addr == c.a.cfg.Self {
+		return false
 	}
-	return l
+	q := c.m.peerAt(addr)
+	return q == nil || q.dead(c.at)
 }
 
 // yield answers another arbiter that asks about an opening flow which this agent does not know, and leaves the flow to it.
@@ -104,23 +124,30 @@
 	if c.e.state == stateAsked && q.addr == c.in.Sender {
 		return c.mutual(q, p)
 	}
-	gone := q.gone.Load()
+	dead := q.dead(c.at)
 	switch {
-	case c.e.state == stateAsked && gone:
+	case c.e.state == stateAsked && dead:
 		// Without it the list of agents to ask is another one.
 		return c.askFrom(pending{})
-	case c.e.state == stateAsked && c.e.at.since(c.at) > askLimit:
+	case c.e.state == stateAsked && c.unanswered(q):
 		return c.askFrom(p)
 	case c.e.state == stateAsked:
 		// Placing the flow without the answer could give it a second owner.
 		return c.forwardTo(q.addr, false, "another agent may have placed the flow")
-	case gone, q.silent(c.at) && c.hasOther(q, p):
+	case dead, q.silent(c.at) && c.hasOther(q, p):
 		return c.excludeAndPlace(p, c.position(q.addr))
 	}
 	// The receiver answers a repeated offer as it did the first one.
 	return c.offerTo(q, c.e.has(flagFinal), q.estimate())
 }
 
+// unanswered reports whether the agent that was asked is taken for dead.
+func (c *call) unanswered(q *peer) bool {
+	asked := c.e.at.since(c.at)
+	heard := stamp(q.last.Load()).since(c.at) <= asked
+	return asked > askLimit || asked > askSilentLimit && !heard
+}
+
 // hasOther reports whether an agent of the row other than q may take the flow and answers.
 func (c *call) hasOther(q *peer, p pending) bool {
 	if c.m == nil {
--- a/pkg/arbiter/peer.go
+++ b/pkg/arbiter/peer.go
@@ -19,6 +19,8 @@
 	suspectAfter = 300 * time.Millisecond
 	// silentAfter is the time without any message after which an offer that was not answered is made to another agent. It is longer than several load reports take.
 	silentAfter = 1500 * time.Millisecond
+	// refusedFor is the time for which an agent whose host refused a datagram is taken for dead, unless it is heard. It is longer than the views take to drop it.
+	refusedFor = 5 * time.Second
 )
 
 // peer is one incarnation of another agent.
@@ -34,6 +36,8 @@
 	since atomic.Uint32
 	// last is when the agent was last heard.
 	last atomic.Uint32
+	// refused is when the agent's host last refused a datagram, as there was no socket; 0 when it did not, or the agent was heard since.
+	refused atomic.Uint32
 	// gone is set when a view drops the agent or shows a newer incarnation.
 	gone atomic.Bool
 	// listed is set once a view has named the agent.
@@ -45,6 +49,9 @@
 	p.load.Store(load)
 	p.since.Store(uint32(now))
 	p.last.Store(uint32(now))
+	if p.refused.Load() != 0 {
+		p.refused.Store(0)
+	}
 }
 
 // reported notes a periodic load report; offers that were not answered by then are lost or about to be answered.
@@ -69,8 +76,17 @@
 	}
 }
 
-// suspect reports whether the agent owes an answer for too long.
+// dead reports whether the agent left the views, or its host refused a datagram of late.
+func (p *peer) dead(now stamp) bool {
+	at := p.refused.Load()
+	return p.gone.Load() || at != 0 && stamp(at).since(now) < refusedFor
+}
+
+// suspect reports whether the agent is dead or owes an answer for too long.
 func (p *peer) suspect(now stamp) bool {
+	if p.dead(now) {
+		return true
+	}
 	return p.waiting.Load() > 0 && stamp(p.since.Load()).since(now) > suspectAfter
 }
 
