--- a/internal/lab/cluster/requests_test.go
+++ b/internal/lab/cluster/requests_test.go
@@ -17,12 +17,14 @@
 	"github.com/auburnwood/auburnwood/internal/lab/flows"
 	"github.com/auburnwood/auburnwood/internal/standin/fabric"
 	standin "github.com/auburnwood/auburnwood/internal/standin/target"
+	"github.com/auburnwood/auburnwood/pkg/agentd"
 	"github.com/auburnwood/auburnwood/pkg/ctl"
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
 	"github.com/auburnwood/auburnwood/pkg/refusal"
 	"github.com/auburnwood/auburnwood/pkg/request"
 	"github.com/auburnwood/auburnwood/pkg/resource"
 	"github.com/auburnwood/auburnwood/pkg/ticket"
+	"github.com/auburnwood/auburnwood/pkg/view"
 )
 
 // Protocols of the callers.
@@ -428,3 +430,75 @@
 	require.Equal(t, refusal.RunUnknown, p.Run)
 	require.Equal(t, 1, l.ran("late"))
 }
+
+// TestTicketsOfAnEarlierLifeNeverRun restarts an agent under its name, at once or not at all.
+func TestTicketsOfAnEarlierLifeNeverRun(t *testing.T) {
+	t.Parallel()
+	for name, restart := range map[string]bool{"gone": false, "restarted": true} {
+		t.Run(name, func(t *testing.T) {
+			l := newRequestLab(t, nil)
+			texts := l.tickets(l.caller(http1), routeService, 6)
+			victim := l.issuer(texts[0])
+			require.NoError(t, l.c.KillAgent(victim.id))
+			if restart {
+				l.restart(victim)
+			}
+			for i, text := range texts {
+				issued, err := ticket.Parse(text)
+				require.NoError(t, err)
+				id := fmt.Sprintf("life-%d", i)
+				r := l.askUntilAnswered(work(id, time.Millisecond), request.HeaderTicket, text)
+				if issued.Issuer != victim.id {
+					require.Equal(t, http.StatusOK, r.status, r.body)
+					require.Equal(t, 1, l.ran(id))
+					continue
+				}
+				p := r.problem(t)
+				require.Equal(t, refusal.ReasonTicketGone, p.Reason)
+				require.Equal(t, refusal.RunUnknown, p.Run)
+				require.Zero(t, l.ran(id))
+			}
+		})
+	}
+}
+
+// restart starts the next life of an agent with a new target, and waits until all know it.
+func (l *requestLab) restart(old *target) {
+	l.t.Helper()
+	st, err := standin.Start(standin.Config{Service: old.service, ID: old.id, Slots: 2}, l.journal)
+	require.NoError(l.t, err)
+	l.t.Cleanup(st.Kill)
+	next, err := l.c.runAgent(l.c.agentSettings(old.id, l.c.nextNumber(), st.Addr()), st)
+	require.NoError(l.t, err)
+	next.service = old.service
+	l.c.mu.Lock()
+	l.c.targets = append(l.c.targets, next)
+	l.c.mu.Unlock()
+	a := agentd.Announcement{Service: old.service, Slots: 2, Connections: 500}
+	require.NoError(l.t, announce(context.Background(), next.daemon.AnnounceAddr(), a))
+	l.c.setState(next, view.StateActive)
+	require.Eventually(l.t, func() bool {
+		v := l.c.targets[0].view.Load()
+		for _, x := range v.Targets {
+			if x.ID == old.id && x.State == view.StateActive && x.Incarnation > 0 && x.Control != "" {
+				return next.knowsActive(3)
+			}
+		}
+		return false
+	}, patience, 10*time.Millisecond)
+}
+
+// askUntilAnswered submits again while flows still go to an agent that is dead.
+func (l *requestLab) askUntilAnswered(path string, headers ...string) reply {
+	l.t.Helper()
+	for {
+		c := l.caller(http1)
+		c.Timeout = time.Second
+		r, err := ask(c, http.MethodPost, l.address(routeService)+path, headers...)
+		if err == nil {
+			return r
+		}
+		l.t.Logf("no answer: %v", err)
+		require.Less(l.t, l.callers, byte(100), "no answer: %v", err)
+	}
+}
--- a/pkg/agentd/requests.go
+++ b/pkg/agentd/requests.go
@@ -108,6 +108,7 @@
 		Cold:        v.Spec.SlowStart > 0,
 		Deadline:    deadlineOf(v),
 		Store:       r.store(),
+		ClaimRate:   s.ObjectAPI.CallsPerSecond,
 		Peers:       r,
 		Revision:    r.revision,
 		Recorder:    r.d.refusals,
