Take a flow at the first agent although its own view does not name it

Cause: a first agent that its own view did not name, with no active target in the row, refused the flow with no-target, although the balancer that ranked it believed it active. (One that its view has joining took it before.) Change: it takes the flow, unless it drains, left after a drain or is full.

--- a/pkg/arbiter/arbiter.go
+++ b/pkg/arbiter/arbiter.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/auburnwood/auburnwood/pkg/view"
 	"github.com/auburnwood/auburnwood/pkg/wire"
 )
 
@@ -68,7 +67,7 @@
 	if a.drains.Load() {
 		return true
 	}
-	return m != nil && m.self >= 0 && m.service.Targets[m.self].State == view.StateDraining
+	return m != nil && (m.left || m.drains())
 }
 
 // limit returns the highest number of open flows; 0 means no limit.
--- a/pkg/arbiter/members.go
+++ b/pkg/arbiter/members.go
@@ -28,7 +28,9 @@
 	// changed is when the members of the rows last changed.
 	changed time.Time
 	// self is the index of the agent's own target, or -1.
-	self   int
+	self int
+	// left is true when the view does not name the agent and the last one that did had it draining.
+	left   bool
 	peers  []*peer
 	byAddr map[netip.AddrPort]int
 	mates  []int
@@ -47,6 +49,7 @@
 		}
 		m.peers[i] = a.peers.listed(t.Agent, t.Incarnation)
 	}
+	m.left = m.self < 0 && old != nil && (old.left || old.drains())
 	m.groups = newGroups(s)
 	m.adoptTables(now, old, a.cfg.Window)
 	if m.self >= 0 {
@@ -55,6 +58,11 @@
 	return m
 }
 
+// drains reports whether the view has the agent draining.
+func (m *members) drains() bool {
+	return m.self >= 0 && m.service.Targets[m.self].State == view.StateDraining
+}
+
 // adoptTables ranks the targets anew, or takes the tables of old when no row can differ.
 func (m *members) adoptTables(now time.Time, old *members, window time.Duration) {
 	if old != nil && sameRows(old.service, m.service) {
--- a/pkg/arbiter/open.go
+++ b/pkg/arbiter/open.go
@@ -180,6 +180,9 @@
 		return c.refuse(refusal.ReasonNoConfiguration, "no view of the service")
 	}
 	cs := c.a.candidates(c.now, c.m, &c.in, p)
+	if cs.n == 0 && c.believedActive() && c.accept() {
+		return c.accepted("taken by the first agent, which its own view does not name")
+	}
 	if cs.n == 0 {
 		p.full = p.full || cs.full > 0
 		p.draining = p.draining || cs.draining > 0
@@ -205,6 +208,11 @@
 	return c.offerTo(best.peer, final, limit)
 }
 
+// believedActive reports whether a balancer ranks this agent first though its own view does not name it: the view is older than the balancer's, or wrong. An agent that drains or left takes nothing.
+func (c *call) believedActive() bool {
+	return c.m.self < 0 && c.a.isFirst(c.in.Row) && !c.a.draining(c.m)
+}
+
 // excludeAndPlace chooses again without the agent at a row position.
 func (c *call) excludeAndPlace(p pending, position uint32) Decision {
 	if c.e.state == stateBeyond {
--- a/pkg/arbiter/packet_test.go
+++ b/pkg/arbiter/packet_test.go
@@ -98,6 +98,55 @@
 	require.Equal(t, refusal.ReasonNoConfiguration, d.Reason)
 }
 
+// A balancer ranks first only what it believes to be active. Its view may be newer than the agent's, which once refused the flow.
+func TestFirstAgentTakesFlowsThatItsViewDoesNotGiveIt(t *testing.T) {
+	const joining, active, draining = view.StateJoining, view.StateActive, view.StateDraining
+	cases := []struct {
+		name string
+		// views are the states of the agent and of its three peers, one view after the other; 0 leaves a target out.
+		views [][4]view.TargetState
+		load  int64
+		want  Action
+	}{
+		{"joining, others drain", [][4]view.TargetState{{joining, draining, draining, draining}}, 0, ActionDeliver},
+		{"joining, others join", [][4]view.TargetState{{joining, joining, joining, joining}}, 0, ActionDeliver},
+		{"not named, others drain", [][4]view.TargetState{{0, draining, draining, draining}}, 0, ActionDeliver},
+		{"not named, others join", [][4]view.TargetState{{0, joining, joining, joining}}, 0, ActionDeliver},
+		{"not named, alone", [][4]view.TargetState{{0, 0, 0, 0}}, 0, ActionDeliver},
+		{"not named, another is active", [][4]view.TargetState{{0, active, joining, joining}}, 0, ActionOffer},
+		{"not named any more", [][4]view.TargetState{{active, draining, draining, draining}, {0, draining, draining, draining}}, 0, ActionDeliver},
+		{"not named and full", [][4]view.TargetState{{0, draining, draining, draining}}, 2, ActionRefuse},
+		{"draining", [][4]view.TargetState{{draining, draining, draining, draining}}, 0, ActionRefuse},
+		{"left after a drain", [][4]view.TargetState{{draining, draining, draining, draining}, {0, draining, draining, draining}, {0, joining, 0, 0}}, 0, ActionRefuse},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBed(t, nil)
+			b.a = New(b.a.cfg)
+			b.a.load.Store(c.load)
+			for _, states := range c.views {
+				s := *b.s
+				s.Targets = nil
+				for i, state := range states {
+					target := b.s.Targets[i]
+					if target.State = state; state != 0 {
+						s.Targets = append(s.Targets, target)
+					}
+				}
+				b.a.SetService(b.now, &s)
+				b.now = b.now.Add(time.Minute)
+			}
+			in := b.input(true)
+			d := b.a.Packet(b.now, in)
+			for d.Action == ActionForward {
+				d = b.a.Packet(b.now, b.answer(int(d.Position), d, 0, declinedUnknown))
+			}
+			require.Equal(t, c.want, d.Action)
+			require.Equal(t, c.want == ActionDeliver, d.Accepted)
+		})
+	}
+}
+
 func TestAllFull(t *testing.T) {
 	b := newBed(t, nil)
 	b.a.load.Store(2)
