--- a/internal/lab/flows/client.go
+++ b/internal/lab/flows/client.go
@@ -91,7 +91,11 @@
 	transport := &http.Transport{
 		DisableKeepAlives: true,
 		DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
-			return c.caller.Dial(ctx, network, c.plan.local, c.plan.remote)
+			conn, err := c.caller.Dial(ctx, network, c.plan.local, c.plan.remote)
+			if err != nil {
+				return nil, trace.Wrap(err)
+			}
+			return &linkedConn{Conn: conn, body: body}, nil
 		},
 	}
 	query.Set("flow", c.plan.name)
