--- a/internal/lab/cluster/stream_lab_test.go
+++ b/internal/lab/cluster/stream_lab_test.go
@@ -41,7 +41,7 @@
 	fabric  *fabric.Fabric
 	tap     *tap
 	log     *logBuffer
-	callers byte
+	callers uint16
 	// network distinguishes the callers of this installation from those of others on the same machine, which may still
 	// send packets to a port that has changed its owner.
 	network uint16
@@ -114,7 +114,7 @@
 	if strings.Contains(ip, ":") {
 		return l.fabric.NewCaller(netip.MustParseAddr(fmt.Sprintf("2001:db8:%x::%x", l.network, l.callers)))
 	}
-	return l.fabric.NewCaller(netip.AddrFrom4([4]byte{10, byte(l.network >> 8), byte(l.network), l.callers}))
+	return l.fabric.NewCaller(netip.AddrFrom4([4]byte{10, byte(l.network >> 8), byte(l.network), byte(l.callers)}))
 }
 
 func (l *streamLab) client(ip string) (*http.Client, *fabric.Caller) {
