--- a/internal/lab/processes/admin.go
+++ b/internal/lab/processes/admin.go
@@ -21,6 +21,8 @@
 	PathDownloads = "/downloads"
 	// PathStore switches an outage of the object API; query: down=true or false.
 	PathStore = "/store"
+	// PathRefused calls an address that belongs to no service; query: caller, an IP address.
+	PathRefused = "/refused"
 	// PathBalancer tells the fabric of balancers; query: number, and present=true or false.
 	PathBalancer = "/balancer"
 )
@@ -29,6 +31,8 @@
 	downloadTimeout = 2 * time.Minute
 	parallel        = 64
 	maxErrors       = 3
+	// unusedAddress belongs to no service.
+	unusedAddress = "192.0.2.99:80"
 )
 
 // Report is the answer to PathDownloads.
@@ -51,6 +55,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+PathDownloads, s.downloads)
 	mux.HandleFunc("POST "+PathStore, s.outage)
+	mux.HandleFunc("POST "+PathRefused, s.refused)
 	mux.HandleFunc("POST "+PathBalancer, s.balancer)
 	return mux
 }
@@ -73,6 +78,22 @@
 	s.fabric.RemoveBalancer(addr)
 }
 
+// refused answers with how the call to an address of no service ended.
+func (s *standins) refused(w http.ResponseWriter, r *http.Request) {
+	caller, err := netip.ParseAddr(r.URL.Query().Get("caller"))
+	if err != nil {
+		http.Error(w, "caller is no IP address", http.StatusBadRequest)
+		return
+	}
+	conn, err := s.fabric.NewCaller(caller).DialContext(r.Context(), "tcp", unusedAddress)
+	if err == nil {
+		_ = conn.Close()
+		http.Error(w, "an address of no service was answered", http.StatusInternalServerError)
+		return
+	}
+	_, _ = fmt.Fprintln(w, err)
+}
+
 func (s *standins) downloads(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	size, ok := s.layout.service(q.Get("service"))
--- a/scripts/run-processes.sh
+++ b/scripts/run-processes.sh
@@ -75,6 +75,16 @@
 
 downloads "after everything" $first 300 65536 0 0s
 "$work/bin/auburnwoodctl" get
+
+echo "a call to an address of no service, and why it was refused:"
+$lab --call "/refused?caller=10.3.0.1"
+for _ in 1 2 3 4 5 6 7 8 9 10; do
+  "$work/bin/auburnwoodctl" explain --caller 10.3.0.1 > "$work/explain.txt"
+  grep -q unknown-address "$work/explain.txt" && break
+  sleep 1
+done
+cat "$work/explain.txt"
+grep -q unknown-address "$work/explain.txt" || failed=1
 if [ $failed -ne 0 ]; then
   echo "a download was broken"
   mkdir -p out && cp "$work"/*.log out/
