--- a/scripts/run-processes.sh
+++ b/scripts/run-processes.sh
@@ -63,15 +63,19 @@
 $lab --call "/balancer?number=1&present=true"
 downloads "just after the balancer came back" $second 200 65536 0 0s
 
-downloads "while a balancer is frozen for 5 s" $first 40 1048576 16384 40ms > "$work/long.txt" &
-long=$!
-sleep 1
-kill -STOP "$(pid balancer-2)"
-sleep 5
-kill -CONT "$(pid balancer-2)"
-wait $long || failed=1
-cat "$work/long.txt"
-case $(cat "$work/long.txt") in *'"broken":0,'*) ;; *) failed=1 ;; esac
+frozen() { # description process seconds
+  downloads "$1" $first 40 1048576 16384 40ms > "$work/long.txt" &
+  long=$!
+  sleep 1
+  kill -STOP "$(pid "$2")"
+  sleep "$3"
+  kill -CONT "$(pid "$2")"
+  wait $long || failed=1
+  cat "$work/long.txt"
+  case $(cat "$work/long.txt") in *'"broken":0,'*) ;; *) failed=1 ;; esac
+}
+frozen "while a balancer is frozen for 5 s" balancer-2 5
+frozen "while an agent is frozen for 4 s" $first-3 4
 
 downloads "after everything" $first 300 65536 0 0s
 "$work/bin/auburnwoodctl" get
