Answer the FIN that a caller repeats after the end of a flow

Cause: when the target closed first, the flow ended with the agent's last acknowledgement; if that was lost, the caller's repeated FIN was dropped as a late packet, and the caller's connection stayed until its TCP gave up. Change: a FIN of an ended flow reaches the stack while the connection is in TIME-WAIT there. Other late packets are dropped as before.

--- a/pkg/agent/agent_test.go
+++ b/pkg/agent/agent_test.go
@@ -15,6 +15,8 @@
 	"github.com/pires/go-proxyproto"
 	"github.com/stretchr/testify/require"
 
+	"github.com/auburnwood/auburnwood/pkg/netstack"
+	"github.com/auburnwood/auburnwood/pkg/packet"
 	"github.com/auburnwood/auburnwood/pkg/refusal"
 	"github.com/auburnwood/auburnwood/pkg/resource"
 )
@@ -314,3 +316,41 @@
 		})
 	}
 }
+
+// TestLastAcknowledgementIsRepeated loses every answer to the caller's first FIN; the agent closed before.
+func TestLastAcknowledgementIsRepeated(t *testing.T) {
+	target := listenTCP(t, func(c *net.TCPConn) {
+		_, _ = io.CopyN(c, c, 4)
+		_ = c.CloseWrite()
+		_, _ = io.Copy(io.Discard, c)
+		_ = c.Close()
+	})
+	l := newLab(t, streams(), target.Addr())
+	conn := l.mustDial(serviceIP)
+	exchange(t, conn)
+	_, err := conn.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	fins := 0
+	l.mu.Lock()
+	l.sees = func(info packet.Info) {
+		if info.Finish {
+			fins++
+		}
+	}
+	l.lose = func([]byte) bool { return fins == 1 }
+	l.mu.Unlock()
+	require.NoError(t, conn.Close())
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	closed := make(chan struct{})
+	go func() {
+		conn.(*netstack.Conn).WaitClosed(ctx)
+		close(closed)
+	}()
+	eventually(t, func() bool { return l.agents[0].OpenFlows() == 0 }, "the flow ends at the agent")
+	<-closed
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	require.NoError(t, ctx.Err(), "the caller's FIN was never answered, %d times", fins)
+	require.Greater(t, fins, 1)
+}
--- a/pkg/agent/harness_test.go
+++ b/pkg/agent/harness_test.go
@@ -67,6 +67,9 @@
 	mu      sync.Mutex
 	table   *placement.Table
 	names   string
+	// lose drops packets on the way to the caller; sees is called with each packet of the caller. Both may be nil.
+	lose func(raw []byte) bool
+	sees func(info packet.Info)
 }
 
 func newLab(t testing.TB, spec resource.ServiceSpec, targets ...net.Addr) *lab {
@@ -154,6 +157,9 @@
 	hash, name := info.Key.Hash(), l.names
 	row := l.table.AppendRow(nil, hash)
 	first := l.table.FirstAgent(hash)
+	if l.sees != nil {
+		l.sees(info)
+	}
 	l.mu.Unlock()
 	balancer := wire.AppendAddr(nil, l.source.LocalAddr().(*net.UDPAddr).AddrPort())
 	d := wire.Datagram{
@@ -175,7 +181,12 @@
 		if err != nil {
 			return
 		}
-		l.caller.Inject(b[:n])
+		l.mu.Lock()
+		lost := l.lose != nil && l.lose(b[:n])
+		l.mu.Unlock()
+		if !lost {
+			l.caller.Inject(b[:n])
+		}
 	}
 }
 
--- a/pkg/agent/open_flow.go
+++ b/pkg/agent/open_flow.go
@@ -29,6 +29,8 @@
 	cut     func()
 	silent  bool
 	taught  taught
+	// lingers reports whether the caller's connection still answers a repeated FIN; nil for a flow without one.
+	lingers func() bool
 }
 
 // serve claims the flow for a goroutine that will end it; it returns false when there is one already. cut closes its
@@ -71,6 +73,21 @@
 	return f.state == flowEnded && !f.silent
 }
 
+// mayAnswer reports whether the flow is over and its connection still answers a FIN that the caller repeats because the
+// last acknowledgement was lost.
+func (f *openFlow) mayAnswer() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state == flowEnded && !f.silent && f.lingers != nil && f.lingers()
+}
+
+// linger sets how to find out whether the flow's connection still answers.
+func (f *openFlow) linger(lingers func() bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lingers = lingers
+}
+
 // silence stops every packet of the flow, also after its end; it returns false when it was silent already.
 func (f *openFlow) silence() bool {
 	f.mu.Lock()
--- a/pkg/agent/stream.go
+++ b/pkg/agent/stream.go
@@ -90,6 +90,7 @@
 // closeCaller closes the caller's connection and waits until its last bytes are acknowledged: the flow is owned until
 // then.
 func (st *stream) closeCaller() {
+	st.f.linger(st.caller.InTimeWait)
 	_ = st.caller.Close()
 	st.caller.WaitClosed(st.a.ctx)
 }
--- a/pkg/agent/worker.go
+++ b/pkg/agent/worker.go
@@ -140,13 +140,25 @@
 	case arbiter.ActionRefuse:
 		w.a.refuse(s, m.Packet, info, m.Flow, d.Reason, d.Why, now)
 	default:
-		w.a.metrics.dropped.Inc(1)
+		w.drop(m, info)
 	}
 	if d.Notify.To.IsValid() {
 		w.a.sendAll([]arbiter.Message{d.Notify})
 	}
 }
 
+// drop drops a packet, but for the FIN of an ended flow whose last acknowledgement was lost.
+func (w *worker) drop(m *wire.Datagram, info packet.Info) {
+	if info.Finish && !info.Reset {
+		if f := w.a.registry.get(m.Flow); f != nil && f.mayAnswer() {
+			w.a.metrics.delivered.Inc(1)
+			w.a.inject(m.Packet)
+			return
+		}
+	}
+	w.a.metrics.dropped.Inc(1)
+}
+
 func (w *worker) deliver(s *service, m *wire.Datagram, info packet.Info, d *arbiter.Decision, now time.Time) {
 	w.a.metrics.delivered.Inc(1)
 	if d.Accepted {
--- a/pkg/netstack/accepted_conns.go
+++ b/pkg/netstack/accepted_conns.go
@@ -52,7 +52,7 @@
 		RemoteAddress: source,
 	}
 	c, ok := a.conns.Load(id)
-	if ok && c.(*Conn).inTimeWait() {
+	if ok && c.(*Conn).InTimeWait() {
 		c.(*Conn).Abort()
 	}
 }
--- a/pkg/netstack/conn.go
+++ b/pkg/netstack/conn.go
@@ -108,7 +108,7 @@
 }
 
 func (c *Conn) silent() bool {
-	return c.gone() || c.inTimeWait()
+	return c.gone() || c.InTimeWait()
 }
 
 func (c *Conn) inClosing() bool {
@@ -120,7 +120,8 @@
 	return state == tcp.StateClose || state == tcp.StateError
 }
 
-func (c *Conn) inTimeWait() bool {
+// InTimeWait reports whether the connection is over on both sides and only answers late segments of the peer.
+func (c *Conn) InTimeWait() bool {
 	return tcp.EndpointState(c.endpoint.State()) == tcp.StateTimeWait
 }
 
