--- a/pkg/resource/service.go
+++ b/pkg/resource/service.go
@@ -97,7 +97,8 @@
 	Shares []Share `json:"shares,omitempty"`
 	// Preference is "flows" or "balance".
 	Preference Preference `json:"preference"`
-	// ProxyProtocol sends the caller's address to the target by PROXY protocol version 2.
+	// ProxyProtocol sends the caller's address to the target by PROXY protocol version 2, on each connection of a TCP
+	// address. Datagrams of a UDP address come without it, since a full one would not fit with it.
 	ProxyProtocol bool `json:"proxyProtocol,omitempty"`
 	// Limits bounds what one target is given.
 	Limits Limits `json:"limits"`
