Hold the imbalance of services that prefer flows at 1.05 for small targets too

Cause: a first agent keeps a flow up to 2 % above the mean of its row; at a mean of 60 flows that is more than one whole flow, and 40 targets of 100 connections lay at 1.060. Change: below a mean of 200 flows the share falls with the mean. TestImbalance asks 1.05 of every size now; it left out 40 targets for this preference before.

--- a/pkg/arbiter/choice.go
+++ b/pkg/arbiter/choice.go
@@ -18,6 +18,8 @@
 	maxBeyond = 8
 	// keepShare is how far, as a part of the mean, the load of the first agent may lie above the mean of the row before a service that prefers flows hands a flow over.
 	keepShare = 0.02
+	// keepFull is the mean load from which on keepShare holds whole; below, it falls with the mean, since each flow is a larger part of it.
+	keepFull = 200
 	// boundSlack is how far, as a part of the bound, an offered agent may lie above it; it saves offers that are declined for a flow or two.
 	boundSlack = 0.01
 	// leastRamp is the lowest part of its weight that a target has at the start of its slow start.
@@ -160,7 +162,8 @@
 func (cs *candidates) pick(prefer resource.Preference) (*candidate, uint32) {
 	self := cs.self()
 	if prefer == resource.PreferFlows && self != nil {
-		if float64(self.load) <= cs.mean()*self.weight*(1+keepShare) {
+		mean := cs.mean() * self.weight
+		if float64(self.load) <= mean*(1+keepShare*min(mean/keepFull, 1)) {
 			return self, 0
 		}
 	}
--- a/pkg/arbiter/imbalance_test.go
+++ b/pkg/arbiter/imbalance_test.go
@@ -121,9 +121,7 @@
 					}
 					x := newExperiment(targets, 5, connections, prefer)
 					x.run()
-					if prefer == resource.PreferBalance || targets <= 11 {
-						require.LessOrEqual(t, x.arbiters.mean(), 1.05)
-					}
+					require.LessOrEqual(t, x.arbiters.mean(), 1.05)
 					require.Empty(t, x.w.faults)
 					t.Logf("arbiters mean %.3f worst %.3f, offers for each flow %.2f, declined %.2f", x.arbiters.mean(), x.arbiters.worst, x.w.ratio(ActionOffer), x.w.ratio(ActionDecline))
 					for i, s := range x.spreads {
