Tell late answers to offers and questions by the hops of their packet

Change: the first agent remembers with how many hops its last question or offer left, and drops answers whose packet passed no more. The hops of the test bed are now those that agents send.

--- a/pkg/arbiter/entry.go
+++ b/pkg/arbiter/entry.go
@@ -75,6 +75,8 @@
 	tries uint8
 	// beyond counts the offers made outside the row.
 	beyond uint8
+	// sent is the number of hops with which the last question or offer left; it tells late answers to earlier ones.
+	sent uint8
 	// full is set when an agent declined for lack of room.
 	full bool
 	// draining is set when an agent declined because it drains.
--- a/pkg/arbiter/offer.go
+++ b/pkg/arbiter/offer.go
@@ -84,6 +84,9 @@
 		return c.drop("answer is not of the agent that was asked")
 	}
 	p := c.s.pending[c.in.Flow]
+	if c.in.Hops <= uint32(p.sent) {
+		return c.drop("answer to an earlier question or offer")
+	}
 	switch c.e.state {
 	case stateAsked:
 		if c.in.Final || c.in.Bound != declinedUnknown {
--- a/pkg/arbiter/open.go
+++ b/pkg/arbiter/open.go
@@ -35,10 +35,16 @@
 	q := arbiters.list[p.tries]
 	p.tries++
 	c.e = entry{at: c.at, peer: q.id, state: stateAsked}
-	c.s.progress(c.in.Flow, c.e, p)
+	c.progress(p)
 	return c.forwardTo(q.addr, false, "another agent may have placed the flow")
 }
 
+// progress stores the entry of an opening flow whose packet is about to leave as a question or an offer.
+func (c *call) progress(p pending) {
+	p.sent = uint8(c.in.Hops + 1)
+	c.s.progress(c.in.Flow, c.e, p)
+}
+
 // arbiterList is a short list of distinct agents.
 type arbiterList struct {
 	list [maxRow + maxPast + 1]*peer
@@ -132,11 +138,13 @@
 	case c.e.state == stateAsked && c.unanswered(q):
 		return c.askFrom(p)
 	case c.e.state == stateAsked:
+		c.progress(p)
 		// Placing the flow without the answer could give it a second owner.
 		return c.forwardTo(q.addr, false, "another agent may have placed the flow")
 	case dead, q.silent(c.at) && c.hasOther(q, p):
 		return c.excludeAndPlace(p, c.position(q.addr))
 	}
+	c.progress(p)
 	// The receiver answers a repeated offer as it did the first one.
 	return c.offerTo(q, c.e.has(flagFinal), q.estimate())
 }
@@ -203,7 +211,7 @@
 	if final {
 		c.e.flags = flagFinal
 	}
-	c.s.progress(c.in.Flow, c.e, p)
+	c.progress(p)
 	best.peer.offered(c.at)
 	return c.offerTo(best.peer, final, limit)
 }
@@ -237,7 +245,7 @@
 			continue
 		}
 		c.e = entry{at: c.at, peer: q.id, state: stateBeyond, flags: flagFinal}
-		c.s.progress(c.in.Flow, c.e, p)
+		c.progress(p)
 		q.offered(c.at)
 		return c.offerTo(q, true, declinedLimit)
 	}
--- a/pkg/arbiter/packet_test.go
+++ b/pkg/arbiter/packet_test.go
@@ -22,6 +22,8 @@
 	s   *view.Service
 	now time.Time
 	row []byte
+	// hops are those of the last answer; each answer has passed two agents more.
+	hops uint32
 }
 
 func newBed(t *testing.T, change func(s *view.Service)) *bed {
@@ -57,7 +59,8 @@
 
 func (b *bed) answer(i int, d Decision, load, reason uint32) Input {
 	in := b.input(true)
-	in.Kind, in.Sender, in.Load, in.Bound, in.Final, in.Hops = wire.Kind_KIND_DECLINED, b.peer(i), load, reason, d.Final, 2
+	b.hops += 2
+	in.Kind, in.Sender, in.Load, in.Bound, in.Final, in.Hops = wire.Kind_KIND_DECLINED, b.peer(i), load, reason, d.Final, b.hops
 	return in
 }
 
@@ -195,6 +198,30 @@
 	require.Equal(t, ActionDrop, b.a.Packet(b.now, repeated).Action)
 }
 
+// A key was used again while a repeated datagram of its last life was on the way; the answer to that was once taken for an answer to the new offer, and both lives were placed.
+func TestLateAnswerOfEarlierLife(t *testing.T) {
+	b := newBed(t, nil)
+	b.a.load.Store(1)
+	in := b.input(true)
+	for i, load := range []uint32{0, 1, 1} {
+		b.a.Control(b.now, b.peer(i+1), Message{Kind: wire.Kind_KIND_LOAD, Load: load, Incarnation: 1})
+	}
+	d := b.a.Packet(b.now, in)
+	require.Equal(t, ActionOffer, d.Action)
+	late := b.answer(1, d, 1, declinedLoaded)
+	b.a.Control(b.now, b.peer(1), Message{Kind: wire.Kind_KIND_PLACED, Flow: in.Flow, Incarnation: 1})
+	b.a.Control(b.now, b.peer(1), Message{Kind: wire.Kind_KIND_ENDED, Flow: in.Flow, Incarnation: 1})
+
+	b.hops = 0
+	d = b.a.Packet(b.now, in)
+	require.Equal(t, ActionForward, d.Action)
+	d = b.a.Packet(b.now, b.answer(1, d, 0, declinedUnknown))
+	require.Equal(t, ActionOffer, d.Action)
+	require.Equal(t, b.peer(1), d.To)
+	require.Equal(t, ActionDrop, b.a.Packet(b.now, late).Action)
+	require.True(t, b.a.Packet(b.now, b.answer(1, d, 1, declinedLoaded)).Accepted, "all have the same load")
+}
+
 // Two agents once waited for each other: one asked, the other offered it the flow.
 func TestOfferByTheAgentThatIsAsked(t *testing.T) {
 	b := newBed(t, nil)
