--- a/internal/lab/flows/script.go
+++ b/internal/lab/flows/script.go
@@ -175,7 +175,11 @@
 
 // targetDrain lets as many targets leave as there are rounds; each goes on until its last flow has ended.
 func (s *script) targetDrain(service string) error {
+	least := s.activeTargets(service)/2 + 1
 	return s.rounds(func() error {
+		if err := s.awaitTargets(service, least); err != nil {
+			return trace.Wrap(err)
+		}
 		id, err := s.pickTarget(service)
 		if err != nil {
 			return trace.Wrap(err)
@@ -186,6 +190,27 @@
 	})
 }
 
+// awaitTargets waits until the service has at least so many active targets: no operator drains a service empty. On a busy
+// machine joins are slower than drains.
+func (s *script) awaitTargets(service string, least int) error {
+	for s.activeTargets(service) < least {
+		if err := pause(s.ctx, sampleEvery); err != nil {
+			return trace.Wrap(err, "wait for %d targets of %s", least, service)
+		}
+	}
+	return nil
+}
+
+func (s *script) activeTargets(service string) int {
+	n := 0
+	for _, t := range s.cluster.Targets() {
+		if t.Service == service && t.State == view.StateActive {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *script) drain(id string) {
 	err := s.cluster.DrainTarget(s.ctx, id)
 	switch {
