--- a/internal/lab/cluster/rollout_test.go
+++ b/internal/lab/cluster/rollout_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math"
 	"net/http"
 	"strings"
 	"sync"
@@ -226,6 +227,41 @@
 	return float64(fresh) / float64(max(all, 1)), all
 }
 
+// awaitShares waits until every balancer's view gives the new version a part of the new flows in percent, and logs how
+// long that took from the step on.
+func (l *rolloutLab) awaitShares(percent int) {
+	l.t.Helper()
+	begin := time.Now()
+	require.Eventually(l.t, func() bool {
+		l.c.mu.Lock()
+		defer l.c.mu.Unlock()
+		for _, b := range l.c.balancers {
+			if b.newVersionPart() != percent {
+				return false
+			}
+		}
+		return true
+	}, patience, time.Millisecond, "%d%% in force", percent)
+	l.t.Logf("%d%% in force on every balancer after %v", percent, time.Since(begin))
+}
+
+// newVersionPart returns the part of new flows, in percent, that the balancer's view gives to the new version.
+func (b *balancer) newVersionPart() int {
+	fresh, all := 0.0, 0.0
+	for _, s := range b.view.Load().Services {
+		if s.Name != routeService {
+			continue
+		}
+		for _, t := range s.Targets {
+			all += float64(t.Weight)
+			if t.Version == newVersion {
+				fresh += float64(t.Weight)
+			}
+		}
+	}
+	return int(math.Round(100 * fresh / max(all, 1)))
+}
+
 // settled lets the last step come into force, and returns the new version's part from then on.
 func (l *rolloutLab) settled() float64 {
 	l.t.Helper()
@@ -275,6 +311,7 @@
 	r := l.rolloutLab()
 	r.begin(step(10, 300*time.Millisecond), step(50, 3*time.Second), step(90, 300*time.Millisecond), step(100, time.Second))
 	r.await(resource.RolloutProgressing, 50)
+	r.awaitShares(50)
 	half := time.Now().Add(inForceTime)
 	time.Sleep(inForceTime + time.Second)
 	part, n := r.share(half, time.Now())
--- a/pkg/peer/bytes_bench_test.go
+++ b/pkg/peer/bytes_bench_test.go
@@ -27,8 +27,8 @@
 }
 
 // benchmarkFleet measures the bytes a second of balancers and agents on real connections with the default intervals,
-// while act runs.
-func benchmarkFleet(b *testing.B, balancers, agents int, act func(nodes []*testNode)) {
+// while act runs. The agents send counts, when not nil, with their heartbeats.
+func benchmarkFleet(b *testing.B, balancers, agents int, counts func() (uint64, uint64), act func(nodes []*testNode)) {
 	const window = 10 * time.Second
 	scopes := make([]tally.TestScope, balancers+agents)
 	for i := range scopes {
@@ -40,7 +40,7 @@
 	nodes[0].adopter.Offer(routeRevision(1, "route-svc"), revision.SourceHead)
 	for i := range agents {
 		startSession(b, fmt.Sprintf("t%d", i), addrsOf(nodes), func(c *SessionConfig) {
-			c.HeartbeatInterval, c.Metrics = 0, scopes[balancers+i]
+			c.HeartbeatInterval, c.Metrics, c.Counts = 0, scopes[balancers+i], counts
 		})
 	}
 	for _, n := range nodes {
@@ -94,13 +94,13 @@
 func BenchmarkControlBytes(b *testing.B) {
 	for _, size := range []struct{ balancers, agents int }{{4, 0}, {16, 0}, {4, 28}, {4, 56}} {
 		b.Run(fmt.Sprintf("rest/balancers=%d/agents=%d", size.balancers, size.agents), func(b *testing.B) {
-			benchmarkFleet(b, size.balancers, size.agents, nil)
+			benchmarkFleet(b, size.balancers, size.agents, nil, nil)
 		})
 	}
 	b.Run("revisions/balancers=16", func(b *testing.B) {
 		number := uint64(1)
 		var adopted, counted time.Duration
-		benchmarkFleet(b, 16, 0, func(nodes []*testNode) {
+		benchmarkFleet(b, 16, 0, nil, func(nodes []*testNode) {
 			for range 5 {
 				number++
 				begin := time.Now()
@@ -119,6 +119,28 @@
 	})
 }
 
+// BenchmarkCounterBytes measures what the counters of targets add to control traffic: none, counters that rise all the
+// time, and a rollout besides, for which one balancer asks the watchers every 5 s. Run it with -benchtime 1x.
+func BenchmarkCounterBytes(b *testing.B) {
+	const balancers, agents = 4, 28
+	begin := time.Now()
+	rising := func() (uint64, uint64) {
+		n := uint64(time.Since(begin).Milliseconds())
+		return 1e9 + n, 1e6 + n/100
+	}
+	b.Run("none", func(b *testing.B) { benchmarkFleet(b, balancers, agents, nil, nil) })
+	b.Run("rising", func(b *testing.B) { benchmarkFleet(b, balancers, agents, rising, nil) })
+	b.Run("rollout", func(b *testing.B) {
+		benchmarkFleet(b, balancers, agents, rising, func(nodes []*testNode) {
+			for range 2 {
+				got := nodes[0].Counters(b.Context(), "route-svc")
+				require.Equal(b, got.Asked, got.Answered)
+				time.Sleep(4900 * time.Millisecond)
+			}
+		})
+	})
+}
+
 // BenchmarkJoin measures what a newcomer takes from a peer that knows the largest fleet. Run it with -benchtime 1x.
 func BenchmarkJoin(b *testing.B) {
 	for b.Loop() {
