Let a new holder of the rollout duty wait for the head; clear what is left

Cause, found by reading: a holder whose adopted revision was older than the head could begin an earlier rollout anew over the state of the present one; and the state of a rollout that was taken out of the specification stayed when the holder had changed meanwhile, so that the same pair asked for again went on from its end. Change: the duty reads the head when its term begins and waits until that revision is adopted; states that no service asks for are cleared.

--- a/pkg/balancerd/rollout_duty.go
+++ b/pkg/balancerd/rollout_duty.go
@@ -17,6 +17,9 @@
 
 // takeSteps is a lease.Duty. Each term reads the counters anew, so that nothing of an earlier term is counted twice.
 func (d *Daemon) takeSteps(ctx context.Context, g lease.Grant) error {
+	if err := awaitHead(ctx, d.store, d.adopter.Number); err != nil {
+		return err
+	}
 	c := rollout.Controller{
 		Store:   d.store,
 		Configs: d.adoptedServices,
--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
@@ -23,7 +24,8 @@
 type Controller struct {
 	// Store keeps the rollout objects.
 	Store objectapi.Store
-	// Configs returns the accepted configurations, for example those of this process's adopted revision.
+	// Configs returns the accepted configurations. They must be at least as new as the head when the term began: with older
+	// ones a holder would begin an earlier rollout anew, or clear the state of a later one.
 	Configs func() []resource.ServiceConfig
 	// Source reads the counters.
 	Source Source
@@ -74,6 +76,8 @@
 	grant   lease.Grant
 	tracks  map[string]*track
 	metrics metrics
+	// cleared is set when no state is left of a rollout that is no longer asked for.
+	cleared bool
 }
 
 func newSession(cfg Controller, g lease.Grant) *session {
@@ -82,13 +86,21 @@
 
 // tick judges each rollout once. A failure of one service does not hold back the others.
 func (s *session) tick(ctx context.Context) error {
-	for _, c := range s.cfg.Configs() {
+	configs := s.cfg.Configs()
+	if err := s.clearLeft(ctx, configs); err != nil {
+		if errors.Is(err, lease.ErrFenced) {
+			return err
+		}
+		s.cfg.Log.Warn().Err(err).Str("op", "rollout").Uint64("term", s.grant.Term).Send()
+	}
+	for _, c := range configs {
 		err := s.service(ctx, c)
 		if errors.Is(err, lease.ErrFenced) {
 			return err
 		}
 		if err != nil {
 			delete(s.tracks, c.Name)
+			s.cleared = false
 			s.metrics.failed.Inc(1)
 			s.cfg.Log.Warn().Err(err).Str("op", "rollout").Str("service", c.Name).Uint64("term", s.grant.Term).Send()
 		}
@@ -109,11 +121,10 @@
 }
 
 func (s *session) service(ctx context.Context, c resource.ServiceConfig) error {
-	t, ok := s.tracks[c.Name]
 	if c.Spec.Rollout == nil {
-		delete(s.tracks, c.Name)
-		return s.forget(ctx, t)
+		return nil
 	}
+	t, ok := s.tracks[c.Name]
 	if !ok {
 		var err error
 		t, err = newTrack(ctx, s, c.Name)
@@ -125,10 +136,40 @@
 	return t.step(ctx, c)
 }
 
-// forget clears the state of a rollout that is no longer asked for. The object stays, since its term fences it.
-func (s *session) forget(ctx context.Context, t *track) error {
-	if t == nil {
+// clearLeft clears the states of rollouts that are no longer asked for, once in a term and whenever a rollout that is
+// followed goes. The objects stay, since their terms fence them.
+func (s *session) clearLeft(ctx context.Context, configs []resource.ServiceConfig) error {
+	asked := make(map[string]bool)
+	for _, c := range configs {
+		asked[c.Name] = c.Spec.Rollout != nil
+	}
+	for name := range s.tracks {
+		if !asked[name] {
+			delete(s.tracks, name)
+			s.cleared = false
+		}
+	}
+	if s.cleared {
 		return nil
 	}
-	return t.record.Write(ctx, Record{})
+	list, _, err := s.cfg.Store.List(ctx, Kind)
+	if err != nil {
+		return trace.Wrap(err, "list rollouts")
+	}
+	// What can't be read is claimed and written when its service asks for a rollout.
+	states, _ := ReadStates(list)
+	for name, state := range states {
+		if state.State == "" || asked[name] {
+			continue
+		}
+		t, err := newTrack(ctx, s, name)
+		if err != nil {
+			return err
+		}
+		if err := t.record.Write(ctx, Record{}); err != nil {
+			return trace.Wrap(err, "clear rollout of %s", name)
+		}
+	}
+	s.cleared = true
+	return nil
 }
