Give the arbiter its view before packets are let through by it

Cause: agent.SetService stored the service first; a packet of an open flow that came in between met an arbiter without a view and was reset with no-configuration. Change: the arbiter gets the view first; a removed service is taken from the packet path first.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -104,8 +104,13 @@
 	}
 	now := a.deps.Now()
 	a.senders.Store(a.senders.Load().next(s, now))
+	if s == nil {
+		a.service.Store(nil)
+	}
+	// The arbiter has the view before a packet is let through by it, since without a view it can't place a flow.
+	messages := a.arbiter.SetService(now, s)
 	a.service.Store(newService(s))
-	a.sendAll(a.arbiter.SetService(now, s))
+	a.sendAll(messages)
 	a.hearHeld(now)
 }
 
