Tell why flows ended when a test of the cluster fails

The attacked flows of the hostile test may have ended before their old packets come again, which is a lost owner. Change: failed tests print the lines of refusals, drains and votes. Measured: go test -race, 4 runs of all streamLab tests and 6 of the IPv6, UDP, hostile and swap tests, at loads of 25 to 36: all pass.

--- a/internal/lab/cluster/stream_lab_test.go
+++ b/internal/lab/cluster/stream_lab_test.go
@@ -87,9 +87,24 @@
 	require.NoError(t, err)
 	l.c = c.(*Cluster)
 	t.Cleanup(l.c.Close)
+	t.Cleanup(l.explain)
 	return l
 }
 
+// explain logs the lines that tell why flows ended, when the test has failed.
+func (l *streamLab) explain() {
+	if !l.t.Failed() {
+		return
+	}
+	for line := range strings.Lines(l.log.String()) {
+		for _, op := range []string{"refuse", "silence", "target-down", "drain", "drained", "vote", "declare dead", "unreachable"} {
+			if strings.Contains(line, `"op":"`+op+`"`) {
+				l.t.Log(strings.TrimSpace(line))
+			}
+		}
+	}
+}
+
 // allAddresses gives a service the three addresses beside that of its deployment.
 func allAddresses(s *resource.Service) {
 	ip6 := routeIP6
