Keep the flows of an owner that the views dropped though it lives

Cause: a first agent refused the packets of a flow as soon as the owner had left the views and the other agents denied the flow; the owner itself was not asked. Change: an agent that left the views less than 30 s ago is asked too, for 1 s; one that claims its flows gets their packets for 10 s and is then asked again. A host that refuses datagrams ends the wait at once. TestDeadOwnerIsRefusedOnlyAfterQuestions asks for the question to the owner and for the time that it is given, besides what it asked before.

--- a/pkg/arbiter/control.go
+++ b/pkg/arbiter/control.go
@@ -59,6 +59,7 @@
 
 // claimed handles flows that p owns.
 func (a *Arbiter) claimed(at stamp, p *peer, m Message) []Message {
+	p.claims(at)
 	return a.each(m, func(s *shard, flow uint64) []Message {
 		return a.claim(at, s, flow, p, m.Final)
 	})
--- a/pkg/arbiter/locate.go
+++ b/pkg/arbiter/locate.go
@@ -17,6 +17,8 @@
 	maxLocates = 1 << 16
 	// locateEvery is the time after which agents that did not answer are asked again.
 	locateEvery = 300 * time.Millisecond
+	// lateAnswer is the time within which an agent that left the views a short time ago must answer.
+	lateAnswer = time.Second
 	// locateLife is the time after which a question is forgotten, answered or not.
 	locateLife = 10 * time.Second
 	// maxLocateMessages bounds the questions of one Tick.
@@ -79,8 +81,8 @@
 	}
 }
 
-// due lists the flows to ask about by agent, and those that every live agent denied.
-func (l *locator) due(now time.Time, live []*peer, settled bool) (map[netip.AddrPort][]uint64, []uint64) {
+// due lists the flows to ask about by agent, and those that every live agent denied. Agents that left the views are asked for a short time only, since a dead one never answers.
+func (l *locator) due(now time.Time, live, late []*peer, settled bool) (map[netip.AddrPort][]uint64, []uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	ask := make(map[netip.AddrPort][]uint64)
@@ -96,6 +98,9 @@
 			continue
 		}
 		missing := q.missing(live)
+		if now.Sub(q.since) < lateAnswer {
+			missing = append(missing, q.missing(late)...)
+		}
 		if len(missing) == 0 {
 			if settled || q.died {
 				q.done = true
@@ -141,7 +146,7 @@
 	if a.locator.open.Load() == 0 {
 		return nil
 	}
-	ask, lost := a.locator.due(now, m.live(), m.settled(now, a.cfg.Window))
+	ask, lost := a.locator.due(now, m.live(), a.late(a.stamp(now)), m.settled(now, a.cfg.Window))
 	for _, flow := range lost {
 		a.lose(a.stamp(now), flow)
 	}
--- a/pkg/arbiter/packet.go
+++ b/pkg/arbiter/packet.go
@@ -87,7 +87,7 @@
 // redirect sends a packet on to the flow's owner.
 func (c *call) redirect() Decision {
 	p := c.a.peers.get(c.e.peer)
-	if p.gone.Load() || c.in.Opening && p.dead(c.at) {
+	if p.left(c.at) || c.in.Opening && p.refuses(c.at) {
 		return c.ownerGone()
 	}
 	if p.addr == c.in.Sender {
--- a/pkg/arbiter/packet_test.go
+++ b/pkg/arbiter/packet_test.go
@@ -252,23 +252,76 @@
 	require.Equal(t, ActionForward, d.Action)
 	require.Equal(t, b.peer(1), d.To)
 
+	b.dropPeer1()
+	require.NotEqual(t, ActionRefuse, b.a.Packet(b.now, b.input(false)).Action)
+	asked := b.denyAllButPeer1()
+	require.ElementsMatch(t, []netip.AddrPort{b.peer(1), b.peer(2), b.peer(3)}, asked, "the views may be wrong about the owner")
+	b.a.Tick(b.now)
+	require.NotEqual(t, ActionRefuse, b.a.Packet(b.now, b.input(false)).Action, "the owner still has time to answer")
+	b.now = b.now.Add(lateAnswer)
+	b.a.Tick(b.now)
+	d = b.a.Packet(b.now, b.input(false))
+	require.Equal(t, ActionRefuse, d.Action)
+	require.Equal(t, refusal.ReasonTargetDied, d.Reason)
+	require.NotEqual(t, ActionRefuse, b.a.Packet(b.now, b.input(true)).Action, "an opening packet starts anew")
+}
+
+// dropPeer1 adopts a view without the first peer.
+func (b *bed) dropPeer1() {
 	less := *b.s
 	less.Targets = append(append([]view.Target(nil), b.s.Targets[0]), b.s.Targets[2:]...)
 	b.a.SetService(b.now, &less)
-	require.NotEqual(t, ActionRefuse, b.a.Packet(b.now, b.input(false)).Action)
-	asked := 0
+}
+
+// denyAllButPeer1 answers the questions of a Tick for the other peers and returns who was asked.
+func (b *bed) denyAllButPeer1() []netip.AddrPort {
+	var asked []netip.AddrPort
 	for _, m := range b.a.Tick(b.now) {
-		if m.Kind == wire.Kind_KIND_LOCATE {
-			asked++
+		if m.Kind != wire.Kind_KIND_LOCATE {
+			continue
+		}
+		asked = append(asked, m.To)
+		if m.To != b.peer(1) {
 			b.a.Control(b.now, m.To, Message{Kind: wire.Kind_KIND_LOCATED, Flows: m.Flows, Incarnation: 1})
 		}
 	}
-	require.Equal(t, 2, asked)
+	return asked
+}
+
+// A host that refuses datagrams ends the wait for an owner that left the views.
+func TestRefusedQuestionEndsTheWait(t *testing.T) {
+	b := newBed(t, nil)
+	b.a.Control(b.now, b.peer(1), Message{Kind: wire.Kind_KIND_PLACED, Flow: b.input(false).Flow, Incarnation: 1, Final: true})
+	b.dropPeer1()
+	b.a.Packet(b.now, b.input(false))
+	b.denyAllButPeer1()
+	b.a.Unreachable(b.now, b.peer(1))
 	b.a.Tick(b.now)
-	d = b.a.Packet(b.now, b.input(false))
-	require.Equal(t, ActionRefuse, d.Action)
-	require.Equal(t, refusal.ReasonTargetDied, d.Reason)
-	require.NotEqual(t, ActionRefuse, b.a.Packet(b.now, b.input(true)).Action, "an opening packet starts anew")
+	require.Equal(t, ActionRefuse, b.a.Packet(b.now, b.input(false)).Action)
+}
+
+// Views once dropped an agent that lived, and its flows were refused.
+func TestOwnerThatLeftTheViewsKeepsItsFlows(t *testing.T) {
+	for name, known := range map[string]bool{"redirect known": true, "redirect not known": false} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, nil)
+			in := b.input(false)
+			if known {
+				b.a.Control(b.now, b.peer(1), Message{Kind: wire.Kind_KIND_PLACED, Flow: in.Flow, Incarnation: 1, Final: true})
+			}
+			b.dropPeer1()
+			b.a.Packet(b.now, in)
+			require.Contains(t, b.denyAllButPeer1(), b.peer(1))
+			b.a.Control(b.now, b.peer(1), Message{Kind: wire.Kind_KIND_LOCATED, Flow: in.Flow, Owner: b.peer(1), Incarnation: 1, Final: true})
+			b.a.Tick(b.now)
+			d := b.a.Packet(b.now, in)
+			require.Equal(t, ActionForward, d.Action)
+			require.Equal(t, b.peer(1), d.To)
+			b.now = b.now.Add(revivedFor)
+			require.NotEqual(t, ActionRefuse, b.a.Packet(b.now, in).Action)
+			require.Contains(t, b.denyAllButPeer1(), b.peer(1), "the owner is asked again from time to time")
+		})
+	}
 }
 
 // A first agent with an old redirect once told the true owner to give the flow up.
--- a/pkg/arbiter/peer.go
+++ b/pkg/arbiter/peer.go
@@ -21,6 +21,10 @@
 	silentAfter = 1500 * time.Millisecond
 	// refusedFor is the time for which an agent whose host refused a datagram is taken for dead, unless it is heard. It is longer than the views take to drop it.
 	refusedFor = 5 * time.Second
+	// revivedFor is the time for which an agent that left the views counts as living after it claimed a flow.
+	revivedFor = 10 * time.Second
+	// lateFor is the time after its leave for which an agent is still asked for its flows: views may drop an agent that lives.
+	lateFor = 30 * time.Second
 )
 
 // peer is one incarnation of another agent.
@@ -40,6 +44,8 @@
 	refused atomic.Uint32
 	// gone is set when a view drops the agent or shows a newer incarnation.
 	gone atomic.Bool
+	// goneAt is when gone was set, and revived when the agent last claimed a flow after that; 0 when it did not.
+	goneAt, revived atomic.Uint32
 	// listed is set once a view has named the agent.
 	listed atomic.Bool
 }
@@ -76,12 +82,45 @@
 	}
 }
 
-// dead reports whether the agent left the views, or its host refused a datagram of late.
-func (p *peer) dead(now stamp) bool {
+// leave notes that the present view does not name the agent.
+func (p *peer) leave(now stamp) {
+	if !p.gone.Load() {
+		p.goneAt.Store(uint32(now))
+		p.revived.Store(0)
+		p.gone.Store(true)
+	}
+}
+
+// claims notes that the agent claimed a flow, so that it lives whatever the views say.
+func (p *peer) claims(now stamp) {
+	if p.gone.Load() {
+		p.revived.Store(uint32(now))
+	}
+}
+
+// refuses reports whether the agent's host refused a datagram of late.
+func (p *peer) refuses(now stamp) bool {
 	at := p.refused.Load()
-	return p.gone.Load() || at != 0 && stamp(at).since(now) < refusedFor
+	return at != 0 && stamp(at).since(now) < refusedFor
 }
 
+// left reports whether the agent left the views and did not show since that it lives.
+func (p *peer) left(now stamp) bool {
+	if !p.gone.Load() {
+		return false
+	}
+	at := p.revived.Load()
+	return at == 0 || stamp(at).since(now) >= revivedFor || p.refuses(now)
+}
+
+// late reports whether the agent left the views a short time ago and may live.
+func (p *peer) late(now stamp) bool {
+	return p.gone.Load() && stamp(p.goneAt.Load()).since(now) < lateFor && !p.refuses(now)
+}
+
+// dead reports whether the agent left the views, or its host refused a datagram of late.
+func (p *peer) dead(now stamp) bool { return p.gone.Load() || p.refuses(now) }
+
 // suspect reports whether the agent is dead or owes an answer for too long.
 func (p *peer) suspect(now stamp) bool {
 	if p.dead(now) {
--- a/pkg/arbiter/service.go
+++ b/pkg/arbiter/service.go
@@ -31,7 +31,7 @@
 	}
 	m := a.newMembers(now, s, old)
 	a.members.Store(m)
-	a.dropGone(m)
+	a.dropGone(a.stamp(now), m)
 	if old == nil || old.table != m.table || old.next != m.next {
 		a.announce = append(a.announce, a.movedFlows(old, m)...)
 		a.repeatAt(now.Add(a.cfg.Window / 2))
@@ -41,7 +41,7 @@
 }
 
 // dropGone marks the agents that the new snapshot no longer names.
-func (a *Arbiter) dropGone(m *members) {
+func (a *Arbiter) dropGone(at stamp, m *members) {
 	for i, p := range m.peers {
 		if p == nil || i == m.self {
 			continue
@@ -50,11 +50,22 @@
 	}
 	for _, p := range *a.peers.list.Load() {
 		if p.listed.Load() && m.peerAt(p.addr) != p && !p.newer(m) {
-			p.gone.Store(true)
+			p.leave(at)
 		}
 	}
 }
 
+// late lists the agents that left the views a short time ago and may live.
+func (a *Arbiter) late(at stamp) []*peer {
+	var late []*peer
+	for _, p := range *a.peers.list.Load() {
+		if p.late(at) {
+			late = append(late, p)
+		}
+	}
+	return late
+}
+
 // newer reports whether p is a later incarnation of an agent than the view names.
 func (p *peer) newer(m *members) bool {
 	q := m.peerAt(p.addr)
