--- a/pkg/balancerd/daemon.go
+++ b/pkg/balancerd/daemon.go
@@ -144,6 +144,7 @@
 	g.Go(func() error { return d.compileDuty(run) })
 	g.Go(func() error { return d.membersDuty(run) })
 	g.Go(func() error { return d.retentionDuty(run) })
+	g.Go(func() error { return d.claimsDuty(run) })
 	g.Go(func() error { return d.rolloutDuty(run) })
 	g.Go(func() error { return d.runRefusals(run) })
 	err := g.Wait()
--- a/pkg/balancerd/retention.go
+++ b/pkg/balancerd/retention.go
@@ -24,18 +24,7 @@
 // expireRefusals is a lease.Duty. Deleting twice does no harm, so its writes need no fence.
 func (d *Daemon) expireRefusals(ctx context.Context, _ lease.Grant) error {
 	retention := refusal.Retention{Store: d.store}
-	for ctx.Err() == nil {
-		n, err := retention.Run(ctx, time.Now())
-		if err != nil {
-			d.o.Env.Log.Warn().Err(err).Str("op", "expire-refusals").Send()
-		}
-		if n > 0 {
-			d.o.Env.Log.Info().Str("op", "expire-refusals").Int("objects", n).Send()
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(retentionInterval):
-		}
-	}
-	return nil
+	return d.every(ctx, retentionInterval, "expire-refusals", func(now time.Time) (int, error) {
+		return retention.Run(ctx, now)
+	})
 }
