Look at every target before a new flow is refused

Cause: outside the row only the first eight targets of the service were looked at, whether they could take a flow or not; after many drains whose flows go on, all eight drained. Ruled out: rows (a drain keeps its place by intent), agents (they decline truly). Change: all targets are looked at, at most eight of them get an offer.

--- a/pkg/arbiter/entry.go
+++ b/pkg/arbiter/entry.go
@@ -73,8 +73,10 @@
 	offered uint8
 	// tries counts the offers made within the row, or the agents asked.
 	tries uint8
-	// beyond counts the offers made outside the row.
-	beyond uint8
+	// seenBeyond counts the targets of the whole service that were looked at outside the row, and offeredBeyond the offers
+	// made to them.
+	seenBeyond    uint16
+	offeredBeyond uint8
 	// sent is the number of hops with which the last question or offer left; it tells late answers to earlier ones.
 	sent uint8
 	// full is set when an agent declined for lack of room.
--- a/pkg/arbiter/open.go
+++ b/pkg/arbiter/open.go
@@ -234,16 +234,17 @@
 
 // placeBeyond offers the flow to agents outside the row, one after the other, and refuses it when they have no room either.
 func (c *call) placeBeyond(p pending) Decision {
-	for int(p.beyond) < maxBeyond {
-		index, ok := c.beyond(int(p.beyond))
+	for p.offeredBeyond < maxBeyond {
+		index, ok := c.beyond(int(p.seenBeyond))
 		if !ok {
 			break
 		}
-		p.beyond++
+		p.seenBeyond++
 		q := c.m.peers[index]
 		if !c.usable(index) {
 			continue
 		}
+		p.offeredBeyond++
 		c.e = entry{at: c.at, peer: q.id, state: stateBeyond, flags: flagFinal}
 		c.progress(p)
 		q.offered(c.at)
