--- a/internal/lab/capacity/agent_bench.go
+++ b/internal/lab/capacity/agent_bench.go
@@ -42,18 +42,19 @@
 	conns []net.Conn
 }
 
-// newAgentBench starts the bench; serve gets the target's connections.
-func newAgentBench(ctx context.Context, serve func(net.Conn)) (*agentBench, error) {
+// newAgentBench starts the bench. Buffer is the size of the buffers of the caller's stack, 0 its default; serve gets the
+// target's connections.
+func newAgentBench(ctx context.Context, buffer int, serve func(net.Conn)) (*agentBench, error) {
 	x := &agentBench{}
 	ctx, x.stop = context.WithCancel(ctx)
-	if err := x.start(ctx, serve); err != nil {
+	if err := x.start(ctx, buffer, serve); err != nil {
 		x.close()
 		return nil, err
 	}
 	return x, nil
 }
 
-func (x *agentBench) start(ctx context.Context, serve func(net.Conn)) error {
+func (x *agentBench) start(ctx context.Context, buffer int, serve func(net.Conn)) error {
 	var err error
 	for _, c := range []**net.UDPConn{&x.fabric, &x.source} {
 		if *c, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(loopback)); err != nil {
@@ -65,7 +66,7 @@
 		return trace.Wrap(err)
 	}
 	x.done.Go(func() { x.accept(serve) })
-	if x.caller, err = netstack.New(netstack.Config{Output: x.forward}); err != nil {
+	if x.caller, err = netstack.New(netstack.Config{Output: x.forward, Buffer: buffer}); err != nil {
 		return trace.Wrap(err)
 	}
 	a, err := agent.New(agent.Config{
--- a/internal/lab/capacity/agent_flows.go
+++ b/internal/lab/capacity/agent_flows.go
@@ -31,7 +31,7 @@
 			if err != nil {
 				return nil, err
 			}
-			x, err := newAgentBench(ctx, nil)
+			x, err := newAgentBench(ctx, 0, nil)
 			if err != nil {
 				return nil, err
 			}
@@ -95,7 +95,7 @@
 		},
 		run: func(ctx context.Context, size float64) ([]float64, error) {
 			done := make(chan int64, 1)
-			x, err := newAgentBench(ctx, func(c net.Conn) {
+			x, err := newAgentBench(ctx, 0, func(c net.Conn) {
 				n, _ := io.Copy(io.Discard, c)
 				done <- n
 			})
@@ -123,6 +123,43 @@
 	}
 }
 
+const (
+	// stalledBuffer keeps the caller's end of a stalled flow small.
+	stalledBuffer = 16 << 10
+	stalledTime   = 3 * time.Second
+)
+
+// agentStalled measures flows whose callers read nothing while the target sends.
+func agentStalled() probe {
+	return probe{
+		name: "agent-stalled", per: "flow", source: "pkg/agent, pkg/netstack",
+		sizes: []float64{20, 40, 80}, repeats: 2,
+		outputs: []output{{name: "flow whose caller reads nothing, heap and stacks of agent and caller", unit: "B"}},
+		run: func(ctx context.Context, size float64) ([]float64, error) {
+			block := make([]byte, 64<<10)
+			x, err := newAgentBench(ctx, stalledBuffer, func(c net.Conn) {
+				for {
+					if _, err := c.Write(block); err != nil {
+						return
+					}
+				}
+			})
+			if err != nil {
+				return nil, err
+			}
+			defer x.close()
+			// The stacks of the measurement before let their connections go late.
+			wait(ctx, stalledTime)
+			before := liveMemory()
+			if err := openFlows(ctx, int(size), x.dial, x.keep); err != nil {
+				return nil, err
+			}
+			wait(ctx, stalledTime)
+			return []float64{liveMemory() - before}, ctx.Err()
+		},
+	}
+}
+
 // arbiterFlows measures the entries of an arbiter.
 func arbiterFlows() probe {
 	return probe{
--- a/internal/lab/capacity/figure.go
+++ b/internal/lab/capacity/figure.go
@@ -86,18 +86,11 @@
 
 // value returns the figure.
 func (f figure) value(s Samples) (float64, error) {
-	sum := 0.0
-	for _, t := range f.terms {
-		v, err := t.value(s)
-		if err != nil {
-			return 0, err
-		}
-		sum += v
-	}
+	v, err := sum(s, f.terms)
 	if f.scale != 0 {
-		sum *= f.scale
+		v *= f.scale
 	}
-	return sum, nil
+	return v, err
 }
 
 func (f figure) line(s Samples) (string, error) {
--- a/internal/lab/capacity/figures.go
+++ b/internal/lab/capacity/figures.go
@@ -16,8 +16,8 @@
 	membersPerSec = float64(memberChanges) / secondsOfDay
 	// restartRate is the number of changes of members a second while all agents restart.
 	restartRate = fleetTargets * changesOfRestart / (restartMinutes * 60.0)
-	// claimRate is request.DefaultClaimRate, the claims a second of one agent.
-	claimRate = 20
+	// callRate is the calls a second that a daemon may make (settings.DefaultObjectAPI); an agent makes claims with them.
+	callRate = 6
 	// groupRate is the writes a second of a data centre's members at most (membership.DefaultGroupInterval).
 	groupRate = 1
 	// statusRate is revision.DefaultStatusRate.
@@ -55,6 +55,11 @@
 			},
 			mechanism: "`balancer.Config.CachedFlows`, `refusal.Config.MaxHeld`", test: "`refusal.TestStormInOutage`, `refusal.TestPoolKeepsTheCount`",
 		},
+		{
+			role: role, name: "a whole balancer with small tables, store stand-in included", unit: "MB", scale: toMB,
+			terms:     []term{slope("whole balancers, heap of all", 1)},
+			mechanism: "`balancerd.Daemon`", test: "`balancerd.TestFewBalancersAreCandidates`",
+		},
 		{
 			role: role, name: "control bytes on an ordinary day", unit: "B/s", budget: budgetBytes,
 			terms: []term{
@@ -98,6 +103,11 @@
 			},
 			mechanism: "`agent.Agent`, `netstack.Stack`, `arbiter.Arbiter`", test: "`arbiter.TestLatePacketsOfEndedFlow`, `agent.TestHeldDatagramsAreBounded`",
 		},
+		{
+			role: role, name: "10 flows whose callers read nothing, on top", unit: "MB", scale: toMB * heapFactor,
+			terms:     []term{slope("flow whose caller reads nothing, heap and stacks of agent and caller", 10)},
+			mechanism: "`netstack.Config.Buffer`", test: "`agent.TestBackPressureReachesTheCaller`",
+		},
 		{
 			role: role, name: "opening its part of 21,000 flows a second", unit: "% of a core",
 			terms:     []term{slope("opening a flow, processor time of agent, target's accept and caller", newFlowsOfAgent).by(0.1, "ms in %")},
@@ -193,8 +203,8 @@
 			mechanism: "`refusal.Log`", test: "`refusal.TestObjectsOfALongStorm`",
 		},
 		{
-			role: role, name: "writes if every agent used its own claim rate", unit: "writes/s", budget: budgetWrites,
-			terms:     []term{constant(claimRate*fleetTargets, "`request.DefaultClaimRate` × 3,300")},
+			role: role, name: "writes if every agent claimed as often as its settings allow", unit: "writes/s", budget: budgetWrites,
+			terms:     []term{constant(callRate*fleetTargets, "`object_api.calls_per_second` × 3,300")},
 			mechanism: "`request.Server` (refuses with `claim-store-unavailable`)", test: "`request.TestClaimsStayWithinTheWriteBudget`, `request.TestClaimStoreFaults`",
 		},
 	}
@@ -296,6 +306,14 @@
 			terms:     []term{at("change of one service, time until adopted by all from peers", fleetBalancers)},
 			mechanism: "`peer.Node` (pushes, differences of revisions)", test: "`revision.TestAcceptedRevisionSpreadsDuringAnOutage`, `peer.TestMembersAndRevisionsReachAll`",
 		},
+		{
+			role: role, name: "one change everywhere: accepted until in force, with the object API up", unit: "s", scale: 1e-3, budget: changesInForce.Seconds(),
+			terms: []term{
+				at("change of configuration, accepted until in force everywhere, 99th percentile", fleetBalancers),
+				slope("change of configuration, reads", fleetBalancers).by(1000.0/readRate, "ms for each read at `revision.DefaultReadRate`"),
+			},
+			mechanism: "`revision.Follower`, `revision.Adopter`", test: "`revision.TestHistoryWithFaults`, `revision.TestAdopterTakesOnlyHigherRevisions`",
+		},
 		{
 			role: role, name: "one change everywhere: bytes of a balancer", unit: "kB", scale: 1e-3, budget: 10 * budgetBytes / 1000,
 			terms:     []term{at("change of one service, bytes of a balancer", fleetBalancers)},
--- a/internal/lab/capacity/page.go
+++ b/internal/lab/capacity/page.go
@@ -24,8 +24,18 @@
 	if err != nil {
 		return nil, err
 	}
+	exceeded, err := exceededList(s)
+	if err != nil {
+		return nil, err
+	}
+	limits, err := limitTable(s)
+	if err != nil {
+		return nil, err
+	}
 	return []section{
 		{"machine", machineText(s)},
+		{"exceeded", exceeded},
+		{"limits", limits},
 		{"figures", figures},
 		{"slopes", slopeTable(s)},
 	}, nil
--- a/internal/lab/capacity/run.go
+++ b/internal/lab/capacity/run.go
@@ -25,6 +25,7 @@
 		controlMembers(),
 		controlRevisions(),
 		controlChurn(),
+		agentStalled(),
 		agentFlows(),
 		agentBytes(),
 		arbiterFlows(),
@@ -86,8 +87,12 @@
 		if err != nil {
 			return err
 		}
-		progress(o, " %.1f s\n", time.Since(started).Seconds())
-		s.put(p.name, series)
+		seconds := time.Since(started).Seconds()
+		progress(o, " %.1f s\n", seconds)
+		s.put(ProbeSamples{Probe: p.name, Seconds: seconds, Series: series})
+		if err := s.write(o.Out); err != nil {
+			return err
+		}
 	}
 	s.Machine = machine()
 	s.Measured = begin.UTC().Format(time.DateOnly)
--- a/internal/lab/capacity/samples.go
+++ b/internal/lab/capacity/samples.go
@@ -28,19 +28,21 @@
 type ProbeSamples struct {
 	// Probe is the name of the probe.
 	Probe string `json:"probe"`
+	// Seconds is how long the probe took.
+	Seconds float64 `json:"seconds"`
 	// Series are its outputs.
 	Series []Series `json:"series"`
 }
 
-// put replaces the series of a probe.
-func (s *Samples) put(probe string, series []Series) {
+// put replaces the samples of a probe.
+func (s *Samples) put(one ProbeSamples) {
 	for i := range s.Probes {
-		if s.Probes[i].Probe == probe {
-			s.Probes[i].Series = series
+		if s.Probes[i].Probe == one.Probe {
+			s.Probes[i] = one
 			return
 		}
 	}
-	s.Probes = append(s.Probes, ProbeSamples{Probe: probe, Series: series})
+	s.Probes = append(s.Probes, one)
 }
 
 // Series returns the series of a name.
--- a/internal/lab/capacity/size.go
+++ b/internal/lab/capacity/size.go
@@ -21,7 +21,7 @@
 	changesOfRestart  = 3
 	deadInDataCentre  = fleetMembers / fleetDataCentres
 	flowsOfAgent      = fleetOpenFlows / fleetTargets
-	newFlowsOfAgent   = fleetNewFlows / fleetTargets
+	newFlowsOfAgent   = float64(fleetNewFlows) / fleetTargets
 	packetsOfNewFlow  = 10
 	changesInForce    = 4 * time.Second
 	membersDataCentre = fleetMembers / fleetDataCentres
