--- a/pkg/arbiter/control.go
+++ b/pkg/arbiter/control.go
@@ -61,21 +61,21 @@
 func (a *Arbiter) claimed(at stamp, p *peer, m Message) []Message {
 	p.claims(at)
 	return a.each(m, func(s *shard, flow uint64) []Message {
-		return a.claim(at, s, flow, p, m.Final)
+		return a.claim(at, s, flow, p, m)
 	})
 }
 
 // claim notes that p owns the flow, or settles the conflict when another agent does.
-func (a *Arbiter) claim(at stamp, s *shard, flow uint64, p *peer, open bool) []Message {
+func (a *Arbiter) claim(at stamp, s *shard, flow uint64, p *peer, m Message) []Message {
 	e := s.flows[flow]
 	a.locator.found(flow)
 	mine := entry{at: at, peer: p.id, state: stateRedirect}
-	if open {
+	if m.Final {
 		mine.flags = flagOpen
 	}
 	switch e.state {
 	case stateOwn:
-		return a.claimAgainstOwn(s, flow, e, p, mine)
+		return a.claimAgainstOwn(s, flow, e, p, mine, m.Kind == wire.Kind_KIND_LOCATED)
 	case stateOffered, stateBeyond:
 		if e.peer == p.id {
 			p.answered()
@@ -106,15 +106,17 @@
 	return []Message{{To: q.addr, Kind: wire.Kind_KIND_LOCATE, Flow: flow, Incarnation: a.cfg.Incarnation}}
 }
 
-// claimAgainstOwn settles a claim on a flow that this agent owns itself; of two half-open ones, that which the caller did not answer ends by itself.
-func (a *Arbiter) claimAgainstOwn(s *shard, flow uint64, e entry, p *peer, mine entry) []Message {
-	if e.has(flagOpen) {
+// claimAgainstOwn settles a claim on a flow that this agent owns itself; of two half-open ones, that which the caller did not answer ends by itself. Only an answer ends a half-open own flow: a claim without a question may be of an earlier life of the key, so that the claimant is asked.
+func (a *Arbiter) claimAgainstOwn(s *shard, flow uint64, e entry, p *peer, mine entry, answer bool) []Message {
+	switch {
+	case e.has(flagOpen):
 		return []Message{a.ownerIs(p.addr, flow, a.cfg.Self)}
-	}
-	if mine.has(flagOpen) {
+	case !mine.has(flagOpen):
+		return nil
+	case answer:
 		return a.abandon(s, flow, mine)
 	}
-	return nil
+	return []Message{{To: p.addr, Kind: wire.Kind_KIND_LOCATE, Flow: flow, Incarnation: a.cfg.Incarnation}}
 }
 
 // abandon gives up an own flow to another owner.
--- a/pkg/arbiter/packet_test.go
+++ b/pkg/arbiter/packet_test.go
@@ -324,6 +324,25 @@
 	}
 }
 
+// A late claim of an earlier life of the key once ended the new flow.
+func TestOnlyAnAnswerEndsAHalfOpenFlow(t *testing.T) {
+	for _, kind := range []wire.Kind{wire.Kind_KIND_PLACED, wire.Kind_KIND_MOVED} {
+		b := newBed(t, nil)
+		in := b.input(true)
+		require.True(t, b.a.Packet(b.now, in).Accepted)
+		claim := Message{Kind: kind, Flow: in.Flow, Owner: b.peer(1), Incarnation: 1, Final: true}
+		out := b.a.Control(b.now, b.peer(1), claim)
+		require.True(t, b.a.Owns(in.Flow))
+		require.Equal(t, []Message{{To: b.peer(1), Kind: wire.Kind_KIND_LOCATE, Flow: in.Flow, Incarnation: 1}}, out)
+		b.a.Control(b.now, b.peer(1), Message{Kind: wire.Kind_KIND_LOCATED, Flow: in.Flow, Incarnation: 1})
+		require.True(t, b.a.Owns(in.Flow), "the claimant denies the flow")
+		claim.Kind = wire.Kind_KIND_LOCATED
+		out = b.a.Control(b.now, b.peer(1), claim)
+		require.False(t, b.a.Owns(in.Flow))
+		require.Equal(t, b.a.cfg.Self, out[0].To)
+	}
+}
+
 // A first agent with an old redirect once told the true owner to give the flow up.
 func TestHalfOpenFlowIsKeptAgainstRedirect(t *testing.T) {
 	b := newBed(t, nil)
