Count a target that is about to be drained as leaving in the lab

Cause: two drains of one service were decided on the same count of active targets, so that the lab drained services empty; the refusals with target-draining were true. Change: targets that a fault took are not counted as active.

--- a/internal/lab/flows/script.go
+++ b/internal/lab/flows/script.go
@@ -134,13 +134,20 @@
 
 // pickTarget draws an active target of the service that no other fault took.
 func (s *script) pickTarget(service string) (string, error) {
+	return s.pick(s.free(service), "target of "+service)
+}
+
+// free lists the active targets of a service that no fault took; a fault that took one may not have told it yet.
+func (s *script) free(service string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var ids []string
 	for _, t := range s.cluster.Targets() {
-		if t.Service == service && t.State == view.StateActive {
+		if t.Service == service && t.State == view.StateActive && !s.taken[t.ID] {
 			ids = append(ids, t.ID)
 		}
 	}
-	return s.pick(ids, "target of "+service)
+	return ids
 }
 
 // eachService does the rounds for every service at once.
@@ -202,13 +209,7 @@
 }
 
 func (s *script) activeTargets(service string) int {
-	n := 0
-	for _, t := range s.cluster.Targets() {
-		if t.Service == service && t.State == view.StateActive {
-			n++
-		}
-	}
-	return n
+	return len(s.free(service))
 }
 
 func (s *script) drain(id string) {
