--- /dev/null
+++ b/internal/archtest/layers_test.go
@@ -0,0 +1,52 @@
+package archtest
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// layers lists the packages below pkg from the lowest layer up, as docs/ARCHITECTURE.md draws them. A package imports
+// packages of its own layer or a lower one.
+var layers = [][]string{
+	{"wire", "flow", "resource", "objectapi"},
+	{"lease", "refusal", "netstack", "packet"},
+	{"membership", "view", "placement", "ticket"},
+	{"revision", "rollout", "arbiter", "limit"},
+	{"balancer", "agent", "request", "peer", "peer/peerpb", "telemetry", "settings"},
+	{"balancerd", "agentd", "ctl", "caller"},
+}
+
+func layerOf(name string) (int, bool) {
+	for i, names := range layers {
+		for _, n := range names {
+			if n == name {
+				return i, true
+			}
+		}
+	}
+	return 0, false
+}
+
+func TestImportsPointDown(t *testing.T) {
+	for path, f := range sourceFiles(t, "pkg") {
+		name, err := filepath.Rel(filepath.Join(root, "pkg"), filepath.Dir(path))
+		require.NoError(t, err)
+		if strings.Contains(name, "test") {
+			continue
+		}
+		layer, ok := layerOf(name)
+		require.True(t, ok, "package %s is in no layer", name)
+		for _, imported := range imports(f) {
+			below, found := strings.CutPrefix(imported, module+"pkg/")
+			if !found {
+				continue
+			}
+			other, ok := layerOf(below)
+			require.True(t, ok, "package %s is in no layer", below)
+			require.LessOrEqual(t, other, layer, "%s imports %s", path, below)
+		}
+	}
+}
