Tell joining agents of their flows again, and ask earlier rows of first agents that left

Change: announcements go out again 1 s after a view change too, and to the first agents that joining targets will be; for an earlier first agent that cannot be asked, the rest of its row is asked.

--- a/pkg/arbiter/idle_test.go
+++ b/pkg/arbiter/idle_test.go
@@ -1,6 +1,7 @@
 package arbiter
 
 import (
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -132,3 +133,49 @@
 	}
 	require.GreaterOrEqual(t, announced, 4)
 }
+
+// A joining agent was once told of its future flows in one message only, which may be lost.
+func TestJoiningAgentIsToldAgain(t *testing.T) {
+	b := newBed(t, func(s *view.Service) { s.Targets[3].State = view.StateJoining })
+	b.pass(20*time.Second, 0)
+	in := b.input(true)
+	in.Flow = firstFor(b.s, 0)
+	for b.a.members.Load().next.First(in.Flow) != 3 || b.a.members.Load().table.First(in.Flow) != 0 {
+		in.Flow++
+	}
+	require.True(t, b.a.Packet(b.now, in).Accepted)
+	s := *b.s
+	s.Targets = append(slices.Clone(b.s.Targets), view.Target{ID: "joins too", Incarnation: 1, Agent: netip.MustParseAddrPort("127.0.0.1:7"), State: view.StateJoining, Weight: 1, Connections: 1})
+	b.a.SetService(b.now, &s)
+	told := 0
+	for _, m := range b.pass(2*time.Second, in.Flow) {
+		if m.Kind == wire.Kind_KIND_MOVED && m.To == b.peer(3) {
+			told++
+		}
+	}
+	require.NotZero(t, told)
+}
+
+// The first agent of an earlier row is gone; the owner, which it chose, stands in no row of the present view.
+func TestEarlierRowIsAskedForAGoneFirst(t *testing.T) {
+	b := newBed(t, nil)
+	old := b.a.members.Load().table
+	in := b.input(true)
+	in.Flow = firstFor(b.s, 1)
+	row := old.Row(in.Flow)
+	b.dropPeer1()
+	in.Row = b.row[:wire.AddrSize]
+	asked := map[netip.AddrPort]bool{}
+	d := b.a.Packet(b.now, in)
+	for d.Action == ActionForward {
+		asked[d.To] = true
+		answer := b.answer(0, d, 0, declinedUnknown)
+		answer.Sender, answer.Flow, answer.Row = d.To, in.Flow, in.Row
+		d = b.a.Packet(b.now, answer)
+	}
+	for _, i := range row.Index[1:row.Len] {
+		if agent := b.s.Targets[i].Agent; agent != b.a.cfg.Self {
+			require.True(t, asked[agent], "%v", agent)
+		}
+	}
+}
--- a/pkg/arbiter/open.go
+++ b/pkg/arbiter/open.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/auburnwood/auburnwood/pkg/placement"
 	"github.com/auburnwood/auburnwood/pkg/refusal"
 	"github.com/auburnwood/auburnwood/pkg/view"
 	"github.com/auburnwood/auburnwood/pkg/wire"
@@ -90,11 +91,22 @@
 		}
 		first := old.table.FirstAgent(c.in.Flow)
 		l.add(c, first)
-		missing = missing || c.unreachable(first)
+		if c.unreachable(first) {
+			missing = true
+			c.addRow(l, old.table)
+		}
 	}
 	return missing
 }
 
+// addRow adds the other agents of an earlier row; its first one chose the owner among them.
+func (c *call) addRow(l *arbiterList, t *placement.Table) {
+	row := t.Row(c.in.Flow)
+	for _, i := range row.Index[min(1, row.Len):row.Len] {
+		l.add(c, t.Service().Targets[i].Agent)
+	}
+}
+
 // unreachable reports whether another agent cannot be asked, as no view names it or its host refuses datagrams.
 func (c *call) unreachable(addr netip.AddrPort) bool {
 	if addr == c.a.cfg.Self {
--- a/pkg/arbiter/service.go
+++ b/pkg/arbiter/service.go
@@ -34,6 +34,7 @@
 	a.dropGone(a.stamp(now), m)
 	if old == nil || old.table != m.table || old.next != m.next {
 		a.announce = append(a.announce, a.movedFlows(old, m)...)
+		a.repeatAt(now.Add(a.cfg.Window / 5))
 		a.repeatAt(now.Add(a.cfg.Window / 2))
 		a.repeatAt(now.Add(a.cfg.Window + time.Second))
 	}
@@ -165,11 +166,18 @@
 	at := a.stamp(now)
 	moved := make(map[destination][]uint64)
 	a.eachOwn(func(flow uint64, e entry) {
-		p := firstPeer(m, m.table, flow)
-		if p != nil && (m.movedLately(flow) || e.at.since(at) < 2*a.cfg.Window) {
+		young := e.at.since(at) < 2*a.cfg.Window
+		first, next := firstPeer(m, m.table, flow), firstPeer(m, m.next, flow)
+		add := func(p *peer) {
 			d := destination{to: p.id, open: e.has(flagOpen), own: true}
 			moved[d] = append(moved[d], flow)
 		}
+		if first != nil && (young || m.movedLately(flow)) {
+			add(first)
+		}
+		if next != nil && next != first {
+			add(next)
+		}
 	})
 	a.announce = append(a.announce, a.movedMessages(moved)...)
 }
