Share the reading of the socket error queue

Cause: agent and balancer had the same code twice. Measured: go test ./pkg/agent ./pkg/balancer ./pkg/errqueue ./internal/archtest passes.

--- a/internal/archtest/layers_test.go
+++ b/internal/archtest/layers_test.go
@@ -11,7 +11,7 @@
 // layers lists the packages below pkg from the lowest layer up, as docs/ARCHITECTURE.md draws them. A package imports
 // packages of its own layer or a lower one.
 var layers = [][]string{
-	{"wire", "flow", "resource", "objectapi"},
+	{"wire", "flow", "resource", "objectapi", "errqueue"},
 	{"lease", "refusal", "netstack", "packet"},
 	{"membership", "view", "placement", "ticket"},
 	{"revision", "rollout", "arbiter", "limit"},
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/auburnwood/auburnwood/pkg/arbiter"
+	"github.com/auburnwood/auburnwood/pkg/errqueue"
 	"github.com/auburnwood/auburnwood/pkg/netstack"
 	"github.com/auburnwood/auburnwood/pkg/view"
 )
@@ -77,7 +78,7 @@
 	}
 	_ = conn.SetReadBuffer(socketBuffer)
 	_ = conn.SetWriteBuffer(socketBuffer)
-	askErrors(conn)
+	errqueue.Enable(conn)
 	a.conn = conn
 	a.addr = unmap(conn.LocalAddr().(*net.UDPAddr).AddrPort())
 	a.self = encodeAddr(a.addr)
--- a/pkg/balancer/errqueue.go
+++ b/pkg/balancer/errqueue.go
@@ -3,7 +3,7 @@
 import (
 	"net/netip"
 
-	"golang.org/x/sys/unix"
+	"github.com/auburnwood/auburnwood/pkg/errqueue"
 )
 
 // tuneSocket enlarges the socket's buffers and asks the kernel to keep the addresses of hosts that refused a datagram.
@@ -11,41 +11,11 @@
 func (b *Balancer) tuneSocket() {
 	_ = b.conn.SetReadBuffer(DefaultSocketBuffer)
 	_ = b.conn.SetWriteBuffer(DefaultSocketBuffer)
-	raw, err := b.conn.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_IP, unix.IP_RECVERR, 1)
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_IPV6, unix.IPV6_RECVERR, 1)
-	})
+	errqueue.Enable(b.conn)
 }
 
-// drainErrors reads the socket's error queue and reports each agent whose host refused a datagram.
-func (b *Balancer) drainErrors() {
-	raw, err := b.conn.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(fd uintptr) {
-		for b.nextError(int(fd)) {
-		}
-	})
-}
-
-// nextError handles one entry of the error queue; it returns false when the queue is empty.
-func (b *Balancer) nextError(fd int) bool {
-	var payload [1]byte
-	var oob [512]byte
-	_, _, _, from, err := unix.Recvmsg(fd, payload[:], oob[:], unix.MSG_ERRQUEUE|unix.MSG_DONTWAIT)
-	if err != nil {
-		return false
-	}
-	if to, ok := addrOf(from); ok {
-		b.agentUnreachable(to)
-	}
-	return true
-}
+// drainErrors reports each agent whose host refused a datagram.
+func (b *Balancer) drainErrors() { errqueue.Drain(b.conn, b.agentUnreachable) }
 
 func (b *Balancer) agentUnreachable(agent netip.AddrPort) {
 	k := encodeAgent(agent)
@@ -69,13 +39,3 @@
 	}
 	return false
 }
-
-func addrOf(a unix.Sockaddr) (netip.AddrPort, bool) {
-	switch v := a.(type) {
-	case *unix.SockaddrInet4:
-		return netip.AddrPortFrom(netip.AddrFrom4(v.Addr), uint16(v.Port)), true
-	case *unix.SockaddrInet6:
-		return netip.AddrPortFrom(netip.AddrFrom16(v.Addr).Unmap(), uint16(v.Port)), true
-	}
-	return netip.AddrPort{}, false
-}
