Share one rate of claims among all live agents

Cause: each agent might make object_api.calls_per_second claims a second whatever the number of agents: 6 x 3,300 = 19,800 writes/s against the 300 that are planned with.

Change: balancers count the live agents of all services in the member table and tell the number with the views (ServiceUpdate.agents). A change of the number alone is sent when it is more than a tenth. The session takes the highest number of its balancers and hands it on (SessionConfig.OnAgents); the agent claims at the lower of its setting and 150/agents a second, with a burst of 5 (agentd.FleetClaims, ClaimBurst; request.Server.SetClaimRate, Options.ClaimBurst).

--- a/internal/lab/capacity/figures.go
+++ b/internal/lab/capacity/figures.go
@@ -16,8 +16,12 @@
 	membersPerSec = float64(memberChanges) / secondsOfDay
 	// restartRate is the number of changes of members a second while all agents restart.
 	restartRate = fleetTargets * changesOfRestart / (restartMinutes * 60.0)
-	// callRate is the calls a second that a daemon may make (settings.DefaultObjectAPI); an agent makes claims with them.
+	// callRate is the calls a second that a daemon may make (settings.DefaultObjectAPI).
 	callRate = 6
+	// fleetClaims is the claims a second of all agents (agentd.FleetClaims).
+	fleetClaims = 150
+	// claimBurst is the claims that an agent may make at once (agentd.ClaimBurst).
+	claimBurst = 5
 	// groupRate is the writes a second of a data centre's members at most (membership.DefaultGroupInterval).
 	groupRate = 1
 	// statusRate is revision.DefaultStatusRate.
@@ -203,9 +207,20 @@
 			mechanism: "`refusal.Log`", test: "`refusal.TestObjectsOfALongStorm`",
 		},
 		{
-			role: role, name: "writes if every agent claimed as often as its settings allow", unit: "writes/s", budget: budgetWrites,
-			terms:     []term{constant(callRate*fleetTargets, "`object_api.calls_per_second` × 3,300")},
-			mechanism: "`request.Server` (refuses with `claim-store-unavailable`)", test: "`request.TestClaimsStayWithinTheWriteBudget`, `request.TestClaimStoreFaults`",
+			role: role, name: "writes while every agent claims as often as it may, lasting", unit: "writes/s", budget: budgetWrites,
+			terms: []term{
+				constant(fleetClaims, "`agentd.FleetClaims`, for any number of agents"),
+				at("writes by data centres", fleetDataCentres),
+				slope("compile duty, writes", 1).by(configsPerSec, "changes/s"),
+				constant(membersPerSec, "one group write for each change of a member"),
+			},
+			mechanism: "`agentd.FleetClaims`, `request.Server` (refuses with `claim-store-unavailable`)",
+			test:      "`agentd.TestClaimRateIsAPartOfTheFleets`, `request.TestClaimRateFollowsTheFleet`, `peer.TestNumberOfAgentsReachesTheSession`, `request.TestClaimStoreFaults`",
+		},
+		{
+			role: role, name: "claims asked for at one moment, when no agent made any before", unit: "writes", budget: budgetWrites,
+			terms:     []term{constant(claimBurst*fleetTargets, "`agentd.ClaimBurst` × 3,300")},
+			mechanism: "`request.Server` (refuses with `claim-store-unavailable`)", test: "`request.TestClaimsStayWithinTheWriteBudget`, `request.TestClaimRateFollowsTheFleet`, `request.TestClaimStoreFaults`",
 		},
 	}
 }
--- a/internal/lab/capacity/limit.go
+++ b/internal/lab/capacity/limit.go
@@ -61,7 +61,7 @@
 	// The budgets of bytes are meant over the ten seconds that peer.DefaultBudget is saved up for.
 	const burst = 10 * budgetBytes
 	return []limit{
-		{budget: "300 writes/s by claims, each agent at its own limit", grows: "agents that claim at that rate", reached: budgetWrites / callRate, planned: fleetTargets},
+		{budget: "300 writes, by claims asked for at one moment", grows: "agents that use up their burst at once", reached: budgetWrites / claimBurst, planned: fleetTargets},
 		{budget: "2,000 reads/s, each balancer at its own limit of calls", grows: "balancers that call at that rate", reached: budgetReads / callRate, planned: fleetBalancers},
 		{budget: "12 kB/s of a balancer", grows: "changes of members a second, lasting", series: "members changed one by one, bytes of a balancer", allowed: budgetBytes, planned: restartRate},
 		{budget: "2% of a core of a balancer", grows: "changes of members a second, each by itself", allowed: budgetCore,
--- a/internal/lab/capacity/settings_test.go
+++ b/internal/lab/capacity/settings_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/auburnwood/auburnwood/pkg/agentd"
 	"github.com/auburnwood/auburnwood/pkg/balancer"
 	"github.com/auburnwood/auburnwood/pkg/membership"
 	"github.com/auburnwood/auburnwood/pkg/refusal"
@@ -16,6 +17,8 @@
 func TestFiguresUseTheDefaults(t *testing.T) {
 	require.EqualValues(t, callRate, settings.DefaultAgent().ObjectAPI.CallsPerSecond)
 	require.EqualValues(t, callRate, settings.DefaultBalancer().ObjectAPI.CallsPerSecond)
+	require.EqualValues(t, fleetClaims, agentd.FleetClaims)
+	require.EqualValues(t, claimBurst, agentd.ClaimBurst)
 	require.EqualValues(t, 1<<19, balancer.DefaultCachedFlows)
 	require.EqualValues(t, groupRate, 1/membership.DefaultGroupInterval.Seconds())
 	require.EqualValues(t, readRate, revision.DefaultReadRate)
--- a/pkg/agentd/daemon.go
+++ b/pkg/agentd/daemon.go
@@ -281,6 +281,7 @@
 			d.requests.setService(v)
 			p.SetService(v)
 		}),
+		OnAgents:       d.requests.setAgents,
 		OnRemoved:      func(string) { p.SetService(nil) },
 		BytesPerSecond: s.Control.BytesPerSecond,
 		Log:            d.o.Env.Log,
--- a/pkg/agentd/requests.go
+++ b/pkg/agentd/requests.go
@@ -24,6 +24,7 @@
 
 	mu       sync.Mutex
 	server   *request.Server
+	agents   uint32
 	draining bool
 	closed   bool
 }
@@ -81,6 +82,16 @@
 	r.server.SetQueue(int(v.Spec.Limits.Queue))
 }
 
+// setAgents takes the number of live agents of the fleet, by which the claims are shared out.
+func (r *requests) setAgents(agents uint32) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.agents = agents
+	if r.server != nil {
+		r.server.SetClaimRate(claimRate(r.d.o.Settings.ObjectAPI.CallsPerSecond, agents))
+	}
+}
+
 // slots returns what the service allows of what the target announced.
 func (r *requests) slots(v *view.Service) int {
 	slots := r.announced.Slots
@@ -108,7 +119,8 @@
 		Cold:        v.Spec.SlowStart > 0,
 		Deadline:    deadlineOf(v),
 		Store:       r.store(),
-		ClaimRate:   s.ObjectAPI.CallsPerSecond,
+		ClaimRate:   claimRate(s.ObjectAPI.CallsPerSecond, r.agents),
+		ClaimBurst:  ClaimBurst,
 		Peers:       r,
 		Revision:    r.revision,
 		Recorder:    r.d.refusals,
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -30,6 +30,8 @@
 	balancers []Member
 	// watchers assigns watchers among balancers; nil when it has to be made again.
 	watchers *WatcherSet
+	// agents is the result of LiveAgents.
+	agents int
 }
 
 // NewTable returns an empty table.
@@ -117,6 +119,14 @@
 	return t.balancerList()
 }
 
+// LiveAgents returns the number of agents of all services that haven't left and aren't held for dead. Agents of an
+// unreachable region count.
+func (t *Table) LiveAgents() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.agents
+}
+
 // Watchers returns the IDs of the balancers that watch m, see WatcherSet.
 func (t *Table) Watchers(m *Member) []string {
 	t.mu.Lock()
@@ -241,6 +251,7 @@
 	t.hashes[b] ^= e.hash
 	t.forgetBalancers(&e.member)
 	t.forgetBalancers(&m)
+	t.agents += liveAgents(&m) - liveAgents(&e.member)
 	e.member = m
 	e.hash = recordHash(&m)
 	t.hashes[b] ^= e.hash
@@ -256,8 +267,17 @@
 	}
 }
 
+// liveAgents returns what a member adds to LiveAgents.
+func liveAgents(m *Member) int {
+	if m.Role != RoleAgent || m.State.Gone() {
+		return 0
+	}
+	return 1
+}
+
 func (t *Table) remove(e *entry) {
 	t.forgetBalancers(&e.member)
+	t.agents -= liveAgents(&e.member)
 	b := bucketOf(e.idHash)
 	t.hashes[b] ^= e.hash
 	delete(t.buckets[b], e.idHash)
--- a/pkg/membership/table_test.go
+++ b/pkg/membership/table_test.go
@@ -81,3 +81,29 @@
 	require.False(t, table.Merge(Member{ID: "t1", Role: RoleAgent, Incarnation: 1, Sequence: 3, State: StateActive}, testTime))
 	require.Empty(t, changes)
 }
+
+// The count of live agents must be what the records say, whatever came in which order.
+func TestLiveAgentsAreCounted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := NewTable(TableConfig{TombstoneLifetime: time.Minute})
+		table.Merge(Member{ID: "b0", Role: RoleBalancer, Incarnation: 1, Sequence: 1, State: StateActive}, testTime)
+		for range rapid.IntRange(0, 60).Draw(t, "changes") {
+			id := fmt.Sprintf("t%d", rapid.IntRange(0, 5).Draw(t, "member"))
+			switch rapid.IntRange(0, 9).Draw(t, "change") {
+			case 0:
+				table.Forget(id)
+			case 1:
+				table.Expire(testTime.Add(time.Hour))
+			default:
+				table.Merge(genMember(id).Draw(t, "record"), testTime)
+			}
+			live := 0
+			for _, m := range table.Members() {
+				if m.Role == RoleAgent && !m.State.Gone() {
+					live++
+				}
+			}
+			require.Equal(t, live, table.LiveAgents())
+		}
+	})
+}
--- a/pkg/peer/control_watch.go
+++ b/pkg/peer/control_watch.go
@@ -45,6 +45,9 @@
 	}
 }
 
+// agentsTolerance is the part of the number of agents, one in so many, by which it may change without an update.
+const agentsTolerance = 10
+
 // sentConfig is what a stream has sent of a service.
 type sentConfig struct {
 	spec   []byte
@@ -58,7 +61,9 @@
 	started  bool
 	version  uint64
 	revision uint64
-	sent     map[string]sentConfig
+	// agents is the last number of live agents that the stream sent.
+	agents int
+	sent   map[string]sentConfig
 }
 
 // next returns what has changed since the last call, or nil. The first update is a snapshot.
@@ -68,15 +73,25 @@
 	configs, changed := w.configs()
 	r, _ := w.node.cfg.Adopter.Current()
 	w.version = version
-	if w.started && len(members) == 0 && !changed && r.Number == w.revision {
+	agents := w.node.table.LiveAgents()
+	if w.started && len(members) == 0 && !changed && r.Number == w.revision && !agentsDiffer(w.agents, agents) {
 		return nil
 	}
-	u := &peerpb.ServiceUpdate{Revision: r.Number, Snapshot: !w.started, Members: members, Configs: configs}
+	u := &peerpb.ServiceUpdate{
+		Revision: r.Number, Snapshot: !w.started, Members: members, Configs: configs, Agents: uint32(agents),
+	}
 	w.started = true
 	w.revision = r.Number
+	w.agents = agents
 	return u
 }
 
+// agentsDiffer reports whether the number of live agents is more than a tenth away from the one that was sent. Smaller
+// changes go with the next update, because each costs a message for every agent of the fleet.
+func agentsDiffer(sent, now int) bool {
+	return agentsTolerance*max(sent-now, now-sent) > sent
+}
+
 func (w *serviceWatch) members() []*peerpb.Member {
 	var members []*peerpb.Member
 	for _, m := range w.node.table.ChangedSince(w.version) {
--- a/pkg/peer/service_state.go
+++ b/pkg/peer/service_state.go
@@ -22,6 +22,7 @@
 	now       func() time.Time
 	onView    func(*view.Service)
 	onRemoved func(string)
+	onAgents  func(uint32)
 
 	mu       sync.Mutex
 	table    *membership.Table
@@ -30,12 +31,15 @@
 	configs  []resource.ServiceConfig
 	shares   map[string][]resource.Share
 	known    map[string]*view.Service
+	// agents is the number of live agents that was reported last.
+	agents uint32
 }
 
 // watchSource is what one balancer's stream has sent.
 type watchSource struct {
 	members map[string]bool
 	specs   map[string]resource.ServiceSpec
+	agents  uint32
 }
 
 func newServiceState(c SessionConfig) *serviceState {
@@ -43,6 +47,7 @@
 		now:       c.Now,
 		onView:    c.OnView,
 		onRemoved: c.OnRemoved,
+		onAgents:  c.OnAgents,
 		table:     membership.NewTable(membership.TableConfig{}),
 		sources:   make(map[string]*watchSource),
 		known:     make(map[string]*view.Service),
@@ -54,6 +59,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	source := s.source(addr, u.GetSnapshot())
+	source.agents = u.GetAgents()
+	s.publishAgents()
 	for _, p := range u.GetMembers() {
 		m := memberFromProto(p)
 		source.members[m.ID] = true
@@ -94,6 +101,20 @@
 	return s.sources[addr] != nil
 }
 
+// publishAgents reports the highest number of live agents that a balancer names: one that has just started, or is cut off
+// from others, knows too few, and what is shared out by the number must not be given twice.
+func (s *serviceState) publishAgents() {
+	var agents uint32
+	for _, source := range s.sources {
+		agents = max(agents, source.agents)
+	}
+	if agents == s.agents {
+		return
+	}
+	s.agents = agents
+	s.onAgents(agents)
+}
+
 // dropUnlisted forgets members that no balancer lists any longer; their tombstones have expired.
 func (s *serviceState) dropUnlisted() {
 	for _, m := range s.table.Members() {
--- a/pkg/peer/service_state_test.go
+++ b/pkg/peer/service_state_test.go
@@ -109,3 +109,27 @@
 	require.NoError(t, a.apply("b0", update(1, true, poolMember("t0", 1, membership.StateActive), config)))
 	require.Zero(t, a.views["web"].Targets[0].Weight)
 }
+
+func TestHighestNumberOfAgentsCounts(t *testing.T) {
+	var reports []uint32
+	state := newServiceState(SessionConfig{
+		OnView:   func(*view.Service) {},
+		OnAgents: func(agents uint32) { reports = append(reports, agents) },
+	}.withDefaults())
+	apply := func(addr string, snapshot bool, agents uint32) {
+		u := update(1, snapshot, nil)
+		u.Agents = agents
+		require.NoError(t, state.apply(addr, u))
+	}
+	apply("b0", true, 0)
+	require.Empty(t, reports, "a balancer that doesn't count")
+	apply("b0", true, 3000)
+	apply("b1", true, 1)
+	require.Equal(t, []uint32{3000}, reports, "one that has just started knows too few")
+	apply("b1", false, 3300)
+	apply("b1", false, 3300)
+	require.Equal(t, []uint32{3000, 3300}, reports)
+	state.forget("b1")
+	apply("b0", false, 2900)
+	require.Equal(t, []uint32{3000, 3300, 2900}, reports)
+}
--- a/pkg/peer/session_config.go
+++ b/pkg/peer/session_config.go
@@ -35,6 +35,9 @@
 	OnView func(*view.Service)
 	// OnRemoved is called with the name of a service that the target serves no longer; may be nil.
 	OnRemoved func(service string)
+	// OnAgents is called with the number of live agents of all services when it has changed by the balancers' account, before
+	// the views of the same update and not at the same time as OnView; may be nil.
+	OnAgents func(agents uint32)
 	// BytesPerSecond is the budget of control traffic; 0 means DefaultBudget. A session has no traffic that can wait, so
 	// the budget is only reported.
 	BytesPerSecond int
@@ -59,6 +62,9 @@
 	if c.OnRemoved == nil {
 		c.OnRemoved = func(string) {}
 	}
+	if c.OnAgents == nil {
+		c.OnAgents = func(uint32) {}
+	}
 	c.JoinTime = cmp.Or(c.JoinTime, DefaultJoinTime)
 	c.HeartbeatInterval = cmp.Or(c.HeartbeatInterval, DefaultHeartbeatInterval)
 	c.BytesPerSecond = cmp.Or(c.BytesPerSecond, DefaultBudget)
--- a/pkg/request/claim_test.go
+++ b/pkg/request/claim_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -104,3 +107,43 @@
 	require.Equal(t, 2, n)
 	require.Len(t, store.objects, 1)
 }
+
+// Claims that are saved up stay when the rate changes, and new ones come at the new rate.
+func TestClaimRateFollowsTheFleet(t *testing.T) {
+	target := newScriptedTarget(t, answerOK)
+	store := newMemoryStore()
+	var now atomic.Int64
+	now.Store(time.Now().UnixNano())
+	clock := func() time.Time { return time.Unix(0, now.Load()) }
+	s, url := newFaultServer(t, target.addr(), func(o *Options) {
+		o.Store, o.ClaimRate, o.ClaimBurst, o.Now = store, 0.001, 2, clock
+	})
+	n := 0
+	taken := func() bool {
+		n++
+		res, _ := call(t, "POST", url, "order", HeaderKey, fmt.Sprintf("%s-%d", testKey, n))
+		if res.StatusCode == http.StatusOK {
+			return true
+		}
+		require.Equal(t, string(refusal.ReasonClaimStore), res.Header.Get(HeaderReason))
+		require.Equal(t, "no", res.Header.Get(HeaderRun))
+		require.NotEmpty(t, res.Header.Get("Retry-After"))
+		return false
+	}
+	require.True(t, taken())
+	require.True(t, taken(), "the burst")
+	require.False(t, taken())
+	now.Add(int64(time.Second))
+	require.False(t, taken(), "0.001 claims a second")
+	s.SetClaimRate(1)
+	require.False(t, taken(), "the second before the change counts at the old rate")
+	now.Add(int64(time.Second))
+	require.True(t, taken())
+	require.False(t, taken())
+	s.SetClaimRate(0.5)
+	now.Add(int64(time.Second))
+	require.False(t, taken())
+	now.Add(int64(time.Second))
+	require.True(t, taken())
+	require.EqualValues(t, 4, store.version)
+}
--- a/pkg/request/claims.go
+++ b/pkg/request/claims.go
@@ -39,8 +39,8 @@
 }
 
 func newClaims(o Options) *claims {
-	burst := max(int(o.ClaimRate), 1)
-	return &claims{store: o.Store, writes: rate.NewLimiter(rate.Limit(o.ClaimRate), burst), service: o.Service, now: o.Now}
+	writes := rate.NewLimiter(rate.Limit(o.ClaimRate), o.ClaimBurst)
+	return &claims{store: o.Store, writes: writes, service: o.Service, now: o.Now}
 }
 
 // name returns the object name of a key: keys are the callers' own text, and of one service.
--- a/pkg/request/options.go
+++ b/pkg/request/options.go
@@ -65,6 +65,8 @@
 	Store objectapi.Store
 	// ClaimRate is the highest number of claims a second of this agent; 0 means DefaultClaimRate.
 	ClaimRate float64
+	// ClaimBurst is the number of claims that may be made at once; 0 means as many as a second allows, at least one.
+	ClaimBurst int
 	// RetryRatio is the number of retries that one request pays for; 0 means limit.DefaultRetryRatio.
 	RetryRatio float64
 	// Peers are the other agents of the service; nil means none.
@@ -93,6 +95,7 @@
 	o.MaxTimeout = or(o.MaxTimeout, DefaultMaxTimeout)
 	o.Grace = or(o.Grace, DefaultGrace)
 	o.ClaimRate = or(o.ClaimRate, DefaultClaimRate)
+	o.ClaimBurst = or(o.ClaimBurst, max(int(o.ClaimRate), 1))
 	o.RetryRatio = or(o.RetryRatio, limit.DefaultRetryRatio)
 	o.Answers = or(o.Answers, DefaultAnswers)
 	if o.Peers == nil {
--- a/pkg/request/server.go
+++ b/pkg/request/server.go
@@ -154,6 +154,12 @@
 // SetQueue takes a change of the highest number of waiting requests; 0 means limit.DefaultQueue.
 func (s *Server) SetQueue(queue int) { s.limiter.SetQueue(queue) }
 
+// SetClaimRate takes a change of the highest number of claims a second; 0 means DefaultClaimRate. Claims that were saved
+// up stay.
+func (s *Server) SetClaimRate(perSecond float64) {
+	s.claims.writes.SetLimitAt(s.o.Now(), rate.Limit(or(perSecond, DefaultClaimRate)))
+}
+
 // Drain stops new work: waiting requests go to peers or are refused as not run. It returns when everything that had
 // started is answered, or with the error of ctx.
 func (s *Server) Drain(ctx context.Context) error {
