Hand requests over by mutual TLS when the settings name the files

Cause: agents passed requests and tickets to each other over plain HTTP, also where the tls section of the settings secured every connection to balancers.

Change: peer.TLSConfig.Load returns the tls.Config of both sides; the gRPC credentials use it too. The agent's control listener asks for and verifies a certificate (TLS 1.3), and the dialer to other agents verifies that the peer's certificate is valid for the address called. TLS files that can't be used now end the start of an agent, not its announcement. HTTP inside the connection is unchanged; without files it stays plain TCP.

The certificate files are read at the start only, as for balancers. A caller whose certificate is refused learns it after its request was written (TLS 1.3), so that such a hand-over counts as perhaps sent.

--- a/internal/lab/cluster/authority_test.go
+++ b/internal/lab/cluster/authority_test.go
@@ -62,9 +62,14 @@
 
 // issue returns the files of a process with a certificate for loopback that is valid until the given time.
 func (a *authority) issue(process string, until time.Time) settings.TLS {
+	return a.issueFor(process, until, net.IPv4(127, 0, 0, 1))
+}
+
+// issueFor returns the files of a process with a certificate for an address that is valid until the given time.
+func (a *authority) issueFor(process string, until time.Time, address net.IP) settings.TLS {
 	key := a.newKey()
 	cert := a.sign(&x509.Certificate{
-		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: process}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: process}, IPAddresses: []net.IP{address},
 		NotBefore: time.Now().Add(-2 * time.Hour), NotAfter: until,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
 	}, a.cert, key, a.key)
--- a/pkg/agentd/daemon.go
+++ b/pkg/agentd/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -39,6 +40,8 @@
 	killed    context.Context
 	kill      context.CancelFunc
 	once      sync.Once
+	// tls secures the connections between agents; nil means plain TCP.
+	tls *tls.Config
 }
 
 // New opens the announcement listener. Run waits for the target's announcement and then serves it.
@@ -59,6 +62,10 @@
 		Logger:      o.Env.Log,
 		Scope:       o.Env.Scope,
 	})
+	if err := d.secure(); err != nil {
+		_ = l.Close()
+		return nil, trace.Wrap(err)
+	}
 	if err := d.openControl(); err != nil {
 		_ = l.Close()
 		return nil, trace.Wrap(err)
@@ -80,9 +87,28 @@
 		return trace.Wrap(err, "listen for other agents at %s", addr)
 	}
 	d.control = l
+	if d.tls != nil {
+		d.control = &peerListener{Listener: l, config: d.tls, log: d.o.Env.Log}
+	}
 	return nil
 }
 
+// secure loads the TLS files that the settings name, so that a mistake in them ends the start.
+func (d *Daemon) secure() error {
+	config, err := d.tlsFiles().Load()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	d.tls = config
+	return nil
+}
+
+// tlsFiles returns the TLS files of the settings as the peers' connections take them.
+func (d *Daemon) tlsFiles() peer.TLSConfig {
+	s := d.o.Settings.TLS
+	return peer.TLSConfig{CA: s.CA, Cert: s.Certificate, Key: s.Key}
+}
+
 // controlAddr returns the address at which other agents hand over requests; empty when there is none.
 func (d *Daemon) controlAddr() string {
 	if d.control == nil {
@@ -272,7 +298,7 @@
 			Weight:      a.Weight,
 		},
 		Seeds:    s.Balancers,
-		TLS:      peer.TLSConfig{CA: s.TLS.CA, Cert: s.TLS.Certificate, Key: s.TLS.Key},
+		TLS:      d.tlsFiles(),
 		JoinTime: d.o.JoinTime,
 		Ready:    newReadiness(d.requests.service.Load, s.Name).ready,
 		Load:     func() uint32 { return uint32(p.OpenFlows()) },
--- a/pkg/agentd/requests.go
+++ b/pkg/agentd/requests.go
@@ -122,6 +122,7 @@
 		ClaimRate:   claimRate(s.ObjectAPI.CallsPerSecond, r.agents),
 		ClaimBurst:  ClaimBurst,
 		Peers:       r,
+		DialPeer:    r.dialPeer(),
 		Revision:    r.revision,
 		Recorder:    r.d.refusals,
 		Log:         r.d.o.Env.Log,
@@ -129,6 +130,14 @@
 	}
 }
 
+// dialPeer returns how other agents are reached: by TLS when the settings name its files, else nil for plain TCP.
+func (r *requests) dialPeer() request.DialFunc {
+	if r.d.tls == nil {
+		return nil
+	}
+	return (&peerDialer{config: r.d.tls, log: r.d.o.Env.Log}).DialContext
+}
+
 // store returns the object API for claims; nil when the settings name none.
 func (r *requests) store() objectapi.Store {
 	s := r.d.o.Settings.ObjectAPI
--- a/pkg/peer/credentials.go
+++ b/pkg/peer/credentials.go
@@ -12,12 +12,12 @@
 
 // newCredentials returns the transport credentials of both sides.
 func newCredentials(c TLSConfig, log zerolog.Logger) (credentials.TransportCredentials, error) {
-	if !c.enabled() {
-		return insecure.NewCredentials(), nil
-	}
-	config, err := c.load()
+	config, err := c.Load()
 	if err != nil {
-		return nil, trace.Wrap(err, "load TLS settings")
+		return nil, trace.Wrap(err)
+	}
+	if config == nil {
+		return insecure.NewCredentials(), nil
 	}
 	return &loggedCredentials{TransportCredentials: credentials.NewTLS(config), log: log}, nil
 }
--- a/pkg/peer/tls_config.go
+++ b/pkg/peer/tls_config.go
@@ -24,6 +24,20 @@
 	return c.CA != "" || c.Cert != "" || c.Key != ""
 }
 
+// Load returns the settings of both sides of a mutual TLS connection: a server asks for a certificate of the peer and
+// verifies it, a client verifies the server's. It returns nil when no files are named, and an error when one is missing
+// or holds nothing usable.
+func (c TLSConfig) Load() (*tls.Config, error) {
+	if !c.enabled() {
+		return nil, nil
+	}
+	config, err := c.load()
+	if err != nil {
+		return nil, trace.Wrap(err, "load TLS settings")
+	}
+	return config, nil
+}
+
 // load reads the files. It returns an error when one is missing or holds nothing usable.
 func (c TLSConfig) load() (*tls.Config, error) {
 	pem, err := os.ReadFile(c.CA)
