--- a/pkg/lease/loop.go
+++ b/pkg/lease/loop.go
@@ -63,7 +63,7 @@
 func (l *loop) follow(ctx context.Context) {
 	number, held := l.state.Term(l.clock.Now())
 	if l.active != nil && (!held || l.active.grant.Term != number || l.active.over()) {
-		l.end("lapsed")
+		l.end("expired")
 	}
 	if !held {
 		return
--- a/pkg/request/forward_ticket.go
+++ b/pkg/request/forward_ticket.go
@@ -65,7 +65,7 @@
 	return issuerGone(submission, "the issuing agent can't be reached")
 }
 
-// passAnswer passes the issuer's answer on, whole or visibly cut.
+// passAnswer passes the issuer's answer on, whole, or cut so that the caller sees it.
 func (s *Server) passAnswer(u *submission, res *http.Response) {
 	if runOf(res) != "" {
 		readAnswer(res).send(u.w)
