Mirror the refusal records of a balancer to two others

Ruled out: the write to the store (up), the reader (other records of the run were there). Change: a balancer hands its records to two others, as agents do.

--- a/pkg/balancerd/refusals.go
+++ b/pkg/balancerd/refusals.go
@@ -26,7 +26,7 @@
 	})
 }
 
-// mirror hands this balancer's records to another balancer.
+// mirror hands this balancer's records to other balancers.
 type mirror Daemon
 
 // Mirror implements refusal.Mirror.
@@ -35,11 +35,13 @@
 	if err != nil {
 		return err
 	}
-	holder, err := m.node.Mirror(ctx, b)
+	holders, err := m.node.Mirror(ctx, b)
 	if err != nil {
 		return err
 	}
-	m.holders.add(holder)
+	for _, id := range holders {
+		m.holders.add(id)
+	}
 	return nil
 }
 
--- a/pkg/peer/session.go
+++ b/pkg/peer/session.go
@@ -21,7 +21,7 @@
 	watchCount = 2
 	// announceCount is the number of balancers that an agent announces a change to.
 	announceCount = 2
-	// mirrorCount is the number of balancers that an agent hands its refusal records to.
+	// mirrorCount is the number of balancers that a process hands its refusal records to.
 	mirrorCount = 2
 )
 
