Take the default of a setting by cmp.Or, and each kind of object from package resource

Change: cmp.Or in place of or and orDefault; resource.KindClaim and resource.KindRollout are the only constants. No behaviour changes.

--- a/internal/lab/flows/options.go
+++ b/internal/lab/flows/options.go
@@ -1,6 +1,7 @@
 package flows
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -65,11 +66,11 @@
 }
 
 func (o Options) withDefaults() Options {
-	o.Balancers = orDefault(o.Balancers, DefaultBalancers)
-	o.Flows = orDefault(o.Flows, DefaultFlows)
-	o.Rounds = orDefault(o.Rounds, DefaultRounds)
-	o.Window = orDefault(o.Window, DefaultWindow)
-	o.Uneven = orDefault(o.Uneven, DefaultUneven)
+	o.Balancers = cmp.Or(o.Balancers, DefaultBalancers)
+	o.Flows = cmp.Or(o.Flows, DefaultFlows)
+	o.Rounds = cmp.Or(o.Rounds, DefaultRounds)
+	o.Window = cmp.Or(o.Window, DefaultWindow)
+	o.Uneven = cmp.Or(o.Uneven, DefaultUneven)
 	if o.NewCluster == nil {
 		o.NewCluster = NewDirect
 	}
@@ -96,10 +97,3 @@
 	most := (int(limit.Cur)-spareFiles)/filesOfFlow - shortAtOnce
 	return max(min(n, most), 1)
 }
-
-func orDefault[T int | time.Duration](v, fallback T) T {
-	if v == 0 {
-		return fallback
-	}
-	return v
-}
--- a/pkg/agent/config.go
+++ b/pkg/agent/config.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -64,10 +65,10 @@
 }
 
 func (c Config) withDefaults() Config {
-	c.MTU = orDefault(c.MTU, netstack.DefaultMTU)
-	c.Workers = orDefault(c.Workers, DefaultWorkers)
-	c.DialTimeout = orDefault(c.DialTimeout, DefaultDialTimeout)
-	c.Linger = orDefault(c.Linger, DefaultLinger)
+	c.MTU = cmp.Or(c.MTU, netstack.DefaultMTU)
+	c.Workers = cmp.Or(c.Workers, DefaultWorkers)
+	c.DialTimeout = cmp.Or(c.DialTimeout, DefaultDialTimeout)
+	c.Linger = cmp.Or(c.Linger, DefaultLinger)
 	return c
 }
 
@@ -94,13 +95,6 @@
 	return trace.NewAggregate(errs...)
 }
 
-func orDefault[T int | time.Duration](v, fallback T) T {
-	if v == 0 {
-		return fallback
-	}
-	return v
-}
-
 // encodedAddr is a packet address in its form on the wire.
 type encodedAddr [wire.AddrSize]byte
 
--- a/pkg/arbiter/config.go
+++ b/pkg/arbiter/config.go
@@ -1,6 +1,7 @@
 package arbiter
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 )
@@ -31,15 +32,8 @@
 // withDefaults returns c with its zero fields set and its address in the form that datagrams decode to.
 func (c Config) withDefaults() Config {
 	c.Self = netip.AddrPortFrom(c.Self.Addr().Unmap(), c.Self.Port())
-	c.Window = orDefault(c.Window, DefaultWindow)
-	c.Linger = orDefault(c.Linger, DefaultLinger)
-	c.Idle = orDefault(c.Idle, DefaultIdle)
+	c.Window = cmp.Or(c.Window, DefaultWindow)
+	c.Linger = cmp.Or(c.Linger, DefaultLinger)
+	c.Idle = cmp.Or(c.Idle, DefaultIdle)
 	return c
 }
-
-func orDefault(d, fallback time.Duration) time.Duration {
-	if d == 0 {
-		return fallback
-	}
-	return d
-}
--- a/pkg/balancer/config.go
+++ b/pkg/balancer/config.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -51,13 +52,13 @@
 }
 
 func (c Config) withDefaults() Config {
-	c.Workers = orDefault(c.Workers, DefaultWorkers)
-	c.CachedFlows = orDefault(c.CachedFlows, DefaultCachedFlows)
-	c.CacheTime = orDefault(c.CacheTime, DefaultCacheTime)
-	c.RefusalRate = orDefault(c.RefusalRate, DefaultRefusalRate)
-	c.DrainTime = orDefault(c.DrainTime, DefaultDrainTime)
-	c.StartTime = orDefault(c.StartTime, DefaultStartTime)
-	c.QuietTime = orDefault(c.QuietTime, DefaultQuietTime)
+	c.Workers = cmp.Or(c.Workers, DefaultWorkers)
+	c.CachedFlows = cmp.Or(c.CachedFlows, DefaultCachedFlows)
+	c.CacheTime = cmp.Or(c.CacheTime, DefaultCacheTime)
+	c.RefusalRate = cmp.Or(c.RefusalRate, DefaultRefusalRate)
+	c.DrainTime = cmp.Or(c.DrainTime, DefaultDrainTime)
+	c.StartTime = cmp.Or(c.StartTime, DefaultStartTime)
+	c.QuietTime = cmp.Or(c.QuietTime, DefaultQuietTime)
 	return c
 }
 
@@ -80,10 +81,3 @@
 	}
 	return trace.NewAggregate(errs...)
 }
-
-func orDefault[T int | time.Duration](v, fallback T) T {
-	if v == 0 {
-		return fallback
-	}
-	return v
-}
--- a/pkg/request/claims.go
+++ b/pkg/request/claims.go
@@ -11,11 +11,9 @@
 	"golang.org/x/time/rate"
 
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
+	"github.com/auburnwood/auburnwood/pkg/resource"
 )
 
-// KindClaim is the kind of the objects that bind a caller's key to a ticket.
-const KindClaim objectapi.Kind = "claim"
-
 const (
 	// claimTimeout bounds one call of the object API for a claim.
 	claimTimeout = 500 * time.Millisecond
@@ -57,7 +55,7 @@
 		return claim{}, err
 	}
 	defer cancel()
-	o, err := c.store.Create(ctx, KindClaim, name, offered.encode())
+	o, err := c.store.Create(ctx, resource.KindClaim, name, offered.encode())
 	switch {
 	case err == nil:
 		offered.object = o
@@ -106,12 +104,12 @@
 	var err error
 	for range claimReadBacks {
 		var o objectapi.Object
-		o, err = c.store.Get(ctx, KindClaim, name)
+		o, err = c.store.Get(ctx, resource.KindClaim, name)
 		if err == nil {
 			return decodeClaim(o)
 		}
 		if errors.Is(err, objectapi.ErrNotFound) {
-			o, err = c.store.Create(ctx, KindClaim, name, offered.encode())
+			o, err = c.store.Create(ctx, resource.KindClaim, name, offered.encode())
 			if err == nil {
 				offered.object = o
 				return offered, nil
--- a/pkg/request/options.go
+++ b/pkg/request/options.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -90,14 +91,14 @@
 }
 
 func (o Options) withDefaults() Options {
-	o.Slots = or(o.Slots, DefaultSlots)
-	o.Deadline = or(o.Deadline, DefaultDeadline)
-	o.MaxTimeout = or(o.MaxTimeout, DefaultMaxTimeout)
-	o.Grace = or(o.Grace, DefaultGrace)
-	o.ClaimRate = or(o.ClaimRate, DefaultClaimRate)
-	o.ClaimBurst = or(o.ClaimBurst, max(int(o.ClaimRate), 1))
-	o.RetryRatio = or(o.RetryRatio, limit.DefaultRetryRatio)
-	o.Answers = or(o.Answers, DefaultAnswers)
+	o.Slots = cmp.Or(o.Slots, DefaultSlots)
+	o.Deadline = cmp.Or(o.Deadline, DefaultDeadline)
+	o.MaxTimeout = cmp.Or(o.MaxTimeout, DefaultMaxTimeout)
+	o.Grace = cmp.Or(o.Grace, DefaultGrace)
+	o.ClaimRate = cmp.Or(o.ClaimRate, DefaultClaimRate)
+	o.ClaimBurst = cmp.Or(o.ClaimBurst, max(int(o.ClaimRate), 1))
+	o.RetryRatio = cmp.Or(o.RetryRatio, limit.DefaultRetryRatio)
+	o.Answers = cmp.Or(o.Answers, DefaultAnswers)
 	if o.Peers == nil {
 		o.Peers = noPeers{}
 	}
@@ -120,15 +121,6 @@
 	return o
 }
 
-// or returns v, or fallback when v is zero.
-func or[T comparable](v, fallback T) T {
-	var zero T
-	if v == zero {
-		return fallback
-	}
-	return v
-}
-
 // newRand returns a cryptographic generator, for secrets that callers can't guess.
 func (o Options) newRand() *rand.Rand {
 	if o.Seed != nil {
--- a/pkg/request/server.go
+++ b/pkg/request/server.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -147,8 +148,8 @@
 
 // SetLimits takes a change of the service's limits: the slots of the target, and the time of a request that names none.
 func (s *Server) SetLimits(slots int, deadline time.Duration) {
-	s.patience.Store(int64(or(deadline, DefaultDeadline)))
-	s.wake(s.limiter.SetSlots(s.o.Now(), or(slots, DefaultSlots)))
+	s.patience.Store(int64(cmp.Or(deadline, DefaultDeadline)))
+	s.wake(s.limiter.SetSlots(s.o.Now(), cmp.Or(slots, DefaultSlots)))
 }
 
 // SetQueue takes a change of the highest number of waiting requests; 0 means limit.DefaultQueue.
@@ -157,7 +158,7 @@
 // SetClaimRate takes a change of the highest number of claims a second; 0 means DefaultClaimRate. Claims that were saved
 // up stay.
 func (s *Server) SetClaimRate(perSecond float64) {
-	s.claims.writes.SetLimitAt(s.o.Now(), rate.Limit(or(perSecond, DefaultClaimRate)))
+	s.claims.writes.SetLimitAt(s.o.Now(), rate.Limit(cmp.Or(perSecond, DefaultClaimRate)))
 }
 
 // Drain stops new work: waiting requests go to peers or are refused as not run. It returns when everything that had
--- a/pkg/request/sweep_claims.go
+++ b/pkg/request/sweep_claims.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
+	"github.com/auburnwood/auburnwood/pkg/resource"
 )
 
 // DefaultClaimRetention is how long after the expiry of its ticket a claim is kept. A key that is submitted again after
@@ -17,7 +18,7 @@
 // SweepClaims deletes up to limit claims whose retention is over, and malformed ones, and returns their number. Run it
 // as a duty under a lease, with a limit that fits the object API's writes; a second run at the same time does no harm.
 func SweepClaims(ctx context.Context, store objectapi.Store, now time.Time, retention time.Duration, limit int) (int, error) {
-	objects, _, err := store.List(ctx, KindClaim)
+	objects, _, err := store.List(ctx, resource.KindClaim)
 	if err != nil {
 		return 0, trace.Wrap(err, "list claims")
 	}
@@ -30,7 +31,7 @@
 		if err == nil && now.Before(c.ticket.Expiry.Add(retention)) {
 			continue
 		}
-		err = store.Delete(ctx, KindClaim, o.Name, o.Version)
+		err = store.Delete(ctx, resource.KindClaim, o.Name, o.Version)
 		if errors.Is(err, objectapi.ErrConflict) || errors.Is(err, objectapi.ErrNotFound) {
 			continue
 		}
--- a/pkg/revision/compiler.go
+++ b/pkg/revision/compiler.go
@@ -1,6 +1,7 @@
 package revision
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -87,24 +88,16 @@
 	if d.Metrics == nil {
 		d.Metrics = tally.NoopScope
 	}
-	d.Window = or(d.Window, DefaultWindow)
-	d.Interval = or(d.Interval, DefaultInterval)
-	d.Resync = or(d.Resync, DefaultResync)
-	d.Keep = or(d.Keep, DefaultKeep)
-	d.ReadRate = or(d.ReadRate, DefaultReadRate)
-	d.StatusRate = or(d.StatusRate, DefaultStatusRate)
-	d.StatusInterval = or(d.StatusInterval, DefaultStatusInterval)
+	d.Window = cmp.Or(d.Window, DefaultWindow)
+	d.Interval = cmp.Or(d.Interval, DefaultInterval)
+	d.Resync = cmp.Or(d.Resync, DefaultResync)
+	d.Keep = cmp.Or(d.Keep, DefaultKeep)
+	d.ReadRate = cmp.Or(d.ReadRate, DefaultReadRate)
+	d.StatusRate = cmp.Or(d.StatusRate, DefaultStatusRate)
+	d.StatusInterval = cmp.Or(d.StatusInterval, DefaultStatusInterval)
 	return d
 }
 
-func or[T comparable](v, fallback T) T {
-	var zero T
-	if v == zero {
-		return fallback
-	}
-	return v
-}
-
 type noAcks struct{}
 
 func (noAcks) InForce(uint64) (int, int) { return 0, 0 }
--- a/pkg/rollout/record.go
+++ b/pkg/rollout/record.go
@@ -11,7 +11,7 @@
 )
 
 // Kind is the kind of the objects that hold the state of a rollout; their names are the services' names.
-const Kind objectapi.Kind = "rollout"
+const Kind = resource.KindRollout
 
 // Record is the content of a rollout object, written under the rollout lease.
 type Record struct {
