Let balancers and agents hand over refusal records by one loop

Cause: Node.Mirror and Session.Mirror had the same loop over addresses. Change: mirrorToSome serves both.

--- a/pkg/peer/node_mirror.go
+++ b/pkg/peer/node_mirror.go
@@ -12,22 +12,38 @@
 // other answers. It returns the IDs of those that took them, and an error when none did.
 func (n *Node) Mirror(ctx context.Context, records []byte) ([]string, error) {
 	request := &peerpb.MirrorRefusalsRequest{Id: n.cfg.Self.ID, Records: records}
-	errs := []error{trace.NotFound("no peer is known")}
-	var holders []string
-	for _, p := range n.pick(pushFanOut) {
-		if len(holders) == mirrorCount {
+	peers := n.pick(pushFanOut)
+	addrs := make([]string, 0, len(peers))
+	for _, p := range peers {
+		addrs = append(addrs, p.ControlAddr)
+	}
+	taken, err := mirrorToSome(ctx, n.dialer, addrs, request)
+	holders := make([]string, 0, len(taken))
+	for _, i := range taken {
+		holders = append(holders, peers[i].ID)
+	}
+	return holders, err
+}
+
+// mirrorToSome tries the addresses in turn until mirrorCount have taken the records. It returns the indexes of those that
+// did, and an error when none did.
+func mirrorToSome(ctx context.Context, d *dialer, addrs []string, request *peerpb.MirrorRefusalsRequest) ([]int, error) {
+	err := error(trace.NotFound("no balancer is known"))
+	var taken []int
+	for i, addr := range addrs {
+		if len(taken) == mirrorCount {
 			break
 		}
-		if err := mirrorTo(ctx, n.dialer, p.ControlAddr, request); err != nil {
-			errs = append(errs, err)
+		if e := mirrorTo(ctx, d, addr, request); e != nil {
+			err = e
 			continue
 		}
-		holders = append(holders, p.ID)
+		taken = append(taken, i)
 	}
-	if len(holders) > 0 {
-		return holders, nil
+	if len(taken) > 0 {
+		return taken, nil
 	}
-	return nil, trace.Wrap(errs[len(errs)-1], "mirror refusal records")
+	return nil, trace.Wrap(err, "mirror refusal records")
 }
 
 func mirrorTo(ctx context.Context, d *dialer, addr string, request *peerpb.MirrorRefusalsRequest) error {
--- a/pkg/peer/session.go
+++ b/pkg/peer/session.go
@@ -113,22 +113,8 @@
 // tries the balancers in turn and returns an error when none took them; readers leave out what was taken twice.
 func (s *Session) Mirror(ctx context.Context, records []byte) error {
 	request := &peerpb.MirrorRefusalsRequest{Id: s.cfg.Self.ID, Records: records}
-	err := error(trace.NotFound("no balancer is known"))
-	taken := 0
-	for _, addr := range s.addrs() {
-		if taken == mirrorCount {
-			break
-		}
-		if e := mirrorTo(ctx, s.dialer, addr, request); e != nil {
-			err = e
-			continue
-		}
-		taken++
-	}
-	if taken > 0 {
-		return nil
-	}
-	return trace.Wrap(err, "mirror refusal records")
+	_, err := mirrorToSome(ctx, s.dialer, s.addrs(), request)
+	return err
 }
 
 // Run runs the session until ctx ends. It then tells the balancers that the agent has left.
