Use one mapping of status codes and one fault injector; count datagrams that the VM refuses to send

A comment said that failed sends are counted; they were not. Ruled out: sharing the whole client, since addresses, encoding and pages of the two protocols differ.

--- a/pkg/dsr/dispatch/agent.go
+++ b/pkg/dsr/dispatch/agent.go
@@ -10,10 +10,8 @@
 // agent is what the balancer believes of one agent and its target.
 type agent struct {
 	addr        netip.AddrPort
-	name        string
 	dataCentre  string
 	service     string
-	target      string
 	state       dsrpb.State
 	slots       int
 	incarnation uint64
--- a/pkg/dsr/dispatch/agents.go
+++ b/pkg/dsr/dispatch/agents.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
@@ -66,7 +67,7 @@
 	}
 	before := a.state
 	// The message refers to the receive buffer.
-	a.name, a.dataCentre, a.service, a.target = string([]byte(n.Name)), string([]byte(n.DataCentre)), string([]byte(m.Service)), string([]byte(n.Target))
+	a.dataCentre, a.service = strings.Clone(n.DataCentre), strings.Clone(m.Service)
 	a.state, a.slots, a.incarnation = n.State, int(n.Slots), n.Incarnation
 	a.warmedUp = now.Add(time.Duration(n.WarmUpMs) * time.Millisecond)
 	a.report(now, m.Busy)
--- a/pkg/dsr/dispatch/choose.go
+++ b/pkg/dsr/dispatch/choose.go
@@ -16,9 +16,9 @@
 }
 
 // choose returns the next agent for a new flow that tried others before, or nothing when no agent is worth asking.
-func (b *Balancer) choose(now time.Time, f *flowState, hash uint64) (choice, bool) {
+func (b *Balancer) choose(now time.Time, f *flowState) (choice, bool) {
 	if f.patience == dsrpb.Patience_PATIENCE_FREE_SLOT && len(f.tried) < MaxTries {
-		if a := b.best(now, f, hash, true); a != nil {
+		if a := b.best(now, f, true); a != nil {
 			return choice{agent: a, patience: dsrpb.Patience_PATIENCE_FREE_SLOT}, true
 		}
 	}
@@ -29,7 +29,7 @@
 	if len(f.tried)-len(f.failed) >= MaxTries {
 		return choice{}, false
 	}
-	if a := b.best(now, f, hash, false); a != nil {
+	if a := b.best(now, f, false); a != nil {
 		return choice{agent: a, patience: dsrpb.Patience_PATIENCE_QUEUE}, true
 	}
 	return choice{}, false
@@ -37,7 +37,7 @@
 
 // best returns the untried agent with the lowest load; with free set, one that seems to have a free slot, in the own data
 // centre where there is one. Suspect agents come last.
-func (b *Balancer) best(now time.Time, f *flowState, hash uint64, free bool) *agent {
+func (b *Balancer) best(now time.Time, f *flowState, free bool) *agent {
 	var best *agent
 	var bestRank rank
 	for _, a := range b.order {
@@ -47,7 +47,7 @@
 		if free && (a.suspect || !a.free(now)) {
 			continue
 		}
-		r := b.rank(now, a, hash, free)
+		r := b.rank(now, a, f.hash, free)
 		if best == nil || r.before(bestRank) {
 			best, bestRank = a, r
 		}
--- a/pkg/dsr/dispatch/opening.go
+++ b/pkg/dsr/dispatch/opening.go
@@ -104,7 +104,7 @@
 
 // offerNext offers a new flow to the next agent, or refuses it.
 func (b *Balancer) offerNext(now time.Time, f *flowState) {
-	c, ok := b.choose(now, f, f.hash)
+	c, ok := b.choose(now, f)
 	if !ok {
 		b.nobody(now, f)
 		return
--- a/pkg/dsr/ownership/table.go
+++ b/pkg/dsr/ownership/table.go
@@ -30,7 +30,7 @@
 	// queue holds the flows in phase queued; pace is the target's work for one request.
 	queue admission.Queue
 	pace  time.Duration
-	// due are the flows in that are looked at after a time, in order of their time.
+	// due are the flows that are looked at after a time, in order of their time.
 	due []waiting
 	// notHeld are flows that the target has returned since the agent started.
 	notHeld map[flow.Key]time.Time
--- a/pkg/dsrd/agent.go
+++ b/pkg/dsrd/agent.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "reading outbound_address")
 	}
-	if a.outbound, err = listenUDP(outbound, env.Log); err != nil {
+	if a.outbound, err = listenUDP(outbound, env); err != nil {
 		return nil, err
 	}
 	a.out = newAgentOutput(a)
--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -58,11 +58,11 @@
 	if err != nil {
 		return nil, err
 	}
-	ip := n.packets.conn.LocalAddr().(interface{ AddrPort() netip.AddrPort }).AddrPort().Addr().Unmap()
-	if n.messages, err = listenUDP(netip.AddrPortFrom(ip, n.messagePort), env.Log); err != nil {
+	ip := n.packets.address().Addr()
+	if n.messages, err = listenUDP(netip.AddrPortFrom(ip, n.messagePort), env); err != nil {
 		return nil, err
 	}
-	n.self = netip.AddrPortFrom(ip, localPort(n.messages))
+	n.self = n.messages.address()
 	b := &Balancer{node: n, cfg: cfg, welcomed: make(map[netip.AddrPort]time.Time), asking: true}
 	b.refusals = refusal.NewLog(refusal.Config{
 		Process:     cfg.Name,
--- a/pkg/dsrd/node.go
+++ b/pkg/dsrd/node.go
@@ -60,14 +60,13 @@
 		scope:       env.Scope,
 		started:     time.Now(),
 		messagePort: uint16(cfg.MessagePort),
-		callerPort:  packets.Port(),
 		alarm:       newAlarm(),
 		buffer:      make([]byte, maxDatagram),
 	}
-	if n.packets, err = listenUDP(packets, env.Log); err != nil {
+	if n.packets, err = listenUDP(packets, env); err != nil {
 		return nil, err
 	}
-	n.callerPort = localPort(n.packets)
+	n.callerPort = n.packets.address().Port()
 	n.life, n.end = context.WithCancel(context.Background())
 	return n, nil
 }
@@ -75,10 +74,6 @@
 // Close ends the daemon at once: it does not leave, and nobody is told.
 func (n *node) Close() { n.end() }
 
-func localPort(s *socket) uint16 {
-	return s.conn.LocalAddr().(interface{ AddrPort() netip.AddrPort }).AddrPort().Port()
-}
-
 // seeds are the message addresses of the balancers that the settings name.
 func (n *node) seeds() []netip.AddrPort {
 	var out []netip.AddrPort
--- a/pkg/dsrd/socket.go
+++ b/pkg/dsrd/socket.go
@@ -5,10 +5,14 @@
 	"errors"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/auburnwood/auburnwood/pkg/telemetry"
 )
 
 const (
@@ -22,19 +26,22 @@
 
 // socket is a bound UDP socket.
 type socket struct {
-	conn *net.UDPConn
-	log  zerolog.Logger
+	conn   *net.UDPConn
+	log    zerolog.Logger
+	unsent tally.Counter
+	// failing is set while the last datagram could not be sent.
+	failing atomic.Bool
 }
 
-func listenUDP(address netip.AddrPort, log zerolog.Logger) (*socket, error) {
+func listenUDP(address netip.AddrPort, env telemetry.Env) (*socket, error) {
 	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
 	if err != nil {
 		return nil, trace.Wrap(err, "listening on UDP %s", address)
 	}
 	if err := c.SetReadBuffer(readBuffer); err != nil {
-		log.Warn().Err(err).Str("op", "listen").Stringer("address", address).Msg("the receive buffer keeps its size")
+		env.Log.Warn().Err(err).Str("op", "listen").Stringer("address", address).Msg("the receive buffer keeps its size")
 	}
-	return &socket{conn: c, log: log}, nil
+	return &socket{conn: c, log: env.Log, unsent: env.Scope.Counter("dsr_unsent_datagrams")}, nil
 }
 
 // read hands each datagram to handle until the context ends. The bytes are valid only during the call.
@@ -56,8 +63,22 @@
 	}
 }
 
-// write sends a datagram. A lost datagram is repeated by those who need it, so that an error is only counted.
-func (s *socket) write(to netip.AddrPort, b []byte) bool {
+// address is where the socket is bound.
+func (s *socket) address() netip.AddrPort {
+	a := s.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
+
+// write sends a datagram. A lost datagram is repeated by those who need it, so that an error is only counted, and the first
+// of a row is logged.
+func (s *socket) write(to netip.AddrPort, b []byte) {
 	_, err := s.conn.WriteToUDPAddrPort(b, to)
-	return err == nil
+	if err == nil {
+		s.failing.Store(false)
+		return
+	}
+	s.unsent.Inc(1)
+	if !s.failing.Swap(true) {
+		s.log.Warn().Err(err).Str("op", "send").Stringer("address", s.conn.LocalAddr()).Stringer("peer", to).Msg("a datagram could not be sent")
+	}
 }
--- a/pkg/objectapi/client.go
+++ b/pkg/objectapi/client.go
@@ -181,7 +181,7 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return Fail(k.op, k.kind, k.name, c.base, lostAnswer(k.op, sent.Load()), err)
+		return Fail(k.op, k.kind, k.name, c.base, Unanswered(k.op, sent.Load()), err)
 	}
 	defer resp.Body.Close() //nolint:errcheck // The body was read or is given up.
 	return c.read(k, resp)
@@ -190,7 +190,7 @@
 // read takes the answer apart.
 func (c *Client) read(k call, resp *http.Response) error {
 	if resp.StatusCode/100 != 2 {
-		return Fail(k.op, k.kind, k.name, c.base, errorOf(k.op, resp.StatusCode), detailOf(resp))
+		return Fail(k.op, k.kind, k.name, c.base, ErrorOfStatus(k.op, resp.StatusCode), detailOf(resp))
 	}
 	if k.answer == nil {
 		return nil
@@ -200,7 +200,7 @@
 		limit = maxListSize
 	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, limit)).Decode(k.answer); err != nil {
-		return Fail(k.op, k.kind, k.name, c.base, lostAnswer(k.op, true), err)
+		return Fail(k.op, k.kind, k.name, c.base, Unanswered(k.op, true), err)
 	}
 	return nil
 }
@@ -212,8 +212,9 @@
 	return c.callTimeout
 }
 
-// lostAnswer is the typed error of a call without a whole answer.
-func lostAnswer(op Op, sent bool) error {
+// Unanswered is the typed error of a call without a whole answer; sent is set when the store may have got it. A write may
+// then have been done, or may still be.
+func Unanswered(op Op, sent bool) error {
 	if sent && op.Writes() {
 		return ErrOutcomeUnknown
 	}
--- a/pkg/objectapi/protocol.go
+++ b/pkg/objectapi/protocol.go
@@ -53,9 +53,9 @@
 	return http.StatusInternalServerError
 }
 
-// errorOf maps a status code other than success to a typed error. A code that does not say whether the write was done
+// ErrorOfStatus maps a status code other than success to a typed error. A code that does not say whether the write was done
 // is ErrOutcomeUnknown for a write.
-func errorOf(op Op, status int) error {
+func ErrorOfStatus(op Op, status int) error {
 	switch status {
 	case http.StatusNotFound:
 		return ErrNotFound
--- a/pkg/objectapi/storetest/store_test.go
+++ b/pkg/objectapi/storetest/store_test.go
@@ -9,41 +9,9 @@
 	"github.com/auburnwood/auburnwood/pkg/objectapi/storetest"
 )
 
-// injector sets the faults of the stand-in.
-type injector struct {
-	store *store.Store
-	f     store.Faults
-}
-
-func (i *injector) Refuse(on bool) {
-	i.f.Outage = on
-	i.store.SetFaults(i.f)
-}
-
-func (i *injector) LoseAnswers(n int) {
-	f := i.f
-	f.LoseNext = n
-	i.store.SetFaults(f)
-}
-
-func (i *injector) DropWrites(on bool) {
-	i.f.DropShare = 0
-	if on {
-		i.f.DropShare = 1
-	}
-	i.store.SetFaults(i.f)
-}
-
-func (i *injector) ExpireWatches() { i.store.CutHistory() }
-
-func (i *injector) Repeat(n int) {
-	i.f.Duplicate = n
-	i.store.SetFaults(i.f)
-}
-
 func memory(*testing.T) (objectapi.Store, storetest.Injector) {
 	s := store.New(store.Config{})
-	return s, &injector{store: s}
+	return s, store.NewInjector(s)
 }
 
 func overHTTP(t *testing.T) (objectapi.Store, storetest.Injector) {
@@ -51,7 +19,7 @@
 	srv := httptest.NewServer(store.Handler(s))
 	t.Cleanup(srv.Close)
 	t.Cleanup(srv.CloseClientConnections)
-	return objectapi.NewClient(srv.URL, objectapi.Options{}), &injector{store: s}
+	return objectapi.NewClient(srv.URL, objectapi.Options{}), store.NewInjector(s)
 }
 
 // budgeted has a rate that the suite cannot reach, to test that wrapping keeps the contract.
