auburnwoodctl speaks to the platform's store and finds a refusal by its flow

Cause: on the platform the records of refusals could only be found by reading objects by hand, and the number that log lines and records share could not be asked for. Ruled out: a second tool, since the records and their reader are the same.

--- a/cmd/auburnwoodctl/main.go
+++ b/cmd/auburnwoodctl/main.go
@@ -11,6 +11,7 @@
 	"github.com/auburnwood/auburnwood/pkg/ctl"
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
 	"github.com/auburnwood/auburnwood/pkg/refusal"
+	"github.com/auburnwood/auburnwood/platform"
 )
 
 func main() {
@@ -39,7 +40,13 @@
 )
 
 // open returns the object API at a URL, with reads that are tried again within a budget.
-func open(server string, timeout time.Duration) objectapi.Store {
-	client := objectapi.NewClient(server, objectapi.Options{CallTimeout: timeout})
+func open(p ctl.Protocol, server string, timeout time.Duration) objectapi.Store {
+	var client objectapi.Store
+	switch p {
+	case ctl.ProtocolPlatform:
+		client = platform.NewStore(server, platform.StoreOptions{CallTimeout: timeout})
+	default:
+		client = objectapi.NewClient(server, objectapi.Options{CallTimeout: timeout})
+	}
 	return objectapi.NewBudgeted(client, objectapi.BudgetConfig{Rate: callRate, Burst: callBurst})
 }
--- a/pkg/ctl/app.go
+++ b/pkg/ctl/app.go
@@ -29,8 +29,8 @@
 	// Stdin, Stdout and Stderr are the streams of the process.
 	Stdin          io.Reader
 	Stdout, Stderr io.Writer
-	// Open returns the object API at a URL, whose calls end after timeout.
-	Open func(server string, timeout time.Duration) objectapi.Store
+	// Open returns the object API at a URL that speaks the protocol, whose calls end after timeout.
+	Open func(p Protocol, server string, timeout time.Duration) objectapi.Store
 	// Refusals returns a reader of the refusal records in a store.
 	Refusals func(objectapi.Store) RefusalReader
 	// Now is the clock.
@@ -39,10 +39,11 @@
 
 // globalFlags are the options of every command.
 type globalFlags struct {
-	Server  string        `long:"server" env:"AUBURNWOOD_SERVER" value-name:"URL" description:"Base URL of the object API"`
-	Timeout time.Duration `long:"timeout" default:"10s" value-name:"TIME" description:"Longest time of one call"`
-	Output  string        `short:"o" long:"output" choice:"table" choice:"json" default:"table" description:"Form of the output"`
-	Version bool          `long:"version" description:"Print the version and exit"`
+	Server   string        `long:"server" env:"AUBURNWOOD_SERVER" value-name:"URL" description:"Base URL of the object API"`
+	Protocol Protocol      `long:"protocol" env:"AUBURNWOOD_PROTOCOL" choice:"object-api" choice:"platform" default:"object-api" description:"What the server speaks"`
+	Timeout  time.Duration `long:"timeout" default:"10s" value-name:"TIME" description:"Longest time of one call"`
+	Output   string        `short:"o" long:"output" choice:"table" choice:"json" default:"table" description:"Form of the output"`
+	Version  bool          `long:"version" description:"Print the version and exit"`
 }
 
 // command is one command with its options.
--- a/pkg/ctl/app_test.go
+++ b/pkg/ctl/app_test.go
@@ -50,7 +50,7 @@
 		Stdin:    strings.NewReader(d.stdin),
 		Stdout:   &d.out,
 		Stderr:   &d.errs,
-		Open:     func(string, time.Duration) objectapi.Store { return d.store },
+		Open:     func(Protocol, string, time.Duration) objectapi.Store { return d.store },
 		Refusals: func(objectapi.Store) RefusalReader { return d },
 		Now:      func() time.Time { return d.clockAt },
 	}
--- a/pkg/ctl/explain.go
+++ b/pkg/ctl/explain.go
@@ -18,6 +18,7 @@
 	Service string        `long:"service" value-name:"NAME" description:"Name of the service"`
 	Reason  string        `long:"reason" value-name:"REASON" description:"Reason of the refusal, for example no-target"`
 	ID      string        `long:"id" value-name:"ID" description:"ID of one refusal, as the caller was told it"`
+	Flow    uint64        `long:"flow" value-name:"HASH" description:"Flow of one refusal, as the log lines of balancers and agents name it"`
 	Since   time.Duration `long:"since" default:"1h" value-name:"TIME" description:"Look back this long from --to"`
 	From    string        `long:"from" value-name:"TIME" description:"Earliest time, as in RFC 3339; replaces --since"`
 	To      string        `long:"to" value-name:"TIME" description:"Latest time, as in RFC 3339; by default now"`
@@ -42,7 +43,7 @@
 
 // query turns the options into a query.
 func (c *explainCommand) query(now time.Time) (refusal.Query, error) {
-	q := refusal.Query{To: now, Service: c.Service, Reason: refusal.Reason(c.Reason), ID: c.ID}
+	q := refusal.Query{To: now, Service: c.Service, Reason: refusal.Reason(c.Reason), ID: c.ID, Flow: c.Flow}
 	var err error
 	if c.To != "" {
 		if q.To, err = parseTime("--to", c.To); err != nil {
--- a/pkg/ctl/http_test.go
+++ b/pkg/ctl/http_test.go
@@ -29,7 +29,7 @@
 		a := App{
 			Stdout: &out,
 			Stderr: &errs,
-			Open: func(url string, timeout time.Duration) objectapi.Store {
+			Open: func(_ Protocol, url string, timeout time.Duration) objectapi.Store {
 				return objectapi.NewClient(url, objectapi.Options{CallTimeout: timeout})
 			},
 			Refusals: func(s objectapi.Store) RefusalReader { return refusal.NewReader(s) },
--- a/pkg/ctl/session.go
+++ b/pkg/ctl/session.go
@@ -34,7 +34,7 @@
 	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
 		return nil, &usageError{reason: fmt.Sprintf("server %q is not a URL such as http://127.0.0.1:8080", s.flags.Server)}
 	}
-	return s.app.Open(s.flags.Server, s.flags.Timeout), nil
+	return s.app.Open(s.flags.Protocol, s.flags.Server, s.flags.Timeout), nil
 }
 
 // json reports whether the output is JSON.
--- a/pkg/refusal/reader.go
+++ b/pkg/refusal/reader.go
@@ -28,6 +28,8 @@
 	Reason Reason
 	// ID selects the one record that holds this refusal, with the most details when there are copies.
 	ID string
+	// Flow selects refusals of the flow with this hash, as log lines name it; 0 selects all. A merged record names no flow.
+	Flow uint64
 }
 
 // Answer is what a query found.
@@ -152,6 +154,8 @@
 		return false
 	case q.Reason != "" && q.Reason != r.Reason:
 		return false
+	case q.Flow != 0 && (q.Flow != r.Flow || r.Count > 1):
+		return false
 	}
 	return !q.Caller.IsValid() || matchesCaller(q.Caller, r)
 }
