Bound every kind of log line by a stated rate, and count what is left out

Cause: lines of refusals and changes were bounded by the output's speed only, so that anybody who sends packets that must be refused chose the volume. Ruled out: merging refusals in the log, since each line is what an engineer finds by its flow. Before: no bound in lines a second for warnings.

--- a/pkg/telemetry/log_writer.go
+++ b/pkg/telemetry/log_writer.go
@@ -12,10 +12,14 @@
 // Bounds of a daemon's log.
 const (
 	// RoutineLinesPerSecond and RoutineBurst bound the lines of level info and below: a line costs about 3 us, so that at
-	// the bound logging takes a thousandth of a processor. Lines of warnings and errors, which refusals, changes of belief
-	// and dependencies have, are not bounded by it.
+	// the bound logging takes a thousandth of a processor.
 	RoutineLinesPerSecond = 400
 	RoutineBurst          = 800
+	// ImportantLinesPerSecond and ImportantBurst bound the lines of warnings and errors, which refusals, changes of belief and
+	// dependencies have. Anybody can send packets that have to be refused; at the bound logging takes about one hundredth of a
+	// processor. A change of every agent of a large data centre fits into the burst.
+	ImportantLinesPerSecond = 2000
+	ImportantBurst          = 4000
 	// logQueue is the number of lines that wait for the output; routine lines may take half of it.
 	logQueue = 4096
 	// flushTime bounds the writing of what is left when the daemon ends.
@@ -31,9 +35,9 @@
 	done  chan struct{}
 	now   func() time.Time
 
-	mu     sync.Mutex
-	tokens float64
-	filled time.Time
+	mu        sync.Mutex
+	routine   lineBudget
+	important lineBudget
 
 	droppedRoutine   atomic.Uint64
 	droppedImportant atomic.Uint64
@@ -43,12 +47,13 @@
 
 // NewLogWriter starts writing to w.
 func NewLogWriter(w io.Writer) *LogWriter {
+	now := time.Now()
 	l := &LogWriter{
-		lines:  make(chan []byte, logQueue),
-		done:   make(chan struct{}),
-		now:    time.Now,
-		tokens: RoutineBurst,
-		filled: time.Now(),
+		lines:     make(chan []byte, logQueue),
+		done:      make(chan struct{}),
+		now:       time.Now,
+		routine:   newLineBudget(now, RoutineLinesPerSecond, RoutineBurst),
+		important: newLineBudget(now, ImportantLinesPerSecond, ImportantBurst),
 	}
 	go l.run(w)
 	return l
@@ -62,8 +67,8 @@
 // WriteLevel implements zerolog.LevelWriter. It never blocks.
 func (l *LogWriter) WriteLevel(level zerolog.Level, p []byte) (int, error) {
 	routine := level <= zerolog.InfoLevel
-	if routine && (len(l.lines) >= logQueue/2 || !l.allow()) {
-		l.droppedRoutine.Add(1)
+	if !l.allow(routine) {
+		l.drop(routine)
 		return len(p), nil
 	}
 	select {
@@ -82,18 +87,17 @@
 	l.droppedImportant.Add(1)
 }
 
-// allow takes one token for a routine line.
-func (l *LogWriter) allow() bool {
+// allow reports whether a line may be written now.
+func (l *LogWriter) allow(routine bool) bool {
+	if routine && len(l.lines) >= logQueue/2 {
+		return false
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.now()
-	l.tokens = min(RoutineBurst, l.tokens+RoutineLinesPerSecond*now.Sub(l.filled).Seconds())
-	l.filled = now
-	if l.tokens < 1 {
-		return false
+	if routine {
+		return l.routine.allow(l.now())
 	}
-	l.tokens--
-	return true
+	return l.important.allow(l.now())
 }
 
 // Dropped returns the numbers of lines that were left out since the start: routine ones and others.
--- a/pkg/telemetry/log_writer_test.go
+++ b/pkg/telemetry/log_writer_test.go
@@ -37,7 +37,8 @@
 	l := NewLogWriter(&out)
 	start := time.Unix(1000, 0)
 	l.mu.Lock()
-	l.now, l.filled = func() time.Time { return start }, start
+	l.now = func() time.Time { return start }
+	l.routine.filled, l.important.filled = start, start
 	l.mu.Unlock()
 	log := zerolog.New(l)
 	for range RoutineBurst + 100 {
@@ -54,16 +55,43 @@
 	require.Equal(t, []uint64{100, 0}, []uint64{routine, important})
 }
 
-func TestRoutineLinesComeBackWithTime(t *testing.T) {
-	l := NewLogWriter(io.Discard)
-	now := time.Unix(1000, 0)
-	l.now, l.filled, l.tokens = func() time.Time { return now }, now, 0
-	require.False(t, l.allow())
-	now = now.Add(time.Second)
-	for range RoutineLinesPerSecond {
-		require.True(t, l.allow())
+func TestEitherKindOfLineComesBackWithTime(t *testing.T) {
+	for routine, rate := range map[bool]int{true: RoutineLinesPerSecond, false: ImportantLinesPerSecond} {
+		l := NewLogWriter(io.Discard)
+		now := time.Unix(1000, 0)
+		l.now = func() time.Time { return now }
+		l.routine.filled, l.routine.tokens = now, 0
+		l.important.filled, l.important.tokens = now, 0
+		require.False(t, l.allow(routine))
+		now = now.Add(time.Second)
+		for range rate {
+			require.True(t, l.allow(routine))
+		}
+		require.False(t, l.allow(routine))
+		l.Close()
 	}
-	require.False(t, l.allow())
+}
+
+// Whatever comes in, a second's lines are bounded, and each line that is left out is counted.
+func TestAFloodOfRefusalsIsBoundedAndCounted(t *testing.T) {
+	var out lockedBuffer
+	l := NewLogWriter(&out)
+	start := time.Now()
+	l.mu.Lock()
+	l.now = func() time.Time { return start }
+	l.routine.filled, l.important.filled = start, start
+	l.mu.Unlock()
+	log := zerolog.New(l)
+	const flood = ImportantBurst + 500
+	for range flood {
+		log.Warn().Msg("refused")
+	}
+	l.Close()
+	written := strings.Count(out.String(), `"refused"`)
+	_, important := l.Dropped()
+	require.LessOrEqual(t, written, ImportantBurst)
+	require.Equal(t, flood, written+int(important))
+	require.Contains(t, out.String(), fmt.Sprintf(`"dropped_important":%d`, important))
 }
 
 func BenchmarkLogWriter(b *testing.B) {
