Ask nobody for the owner of a copied opening packet, and search for owners by service within a budget of messages

Cause: after all processes lost power on the grown deployments, overload went on for 14 s. All that comes then are copies of opening packets, each of which asked all 54 agents for an owner; the balancers have links of 10 Mbit/s. Ruled out: processor time (0.04 of 0.19 cores at most); the queue (a trial without the search alone went back to normal within 4 s). Change: copies are placed like new flows; a search asks the agents of the address's services first, then the others; the budget counts messages, and asking again counts too. Conclusion: costs that grow with the number of agents have to be measured on a large deployment.

--- a/pkg/dsr/dispatch/answers.go
+++ b/pkg/dsr/dispatch/answers.go
@@ -40,14 +40,8 @@
 
 // opened sends what waited for the owner.
 func (b *Balancer) opened(now time.Time, f *flowState) {
-	searched := f.phase == locating
 	f.phase, f.since = open, now
-	packet := f.packet
-	f.packet, f.tried, f.failed, f.unknown = nil, nil, nil, nil
-	if searched && packet != nil {
-		// The copy of the opening packet that was held back makes the target repeat its answer.
-		b.forward(now, f, f.owners[0].agent, packet, true, dsrpb.Patience_PATIENCE_QUEUE)
-	}
+	f.packet, f.tried, f.failed, f.unknown, f.unanswered = nil, nil, nil, nil, nil
 	held := f.held
 	f.held = nil
 	for _, raw := range held {
--- a/pkg/dsr/dispatch/balancer.go
+++ b/pkg/dsr/dispatch/balancer.go
@@ -33,10 +33,10 @@
 	probes  []due
 	parks   []due
 	swept   time.Time
-	// searches is the number of searches that may be made now, searchesAt when it was worked out.
-	searches   float64
-	searchesAt time.Time
-	message    dsrpb.Message
+	// searchMessages is the number of messages that searches may send now, searchedAt when it was worked out.
+	searchMessages float64
+	searchedAt     time.Time
+	message        dsrpb.Message
 }
 
 // NewBalancer returns a balancer without routes, agents or flows.
@@ -50,8 +50,8 @@
 		flows:   make(map[flow.Key]*flowState),
 		swept:   now,
 
-		searches:   SearchBurst,
-		searchesAt: now,
+		searchMessages: SearchBurst,
+		searchedAt:     now,
 	}
 }
 
--- a/pkg/dsr/dispatch/balancer_test.go
+++ b/pkg/dsr/dispatch/balancer_test.go
@@ -367,12 +367,19 @@
 	}
 	require.Len(t, f.take(), SearchBurst)
 	require.Equal(t, SearchBurst, f.b.Flows(), "nothing is kept of the rest")
-	f.pass(time.Second)
+	f.pass(LocateTimeout)
+	require.LessOrEqual(t, len(f.take()), int(LocateTimeout.Seconds()*SearchMessagesPerSecond), "asking again has no budget of its own")
+	for range LocateRounds {
+		f.pass(LocateTimeout)
+	}
 	f.take()
-	for port := range 2 * SearchesPerSecond {
+	f.b.searchMessages, f.b.searchedAt = 0, f.now
+	f.now = f.now.Add(time.Second)
+	for port := range 2 * SearchMessagesPerSecond {
 		f.data(port+20000, 1001, "garbage")
 	}
-	require.Len(t, f.take(), SearchesPerSecond)
+	require.Len(t, f.take(), SearchMessagesPerSecond)
+	f.ready(1, "dc-1", 0)
 	f.open(50000)
 	require.Equal(t, dsrpb.Kind_KIND_FORWARD, f.asked().kind, "new flows are placed all the same")
 }
--- a/pkg/dsr/dispatch/config.go
+++ b/pkg/dsr/dispatch/config.go
@@ -12,10 +12,12 @@
 	// ProbeTimeout is how long an agent may take to say whether its target returned a packet: the 20 ms that the agent
 	// waits for its target, and a round trip.
 	ProbeTimeout = 35 * time.Millisecond
-	// SearchesPerSecond and SearchBurst bound the searches of one balancer, since each asks every agent and anybody can send
-	// packets of flows that do not exist. The burst covers the open flows of a busy balancer that another one takes over.
-	SearchesPerSecond = 500
-	SearchBurst       = 2000
+	// SearchMessagesPerSecond and SearchBurst bound the questions of one balancer about owners, since a search asks every
+	// agent of a service and anybody can send packets of flows that do not exist. A question and its answer take about 250
+	// bytes: 2,000 a second are two fifths of a link of 10 Mbit/s, the smallest that auburnwood was built for. The burst covers
+	// the open flows that a balancer takes over from one that left: 100 flows of a service with 50 agents.
+	SearchMessagesPerSecond = 2000
+	SearchBurst             = 5000
 	// SettleTime is how long a balancer that has started may not know every agent, and every balancer an agent that has
 	// joined: two announcements and a lost one's margin. Until then no target gets a packet on suspicion.
 	SettleTime = 600 * time.Millisecond
--- a/pkg/dsr/dispatch/flow_state.go
+++ b/pkg/dsr/dispatch/flow_state.go
@@ -72,11 +72,12 @@
 	closed bool
 	// held are packets that wait for the owner.
 	held [][]byte
-	// answered are the agents that have answered the search, rounds the number of times that the others were asked; unknown
-	// are those that could not tell.
-	answered []netip.AddrPort
-	rounds   int
-	unknown  []netip.AddrPort
+	// unanswered are the agents that have not answered the search, rounds the number of times that they were asked; unknown
+	// are those that could not tell. wide is set when agents of other services are asked too.
+	unanswered []netip.AddrPort
+	rounds     int
+	unknown    []netip.AddrPort
+	wide       bool
 	// missed is when a search first ended without an owner.
 	missed time.Time
 	probes int
--- a/pkg/dsr/dispatch/opening.go
+++ b/pkg/dsr/dispatch/opening.go
@@ -27,11 +27,10 @@
 		sequence: s.Sequence,
 	}
 	b.flows[key] = f
+	// Another balancer may have opened the flow when this packet is a copy. Asking who holds it would cost a question to every
+	// agent: after an outage, when all that comes are copies, the questions of 54 agents kept the links full and the overload
+	// going for 14 s. A second target that opens the flow loses a slot for a round trip instead.
 	f.uncertain = s.Age > 0
-	if f.uncertain && b.maySearch(now) {
-		b.ask(now, f)
-		return
-	}
 	b.place(now, f)
 }
 
--- a/pkg/dsr/dispatch/searching.go
+++ b/pkg/dsr/dispatch/searching.go
@@ -10,37 +10,54 @@
 	"github.com/auburnwood/auburnwood/pkg/dsr/segment"
 )
 
-// maySearch takes one search from the budget.
+// maySearch reports whether the budget of messages allows a search. A search may overdraw it, so that one that asks more
+// agents than the burst is still made.
 func (b *Balancer) maySearch(now time.Time) bool {
-	b.searches = min(SearchBurst, b.searches+SearchesPerSecond*now.Sub(b.searchesAt).Seconds())
-	b.searchesAt = now
-	if b.searches < 1 {
-		return false
-	}
-	b.searches--
-	return true
+	b.searchMessages = min(SearchBurst, b.searchMessages+SearchMessagesPerSecond*now.Sub(b.searchedAt).Seconds())
+	b.searchedAt = now
+	return b.searchMessages >= 1
 }
 
-// search asks the agents who holds the flow of a packet whose owner is not known.
+// search asks the agents who holds the flow of a packet whose owner is not known. A packet that finds the budget spent is
+// dropped; its sender repeats it.
 func (b *Balancer) search(now time.Time, f *flowState, s segment.Segment) {
 	if f.phase == lost && !f.since.IsZero() && now.Sub(f.since) < LocateAgain {
 		return
 	}
+	if !b.maySearch(now) {
+		return
+	}
 	f.hold(s.Raw)
-	b.ask(now, f)
+	f.phase, f.unknown, f.unanswered, f.rounds, f.wide = locating, nil, b.agentsOf(f.key.Destination), 0, false
+	if len(f.unanswered) == 0 {
+		b.searched(now, f)
+		return
+	}
+	b.askAgain(now, f)
 }
 
-// ask asks every agent whether its target holds the flow.
-func (b *Balancer) ask(now time.Time, f *flowState) {
-	f.phase, f.unknown, f.answered, f.rounds = locating, nil, nil, 0
-	b.askMissing(now, f)
-	if len(b.order) == 0 {
-		b.searched(now, f)
+// agentsOf are the agents of the services to which an address leads.
+func (b *Balancer) agentsOf(destination netip.AddrPort) []netip.AddrPort {
+	route := b.routes.Route(destination)
+	var out []netip.AddrPort
+	for _, a := range b.order {
+		if leadsTo(route, a) {
+			out = append(out, a.addr)
+		}
+	}
+	return out
+}
+
+// leadsTo reports whether the agent's service is one of the route's.
+func leadsTo(route *configuration.Route, a *agent) bool {
+	if route == nil {
+		return false
 	}
+	return slices.ContainsFunc(route.Shares, func(s configuration.Share) bool { return s.Service == a.service })
 }
 
-// askMissing asks the agents that have not answered.
-func (b *Balancer) askMissing(now time.Time, f *flowState) {
+// askAgain asks the agents that have not answered.
+func (b *Balancer) askAgain(now time.Time, f *flowState) {
 	f.since = now
 	f.rounds++
 	message := dsrpb.Message{
@@ -49,18 +66,18 @@
 		Configuration: b.routes.Version(),
 	}
 	message.SetKey(f.key)
-	for _, a := range b.order {
-		if !slices.Contains(f.answered, a.addr) {
-			b.out.ToAgent(a.addr, &message)
-		}
+	for _, to := range f.unanswered {
+		b.out.ToAgent(to, &message)
 	}
+	b.searchMessages -= float64(len(f.unanswered))
 	b.locates = append(b.locates, due{flow: f, at: now.Add(LocateTimeout)})
 }
 
 // missing reports whether a living agent has not answered.
 func (b *Balancer) missing(now time.Time, f *flowState) bool {
-	return slices.ContainsFunc(b.order, func(a *agent) bool {
-		return a.alive(now) && !slices.Contains(f.answered, a.addr)
+	return slices.ContainsFunc(f.unanswered, func(addr netip.AddrPort) bool {
+		a := b.agents[addr]
+		return a != nil && a.alive(now)
 	})
 }
 
@@ -72,26 +89,23 @@
 	if f.phase != locating {
 		return
 	}
-	if m.Verdict == dsrpb.Verdict_VERDICT_QUEUED && f.packet != nil {
-		f.phase, f.since, f.asked = queued, now, from
-		b.forward(now, f, from, f.packet, false, dsrpb.Patience_PATIENCE_QUEUE)
+	i := slices.Index(f.unanswered, from)
+	if i < 0 {
 		return
 	}
+	f.unanswered = slices.Delete(f.unanswered, i, i+1)
 	if m.Verdict == dsrpb.Verdict_VERDICT_UNKNOWN {
 		f.unknown = append(f.unknown, from)
 	}
-	if !slices.Contains(f.answered, from) {
-		f.answered = append(f.answered, from)
-	}
-	if len(f.answered) >= len(b.order) {
+	if len(f.unanswered) == 0 {
 		b.searched(now, f)
 	}
 }
 
-// searched goes on when no agent is known to hold the flow: those that cannot tell are asked by handing them a packet.
+// searched goes on when no agent that was asked holds the flow: first to all other agents, since an older route may have led
+// to them, then to those that cannot tell, which are handed a packet.
 func (b *Balancer) searched(now time.Time, f *flowState) {
-	if f.packet != nil {
-		b.place(now, f)
+	if b.widen(now, f) {
 		return
 	}
 	if now.Sub(f.probed) > ProbeWindow {
@@ -112,14 +126,33 @@
 	b.probeNext(now, f)
 }
 
+// widen asks the agents of other services, and the silent ones once more. A flow that stays lost is looked for everywhere
+// only until every agent must be known.
+func (b *Balancer) widen(now time.Time, f *flowState) bool {
+	settled := !f.missed.IsZero() && now.Sub(f.missed) >= SettleTime
+	if f.wide || settled || !b.maySearch(now) {
+		return false
+	}
+	route := b.routes.Route(f.key.Destination)
+	others := 0
+	for _, a := range b.order {
+		if !leadsTo(route, a) {
+			f.unanswered = append(f.unanswered, a.addr)
+			others++
+		}
+	}
+	if others == 0 {
+		return false
+	}
+	f.wide, f.rounds = true, 0
+	b.askAgain(now, f)
+	return true
+}
+
 // serves reports whether the agent's service is one to which the address leads. Nobody else is handed a packet on suspicion.
 func (b *Balancer) serves(a netip.AddrPort, destination netip.AddrPort) bool {
-	route := b.routes.Route(destination)
 	known := b.agents[a]
-	if route == nil || known == nil {
-		return false
-	}
-	return slices.ContainsFunc(route.Shares, func(s configuration.Share) bool { return s.Service == known.service })
+	return known != nil && leadsTo(b.routes.Route(destination), known)
 }
 
 // startOf is when the balancer first heard of the agent's present life.
@@ -158,8 +191,8 @@
 	if f.phase != locating || d.at.Sub(f.since) < LocateTimeout {
 		return
 	}
-	if f.rounds < LocateRounds && b.missing(now, f) {
-		b.askMissing(now, f)
+	if f.rounds < LocateRounds && b.missing(now, f) && b.maySearch(now) {
+		b.askAgain(now, f)
 		return
 	}
 	b.searched(now, f)
