Bound the offers that are made past unanswered ones, the agents asked for a queue, and the cost of searches

Counters each second showed 10,000 opening packets, 50,000 offers past unanswered ones and 43,000 questions about owners a second: answers were late because the balancers (0.061 cores the smallest) were busy with exactly these messages, flows opened at two or three targets, and 60% of the openings handed to targets met callers that had chosen another. Change: an offer past an unanswered one costs a token, a tenth of one is earned by each offer, 50 at once; a copy from the caller is offered on in any case; two agents are asked for a queue in place of five; searches send 500 messages a second.

--- a/pkg/dsr/dispatch/balancer.go
+++ b/pkg/dsr/dispatch/balancer.go
@@ -36,7 +36,9 @@
 	// searchMessages is the number of messages that searches may send now, searchedAt when it was worked out.
 	searchMessages float64
 	searchedAt     time.Time
-	message        dsrpb.Message
+	// hedgeTokens is the number of unanswered offers that the next agent may be asked about now.
+	hedgeTokens float64
+	message     dsrpb.Message
 }
 
 // NewBalancer returns a balancer without routes, agents or flows.
@@ -52,6 +54,7 @@
 
 		searchMessages: SearchBurst,
 		searchedAt:     now,
+		hedgeTokens:    HedgeBurst,
 	}
 }
 
--- a/pkg/dsr/dispatch/balancer_test.go
+++ b/pkg/dsr/dispatch/balancer_test.go
@@ -252,6 +252,29 @@
 	require.Equal(t, agentAt(1), f.asked().to)
 }
 
+// When answers are late because of an overload, asking others about every flow would feed it.
+func TestUnansweredOffersCostABoundedNumberOfMessages(t *testing.T) {
+	const flows = 1000
+	f := newFixture(t)
+	for i := 1; i <= 20; i++ {
+		f.ready(i, "dc-1", 0)
+	}
+	f.take()
+	for port := 1; port <= flows; port++ {
+		f.open(port)
+	}
+	for range 6 {
+		f.pass(HedgeAfter)
+	}
+	offers := len(f.take())
+	require.LessOrEqual(t, offers, flows+HedgeBurst+int(HedgeShare*1.2*flows))
+	require.Greater(t, offers, flows+HedgeBurst-1, "what the budget allows is asked")
+	f.now = f.now.Add(50 * time.Millisecond)
+	before := len(f.out.messages)
+	f.open(flows)
+	require.Len(t, f.out.messages, before+1, "the caller's next copy is offered on")
+}
+
 func TestAFlowThatNobodyTakesIsRefusedAtOnce(t *testing.T) {
 	f := newFixture(t)
 	f.ready(1, "dc-1", 9)
--- a/pkg/dsr/dispatch/choose.go
+++ b/pkg/dsr/dispatch/choose.go
@@ -17,7 +17,7 @@
 
 // choose returns the next agent for a new flow that tried others before, or nothing when no agent is worth asking.
 func (b *Balancer) choose(now time.Time, f *flowState) (choice, bool) {
-	if f.patience == dsrpb.Patience_PATIENCE_FREE_SLOT && len(f.tried) < MaxTries {
+	if f.patience == dsrpb.Patience_PATIENCE_FREE_SLOT && len(f.tried) < MaxFreeTries {
 		if a := b.best(now, f, true); a != nil {
 			return choice{agent: a, patience: dsrpb.Patience_PATIENCE_FREE_SLOT}, true
 		}
@@ -26,7 +26,7 @@
 		f.patience = dsrpb.Patience_PATIENCE_QUEUE
 		f.tried = append(f.tried[:0], f.failed...)
 	}
-	if len(f.tried)-len(f.failed) >= MaxTries {
+	if len(f.tried)-len(f.failed) >= MaxQueueTries {
 		return choice{}, false
 	}
 	if a := b.best(now, f, false); a != nil {
--- a/pkg/dsr/dispatch/config.go
+++ b/pkg/dsr/dispatch/config.go
@@ -13,11 +13,11 @@
 	// waits for its target, and a round trip.
 	ProbeTimeout = 35 * time.Millisecond
 	// SearchMessagesPerSecond and SearchBurst bound the questions of one balancer about owners, since a search asks every
-	// agent of a service and anybody can send packets of flows that do not exist. A question and its answer take about 250
-	// bytes: 2,000 a second are two fifths of a link of 10 Mbit/s, the smallest that auburnwood was built for. The burst covers
-	// the open flows that a balancer takes over from one that left: 100 flows of a service with 50 agents.
-	SearchMessagesPerSecond = 2000
-	SearchBurst             = 5000
+	// agent of a service and anybody can send packets of flows that do not exist. A question and its answer take about 20 us:
+	// 500 a second are a sixth of 0.06 cores, the smallest VM that auburnwood was built for. The burst covers the open flows
+	// that a balancer takes over from one that left: 50 flows of a service with 40 agents.
+	SearchMessagesPerSecond = 500
+	SearchBurst             = 2000
 	// SettleTime is how long a balancer that has started may not know every agent, and every balancer an agent that has
 	// joined: two announcements and a lost one's margin. Until then no target gets a packet on suspicion.
 	SettleTime = 600 * time.Millisecond
@@ -29,8 +29,16 @@
 	// returns a packet of a flow that it does not hold, but each costs it work.
 	MaxProbes   = 2
 	ProbeWindow = 4 * time.Second
-	// MaxTries is the number of agents that are asked about one new flow at each patience.
-	MaxTries = 5
+	// MaxFreeTries is the number of agents that are asked about one new flow for a free slot, MaxQueueTries for a place in the
+	// queue: the two that seem to have the shortest. When their queues are too long, so are the others'.
+	MaxFreeTries  = 5
+	MaxQueueTries = 2
+	// HedgeShare is the number of unanswered offers for each offer that the next agent may be asked about, HedgeBurst that many
+	// at once. A dead agent is asked a few times until it is suspect, and 3 messages of 100 may be lost on a bad link. More
+	// unanswered offers mean that answers are late because balancers or links are overloaded: without a bound each new flow
+	// then was offered to five agents, opened at two or three, and the overload kept itself going for 16 s.
+	HedgeShare = 0.1
+	HedgeBurst = 50
 	// MaxHeld is the number of packets of one flow that wait for its owner: what one end may have under way.
 	MaxHeld = 16
 	// FirstCopy is the time after which the first copy of an opening packet may have been sent, perhaps through another
--- a/pkg/dsr/dispatch/opening.go
+++ b/pkg/dsr/dispatch/opening.go
@@ -40,6 +40,8 @@
 	switch f.phase {
 	case refused:
 		b.copyOfRefused(now, f, s)
+	case opening:
+		b.copyOfOpening(now, f)
 	case queued:
 		b.copyOfQueued(now, f, s)
 	case open:
@@ -60,15 +62,21 @@
 	b.place(now, f)
 }
 
+// copyOfOpening asks the next agent when the last one has not answered although its time is over; hedge had no budget left.
+func (b *Balancer) copyOfOpening(now time.Time, f *flowState) {
+	if now.Sub(f.since) < HedgeAfter {
+		return
+	}
+	b.offerPast(now, f)
+}
+
 // copyOfQueued asks the agent at which the flow waits again, or another one when that is silent.
 func (b *Balancer) copyOfQueued(now time.Time, f *flowState, s segment.Segment) {
 	if a := b.agents[f.asked]; a != nil && now.Sub(a.heard) <= 2*announceInterval {
 		b.forward(now, f, f.asked, s.Raw, false, dsrpb.Patience_PATIENCE_QUEUE)
 		return
 	}
-	f.failed = append(f.failed, f.asked)
-	f.uncertain = true
-	b.offerNext(now, f)
+	b.offerPast(now, f)
 }
 
 // patience is how long a caller waits for an answer to its opening packet.
@@ -112,6 +120,7 @@
 	f.tried = append(f.tried, c.agent.addr)
 	f.tries++
 	c.agent.asked++
+	b.hedgeTokens = min(HedgeBurst, b.hedgeTokens+HedgeShare)
 	b.hedges = append(b.hedges, due{flow: f, at: now.Add(HedgeAfter)})
 	b.forward(now, f, c.agent.addr, f.packet, false, c.patience)
 }
@@ -192,6 +201,16 @@
 	if a := b.agents[f.asked]; a != nil && !a.heard.After(f.since) {
 		a.suspect = true
 	}
+	if b.hedgeTokens < 1 {
+		b.hedges = append(b.hedges, due{flow: f, at: now.Add(HedgeAfter)})
+		return
+	}
+	b.hedgeTokens--
+	b.offerPast(now, f)
+}
+
+// offerPast offers a flow to the next agent, since the last one has not answered. It may have opened the flow all the same.
+func (b *Balancer) offerPast(now time.Time, f *flowState) {
 	f.uncertain = true
 	b.decided(now, EventUnanswered, f, f.asked, dsrpb.Verdict_VERDICT_UNSPECIFIED)
 	f.failed = append(f.failed, f.asked)
