Hand over the late flow whose caller was heard of last, and give up those whose copies are overdue

What a living caller does while it waits is to send copies after 200 and 600 ms. Change: a codec says when the next copy of an opening packet is due; a waiting flow whose copy is 100 ms overdue is given up; late ones go by their callers' last sign. A balancer hands on the last copy that it saw.

--- a/pkg/dsr/admission/queue.go
+++ b/pkg/dsr/admission/queue.go
@@ -4,8 +4,11 @@
 // It does no input or output and reads no clock. It answers for bursts that a target cannot work off at once, such as the
 // copies and retries that arrive after an outage: a target's own queue is first in, first out, so that everything handed to
 // it at once would make fresh requests wait behind those that are late already. Requests that can still be answered in the
-// promised time go first; late ones follow, those whose callers leave soonest first; one whose caller is gone, or will be
-// before its turn, is given up.
+// promised time go first; late ones follow, those whose callers were heard of last first; one whose caller is gone, or will
+// be before its turn, is given up.
+//
+// Callers give up without a word, often long before their patience is over: of those that had waited for more than a second,
+// four of five did not answer when their turn came. What they do while they wait is to repeat the opening packet.
 package admission
 
 import (
@@ -21,6 +24,9 @@
 	RoundTrips = 15 * time.Millisecond
 	// WorkMargin is the work of a long request as a multiple of the usual one; four of five requests take less.
 	WorkMargin = 1.5
+	// CopySlack is how late a copy of an opening packet may be until its caller is taken for gone: the delay of a busy
+	// balancer.
+	CopySlack = 100 * time.Millisecond
 )
 
 // Opening is a new flow that waits for the target.
@@ -33,6 +39,23 @@
 	Patience time.Duration
 	// Priority is the rank of its route; 0 is the highest.
 	Priority int
+	// Heard is when the caller sent its last copy of the opening packet; NextCopy is when its next one is due, zero when it
+	// sends none.
+	Heard    time.Time
+	NextCopy time.Time
+}
+
+// Hear notes a copy of the opening packet that was sent age after the first; the next one follows after next, if that is
+// not 0. Copies may come in any order.
+func (o *Opening) Hear(age, next time.Duration) {
+	heard := o.Arrived.Add(age)
+	if !o.Heard.IsZero() && heard.Before(o.Heard) {
+		return
+	}
+	o.Heard, o.NextCopy = heard, time.Time{}
+	if next > 0 {
+		o.NextCopy = heard.Add(next)
+	}
 }
 
 // leaves is when the caller gives up.
@@ -44,9 +67,14 @@
 	return !now.Add(needed).After(o.Arrived.Add(o.Aim))
 }
 
-// gone reports whether the caller will have left before an answer when the work begins now.
+// gone reports whether the caller will have left before an answer when the work begins now, or has left without a word.
 func (o Opening) gone(now time.Time, work time.Duration) bool {
-	return now.Add(work).After(o.leaves())
+	return now.Add(work).After(o.leaves()) || o.silent(now)
+}
+
+// silent reports whether a copy of the opening packet is overdue.
+func (o Opening) silent(now time.Time) bool {
+	return !o.NextCopy.IsZero() && now.After(o.NextCopy.Add(CopySlack))
 }
 
 // Queue holds the flows that wait for one target. The zero value is empty.
@@ -60,7 +88,7 @@
 // Add lets a flow wait. It returns false when its caller would leave before its turn, given the target's work for one
 // request and its slots.
 func (q *Queue) Add(now time.Time, o Opening, work time.Duration, slots int) bool {
-	if o.gone(now.Add(q.wait(now, o, work, slots)), work) {
+	if now.Add(q.wait(now, o, work, slots) + work).After(o.leaves()) {
 		return false
 	}
 	q.waiting = append(q.waiting, o)
@@ -102,6 +130,16 @@
 	return Opening{}, false
 }
 
+// Hear notes a copy of the opening packet of a waiting flow.
+func (q *Queue) Hear(key flow.Key, age, next time.Duration) {
+	for i := range q.waiting {
+		if q.waiting[i].Key == key {
+			q.waiting[i].Hear(age, next)
+			return
+		}
+	}
+}
+
 // Remove removes the flow with the given key.
 func (q *Queue) Remove(key flow.Key) {
 	for i, o := range q.waiting {
@@ -119,14 +157,14 @@
 }
 
 // before reports whether a is handed over before b: timely ones by priority and the time left to keep the promise, late
-// ones by the time that their callers still wait.
+// ones by when their callers were heard of.
 func before(a, b Opening, now time.Time, work time.Duration) bool {
 	timely := a.timely(now, work)
 	if timely != b.timely(now, work) {
 		return timely
 	}
 	if !timely {
-		return a.leaves().Before(b.leaves())
+		return a.Heard.After(b.Heard)
 	}
 	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
 		return c < 0
--- a/pkg/dsr/dispatch/opening.go
+++ b/pkg/dsr/dispatch/opening.go
@@ -37,6 +37,10 @@
 // copy takes a further copy of an opening packet.
 func (b *Balancer) copy(now time.Time, f *flowState, s segment.Segment) {
 	f.touched = now
+	if f.packet != nil {
+		// Agents learn from the last copy that the caller is still there.
+		f.packet = append(f.packet[:0], s.Raw...)
+	}
 	switch f.phase {
 	case refused:
 		b.copyOfRefused(now, f, s)
--- a/pkg/dsr/dsrtest/codec.go
+++ b/pkg/dsr/dsrtest/codec.go
@@ -25,9 +25,11 @@
 // ErrShort is the error of a packet without a whole header.
 var ErrShort = errors.New("packet is too short")
 
-// copyAge is the time between two copies of an opening packet.
+// copyAge is the least time between two copies of an opening packet; nextCopies are the times from one to the next.
 const copyAge = 200 * time.Millisecond
 
+var nextCopies = []time.Duration{200 * time.Millisecond, 400 * time.Millisecond}
+
 // Codec is the plain packet format.
 type Codec struct{}
 
@@ -60,7 +62,7 @@
 	}
 	source, _ := wire.Addr(b[offsetSource:])
 	destination, _ := wire.Addr(b[offsetDest:])
-	return segment.Segment{
+	s := segment.Segment{
 		Source:          source,
 		Destination:     destination,
 		Flags:           segment.Flags(b[0]),
@@ -69,7 +71,11 @@
 		Length:          len(b) - HeaderSize,
 		Age:             time.Duration(b[1]) * copyAge,
 		Raw:             b,
-	}, nil
+	}
+	if copies := int(b[1]); s.Opens() && copies < len(nextCopies) {
+		s.NextCopy = nextCopies[copies]
+	}
+	return s, nil
 }
 
 // Data returns the data of a packet.
--- a/pkg/dsr/ownership/from_balancer.go
+++ b/pkg/dsr/ownership/from_balancer.go
@@ -61,6 +61,7 @@
 func (t *Table) opening(now time.Time, balancer netip.AddrPort, m *dsrpb.Message, s segment.Segment, key flow.Key, e *entry, stale bool) {
 	if e != nil && e.phase == queued {
 		e.origin = balancer
+		t.queue.Hear(key, s.Age, s.NextCopy)
 		t.returned(balancer, m, key, dsrpb.Verdict_VERDICT_QUEUED, nil)
 		return
 	}
--- a/pkg/dsr/ownership/queueing.go
+++ b/pkg/dsr/ownership/queueing.go
@@ -13,7 +13,7 @@
 // enqueue lets a new flow wait for the target, or declines it when its caller would leave before its turn or a free slot
 // is asked for.
 func (t *Table) enqueue(now time.Time, balancer netip.AddrPort, m *dsrpb.Message, s segment.Segment, key flow.Key) {
-	if m.Patience == dsrpb.Patience_PATIENCE_FREE_SLOT || !t.queue.Add(now, openingOf(now, key, m.Opening), t.pace, t.slots()) {
+	if m.Patience == dsrpb.Patience_PATIENCE_FREE_SLOT || !t.queue.Add(now, openingOf(now, key, m.Opening, s), t.pace, t.slots()) {
 		t.decline(balancer, m, key, dsrpb.Verdict_VERDICT_BUSY, nil)
 		return
 	}
@@ -30,18 +30,18 @@
 	t.pump(now)
 }
 
-// openingOf reads what a balancer says of a new flow.
-func openingOf(now time.Time, key flow.Key, o *dsrpb.Opening) admission.Opening {
-	out := admission.Opening{Key: key, Arrived: now, Patience: DefaultPatience}
-	if o == nil {
-		return out
+// openingOf reads what a balancer and the opening packet say of a new flow.
+func openingOf(now time.Time, key flow.Key, o *dsrpb.Opening, s segment.Segment) admission.Opening {
+	out := admission.Opening{Key: key, Arrived: now.Add(-s.Age), Patience: DefaultPatience}
+	if o != nil {
+		out.Arrived = now.Add(-time.Duration(o.AgeMs) * time.Millisecond)
+		out.Aim = time.Duration(o.AimMs) * time.Millisecond
+		out.Priority = int(o.Priority)
 	}
-	out.Arrived = now.Add(-time.Duration(o.AgeMs) * time.Millisecond)
-	out.Aim = time.Duration(o.AimMs) * time.Millisecond
-	out.Priority = int(o.Priority)
-	if o.PatienceMs > 0 {
+	if o != nil && o.PatienceMs > 0 {
 		out.Patience = time.Duration(o.PatienceMs) * time.Millisecond
 	}
+	out.Hear(s.Age, s.NextCopy)
 	return out
 }
 
--- a/pkg/dsr/segment/segment.go
+++ b/pkg/dsr/segment/segment.go
@@ -30,6 +30,8 @@
 	Acknowledgement uint32
 	// Age is the least time since the first copy of an opening packet.
 	Age time.Duration
+	// NextCopy is how long after this copy of an opening packet its caller sends the next one; 0 when it sends none.
+	NextCopy time.Duration
 	// Length is the number of data bytes.
 	Length int
 	// Raw is the whole packet; it is valid only during the call that it is handed to.
