Say that a refused flow was not run only when every agent that was asked has answered

Ruled out: leaving such refusals without a record, since each refusal must be explained. Before: run=no; after: run=unknown (TestARefusalSaysNotRunOnlyWhenEveryAgentHasAnswered fails without the change).

--- a/pkg/dsr/dispatch/answers.go
+++ b/pkg/dsr/dispatch/answers.go
@@ -56,7 +56,7 @@
 func (b *Balancer) returned(now time.Time, f *flowState, from netip.AddrPort, m *dsrpb.Message) {
 	if m.Verdict == dsrpb.Verdict_VERDICT_RESET {
 		f.owners = nil
-		b.record(now, f, refusal.ReasonTargetDied, refusal.RunUnknown)
+		b.record(now, f, refusal.ReasonTargetDied, refusal.RunUnknown, true)
 		return
 	}
 	if m.Verdict == dsrpb.Verdict_VERDICT_NOT_HELD || len(m.Packet) > 0 {
--- a/pkg/dsr/dispatch/balancer_test.go
+++ b/pkg/dsr/dispatch/balancer_test.go
@@ -294,6 +294,24 @@
 	require.Equal(t, refusal.RunNo, f.out.refusals[2].Run)
 }
 
+// An agent that did not answer may have opened the flow all the same.
+func TestARefusalSaysNotRunOnlyWhenEveryAgentHasAnswered(t *testing.T) {
+	f := newFixture(t)
+	f.ready(1, "dc-1", 0)
+	f.ready(2, "dc-1", 0)
+	f.open(1)
+	first := int(f.asked().to.Addr().As4()[3])
+	second := 3 - first
+	f.pass(HedgeAfter)
+	for range 2 {
+		f.decline(second, 1, dsrpb.Verdict_VERDICT_BUSY)
+	}
+	require.Len(t, f.out.refusals, 1)
+	require.Equal(t, refusal.RunUnknown, f.out.refusals[0].Run)
+	require.False(t, f.out.refusals[0].Told)
+	require.Empty(t, f.out.resets)
+}
+
 func TestAFlowThatItsTargetLostHasARecord(t *testing.T) {
 	f := newFixture(t)
 	f.ready(1, "dc-1", 0)
--- a/pkg/dsr/dispatch/report.go
+++ b/pkg/dsr/dispatch/report.go
@@ -34,11 +34,16 @@
 	if f.reset {
 		b.out.Reset(f.key, 0)
 	}
-	b.record(now, f, reason, refusal.RunNo)
+	run := refusal.RunNo
+	if f.uncertain {
+		// An agent that did not answer may have opened the flow, or another balancer may have.
+		run = refusal.RunUnknown
+	}
+	b.record(now, f, reason, run, f.reset)
 }
 
-// record reports a flow that was refused or reset.
-func (b *Balancer) record(now time.Time, f *flowState, reason refusal.Reason, run refusal.Run) {
+// record reports a flow that was refused or reset; told is set when its caller was told.
+func (b *Balancer) record(now time.Time, f *flowState, reason refusal.Reason, run refusal.Run, told bool) {
 	f.phase, f.since = refused, now
 	b.out.Refused(Refusal{
 		Key:           f.key,
@@ -46,7 +51,7 @@
 		Service:       f.service,
 		Reason:        reason,
 		Run:           run,
-		Told:          f.reset || run == refusal.RunUnknown,
+		Told:          told,
 		Tried:         f.tries,
 		Waited:        now.Sub(f.arrived),
 		Configuration: b.routes.Version(),
