Soak the real programs of pass-through services under random faults; look for lost owners at the likely targets first

The soak starts balancers and agents as processes, makes faults by signals and by proxies before the object API, and checks from callers and targets: whole answers of one target, no request run twice, no packet of another service, no new flow at a target that leaves, no flow of a living target reset or silent, a configuration in force in time and never going back, truthful refusals, ends within the grace time. Its judge has tests of its own. archtest allows os/exec to this package alone and checks that no daemon imports it. Nobody knew the owners; two of six targets were asked by a packet each 4 s, in the order of their agents' starts, which differ by milliseconds then. Ruled out: a lost packet (each probe was answered). Change: of agents that started together the one is asked first that the flow would have been offered to; a window of 2.5 s. Silence after all agents were killed at once is counted, not called broken: two targets a window is the most that may be asked. The test of the order asked for the order of starts 1 ms apart; it now asks for the new order.

--- a/internal/archtest/imports_test.go
+++ b/internal/archtest/imports_test.go
@@ -107,11 +107,18 @@
 	}
 }
 
+// processStarter is the one package that may start processes: it runs the daemons to make faults from outside them.
+const processStarter = "internal/lab/soak"
+
 func TestNoPackageStartsProcesses(t *testing.T) {
 	for _, dir := range sourceDirs {
 		for path, f := range sourceFiles(t, dir) {
+			within := filepath.Dir(path) == filepath.Join(root, processStarter)
 			for _, imported := range imports(f) {
-				require.NotContains(t, []string{"os/exec", "net/http/httputil"}, imported, path)
+				require.NotEqual(t, "net/http/httputil", imported, path)
+				require.False(t, imported == "os/exec" && !within, "%s starts processes", path)
+				lab := strings.Contains(path, filepath.Join("internal", "lab", "command"))
+				require.False(t, imported == module+processStarter && !lab, "%s imports what starts processes", path)
 			}
 		}
 	}
--- a/internal/lab/command/main.go
+++ b/internal/lab/command/main.go
@@ -47,6 +47,7 @@
 		{"capacity", "Measure what each part costs by its size", "Measures costs at several sizes, fits lines to them and writes the tables of docs/CAPACITY.md.", &capacityCommand{}},
 		{"run", "Make the runs of an experiment file", "Reads runs and their options from a TOML file, makes them one after another and prints a table or JSON.", &runCommand{}},
 		{"rollout", "Compare the gates of rollouts", "Lets each gate judge the same seeded rollouts of harmless and harmful versions, and prints its false promotions, false rollbacks and times.", &rolloutCommand{}},
+		{"soak", "Run the real programs under random faults", "Starts the daemons of pass-through services as processes, makes faults by signals and by proxies before the object API, and checks what callers and targets see.", &soakCommand{}},
 		{"standin", "Serve stand-ins for separate processes", "Serves the object API and the fabric on fixed addresses, so that daemons can be started as processes of their own.", &standinCommand{}},
 	}
 }
--- /dev/null
+++ b/internal/lab/soak/faults.go
@@ -0,0 +1,191 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Times of the faults.
+const (
+	// minGap and maxGap are the times between two faults; a fault lasts longer, so that several are at work at once.
+	minGap = 100 * time.Millisecond
+	maxGap = 900 * time.Millisecond
+	// maxDown is how long a daemon stays away, maxPause how long it stands still, maxCut how long a link is disturbed.
+	maxDown  = 1500 * time.Millisecond
+	maxPause = 2 * time.Second
+	maxCut   = 4 * time.Second
+	// drainTime is how long a target goes on after its notice, targetDown how long until another takes its place.
+	drainTime  = 4 * time.Second
+	targetDown = 1500 * time.Millisecond
+	// stopSlack is added to the grace time of a daemon for a pause that another fault makes.
+	stopSlack = 3 * time.Second
+)
+
+// faults makes faults until ctx ends, and waits for their end.
+type faults struct {
+	w      *world
+	random *rand.Rand
+	wg     sync.WaitGroup
+	// script lists what was done, for the run's log.
+	script func(text string)
+}
+
+func (f *faults) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.one(ctx)
+		f.w.counts.add(func(r *Result) { r.Faults++ })
+		pause(ctx, f.between(minGap, maxGap))
+	}
+	f.wg.Wait()
+}
+
+func (f *faults) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(f.random.Int64N(int64(high-low)))
+}
+
+// one starts one fault. All that is random is drawn before it is started.
+func (f *faults) one(ctx context.Context) {
+	b := f.w.balancers[f.random.IntN(len(f.w.balancers))]
+	a := f.w.agents[f.random.IntN(len(f.w.agents))]
+	process, link := b.process, b.link
+	if f.random.IntN(2) == 0 {
+		process, link = a.process, a.link
+	}
+	down, still, cut := f.between(0, maxDown), f.between(minGap, maxPause), f.between(minGap, maxCut)
+	mode := linkMode(1 + f.random.IntN(int(linkModes)-1))
+	switch kind := f.random.IntN(100); {
+	case kind < 20:
+		f.start("restart "+process.name, func() { f.restart(ctx, process, down) })
+	case kind < 35:
+		f.start("kill "+process.name, func() { f.kill(ctx, down, process) })
+	case kind < 50:
+		f.start("pause "+process.name, func() { f.still(ctx, process, still) })
+	case kind < 57:
+		f.start("hang up "+process.name, func() { process.signal(syscall.SIGHUP) })
+	case kind < 69:
+		f.start(fmt.Sprintf("link %d of %s", mode, process.name), func() { f.cut(ctx, mode, cut, link) })
+	case kind < 76:
+		f.start(fmt.Sprintf("link %d of all", mode), func() { f.cut(ctx, mode, cut, f.w.links()...) })
+	case kind < 86:
+		f.start("drain "+a.name, func() { f.drain(ctx, a.target, down) })
+	case kind < 94:
+		f.start("target of "+a.name+" dies", func() { f.die(ctx, a.target, down) })
+	case kind < 97:
+		f.start("kill all balancers", func() { f.kill(ctx, down, f.w.processes(true, false)...) })
+	case kind < 99:
+		f.start("kill all agents", func() {
+			f.w.forget()
+			f.kill(ctx, down, f.w.processes(false, true)...)
+		})
+	default:
+		f.start("kill all", func() {
+			f.w.forget()
+			f.kill(ctx, down, f.w.processes(true, true)...)
+		})
+	}
+}
+
+func (f *faults) start(text string, fault func()) {
+	f.script(text)
+	f.wg.Add(1)
+	go func() {
+		defer f.wg.Done()
+		fault()
+	}()
+}
+
+// again starts a daemon, and notes a failure to.
+func (f *faults) again(p *process) {
+	if err := p.start(); err != nil {
+		f.w.counts.violation("%v", err)
+	}
+}
+
+func (f *faults) restart(ctx context.Context, p *process, down time.Duration) {
+	p.stop(graceTime + stopSlack)
+	pause(ctx, down)
+	f.again(p)
+}
+
+func (f *faults) kill(ctx context.Context, down time.Duration, list ...*process) {
+	for _, p := range list {
+		p.signal(syscall.SIGKILL)
+	}
+	for _, p := range list {
+		p.ended(time.Second)
+	}
+	pause(ctx, down)
+	for _, p := range list {
+		f.again(p)
+	}
+}
+
+func (f *faults) still(ctx context.Context, p *process, d time.Duration) {
+	p.signal(syscall.SIGSTOP)
+	pause(ctx, d)
+	p.signal(syscall.SIGCONT)
+}
+
+func (f *faults) cut(ctx context.Context, m linkMode, d time.Duration, links ...*proxy) {
+	for _, l := range links {
+		l.set(m)
+	}
+	pause(ctx, d)
+	for _, l := range links {
+		l.set(linkPasses)
+	}
+}
+
+// drain replaces a target by plan; one that is away or leaves already is left alone.
+func (f *faults) drain(ctx context.Context, t *target, down time.Duration) {
+	if t.healthy() == "" {
+		return
+	}
+	t.leave(ctx, drainTime)
+	f.replace(ctx, t, down)
+}
+
+func (f *faults) die(ctx context.Context, t *target, down time.Duration) {
+	if t.healthy() == "" {
+		return
+	}
+	t.end()
+	f.replace(ctx, t, down)
+}
+
+func (f *faults) replace(ctx context.Context, t *target, down time.Duration) {
+	pause(ctx, min(down, targetDown))
+	if err := t.begin(); err != nil {
+		f.w.counts.violation("starting a target: %v", err)
+	}
+}
+
+func (w *world) links() []*proxy {
+	var out []*proxy
+	for _, b := range w.balancers {
+		out = append(out, b.link)
+	}
+	for _, a := range w.agents {
+		out = append(out, a.link)
+	}
+	return out
+}
+
+func (w *world) processes(balancers, agents bool) []*process {
+	var out []*process
+	for _, b := range w.balancers {
+		if balancers {
+			out = append(out, b.process)
+		}
+	}
+	for _, a := range w.agents {
+		if agents {
+			out = append(out, a.process)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/lab/soak/options.go
@@ -0,0 +1,43 @@
+package soak
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Options describe a run.
+type Options struct {
+	// Seed decides the faults and what callers do.
+	Seed uint64
+	// Length is how long faults are made; the run ends some seconds later.
+	Length time.Duration
+	// Balancers and Targets are the numbers of VMs of either kind; the targets are shared among two services.
+	Balancers int
+	Targets   int
+	// Rate is the number of new flows a second.
+	Rate int
+	// Programs is the directory with the daemons' programs.
+	Programs string
+	// Dir is where settings and logs go.
+	Dir string
+}
+
+// Limits of Options.
+const (
+	maxMachines = 60
+	maxRate     = 500
+)
+
+func (o Options) check() error {
+	if o.Length <= 0 || o.Programs == "" || o.Dir == "" {
+		return trace.BadParameter("length, programs and dir are required")
+	}
+	if o.Balancers < 1 || o.Targets < 2 || o.Balancers+o.Targets > maxMachines {
+		return trace.BadParameter("balancers must be 1 or more, targets 2 or more, both together at most %d", maxMachines)
+	}
+	if o.Rate < 1 || o.Rate > maxRate {
+		return trace.BadParameter("rate must be from 1 to %d", maxRate)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/soak/soak_test.go
@@ -0,0 +1,145 @@
+package soak
+
+import (
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwood/auburnwood/pkg/dsr/segment"
+	"github.com/auburnwood/auburnwood/platform/platformtest"
+)
+
+// programs builds the daemons.
+func programs(t *testing.T) string {
+	dir := t.TempDir()
+	out, err := exec.Command("go", "build", "-o", dir+"/", "../../../cmd/auburnwood-dsr-balancer", "../../../cmd/auburnwood-dsr-agent").CombinedOutput()
+	require.NoError(t, err, string(out))
+	return dir
+}
+
+// regressionSeeds are the seeds whose runs have failed once.
+//
+//	1: after all daemons were killed at once, flows of living targets got no answer for 15 s, since the owner was looked for
+//	   at two of six targets each 4 s, in the order of their starts.
+var regressionSeeds = []uint64{1}
+
+func TestPromisesHoldUnderRandomFaults(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs real processes for 30 s")
+	}
+	for _, seed := range regressionSeeds {
+		dir := t.TempDir()
+		r, err := Run(t.Context(), Options{Seed: seed, Length: 8 * time.Second, Balancers: 3, Targets: 6, Rate: 20, Programs: programs(t), Dir: dir})
+		require.NoError(t, err)
+		if r.Broken > 0 {
+			t.Log(logs(t, dir))
+		}
+		require.Empty(t, r.Violations, "seed %d", seed)
+		require.Greater(t, r.Finished, r.Flows/2, "most flows are served")
+		require.Positive(t, r.Faults)
+	}
+}
+
+// logs returns the faults and the daemons' warnings, for a failure that cannot be repeated.
+func logs(t *testing.T, dir string) string {
+	names, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	require.NoError(t, err)
+	var out strings.Builder
+	for _, name := range names {
+		b, err := os.ReadFile(name)
+		require.NoError(t, err)
+		for line := range strings.Lines(string(b)) {
+			if !strings.Contains(line, `"level":"info"`) {
+				out.WriteString(filepath.Base(name) + " " + line)
+			}
+		}
+	}
+	return out.String()
+}
+
+func testWorld() *world {
+	return &world{counts: &counts{began: time.Now()}, requests: make(map[string]string)}
+}
+
+func TestARequestThatRunsTwiceIsFound(t *testing.T) {
+	w := testWorld()
+	w.ran("a#0", "route-svc-1")
+	w.ran("a#1", "route-svc-1")
+	require.Zero(t, w.counts.result().Broken)
+	w.ran("a#0", "route-svc-2")
+	require.Equal(t, 1, w.counts.result().Broken)
+}
+
+func TestAnswersOfOthersAreFound(t *testing.T) {
+	end := netip.MustParseAddrPort("10.0.0.1:1001")
+	for _, c := range []struct {
+		owner, answer string
+		done, good    bool
+		broken        int
+	}{
+		{"", "route-svc-1 10.0.0.1:1001#3", true, true, 0},
+		{"route-svc-1", "route-svc-1 10.0.0.1:1001#2", false, false, 0},
+		{"route-svc-1", "route-svc-2 10.0.0.1:1001#3", true, false, 1},
+		{"", "reports-svc-2 10.0.0.1:1001#3", true, false, 1},
+		{"route-svc-1", "route-svc-1 10.0.0.2:1001#3", false, false, 1},
+	} {
+		w := testWorld()
+		x := &caller{w: w, end: end, owner: c.owner, service: serviceA}
+		done, good := x.answered(c.answer, "10.0.0.1:1001#3")
+		require.Equal(t, []bool{c.done, c.good}, []bool{done, good}, c.answer)
+		require.Equal(t, c.broken, w.counts.result().Broken, c.answer)
+	}
+}
+
+func TestABrokenFlowOfALivingTargetIsFound(t *testing.T) {
+	for _, alive := range []bool{true, false} {
+		w := testWorld()
+		w.agents = []*agent{{target: &target{w: w, id: "route-svc-1", alive: alive}}}
+		x := &caller{w: w, owner: "route-svc-1"}
+		require.False(t, x.lost("was reset"))
+		require.Equal(t, alive, w.counts.result().Broken == 1)
+		require.Equal(t, !alive, w.counts.result().Ended == 1)
+	}
+}
+
+func TestAnUntrueRefusalIsFound(t *testing.T) {
+	w := testWorld()
+	log := filepath.Join(t.TempDir(), "b.log")
+	text := `{"op":"refuse","caller":"10.0.0.1:1001","run":"no","record":"r1"}` + "\n" +
+		`{"op":"refuse","caller":"10.0.0.1:1002","run":"no","record":"r2"}` + "\n" +
+		`{"op":"refuse","caller":"10.0.0.1:1003","run":"unknown","record":"r3"}` + "\n" + `{"op":"refu`
+	require.NoError(t, os.WriteFile(log, []byte(text), 0o600))
+	w.balancers = []*balancer{{process: &process{name: "b", log: log}}}
+	w.ran("10.0.0.1:1001#0", "route-svc-1")
+	w.ran("10.0.0.1:1003#0", "route-svc-1")
+	require.NoError(t, w.checkRefusals())
+	require.Equal(t, 1, w.counts.result().Broken)
+	require.Contains(t, w.counts.result().Violations[0], "r1")
+}
+
+// A target that leaves, and one of another service, notice what they should not get.
+func TestATargetNoticesWhatIsNotForIt(t *testing.T) {
+	w := testWorld()
+	x := &target{w: w, id: "route-svc-1", service: serviceA, alive: true, flows: make(map[netip.AddrPort]*held)}
+	packets, err := newCallerVM(netip.MustParseAddrPort("127.0.0.1:0"))
+	require.NoError(t, err)
+	defer packets.conn.Close() //nolint:errcheck // Nothing was sent to anybody.
+	x.packets, x.outbound = packets.conn, packets.conn.LocalAddr().(interface{ AddrPort() netip.AddrPort }).AddrPort()
+	opening := segment.Segment{Source: netip.MustParseAddrPort("10.0.0.1:1001"), Destination: addressA, Flags: segment.SYN}
+	opening.Raw = platformtest.Encode(platformtest.Packet{Source: opening.Source, Destination: opening.Destination, Flags: segment.SYN})
+	x.packet(opening)
+	require.Zero(t, w.counts.result().Broken)
+	x.drainAcknowledged = time.Now().Add(-leaveSlack - time.Second)
+	opening.Source = netip.MustParseAddrPort("10.0.0.1:1002")
+	x.packet(opening)
+	require.Equal(t, 1, w.counts.result().Broken)
+	opening.Destination = addressB
+	x.packet(opening)
+	require.Equal(t, 2, w.counts.result().Broken)
+}
--- a/pkg/dsr/dispatch/balancer_test.go
+++ b/pkg/dsr/dispatch/balancer_test.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -56,6 +58,11 @@
 func (r *recorder) Decided(d Decision)           { r.decisions = append(r.decisions, d) }
 func (r *recorder) Outdated(v uint64)            { r.outdated = v }
 
+// keyOf is the flow of a caller's port.
+func keyOf(port int) flow.Key {
+	return flow.Key{Source: caller(port), Destination: service, Protocol: flow.ProtocolTCP}
+}
+
 // fixture is a balancer in data centre dc-1, old enough to refuse.
 type fixture struct {
 	*testing.T
@@ -440,10 +447,17 @@
 
 func TestAtMostTwoTargetsGetAPacketOnSuspicion(t *testing.T) {
 	f := newFixture(t)
+	for i := 1; i <= 3; i++ {
+		f.ready(i, "dc-1", 0)
+	}
+	f.pass(StartedTogether + time.Millisecond)
 	for i := 1; i <= 4; i++ {
 		f.ready(i, "dc-1", 0)
-		f.pass(time.Millisecond)
 	}
+	// Of those that started together the one comes first that the flow would be offered to when all are equally busy.
+	likely := slices.MinFunc([]netip.AddrPort{agentAt(1), agentAt(2), agentAt(3)}, func(x, y netip.AddrPort) int {
+		return cmp.Compare(tieOf(keyOf(1).Hash(), x), tieOf(keyOf(1).Hash(), y))
+	})
 	lose := func() {
 		f.data(1, 1001, "tail")
 		for i := 1; i <= 4; i++ {
@@ -474,7 +488,7 @@
 		}
 		for _, m := range f.take() {
 			if m.kind == dsrpb.Kind_KIND_FORWARD {
-				require.Equal(t, agentAt(3), m.to)
+				require.Equal(t, likely, m.to)
 			}
 		}
 		f.pass(ProbeTimeout)
--- a/pkg/dsr/dispatch/choose.go
+++ b/pkg/dsr/dispatch/choose.go
@@ -82,10 +82,13 @@
 		suspect: a.suspect,
 		remote:  free && a.dataCentre != b.cfg.DataCentre,
 		load:    a.load(now),
-		tie:     flow.Mix(hash ^ addrBits(a.addr)),
+		tie:     tieOf(hash, a.addr),
 	}
 }
 
+// tieOf orders equally busy agents for one flow.
+func tieOf(hash uint64, a netip.AddrPort) uint64 { return flow.Mix(hash ^ addrBits(a)) }
+
 // addrBits are the last bits of an IP address and its port.
 func addrBits(a netip.AddrPort) uint64 {
 	ip := a.Addr().As16()
--- a/pkg/dsr/dispatch/config.go
+++ b/pkg/dsr/dispatch/config.go
@@ -28,7 +28,9 @@
 	// MaxProbes is the number of targets that may be handed a packet of one flow on suspicion within ProbeWindow. A target
 	// returns a packet of a flow that it does not hold, but each costs it work.
 	MaxProbes   = 2
-	ProbeWindow = 4 * time.Second
+	ProbeWindow = 2500 * time.Millisecond
+	// StartedTogether is how far apart agents may start that were ended by the same failure.
+	StartedTogether = 2 * time.Second
 	// MaxFreeTries is the number of agents that are asked about one new flow for a free slot, MaxQueueTries for a place in the
 	// queue: the two that seem to have the shortest. When their queues are too long, so are the others'.
 	MaxFreeTries  = 5
--- a/pkg/dsr/dispatch/searching.go
+++ b/pkg/dsr/dispatch/searching.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -119,13 +120,40 @@
 		return
 	}
 	f.unknown = slices.DeleteFunc(f.unknown, func(a netip.AddrPort) bool { return !b.serves(a, f.key.Destination) })
-	// The agent that started last has seen the least of its target's flows.
-	slices.SortStableFunc(f.unknown, func(x, y netip.AddrPort) int {
-		return b.startOf(y).Compare(b.startOf(x))
-	})
+	b.sortCandidates(f)
 	b.probeNext(now, f)
 }
 
+// sortCandidates orders the agents that cannot tell whether they hold the flow by how likely they do. One that started after
+// the others has seen the least of its target's flows. Of those that started together, the one comes first that a new flow
+// would be offered to when all are equally busy.
+func (b *Balancer) sortCandidates(f *flowState) {
+	var newest time.Time
+	for _, a := range f.unknown {
+		if at := b.startOf(a); at.After(newest) {
+			newest = at
+		}
+	}
+	slices.SortFunc(f.unknown, func(x, y netip.AddrPort) int {
+		latest := func(a netip.AddrPort) bool { return newest.Sub(b.startOf(a)) <= StartedTogether }
+		if latest(x) != latest(y) {
+			return compareTrue(latest(x), latest(y))
+		}
+		return cmp.Compare(tieOf(f.hash, x), tieOf(f.hash, y))
+	})
+}
+
+// compareTrue sorts true before false.
+func compareTrue(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case x:
+		return -1
+	}
+	return 1
+}
+
 // widen asks the agents of other services, and the silent ones once more. A flow that stays lost is looked for everywhere
 // only until every agent must be known.
 func (b *Balancer) widen(now time.Time, f *flowState) bool {
--- a/pkg/settings/dsr_agent.go
+++ b/pkg/settings/dsr_agent.go
@@ -28,7 +28,12 @@
 
 // ParseDSRAgent reads the settings from TOML text. It returns an *Error that lists every mistake.
 func ParseDSRAgent(text []byte) (DSRAgent, error) {
-	return parse(text, DSRAgent{DSRProcess: defaultDSRProcess(), HeartbeatInterval: NewDuration(defaultHeartbeatInterval)})
+	return parse(text, DefaultDSRAgent())
+}
+
+// DefaultDSRAgent returns the settings with every default; the required keys are empty.
+func DefaultDSRAgent() DSRAgent {
+	return DSRAgent{DSRProcess: defaultDSRProcess(), HeartbeatInterval: NewDuration(defaultHeartbeatInterval)}
 }
 
 func (a DSRAgent) check(m *mistakes) {
--- a/pkg/settings/dsr_balancer.go
+++ b/pkg/settings/dsr_balancer.go
@@ -25,9 +25,12 @@
 
 // ParseDSRBalancer reads the settings from TOML text. It returns an *Error that lists every mistake.
 func ParseDSRBalancer(text []byte) (DSRBalancer, error) {
-	return parse(text, DSRBalancer{DSRProcess: defaultDSRProcess()})
+	return parse(text, DefaultDSRBalancer())
 }
 
+// DefaultDSRBalancer returns the settings with every default; the required keys are empty.
+func DefaultDSRBalancer() DSRBalancer { return DSRBalancer{DSRProcess: defaultDSRProcess()} }
+
 func (b DSRBalancer) check(m *mistakes) {
 	b.DSRProcess.check(m)
 	m.optionalBind("control_address", b.ControlAddress)
