Remove the effective shares that balancers sent beside the specification, and a time that views did not use

Cause: since revisions carry the shares of rollouts, nobody set peer.NodeConfig.Shares or called SharesChanged; the field of the protocol, its encoding and two parameters of view.Build served nothing. Ruled out: other users (no caller outside tests). TestBuildTakesSharesInForce tested the removed function; TestSharesReachTheAgent now asks that the specification's shares do, and a specification with broken shares is refused as broken shares were. Behaviour is unchanged.

--- a/internal/lab/capacity/balancer_packets.go
+++ b/internal/lab/capacity/balancer_packets.go
@@ -94,7 +94,7 @@
 	for i := range targets {
 		targets[i].PacketAddr = agents.LocalAddr().(*net.UDPAddr).AddrPort()
 	}
-	b.SetView(view.Build(newRevision(1, fleetServices), targets, nil, time.Time{}))
+	b.SetView(view.Build(newRevision(1, fleetServices), targets))
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- b.Run(ctx) }()
--- a/internal/lab/capacity/balancer_view.go
+++ b/internal/lab/capacity/balancer_view.go
@@ -54,13 +54,13 @@
 	}
 	defer b.Kill()
 	before := liveHeap()
-	first := timed(func() { b.SetView(view.Build(revision, members, nil, time.Time{})) })
+	first := timed(func() { b.SetView(view.Build(revision, members)) })
 	memory := liveHeap() - before
 	members[0].Incarnation++
-	restarted := timed(func() { b.SetView(view.Build(revision, members, nil, time.Time{})) })
+	restarted := timed(func() { b.SetView(view.Build(revision, members)) })
 	changed := newRevision(2, services)
 	changed.Services[0].Spec.Limits.Connections = 100
-	configured := timed(func() { b.SetView(view.Build(changed, members, nil, time.Time{})) })
+	configured := timed(func() { b.SetView(view.Build(changed, members)) })
 	runtime.KeepAlive(members)
 	return []float64{memory, first, restarted, configured}, nil
 }
--- a/pkg/peer/agent_count_test.go
+++ b/pkg/peer/agent_count_test.go
@@ -26,7 +26,7 @@
 // Agents of other services are news for a stream by their number only, and only when that has changed by much.
 func TestStreamTellsTheNumberOfAgents(t *testing.T) {
 	n := startNode(t, "b0", nil)
-	w := &serviceWatch{node: n.Node, service: "pool", sent: make(map[string]sentConfig)}
+	w := &serviceWatch{node: n.Node, service: "pool", sent: make(map[string][]byte)}
 	count := 0
 	add := func(agents int, service string) {
 		for range agents {
--- a/pkg/peer/config.go
+++ b/pkg/peer/config.go
@@ -10,7 +10,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/auburnwood/auburnwood/pkg/membership"
-	"github.com/auburnwood/auburnwood/pkg/resource"
 	"github.com/auburnwood/auburnwood/pkg/revision"
 )
 
@@ -29,8 +28,6 @@
 	Table *membership.Table
 	// Adopter holds the revision; it is offered those of peers. Required. Make the Node before the first offer.
 	Adopter *revision.Adopter
-	// Shares returns the effective shares of a service, see view.Build; nil means those of the specification.
-	Shares func(service string) []resource.Share
 	// Mirror keeps refusal records of another process; nil refuses them.
 	Mirror func(id string, records []byte) error
 	// OnLoad is called with the number of open flows that a watched agent sent with a heartbeat; may be nil.
--- a/pkg/peer/control_watch.go
+++ b/pkg/peer/control_watch.go
@@ -28,7 +28,7 @@
 	defer cancel()
 	revisions, stop := n.changes.subscribe()
 	defer stop()
-	w := &serviceWatch{node: n, service: r.GetService(), sent: make(map[string]sentConfig)}
+	w := &serviceWatch{node: n, service: r.GetService(), sent: make(map[string][]byte)}
 	for {
 		if u := w.next(); u != nil {
 			if err := s.Send(u); err != nil {
@@ -48,12 +48,6 @@
 // agentsTolerance is the part of the number of agents, one in so many, by which it may change without an update.
 const agentsTolerance = 10
 
-// sentConfig is what a stream has sent of a service.
-type sentConfig struct {
-	spec   []byte
-	shares []byte
-}
-
 // serviceWatch is the state of one stream of a target service.
 type serviceWatch struct {
 	node     *Node
@@ -63,7 +57,7 @@
 	revision uint64
 	// agents is the last number of live agents that the stream sent.
 	agents int
-	sent   map[string]sentConfig
+	sent   map[string][]byte
 }
 
 // next returns what has changed since the last call, or nil. The first update is a snapshot.
@@ -130,27 +124,11 @@
 		w.node.cfg.Log.Error().Err(err).Str("op", "encode service").Str("service", s.Name).Send()
 	}
 	last := w.sent[s.Name]
-	now := sentConfig{spec: spec, shares: w.shares(s.Name)}
-	w.sent[s.Name] = now
-	config = &peerpb.ServiceConfig{Name: s.Name, Shares: now.shares}
-	if !bytes.Equal(last.spec, now.spec) {
-		config.Spec = now.spec
+	w.sent[s.Name] = spec
+	config = &peerpb.ServiceConfig{Name: s.Name}
+	if !bytes.Equal(last, spec) {
+		config.Spec = spec
 		changed = true
 	}
-	return config, changed || !bytes.Equal(last.shares, now.shares)
-}
-
-func (w *serviceWatch) shares(service string) []byte {
-	if w.node.cfg.Shares == nil {
-		return nil
-	}
-	shares := w.node.cfg.Shares(service)
-	if shares == nil {
-		return nil
-	}
-	b, err := json.Marshal(shares)
-	if err != nil {
-		w.node.cfg.Log.Error().Err(err).Str("op", "encode shares").Str("service", service).Send()
-	}
-	return b
+	return config, changed
 }
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -33,7 +33,7 @@
 	beats    *heartbeater
 	server   *grpc.Server
 	metrics  *nodeMetrics
-	// changes reports new revisions and shares.
+	// changes reports new revisions.
 	changes *broadcast
 
 	mu         sync.Mutex
@@ -198,11 +198,6 @@
 	return n.acks.InForce(revision, n.table.Balancers())
 }
 
-// SharesChanged makes the node send the effective shares to agents again.
-func (n *Node) SharesChanged() {
-	n.changes.notify()
-}
-
 // adopted takes in a revision that this balancer has adopted; pushLoop tells the neighbours.
 func (n *Node) adopted(r resource.Revision) {
 	defer n.changes.notify()
--- a/pkg/peer/service_state.go
+++ b/pkg/peer/service_state.go
@@ -29,7 +29,6 @@
 	sources  map[string]*watchSource
 	revision uint64
 	configs  []resource.ServiceConfig
-	shares   map[string][]resource.Share
 	known    map[string]*view.Service
 	// agents is the number of live agents that was reported last.
 	agents uint32
@@ -131,26 +130,17 @@
 // applyConfigs takes over the configurations unless another balancer has sent those of a higher revision.
 func (s *serviceState) applyConfigs(source *watchSource, u *peerpb.ServiceUpdate) error {
 	configs := make([]resource.ServiceConfig, 0, len(u.GetConfigs()))
-	shares := make(map[string][]resource.Share)
 	for _, p := range u.GetConfigs() {
 		spec, err := source.spec(p)
 		if err != nil {
 			return err
 		}
 		configs = append(configs, resource.ServiceConfig{Name: p.GetName(), Spec: spec})
-		if len(p.GetShares()) == 0 {
-			continue
-		}
-		var list []resource.Share
-		if err := json.Unmarshal(p.GetShares(), &list); err != nil {
-			return trace.Wrap(err, "decode shares of service %s", p.GetName())
-		}
-		shares[p.GetName()] = list
 	}
 	if u.GetRevision() < s.revision {
 		return nil
 	}
-	s.revision, s.configs, s.shares = u.GetRevision(), configs, shares
+	s.revision, s.configs = u.GetRevision(), configs
 	return nil
 }
 
@@ -174,8 +164,7 @@
 // publish reports the services whose view has changed.
 func (s *serviceState) publish() {
 	rev := resource.Revision{Number: s.revision, Services: s.configs}
-	shares := func(name string) []resource.Share { return s.shares[name] }
-	v := view.Build(rev, s.table.Members(), shares, s.now())
+	v := view.Build(rev, s.table.Members())
 	names := make(map[string]bool)
 	for _, service := range v.Services {
 		names[service.Name] = true
--- a/pkg/peer/service_state_test.go
+++ b/pkg/peer/service_state_test.go
@@ -90,7 +90,7 @@
 	cases := map[string]*peerpb.ServiceConfig{
 		"no specification yet": {Name: "web"},
 		"specification broken": {Name: "web", Spec: []byte("{")},
-		"shares broken":        {Name: "web", Spec: []byte("{}"), Shares: []byte("{")},
+		"shares broken":        {Name: "web", Spec: []byte(`{"shares":{}}`)},
 	}
 	for name, config := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -102,10 +102,10 @@
 	}
 }
 
-func TestSharesInForceReachTheAgent(t *testing.T) {
+func TestSharesReachTheAgent(t *testing.T) {
 	a := newAgentState()
 	config := serviceConfig(t, "web", 0)
-	config.Shares = []byte(`[{"version":"v2","weight":1}]`)
+	config.Spec = []byte(`{"targets":"pool","shares":[{"version":"v2","weight":1}]}`)
 	require.NoError(t, a.apply("b0", update(1, true, poolMember("t0", 1, membership.StateActive), config)))
 	require.Zero(t, a.views["web"].Targets[0].Weight)
 }
--- a/pkg/peer/watch_views.go
+++ b/pkg/peer/watch_views.go
@@ -6,7 +6,7 @@
 	"github.com/auburnwood/auburnwood/pkg/view"
 )
 
-// WatchViews builds a view whenever the members, the revision or the shares have changed and hands it to onView, until
+// WatchViews builds a view whenever the members or the revision have changed and hands it to onView, until
 // ctx ends. The first view is built once a revision is known.
 func (n *Node) WatchViews(ctx context.Context, onView func(*view.View)) error {
 	changes, cancel := n.table.Subscribe()
@@ -17,7 +17,7 @@
 	for {
 		if r, ok := n.cfg.Adopter.Current(); ok {
 			begin := n.cfg.Now()
-			onView(view.Build(r, n.table.Members(), n.cfg.Shares, begin))
+			onView(view.Build(r, n.table.Members()))
 			pace.note(begin, n.cfg.Now())
 		}
 		select {
--- a/pkg/view/build.go
+++ b/pkg/view/build.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"math"
 	"slices"
-	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/membership"
 	"github.com/auburnwood/auburnwood/pkg/resource"
@@ -15,29 +14,17 @@
 const weightScale = 1 << 24
 
 // Build returns the view of a revision and the members known to a process. It depends on nothing else, so that equal
-// input in any order gives equal views. Dead and left members are left out; unreachable ones are kept. The function
-// shares, when not nil, returns the shares in force of a service, for example those of a rollout step; nil from it means
-// the shares of the specification. The time now is not used yet: slow start acts on the choice of owner.
-func Build(rev resource.Revision, members []membership.Member, shares func(service string) []resource.Share, _ time.Time) *View {
+// input in any order gives equal views. Dead and left members are left out; unreachable ones are kept.
+func Build(rev resource.Revision, members []membership.Member) *View {
 	targets := targetsByService(members)
 	v := &View{Revision: rev.Number, Services: make([]*Service, 0, len(rev.Services))}
 	for _, config := range rev.Services {
-		v.Services = append(v.Services, buildService(rev.Number, config, targets, effectiveShares(config, shares)))
+		v.Services = append(v.Services, buildService(rev.Number, config, targets))
 	}
 	slices.SortFunc(v.Services, func(a, b *Service) int { return cmp.Compare(a.Name, b.Name) })
 	return v
 }
 
-func effectiveShares(c resource.ServiceConfig, shares func(string) []resource.Share) []resource.Share {
-	if shares == nil {
-		return c.Spec.Shares
-	}
-	if s := shares(c.Name); s != nil {
-		return s
-	}
-	return c.Spec.Shares
-}
-
 // targetsByService groups the live agents by the service name that they announce, each group sorted by ID.
 func targetsByService(members []membership.Member) map[string][]membership.Member {
 	groups := make(map[string][]membership.Member)
@@ -53,11 +40,11 @@
 	return groups
 }
 
-func buildService(number uint64, c resource.ServiceConfig, groups map[string][]membership.Member, shares []resource.Share) *Service {
+func buildService(number uint64, c resource.ServiceConfig, groups map[string][]membership.Member) *Service {
 	members := groups[cmp.Or(c.Spec.Targets, c.Name)]
 	s := &Service{Name: c.Name, Revision: number, Spec: c.Spec}
 	s.Targets = make([]Target, 0, len(members))
-	weights := newWeights(shares, members)
+	weights := newWeights(c.Spec.Shares, members)
 	for _, m := range members {
 		s.Targets = append(s.Targets, newTarget(m, weights.of(m)))
 	}
--- a/pkg/view/build_test.go
+++ b/pkg/view/build_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -13,8 +12,6 @@
 	"github.com/auburnwood/auburnwood/pkg/resource"
 )
 
-var testTime = time.UnixMilli(1_700_000_000_000).UTC()
-
 func agent(id, version string, state membership.State, weight uint32) membership.Member {
 	return membership.Member{
 		ID: id, Role: membership.RoleAgent, Incarnation: 1, Sequence: 1, State: state,
@@ -25,7 +22,7 @@
 func build(members []membership.Member, shares ...resource.Share) *Service {
 	spec := resource.ServiceSpec{Shares: shares}
 	rev := resource.Revision{Number: 7, Services: []resource.ServiceConfig{{Name: "route-svc", Spec: spec}}}
-	return Build(rev, members, nil, testTime).Services[0]
+	return Build(rev, members).Services[0]
 }
 
 func TestBuildIgnoresOrder(t *testing.T) {
@@ -44,11 +41,11 @@
 				{Version: "v1", Weight: share.Draw(t, "v1")}, {Version: "v2", Weight: share.Draw(t, "v2")},
 			}}},
 		}
-		want := Build(resource.Revision{Number: 1, Services: configs}, members, nil, testTime)
+		want := Build(resource.Revision{Number: 1, Services: configs}, members)
 		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
 		r.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 		r.Shuffle(len(configs), func(i, j int) { configs[i], configs[j] = configs[j], configs[i] })
-		require.Equal(t, want, Build(resource.Revision{Number: 1, Services: configs}, members, nil, testTime))
+		require.Equal(t, want, Build(resource.Revision{Number: 1, Services: configs}, members))
 	})
 }
 
@@ -113,14 +110,3 @@
 		})
 	}
 }
-
-func TestBuildTakesSharesInForce(t *testing.T) {
-	rev := resource.Revision{Number: 1, Services: []resource.ServiceConfig{
-		{Name: "route-svc", Spec: resource.ServiceSpec{Shares: []resource.Share{{Version: "v1", Weight: 1}}}},
-	}}
-	step := func(string) []resource.Share { return []resource.Share{{Version: "v2", Weight: 1}} }
-	members := []membership.Member{agent("a", "v1", membership.StateActive, 1), agent("b", "v2", membership.StateActive, 1)}
-	s := Build(rev, members, step, testTime).Services[0]
-	require.Zero(t, s.Targets[0].Weight)
-	require.Equal(t, uint32(weightScale), s.Targets[1].Weight)
-}
