Bound the flows that a balancer keeps; give the soak's targets random first numbers

Cause: a balancer kept a state for each opening packet that anybody sent (740 bytes each), without an upper number. After: 50,000, then new ones are refused at once as too-many-flows; open ones go on (TestTheNumberOfFlowsIsBounded). Balancer-1 stood still with the first copy in its socket while the second opened the flow at another target through balancer-3; both targets then had given it the same number, since the stand-ins all began at 0. Targets of the platform choose random numbers; two within 128 kB are listed in docs/PROOFS.md (once in 16,384). The stand-in's numbers now are random.

--- a/internal/lab/soak/target.go
+++ b/internal/lab/soak/target.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -76,6 +77,8 @@
 	t.packets, t.health = packets, health
 	t.id = fmt.Sprintf("%s-%d", t.service+"-"+t.w.targetAddress(t).Addr().String(), t.lives)
 	t.alive, t.draining, t.sequence, t.drainAcknowledged = true, false, 0, time.Time{}
+	// Two targets that answer one opening packet are told apart by their numbers.
+	t.next = rand.Uint32()
 	t.busy, t.flows = 0, make(map[netip.AddrPort]*held)
 	go t.read(packets)
 	go http.Serve(health, platformtest.HealthHandler(t.healthy)) //nolint:errcheck // It ends with the listener.
@@ -190,7 +193,7 @@
 	switch {
 	case s.Opens():
 		t.opening(s, f)
-	case f == nil || s.Acknowledgement <= f.initial || s.Acknowledgement > f.initial+initialStep/2:
+	case f == nil || s.Acknowledgement-f.initial-1 > initialStep/2:
 		raw := append([]byte(nil), s.Raw...)
 		platformtest.Return(raw)
 		t.write(raw)
--- a/pkg/dsr/dispatch/balancer.go
+++ b/pkg/dsr/dispatch/balancer.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -43,6 +44,7 @@
 
 // NewBalancer returns a balancer without routes, agents or flows.
 func NewBalancer(cfg Config, codec segment.Codec, out Output, now time.Time) *Balancer {
+	cfg.MaxFlows = cmp.Or(cfg.MaxFlows, MaxFlows)
 	return &Balancer{
 		cfg:     cfg,
 		codec:   codec,
@@ -94,7 +96,7 @@
 		return
 	}
 	if f == nil {
-		if !b.maySearch(now) {
+		if len(b.flows) >= b.cfg.MaxFlows || !b.maySearch(now) {
 			return
 		}
 		f = &flowState{key: key, hash: key.Hash(), arrived: now, phase: lost}
--- a/pkg/dsr/dispatch/balancer_test.go
+++ b/pkg/dsr/dispatch/balancer_test.go
@@ -260,6 +260,28 @@
 	require.Equal(t, agentAt(1), f.asked().to)
 }
 
+// Anybody can send opening packets; what is kept of them is bounded, and open flows go on.
+func TestTheNumberOfFlowsIsBounded(t *testing.T) {
+	const most = 10
+	f := newFixture(t)
+	f.b.cfg.MaxFlows = most
+	f.ready(1, "dc-1", 0)
+	f.open(1)
+	f.accept(1, 1, 1000)
+	for port := 2; port <= 3*most; port++ {
+		f.open(port)
+	}
+	require.Equal(t, most, f.b.Flows())
+	require.Len(t, f.out.resets, 2*most)
+	require.Equal(t, refusal.ReasonTooManyFlows, f.out.refusals[0].Reason)
+	require.Equal(t, refusal.RunNo, f.out.refusals[0].Run)
+	f.take()
+	f.data(5000, 1001, "of nobody")
+	require.Empty(t, f.take())
+	f.data(1, 1001, "hello")
+	require.Equal(t, "hello", f.asked().packet)
+}
+
 // When answers are late because of an overload, asking others about every flow would feed it.
 func TestUnansweredOffersCostABoundedNumberOfMessages(t *testing.T) {
 	const flows = 1000
--- a/pkg/dsr/dispatch/config.go
+++ b/pkg/dsr/dispatch/config.go
@@ -71,6 +71,10 @@
 	// TypicalWork is the time after which a slot that was busy when the agent last reported is taken for free again. It is
 	// the usual work of the requests of the deployments that auburnwood was built for, 20 to 40 ms.
 	TypicalWork = 30 * time.Millisecond
+	// MaxFlows is the number of flows that a balancer keeps when the settings name none: at 740 bytes a flow 37 MB, a third of
+	// the memory of the smallest VM that auburnwood was built for, and four times the open flows of a balancer at the size to
+	// design for.
+	MaxFlows = 50_000
 	// sweepInterval is the time between two walks over all flows.
 	sweepInterval = time.Second
 	// parkInterval is the time between two tries of a waiting flow.
@@ -81,4 +85,6 @@
 type Config struct {
 	// DataCentre is the balancer's data centre.
 	DataCentre string
+	// MaxFlows is the number of flows that the balancer keeps; 0 means the constant of that name.
+	MaxFlows int
 }
--- a/pkg/dsr/dispatch/opening.go
+++ b/pkg/dsr/dispatch/opening.go
@@ -26,6 +26,12 @@
 		packet:   append([]byte(nil), s.Raw...),
 		sequence: s.Sequence,
 	}
+	// A flow that is not kept has no copies either, as far as this balancer knows: each of them is refused by itself.
+	if len(b.flows) >= b.cfg.MaxFlows && b.flows[key] == nil {
+		f.uncertain = s.Age > 0
+		b.refuse(now, f, refusal.ReasonTooManyFlows)
+		return
+	}
 	b.flows[key] = f
 	// Another balancer may have opened the flow when this packet is a copy. Asking who holds it would cost a question to every
 	// agent: after an outage, when all that comes are copies, the questions of 54 agents kept the links full and the overload
--- a/pkg/refusal/record.go
+++ b/pkg/refusal/record.go
@@ -20,6 +20,7 @@
 	ReasonOwnerLost       Reason = "owner-lost"
 	ReasonNoConfiguration Reason = "no-configuration"
 	ReasonQueueFull       Reason = "queue-full"
+	ReasonTooManyFlows    Reason = "too-many-flows"
 	ReasonDeadline        Reason = "deadline-cannot-be-met"
 	ReasonCancelled       Reason = "cancelled-by-caller"
 	ReasonTargetShed      Reason = "target-shed"
