--- a/pkg/telemetry/daemon.go
+++ b/pkg/telemetry/daemon.go
@@ -96,8 +96,18 @@
 func (d Daemon[S]) run(ctx context.Context, s S, log zerolog.Logger, path string) int {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	// Without the handler, a second signal ends the process.
-	context.AfterFunc(ctx, stop)
+	told := make(chan struct{})
+	forget := context.AfterFunc(ctx, func() {
+		defer close(told)
+		// Without the handler, a second signal ends the process.
+		stop()
+		log.Warn().Str("op", "stop").Msg("stopping")
+	})
+	defer func() {
+		if !forget() {
+			<-told
+		}
+	}()
 	hangUp := make(chan os.Signal, 1)
 	signal.Notify(hangUp, syscall.SIGHUP)
 	defer signal.Stop(hangUp)
--- a/pkg/telemetry/daemon_test.go
+++ b/pkg/telemetry/daemon_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -95,6 +96,9 @@
 	require.Equal(t, ExitOK, daemon(run).Main(t.Context(), []string{"--settings", path}, &out, &errs), errs.String())
 	_, err := http.Get("http://" + addr + PathStatus)
 	require.Error(t, err)
+	begun, ended := strings.Index(out.String(), `"stopping"`), strings.Index(out.String(), `"stopped"`)
+	require.Positive(t, begun, "the log says when the end began")
+	require.Greater(t, ended, begun)
 }
 
 // get returns the body of an answer 200.
