Refuse a flow that no agent has answered once its caller has left, instead of waiting for a budget

Cause: with the budget of unanswered offers spent and no new flows to earn it back, a flow waited in the balancer until it was idle, looked at each 25 ms. The test now asks that nothing waits for ever; it failed before. Run is unknown in its record.

--- a/pkg/dsr/dispatch/balancer_test.go
+++ b/pkg/dsr/dispatch/balancer_test.go
@@ -303,6 +303,12 @@
 	before := len(f.out.messages)
 	f.open(flows)
 	require.Len(t, f.out.messages, before+1, "the caller's next copy is offered on")
+	for range OpeningPatience / HedgeAfter {
+		f.pass(HedgeAfter)
+	}
+	require.Len(t, f.out.refusals, flows, "nothing waits for ever")
+	require.Equal(t, refusal.RunUnknown, f.out.refusals[0].Run)
+	require.Empty(t, f.b.hedges)
 }
 
 func TestAFlowThatNobodyTakesIsRefusedAtOnce(t *testing.T) {
--- a/pkg/dsr/dispatch/opening.go
+++ b/pkg/dsr/dispatch/opening.go
@@ -212,13 +212,23 @@
 		a.suspect = true
 	}
 	if b.hedgeTokens < 1 {
-		b.hedges = append(b.hedges, due{flow: f, at: now.Add(HedgeAfter)})
+		b.awaitAnswer(now, f)
 		return
 	}
 	b.hedgeTokens--
 	b.offerPast(now, f)
 }
 
+// awaitAnswer waits on for an answer until the caller has left.
+func (b *Balancer) awaitAnswer(now time.Time, f *flowState) {
+	if now.Sub(f.arrived) < OpeningPatience {
+		b.hedges = append(b.hedges, due{flow: f, at: now.Add(HedgeAfter)})
+		return
+	}
+	f.uncertain = true
+	b.refuse(now, f, refusal.ReasonDeadline)
+}
+
 // offerPast offers a flow to the next agent, since the last one has not answered. It may have opened the flow all the same.
 func (b *Balancer) offerPast(now time.Time, f *flowState) {
 	f.uncertain = true
