Reset no flow on packets that may have waited while the balancer stood still

The first copies of opening packets waited in its socket, their second copies opened the flows by way of other balancers; when it ran again it took the first ones for new, refused them with no-configuration, and reset the callers of open flows within 180 ms of reading them. Shown by the lines of flow 127.156.3.1:1024: accepted at agent-9 at 48.888, refused by balancer-3 at 49.394, waited_ms 0, told true. Ruled out: the configuration (any refusal would have done it), the agent (it held the flow). Change: the daemon says every 50 ms that it runs; after 120 ms without that, opening packets count for 300 ms as ones whose copies may have been opened elsewhere: refused with run unknown, never reset. The time that a packet spends in the network is still not known: a first copy that is delayed there for more than its second copy takes, and then refused, may reset an open flow.

--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -27,7 +27,9 @@
 //
 //	1: after all daemons were killed at once, flows of living targets got no answer for 15 s, since the owner was looked for
 //	   at two of six targets each 4 s, in the order of their starts.
-var regressionSeeds = []uint64{1}
+//	342: a balancer that had been paused found opening packets in its socket, took them for new and reset the flows, which
+//	   their copies had opened by way of other balancers.
+var regressionSeeds = []uint64{1, 342}
 
 func TestPromisesHoldUnderRandomFaults(t *testing.T) {
 	if testing.Short() {
--- a/pkg/dsr/dispatch/balancer.go
+++ b/pkg/dsr/dispatch/balancer.go
@@ -37,6 +37,9 @@
 	// searchMessages is the number of messages that searches may send now, searchedAt when it was worked out.
 	searchMessages float64
 	searchedAt     time.Time
+	// awake is the last call of Awake; until doubted, packets may have waited in the socket.
+	awake   time.Time
+	doubted time.Time
 	// hedgeTokens is the number of unanswered offers that the next agent may be asked about now.
 	hedgeTokens float64
 	message     dsrpb.Message
@@ -87,6 +90,20 @@
 	return n
 }
 
+// Awake notes that the process runs; it is called every 50 ms. A process that was stopped, or whose VM stood still, then finds
+// packets in its socket that look new: their copies may have opened flows by way of other balancers, which must not be reset.
+func (b *Balancer) Awake(now time.Time) {
+	b.noteStandstill(now)
+	b.awake = now
+}
+
+// noteStandstill begins the time of doubt when the process has not run.
+func (b *Balancer) noteStandstill(now time.Time) {
+	if !b.awake.IsZero() && now.Sub(b.awake) > StandstillAfter {
+		b.doubted = now.Add(DoubtTime)
+	}
+}
+
 // FromCaller takes a packet of a caller.
 func (b *Balancer) FromCaller(now time.Time, s segment.Segment) {
 	key := s.CallerKey()
--- a/pkg/dsr/dispatch/balancer_test.go
+++ b/pkg/dsr/dispatch/balancer_test.go
@@ -347,6 +347,38 @@
 	require.Empty(t, f.out.resets)
 }
 
+// Packets that waited in the socket of a balancer that stood still look new, while their copies have opened flows elsewhere.
+func TestABalancerThatStoodStillResetsNothing(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		gap    time.Duration
+		resets int
+	}{{"running", 50 * time.Millisecond, 1}, {"stood still", time.Second, 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			open := func(port int) {
+				f.packet(dsrtest.Packet{Source: caller(port), Destination: netip.MustParseAddrPort("198.18.0.9:80"), Flags: segment.SYN})
+			}
+			f.b.Awake(f.now)
+			f.now = f.now.Add(c.gap)
+			open(1)
+			require.Len(t, f.out.resets, c.resets)
+			require.Len(t, f.out.refusals, 1)
+			require.Equal(t, c.resets == 1, f.out.refusals[0].Run == refusal.RunNo)
+			f.b.Awake(f.now)
+			f.now = f.now.Add(time.Millisecond)
+			open(2)
+			require.Len(t, f.out.resets, 2*c.resets, "more may wait")
+			for range DoubtTime / (50 * time.Millisecond) {
+				f.now = f.now.Add(50 * time.Millisecond)
+				f.b.Awake(f.now)
+			}
+			open(3)
+			require.Len(t, f.out.resets, 2*c.resets+1, "what comes later is new")
+		})
+	}
+}
+
 func TestAFlowThatItsTargetLostHasARecord(t *testing.T) {
 	f := newFixture(t)
 	f.ready(1, "dc-1", 0)
--- a/pkg/dsr/dispatch/config.go
+++ b/pkg/dsr/dispatch/config.go
@@ -46,6 +46,11 @@
 	// FirstCopy is the time after which the first copy of an opening packet may have been sent, perhaps through another
 	// balancer: callers send it after 200 ms. A flow that is older is not reset, since it may be open.
 	FirstCopy = 180 * time.Millisecond
+	// StandstillAfter is how long a balancer may not have run until it takes itself for one that stood still: more than two
+	// calls of Awake, and less than FirstCopy. DoubtTime is how long it then reads packets that may have waited in its
+	// socket: 1 MB of them at 30 us each.
+	StandstillAfter = 120 * time.Millisecond
+	DoubtTime       = 300 * time.Millisecond
 	// OpeningPatience is how long callers wait for an answer to their opening packet at most.
 	OpeningPatience = 1400 * time.Millisecond
 	// announceInterval is the time between two announcements of an agent.
--- a/pkg/dsr/dispatch/opening.go
+++ b/pkg/dsr/dispatch/opening.go
@@ -17,6 +17,7 @@
 		b.copy(now, f, s)
 		return
 	}
+	b.noteStandstill(now)
 	f = &flowState{
 		key:      key,
 		hash:     key.Hash(),
@@ -26,9 +27,9 @@
 		packet:   append([]byte(nil), s.Raw...),
 		sequence: s.Sequence,
 	}
+	f.uncertain = s.Age > 0 || now.Before(b.doubted)
 	// A flow that is not kept has no copies either, as far as this balancer knows: each of them is refused by itself.
 	if len(b.flows) >= b.cfg.MaxFlows && b.flows[key] == nil {
-		f.uncertain = s.Age > 0
 		b.refuse(now, f, refusal.ReasonTooManyFlows)
 		return
 	}
@@ -36,7 +37,6 @@
 	// Another balancer may have opened the flow when this packet is a copy. Asking who holds it would cost a question to every
 	// agent: after an outage, when all that comes are copies, the questions of 54 agents kept the links full and the overload
 	// going for 14 s. A second target that opens the flow loses a slot for a round trip instead.
-	f.uncertain = s.Age > 0
 	b.place(now, f)
 }
 
--- a/pkg/dsrd/gossip.go
+++ b/pkg/dsrd/gossip.go
@@ -34,6 +34,7 @@
 	version, age, checked := b.keeper.state(now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.core.Awake(now)
 	b.logLost("agent-lost", b.agents.Lost(now))
 	b.logLost("balancer-lost", b.balancers.Lost(now))
 	m := b.gossipMessage(version, age, checked)
