Let two flows meet a dead agent at once in the test that explains a late opening

The test played 20 flows one after the other. Idle agents are chosen by the hash of the caller's address and port, which are new in each run, and only in the second until the agent's silence counts, so about five flows had a chance of one half each: one run in 32 has none, more on a busy machine. Ruled out: the daemons (the flows were all placed at the living agent).

--- a/internal/lab/passthrough/explain_test.go
+++ b/internal/lab/passthrough/explain_test.go
@@ -109,11 +109,23 @@
 // flow plays a flow of one request and returns its caller's address.
 func flow(t *testing.T, l *lab, requests int) netip.AddrPort {
 	t.Helper()
-	c, err := l.newCaller(rand.New(rand.NewPCG(1, 1)), 0)
-	require.NoError(t, err)
-	c.requests = requests
-	c.run(t.Context())
-	return c.address
+	return flowsAtOnce(t, l, requests, 1)[0]
+}
+
+// flowsAtOnce plays several flows at the same time and returns their callers' addresses.
+func flowsAtOnce(t *testing.T, l *lab, requests, n int) []netip.AddrPort {
+	t.Helper()
+	var out []netip.AddrPort
+	var all sync.WaitGroup
+	for range n {
+		c, err := l.newCaller(rand.New(rand.NewPCG(1, 1)), 0)
+		require.NoError(t, err)
+		c.requests = requests
+		out = append(out, c.address)
+		all.Go(func() { c.run(t.Context()) })
+	}
+	all.Wait()
+	return out
 }
 
 func TestARefusalForLackOfRoomIsExplained(t *testing.T) {
@@ -159,15 +171,15 @@
 	dead := l.agents[0]
 	dead.daemon.Close()
 	<-dead.done
+	// Of two flows at once each target gets one: its slot is taken by the first.
 	var late []line
-	for range 20 {
-		if lines := log.of(t, flow(t, l, 1)); late == nil {
-			if _, ok := has(lines, "unanswered"); ok {
-				late = lines
-			}
+	for _, caller := range flowsAtOnce(t, l, 1, 2) {
+		lines := log.of(t, caller)
+		if _, ok := has(lines, "unanswered"); ok {
+			late = lines
 		}
 	}
-	require.NotNil(t, late, "the first flow that meets the dead agent")
+	require.NotNil(t, late, "the flow that meets the dead agent")
 	unanswered, _ := has(late, "unanswered")
 	placed, ok := has(late, "placed")
 	require.True(t, ok)
