Order the lives of a target by its start, and turn down reports that name no target to use

Cause: a report of another service took a good target away and put its name among those that are ignored for ever; reports without a state or a service counted as ready; a target that started again under its name was ignored until its new sequence passed the old one, and stayed out for good when it had drained or left.

The start of a process (born) orders lives, the sequence reports within one; a farewell obeys the same order. When a later life is certain, callers of the earlier one's flows are reset at once and what waits is offered to the new process; without a start nobody can say which life is later, so nothing is reset.

The case 'target of another service at the address' of the old test asked that a foreign report takes the target away; it is replaced by cases that ask for the rejection and the unchanged state.

--- a/internal/archtest/platform_test.go
+++ b/internal/archtest/platform_test.go
@@ -51,6 +51,7 @@
 func TestOnlyThePlatformNamesItsFields(t *testing.T) {
 	names := platformFields(t)
 	require.True(t, names["pathPrefix"], "the platform's fields are found")
+	require.True(t, names["warmupLeftMs"], "the fields of reports are found")
 	for _, dir := range []string{"pkg", "internal", "cmd"} {
 		for path, f := range sourceFiles(t, dir) {
 			for _, text := range texts(f) {
@@ -65,6 +66,9 @@
 func platformFields(t *testing.T) map[string]bool {
 	names := map[string]bool{}
 	for _, f := range sourceFiles(t, platformDir) {
+		for _, name := range fieldConstants(f) {
+			names[name] = true
+		}
 		ast.Inspect(f, func(n ast.Node) bool {
 			field, ok := n.(*ast.Field)
 			if !ok || field.Tag == nil {
@@ -81,6 +85,25 @@
 	return names
 }
 
+// fieldConstants returns the values of more than one word of the constants that name fields.
+func fieldConstants(f *ast.File) []string {
+	var out []string
+	ast.Inspect(f, func(n ast.Node) bool {
+		spec, ok := n.(*ast.ValueSpec)
+		if !ok || len(spec.Values) != 1 || !strings.HasPrefix(spec.Names[0].Name, "field") {
+			return true
+		}
+		if literal, ok := spec.Values[0].(*ast.BasicLit); ok {
+			text, _ := strconv.Unquote(literal.Value)
+			if strings.ToLower(text) != text {
+				out = append(out, text)
+			}
+		}
+		return true
+	})
+	return out
+}
+
 // texts returns the string literals of a file, and the JSON names in its tags.
 func texts(f *ast.File) []string {
 	var out []string
--- a/internal/lab/soak/target.go
+++ b/internal/lab/soak/target.go
@@ -121,7 +121,7 @@
 	pause(ctx, after)
 	call, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	_ = platformtest.Deregister(call, t.control, id)
+	_ = platformtest.Deregister(call, t.control, announcement.Farewell{ID: id})
 	t.end()
 }
 
@@ -147,7 +147,7 @@
 	for t.is(id) {
 		t.mu.Lock()
 		t.sequence++
-		a := announcement.Announcement{ID: id, Service: t.service, Slots: slots, Sequence: t.sequence}
+		a := announcement.Announcement{ID: id, Service: t.service, Address: t.w.targetAddress(t), Slots: slots, Sequence: t.sequence}
 		if t.draining {
 			a.State = announcement.Draining
 		}
--- a/pkg/dsr/ownership/config.go
+++ b/pkg/dsr/ownership/config.go
@@ -1,6 +1,9 @@
 package ownership
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 // Times and limits of the decisions.
 const (
@@ -54,6 +57,8 @@
 	Name       string
 	DataCentre string
 	Service    string
+	// Target is the target's address; reports of one at another address are turned down. It may be invalid.
+	Target netip.AddrPort
 	// Incarnation tells the lives of the agent apart.
 	Incarnation uint64
 	// HeartbeatInterval is the time between two announcements of the target.
--- a/pkg/dsr/ownership/entry.go
+++ b/pkg/dsr/ownership/entry.go
@@ -46,6 +46,8 @@
 	// callerClosed and targetClosed are set when an end has sent its FIN.
 	callerClosed bool
 	targetClosed bool
+	// gone is set when the flow has ended with its target's process.
+	gone bool
 	// since is when the phase began, touched the time of the last packet, busySince when the work came.
 	since     time.Time
 	touched   time.Time
--- a/pkg/dsr/ownership/from_balancer.go
+++ b/pkg/dsr/ownership/from_balancer.go
@@ -35,6 +35,12 @@
 		t.returned(balancer, m, key, dsrpb.Verdict_VERDICT_NOT_HELD, s.Raw)
 		return
 	}
+	if e.gone {
+		e.origin = balancer
+		e.callerAck, e.acknowledged = s.Acknowledgement, true
+		t.resetGone(key, e)
+		return
+	}
 	t.deliver(now, balancer, e, s)
 }
 
--- a/pkg/dsr/ownership/from_target.go
+++ b/pkg/dsr/ownership/from_target.go
@@ -85,10 +85,7 @@
 	if lost {
 		t.out.Reset(key, e.callerAck)
 		t.decided(EventReset, key, origin, t.configuration, dsrpb.Verdict_VERDICT_RESET)
-		if origin.IsValid() {
-			// The balancer keeps the record.
-			t.returned(origin, m, key, dsrpb.Verdict_VERDICT_RESET, nil)
-		}
+		t.tellReset(origin, key)
 		return
 	}
 	if origin.IsValid() {
--- /dev/null
+++ b/pkg/dsr/ownership/life.go
@@ -0,0 +1,114 @@
+package ownership
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/dsr/announcement"
+	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/flow"
+)
+
+// Announce takes a heartbeat of the target. It reports whether the balancers should be told at once. The error is an
+// *announcement.Rejection: the heartbeat has changed nothing.
+func (t *Table) Announce(now time.Time, a announcement.Announcement) (bool, error) {
+	if a.Service != t.cfg.Service {
+		return false, &announcement.Rejection{Reason: announcement.WrongService}
+	}
+	if t.cfg.Target.IsValid() && a.Address.IsValid() && a.Address != t.cfg.Target {
+		return false, &announcement.Rejection{Reason: announcement.WrongAddress}
+	}
+	before := t.State(now)
+	ordered := a.Born != 0 && t.target.last.Born != 0
+	n, err := t.target.hear(now, a, t.silence())
+	if err != nil || n == nothing {
+		return false, err
+	}
+	if n == newLife && ordered {
+		t.lifeEnded(now)
+	}
+	t.giveBack(now)
+	return n == newLife || before != t.State(now), nil
+}
+
+// silence is how long a target may say nothing until it is taken for gone.
+func (t *Table) silence() time.Duration { return MissedHeartbeats * t.cfg.HeartbeatInterval }
+
+// Probed takes a target's answer that it is ready, for an agent that has not heard its heartbeat yet. Slots are not known
+// then. It reports whether the balancers should be told.
+func (t *Table) Probed(now time.Time, id string, born uint64) bool {
+	if t.target.known {
+		return false
+	}
+	tell, err := t.Announce(now, announcement.Announcement{ID: id, Born: born, Service: t.cfg.Service, Slots: ProbedSlots})
+	return tell && err == nil
+}
+
+// TargetLeft takes a target's word that its process is gone. The error is an *announcement.Rejection.
+func (t *Table) TargetLeft(now time.Time, f announcement.Farewell) error {
+	if err := t.target.leave(f); err != nil {
+		return err
+	}
+	t.giveBack(now)
+	return nil
+}
+
+// Life describes the present life of the target, for operators.
+func (t *Table) Life() Life {
+	return Life{
+		ID:       t.target.last.ID,
+		Born:     t.target.last.Born,
+		Since:    t.target.since,
+		Sequence: t.target.last.Sequence,
+		Slots:    t.target.last.Slots,
+	}
+}
+
+// Life is one process of a target.
+type Life struct {
+	ID string
+	// Born is its start in Unix milliseconds, 0 when it does not say.
+	Born uint64
+	// Since is when the agent first heard of it; Sequence is the number of its last announcement.
+	Since    time.Time
+	Sequence uint64
+	Slots    int
+}
+
+// lifeEnded forgets what belonged to the target's last process, when it is certain that a later one has taken its place. Its
+// callers are told at once: they would otherwise wait for an answer that cannot come until their time is over. Openings that
+// wait for their turn are offered to the new process.
+func (t *Table) lifeEnded(now time.Time) {
+	t.silent, t.pace = time.Time{}, DefaultWork
+	clear(t.notHeld)
+	for key, e := range t.flows {
+		switch e.phase {
+		case queued, ended:
+		case offered:
+			t.drop(key, e)
+			t.decline(e.origin, &dsrpb.Message{Flow: key.Hash()}, key, dsrpb.Verdict_VERDICT_SILENT, nil)
+		default:
+			t.end(now, e)
+			e.gone = true
+			if e.acknowledged {
+				t.resetGone(key, e)
+			}
+		}
+	}
+	t.pump(now)
+}
+
+// resetGone tells the caller of a flow that its target is gone. The caller's last acknowledgement shows that it chose this
+// target; one of which nothing came since the target answered may have chosen another.
+func (t *Table) resetGone(key flow.Key, e *entry) {
+	t.out.Reset(key, e.reference())
+	t.decided(EventReset, key, e.origin, t.configuration, dsrpb.Verdict_VERDICT_RESET)
+	t.tellReset(e.origin, key)
+}
+
+// tellReset tells the balancer that a flow was reset; it keeps the record.
+func (t *Table) tellReset(origin netip.AddrPort, key flow.Key) {
+	if origin.IsValid() {
+		t.returned(origin, &dsrpb.Message{Flow: key.Hash()}, key, dsrpb.Verdict_VERDICT_RESET, nil)
+	}
+}
--- /dev/null
+++ b/pkg/dsr/ownership/life_test.go
@@ -0,0 +1,209 @@
+package ownership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwood/auburnwood/pkg/dsr/announcement"
+	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/dsrtest"
+	"github.com/auburnwood/auburnwood/pkg/dsr/segment"
+)
+
+// Starts of three lives, in Unix milliseconds.
+const (
+	bornFirst  = 1_790_000_000_000
+	bornSecond = bornFirst + 1500
+	bornThird  = bornSecond + 1
+)
+
+// report is a target's report of a life.
+func report(id string, born, sequence uint64, s announcement.State) announcement.Announcement {
+	return announcement.Announcement{ID: id, Born: born, Service: "route-svc", Slots: 2, Sequence: sequence, State: s}
+}
+
+// step is one report or farewell, and what it comes to.
+type step struct {
+	report announcement.Announcement
+	// leaves makes the step a farewell.
+	leaves bool
+	reason announcement.Reason
+	state  dsrpb.State
+}
+
+const (
+	ready    = announcement.Ready
+	draining = announcement.Draining
+	absent   = dsrpb.State_STATE_ABSENT
+	serving  = dsrpb.State_STATE_READY
+	leaving  = dsrpb.State_STATE_LEAVING
+)
+
+func says(id string, born, sequence uint64, s announcement.State, want dsrpb.State) step {
+	return step{report: report(id, born, sequence, s), state: want}
+}
+
+func left(id string, born uint64, want dsrpb.State) step {
+	return step{report: announcement.Announcement{ID: id, Born: born}, leaves: true, state: want}
+}
+
+func (s step) rejected(r announcement.Reason) step {
+	s.reason = r
+	return s
+}
+
+func TestTheStartOfAProcessOrdersLives(t *testing.T) {
+	foreign := says("x", bornThird, 1, ready, serving)
+	foreign.report.Service = "other"
+	elsewhere := says("a", bornThird, 1, ready, serving)
+	elsewhere.report.Address = caller(80)
+	for _, c := range []struct {
+		name  string
+		steps []step
+	}{
+		{"the same name starts again and counts anew", []step{
+			says("a", bornFirst, 40, ready, serving), says("a", bornSecond, 1, ready, serving),
+			says("a", bornFirst, 41, draining, serving).rejected(announcement.EarlierLife),
+			says("a", bornSecond, 2, draining, leaving),
+		}},
+		{"a new life takes a drain back", []step{
+			says("a", bornFirst, 40, draining, leaving), says("a", bornSecond, 1, ready, serving),
+		}},
+		{"a life after a farewell", []step{
+			says("a", bornFirst, 40, draining, leaving), left("a", bornFirst, absent),
+			says("a", bornFirst, 41, ready, absent).rejected(announcement.EarlierLife),
+			says("a", bornSecond, 1, ready, serving),
+		}},
+		{"a late farewell of an earlier life ends nobody", []step{
+			says("a", bornFirst, 4, ready, serving), says("a", bornSecond, 1, ready, serving),
+			left("a", bornFirst, serving).rejected(announcement.EarlierLife),
+			left("b", bornFirst, serving).rejected(announcement.EarlierLife),
+		}},
+		{"a farewell that names no life, of a target that does not drain", []step{
+			says("a", bornFirst, 4, ready, serving), left("a", 0, serving).rejected(announcement.UnknownLife),
+		}},
+		{"a farewell that names no life, of a target that drains", []step{
+			says("a", bornFirst, 4, draining, leaving), left("a", 0, absent),
+		}},
+		{"a farewell of a later life that nobody heard", []step{
+			says("a", bornFirst, 4, ready, serving), left("a", bornSecond, absent),
+			says("a", bornFirst, 5, ready, absent).rejected(announcement.EarlierLife),
+		}},
+		{"a farewell before the first report", []step{
+			left("a", bornSecond, absent), says("a", bornFirst, 5, ready, absent).rejected(announcement.EarlierLife),
+			says("b", bornThird, 1, ready, serving),
+		}},
+		{"another name, later", []step{
+			says("a", bornFirst, 4, ready, serving), says("b", bornSecond, 1, ready, serving),
+			says("a", bornFirst, 5, ready, serving).rejected(announcement.EarlierLife),
+			says("a", bornThird, 1, ready, serving),
+		}},
+		{"another name of the same start", []step{
+			says("a", bornFirst, 4, ready, serving), says("b", bornFirst, 5, draining, serving).rejected(announcement.UnknownLife),
+			left("b", bornFirst, serving).rejected(announcement.UnknownLife),
+		}},
+		{"a report without a start of a target that tells its own", []step{
+			says("a", bornFirst, 4, ready, serving), says("a", 0, 5, draining, serving).rejected(announcement.UnknownLife),
+			says("b", 0, 1, ready, serving).rejected(announcement.UnknownLife),
+		}},
+		{"a target that begins to tell its start", []step{
+			says("a", 0, 40, draining, leaving), says("a", bornFirst, 1, ready, serving),
+		}},
+		{"a late copy within a life", []step{
+			says("a", bornFirst, 4, draining, leaving), says("a", bornFirst, 3, ready, leaving),
+		}},
+		{"another service", []step{
+			says("a", bornFirst, 4, ready, serving), foreign.rejected(announcement.WrongService),
+			says("a", bornFirst, 5, ready, serving),
+		}},
+		{"another address", []step{
+			says("a", bornFirst, 4, ready, serving), elsewhere.rejected(announcement.WrongAddress),
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, Config{Target: balancer})
+			f.table = NewTable(f.table.cfg, dsrtest.Codec{}, f.out, f.now)
+			for i, s := range c.steps {
+				var err error
+				if s.leaves {
+					err = f.table.TargetLeft(f.now, announcement.Farewell{ID: s.report.ID, Born: s.report.Born})
+				} else {
+					_, err = f.table.Announce(f.now, s.report)
+				}
+				if s.reason == "" {
+					require.NoError(t, err, i)
+				} else {
+					var r *announcement.Rejection
+					require.ErrorAs(t, err, &r, i)
+					require.Equal(t, s.reason, r.Reason, i)
+				}
+				require.Equal(t, s.state, f.table.State(f.now), i)
+			}
+		})
+	}
+}
+
+// A target that does not tell its start: its name comes back only when the one that replaced it has fallen silent.
+func TestANameThatWasReplacedByALateReportComesBack(t *testing.T) {
+	f := newFixture(t, Config{})
+	f.hear(report("late", 0, 90, ready))
+	f.now = f.now.Add(time.Second)
+	_, err := f.table.Announce(f.now, report("i-1", 0, f.beat+1, ready))
+	require.Error(t, err, "its successor may live")
+	f.now = f.now.Add(3 * time.Second)
+	_, err = f.table.Announce(f.now, report("i-1", 0, f.beat, ready))
+	require.Error(t, err, "it does not go on counting")
+	require.True(t, f.hear(report("i-1", 0, f.beat+4, ready)))
+	require.Equal(t, serving, f.table.State(f.now))
+	require.Equal(t, "i-1", f.table.Life().ID)
+}
+
+// The flows of a process that is gone cannot be answered: their callers are told within the same call, where they waited until
+// their time was over. What waits for its turn is offered to the new process.
+func TestANewLifeHasNothingOfTheEarlierOne(t *testing.T) {
+	f := newFixture(t, Config{})
+	f.hear(report("i-1", bornFirst, 20, ready))
+	f.accept(1)
+	f.data(1, 1001, true)
+	f.accept(2)
+	f.open(3)
+	f.open(4)
+	require.Equal(t, 4, f.table.Busy(), "two are open, one is offered, one waits")
+	f.table.pace = time.Second
+	f.out.resets, f.out.target, f.out.messages = nil, nil, nil
+
+	require.True(t, f.hear(report("i-1", bornSecond, 1, ready)))
+	require.Equal(t, keyOfCaller(1), f.out.resets[0])
+	require.Len(t, f.out.resets, 1, "nothing shows that the second caller chose this target")
+	require.Equal(t, DefaultWork, f.table.pace)
+	require.Equal(t, 1, f.table.Busy())
+	require.Len(t, f.out.target, 1, "the one that waited is offered")
+	verdicts := map[dsrpb.Verdict]int{}
+	for _, m := range f.out.messages {
+		verdicts[m.verdict]++
+	}
+	require.Equal(t, map[dsrpb.Verdict]int{dsrpb.Verdict_VERDICT_RESET: 1, dsrpb.Verdict_VERDICT_SILENT: 1}, verdicts)
+
+	f.data(2, 2001, true)
+	require.Equal(t, keyOfCaller(2), f.out.resets[1], "its packet shows that it chose this target")
+	f.data(1, 1001, true)
+	require.Len(t, f.out.resets, 3, "a reset that was lost is repeated")
+	require.Len(t, f.out.target, 1, "the new process gets nothing of the old flows")
+	f.target(4, segment.SYN|segment.ACK, 4000, "")
+	f.data(4, 4001, true)
+	require.Len(t, f.out.target, 2)
+}
+
+// Without a start nobody can say which process is the later one: open flows are left alone then, and what the target returns
+// decides.
+func TestAnUncertainOrderOfLivesResetsNothing(t *testing.T) {
+	f := newFixture(t, Config{})
+	f.accept(1)
+	f.data(1, 1001, true)
+	f.hear(report("i-2", 0, 7, ready))
+	require.Empty(t, f.out.resets)
+	f.data(1, 1001, true)
+	require.Len(t, f.out.target, 3)
+}
--- a/pkg/dsr/ownership/table.go
+++ b/pkg/dsr/ownership/table.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/admission"
-	"github.com/auburnwood/auburnwood/pkg/dsr/announcement"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/dsr/segment"
 	"github.com/auburnwood/auburnwood/pkg/flow"
@@ -59,31 +58,6 @@
 	}
 }
 
-// Announce takes a heartbeat of the target. It reports whether the balancers should be told at once.
-func (t *Table) Announce(now time.Time, a announcement.Announcement) bool {
-	before := t.State(now)
-	if !t.target.hear(now, a) {
-		return false
-	}
-	t.giveBack(now)
-	return before != t.State(now)
-}
-
-// Probed takes a target's answer that it is ready, for an agent that has not heard its heartbeat yet. Slots are not known
-// then. It reports whether the balancers should be told.
-func (t *Table) Probed(now time.Time, id string) bool {
-	if t.target.known {
-		return false
-	}
-	return t.Announce(now, announcement.Announcement{ID: id, Service: t.cfg.Service, Slots: ProbedSlots})
-}
-
-// TargetLeft takes a target's word that its process is gone.
-func (t *Table) TargetLeft(now time.Time, id string) {
-	t.target.leave(id)
-	t.giveBack(now)
-}
-
 // Leave makes the agent take no new flows any more.
 func (t *Table) Leave(now time.Time) {
 	t.leaving = true
@@ -95,10 +69,7 @@
 	if t.leaving {
 		return dsrpb.State_STATE_LEAVING
 	}
-	if t.target.known && t.target.last.Service != t.cfg.Service {
-		return dsrpb.State_STATE_ABSENT
-	}
-	return t.target.state(now, t.cfg.HeartbeatInterval)
+	return t.target.state(now, t.silence())
 }
 
 // TargetKnown reports whether the target has been heard of.
--- a/pkg/dsrd/agent.go
+++ b/pkg/dsrd/agent.go
@@ -42,8 +42,10 @@
 	table   *ownership.Table
 	probing bool
 	// state is the last logged state of the target.
-	state   dsrpb.State
-	message dsrpb.Message
+	state dsrpb.State
+	// rejections counts the reports that were turned down.
+	rejections map[announcement.Reason]uint64
+	message    dsrpb.Message
 }
 
 // NewAgent binds the sockets of an agent.
@@ -53,7 +55,7 @@
 		return nil, err
 	}
 	n.messages = n.packets
-	a := &Agent{node: n, cfg: cfg}
+	a := &Agent{node: n, cfg: cfg, rejections: make(map[announcement.Reason]uint64)}
 	if a.target, err = netip.ParseAddrPort(cfg.TargetAddress); err != nil {
 		return nil, trace.Wrap(err, "reading target_address")
 	}
@@ -70,6 +72,7 @@
 		DataCentre:        cfg.DataCentre,
 		Service:           cfg.Service,
 		Incarnation:       uint64(n.started.UnixNano()),
+		Target:            a.target,
 		HeartbeatInterval: cfg.HeartbeatInterval.Duration(),
 		First:             cfg.FirstStart,
 	}, p.Codec, a.out, n.started)
@@ -242,7 +245,7 @@
 		a.log.Info().Err(err).Str("op", "probe").Stringer("peer", a.target).Msg("the target did not say that it is ready")
 		return
 	}
-	if a.table.Probed(now, n.ID) {
+	if a.table.Probed(now, n.ID, n.Born) {
 		a.log.Warn().Str("op", "target-state").Str("target", n.ID).Stringer("state", a.table.State(now)).Msg("the target says that it is ready")
 		a.state = a.table.State(now)
 		a.announceLocked(now)
@@ -271,32 +274,6 @@
 	return a.alarm.next
 }
 
-// Announce implements Targets.
-func (a *Agent) Announce(n announcement.Announcement) error {
-	now := time.Now()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	before := a.table.State(now)
-	if a.table.Announce(now, n) {
-		a.log.Warn().Str("op", "target-state").Str("target", n.ID).Uint64("sequence", n.Sequence).Str("service", n.Service).
-			Int("slots", n.Slots).Dur("warm_up_ms", n.WarmUp).Stringer("before", before).Stringer("state", a.table.State(now)).
-			Msg("the target changed")
-		a.state = a.table.State(now)
-		a.announceLocked(now)
-	}
-	return nil
-}
-
-// Left implements Targets.
-func (a *Agent) Left(id string) {
-	now := time.Now()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.table.TargetLeft(now, id)
-	a.log.Warn().Str("op", "target-left").Str("target", id).Msg("the target has left")
-	a.announceLocked(now)
-}
-
 // ready says why the agent cannot serve, or nothing.
 func (a *Agent) ready() error {
 	now := time.Now()
--- a/pkg/dsrd/agent_output.go
+++ b/pkg/dsrd/agent_output.go
@@ -1,11 +1,13 @@
 package dsrd
 
 import (
+	"maps"
 	"net/netip"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/auburnwood/auburnwood/pkg/dsr/announcement"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/dsr/ownership"
 	"github.com/auburnwood/auburnwood/pkg/flow"
@@ -82,12 +84,19 @@
 
 // agentStatus is what /status shows of an agent.
 type agentStatus struct {
-	Ready           string `json:"ready"`
-	Target          string `json:"target"`
-	Busy            int    `json:"busy"`
-	Flows           int    `json:"flows"`
-	Configuration   uint64 `json:"configuration"`
-	LivingBalancers int    `json:"livingBalancers"`
+	Ready  string `json:"ready"`
+	Target string `json:"target"`
+	// TargetName, Born (Unix milliseconds), Since and Sequence tell which life of the target is believed in.
+	TargetName string    `json:"targetName"`
+	Born       uint64    `json:"born"`
+	Since      time.Time `json:"since"`
+	Sequence   uint64    `json:"lastSequence"`
+	// Rejected counts the reports that were turned down, by reason.
+	Rejected        map[announcement.Reason]uint64 `json:"rejectedReports"`
+	Busy            int                            `json:"busy"`
+	Flows           int                            `json:"flows"`
+	Configuration   uint64                         `json:"configuration"`
+	LivingBalancers int                            `json:"livingBalancers"`
 }
 
 // status describes the agent.
@@ -100,6 +109,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s.Target = a.table.State(now).String()
+	life := a.table.Life()
+	s.TargetName, s.Born, s.Since, s.Sequence = life.ID, life.Born, life.Since, life.Sequence
+	s.Rejected = maps.Clone(a.rejections)
 	s.Busy, s.Flows, s.Configuration = a.table.Busy(), a.table.Flows(), a.table.Configuration()
 	s.LivingBalancers = len(a.balancers.Living(now))
 	return s
--- /dev/null
+++ b/pkg/dsrd/agent_target.go
@@ -0,0 +1,50 @@
+package dsrd
+
+import (
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/dsr/announcement"
+)
+
+// Announce implements Targets.
+func (a *Agent) Announce(n announcement.Announcement) error {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	before := a.table.State(now)
+	tell, err := a.table.Announce(now, n)
+	if err != nil || !tell {
+		return err
+	}
+	a.log.Warn().Str("op", "target-state").Str("target", n.ID).Uint64("born", n.Born).Uint64("sequence", n.Sequence).
+		Str("service", n.Service).Int("slots", n.Slots).Dur("warm_up_ms", n.WarmUp).Stringer("before", before).
+		Stringer("state", a.table.State(now)).Msg("the target changed")
+	a.state = a.table.State(now)
+	a.announceLocked(now)
+	a.alarm.by(a.table.Deadline())
+	return nil
+}
+
+// Left implements Targets.
+func (a *Agent) Left(f announcement.Farewell) error {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err := a.table.TargetLeft(now, f); err != nil {
+		return err
+	}
+	a.log.Warn().Str("op", "target-left").Str("target", f.ID).Uint64("born", f.Born).Msg("the target has left")
+	a.announceLocked(now)
+	return nil
+}
+
+// Rejected implements Targets. The line names the life that stays in use, so that an operator sees what was compared.
+func (a *Agent) Rejected(id string, r *announcement.Rejection) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.rejections[r.Reason]++
+	a.scope.Tagged(map[string]string{"reason": string(r.Reason)}).Counter("dsr_rejected_reports").Inc(1)
+	life := a.table.Life()
+	a.log.Warn().Str("op", "report-rejected").Str("reason", string(r.Reason)).Str("field", r.Field).Str("from", id).
+		Str("target", life.ID).Uint64("born", life.Born).Uint64("sequence", life.Sequence).Msg("a target's report was turned down")
+}
--- a/pkg/dsrd/balancer_status.go
+++ b/pkg/dsrd/balancer_status.go
@@ -43,4 +43,7 @@
 func (noTargets) Announce(announcement.Announcement) error { return errNoTargets }
 
 // Left implements Targets.
-func (noTargets) Left(string) {}
+func (noTargets) Left(announcement.Farewell) error { return errNoTargets }
+
+// Rejected implements Targets.
+func (noTargets) Rejected(string, *announcement.Rejection) {}
--- a/pkg/dsrd/platform.go
+++ b/pkg/dsrd/platform.go
@@ -13,10 +13,13 @@
 
 // Targets takes what targets say of themselves.
 type Targets interface {
-	// Announce takes a heartbeat. An error means that it is not acknowledged.
+	// Announce takes a heartbeat. An error means that it is not acknowledged; it is an *announcement.Rejection when the
+	// report names no target to use.
 	Announce(a announcement.Announcement) error
-	// Left takes a target's word that its process ends.
-	Left(id string)
+	// Left takes a target's word that its process ends. An error means what it means for Announce.
+	Left(f announcement.Farewell) error
+	// Rejected notes a report that was turned down; id is the name under which it came.
+	Rejected(id string, r *announcement.Rejection)
 }
 
 // Platform is what the daemons need of the platform they run on.
