--- /dev/null
+++ b/pkg/dsr/announcement/object.go
@@ -0,0 +1,144 @@
+package announcement
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"math"
+	"unicode/utf8"
+)
+
+// maxText bounds texts, in bytes: the length of a DNS name.
+const maxText = 253
+
+// Object is one decoded JSON object. Its methods keep the first error, which is a *Rejection, and return zero values after it.
+type Object struct {
+	fields map[string]json.RawMessage
+	err    error
+}
+
+// ReadObject reads bytes that are one JSON object and nothing else. Unlike encoding/json it tells fields apart by case and
+// refuses those that stand twice: of two values of one field nobody can say which was meant.
+func ReadObject(b []byte) *Object {
+	o := &Object{fields: make(map[string]json.RawMessage)}
+	if !utf8.Valid(b) {
+		return o.Fail(Unreadable, "")
+	}
+	d := json.NewDecoder(bytes.NewReader(b))
+	if first, err := d.Token(); err != nil || first != json.Delim('{') {
+		return o.Fail(Unreadable, "")
+	}
+	for d.More() {
+		name, err := d.Token()
+		if err != nil {
+			return o.Fail(Unreadable, "")
+		}
+		// Within an object the decoder returns names as texts.
+		field := name.(string)
+		var value json.RawMessage
+		if err := d.Decode(&value); err != nil {
+			return o.Fail(Unreadable, field)
+		}
+		if _, twice := o.fields[field]; twice {
+			return o.Fail(DuplicateField, field)
+		}
+		o.fields[field] = value
+	}
+	if _, err := d.Token(); err != nil {
+		return o.Fail(Unreadable, "")
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return o.Fail(Unreadable, "")
+	}
+	return o
+}
+
+// Err is the first error, or nil.
+func (o *Object) Err() error { return o.err }
+
+// Fail notes an error unless there is one already.
+func (o *Object) Fail(r Reason, field string) *Object {
+	if o.err == nil {
+		o.err = &Rejection{Reason: r, Field: field}
+	}
+	return o
+}
+
+// Has reports whether a field is there. One that is null is taken for missing.
+func (o *Object) Has(field string) bool {
+	value, ok := o.fields[field]
+	return ok && string(value) != "null"
+}
+
+// Decode reads a field that must be there.
+func (o *Object) Decode(field string, out any) {
+	if o.err != nil {
+		return
+	}
+	if !o.Has(field) {
+		o.Fail(MissingField, field)
+		return
+	}
+	if err := json.Unmarshal(o.fields[field], out); err != nil {
+		o.Fail(WrongType, field)
+	}
+}
+
+// Text reads a text of at most maxText bytes.
+func (o *Object) Text(field string) string {
+	var s string
+	o.Decode(field, &s)
+	if o.err == nil && (s == "" || len(s) > maxText) {
+		o.Fail(OutOfRange, field)
+	}
+	return s
+}
+
+// Whole reads a whole number from lowest to highest.
+func (o *Object) Whole(field string, lowest, highest uint64) uint64 {
+	var n json.Number
+	o.Decode(field, &n)
+	if o.err != nil {
+		return 0
+	}
+	// A text with a number in it decodes into json.Number too.
+	if o.fields[field][0] == '"' {
+		o.Fail(WrongType, field)
+		return 0
+	}
+	v, err := n.Int64()
+	switch {
+	case err != nil && !beyondInt64(n):
+		o.Fail(WrongType, field)
+	case err != nil, v < 0, uint64(v) < lowest, uint64(v) > highest:
+		o.Fail(OutOfRange, field)
+	}
+	if o.err != nil {
+		return 0
+	}
+	return uint64(v)
+}
+
+// Optional reads a whole number that may be missing, which means 0.
+func (o *Object) Optional(field string, lowest, highest uint64) uint64 {
+	if _, told := o.fields[field]; !told {
+		return 0
+	}
+	return o.Whole(field, lowest, highest)
+}
+
+// beyondInt64 reports whether a number is whole but too large for 64 bits.
+func beyondInt64(n json.Number) bool {
+	f, err := n.Float64()
+	return err != nil || math.Abs(f) >= math.MaxInt64
+}
+
+// Number reads a number from 0 to highest.
+func (o *Object) Number(field string, highest float64) float64 {
+	var f float64
+	o.Decode(field, &f)
+	if o.err == nil && (f < 0 || f > highest) {
+		o.Fail(OutOfRange, field)
+	}
+	return f
+}
--- a/pkg/dsrd/keeper.go
+++ b/pkg/dsrd/keeper.go
@@ -62,6 +62,8 @@
 	checked time.Time
 	failed  time.Time
 	failing bool
+	// unreadable is the version that could not be read at the last check, 0 when it could.
+	unreadable uint64
 	// wanted is a version that another process has named; source is the balancer that has it, if known.
 	wanted uint64
 	source netip.AddrPort
@@ -158,6 +160,10 @@
 	if now.Sub(k.failed) < keeperInterval {
 		return false
 	}
+	// What cannot be read is looked at again as seldom as what is in force: only its writer can mend it.
+	if k.unreadable > k.object.Version && now.Sub(k.failed) < checkInterval {
+		return false
+	}
 	return k.wanted > k.object.Version || k.checked.IsZero() || now.Sub(k.checked) >= wait
 }
 
@@ -182,13 +188,22 @@
 		k.note(began, nil)
 		return
 	}
-	if err == nil {
-		err = k.take(o, began)
-	}
 	k.note(began, err)
-	if err == nil {
-		k.checkedNow()
+	if err != nil {
+		return
+	}
+	if err := k.take(o, began); err != nil {
+		k.cannotRead(o.Version)
+		return
 	}
+	k.checkedNow()
+}
+
+// cannotRead notes a version whose object is no configuration; the one in force stays.
+func (k *keeper) cannotRead(version uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.unreadable, k.failed = version, time.Now()
 }
 
 // note keeps the outcome of a check and logs when checks begin to fail or to work.
--- a/pkg/dsrd/keeper_test.go
+++ b/pkg/dsrd/keeper_test.go
@@ -123,8 +123,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newKeeperFixture()
 		f.during(t, 50*time.Millisecond)
-		f.store.object = objectapi.Object{Version: 6, Value: []byte("broken")}
-		f.during(t, time.Second)
+		f.store.object, f.store.gets = objectapi.Object{Version: 6, Value: []byte("broken")}, 0
+		f.during(t, 3*time.Second)
+		require.LessOrEqual(t, f.store.gets, 6, "it is not asked for more often than what is in force")
 		version, _, _ := f.state(time.Now())
 		require.Equal(t, uint64(5), version)
 		f.store.object = objectapi.Object{Version: 7}
--- a/pkg/dsrd/members.go
+++ b/pkg/dsrd/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"time"
 
@@ -26,6 +27,22 @@
 	Messages netip.AddrPort `json:"messages"`
 }
 
+// errNoAddress is the error of a member at which nobody can be reached.
+var errNoAddress = errors.New("the member names no address")
+
+// decodeMember reads a balancer's object, which another writer may have made.
+func decodeMember(o objectapi.Object) (member, error) {
+	m, err := objectapi.Decode[member](o)
+	if err != nil {
+		return member{}, err
+	}
+	a := m.Value.Messages
+	if a.Port() == 0 || !a.Addr().IsValid() || a.Addr().IsUnspecified() || a.Addr().IsMulticast() {
+		return member{}, errNoAddress
+	}
+	return m.Value, nil
+}
+
 // readMembers lists the balancers in the object API and hands their addresses to found. Objects that cannot be read are
 // logged and left out.
 func readMembers(ctx context.Context, store objectapi.Store, log zerolog.Logger, found func([]netip.AddrPort)) (map[string]objectapi.Object, error) {
@@ -37,12 +54,12 @@
 	var addresses []netip.AddrPort
 	for _, o := range objects {
 		known[o.Name] = o
-		m, err := objectapi.Decode[member](o)
+		m, err := decodeMember(o)
 		if err != nil {
 			log.Warn().Err(err).Str("op", "read-members").Str("name", o.Name).Msg("a member's object cannot be read")
 			continue
 		}
-		addresses = append(addresses, m.Value.Messages)
+		addresses = append(addresses, m.Messages)
 	}
 	found(addresses)
 	return known, nil
