Ask a new process of a target about the requests of the last one; soak restarts under a kept name and other writers

Cause: callers whose request an earlier process was working on waited until their time was over. Resetting every flow when a later life reports would break flows that the new process took before its first report, and those that a restarted agent found while it believed a late report of an earlier life.

Change: the last request packet of a busy flow is handed to the new process once more. One that does not hold the flow returns it, and the caller is reset at once when its acknowledgement names this target's number. Works without a told start too.

Soak: half of the targets keep their name over restarts and tell their start; other writers send reports that name no target (each must be answered 4xx) and leave entries among the members.

--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -28,6 +28,7 @@
 	seedCallers = 1 + iota
 	seedOperator
 	seedFinal
+	seedWriters
 )
 
 // Run starts the installation, makes faults for o.Length and checks what the daemons promise. The error is one of the run
@@ -107,6 +108,7 @@
 	defer end()
 	var flows, parts sync.WaitGroup
 	parts.Go(func() { w.operate(during, rand.New(rand.NewPCG(w.o.Seed, seedOperator))) })
+	parts.Go(func() { w.writeStrange(during, rand.New(rand.NewPCG(w.o.Seed, seedWriters))) })
 	parts.Go(func() { w.openFlows(during, ctx, &flows) })
 	f := &faults{w: w, random: w.random, script: func(text string) {
 		_, _ = fmt.Fprintf(script, "%.2f %s\n", time.Since(w.counts.began).Seconds(), text)
--- a/internal/lab/soak/world.go
+++ b/internal/lab/soak/world.go
@@ -175,6 +175,7 @@
 		w: w, service: serviceA, control: netip.AddrPortFrom(a.address, w.ports.control).String(),
 		outbound: netip.AddrPortFrom(a.address, w.ports.outbound),
 	}
+	a.target.keepsName = n%2 == 0
 	// A third of the targets is of the second service.
 	if n%3 == 1 {
 		a.target.service = serviceB
--- a/pkg/dsr/ownership/entry.go
+++ b/pkg/dsr/ownership/entry.go
@@ -46,8 +46,10 @@
 	// callerClosed and targetClosed are set when an end has sent its FIN.
 	callerClosed bool
 	targetClosed bool
-	// gone is set when the flow has ended with its target's process.
-	gone bool
+	// request is the caller's last packet with data while the target works for the flow.
+	request []byte
+	// askedAgain is set when the request was handed to a new process of the target.
+	askedAgain bool
 	// since is when the phase began, touched the time of the last packet, busySince when the work came.
 	since     time.Time
 	touched   time.Time
@@ -75,3 +77,9 @@
 	}
 	return e.initialSequence
 }
+
+// lost reports whether a flow whose packet the target has returned was open there: the caller has got data from this target,
+// or its request was handed over again to a new process and acknowledges the number of the target's answer.
+func (e *entry) lost() bool {
+	return e.phase == open && (e.answered || e.askedAgain && e.hasSequence && e.callerAck == e.initialSequence+1)
+}
--- a/pkg/dsr/ownership/from_balancer.go
+++ b/pkg/dsr/ownership/from_balancer.go
@@ -35,12 +35,6 @@
 		t.returned(balancer, m, key, dsrpb.Verdict_VERDICT_NOT_HELD, s.Raw)
 		return
 	}
-	if e.gone {
-		e.origin = balancer
-		e.callerAck, e.acknowledged = s.Acknowledgement, true
-		t.resetGone(key, e)
-		return
-	}
 	t.deliver(now, balancer, e, s)
 }
 
@@ -51,6 +45,7 @@
 	e.callerAck, e.acknowledged = s.Acknowledgement, true
 	if s.Length > 0 {
 		e.requested = true
+		e.request = append(e.request[:0], s.Raw...)
 		t.work(now, e)
 	}
 	switch {
--- a/pkg/dsr/ownership/from_target.go
+++ b/pkg/dsr/ownership/from_target.go
@@ -79,7 +79,7 @@
 		return
 	}
 	defer t.pump(now)
-	lost := e.phase == open && e.answered
+	lost := e.lost()
 	t.drop(key, e)
 	t.forgetHeld(now, key)
 	if lost {
--- a/pkg/dsr/ownership/life.go
+++ b/pkg/dsr/ownership/life.go
@@ -19,12 +19,11 @@
 		return false, &announcement.Rejection{Reason: announcement.WrongAddress}
 	}
 	before := t.State(now)
-	ordered := a.Born != 0 && t.target.last.Born != 0
 	n, err := t.target.hear(now, a, t.silence())
 	if err != nil || n == nothing {
 		return false, err
 	}
-	if n == newLife && ordered {
+	if n == newLife {
 		t.lifeEnded(now)
 	}
 	t.giveBack(now)
@@ -75,37 +74,27 @@
 	Slots    int
 }
 
-// lifeEnded forgets what belonged to the target's last process, when it is certain that a later one has taken its place. Its
-// callers are told at once: they would otherwise wait for an answer that cannot come until their time is over. Openings that
-// wait for their turn are offered to the new process.
+// lifeEnded forgets what belonged to the target's last process. Openings that wait for their turn are offered to the new one.
+//
+// A caller whose request the last process was working on would wait until its time is over, for an answer that cannot come. Its
+// request is handed to the target once more: a process that does not hold the flow returns it, and the caller is reset at once.
+// Resetting the flows outright would be wrong, since the new process may have taken some before its first report.
 func (t *Table) lifeEnded(now time.Time) {
 	t.silent, t.pace = time.Time{}, DefaultWork
 	clear(t.notHeld)
 	for key, e := range t.flows {
-		switch e.phase {
-		case queued, ended:
-		case offered:
+		switch {
+		case e.phase == offered:
 			t.drop(key, e)
 			t.decline(e.origin, &dsrpb.Message{Flow: key.Hash()}, key, dsrpb.Verdict_VERDICT_SILENT, nil)
-		default:
-			t.end(now, e)
-			e.gone = true
-			if e.acknowledged {
-				t.resetGone(key, e)
-			}
+		case e.phase == open && e.request != nil:
+			e.askedAgain = true
+			t.out.ToTarget(e.request)
 		}
 	}
 	t.pump(now)
 }
 
-// resetGone tells the caller of a flow that its target is gone. The caller's last acknowledgement shows that it chose this
-// target; one of which nothing came since the target answered may have chosen another.
-func (t *Table) resetGone(key flow.Key, e *entry) {
-	t.out.Reset(key, e.reference())
-	t.decided(EventReset, key, e.origin, t.configuration, dsrpb.Verdict_VERDICT_RESET)
-	t.tellReset(e.origin, key)
-}
-
 // tellReset tells the balancer that a flow was reset; it keeps the record.
 func (t *Table) tellReset(origin netip.AddrPort, key flow.Key) {
 	if origin.IsValid() {
--- a/pkg/dsr/ownership/lifetime.go
+++ b/pkg/dsr/ownership/lifetime.go
@@ -22,7 +22,7 @@
 	if !e.busy {
 		return
 	}
-	e.busy = false
+	e.busy, e.request = false, nil
 	t.busy--
 }
 
