Compare configurations by watches; let the balancer that can read most do it; hand them on compressed

Each check read the whole document (300 kB) at the balancer with the lowest address, often one of 0.06 cores and 10 Mbit/s, which timed out; then all 23 read it. Each change was read from the object API by all and fetched from a peer by all, as JSON in base64.

Change: the end of a watch without an event is a check, and no document is read while nothing changes; one reading in 1.8 s while other objects change guards against a silent watch, a forgotten history asks for one. The balancer with the most processor and link (settings, told by gossip) checks; the others fetch first and read after 0.5 s. Of a series of changes one in 0.4 s is read. After failures a balancer pauses 0.2 to 0.8 s (before: 0.1 s).

Ruled out: packets waiting for a lock during the change, since the table is built outside it.

--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -10,11 +10,11 @@
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/auburnwood/auburnwood/pkg/dsr/configuration"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dispatch"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/dsr/roster"
 	"github.com/auburnwood/auburnwood/pkg/dsr/routing"
-	"github.com/auburnwood/auburnwood/pkg/objectapi"
 	"github.com/auburnwood/auburnwood/pkg/refusal"
 	"github.com/auburnwood/auburnwood/pkg/settings"
 	"github.com/auburnwood/auburnwood/pkg/telemetry"
@@ -48,8 +48,10 @@
 	core     *dispatch.Balancer
 	agents   roster.Peers
 	welcomed map[netip.AddrPort]time.Time
-	asking   bool
-	message  dsrpb.Message
+	// readers are what the other balancers say of how much they can read.
+	readers map[netip.AddrPort]uint32
+	asking  bool
+	message dsrpb.Message
 }
 
 // NewBalancer binds the sockets of a balancer.
@@ -63,7 +65,7 @@
 		return nil, err
 	}
 	n.self = n.messages.address()
-	b := &Balancer{node: n, cfg: cfg, welcomed: make(map[netip.AddrPort]time.Time), asking: true}
+	b := &Balancer{node: n, cfg: cfg, welcomed: make(map[netip.AddrPort]time.Time), readers: make(map[netip.AddrPort]uint32), asking: true}
 	b.refusals = refusal.NewLog(refusal.Config{
 		Process:     cfg.Name,
 		Incarnation: uint64(n.started.UnixNano()),
@@ -73,9 +75,9 @@
 	})
 	b.out = newBalancerOutput(b)
 	b.core = dispatch.NewBalancer(dispatch.Config{DataCentre: cfg.DataCentre}, p.Codec, b.out, n.started)
-	b.keeper = newKeeper(p, n.self, env.Log)
+	b.keeper = newKeeper(p, env.Log)
 	b.keeper.adopt = b.adopt
-	b.keeper.living = b.living
+	b.keeper.before = b.readersBefore
 	b.keeper.checkedNow = b.gossipAtOnce
 	env.Status.Set(b.status)
 	return b, nil
@@ -168,29 +170,18 @@
 }
 
 // adopt takes a configuration into force.
-func (b *Balancer) adopt(o objectapi.Object) error {
-	c, err := b.platform.Decode(o)
-	if err != nil {
-		b.log.Error().Err(err).Str("op", "adopt-configuration").Uint64("configuration", o.Version).Msg("the configuration cannot be read; the last one stays in force")
-		return err
-	}
+func (b *Balancer) adopt(c configuration.Configuration) {
 	t := routing.NewTable(c)
 	now := time.Now()
 	b.mu.Lock()
-	adopted := b.core.SetRoutes(now, t)
-	if adopted {
-		b.alarm.by(b.core.Deadline())
-	}
-	b.mu.Unlock()
-	if !adopted {
-		return nil
+	defer b.mu.Unlock()
+	if !b.core.SetRoutes(now, t) {
+		return
 	}
+	b.alarm.by(b.core.Deadline())
+	b.tellHealthPaths(now)
 	b.log.Warn().Str("op", "adopt-configuration").Uint64("configuration", c.Version).Str("label", c.Label).
 		Int("routes", t.Len()).Msg("the configuration is in force")
-	b.mu.Lock()
-	b.tellHealthPaths(now)
-	b.mu.Unlock()
-	return nil
 }
 
 // fromCaller takes a packet that a router sent.
--- a/pkg/dsrd/gossip.go
+++ b/pkg/dsrd/gossip.go
@@ -69,6 +69,8 @@
 			Checked:    checked,
 			CheckedMs:  uint32(min(age, time.Hour) / time.Millisecond),
 			Ask:        b.asking,
+
+			ReadsPerSecond: readsPerSecond(b.cfg.CPUShare, b.cfg.LinkMbps),
 		},
 	}
 }
@@ -82,6 +84,9 @@
 	if b.balancers.Heard(now, from) {
 		b.log.Warn().Str("op", "balancer-regained").Stringer("peer", from).Uint64("configuration", m.Configuration).Msg("a balancer was heard of")
 	}
+	if r.ReadsPerSecond > 0 {
+		b.readers[from] = r.ReadsPerSecond
+	}
 	b.know(now, decodeAddresses(r.Balancers))
 	b.compare(now, from, m)
 	if agents := decodeAddresses(r.Agents); len(agents) > 0 {
--- a/pkg/dsrd/keeper.go
+++ b/pkg/dsrd/keeper.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -15,64 +14,94 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/auburnwood/auburnwood/pkg/dsr/configuration"
+	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
 )
 
 // Times of the configuration's checks.
 const (
-	// checkInterval is the time after which the configuration in force is compared with the object API again, unless
-	// another balancer has done so. An accepted configuration must be in force within 3 s.
-	checkInterval = 600 * time.Millisecond
-	// checkStagger is added for each living balancer with a lower address, so that one of them checks for all.
+	// WatchWait is how long the object API lets a watch wait for a change. The end of a wait without a change is a check.
+	WatchWait = 600 * time.Millisecond
+	// checkInterval is the time after which another balancer checks when nobody has told that the configuration in force is
+	// the newest: a watch, and a margin for its answer. An accepted configuration must be in force within 3 s.
+	checkInterval = 900 * time.Millisecond
+	// checkStagger is added for each living balancer that checks before this one, so that one of them checks for all.
 	checkStagger = 150 * time.Millisecond
 	// maxStagger bounds the sum of the additions.
-	maxStagger = 600 * time.Millisecond
-	// checkTimeout bounds one check; the object API answers within milliseconds, and within 400 ms when it is slow.
-	checkTimeout = 500 * time.Millisecond
+	maxStagger = 900 * time.Millisecond
+	// readTimeout bounds the reading of a whole configuration; one of 300 kB takes a link of 10 Mbit/s 0.25 s.
+	readTimeout = time.Second
+	// readInterval is the time between two whole readings while objects of other kinds change: a watch may be silent although
+	// it should not, and only a reading shows that.
+	readInterval = 1800 * time.Millisecond
+	// changePause is the time between two readings while the configuration keeps changing: of a series of changes only the
+	// newest is read, decoded and handed on.
+	changePause = 400 * time.Millisecond
 	// handOverTimeout bounds the fetch of a configuration from another balancer.
-	handOverTimeout = 300 * time.Millisecond
-	// keeperInterval is the time between two looks at whether a check is due, and the pause after a failed one.
+	handOverTimeout = 500 * time.Millisecond
+	// keeperInterval is the time between two looks at whether a check is due.
 	keeperInterval = 100 * time.Millisecond
-	// maxConfiguration bounds a configuration that is handed over, in bytes: a value of the object API in base64.
-	maxConfiguration = objectapi.MaxValueSize*4/3 + 4096
+	// failurePause is the pause after a failed check, doubled with each further one up to maxFailurePause: a balancer that asked
+	// ten times a second made 40 calls in an outage of 4 s, of which each is charged to the object API's budget.
+	failurePause    = 200 * time.Millisecond
+	maxFailurePause = 800 * time.Millisecond
+	// maxHandOver bounds a configuration that is handed over, in bytes.
+	maxHandOver = 4 << 20
 	// configurationPath is where a balancer hands its configuration over.
-	configurationPath = "/v1/configuration"
+	configurationPath = "/v2/configuration"
 )
 
 // keeper keeps the configuration of a balancer up to date. No lock is held during a call.
 type keeper struct {
 	platform Platform
-	self     netip.AddrPort
 	log      zerolog.Logger
 	client   *http.Client
 	wake     chan struct{}
-	// adopt takes a newer configuration into force; it returns an error when it cannot be read.
-	adopt func(objectapi.Object) error
+	// adopt takes a newer configuration into force.
+	adopt func(configuration.Configuration)
 	// checkedNow is called after each check that worked and after each change, so that the other balancers need not check.
 	checkedNow func()
-	// living returns the living balancers.
-	living func() []netip.AddrPort
+	// before is the number of living balancers that check before this one.
+	before func() int
 
-	// taking lets one object be taken into force at a time; it is locked before mu.
-	taking sync.Mutex
+	// taking lets one configuration be taken into force at a time, encoding one be encoded; both are locked before mu.
+	taking   sync.Mutex
+	encoding sync.Mutex
+	// cursor is used by the check loop alone.
+	cursor cursor
 
 	mu sync.Mutex
-	// object is the configuration in force, checked when it was last known to be the newest, failed the last failed check.
-	object  objectapi.Object
+	// inForce is the configuration in force, version its version, encoded its form for other balancers once one has asked;
+	// checked is when it was last known to be the newest.
+	inForce configuration.Configuration
+	version uint64
+	encoded []byte
 	checked time.Time
-	failed  time.Time
-	failing bool
-	// unreadable is the version that could not be read at the last check, 0 when it could.
-	unreadable uint64
-	// wanted is a version that another process has named; source is the balancer that has it, if known.
-	wanted uint64
-	source netip.AddrPort
+	// pauseUntil is the time before which no check is made, failures the number of checks that have failed in a row.
+	pauseUntil time.Time
+	failures   int
+	// wanted is a version that another process has named, wantedAt when the first newer one was; source is the balancer that
+	// has it, if known.
+	wanted   uint64
+	wantedAt time.Time
+	source   netip.AddrPort
+	// adopted is when the configuration in force was taken over.
+	adopted time.Time
 }
 
-func newKeeper(p Platform, self netip.AddrPort, log zerolog.Logger) *keeper {
+// cursor is where the check loop stands in the object API's changes.
+type cursor struct {
+	// revision is the store version up to which all changes of the configuration are known; 0 asks for a whole reading.
+	revision uint64
+	// readAt is when the configuration was last read as a whole, readRevision the store version then.
+	readAt       time.Time
+	readRevision uint64
+}
+
+func newKeeper(p Platform, log zerolog.Logger) *keeper {
 	return &keeper{
 		platform: p,
-		self:     self,
 		log:      log,
 		client:   &http.Client{Timeout: handOverTimeout},
 		wake:     make(chan struct{}, 1),
@@ -83,16 +112,19 @@
 func (k *keeper) state(now time.Time) (version uint64, age time.Duration, checked bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.object.Version, now.Sub(k.checked), !k.checked.IsZero()
+	return k.version, now.Sub(k.checked), !k.checked.IsZero()
 }
 
 // want tells that a newer version exists. Source is the balancer that has it, or the zero value.
 func (k *keeper) want(version uint64, source netip.AddrPort) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if version <= k.object.Version {
+	if version <= k.version {
 		return
 	}
+	if k.wanted <= k.version {
+		k.wantedAt = time.Now()
+	}
 	k.wanted = max(k.wanted, version)
 	if source.IsValid() {
 		k.source = source
@@ -104,7 +136,7 @@
 func (k *keeper) vouched(version uint64, at time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if version == k.object.Version && at.After(k.checked) {
+	if version == k.version && at.After(k.checked) {
 		k.checked = at
 	}
 }
@@ -149,105 +181,182 @@
 func (k *keeper) behind() (netip.AddrPort, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.source, k.wanted > k.object.Version
+	return k.source, k.wanted > k.version
 }
 
-// due reports whether the configuration is to be compared with the object API.
+// due reports whether the configuration is to be compared with the object API. The balancer that comes first always watches;
+// the others step in when it does not tell them that it does.
 func (k *keeper) due(now time.Time) bool {
-	wait := checkInterval + k.stagger()
+	before := k.before()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if now.Sub(k.failed) < keeperInterval {
+	if now.Before(k.pauseUntil) {
 		return false
 	}
-	// What cannot be read is looked at again as seldom as what is in force: only its writer can mend it.
-	if k.unreadable > k.object.Version && now.Sub(k.failed) < checkInterval {
-		return false
+	if before == 0 || k.version == 0 {
+		return true
 	}
-	return k.wanted > k.object.Version || k.checked.IsZero() || now.Sub(k.checked) >= wait
-}
-
-// stagger is the wait beyond checkInterval.
-func (k *keeper) stagger() time.Duration {
-	var d time.Duration
-	for _, a := range k.living() {
-		if a.Compare(k.self) < 0 {
-			d += checkStagger
-		}
+	// Other balancers hand a newer version over in less time and bytes than the object API.
+	if k.wanted > k.version && now.Sub(k.wantedAt) >= handOverTimeout {
+		return true
+	}
+	last := k.checked
+	if k.adopted.After(last) {
+		last = k.adopted
 	}
-	return min(d, maxStagger)
+	return now.Sub(last) >= checkInterval+min(time.Duration(before)*checkStagger, maxStagger)
 }
 
-// check reads the configuration from the object API.
+// check learns from the object API whether the configuration in force is the newest, and takes the newer one if there is. It
+// ends at once when something is new, and after WatchWait when nothing is.
 func (k *keeper) check(ctx context.Context) {
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
-	defer cancel()
-	o, err := k.platform.Store.Get(ctx, k.platform.ConfigurationKind, k.platform.ConfigurationName)
-	if errors.Is(err, objectapi.ErrNotFound) {
-		k.note(began, nil)
-		return
+	var err error
+	if k.mustRead(began) {
+		err = k.read(ctx, began)
+	} else {
+		err = k.watch(ctx)
 	}
 	k.note(began, err)
+	if err == nil {
+		k.checkedNow()
+	}
+}
+
+// mustRead reports whether a whole reading is needed: at the start, after a change or a failure, when another process knows of
+// a newer version, and now and then while anything changes in the object API.
+func (k *keeper) mustRead(now time.Time) bool {
+	if _, behind := k.behind(); behind || k.cursor.revision == 0 {
+		return true
+	}
+	return k.cursor.revision != k.cursor.readRevision && now.Sub(k.cursor.readAt) >= readInterval
+}
+
+// read reads the whole configuration.
+func (k *keeper) read(ctx context.Context, began time.Time) error {
+	k.cursor = cursor{}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	objects, revision, err := k.platform.Store.List(ctx, k.platform.ConfigurationKind)
 	if err != nil {
-		return
+		return err
 	}
-	if err := k.take(o, began); err != nil {
-		k.cannotRead(o.Version)
-		return
+	next := cursor{revision: revision, readRevision: revision, readAt: began}
+	for _, o := range objects {
+		if o.Name != k.platform.ConfigurationName {
+			continue
+		}
+		changed, err := k.takeObject(o, began)
+		if err != nil {
+			return err
+		}
+		if !changed {
+			k.cursor = next
+			return nil
+		}
+		// While changes go on, the next reading finds the newest of them.
+		k.pause(began.Add(changePause))
+		return nil
 	}
-	k.checkedNow()
+	return errNoConfiguration
+}
+
+// errNoConfiguration is the error of a check before the operator has written a configuration.
+var errNoConfiguration = errors.New("the object API holds no configuration")
+
+// watch waits for a change of the configuration.
+func (k *keeper) watch(ctx context.Context) error {
+	from := k.cursor
+	k.cursor = cursor{}
+	events, next, err := k.platform.Store.Watch(ctx, k.platform.ConfigurationKind, from.revision)
+	answered := time.Now()
+	if errors.Is(err, objectapi.ErrExpired) {
+		// The history is gone: only a reading tells what has changed.
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	for _, e := range events {
+		if e.Type != objectapi.EventPut || e.Object.Name != k.platform.ConfigurationName {
+			continue
+		}
+		changed, err := k.takeObject(e.Object, answered)
+		if err != nil {
+			return err
+		}
+		if changed {
+			k.pause(answered.Add(changePause))
+			return nil
+		}
+	}
+	from.revision = max(from.revision, next)
+	k.cursor = from
+	k.unchanged(answered)
+	return nil
 }
 
-// cannotRead notes a version whose object is no configuration; the one in force stays.
-func (k *keeper) cannotRead(version uint64) {
+// unchanged notes that the version in force was the newest at a time.
+func (k *keeper) unchanged(at time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.unreadable, k.failed = version, time.Now()
+	if at.After(k.checked) {
+		k.checked = at
+	}
+}
+
+func (k *keeper) pause(until time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.pauseUntil = until
 }
 
 // note keeps the outcome of a check and logs when checks begin to fail or to work.
 func (k *keeper) note(began time.Time, err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if err != nil || k.object.Version == 0 {
-		k.failed = time.Now()
-	}
-	if k.failing == (err != nil) {
+	if err == nil {
+		if k.failures > 0 {
+			k.log.Warn().Str("op", "check-configuration").Uint64("configuration", k.version).
+				Dur("took_ms", time.Since(began)).Msg("the configuration is checked again")
+		}
+		k.failures = 0
 		return
 	}
-	k.failing = err != nil
+	if k.failures == 0 {
+		k.log.Warn().Err(err).Str("op", "check-configuration").Uint64("configuration", k.version).
+			Dur("age_ms", time.Since(k.checked)).Msg("the configuration cannot be checked; the last one stays in force")
+	}
+	k.pauseUntil = time.Now().Add(min(failurePause<<min(k.failures, 8), maxFailurePause))
+	k.failures++
+}
+
+// takeObject takes a stored object into force when it is newer. At is when it was known to be the newest.
+func (k *keeper) takeObject(o objectapi.Object, at time.Time) (changed bool, err error) {
+	if version, _, _ := k.state(at); o.Version <= version {
+		k.vouched(o.Version, at)
+		return false, nil
+	}
+	c, err := k.platform.Decode(o)
 	if err != nil {
-		k.log.Warn().Err(err).Str("op", "check-configuration").Uint64("configuration", k.object.Version).
-			Dur("age_ms", time.Since(k.checked)).Msg("the object API was lost")
-		return
+		return false, trace.Wrap(err, "reading configuration %d", o.Version)
 	}
-	k.log.Warn().Str("op", "check-configuration").Uint64("configuration", k.object.Version).
-		Dur("took_ms", time.Since(began)).Msg("the object API was regained")
+	k.take(c, nil, at)
+	return true, nil
 }
 
-// take takes an object into force when it is newer. At is when it was known to be the newest.
-func (k *keeper) take(o objectapi.Object, at time.Time) error {
+// take takes a configuration into force when it is newer. At is when it was known to be the newest; one that is not newer only
+// tells that. Encoded is its form for other balancers, if known.
+func (k *keeper) take(c configuration.Configuration, encoded []byte, at time.Time) {
 	k.taking.Lock()
 	defer k.taking.Unlock()
-	k.mu.Lock()
-	newer := o.Version > k.object.Version
-	k.mu.Unlock()
-	if newer {
-		// A configuration that cannot be read leaves the last good one in force.
-		if err := k.adopt(o); err != nil {
-			return err
-		}
-	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if newer {
-		k.object = o
+	if version, _, _ := k.state(at); c.Version > version {
+		k.adopt(c)
+		k.mu.Lock()
+		k.inForce, k.version, k.encoded, k.adopted = c, c.Version, encoded, time.Now()
+		k.mu.Unlock()
 	}
-	if o.Version == k.object.Version && at.After(k.checked) {
-		k.checked = at
-	}
-	return nil
+	k.vouched(c.Version, at)
 }
 
 // fetch takes the configuration of another balancer.
@@ -264,33 +373,56 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("status %d", resp.StatusCode)
 	}
-	var o objectapi.Object
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxConfiguration)).Decode(&o); err != nil {
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxHandOver))
+	if err != nil {
 		return trace.Wrap(err)
 	}
-	if err := k.take(o, time.Time{}); err != nil {
-		return err
+	c, err := dsrpb.DecodeConfiguration(b)
+	if err != nil {
+		return trace.Wrap(err)
 	}
+	k.take(c, b, time.Time{})
 	k.checkedNow()
 	return nil
 }
 
 // ServeHTTP hands the configuration in force to another balancer.
 func (k *keeper) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	encoded, err := k.handOver()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = w.Write(encoded)
+}
+
+// errNothingInForce answers a balancer that asks one that has just started.
+var errNothingInForce = errors.New("no configuration yet")
+
+// handOver is the configuration in force for other balancers. It is encoded when the first of them asks.
+func (k *keeper) handOver() ([]byte, error) {
+	k.encoding.Lock()
+	defer k.encoding.Unlock()
 	k.mu.Lock()
-	o := k.object
+	c, encoded := k.inForce, k.encoded
 	k.mu.Unlock()
-	if o.Version == 0 {
-		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
-		return
+	if c.Version == 0 {
+		return nil, errNothingInForce
+	}
+	if encoded != nil {
+		return encoded, nil
 	}
-	b, err := json.Marshal(o)
+	encoded, err := dsrpb.EncodeConfiguration(c)
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
+		return nil, trace.Wrap(err, "encoding configuration %d", c.Version)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.version == c.Version {
+		k.encoded = encoded
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(b)
+	return encoded, nil
 }
 
 // signal sends to a channel of one element unless it is full.
--- a/pkg/settings/dsr_balancer.go
+++ b/pkg/settings/dsr_balancer.go
@@ -8,8 +8,20 @@
 	// ControlAddress is a TCP address at which targets without an agent may call; a balancer takes no announcements and
 	// says so. Empty switches it off.
 	ControlAddress string `toml:"control_address"`
+	// CPUShare is the part of a core that the VM gives the daemon, LinkMbps the rate of its link in Mbit/s. Of all balancers the
+	// one with the most of both compares the configuration with the object API. Defaults 1 and 1000.
+	CPUShare float64 `toml:"cpu_share"`
+	LinkMbps float64 `toml:"link_mbps"`
 }
 
+// Defaults and bounds of the VM's size.
+const (
+	defaultCPUShare = 1
+	defaultLinkMbps = 1000
+	maxCPUShare     = 1024
+	maxLinkMbps     = 1e6
+)
+
 // Bounds of the keys that the daemons of pass-through services share.
 const (
 	maxPort          = 65535
@@ -29,9 +41,13 @@
 }
 
 // DefaultDSRBalancer returns the settings with every default; the required keys are empty.
-func DefaultDSRBalancer() DSRBalancer { return DSRBalancer{DSRProcess: defaultDSRProcess()} }
+func DefaultDSRBalancer() DSRBalancer {
+	return DSRBalancer{DSRProcess: defaultDSRProcess(), CPUShare: defaultCPUShare, LinkMbps: defaultLinkMbps}
+}
 
 func (b DSRBalancer) check(m *mistakes) {
 	b.DSRProcess.check(m)
 	m.optionalBind("control_address", b.ControlAddress)
+	m.rate("cpu_share", b.CPUShare, maxCPUShare)
+	m.rate("link_mbps", b.LinkMbps, maxLinkMbps)
 }
