Leave targets out that fail while their health check is good

Change: the agent judges its target by the ends of requests as seen from outside (reset, closed without data, no answer within ten times its work): 8 failures among the last 20 take it out for 1 s, doubled up to 8 s; then one flow at a time, 3 successes bring it back. Balancers leave such targets out as long as they are the fewer, so the last is never left out. A new life starts anew.

An address for which the target never answered does not count: operators' and testers' addresses are reset by healthy targets.

--- a/internal/archtest/layers_test.go
+++ b/internal/archtest/layers_test.go
@@ -12,7 +12,7 @@
 // packages of its own layer or a lower one.
 var layers = [][]string{
 	{"wire", "flow", "resource", "objectapi", "errqueue", "dsr/announcement", "dsr/configuration", "dsr/dsrpb", "dsr/roster"},
-	{"lease", "refusal", "netstack", "packet", "dsr/segment", "dsr/routing", "dsr/admission"},
+	{"lease", "refusal", "netstack", "packet", "dsr/segment", "dsr/routing", "dsr/admission", "dsr/outlier"},
 	{"membership", "view", "placement", "ticket"},
 	{"revision", "rollout", "arbiter", "limit", "dsr/dispatch", "dsr/ownership"},
 	{"balancer", "agent", "request", "peer", "peer/peerpb", "telemetry", "settings"},
--- a/pkg/dsr/dispatch/agent.go
+++ b/pkg/dsr/dispatch/agent.go
@@ -23,6 +23,8 @@
 	busy     int
 	reported time.Time
 	asked    int
+	// failing is set while the agent's target fails more than a healthy one, as the agent says.
+	failing bool
 	// suspect is set when the agent left a packet unanswered, until it is heard of again.
 	suspect bool
 }
--- a/pkg/dsr/dispatch/choose.go
+++ b/pkg/dsr/dispatch/choose.go
@@ -36,23 +36,42 @@
 }
 
 // best returns the untried agent with the lowest load; with free set, one that seems to have a free slot, in the own data
-// centre where there is one. Suspect agents come last.
+// centre where there is one. Suspect agents come last. Those whose targets fail are left out, as long as they are the fewer.
 func (b *Balancer) best(now time.Time, f *flowState, free bool) *agent {
-	var best *agent
-	var bestRank rank
+	var best, failing candidate
+	healthy, ill := 0, 0
 	for _, a := range b.order {
-		if !a.takes(now, f.service) || slices.Contains(f.tried, a.addr) {
+		if !a.takes(now, f.service) {
 			continue
 		}
-		if free && (a.suspect || !a.free(now)) {
-			continue
+		group := &best
+		if a.failing {
+			group = &failing
+			ill++
+		} else {
+			healthy++
 		}
-		r := b.rank(now, a, f.hash, free)
-		if best == nil || r.before(bestRank) {
-			best, bestRank = a, r
+		if slices.Contains(f.tried, a.addr) || free && (a.suspect || !a.free(now)) {
+			continue
 		}
+		group.consider(a, b.rank(now, a, f.hash, free))
+	}
+	if healthy < ill && failing.agent != nil && (best.agent == nil || failing.rank.before(best.rank)) {
+		return failing.agent
+	}
+	return best.agent
+}
+
+// candidate is the best agent of a group so far.
+type candidate struct {
+	agent *agent
+	rank  rank
+}
+
+func (c *candidate) consider(a *agent, r rank) {
+	if c.agent == nil || r.before(c.rank) {
+		c.agent, c.rank = a, r
 	}
-	return best
 }
 
 // rank is the order of two agents for one flow.
--- a/pkg/dsr/dispatch/world_test.go
+++ b/pkg/dsr/dispatch/world_test.go
@@ -242,6 +242,7 @@
 
 func (a *agentNode) Reset(key flow.Key, _ uint32) { a.w.reset(key) }
 func (a *agentNode) Decided(ownership.Decision)   {}
+func (a *agentNode) Judged(ownership.Judgement)   {}
 
 // fromTarget hands a packet of the target to the agent; nobody takes it while the agent is away.
 func (a *agentNode) fromTarget(raw []byte) {
--- /dev/null
+++ b/pkg/dsr/outlier/detector_test.go
@@ -0,0 +1,94 @@
+package outlier
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var now = time.Unix(1000, 0)
+
+func TestATargetThatFailsAllIsLeftOut(t *testing.T) {
+	var d Detector
+	for range Failures - 1 {
+		require.False(t, d.Failed(now))
+	}
+	require.Equal(t, Healthy, d.State(now))
+	require.True(t, d.Failed(now))
+	require.Equal(t, Resting, d.State(now))
+	require.False(t, d.Failed(now), "what was under way changes nothing")
+	require.Equal(t, now.Add(FirstRest), d.Ends(now))
+}
+
+func TestATargetComesBackAfterTries(t *testing.T) {
+	var d Detector
+	for range Failures {
+		d.Failed(now)
+	}
+	at := now.Add(FirstRest)
+	require.Equal(t, Tried, d.State(at))
+	require.False(t, d.Succeeded(at))
+	require.False(t, d.Succeeded(at))
+	require.True(t, d.Succeeded(at))
+	require.Equal(t, Healthy, d.State(at))
+	require.Zero(t, d.Count())
+}
+
+func TestEachFailedTryDoublesTheRest(t *testing.T) {
+	var d Detector
+	for range Failures {
+		d.Failed(now)
+	}
+	at := now
+	for _, want := range []time.Duration{2, 4, 8, 8} {
+		at = d.Ends(at)
+		require.Equal(t, Tried, d.State(at))
+		d.Succeeded(at)
+		require.True(t, d.Failed(at))
+		require.Equal(t, at.Add(want*time.Second), d.Ends(at))
+	}
+}
+
+// run hands the detector requests of which a share fails, 50 a second while it is healthy and one at a time else. It returns the
+// requests that failed, and the share of the time in which the target was left out.
+func run(share float64, length time.Duration, random *rand.Rand) (lost int, out float64) {
+	var d Detector
+	resting := time.Duration(0)
+	const step = 20 * time.Millisecond
+	for at := time.Duration(0); at < length; at += step {
+		t := now.Add(at)
+		switch {
+		case d.State(t) == Resting:
+			resting += step
+		case random.Float64() < share:
+			lost++
+			d.Failed(t)
+		default:
+			d.Succeeded(t)
+		}
+	}
+	return lost, float64(resting) / float64(length)
+}
+
+// Ten seeds of a minute with 50 requests a second. A false alarm must cost a healthy service next to nothing.
+func TestFailingTargetsAreLeftOutAndHealthyOnesAreNot(t *testing.T) {
+	for _, c := range []struct {
+		share            float64
+		lostMax          int
+		outLeast, outMax float64
+	}{
+		{share: 1, lostMax: 20, outLeast: 0.9, outMax: 1},
+		{share: 0.4, lostMax: 240, outLeast: 0.5, outMax: 1},
+		{share: 0.05, lostMax: 220, outMax: 0},
+		{share: 0, outMax: 0},
+	} {
+		for seed := range uint64(10) {
+			lost, out := run(c.share, time.Minute, rand.New(rand.NewPCG(seed, 1)))
+			require.LessOrEqual(t, lost, c.lostMax, "share %v seed %d", c.share, seed)
+			require.GreaterOrEqual(t, out, c.outLeast, "share %v seed %d", c.share, seed)
+			require.LessOrEqual(t, out, c.outMax, "share %v seed %d", c.share, seed)
+		}
+	}
+}
--- a/pkg/dsr/ownership/config.go
+++ b/pkg/dsr/ownership/config.go
@@ -24,6 +24,10 @@
 	// BusyTimeout is how long a request counts as work without an answer. A full queue of a target takes well under a
 	// second; one that takes longer has lost its target or its caller.
 	BusyTimeout = 2 * time.Second
+	// HangWork is the multiple of the target's usual work after which a request without an answer counts as failed, and
+	// leastHang the least time: a busy target takes twice its work, a slow start three times.
+	HangWork  = 10
+	leastHang = 500 * time.Millisecond
 	// EndedLinger is how long an ended flow is known, for packets that are sent again: the longest interval between two
 	// copies is 1.6 s.
 	EndedLinger = 3 * time.Second
@@ -47,6 +51,8 @@
 	sweepInterval = 500 * time.Millisecond
 	// maxNotHeld bounds the memory of flows that the target is known not to hold.
 	maxNotHeld = 4096
+	// maxServed bounds the memory of addresses for which the target has answered.
+	maxServed = 4096
 	// maxRetired is the number of earlier processes of the target whose late announcements are told apart.
 	maxRetired = 16
 )
--- a/pkg/dsr/ownership/entry.go
+++ b/pkg/dsr/ownership/entry.go
@@ -30,6 +30,8 @@
 	busy bool
 	// alone is set when the work came while the target had a free slot.
 	alone bool
+	// failed is set when the present request counts as failed.
+	failed bool
 	// answered is set once the target has sent data, requested once the caller has.
 	answered  bool
 	requested bool
--- a/pkg/dsr/ownership/from_balancer.go
+++ b/pkg/dsr/ownership/from_balancer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/outlier"
 	"github.com/auburnwood/auburnwood/pkg/dsr/segment"
 	"github.com/auburnwood/auburnwood/pkg/flow"
 )
@@ -35,11 +36,11 @@
 		t.returned(balancer, m, key, dsrpb.Verdict_VERDICT_NOT_HELD, s.Raw)
 		return
 	}
-	t.deliver(now, balancer, e, s)
+	t.deliver(now, balancer, key, e, s)
 }
 
 // deliver hands a packet of a known flow to the target.
-func (t *Table) deliver(now time.Time, balancer netip.AddrPort, e *entry, s segment.Segment) {
+func (t *Table) deliver(now time.Time, balancer netip.AddrPort, key flow.Key, e *entry, s segment.Segment) {
 	e.origin = balancer
 	e.touched = now
 	e.callerAck, e.acknowledged = s.Acknowledgement, true
@@ -48,6 +49,7 @@
 		e.request = append(e.request[:0], s.Raw...)
 		t.work(now, e)
 	}
+	t.leftBy(now, key, e, s)
 	switch {
 	case s.Has(segment.RST):
 		t.end(now, e)
@@ -82,7 +84,11 @@
 	if e != nil {
 		t.drop(key, e)
 	}
-	if t.busy < t.limit() && t.queue.Len() == 0 {
+	if m.Patience == dsrpb.Patience_PATIENCE_FREE_SLOT && t.failing(now) {
+		t.decline(balancer, m, key, dsrpb.Verdict_VERDICT_BUSY, nil)
+		return
+	}
+	if t.busy < t.limit(now) && t.queue.Len() == 0 {
 		e = &entry{origin: balancer, touched: now, configuration: m.Configuration}
 		t.flows[key] = e
 		t.offer(now, key, e, s.Raw)
@@ -105,8 +111,14 @@
 	return dsrpb.Verdict_VERDICT_UNSPECIFIED
 }
 
+// failing reports whether the target is left out as long as others can serve.
+func (t *Table) failing(now time.Time) bool { return t.outcomes.State(now) == outlier.Resting }
+
 // limit is the number of requests that the target is handed at once.
-func (t *Table) limit() int {
+func (t *Table) limit(now time.Time) int {
+	if t.outcomes.State(now) == outlier.Tried {
+		return 1
+	}
 	slots := t.slots()
 	return slots + (slots+ExtraPerSlots-1)/ExtraPerSlots
 }
--- a/pkg/dsr/ownership/from_target.go
+++ b/pkg/dsr/ownership/from_target.go
@@ -47,9 +47,10 @@
 		t.accepted(key, e)
 		t.decided(EventAccepted, key, e.origin, t.configuration, dsrpb.Verdict_VERDICT_HELD)
 	}
+	t.failedBy(now, key, e, s)
 	if s.Length > 0 {
 		e.answered = true
-		t.answered(now, e)
+		t.answered(now, key, e)
 	}
 	switch {
 	case s.Has(segment.RST):
--- a/pkg/dsr/ownership/lifetime.go
+++ b/pkg/dsr/ownership/lifetime.go
@@ -14,6 +14,7 @@
 		return
 	}
 	e.busy, e.busySince, e.alone = true, now, t.busy < t.slots()
+	e.failed = false
 	t.busy++
 }
 
@@ -119,7 +120,10 @@
 		case now.Sub(e.touched) > MaxFlowAge:
 			t.drop(key, e)
 		case e.busy && now.Sub(e.busySince) > BusyTimeout:
+			t.overdue(now, key, e)
 			t.done(e)
+		default:
+			t.overdue(now, key, e)
 		}
 	}
 	t.giveBack(now)
--- /dev/null
+++ b/pkg/dsr/ownership/outcome.go
@@ -0,0 +1,91 @@
+package ownership
+
+import (
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/outlier"
+	"github.com/auburnwood/auburnwood/pkg/dsr/segment"
+	"github.com/auburnwood/auburnwood/pkg/flow"
+)
+
+// hang is the time after which a request without an answer counts as failed.
+func (t *Table) hang() time.Duration { return max(leastHang, HangWork*t.pace) }
+
+// waiting reports whether the target works on a request that has not been counted as failed.
+func (e *entry) waiting() bool { return e.phase == open && e.busy && e.requested && !e.failed }
+
+// failedBy takes a packet by which the target ends a flow while it works on a request.
+func (t *Table) failedBy(now time.Time, key flow.Key, e *entry, s segment.Segment) {
+	if e.waiting() && (s.Has(segment.RST) || s.Has(segment.FIN) && e.empty(s)) {
+		t.failure(now, key, e)
+	}
+}
+
+// empty reports whether a target closes a flow on which it has sent no data at all. A FIN may overtake the data before it: its
+// number then is beyond that of the first byte.
+func (e *entry) empty(s segment.Segment) bool {
+	return s.Length == 0 && !e.answered && e.hasSequence && s.Sequence == e.initialSequence+1
+}
+
+// leftBy takes a packet by which the caller ends a flow while the target works on its request. One that waited for long has got
+// no answer; one that leaves earlier says nothing about the target.
+func (t *Table) leftBy(now time.Time, key flow.Key, e *entry, s segment.Segment) {
+	if e.waiting() && (s.Has(segment.RST) || s.Has(segment.FIN)) && now.Sub(e.busySince) >= t.hang() {
+		t.failure(now, key, e)
+	}
+}
+
+// overdue takes a request that has waited for too long.
+func (t *Table) overdue(now time.Time, key flow.Key, e *entry) {
+	if e.waiting() && now.Sub(e.busySince) >= t.hang() {
+		t.failure(now, key, e)
+	}
+}
+
+// failure counts a request that got no answer. One to an address for which the target has never answered says nothing about the
+// target: it may serve other addresses well, and nobody may be meant to use this one. A target that has answered for no address at
+// all is judged by all.
+func (t *Table) failure(now time.Time, key flow.Key, e *entry) {
+	e.failed = true
+	if len(t.served) > 0 && !t.served[key.Destination] {
+		return
+	}
+	if t.outcomes.Failed(now) {
+		t.judged(now)
+	}
+}
+
+func (t *Table) success(now time.Time, key flow.Key) {
+	if len(t.served) < maxServed {
+		t.served[key.Destination] = true
+	}
+	if t.outcomes.Succeeded(now) {
+		t.judged(now)
+	}
+}
+
+// judged reports that the target is left out, or in use again; the balancers are told at once.
+func (t *Table) judged(now time.Time) {
+	t.out.Judged(Judgement{
+		State:    t.outcomes.State(now),
+		Failures: t.outcomes.Count(),
+		Until:    t.outcomes.Ends(now),
+		Pace:     t.pace,
+		Busy:     t.Busy(),
+	})
+	if t.outcomes.State(now) == outlier.Resting {
+		t.giveBackAll(now, dsrpb.Verdict_VERDICT_BUSY)
+	}
+}
+
+// Judgement says why a target is left out, or that it is in use again.
+type Judgement struct {
+	State outlier.State
+	// Failures is the number of failed ones among the last 20 requests, Until the end of the rest.
+	Failures int
+	Until    time.Time
+	// Pace is how long the target lately took for a request, Busy the requests at it.
+	Pace time.Duration
+	Busy int
+}
--- a/pkg/dsr/ownership/output.go
+++ b/pkg/dsr/ownership/output.go
@@ -19,6 +19,8 @@
 	ToBalancer(balancer netip.AddrPort, m *dsrpb.Message)
 	// Decided reports a decision, for logs and counters.
 	Decided(d Decision)
+	// Judged reports that the target is left out since it fails, or in use again. The balancers are to be told.
+	Judged(j Judgement)
 }
 
 // Decision is one decision about a flow.
--- a/pkg/dsr/ownership/queueing.go
+++ b/pkg/dsr/ownership/queueing.go
@@ -54,7 +54,7 @@
 		}
 		t.giveUp(o.Key, dsrpb.Verdict_VERDICT_GIVEN_UP, EventGivenUp)
 	}
-	for t.busy < t.limit() {
+	for t.busy < t.limit(now) {
 		o, ok := t.queue.Next(now, t.pace)
 		if !ok {
 			return
@@ -100,7 +100,10 @@
 }
 
 // answered notes that the target has answered a request, and learns its pace from requests that had a slot at once.
-func (t *Table) answered(now time.Time, e *entry) {
+func (t *Table) answered(now time.Time, key flow.Key, e *entry) {
+	if e.busy && e.requested {
+		t.success(now, key)
+	}
 	if e.busy && e.alone {
 		t.pace += time.Duration(workWeight * float64(now.Sub(e.busySince)-t.pace))
 	}
--- a/pkg/dsr/ownership/table.go
+++ b/pkg/dsr/ownership/table.go
@@ -1,10 +1,12 @@
 package ownership
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/admission"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/outlier"
 	"github.com/auburnwood/auburnwood/pkg/dsr/segment"
 	"github.com/auburnwood/auburnwood/pkg/flow"
 )
@@ -31,6 +33,10 @@
 	pace  time.Duration
 	// due are the flows that are looked at after a time, in order of their time.
 	due []waiting
+	// outcomes judges the target by the ends of its requests.
+	outcomes outlier.Detector
+	// served are the addresses for which the target has answered a request.
+	served map[netip.AddrPort]bool
 	// notHeld are flows that the target has returned since the agent started.
 	notHeld map[flow.Key]time.Time
 	// silent is when the target first left an opening packet unanswered; zero when it answers. silentOffer is the time of
@@ -53,6 +59,7 @@
 		started: now,
 		flows:   make(map[flow.Key]*entry),
 		notHeld: make(map[flow.Key]time.Time),
+		served:  make(map[netip.AddrPort]bool),
 		pace:    DefaultWork,
 		swept:   now,
 	}
--- a/pkg/dsr/ownership/table_test.go
+++ b/pkg/dsr/ownership/table_test.go
@@ -37,6 +37,7 @@
 	resets         []flow.Key
 	messages       []sent
 	decisions      []Decision
+	judgements     []Judgement
 }
 
 func (r *recorder) ToTarget(raw []byte) { r.target = append(r.target, append([]byte(nil), raw...)) }
@@ -45,6 +46,7 @@
 }
 func (r *recorder) Reset(key flow.Key, _ uint32) { r.resets = append(r.resets, key) }
 func (r *recorder) Decided(d Decision)           { r.decisions = append(r.decisions, d) }
+func (r *recorder) Judged(j Judgement)           { r.judgements = append(r.judgements, j) }
 func (r *recorder) ToBalancer(to netip.AddrPort, m *dsrpb.Message) {
 	r.messages = append(r.messages, sent{
 		to: to, kind: m.Kind, verdict: m.Verdict, packet: append([]byte(nil), m.Packet...), busy: m.Busy,
@@ -116,8 +118,17 @@
 	f.table.Forward(f.now, balancer, m, s)
 }
 
+// opening and closing are packets by which a caller opens a flow and leaves it.
+func opening(port int) dsrtest.Packet {
+	return dsrtest.Packet{Source: caller(port), Destination: service, Flags: segment.SYN, Sequence: 7}
+}
+
+func closing(port int) dsrtest.Packet {
+	return dsrtest.Packet{Source: caller(port), Destination: service, Flags: segment.FIN | segment.ACK, Acknowledgement: uint32(port)*1000 + 1}
+}
+
 func (f *fixture) open(port int) {
-	f.forward(dsrtest.Packet{Source: caller(port), Destination: service, Flags: segment.SYN, Sequence: 7}, &dsrpb.Message{Patience: dsrpb.Patience_PATIENCE_QUEUE})
+	f.forward(opening(port), &dsrpb.Message{Patience: dsrpb.Patience_PATIENCE_QUEUE})
 }
 
 func (f *fixture) data(port int, ack uint32, owner bool) {
@@ -410,3 +421,4 @@
 func (discard) Reset(flow.Key, uint32)                    {}
 func (discard) ToBalancer(netip.AddrPort, *dsrpb.Message) {}
 func (discard) Decided(Decision)                          {}
+func (discard) Judged(Judgement)                          {}
--- a/pkg/dsr/ownership/tell.go
+++ b/pkg/dsr/ownership/tell.go
@@ -19,6 +19,7 @@
 		Connections: uint32(t.target.last.Connections),
 		Incarnation: t.cfg.Incarnation,
 		Joined:      joined,
+		Failing:     t.failing(now),
 	}
 	if left := t.target.warmedUp.Sub(now); left > 0 {
 		t.announced.WarmUpMs = uint32(left / time.Millisecond)
--- a/pkg/dsrd/agent_output.go
+++ b/pkg/dsrd/agent_output.go
@@ -72,6 +72,17 @@
 		Uint64("configuration", d.Configuration).Msg("flow")
 }
 
+// Judged implements ownership.Output.
+func (o *agentOutput) Judged(j ownership.Judgement) {
+	line := o.a.log.Warn().Str("op", "target-judged").Stringer("state", j.State).Int("failures_of_20", j.Failures).
+		Dur("pace_ms", j.Pace).Int("busy", j.Busy)
+	if !j.Until.IsZero() {
+		line = line.Dur("rest_ms", time.Until(j.Until))
+	}
+	line.Msg("the target's failures were judged")
+	o.a.balancers.Now()
+}
+
 func (o *agentOutput) counter(k decisionKey) tally.Counter {
 	c := o.decisions[k]
 	if c == nil {
