Add a lab that plays the decision packages in virtual time, and a value that switches single mechanisms off

internal/lab/policy: callers with tries, copies and budgets, targets with slots, queues and slow starts, outages, bursts, failing and slow targets; the real decision packages in between, no sockets.

--- /dev/null
+++ b/internal/lab/policy/mech.go
@@ -0,0 +1,5 @@
+package policy
+
+import "github.com/auburnwood/auburnwood/pkg/dsr/policy"
+
+func policyMechanisms() []policy.Mechanism { return policy.Mechanisms() }
--- /dev/null
+++ b/internal/lab/policy/nodes.go
@@ -0,0 +1,255 @@
+package policy
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/dsr/announcement"
+	"github.com/auburnwood/auburnwood/pkg/dsr/dispatch"
+	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/dsrtest"
+	"github.com/auburnwood/auburnwood/pkg/dsr/ownership"
+	"github.com/auburnwood/auburnwood/pkg/flow"
+)
+
+// balancerNode is a balancer's VM.
+type balancerNode struct {
+	w       *world
+	index   int
+	address netip.AddrPort
+	core    *dispatch.Balancer
+	up      bool
+	downAt  time.Time
+	// tickAt is when the next call of Tick is due.
+	tickAt time.Time
+}
+
+func (w *world) addBalancer(i int) {
+	b := &balancerNode{w: w, index: i, address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 7100)}
+	w.balancers = append(w.balancers, b)
+	b.start()
+	b.stayAwake()
+}
+
+func (b *balancerNode) start() {
+	b.core = dispatch.NewBalancer(dispatch.Config{DataCentre: dataCentre(b.index), Without: b.w.o.Without}, dsrtest.Codec{}, b, b.w.now())
+	b.core.SetRoutes(b.w.now(), b.w.routes())
+	b.up, b.tickAt = true, time.Time{}
+	b.schedule()
+}
+
+// stayAwake notes for ever that the balancer runs.
+func (b *balancerNode) stayAwake() {
+	if b.up {
+		b.core.Awake(b.w.now())
+	}
+	b.w.after(awakeTime, b.stayAwake)
+}
+
+func dataCentre(index int) string { return [...]string{"dc-1", "dc-2"}[index%2] }
+
+// inRotation reports whether the routers use the balancer.
+func (b *balancerNode) inRotation(now time.Time) bool {
+	return b.up || now.Sub(b.downAt) < outOfRotation || b.w.dark
+}
+
+func (b *balancerNode) fromCaller(raw []byte) {
+	if s, err := (dsrtest.Codec{}).Decode(raw); err == nil && b.up {
+		b.core.FromCaller(b.w.now(), s)
+		b.schedule()
+	}
+}
+
+func (b *balancerNode) fromAgent(from netip.AddrPort, raw []byte) {
+	var m dsrpb.Message
+	if b.up && m.UnmarshalVT(raw) == nil {
+		b.core.FromAgent(b.w.now(), from, &m)
+		b.schedule()
+	}
+}
+
+// schedule makes sure that Tick is called in time.
+func (b *balancerNode) schedule() {
+	at := b.core.Deadline()
+	if !b.tickAt.IsZero() && !at.Before(b.tickAt) {
+		return
+	}
+	b.tickAt = at
+	core := b.core
+	b.w.at(at, func() {
+		if b.core != core || !b.up || !b.tickAt.Equal(at) {
+			return
+		}
+		b.tickAt = time.Time{}
+		b.core.Tick(b.w.now())
+		b.schedule()
+	})
+}
+
+// ToAgent implements dispatch.Output.
+func (b *balancerNode) ToAgent(to netip.AddrPort, m *dsrpb.Message) {
+	raw, _ := m.MarshalVT()
+	for _, a := range b.w.agents {
+		if a.address == to {
+			b.w.carry(b.w.between(b.index, a.index), func() { a.fromBalancer(b.address, raw) })
+		}
+	}
+}
+
+// Reset implements dispatch.Output.
+func (b *balancerNode) Reset(key flow.Key, sequence uint32) {
+	b.w.toCaller(key.Source, dsrtest.Codec{}.Reset(key, sequence))
+}
+
+// Refused implements dispatch.Output.
+func (b *balancerNode) Refused(r dispatch.Refusal) {
+	b.w.result.Refusals++
+	if r.Told {
+		b.w.result.Told++
+	}
+}
+
+// Decided implements dispatch.Output.
+func (b *balancerNode) Decided(d dispatch.Decision) {
+	if d.Event == dispatch.EventUnanswered {
+		b.w.result.Unanswered++
+	}
+}
+
+// Outdated implements dispatch.Output; the configuration never changes.
+func (b *balancerNode) Outdated(uint64) {}
+
+// agentNode is a target's VM.
+type agentNode struct {
+	w       *world
+	index   int
+	address netip.AddrPort
+	table   *ownership.Table
+	up      bool
+	tickAt  time.Time
+	target  *target
+}
+
+func (w *world) addAgent(i int) {
+	a := &agentNode{w: w, index: i, address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, 0, byte(i)}), 7200)}
+	a.target = &target{w: w, agent: a, share: 1, slow: 1}
+	w.agents = append(w.agents, a)
+	a.target.start(true)
+	a.start(true)
+	a.announceOften()
+}
+
+func (a *agentNode) start(first bool) {
+	a.w.lives++
+	a.table = ownership.NewTable(ownership.Config{
+		Service: serviceName, HeartbeatInterval: heartbeatTime, First: first, DataCentre: dataCentre(a.index),
+		Incarnation: a.w.lives, Without: a.w.o.Without,
+	}, dsrtest.Codec{}, a, a.w.now())
+	a.up, a.tickAt = true, time.Time{}
+	table := a.table
+	a.w.after(probeDelay, func() {
+		if a.table == table && a.up && a.target.up && a.table.Probed(a.w.now(), a.target.id, a.target.born) {
+			a.announce()
+		}
+	})
+	a.schedule()
+}
+
+// heard hands the agent a heartbeat of its target.
+func (a *agentNode) heard(n announcement.Announcement) {
+	if !a.up {
+		return
+	}
+	if tell, err := a.table.Announce(a.w.now(), n); tell && err == nil {
+		a.announce()
+	}
+	a.schedule()
+}
+
+// announceOften tells the balancers of the agent for ever.
+func (a *agentNode) announceOften() {
+	a.announce()
+	a.w.after(announceTime, a.announceOften)
+}
+
+func (a *agentNode) announce() {
+	if !a.up {
+		return
+	}
+	raw, _ := a.table.Announcement(a.w.now(), true).MarshalVT()
+	for _, b := range a.w.balancers {
+		a.w.carry(a.w.between(a.index, b.index), func() { b.fromAgent(a.address, raw) })
+	}
+}
+
+func (a *agentNode) fromBalancer(from netip.AddrPort, raw []byte) {
+	var m dsrpb.Message
+	if !a.up || m.UnmarshalVT(raw) != nil {
+		return
+	}
+	if m.Kind == dsrpb.Kind_KIND_LOCATE {
+		a.table.Locate(a.w.now(), from, &m)
+	} else if s, err := (dsrtest.Codec{}).Decode(m.Packet); err == nil {
+		a.table.Forward(a.w.now(), from, &m, s)
+	}
+	a.schedule()
+}
+
+func (a *agentNode) fromTarget(raw []byte) {
+	if s, err := (dsrtest.Codec{}).Decode(raw); err == nil && a.up {
+		a.table.FromTarget(a.w.now(), s)
+		a.schedule()
+	}
+}
+
+// schedule makes sure that Tick is called in time.
+func (a *agentNode) schedule() {
+	at := a.table.Deadline()
+	if !a.tickAt.IsZero() && !at.Before(a.tickAt) {
+		return
+	}
+	a.tickAt = at
+	table := a.table
+	a.w.at(at, func() {
+		if a.table != table || !a.up || !a.tickAt.Equal(at) {
+			return
+		}
+		a.tickAt = time.Time{}
+		a.table.Tick(a.w.now())
+		a.schedule()
+	})
+}
+
+// ToTarget implements ownership.Output.
+func (a *agentNode) ToTarget(raw []byte) {
+	raw = append([]byte(nil), raw...)
+	a.w.after(localDelay, func() { a.target.receive(raw) })
+}
+
+// ToCaller implements ownership.Output.
+func (a *agentNode) ToCaller(key flow.Key, raw []byte) { a.w.toCaller(key.Source, raw) }
+
+// Reset implements ownership.Output.
+func (a *agentNode) Reset(key flow.Key, sequence uint32) {
+	a.w.toCaller(key.Source, dsrtest.Codec{}.Reset(key, sequence))
+}
+
+// ToBalancer implements ownership.Output.
+func (a *agentNode) ToBalancer(to netip.AddrPort, m *dsrpb.Message) {
+	raw, _ := m.MarshalVT()
+	for _, b := range a.w.balancers {
+		if b.address == to {
+			a.w.carry(a.w.between(a.index, b.index), func() { b.fromAgent(a.address, raw) })
+		}
+	}
+}
+
+// Decided implements ownership.Output.
+func (a *agentNode) Decided(d ownership.Decision) {
+	if d.Event == ownership.EventGivenUp {
+		a.w.result.GivenUp++
+	}
+}
+
+// Judged implements ownership.Output.
+func (a *agentNode) Judged(ownership.Judgement) { a.w.after(0, a.announce) }
--- a/pkg/dsr/admission/queue.go
+++ b/pkg/dsr/admission/queue.go
@@ -15,6 +15,7 @@
 	"cmp"
 	"time"
 
+	"github.com/auburnwood/auburnwood/pkg/dsr/policy"
 	"github.com/auburnwood/auburnwood/pkg/flow"
 )
 
@@ -67,9 +68,9 @@
 	return !now.Add(needed).After(o.Arrived.Add(o.Aim))
 }
 
-// gone reports whether the caller will have left before an answer when the work begins now, or has left without a word.
+// gone reports whether the caller will have left before an answer when the work begins now.
 func (o Opening) gone(now time.Time, work time.Duration) bool {
-	return now.Add(work).After(o.leaves()) || o.silent(now)
+	return now.Add(work).After(o.leaves())
 }
 
 // silent reports whether a copy of the opening packet is overdue.
@@ -79,6 +80,9 @@
 
 // Queue holds the flows that wait for one target. The zero value is empty.
 type Queue struct {
+	// Without says which mechanisms are switched off, for measurements.
+	Without policy.Without
+
 	waiting []Opening
 }
 
@@ -99,7 +103,7 @@
 func (q *Queue) wait(now time.Time, o Opening, work time.Duration, slots int) time.Duration {
 	ahead := 0
 	for _, w := range q.waiting {
-		if before(w, o, now, work) {
+		if q.before(w, o, now, work) {
 			ahead++
 		}
 	}
@@ -110,7 +114,7 @@
 func (q *Queue) Next(now time.Time, work time.Duration) (Opening, bool) {
 	best := -1
 	for i, o := range q.waiting {
-		if best < 0 || before(o, q.waiting[best], now, work) {
+		if best < 0 || q.before(o, q.waiting[best], now, work) {
 			best = i
 		}
 	}
@@ -123,7 +127,7 @@
 // Expired removes and returns a flow whose caller will have left before an answer.
 func (q *Queue) Expired(now time.Time, work time.Duration) (Opening, bool) {
 	for i, o := range q.waiting {
-		if o.gone(now, work) {
+		if o.gone(now, work) || !q.Without.GiveUpSilent && o.silent(now) {
 			return q.take(i), true
 		}
 	}
@@ -158,7 +162,10 @@
 
 // before reports whether a is handed over before b: timely ones by priority and the time left to keep the promise, late
 // ones by when their callers were heard of.
-func before(a, b Opening, now time.Time, work time.Duration) bool {
+func (q *Queue) before(a, b Opening, now time.Time, work time.Duration) bool {
+	if q.Without.TimelyFirst {
+		return a.Arrived.Before(b.Arrived)
+	}
 	timely := a.timely(now, work)
 	if timely != b.timely(now, work) {
 		return timely
--- a/pkg/dsr/dispatch/choose.go
+++ b/pkg/dsr/dispatch/choose.go
@@ -45,7 +45,7 @@
 			continue
 		}
 		group := &best
-		if a.failing {
+		if a.failing && !b.cfg.Without.FailingLast {
 			group = &failing
 			ill++
 		} else {
@@ -99,7 +99,7 @@
 func (b *Balancer) rank(now time.Time, a *agent, hash uint64, free bool) rank {
 	return rank{
 		suspect: a.suspect,
-		remote:  free && a.dataCentre != b.cfg.DataCentre,
+		remote:  free && a.dataCentre != b.cfg.DataCentre && !b.cfg.Without.NearFirst,
 		load:    a.load(now),
 		tie:     tieOf(hash, a.addr),
 	}
--- a/pkg/dsr/dispatch/config.go
+++ b/pkg/dsr/dispatch/config.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/dsr/policy"
+)
 
 // Times and limits of the decisions.
 const (
@@ -92,4 +96,6 @@
 	DataCentre string
 	// MaxFlows is the number of flows that the balancer keeps; 0 means the constant of that name.
 	MaxFlows int
+	// Without says which mechanisms are switched off, for measurements.
+	Without policy.Without
 }
--- a/pkg/dsr/dispatch/opening.go
+++ b/pkg/dsr/dispatch/opening.go
@@ -115,6 +115,9 @@
 		Priority:   uint32(max(0, route.Priority)),
 	}
 	f.patience = dsrpb.Patience_PATIENCE_FREE_SLOT
+	if b.cfg.Without.FreeFirst {
+		f.patience = dsrpb.Patience_PATIENCE_QUEUE
+	}
 	f.tried, f.failed = f.tried[:0], f.failed[:0]
 	b.offerNext(now, f)
 }
@@ -148,7 +151,7 @@
 // off, and refuses it else. A cut-off balancer is about to leave the rotation: the next copy of the opening packet reaches
 // another balancer, while a refusal would use up the caller's tries.
 func (b *Balancer) parkOrRefuse(now time.Time, f *flowState, reason refusal.Reason) {
-	if now.Sub(f.arrived) < ParkTime && (b.starting(now, f.service) || now.Sub(b.LastHeard()) > IsolatedAfter) {
+	if !b.cfg.Without.Parking && now.Sub(f.arrived) < ParkTime && (b.starting(now, f.service) || now.Sub(b.LastHeard()) > IsolatedAfter) {
 		b.park(now, f)
 		return
 	}
@@ -209,9 +212,9 @@
 		return
 	}
 	if a := b.agents[f.asked]; a != nil && !a.heard.After(f.since) {
-		a.suspect = true
+		a.suspect = !b.cfg.Without.Suspicion
 	}
-	if b.hedgeTokens < 1 {
+	if b.cfg.Without.HedgedOffers || b.hedgeTokens < 1 && !b.cfg.Without.HedgeBudget {
 		b.awaitAnswer(now, f)
 		return
 	}
--- a/pkg/dsr/dsrtest/codec.go
+++ b/pkg/dsr/dsrtest/codec.go
@@ -25,10 +25,12 @@
 // ErrShort is the error of a packet without a whole header.
 var ErrShort = errors.New("packet is too short")
 
-// copyAge is the least time between two copies of an opening packet; nextCopies are the times from one to the next.
-const copyAge = 200 * time.Millisecond
-
-var nextCopies = []time.Duration{200 * time.Millisecond, 400 * time.Millisecond}
+// copyAges are the times at which a caller sends the copies of its opening packet, counted from the first; nextCopies are the
+// times from one to the next.
+var (
+	copyAges   = []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+	nextCopies = []time.Duration{200 * time.Millisecond, 400 * time.Millisecond}
+)
 
 // Codec is the plain packet format.
 type Codec struct{}
@@ -69,7 +71,7 @@
 		Sequence:        binary.BigEndian.Uint32(b[offsetSequence:]),
 		Acknowledgement: binary.BigEndian.Uint32(b[offsetAck:]),
 		Length:          len(b) - HeaderSize,
-		Age:             time.Duration(b[1]) * copyAge,
+		Age:             copyAges[min(int(b[1]), len(copyAges)-1)],
 		Raw:             b,
 	}
 	if copies := int(b[1]); s.Opens() && copies < len(nextCopies) {
--- a/pkg/dsr/ownership/config.go
+++ b/pkg/dsr/ownership/config.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/dsr/policy"
 )
 
 // Times and limits of the decisions.
@@ -71,4 +73,6 @@
 	HeartbeatInterval time.Duration
 	// First is set when no flow can be older than the agent, since the whole system starts for the first time.
 	First bool
+	// Without says which mechanisms are switched off, for measurements.
+	Without policy.Without
 }
--- a/pkg/dsr/ownership/from_balancer.go
+++ b/pkg/dsr/ownership/from_balancer.go
@@ -112,14 +112,19 @@
 }
 
 // failing reports whether the target is left out as long as others can serve.
-func (t *Table) failing(now time.Time) bool { return t.outcomes.State(now) == outlier.Resting }
+func (t *Table) failing(now time.Time) bool {
+	return t.outcomes.State(now) == outlier.Resting && !t.cfg.Without.FailingLast
+}
 
 // limit is the number of requests that the target is handed at once.
 func (t *Table) limit(now time.Time) int {
-	if t.outcomes.State(now) == outlier.Tried {
+	if t.outcomes.State(now) == outlier.Tried && !t.cfg.Without.FailingLast {
 		return 1
 	}
 	slots := t.slots()
+	if t.cfg.Without.ExtraRequests {
+		return slots
+	}
 	return slots + (slots+ExtraPerSlots-1)/ExtraPerSlots
 }
 
--- a/pkg/dsr/ownership/lifetime.go
+++ b/pkg/dsr/ownership/lifetime.go
@@ -85,7 +85,7 @@
 		return
 	}
 	switch {
-	case e.phase == open && e.busy && !e.requested && now.Sub(e.since) >= HalfOpenBusy:
+	case e.phase == open && e.busy && !e.requested && now.Sub(e.since) >= HalfOpenBusy && !t.cfg.Without.HalfOpen:
 		t.done(e)
 		t.pump(now)
 	case e.phase == offered && now.Sub(e.since) >= OfferTimeout:
--- a/pkg/dsr/ownership/table.go
+++ b/pkg/dsr/ownership/table.go
@@ -61,6 +61,7 @@
 		notHeld: make(map[flow.Key]time.Time),
 		served:  make(map[netip.AddrPort]bool),
 		pace:    DefaultWork,
+		queue:   admission.Queue{Without: cfg.Without},
 		swept:   now,
 	}
 }
