Learn the work of targets, the callers' round trip and the time of answers in place of fixed figures

Cause: 30 ms of work, a slow start of 1.6, 15 ms of round trips and 25 ms until the next agent is asked were one customer's figures.

Change: the first answer replaces the start value of a target's work, its agent tells it, and balancers free slots and compare queues by it (a target three times slower than usual is no free one); the time from a target's answer to the caller's request is learnt at the agent, that of an agent's answer at the balancer, whose timeouts follow it. The factor for slow starts is gone: the pace shows it.

--- a/internal/archtest/layers_test.go
+++ b/internal/archtest/layers_test.go
@@ -11,7 +11,7 @@
 // layers lists the packages below pkg from the lowest layer up, as docs/ARCHITECTURE.md draws them. A package imports
 // packages of its own layer or a lower one.
 var layers = [][]string{
-	{"wire", "flow", "resource", "objectapi", "errqueue", "dsr/announcement", "dsr/configuration", "dsr/dsrpb", "dsr/policy", "dsr/roster"},
+	{"wire", "flow", "resource", "objectapi", "errqueue", "dsr/announcement", "dsr/configuration", "dsr/dsrpb", "dsr/estimate", "dsr/policy", "dsr/roster"},
 	{"lease", "refusal", "netstack", "packet", "dsr/segment", "dsr/routing", "dsr/admission", "dsr/outlier"},
 	{"membership", "view", "placement", "ticket"},
 	{"revision", "rollout", "arbiter", "limit", "dsr/dispatch", "dsr/ownership"},
--- a/pkg/dsr/admission/queue.go
+++ b/pkg/dsr/admission/queue.go
@@ -20,9 +20,9 @@
 )
 
 const (
-	// RoundTrips is the time that packets spend between the caller and the target from the answer to the opening packet to
-	// the answer to the request: two round trips of about 7 ms.
-	RoundTrips = 15 * time.Millisecond
+	// StartTrips is taken for the time that packets spend between the caller and the target, from the answer to the opening packet
+	// to the answer to the request, until it is learnt.
+	StartTrips = 15 * time.Millisecond
 	// WorkMargin is the work of a long request as a multiple of the usual one; four of five requests take less.
 	WorkMargin = 1.5
 	// CopySlack is how late a copy of an opening packet may be until its caller is taken for gone: the delay of a busy
@@ -63,8 +63,8 @@
 func (o Opening) leaves() time.Time { return o.Arrived.Add(o.Patience) }
 
 // timely reports whether the answer can still come in the promised time when the flow is handed over now.
-func (o Opening) timely(now time.Time, work time.Duration) bool {
-	needed := RoundTrips + time.Duration(WorkMargin*float64(work))
+func (o Opening) timely(now time.Time, work, trips time.Duration) bool {
+	needed := trips + time.Duration(WorkMargin*float64(work))
 	return !now.Add(needed).After(o.Arrived.Add(o.Aim))
 }
 
@@ -82,6 +82,9 @@
 type Queue struct {
 	// Without says which mechanisms are switched off, for measurements.
 	Without policy.Without
+	// Trips is the time that packets spend between the caller and the target from the answer to the opening packet to the answer
+	// to the request; 0 means StartTrips.
+	Trips time.Duration
 
 	waiting []Opening
 }
@@ -166,8 +169,9 @@
 	if q.Without.TimelyFirst {
 		return a.Arrived.Before(b.Arrived)
 	}
-	timely := a.timely(now, work)
-	if timely != b.timely(now, work) {
+	trips := cmp.Or(q.Trips, StartTrips)
+	timely := a.timely(now, work, trips)
+	if timely != b.timely(now, work, trips) {
 		return timely
 	}
 	if !timely {
--- a/pkg/dsr/admission/queue_test.go
+++ b/pkg/dsr/admission/queue_test.go
@@ -157,7 +157,7 @@
 				continue
 			}
 			slots[i] = t.Add(work)
-			if !slots[i].Add(RoundTrips).After(o.Arrived.Add(o.Aim)) {
+			if !slots[i].Add(StartTrips).After(o.Arrived.Add(o.Aim)) {
 				inTime++
 			} else {
 				late++
--- a/pkg/dsr/dispatch/agent.go
+++ b/pkg/dsr/dispatch/agent.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -16,13 +17,14 @@
 	slots       int
 	incarnation uint64
 	// started is when the balancer first heard of the agent's incarnation.
-	started  time.Time
-	warmedUp time.Time
-	heard    time.Time
+	started time.Time
+	heard   time.Time
 	// busy is what the agent last reported, reported when; asked is the number of flows offered since then.
 	busy     int
 	reported time.Time
 	asked    int
+	// work is how long its target lately took for a request; 0 when the agent does not know.
+	work time.Duration
 	// failing is set while the agent's target fails more than a healthy one, as the agent says.
 	failing bool
 	// suspect is set when the agent left a packet unanswered, until it is heard of again.
@@ -45,21 +47,20 @@
 	a.heard, a.suspect = now, false
 }
 
-// load estimates the target's requests for each of its slots, one new one included.
+// load estimates the target's requests for each of its slots, one new one included. Slots that were busy when the agent last
+// reported become free at the target's pace.
 func (a *agent) load(now time.Time) float64 {
 	slots := float64(max(1, a.slots))
-	freed := slots * float64(now.Sub(a.reported)) / float64(TypicalWork)
-	load := (max(0, float64(a.busy)-freed) + float64(a.asked) + 1) / slots
-	if now.Before(a.warmedUp) {
-		return load * warmUpCost
-	}
-	return load
+	freed := slots * float64(now.Sub(a.reported)) / float64(cmp.Or(a.work, StartWork))
+	return (max(0, float64(a.busy)-freed) + float64(a.asked) + 1) / slots
+}
+
+// finish estimates the time until the target has answered one more request.
+func (a *agent) finish(now time.Time, usual time.Duration) time.Duration {
+	return time.Duration(max(1, a.load(now)) * float64(cmp.Or(a.work, usual)))
 }
 
 // free reports whether the target seems to have a free slot.
 func (a *agent) free(now time.Time) bool {
 	return a.load(now) <= 1
 }
-
-// warmUpCost is how many times longer a target that has just started takes for its work, as its announcement warns of.
-const warmUpCost = 1.6
--- a/pkg/dsr/dispatch/agents.go
+++ b/pkg/dsr/dispatch/agents.go
@@ -69,7 +69,8 @@
 	// The message refers to the receive buffer.
 	a.dataCentre, a.service = strings.Clone(n.DataCentre), strings.Clone(m.Service)
 	a.state, a.slots, a.incarnation, a.failing = n.State, int(n.Slots), n.Incarnation, n.Failing
-	a.warmedUp = now.Add(time.Duration(n.WarmUpMs) * time.Millisecond)
+	a.work = time.Duration(n.WorkUs) * time.Microsecond
+	b.learnWork(a)
 	a.report(now, m.Busy)
 	if a.state == dsrpb.State_STATE_READY && before != a.state {
 		b.retryParked(now, false)
--- a/pkg/dsr/dispatch/answers.go
+++ b/pkg/dsr/dispatch/answers.go
@@ -13,6 +13,9 @@
 	if a := b.agents[from]; a != nil && f.service == "" {
 		f.service = a.service
 	}
+	if f.phase == opening && f.asked == from {
+		b.learnAnswer(now, f)
+	}
 	f.addOwner(owner{agent: from, hasSequence: m.HasSequence, sequence: m.Reference})
 	if f.phase == open || f.phase == refused || !b.claimed(f) {
 		return
@@ -66,6 +69,9 @@
 	if f.phase != opening && f.phase != queued || f.asked != from {
 		return
 	}
+	if f.phase == opening && m.Verdict != dsrpb.Verdict_VERDICT_SILENT {
+		b.learnAnswer(now, f)
+	}
 	if m.Verdict == dsrpb.Verdict_VERDICT_QUEUED {
 		f.phase = queued
 		return
--- a/pkg/dsr/dispatch/balancer.go
+++ b/pkg/dsr/dispatch/balancer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/estimate"
 	"github.com/auburnwood/auburnwood/pkg/dsr/routing"
 	"github.com/auburnwood/auburnwood/pkg/dsr/segment"
 	"github.com/auburnwood/auburnwood/pkg/flow"
@@ -15,6 +16,8 @@
 type due struct {
 	flow *flowState
 	at   time.Time
+	// begun is when the phase began that the entry belongs to, where a flow may have entered it again since.
+	begun time.Time
 }
 
 // Balancer holds the flows and agents that one balancer knows. It is not safe for concurrent use.
@@ -28,7 +31,7 @@
 	// order keeps the order in which agents came, so that every walk is the same.
 	order []*agent
 	flows map[flow.Key]*flowState
-	// hedges, locates, probes and parks are queues by time: all entries of one wait the same.
+	// hedges, locates, probes and parks are queues by time: entries of one wait the same, or nearly so.
 	hedges  []due
 	locates []due
 	probes  []due
@@ -42,7 +45,11 @@
 	doubted time.Time
 	// hedgeTokens is the number of unanswered offers that the next agent may be asked about now.
 	hedgeTokens float64
-	message     dsrpb.Message
+	// answer learns how long agents take to answer an offer, works the usual work of each service.
+	answer estimate.Answer
+	works  map[string]*estimate.Mean
+
+	message dsrpb.Message
 }
 
 // NewBalancer returns a balancer without routes, agents or flows.
@@ -55,6 +62,7 @@
 		started: now,
 		agents:  make(map[netip.AddrPort]*agent),
 		flows:   make(map[flow.Key]*flowState),
+		works:   make(map[string]*estimate.Mean),
 		swept:   now,
 
 		searchMessages: SearchBurst,
--- a/pkg/dsr/dispatch/choose.go
+++ b/pkg/dsr/dispatch/choose.go
@@ -40,6 +40,7 @@
 func (b *Balancer) best(now time.Time, f *flowState, free bool) *agent {
 	var best, failing candidate
 	healthy, ill := 0, 0
+	usual := b.usualWork(f.service)
 	for _, a := range b.order {
 		if !a.takes(now, f.service) {
 			continue
@@ -51,10 +52,10 @@
 		} else {
 			healthy++
 		}
-		if slices.Contains(f.tried, a.addr) || free && (a.suspect || !a.free(now)) {
+		if slices.Contains(f.tried, a.addr) || free && (a.suspect || !a.free(now) || a.slow(usual)) {
 			continue
 		}
-		group.consider(a, b.rank(now, a, f.hash, free))
+		group.consider(a, b.rank(now, a, f.hash, free, usual))
 	}
 	if healthy < ill && failing.agent != nil && (best.agent == nil || failing.rank.before(best.rank)) {
 		return failing.agent
@@ -78,6 +79,7 @@
 type rank struct {
 	suspect bool
 	remote  bool
+	finish  time.Duration
 	load    float64
 	tie     uint64
 }
@@ -89,20 +91,28 @@
 	if r.remote != o.remote {
 		return o.remote
 	}
+	if r.finish != o.finish {
+		return r.finish < o.finish
+	}
 	if r.load != o.load {
 		return r.load < o.load
 	}
 	return r.tie < o.tie
 }
 
-// rank compares by place only among free targets: there a target of the same data centre serves as early as any other.
-func (b *Balancer) rank(now time.Time, a *agent, hash uint64, free bool) rank {
-	return rank{
+// rank compares free targets by place: one of the same data centre serves as early as any other. Busy ones are compared by when
+// they will have answered.
+func (b *Balancer) rank(now time.Time, a *agent, hash uint64, free bool, usual time.Duration) rank {
+	r := rank{
 		suspect: a.suspect,
 		remote:  free && a.dataCentre != b.cfg.DataCentre && !b.cfg.Without.NearFirst,
 		load:    a.load(now),
 		tie:     tieOf(hash, a.addr),
 	}
+	if !free {
+		r.finish = a.finish(now, usual)
+	}
+	return r
 }
 
 // tieOf orders equally busy agents for one flow.
--- a/pkg/dsr/dispatch/config.go
+++ b/pkg/dsr/dispatch/config.go
@@ -8,14 +8,16 @@
 
 // Times and limits of the decisions.
 const (
-	// HedgeAfter is how long an agent may take to answer an opening packet until the next one is asked. It is above the
-	// 12 ms that an agent waits for its target and a round trip between data centres.
-	HedgeAfter = 25 * time.Millisecond
-	// LocateTimeout is how long agents may take to say whether they hold a flow.
+	// HedgeAfter, LocateTimeout and ProbeTimeout are how long an agent may take to answer an opening packet, to say whether it holds
+	// a flow, and whether its target returned a packet, until the balancer has learnt how long answers take. Then an opening packet
+	// has OfferWait (what an agent waits for its target) beyond the longest usual answer, a probe ProbeWait; the start values are
+	// the least for the other two. maxTimeout bounds all, since callers repeat opening packets after 200 ms.
+	HedgeAfter    = 25 * time.Millisecond
 	LocateTimeout = 20 * time.Millisecond
-	// ProbeTimeout is how long an agent may take to say whether its target returned a packet: the 20 ms that the agent
-	// waits for its target, and a round trip.
-	ProbeTimeout = 35 * time.Millisecond
+	ProbeTimeout  = 35 * time.Millisecond
+	OfferWait     = 12 * time.Millisecond
+	ProbeWait     = 20 * time.Millisecond
+	maxTimeout    = 150 * time.Millisecond
 	// SearchMessagesPerSecond and SearchBurst bound the questions of one balancer about owners, since a search asks every
 	// agent of a service and anybody can send packets of flows that do not exist. A question and its answer take about 20 us:
 	// 500 a second are a sixth of 0.06 cores, the smallest VM that auburnwood was built for. The burst covers the open flows
@@ -77,9 +79,11 @@
 	RefusedLinger = time.Second
 	// ClosedLinger is how long the owner of a flow is known after its caller has closed it.
 	ClosedLinger = 5 * time.Second
-	// TypicalWork is the time after which a slot that was busy when the agent last reported is taken for free again. It is
-	// the usual work of the requests of the deployments that auburnwood was built for, 20 to 40 ms.
-	TypicalWork = 30 * time.Millisecond
+	// StartWork is taken for the work of one request until the agent of a target tells it.
+	StartWork = 30 * time.Millisecond
+	// SlowFactor is the multiple of the service's usual work above which a free slot does not count as free: another target
+	// answers earlier even when the request has to wait there for one or two others.
+	SlowFactor = 3
 	// MaxFlows is the number of flows that a balancer keeps when the settings name none: at 740 bytes a flow 37 MB, a third of
 	// the memory of the smallest VM that auburnwood was built for, and four times the open flows of a balancer at the size to
 	// design for.
--- a/pkg/dsr/dispatch/flow_state.go
+++ b/pkg/dsr/dispatch/flow_state.go
@@ -60,6 +60,8 @@
 	failed []netip.AddrPort
 	asked  netip.AddrPort
 	tries  int
+	// hedgeAt is when the agent that was asked last must have answered, before the next one is.
+	hedgeAt time.Time
 	// stale is set while the flow waits for a newer configuration.
 	stale bool
 	// uncertain is set when another balancer or an agent that did not answer may have opened the flow; reset is set when
--- a/pkg/dsr/dispatch/opening.go
+++ b/pkg/dsr/dispatch/opening.go
@@ -74,7 +74,7 @@
 
 // copyOfOpening asks the next agent when the last one has not answered although its time is over; hedge had no budget left.
 func (b *Balancer) copyOfOpening(now time.Time, f *flowState) {
-	if now.Sub(f.since) < HedgeAfter {
+	if now.Before(f.hedgeAt) {
 		return
 	}
 	b.offerPast(now, f)
@@ -134,7 +134,8 @@
 	f.tries++
 	c.agent.asked++
 	b.hedgeTokens = min(HedgeBurst, b.hedgeTokens+HedgeShare)
-	b.hedges = append(b.hedges, due{flow: f, at: now.Add(HedgeAfter)})
+	f.hedgeAt = now.Add(b.hedgeAfter())
+	b.hedges = append(b.hedges, due{flow: f, at: f.hedgeAt})
 	b.forward(now, f, c.agent.addr, f.packet, false, c.patience)
 }
 
@@ -208,7 +209,7 @@
 
 // hedge asks the next agent when the last one has not answered.
 func (b *Balancer) hedge(now time.Time, f *flowState, at time.Time) {
-	if f.phase != opening || at.Sub(f.since) < HedgeAfter {
+	if f.phase != opening || at.Before(f.hedgeAt) {
 		return
 	}
 	if a := b.agents[f.asked]; a != nil && !a.heard.After(f.since) {
@@ -225,7 +226,7 @@
 // awaitAnswer waits on for an answer until the caller has left.
 func (b *Balancer) awaitAnswer(now time.Time, f *flowState) {
 	if now.Sub(f.arrived) < OpeningPatience {
-		b.hedges = append(b.hedges, due{flow: f, at: now.Add(HedgeAfter)})
+		b.hedges = append(b.hedges, due{flow: f, at: now.Add(b.hedgeAfter())})
 		return
 	}
 	f.uncertain = true
--- a/pkg/dsr/dispatch/searching.go
+++ b/pkg/dsr/dispatch/searching.go
@@ -71,7 +71,7 @@
 		b.out.ToAgent(to, &message)
 	}
 	b.searchMessages -= float64(len(f.unanswered))
-	b.locates = append(b.locates, due{flow: f, at: now.Add(LocateTimeout)})
+	b.locates = append(b.locates, due{flow: f, at: now.Add(b.locateTimeout()), begun: now})
 }
 
 // missing reports whether a living agent has not answered.
@@ -203,7 +203,7 @@
 	f.phase, f.since, f.probed = probing, now, now
 	raw := f.held[0]
 	f.held = f.held[1:]
-	b.probes = append(b.probes, due{flow: f, at: now.Add(ProbeTimeout)})
+	b.probes = append(b.probes, due{flow: f, at: now.Add(b.probeTimeout()), begun: now})
 	b.forward(now, f, f.asked, raw, true, dsrpb.Patience_PATIENCE_QUEUE)
 }
 
@@ -213,10 +213,10 @@
 	b.decided(now, EventLost, f, netip.AddrPort{}, dsrpb.Verdict_VERDICT_UNSPECIFIED)
 }
 
-// searchTimeout ends a search that not every agent has answered.
-func (b *Balancer) searchTimeout(now time.Time, d due) {
+// searchOverdue ends a search that not every agent has answered.
+func (b *Balancer) searchOverdue(now time.Time, d due) {
 	f := d.flow
-	if f.phase != locating || d.at.Sub(f.since) < LocateTimeout {
+	if f.phase != locating || !d.begun.Equal(f.since) {
 		return
 	}
 	if f.rounds < LocateRounds && b.missing(now, f) && b.maySearch(now) {
@@ -226,9 +226,9 @@
 	b.searched(now, f)
 }
 
-// probeTimeout goes on when an agent has not said what became of the packet.
-func (b *Balancer) probeTimeout(now time.Time, d due) {
-	if d.flow.phase == probing && d.at.Sub(d.flow.since) >= ProbeTimeout {
+// probeOverdue goes on when an agent has not said what became of the packet.
+func (b *Balancer) probeOverdue(now time.Time, d due) {
+	if d.flow.phase == probing && d.begun.Equal(d.flow.since) {
 		b.probeNext(now, d.flow)
 	}
 }
--- a/pkg/dsr/dispatch/tick.go
+++ b/pkg/dsr/dispatch/tick.go
@@ -19,10 +19,10 @@
 		b.hedge(now, d.flow, d.at)
 	}
 	for _, d := range take(&b.locates, now) {
-		b.searchTimeout(now, d)
+		b.searchOverdue(now, d)
 	}
 	for _, d := range take(&b.probes, now) {
-		b.probeTimeout(now, d)
+		b.probeOverdue(now, d)
 	}
 	for _, d := range take(&b.parks, now) {
 		if b.flows[d.flow.key] == d.flow {
--- /dev/null
+++ b/pkg/dsr/estimate/estimate_test.go
@@ -0,0 +1,42 @@
+package estimate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const ms = time.Millisecond
+
+func TestTheFirstSampleReplacesTheStartValue(t *testing.T) {
+	var m Mean
+	require.Equal(t, 30*ms, m.Or(30*ms))
+	require.False(t, m.Known())
+	m.Add(90 * ms)
+	require.Equal(t, 90*ms, m.Or(30*ms))
+	m.Add(110 * ms)
+	require.Equal(t, 100*ms, m.Or(30*ms))
+}
+
+// A change by a factor of three is followed to within a tenth after 40 samples.
+func TestAMeanFollowsAChange(t *testing.T) {
+	var m Mean
+	for range 100 {
+		m.Add(20 * ms)
+	}
+	for range 40 {
+		m.Add(60 * ms)
+	}
+	require.InDelta(t, float64(60*ms), float64(m.Or(0)), float64(6*ms))
+}
+
+func TestAnAnswerIsOverdueBeyondItsUsualSpread(t *testing.T) {
+	var a Answer
+	require.Equal(t, 25*ms, a.Longest(25*ms))
+	for i := range 200 {
+		a.Add(time.Duration(20+i%5) * ms)
+	}
+	require.Greater(t, a.Longest(0), 24*ms)
+	require.Less(t, a.Longest(0), 32*ms)
+}
--- a/pkg/dsr/ownership/config.go
+++ b/pkg/dsr/ownership/config.go
@@ -38,13 +38,16 @@
 	// ExtraPerSlots is the number of slots for which the target is handed one more request than it has slots: a caller
 	// sends its request a round trip after the target has answered the opening packet, during which the slot would idle.
 	ExtraPerSlots = 3
-	// ProbedSlots is taken for the slots of a target that answered a health check and has not announced itself yet. Small
-	// targets of the deployments that auburnwood was built for have two to four.
+	// ProbedSlots is taken for the slots of a target that answered a health check, until its first announcement names them within
+	// a heartbeat's interval: more than one, so that a large target does not stand idle, and few, since a small one is slow then.
 	ProbedSlots = 2
-	// DefaultWork is the work of one request until the target's own pace is known, and workWeight the weight of each new
-	// sample: an average over the last ten or so.
-	DefaultWork = 30 * time.Millisecond
-	workWeight  = 0.1
+	// StartWork is taken for the work of one request until the first answer shows the target's own pace. PaceAge is how long that
+	// is told without a further sample: a target that was slow and got no more requests must be tried again.
+	StartWork = 30 * time.Millisecond
+	PaceAge   = 2 * time.Second
+	// maxRoundTrip bounds a sample of the time between a target's answer to an opening packet and the caller's request; a caller
+	// that takes longer waits for something else than the network.
+	maxRoundTrip = 300 * time.Millisecond
 	// DefaultPatience is how long a caller waits when its route names no time.
 	DefaultPatience = 1200 * time.Millisecond
 	// MissedHeartbeats is the number of heartbeat intervals after which a silent target is taken for gone.
--- a/pkg/dsr/ownership/life.go
+++ b/pkg/dsr/ownership/life.go
@@ -6,6 +6,7 @@
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/announcement"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/estimate"
 	"github.com/auburnwood/auburnwood/pkg/dsr/outlier"
 	"github.com/auburnwood/auburnwood/pkg/flow"
 )
@@ -81,7 +82,7 @@
 // request is handed to the target once more: a process that does not hold the flow returns it, and the caller is reset at once.
 // Resetting the flows outright would be wrong, since the new process may have taken some before its first report.
 func (t *Table) lifeEnded(now time.Time) {
-	t.silent, t.pace, t.outcomes = time.Time{}, DefaultWork, outlier.Detector{}
+	t.silent, t.worked, t.outcomes = time.Time{}, estimate.Mean{}, outlier.Detector{}
 	clear(t.notHeld)
 	clear(t.served)
 	for key, e := range t.flows {
--- a/pkg/dsr/ownership/life_test.go
+++ b/pkg/dsr/ownership/life_test.go
@@ -173,12 +173,12 @@
 		f.open(3)
 		f.open(4)
 		require.Equal(t, 4, f.table.Busy(), "two are open, one is offered, one waits")
-		f.table.pace = time.Second
+		f.table.learnWork(f.now, time.Second)
 		f.out.target, f.out.messages = nil, nil
 
 		require.True(t, f.hear(report("i-2", born, 1, ready)))
 		require.Empty(t, f.out.resets, "the new process may hold them")
-		require.Equal(t, DefaultWork, f.table.pace)
+		require.Equal(t, StartWork, f.table.pace())
 		require.Len(t, f.out.target, 2, "the request that is worked on, and the opening that waited")
 		require.Equal(t, dsrpb.Verdict_VERDICT_SILENT, f.out.last(t).verdict, "the offered one is given back")
 		f.giveBack(1, segment.ACK)
--- a/pkg/dsr/ownership/outcome.go
+++ b/pkg/dsr/ownership/outcome.go
@@ -10,7 +10,7 @@
 )
 
 // hang is the time after which a request without an answer counts as failed.
-func (t *Table) hang() time.Duration { return max(leastHang, HangWork*t.pace) }
+func (t *Table) hang() time.Duration { return max(leastHang, HangWork*t.pace()) }
 
 // waiting reports whether the target works on a request that has not been counted as failed.
 func (e *entry) waiting() bool { return e.phase == open && e.busy && e.requested && !e.failed }
@@ -71,7 +71,7 @@
 		State:    t.outcomes.State(now),
 		Failures: t.outcomes.Count(),
 		Until:    t.outcomes.Ends(now),
-		Pace:     t.pace,
+		Pace:     t.pace(),
 		Busy:     t.Busy(),
 	})
 	if t.outcomes.State(now) == outlier.Resting {
--- a/pkg/dsr/ownership/queueing.go
+++ b/pkg/dsr/ownership/queueing.go
@@ -13,7 +13,7 @@
 // enqueue lets a new flow wait for the target, or declines it when its caller would leave before its turn or a free slot
 // is asked for.
 func (t *Table) enqueue(now time.Time, balancer netip.AddrPort, m *dsrpb.Message, s segment.Segment, key flow.Key) {
-	if m.Patience == dsrpb.Patience_PATIENCE_FREE_SLOT || !t.queue.Add(now, openingOf(now, key, m.Opening, s), t.pace, t.slots()) {
+	if m.Patience == dsrpb.Patience_PATIENCE_FREE_SLOT || !t.queue.Add(now, openingOf(now, key, m.Opening, s), t.pace(), t.slots()) {
 		t.decline(balancer, m, key, dsrpb.Verdict_VERDICT_BUSY, nil)
 		return
 	}
@@ -48,14 +48,14 @@
 // pump hands waiting flows to the target while it has room, and gives up those whose callers are gone.
 func (t *Table) pump(now time.Time) {
 	for {
-		o, ok := t.queue.Expired(now, t.pace)
+		o, ok := t.queue.Expired(now, t.pace())
 		if !ok {
 			break
 		}
 		t.giveUp(o.Key, dsrpb.Verdict_VERDICT_GIVEN_UP, EventGivenUp)
 	}
 	for t.busy < t.limit(now) {
-		o, ok := t.queue.Next(now, t.pace)
+		o, ok := t.queue.Next(now, t.pace())
 		if !ok {
 			return
 		}
@@ -91,7 +91,7 @@
 // giveBackAll returns every waiting flow to its balancer.
 func (t *Table) giveBackAll(now time.Time, v dsrpb.Verdict) {
 	for {
-		o, ok := t.queue.Next(now, t.pace)
+		o, ok := t.queue.Next(now, t.pace())
 		if !ok {
 			return
 		}
@@ -105,7 +105,7 @@
 		t.success(now, key)
 	}
 	if e.busy && e.alone {
-		t.pace += time.Duration(workWeight * float64(now.Sub(e.busySince)-t.pace))
+		t.learnWork(now, now.Sub(e.busySince))
 	}
 	t.done(e)
 }
--- a/pkg/dsr/ownership/table.go
+++ b/pkg/dsr/ownership/table.go
@@ -6,6 +6,7 @@
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/admission"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/estimate"
 	"github.com/auburnwood/auburnwood/pkg/dsr/outlier"
 	"github.com/auburnwood/auburnwood/pkg/dsr/segment"
 	"github.com/auburnwood/auburnwood/pkg/flow"
@@ -28,9 +29,12 @@
 	flows   map[flow.Key]*entry
 	// busy is the number of flows with busy set.
 	busy int
-	// queue holds the flows in phase queued; pace is the target's work for one request.
-	queue admission.Queue
-	pace  time.Duration
+	// queue holds the flows in phase queued; worked is the target's time for one request, paced when it was last learnt. trip is the
+	// time from the target's answer to an opening packet to the caller's request.
+	queue  admission.Queue
+	worked estimate.Mean
+	paced  time.Time
+	trip   estimate.Mean
 	// due are the flows that are looked at after a time, in order of their time.
 	due []waiting
 	// outcomes judges the target by the ends of its requests.
@@ -60,7 +64,6 @@
 		flows:   make(map[flow.Key]*entry),
 		notHeld: make(map[flow.Key]time.Time),
 		served:  make(map[netip.AddrPort]bool),
-		pace:    DefaultWork,
 		queue:   admission.Queue{Without: cfg.Without},
 		swept:   now,
 	}
--- a/pkg/dsr/ownership/tell.go
+++ b/pkg/dsr/ownership/tell.go
@@ -20,6 +20,7 @@
 		Incarnation: t.cfg.Incarnation,
 		Joined:      joined,
 		Failing:     t.failing(now),
+		WorkUs:      t.toldWork(now),
 	}
 	if left := t.target.warmedUp.Sub(now); left > 0 {
 		t.announced.WarmUpMs = uint32(left / time.Millisecond)
