--- a/internal/lab/policy/caller.go
+++ b/internal/lab/policy/caller.go
@@ -13,6 +13,8 @@
 const (
 	// openTime is how long a caller waits for an answer to its opening packet.
 	openTime = 1400 * time.Millisecond
+	// resendTime is how long a request may be unanswered until it is sent again; the time doubles with each.
+	resendTime = 200 * time.Millisecond
 	// callersPerAddress is the number of requests that share a source address.
 	callersPerAddress = 400
 )
@@ -105,7 +107,7 @@
 		t.end()
 	case s.Has(segment.SYN) && !t.opened:
 		t.opened, t.ack = true, s.Sequence+1
-		t.send(dsrtest.Packet{Flags: segment.ACK, Acknowledgement: t.ack, Data: []byte("GET")})
+		t.demand(resendTime)
 	case s.Length > 0 && t.opened && s.Sequence == t.ack:
 		t.request.answered()
 		t.send(dsrtest.Packet{Flags: segment.ACK | segment.FIN, Acknowledgement: t.ack + uint32(s.Length)})
@@ -113,6 +115,15 @@
 	}
 }
 
+// demand sends the request, and again until the answer comes.
+func (t *try) demand(again time.Duration) {
+	if t.ended || t.request.done {
+		return
+	}
+	t.send(dsrtest.Packet{Flags: segment.ACK, Acknowledgement: t.ack, Data: []byte("GET")})
+	t.request.w.after(again, func() { t.demand(2 * again) })
+}
+
 // end gives the flow up; the next one is opened after a pause.
 func (t *try) end() {
 	if t.ended {
--- /dev/null
+++ b/internal/lab/policy/compare.go
@@ -0,0 +1,102 @@
+package policy
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"text/tabwriter"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/auburnwood/auburnwood/pkg/dsr/policy"
+)
+
+// Row is one scenario under one policy, over several seeds.
+type Row struct {
+	Scenario Scenario
+	// Without names the mechanism that is switched off; empty when all are at work.
+	Without string
+	Results []*Result
+}
+
+// Worth is the mean worth over the seeds, and half the difference between the best and the worst.
+func (r Row) Worth() (mean, spread float64) {
+	low, high := math.Inf(1), math.Inf(-1)
+	for _, one := range r.Results {
+		w := one.Worth()
+		mean += w / float64(len(r.Results))
+		low, high = min(low, w), max(high, w)
+	}
+	return mean, (high - low) / 2
+}
+
+// sum adds a count over the seeds.
+func (r Row) sum(count func(*Result) int) int {
+	n := 0
+	for _, one := range r.Results {
+		n += count(one)
+	}
+	return n
+}
+
+// Compare plays each scenario with all mechanisms, and without each of the named ones, on seeds from 1 on.
+func Compare(ctx context.Context, scenarios []Scenario, without []policy.Mechanism, seeds, jobs int) ([]Row, error) {
+	mechanisms := append([]policy.Mechanism{{}}, without...)
+	rows := make([]Row, 0, len(scenarios)*len(mechanisms))
+	for _, s := range scenarios {
+		for _, m := range mechanisms {
+			rows = append(rows, Row{Scenario: s, Without: m.Name, Results: make([]*Result, seeds)})
+		}
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(jobs)
+	for i := range rows {
+		for seed := range seeds {
+			off := mechanisms[i%len(mechanisms)].Off
+			g.Go(func() error {
+				if ctx.Err() != nil {
+					return ctx.Err()
+				}
+				o := rows[i].Scenario.Options(uint64(seed + 1))
+				o.Without = off
+				r, err := Run(o)
+				rows[i].Results[seed] = r
+				return err
+			})
+		}
+	}
+	return rows, g.Wait()
+}
+
+// Print writes a table of the rows.
+func Print(w io.Writer, rows []Row) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "scenario\twithout\tworth\tspread\tworst\tin time\tlate\tlost\ttold\tgiven up\ttwice")
+	for _, r := range rows {
+		worth, spread := r.Worth()
+		worst := 1.0
+		for _, one := range r.Results {
+			worst = min(worst, one.Worst())
+		}
+		fmt.Fprintf(t, "%s\t%s\t%.4f\t%.4f\t%.3f\t%d\t%d\t%d\t%d\t%d\t%d\n", r.Scenario.Name, r.Without, worth, spread, worst,
+			r.sum(func(o *Result) int { return o.InTime }), r.sum(func(o *Result) int { return o.Late }),
+			r.sum(func(o *Result) int { return o.Lost }), r.sum(func(o *Result) int { return o.Told }),
+			r.sum(func(o *Result) int { return o.GivenUp }), r.sum(func(o *Result) int { return o.Twice }))
+	}
+	return t.Flush()
+}
+
+// Broken returns the rows with all mechanisms that are below their bound, or in which a flow ran at two targets.
+func Broken(rows []Row) []string {
+	var out []string
+	for _, r := range rows {
+		if worth, _ := r.Worth(); r.Without == "" && worth < r.Scenario.Least {
+			out = append(out, fmt.Sprintf("%s: worth %.4f is below %.2f", r.Scenario.Name, worth, r.Scenario.Least))
+		}
+		if n := r.sum(func(o *Result) int { return o.Twice }); n > 0 {
+			out = append(out, fmt.Sprintf("%s without %q: %d flows ran at two targets", r.Scenario.Name, r.Without, n))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/lab/policy/plot.go
@@ -0,0 +1,58 @@
+package policy
+
+import (
+	"github.com/gravitational/trace"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Size of the plot.
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+)
+
+// Draw writes a plot of the worth of each window of one scenario, a line for each policy, into a PNG file.
+func Draw(file string, rows []Row) error {
+	if len(rows) == 0 {
+		return trace.BadParameter("there is nothing to draw")
+	}
+	p := plot.New()
+	p.Title.Text = rows[0].Scenario.Name
+	p.X.Label.Text = "seconds from the start"
+	p.Y.Label.Text = "worth of a request"
+	p.Y.Min, p.Y.Max = 0, 1
+	var lines []any
+	for _, r := range rows {
+		if r.Scenario.Name != rows[0].Scenario.Name {
+			continue
+		}
+		name := "all mechanisms"
+		if r.Without != "" {
+			name = "without " + r.Without
+		}
+		lines = append(lines, name, r.points())
+	}
+	if err := plotutil.AddLinePoints(p, lines...); err != nil {
+		return trace.Wrap(err, "drawing %s", file)
+	}
+	return trace.Wrap(p.Save(plotWidth, plotHeight, file), "writing %s", file)
+}
+
+// points are the means of the windows over the seeds.
+func (r Row) points() plotter.XYs {
+	var out plotter.XYs
+	for i := range r.Results[0].Windows {
+		var all Counts
+		for _, one := range r.Results {
+			c := one.Windows[i]
+			all.Asked, all.InTime, all.Late = all.Asked+c.Asked, all.InTime+c.InTime, all.Late+c.Late
+		}
+		if all.Asked > 0 {
+			out = append(out, plotter.XY{X: float64(i) * windowTime.Seconds(), Y: all.Worth()})
+		}
+	}
+	return out
+}
--- a/internal/lab/policy/target.go
+++ b/internal/lab/policy/target.go
@@ -33,7 +33,7 @@
 	sequence      uint64
 	initial       uint32
 	busy          int
-	waiting       []segment.Segment
+	waiting       []waiting
 	flows         map[netip.AddrPort]*held
 }
 
@@ -44,6 +44,12 @@
 	asked    bool
 }
 
+// waiting is a request that waits for a slot.
+type waiting struct {
+	flow    *held
+	request segment.Segment
+}
+
 // start begins a new process.
 func (t *target) start(warm bool) {
 	t.w.lives++
@@ -89,7 +95,9 @@
 		t.send(raw)
 	case s.Length > 0 && !f.asked:
 		f.asked = true
-		t.request(s)
+		t.request(f, s)
+	case s.Length > 0 && f.answered:
+		t.answer(s)
 	}
 }
 
@@ -103,7 +111,7 @@
 }
 
 // request queues a request for a slot, or sheds it by a reset when the queue is full.
-func (t *target) request(s segment.Segment) {
+func (t *target) request(f *held, s segment.Segment) {
 	switch draw := t.w.random.Float64(); {
 	case draw < t.failing:
 		t.reply(s, segment.RST|segment.ACK, s.Acknowledgement, "")
@@ -112,18 +120,18 @@
 		return
 	}
 	if t.busy < t.w.o.Slots {
-		t.run(s)
+		t.run(f, s)
 		return
 	}
 	if len(t.waiting) >= t.w.o.Queue {
 		t.reply(s, segment.RST|segment.ACK, s.Acknowledgement, "")
 		return
 	}
-	t.waiting = append(t.waiting, s)
+	t.waiting = append(t.waiting, waiting{flow: f, request: s})
 }
 
 // run works on a request.
-func (t *target) run(s segment.Segment) {
+func (t *target) run(f *held, s segment.Segment) {
 	t.busy++
 	work := float64(t.w.work()) * t.slow
 	if t.w.now().Before(t.coldUntil) {
@@ -136,16 +144,23 @@
 			return
 		}
 		t.busy--
-		t.reply(s, segment.ACK, s.Acknowledgement, "answer")
-		t.reply(s, segment.FIN|segment.ACK, s.Acknowledgement+uint32(len("answer")), "")
+		f.answered = true
+		t.answer(s)
 		if len(t.waiting) > 0 {
 			next := t.waiting[0]
 			t.waiting = t.waiting[1:]
-			t.run(next)
+			t.run(next.flow, next.request)
 		}
 	})
 }
 
+// answer sends the answer to a request and closes the flow.
+func (t *target) answer(s segment.Segment) {
+	const text = "answer"
+	t.reply(s, segment.ACK, s.Acknowledgement, text)
+	t.reply(s, segment.FIN|segment.ACK, s.Acknowledgement+uint32(len(text)), "")
+}
+
 func (t *target) reply(s segment.Segment, flags segment.Flags, sequence uint32, data string) {
 	t.send(dsrtest.Encode(dsrtest.Packet{
 		Source: s.Destination, Destination: s.Source, Flags: flags, Sequence: sequence, Data: []byte(data),
--- a/pkg/dsr/dispatch/balancer.go
+++ b/pkg/dsr/dispatch/balancer.go
@@ -10,6 +10,7 @@
 	"github.com/auburnwood/auburnwood/pkg/dsr/routing"
 	"github.com/auburnwood/auburnwood/pkg/dsr/segment"
 	"github.com/auburnwood/auburnwood/pkg/flow"
+	"github.com/auburnwood/auburnwood/pkg/limit"
 )
 
 // due is a flow that has to be looked at at a time.
@@ -43,8 +44,8 @@
 	// awake is the last call of Awake; until doubted, packets may have waited in the socket.
 	awake   time.Time
 	doubted time.Time
-	// hedgeTokens is the number of unanswered offers that the next agent may be asked about now.
-	hedgeTokens float64
+	// hedgeBudget bounds the unanswered offers about which the next agent is asked.
+	hedgeBudget *limit.Budget
 	// answer learns how long agents take to answer an offer, works the usual work of each service.
 	answer estimate.Answer
 	works  map[string]*estimate.Mean
@@ -67,7 +68,7 @@
 
 		searchMessages: SearchBurst,
 		searchedAt:     now,
-		hedgeTokens:    HedgeBurst,
+		hedgeBudget:    limit.NewBudget(HedgeShare, HedgeBurst),
 	}
 }
 
--- a/pkg/dsr/dispatch/choose.go
+++ b/pkg/dsr/dispatch/choose.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -85,19 +86,13 @@
 }
 
 func (r rank) before(o rank) bool {
-	if r.suspect != o.suspect {
-		return o.suspect
-	}
-	if r.remote != o.remote {
-		return o.remote
-	}
-	if r.finish != o.finish {
-		return r.finish < o.finish
-	}
-	if r.load != o.load {
-		return r.load < o.load
-	}
-	return r.tie < o.tie
+	return cmp.Or(
+		compareTrue(o.suspect, r.suspect),
+		compareTrue(o.remote, r.remote),
+		cmp.Compare(r.finish, o.finish),
+		cmp.Compare(r.load, o.load),
+		cmp.Compare(r.tie, o.tie),
+	) < 0
 }
 
 // rank compares free targets by place: one of the same data centre serves as early as any other. Busy ones are compared by when
--- a/pkg/dsr/dispatch/opening.go
+++ b/pkg/dsr/dispatch/opening.go
@@ -133,7 +133,7 @@
 	f.tried = append(f.tried, c.agent.addr)
 	f.tries++
 	c.agent.asked++
-	b.hedgeTokens = min(HedgeBurst, b.hedgeTokens+HedgeShare)
+	b.hedgeBudget.Deposit()
 	f.hedgeAt = now.Add(b.hedgeAfter())
 	b.hedges = append(b.hedges, due{flow: f, at: f.hedgeAt})
 	b.forward(now, f, c.agent.addr, f.packet, false, c.patience)
@@ -215,14 +215,24 @@
 	if a := b.agents[f.asked]; a != nil && !a.heard.After(f.since) {
 		a.suspect = !b.cfg.Without.Suspicion
 	}
-	if b.cfg.Without.HedgedOffers || b.hedgeTokens < 1 && !b.cfg.Without.HedgeBudget {
+	if !b.mayHedge() {
 		b.awaitAnswer(now, f)
 		return
 	}
-	b.hedgeTokens--
 	b.offerPast(now, f)
 }
 
+// mayHedge reports whether one more agent may be asked past an unanswered offer.
+func (b *Balancer) mayHedge() bool {
+	switch {
+	case b.cfg.Without.HedgedOffers:
+		return false
+	case b.cfg.Without.HedgeBudget:
+		return true
+	}
+	return b.hedgeBudget.Withdraw()
+}
+
 // awaitAnswer waits on for an answer until the caller has left.
 func (b *Balancer) awaitAnswer(now time.Time, f *flowState) {
 	if now.Sub(f.arrived) < OpeningPatience {
--- a/pkg/telemetry/log_writer.go
+++ b/pkg/telemetry/log_writer.go
@@ -2,11 +2,11 @@
 
 import (
 	"io"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 )
 
 // Bounds of a daemon's log.
@@ -35,9 +35,8 @@
 	done  chan struct{}
 	now   func() time.Time
 
-	mu        sync.Mutex
-	routine   lineBudget
-	important lineBudget
+	routine   *rate.Limiter
+	important *rate.Limiter
 
 	droppedRoutine   atomic.Uint64
 	droppedImportant atomic.Uint64
@@ -47,13 +46,12 @@
 
 // NewLogWriter starts writing to w.
 func NewLogWriter(w io.Writer) *LogWriter {
-	now := time.Now()
 	l := &LogWriter{
 		lines:     make(chan []byte, logQueue),
 		done:      make(chan struct{}),
 		now:       time.Now,
-		routine:   newLineBudget(now, RoutineLinesPerSecond, RoutineBurst),
-		important: newLineBudget(now, ImportantLinesPerSecond, ImportantBurst),
+		routine:   rate.NewLimiter(RoutineLinesPerSecond, RoutineBurst),
+		important: rate.NewLimiter(ImportantLinesPerSecond, ImportantBurst),
 	}
 	go l.run(w)
 	return l
@@ -92,12 +90,10 @@
 	if routine && len(l.lines) >= logQueue/2 {
 		return false
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	if routine {
-		return l.routine.allow(l.now())
+		return l.routine.AllowN(l.now(), 1)
 	}
-	return l.important.allow(l.now())
+	return l.important.AllowN(l.now(), 1)
 }
 
 // Dropped returns the numbers of lines that were left out since the start: routine ones and others.
