--- a/pkg/telemetry/log_writer_test.go
+++ b/pkg/telemetry/log_writer_test.go
@@ -36,10 +36,7 @@
 	var out lockedBuffer
 	l := NewLogWriter(&out)
 	start := time.Unix(1000, 0)
-	l.mu.Lock()
 	l.now = func() time.Time { return start }
-	l.routine.filled, l.important.filled = start, start
-	l.mu.Unlock()
 	log := zerolog.New(l)
 	for range RoutineBurst + 100 {
 		log.Info().Msg("flow")
@@ -60,8 +57,8 @@
 		l := NewLogWriter(io.Discard)
 		now := time.Unix(1000, 0)
 		l.now = func() time.Time { return now }
-		l.routine.filled, l.routine.tokens = now, 0
-		l.important.filled, l.important.tokens = now, 0
+		l.routine.AllowN(now, RoutineBurst)
+		l.important.AllowN(now, ImportantBurst)
 		require.False(t, l.allow(routine))
 		now = now.Add(time.Second)
 		for range rate {
@@ -77,10 +74,7 @@
 	var out lockedBuffer
 	l := NewLogWriter(&out)
 	start := time.Now()
-	l.mu.Lock()
 	l.now = func() time.Time { return start }
-	l.routine.filled, l.important.filled = start, start
-	l.mu.Unlock()
 	log := zerolog.New(l)
 	const flood = ImportantBurst + 500
 	for range flood {
