--- a/internal/lab/policy/compare.go
+++ b/internal/lab/policy/compare.go
@@ -18,6 +18,8 @@
 	// Without names the mechanism that is switched off; empty when all are at work.
 	Without string
 	Results []*Result
+	// Bound is the mean worth that any system could reach, as Bound has it.
+	Bound float64
 }
 
 // Worth is the mean worth over the seeds, and half the difference between the best and the worst.
@@ -52,6 +54,10 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(jobs)
 	for i := range rows {
+		g.Go(func() (err error) {
+			rows[i].Bound, err = meanBound(rows[i].Scenario, seeds)
+			return err
+		})
 		for seed := range seeds {
 			off := mechanisms[i%len(mechanisms)].Off
 			g.Go(func() error {
@@ -69,17 +75,30 @@
 	return rows, g.Wait()
 }
 
+// meanBound is the mean of the bound over the seeds.
+func meanBound(s Scenario, seeds int) (float64, error) {
+	sum := 0.0
+	for seed := range seeds {
+		c, err := Bound(s.Options(uint64(seed + 1)))
+		if err != nil {
+			return 0, err
+		}
+		sum += c.Worth()
+	}
+	return sum / float64(seeds), nil
+}
+
 // Print writes a table of the rows.
 func Print(w io.Writer, rows []Row) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "scenario\twithout\tworth\tspread\tworst\tin time\tlate\tlost\ttold\tgiven up\ttwice")
+	fmt.Fprintln(t, "scenario\twithout\tworth\tspread\tbound\tworst\tin time\tlate\tlost\ttold\tgiven up\ttwice")
 	for _, r := range rows {
 		worth, spread := r.Worth()
 		worst := 1.0
 		for _, one := range r.Results {
 			worst = min(worst, one.Worst())
 		}
-		fmt.Fprintf(t, "%s\t%s\t%.4f\t%.4f\t%.3f\t%d\t%d\t%d\t%d\t%d\t%d\n", r.Scenario.Name, r.Without, worth, spread, worst,
+		fmt.Fprintf(t, "%s\t%s\t%.4f\t%.4f\t%.4f\t%.3f\t%d\t%d\t%d\t%d\t%d\t%d\n", r.Scenario.Name, r.Without, worth, spread, r.Bound, worst,
 			r.sum(func(o *Result) int { return o.InTime }), r.sum(func(o *Result) int { return o.Late }),
 			r.sum(func(o *Result) int { return o.Lost }), r.sum(func(o *Result) int { return o.Told }),
 			r.sum(func(o *Result) int { return o.GivenUp }), r.sum(func(o *Result) int { return o.Twice }))
--- a/internal/lab/policy/policy_test.go
+++ b/internal/lab/policy/policy_test.go
@@ -58,6 +58,16 @@
 	}
 }
 
+// No run serves more than the bound, within what the draw of the work may favour.
+func TestNoRunServesMoreThanTheBound(t *testing.T) {
+	for _, s := range Scenarios() {
+		bound, err := meanBound(s, 3)
+		require.NoError(t, err)
+		_, worth := play(t, s.Name, policy.Without{})
+		require.LessOrEqual(t, worth, bound+0.01, s.Name)
+	}
+}
+
 // A run is a function of its options.
 func TestARunRepeats(t *testing.T) {
 	o := Scenarios()[1].Options(7)
