--- a/pkg/dsrd/keeper_test.go
+++ b/pkg/dsrd/keeper_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,6 +21,7 @@
 // fakeStore holds one object. Other writers raise its revision too.
 type fakeStore struct {
 	objectapi.Store
+	mu       sync.Mutex
 	object   objectapi.Object
 	revision uint64
 	err      error
@@ -31,23 +33,45 @@
 
 // write stores the next value under its version.
 func (s *fakeStore) write(version uint64, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.object = objectapi.Object{Kind: "config", Name: "main", Version: version, Value: []byte(value)}
 	s.revision = max(s.revision, version)
 }
 
+// set changes the store while the keeper runs.
+func (s *fakeStore) set(change func(s *fakeStore)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+}
+
+// calls returns the numbers of readings and watches, and starts counting anew.
+func (s *fakeStore) calls() (reads, watches int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reads, watches = s.reads, s.watches
+	s.reads, s.watches = 0, 0
+	return reads, watches
+}
+
 func (s *fakeStore) answer(ctx context.Context, d time.Duration) error {
 	select {
 	case <-ctx.Done():
 		return objectapi.Fail(objectapi.OpGet, "config", "main", "test", objectapi.ErrUnavailable, ctx.Err())
 	case <-time.After(d):
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return s.err
 }
 
 func (s *fakeStore) List(ctx context.Context, _ objectapi.Kind) ([]objectapi.Object, uint64, error) {
+	s.mu.Lock()
 	s.reads++
-	o, revision := s.object, s.revision
-	if err := s.answer(ctx, s.delay); err != nil {
+	o, revision, delay := s.object, s.revision, s.delay
+	s.mu.Unlock()
+	if err := s.answer(ctx, delay); err != nil {
 		return nil, 0, err
 	}
 	if o.Version == 0 {
@@ -57,24 +81,40 @@
 }
 
 func (s *fakeStore) Watch(ctx context.Context, _ objectapi.Kind, from uint64) ([]objectapi.Event, uint64, error) {
+	s.mu.Lock()
 	s.watches++
-	if err := s.answer(ctx, s.delay); err != nil {
+	delay := s.delay
+	s.mu.Unlock()
+	if err := s.answer(ctx, delay); err != nil {
 		return nil, 0, err
 	}
-	if s.expired {
-		return nil, 0, objectapi.ErrExpired
-	}
 	for end := time.Now().Add(WatchWait); time.Now().Before(end); {
-		if s.object.Version > from && !s.silent {
-			return []objectapi.Event{{Type: objectapi.EventPut, Object: s.object}}, s.object.Version, s.err
+		events, next, err := s.look(from)
+		if err != nil || len(events) > 0 {
+			return events, next, err
 		}
 		if err := s.answer(ctx, 5*time.Millisecond); err != nil {
 			return nil, 0, err
 		}
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return nil, s.revision, s.err
 }
 
+// look returns what a watch sees now.
+func (s *fakeStore) look(from uint64) ([]objectapi.Event, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.expired {
+		return nil, 0, objectapi.ErrExpired
+	}
+	if s.object.Version > from && !s.silent {
+		return []objectapi.Event{{Type: objectapi.EventPut, Object: s.object}}, s.object.Version, s.err
+	}
+	return nil, 0, nil
+}
+
 var (
 	selfAddress  = netip.MustParseAddrPort("10.1.0.2:7720")
 	firstAddress = netip.MustParseAddrPort("10.1.0.1:7720")
@@ -133,19 +173,21 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newKeeperFixture()
 		f.during(t, time.Second)
-		f.store.reads, f.store.watches = 0, 0
+		f.store.calls()
 		f.during(t, 30*time.Second)
-		require.LessOrEqual(t, f.store.reads, 1, "the watch that the end of the last run broke off")
-		require.LessOrEqual(t, f.store.watches, 51)
+		reads, watches := f.store.calls()
+		require.LessOrEqual(t, reads, 1, "the watch that the end of the last run broke off")
+		require.LessOrEqual(t, watches, 51)
 		require.Equal(t, 1, f.decoded)
 		go func() {
 			for range 30 {
 				time.Sleep(time.Second)
-				f.store.revision++
+				f.store.set(func(s *fakeStore) { s.revision++ })
 			}
 		}()
 		f.during(t, 30*time.Second)
-		require.LessOrEqual(t, f.store.reads, 4)
+		reads, _ = f.store.calls()
+		require.LessOrEqual(t, reads, 4)
 		require.Equal(t, 1, f.decoded)
 		_, age, _ := f.state(time.Now())
 		require.LessOrEqual(t, age, WatchWait+keeperInterval)
@@ -158,12 +200,12 @@
 		func(s *fakeStore) { s.expired = true },
 		func(s *fakeStore) {
 			s.silent = true
-			time.AfterFunc(time.Second, func() { s.expired = true })
+			time.AfterFunc(time.Second, func() { s.set(func(s *fakeStore) { s.expired = true }) })
 		},
 		func(s *fakeStore) {
 			s.silent = true
-			time.AfterFunc(time.Second, func() { s.err = objectapi.ErrUnavailable })
-			time.AfterFunc(1300*time.Millisecond, func() { s.err = nil })
+			time.AfterFunc(time.Second, func() { s.set(func(s *fakeStore) { s.err = objectapi.ErrUnavailable }) })
+			time.AfterFunc(1300*time.Millisecond, func() { s.set(func(s *fakeStore) { s.err = nil }) })
 		},
 	} {
 		synctest.Test(t, func(t *testing.T) {
@@ -172,7 +214,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), 3500*time.Millisecond)
 			defer cancel()
 			time.AfterFunc(time.Second, func() {
-				prepare(f.store)
+				f.store.set(prepare)
 				f.store.write(6, "")
 			})
 			require.Error(t, f.run(ctx))
@@ -190,7 +232,8 @@
 		f.during(t, 4*time.Second)
 		require.Equal(t, []uint64{5, 6}, f.adopted)
 		require.Equal(t, 2, f.decoded)
-		require.Equal(t, 2, f.store.reads, "one at the start, one after the first configuration")
+		reads, _ := f.store.calls()
+		require.Equal(t, 2, reads, "one at the start, one after the first configuration")
 	})
 }
 
@@ -230,14 +273,16 @@
 		f := newKeeperFixture()
 		f.ahead = 1
 		f.during(t, 50*time.Millisecond)
-		f.store.reads, f.store.watches = 0, 0
+		f.store.calls()
 		for range 20 {
 			f.vouched(5, time.Now())
 			f.during(t, 900*time.Millisecond)
 		}
-		require.Zero(t, f.store.reads+f.store.watches, "another balancer has checked within 0.9 s each time")
+		reads, watches := f.store.calls()
+		require.Zero(t, reads+watches, "another balancer has checked within 0.9 s each time")
 		f.during(t, 1200*time.Millisecond)
-		require.Positive(t, f.store.reads+f.store.watches, "it goes on when the other falls silent")
+		reads, watches = f.store.calls()
+		require.Positive(t, reads+watches, "it goes on when the other falls silent")
 	})
 }
 
@@ -247,11 +292,12 @@
 		f := newKeeperFixture()
 		f.ahead = 3
 		f.during(t, 50*time.Millisecond)
-		f.store.reads = 0
+		f.store.calls()
 		f.want(6, netip.AddrPort{})
 		f.store.write(6, "")
 		f.during(t, handOverTimeout-50*time.Millisecond)
-		require.Zero(t, f.store.reads)
+		reads, _ := f.store.calls()
+		require.Zero(t, reads)
 		f.during(t, 250*time.Millisecond)
 		require.Equal(t, []uint64{5, 6}, f.adopted)
 	})
@@ -269,9 +315,10 @@
 		f := newKeeperFixture()
 		f.during(t, 50*time.Millisecond)
 		f.store.write(6, "broken")
-		f.store.reads = 0
+		f.store.calls()
 		f.during(t, 3*time.Second)
-		require.LessOrEqual(t, f.store.reads, 6, "it is not asked for often")
+		reads, _ := f.store.calls()
+		require.LessOrEqual(t, reads, 6, "it is not asked for often")
 		version, _, _ := f.state(time.Now())
 		require.Equal(t, uint64(5), version)
 		f.store.write(7, "")
@@ -285,9 +332,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newKeeperFixture()
 		f.during(t, time.Second)
-		f.store.err, f.store.reads, f.store.watches = objectapi.ErrUnavailable, 0, 0
+		f.store.err = objectapi.ErrUnavailable
+		f.store.calls()
 		f.during(t, 4*time.Second)
-		require.LessOrEqual(t, f.store.reads+f.store.watches, 8)
+		reads, watches := f.store.calls()
+		require.LessOrEqual(t, reads+watches, 8)
 		f.store.err = nil
 		f.store.write(6, "")
 		f.during(t, time.Second)
