Log that a daemon has stopped after the line that it was told to stop

Cause: the line 'stopping' is written by a goroutine of its own when the context ends; the daemon waited for it only after it had logged 'stopped'. TestMainServesStatusUntilStopped failed once with the two in the wrong order, in a whole check beside another one (0 of 180 repeats alone). The wait now comes before the last line.

--- a/pkg/telemetry/daemon.go
+++ b/pkg/telemetry/daemon.go
@@ -103,17 +103,17 @@
 		stop()
 		log.Warn().Str("op", "stop").Msg("stopping")
 	})
-	defer func() {
-		if !forget() {
-			<-told
-		}
-	}()
 	hangUp := make(chan os.Signal, 1)
 	signal.Notify(hangUp, syscall.SIGHUP)
 	defer signal.Stop(hangUp)
 	go d.reload(ctx, hangUp, s, log, path)
 	log.Warn().Str("op", "start").Str("program", d.Name).Str("version", Version()).Msg("starting")
-	if err := d.serve(ctx, s, log); err != nil {
+	err := d.serve(ctx, s, log)
+	// The line that says that the daemon was told to end comes before the one that says that it has.
+	if !forget() {
+		<-told
+	}
+	if err != nil {
 		log.Error().Str("op", "stop").Err(err).Msg("failed")
 		return ExitFailure
 	}
