Count a caller's repeated request neither as work nor as a failure of its target

Cause: a packet with data that came after the answer began a new request, since nothing told it from a repeated one. It kept a slot busy for 2 s, and since targets are judged by the ends of their requests it also counted as one without an answer after 0.5 s.

Change: data that ends at or before the last byte that the caller has sent is handed over and changes nothing else. The test fails without it (busy 1 for 0, and eight such flows take a healthy target out); a flow's next request, and the first data that a restarted agent sees of an older flow, count as before.

--- a/pkg/dsr/ownership/entry.go
+++ b/pkg/dsr/ownership/entry.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/dsr/segment"
 )
 
 // phase is how far a flow has come.
@@ -38,6 +40,10 @@
 	// answered is set once the target has sent data, requested once the caller has.
 	answered  bool
 	requested bool
+	// dataEnd is the number after the last byte that the caller has sent, once hasData is set. A flow that is older than the agent
+	// counts as requested although none of its data was seen.
+	dataEnd uint32
+	hasData bool
 	// hasSequence is set when initialSequence is the number of the target's answer to the opening packet.
 	hasSequence     bool
 	initialSequence uint32
@@ -83,6 +89,16 @@
 	return e.initialSequence
 }
 
+// fresh reports whether a packet has data that its caller has not sent before, and notes it.
+func (e *entry) fresh(s segment.Segment) bool {
+	end := s.Sequence + uint32(s.Length)
+	if s.Length == 0 || e.hasData && int32(end-e.dataEnd) <= 0 {
+		return false
+	}
+	e.requested, e.hasData, e.dataEnd = true, true, end
+	return true
+}
+
 // lost reports whether a flow whose packet the target has returned was open there: the caller has got data from this target,
 // or its request was handed over again to a new process and acknowledges the number of the target's answer.
 func (e *entry) lost() bool {
--- a/pkg/dsr/ownership/from_balancer.go
+++ b/pkg/dsr/ownership/from_balancer.go
@@ -45,8 +45,7 @@
 	e.touched = now
 	e.callerAck, e.acknowledged = s.Acknowledgement, true
 	t.learnTrip(now, e, s)
-	if s.Length > 0 {
-		e.requested = true
+	if e.fresh(s) {
 		e.request = append(e.request[:0], s.Raw...)
 		t.request(now, e)
 	}
--- a/pkg/dsr/ownership/outcome_test.go
+++ b/pkg/dsr/ownership/outcome_test.go
@@ -146,3 +146,41 @@
 	f.hear(report("i-2", 0, 1, ready))
 	require.False(t, f.announced())
 }
+
+// A request that its caller repeats after the answer, as it does when the answer or an acknowledgement is late, is no new request:
+// it neither keeps a slot busy nor counts as one that got no answer.
+func TestARepeatedRequestIsNoNewOne(t *testing.T) {
+	f := newFixture(t, Config{})
+	for port := 1; port <= outlier.Failures; port++ {
+		f.request(port)
+		f.target(port, segment.ACK, uint32(port)*1000+1, "200")
+		f.data(port, uint32(port)*1000+1, true)
+		require.Zero(t, f.table.Busy())
+		f.pass(sweepInterval)
+		f.pass(sweepInterval)
+		f.announce(0)
+	}
+	require.Empty(t, f.out.judgements)
+	require.Equal(t, "GET", string(dsrtest.Data(f.out.target[len(f.out.target)-1])), "it is handed over all the same")
+}
+
+// The first data that a restarted agent sees of an older flow is a request, whatever its number.
+func TestTheFirstDataOfAnOlderFlowIsARequest(t *testing.T) {
+	f := newFixture(t, Config{})
+	f.target(1, segment.ACK, 1001, "200")
+	f.forward(dsrtest.Packet{
+		Source: caller(1), Destination: service, Flags: segment.ACK, Sequence: 3_000_000_000, Acknowledgement: 1004, Data: []byte("GET"),
+	}, &dsrpb.Message{Owner: true})
+	require.Equal(t, 1, f.table.Busy())
+}
+
+// The next request of a flow counts.
+func TestTheNextRequestOfAFlowCounts(t *testing.T) {
+	f := newFixture(t, Config{})
+	f.request(1)
+	f.target(1, segment.ACK, 1001, "200")
+	f.forward(dsrtest.Packet{
+		Source: caller(1), Destination: service, Flags: segment.ACK, Sequence: 3, Acknowledgement: 1004, Data: []byte("GET"),
+	}, &dsrpb.Message{Owner: true})
+	require.Equal(t, 1, f.table.Busy())
+}
