Let the first report that an agent hears end no earlier life

Cause: a restarted agent that heard its target's first report forgot which flows the target had returned, so that they could be handed to it on suspicion once more, and handed over again the requests that the living target worked on. The test fails without the change.

--- a/pkg/dsr/ownership/life.go
+++ b/pkg/dsr/ownership/life.go
@@ -21,11 +21,12 @@
 		return false, &announcement.Rejection{Reason: announcement.WrongAddress}
 	}
 	before := t.State(now)
+	first := t.target.last.ID == ""
 	n, err := t.target.hear(now, a, t.silence())
 	if err != nil || n == nothing {
 		return false, err
 	}
-	if n == newLife {
+	if n == newLife && !first {
 		t.lifeEnded(now)
 	}
 	t.giveBack(now)
--- a/pkg/dsr/ownership/life_test.go
+++ b/pkg/dsr/ownership/life_test.go
@@ -214,3 +214,19 @@
 	require.Empty(t, f.out.resets)
 	require.Equal(t, dsrpb.Verdict_VERDICT_NOT_HELD, f.out.last(t).verdict)
 }
+
+// The first report that an agent hears ends no earlier life: what the target has returned before stays known, and a request that
+// the target works on is not handed over twice.
+func TestTheFirstReportEndsNoLife(t *testing.T) {
+	f := newFixture(t, Config{})
+	f.table = NewTable(Config{Service: "route-svc", HeartbeatInterval: time.Second}, dsrtest.Codec{}, f.out, f.now)
+	f.data(1, 1001, true)
+	f.giveBack(1, segment.ACK)
+	f.target(2, segment.SYN|segment.ACK, 2000, "")
+	f.data(2, 2001, true)
+	f.out.target, f.out.messages = nil, nil
+	f.hear(report("i-1", bornFirst, 20, ready))
+	require.Empty(t, f.out.target)
+	f.table.Locate(f.now, balancer, locate(keyOfCaller(1)))
+	require.Equal(t, dsrpb.Verdict_VERDICT_NOT_HELD, f.out.last(t).verdict)
+}
