Remove the time of a target's slow start from messages, and state of the keeper that could be derived

warm_up_ms of Announcement and target.warmedUp had no reader any more since the learnt pace replaced the factor for slow starts (the log line of a changed target still names what its report says). keeper.version was the version of the configuration in force, and unchanged was vouched for that version. Behaviour is the same.

--- a/pkg/dsr/ownership/target.go
+++ b/pkg/dsr/ownership/target.go
@@ -29,8 +29,7 @@
 	last  announcement.Announcement
 	heard time.Time
 	// since is when the present life was first heard of.
-	since    time.Time
-	warmedUp time.Time
+	since time.Time
 	// seenFirst is set when the process announced itself here for the first time, so that all its flows came by here.
 	seenFirst bool
 	// retired are earlier processes that do not say when they started, the latest last.
@@ -55,7 +54,6 @@
 		t.begin(now, a)
 	}
 	t.known, t.last, t.heard = true, a, now
-	t.warmedUp = now.Add(a.WarmUp)
 	return n, nil
 }
 
--- a/pkg/dsr/ownership/tell.go
+++ b/pkg/dsr/ownership/tell.go
@@ -22,9 +22,6 @@
 		Failing:     t.failing(now),
 		WorkUs:      t.toldWork(now),
 	}
-	if left := t.target.warmedUp.Sub(now); left > 0 {
-		t.announced.WarmUpMs = uint32(left / time.Millisecond)
-	}
 	t.reply = dsrpb.Message{
 		Kind:          dsrpb.Kind_KIND_ANNOUNCE,
 		Service:       t.cfg.Service,
--- a/pkg/dsrd/keeper.go
+++ b/pkg/dsrd/keeper.go
@@ -72,10 +72,9 @@
 	cursor cursor
 
 	mu sync.Mutex
-	// inForce is the configuration in force, version its version, encoded its form for other balancers once one has asked;
-	// checked is when it was last known to be the newest.
+	// inForce is the configuration in force, of version 0 when there is none yet, encoded its form for other balancers once one
+	// has asked; checked is when it was last known to be the newest.
 	inForce configuration.Configuration
-	version uint64
 	encoded []byte
 	checked time.Time
 	// pauseUntil is the time before which no check is made, failures the number of checks that have failed in a row.
@@ -112,17 +111,17 @@
 func (k *keeper) state(now time.Time) (version uint64, age time.Duration, checked bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.version, now.Sub(k.checked), !k.checked.IsZero()
+	return k.inForce.Version, now.Sub(k.checked), !k.checked.IsZero()
 }
 
 // want tells that a newer version exists. Source is the balancer that has it, or the zero value.
 func (k *keeper) want(version uint64, source netip.AddrPort) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if version <= k.version {
+	if version <= k.inForce.Version {
 		return
 	}
-	if k.wanted <= k.version {
+	if k.wanted <= k.inForce.Version {
 		k.wantedAt = time.Now()
 	}
 	k.wanted = max(k.wanted, version)
@@ -136,7 +135,7 @@
 func (k *keeper) vouched(version uint64, at time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if version == k.version && at.After(k.checked) {
+	if version == k.inForce.Version && at.After(k.checked) {
 		k.checked = at
 	}
 }
@@ -181,7 +180,7 @@
 func (k *keeper) behind() (netip.AddrPort, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.source, k.wanted > k.version
+	return k.source, k.wanted > k.inForce.Version
 }
 
 // due reports whether the configuration is to be compared with the object API. The balancer that comes first always watches;
@@ -193,11 +192,11 @@
 	if now.Before(k.pauseUntil) {
 		return false
 	}
-	if before == 0 || k.version == 0 {
+	if before == 0 || k.inForce.Version == 0 {
 		return true
 	}
 	// Other balancers hand a newer version over in less time and bytes than the object API.
-	if k.wanted > k.version && now.Sub(k.wantedAt) >= handOverTimeout {
+	if k.wanted > k.inForce.Version && now.Sub(k.wantedAt) >= handOverTimeout {
 		return true
 	}
 	last := k.checked
@@ -296,19 +295,11 @@
 	}
 	from.revision = max(from.revision, next)
 	k.cursor = from
-	k.unchanged(answered)
+	version, _, _ := k.state(answered)
+	k.vouched(version, answered)
 	return nil
 }
 
-// unchanged notes that the version in force was the newest at a time.
-func (k *keeper) unchanged(at time.Time) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if at.After(k.checked) {
-		k.checked = at
-	}
-}
-
 func (k *keeper) pause(until time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -321,14 +312,14 @@
 	defer k.mu.Unlock()
 	if err == nil {
 		if k.failures > 0 {
-			k.log.Warn().Str("op", "check-configuration").Uint64("configuration", k.version).
+			k.log.Warn().Str("op", "check-configuration").Uint64("configuration", k.inForce.Version).
 				Dur("took_ms", time.Since(began)).Msg("the configuration is checked again")
 		}
 		k.failures = 0
 		return
 	}
 	if k.failures == 0 {
-		k.log.Warn().Err(err).Str("op", "check-configuration").Uint64("configuration", k.version).
+		k.log.Warn().Err(err).Str("op", "check-configuration").Uint64("configuration", k.inForce.Version).
 			Dur("age_ms", time.Since(k.checked)).Msg("the configuration cannot be checked; the last one stays in force")
 	}
 	k.pauseUntil = time.Now().Add(min(failurePause<<min(k.failures, 8), maxFailurePause))
@@ -357,7 +348,7 @@
 	if version, _, _ := k.state(at); c.Version > version {
 		k.adopt(c)
 		k.mu.Lock()
-		k.inForce, k.version, k.encoded, k.adopted = c, c.Version, encoded, time.Now()
+		k.inForce, k.encoded, k.adopted = c, encoded, time.Now()
 		k.mu.Unlock()
 	}
 	k.vouched(c.Version, at)
@@ -423,7 +414,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.version == c.Version {
+	if k.inForce.Version == c.Version {
 		k.encoded = encoded
 	}
 	return encoded, nil
