--- a/pkg/dsr/ownership/outcome_test.go
+++ b/pkg/dsr/ownership/outcome_test.go
@@ -184,3 +184,16 @@
 	}, &dsrpb.Message{Owner: true})
 	require.Equal(t, 1, f.table.Busy())
 }
+
+// A target that closes without an answer after its caller has closed only answers that; after an outage many callers open their
+// flows when their time is over, and close at once.
+func TestATargetThatClosesAfterItsCallerDoesNotFail(t *testing.T) {
+	f := newFixture(t, Config{})
+	for port := 1; port <= 3*outlier.Failures; port++ {
+		f.request(port)
+		f.forward(closing(port), &dsrpb.Message{Owner: true})
+		f.target(port, segment.FIN|segment.ACK, uint32(port)*1000+1, "")
+		f.announce(0)
+	}
+	require.Empty(t, f.out.judgements)
+}
