--- a/internal/lab/policy/nodes.go
+++ b/internal/lab/policy/nodes.go
@@ -169,14 +169,14 @@
 // announceOften tells the balancers of the agent for ever.
 func (a *agentNode) announceOften() {
 	a.announce()
-	a.w.after(announceTime, a.announceOften)
+	a.w.after(a.w.announceInterval(), a.announceOften)
 }
 
 func (a *agentNode) announce() {
 	if !a.up {
 		return
 	}
-	raw, _ := a.table.Announcement(a.w.now(), true).MarshalVT()
+	raw, _ := a.table.Announcement(a.w.now(), true, a.w.announceInterval()).MarshalVT()
 	for _, b := range a.w.balancers {
 		a.w.carry(a.w.between(a.index, b.index), func() { b.fromAgent(a.address, raw) })
 	}
--- a/internal/lab/policy/options.go
+++ b/internal/lab/policy/options.go
@@ -40,6 +40,8 @@
 	// ColdTime is how long a target is slow after its start, by the factor ColdFactor.
 	ColdTime   time.Duration
 	ColdFactor float64
+	// Announce is the time between two announcements of an agent; 0 means as the daemons pace them by the number of VMs.
+	Announce time.Duration
 	// Faults are what happens.
 	Faults []Fault
 }
--- a/internal/lab/policy/scenario.go
+++ b/internal/lab/policy/scenario.go
@@ -30,6 +30,15 @@
 	}}
 }
 
+// large is a deployment of 59 balancers that place flows at 110 targets independently of each other, and hear of each a second or more
+// apart.
+func large(name string, least float64, faults []Fault) Scenario {
+	return scenario(name, least, func(o *Options) {
+		o.Balancers, o.Targets, o.Length, o.Faults = 59, 110, 6*time.Second, faults
+		o.Aim, o.Budget, o.Caller = 250*time.Millisecond, 1500*time.Millisecond, time.Millisecond
+	})
+}
+
 // faultAt is a fault after three seconds.
 func faultAt(kind FaultKind, length time.Duration, share, factor float64) []Fault {
 	return []Fault{{Kind: kind, At: 3 * time.Second, For: length, Share: share, Factor: factor}}
@@ -61,6 +70,11 @@
 		}),
 		scenario("work-short", 0.97, func(o *Options) { o.Work, o.Aim = 8*time.Millisecond, 80*time.Millisecond }),
 		scenario("slots-1", 0.90, func(o *Options) { o.Slots, o.Load = 1, 0.5 }),
+		large("large", 0.98, nil),
+		large("large-targets-slow", 0.95, faultAt(Slow, 4*time.Second, 0.17, 6)),
+		large("large-targets-fail", 0.96, faultAt(Fails, 4*time.Second, 0.17, 1)),
+		large("large-agents-die", 0.95, faultAt(AgentDies, 2*time.Second, 0.3, 0)),
+		large("large-targets-restart", 0.95, faultAt(Restart, 300*time.Millisecond, 0.5, 0)),
 		scenario("slots-16", 0.98, func(o *Options) {
 			o.Slots, o.Work, o.Aim, o.Targets = 16, 150*time.Millisecond, 500*time.Millisecond, 6
 		}),
--- a/internal/lab/policy/world.go
+++ b/internal/lab/policy/world.go
@@ -8,13 +8,13 @@
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/configuration"
+	"github.com/auburnwood/auburnwood/pkg/dsr/roster"
 	"github.com/auburnwood/auburnwood/pkg/dsr/routing"
 	"github.com/auburnwood/auburnwood/pkg/flow"
 )
 
 // Times of the daemons, as pkg/dsrd sets them.
 const (
-	announceTime  = 250 * time.Millisecond
 	heartbeatTime = time.Second
 	// probeDelay is how long after its start an agent knows from a health check that its target lives.
 	probeDelay = 20 * time.Millisecond
@@ -126,3 +126,11 @@
 		}
 	})
 }
+
+// announceInterval is the time between two announcements of an agent, as the daemons pace them.
+func (w *world) announceInterval() time.Duration {
+	if w.o.Announce > 0 {
+		return w.o.Announce
+	}
+	return max(roster.IntervalFor(w.o.Targets), time.Duration(float64(w.o.Balancers)/roster.SentMessages*float64(time.Second)))
+}
--- a/pkg/dsr/dispatch/agent.go
+++ b/pkg/dsr/dispatch/agent.go
@@ -19,6 +19,8 @@
 	// started is when the balancer first heard of the agent's incarnation.
 	started time.Time
 	heard   time.Time
+	// interval is the time between two announcements, as the agent says.
+	interval time.Duration
 	// busy is what the agent last reported, reported when; asked is the number of flows offered since then.
 	busy     int
 	reported time.Time
@@ -31,19 +33,22 @@
 	suspect bool
 }
 
+// silence is how long the agent may say nothing until it is not used any more. A dead one is found earlier, by the first offer that
+// it does not answer.
+func (a *agent) silence() time.Duration { return max(AgentSilence, silentAnnouncements*a.interval) }
+
 // alive reports whether the agent was heard of lately.
-func (a *agent) alive(now time.Time) bool {
-	return now.Sub(a.heard) <= AgentSilence
-}
+func (a *agent) alive(now time.Time) bool { return now.Sub(a.heard) <= a.silence() }
 
 // takes reports whether the agent is worth asking about a new flow.
-func (a *agent) takes(now time.Time, service string) bool {
-	return a.service == service && a.state == dsrpb.State_STATE_READY && a.alive(now)
+func (a *agent) takes(now time.Time) bool {
+	return a.state == dsrpb.State_STATE_READY && a.alive(now)
 }
 
-// report takes over a load that the agent has named.
-func (a *agent) report(now time.Time, busy uint32) {
-	a.busy, a.reported, a.asked = int(busy), now, 0
+// report takes over what every message of an agent names: the load and the pace of its target.
+func (a *agent) report(now time.Time, m *dsrpb.Message) {
+	a.busy, a.reported, a.asked = int(m.Busy), now, 0
+	a.work = time.Duration(m.WorkUs) * time.Microsecond
 	a.heard, a.suspect = now, false
 }
 
--- a/pkg/dsr/dispatch/agents.go
+++ b/pkg/dsr/dispatch/agents.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -22,15 +23,7 @@
 }
 
 // LastHeard is when any agent was last heard of; the start when none was.
-func (b *Balancer) LastHeard() time.Time {
-	last := b.started
-	for _, a := range b.order {
-		if a.heard.After(last) {
-			last = a.heard
-		}
-	}
-	return last
-}
+func (b *Balancer) LastHeard() time.Time { return b.lastHeard }
 
 // AgentService names an agent and its service.
 type AgentService struct {
@@ -49,6 +42,32 @@
 	return out
 }
 
+// report takes over what every message of an agent names.
+func (b *Balancer) report(now time.Time, a *agent, m *dsrpb.Message) {
+	b.lastHeard = now
+	a.report(now, m)
+	b.learnWork(a)
+}
+
+// join puts an agent among those of its service.
+func (b *Balancer) join(a *agent, service string) {
+	if a.service == service && slices.Contains(b.services[service], a) {
+		return
+	}
+	b.leave(a)
+	a.service = service
+	b.services[service] = append(b.services[service], a)
+}
+
+// leave takes an agent from those of its service.
+func (b *Balancer) leave(a *agent) {
+	rest := slices.DeleteFunc(b.services[a.service], func(other *agent) bool { return other == a })
+	b.services[a.service] = rest
+	if len(rest) == 0 {
+		delete(b.services, a.service)
+	}
+}
+
 // announced takes an agent's word about itself.
 func (b *Balancer) announced(now time.Time, from netip.AddrPort, a *agent, m *dsrpb.Message) {
 	n := m.Announcement
@@ -67,11 +86,11 @@
 	}
 	before := a.state
 	// The message refers to the receive buffer.
-	a.dataCentre, a.service = strings.Clone(n.DataCentre), strings.Clone(m.Service)
+	a.dataCentre = strings.Clone(n.DataCentre)
+	b.join(a, strings.Clone(m.Service))
 	a.state, a.slots, a.incarnation, a.failing = n.State, int(n.Slots), n.Incarnation, n.Failing
-	a.work = time.Duration(n.WorkUs) * time.Microsecond
-	b.learnWork(a)
-	a.report(now, m.Busy)
+	a.interval = min(time.Duration(n.IntervalMs)*time.Millisecond, MaxAnnounceInterval)
+	b.report(now, a, m)
 	if a.state == dsrpb.State_STATE_READY && before != a.state {
 		b.retryParked(now, false)
 	}
--- a/pkg/dsr/dispatch/answers.go
+++ b/pkg/dsr/dispatch/answers.go
@@ -44,7 +44,8 @@
 // opened sends what waited for the owner.
 func (b *Balancer) opened(now time.Time, f *flowState) {
 	f.phase, f.since = open, now
-	f.packet, f.tried, f.failed, f.unknown, f.unanswered = nil, nil, nil, nil, nil
+	f.packet, f.tried, f.failed = nil, nil, nil
+	f.unknown, f.unasked, f.unanswered, f.handed = nil, nil, nil, nil
 	held := f.held
 	f.held = nil
 	for _, raw := range held {
--- a/pkg/dsr/dispatch/balancer.go
+++ b/pkg/dsr/dispatch/balancer.go
@@ -29,9 +29,12 @@
 	started time.Time
 	routes  *routing.Table
 	agents  map[netip.AddrPort]*agent
-	// order keeps the order in which agents came, so that every walk is the same.
-	order []*agent
-	flows map[flow.Key]*flowState
+	// order keeps the order in which agents came, so that every walk is the same; services has those of each service, in order too.
+	order    []*agent
+	services map[string][]*agent
+	// lastHeard is when any agent was last heard of.
+	lastHeard time.Time
+	flows     map[flow.Key]*flowState
 	// hedges, locates, probes and parks are queues by time: entries of one wait the same, or nearly so.
 	hedges  []due
 	locates []due
@@ -62,9 +65,13 @@
 		out:     out,
 		started: now,
 		agents:  make(map[netip.AddrPort]*agent),
-		flows:   make(map[flow.Key]*flowState),
-		works:   make(map[string]*estimate.Mean),
-		swept:   now,
+
+		services:  make(map[string][]*agent),
+		lastHeard: now,
+
+		flows: make(map[flow.Key]*flowState),
+		works: make(map[string]*estimate.Mean),
+		swept: now,
 
 		searchMessages: SearchBurst,
 		searchedAt:     now,
@@ -178,7 +185,7 @@
 func (b *Balancer) FromAgent(now time.Time, from netip.AddrPort, m *dsrpb.Message) {
 	a := b.agents[from]
 	if a != nil {
-		a.report(now, m.Busy)
+		b.report(now, a, m)
 	}
 	if m.Configuration > b.routes.Version() {
 		b.out.Outdated(m.Configuration)
--- a/pkg/dsr/dispatch/choose.go
+++ b/pkg/dsr/dispatch/choose.go
@@ -42,8 +42,8 @@
 	var best, failing candidate
 	healthy, ill := 0, 0
 	usual := b.usualWork(f.service)
-	for _, a := range b.order {
-		if !a.takes(now, f.service) {
+	for _, a := range b.services[f.service] {
+		if !a.takes(now) {
 			continue
 		}
 		group := &best
--- a/pkg/dsr/dispatch/config.go
+++ b/pkg/dsr/dispatch/config.go
@@ -27,6 +27,11 @@
 	// SettleTime is how long a balancer that has started may not know every agent, and every balancer an agent that has
 	// joined: two announcements and a lost one's margin. Until then no target gets a packet on suspicion.
 	SettleTime = 600 * time.Millisecond
+	// SearchFirst is the number of agents that a search asks first, those to which the flow would be offered first when all targets are
+	// free. What they do not hold is searched at SearchGrowth times as many others, and so on. Asking all at once cost 109 questions a flow where a
+	// service had 109 agents: a balancer then found the owners of 18 flows that it took over from one that left, and of 5 more a second.
+	SearchFirst  = 8
+	SearchGrowth = 4
 	// LocateRounds is the number of times that agents are asked in one search; a question or an answer may be lost.
 	LocateRounds = 3
 	// LocateAgain is the time between two searches for the owner of one flow that nobody holds.
@@ -59,8 +64,10 @@
 	DoubtTime       = 300 * time.Millisecond
 	// OpeningPatience is how long callers wait for an answer to their opening packet at most.
 	OpeningPatience = 1400 * time.Millisecond
-	// announceInterval is the time between two announcements of an agent.
-	announceInterval = 250 * time.Millisecond
+	// MaxAnnounceInterval bounds what an agent says of the time between its announcements.
+	MaxAnnounceInterval = time.Minute
+	// FreshAnswer is how old an agent's last message may be for a flow that waits there to be taken for alive.
+	FreshAnswer = 500 * time.Millisecond
 	// ParkTime is how long a new flow waits for a balancer or agents that have just started. Its caller sends the last
 	// copy of the opening packet after 0.6 s and gives up after 1.4 s.
 	ParkTime = 1200 * time.Millisecond
@@ -68,12 +75,13 @@
 	StartTime = 1500 * time.Millisecond
 	// StaleTime is how long a new flow waits for a configuration that an agent knows to be newer.
 	StaleTime = 400 * time.Millisecond
-	// AgentSilence is how long an agent may be silent until it is asked last: four announcements of 250 ms.
-	AgentSilence = time.Second
+	// AgentSilence is how long an agent may be silent at least until it is not used: silentAnnouncements of 250 ms.
+	AgentSilence        = time.Second
+	silentAnnouncements = 4
 	// IsolatedAfter is how long no agent at all may be heard of until the balancer takes itself for cut off: two
 	// announcements of every agent.
 	IsolatedAfter = 500 * time.Millisecond
-	// ForgetAgent is how long a silent agent is kept.
+	// ForgetAgent is how long an agent is kept that is not used for its silence.
 	ForgetAgent = 10 * time.Second
 	// RefusedLinger is how long copies of a refused opening packet are answered with the same refusal.
 	RefusedLinger = time.Second
--- a/pkg/dsr/dispatch/flow_state.go
+++ b/pkg/dsr/dispatch/flow_state.go
@@ -74,8 +74,11 @@
 	closed bool
 	// held are packets that wait for the owner.
 	held [][]byte
-	// unanswered are the agents that have not answered the search, rounds the number of times that they were asked; unknown
-	// are those that could not tell. wide is set when agents of other services are asked too.
+	// unasked are the agents that the search has still to ask, step the number of those that are asked next. unanswered are those
+	// that have not answered, rounds the number of times that they were asked since the last step; unknown are those that could
+	// not tell. wide is set when agents of other services are asked too.
+	unasked    []netip.AddrPort
+	step       int
 	unanswered []netip.AddrPort
 	rounds     int
 	unknown    []netip.AddrPort
@@ -84,6 +87,8 @@
 	missed time.Time
 	probes int
 	probed time.Time
+	// handed are the agents that were handed a packet on suspicion.
+	handed []netip.AddrPort
 }
 
 // ownerOf returns the owner whose answer the caller acknowledges; a caller that got several answers to its opening packet
--- a/pkg/dsr/dispatch/opening.go
+++ b/pkg/dsr/dispatch/opening.go
@@ -80,13 +80,25 @@
 	b.offerPast(now, f)
 }
 
-// copyOfQueued asks the agent at which the flow waits again, or another one when that is silent.
+// copyOfQueued tells the agent at which the flow waits that the caller is still there. One that has missed two announcements is passed
+// over; one that announces itself rarely, and was not heard of lately, has to answer in time.
 func (b *Balancer) copyOfQueued(now time.Time, f *flowState, s segment.Segment) {
-	if a := b.agents[f.asked]; a != nil && now.Sub(a.heard) <= 2*announceInterval {
-		b.forward(now, f, f.asked, s.Raw, false, dsrpb.Patience_PATIENCE_QUEUE)
+	a := b.agents[f.asked]
+	if a == nil || a.suspect || now.Sub(a.heard) > max(FreshAnswer, 2*a.interval) {
+		b.offerPast(now, f)
 		return
 	}
-	b.offerPast(now, f)
+	b.forward(now, f, f.asked, s.Raw, false, dsrpb.Patience_PATIENCE_QUEUE)
+	if now.Sub(a.heard) > FreshAnswer {
+		b.expectAnswer(now, f)
+	}
+}
+
+// expectAnswer has the flow go to the next agent unless the one that was asked answers in time.
+func (b *Balancer) expectAnswer(now time.Time, f *flowState) {
+	f.phase, f.since = opening, now
+	f.hedgeAt = now.Add(b.hedgeAfter())
+	b.hedges = append(b.hedges, due{flow: f, at: f.hedgeAt})
 }
 
 // patience is how long a caller waits for an answer to its opening packet.
@@ -129,13 +141,12 @@
 		b.nobody(now, f)
 		return
 	}
-	f.phase, f.since, f.asked = opening, now, c.agent.addr
+	f.asked = c.agent.addr
 	f.tried = append(f.tried, c.agent.addr)
 	f.tries++
 	c.agent.asked++
 	b.hedgeBudget.Deposit()
-	f.hedgeAt = now.Add(b.hedgeAfter())
-	b.hedges = append(b.hedges, due{flow: f, at: f.hedgeAt})
+	b.expectAnswer(now, f)
 	b.forward(now, f, c.agent.addr, f.packet, false, c.patience)
 }
 
--- a/pkg/dsr/dispatch/searching.go
+++ b/pkg/dsr/dispatch/searching.go
@@ -9,6 +9,7 @@
 	"github.com/auburnwood/auburnwood/pkg/dsr/configuration"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/dsr/segment"
+	"github.com/auburnwood/auburnwood/pkg/flow"
 )
 
 // maySearch reports whether the budget of messages allows a search. A search may overdraw it, so that one that asks more
@@ -29,22 +30,32 @@
 		return
 	}
 	f.hold(s.Raw)
-	f.phase, f.unknown, f.unanswered, f.rounds, f.wide = locating, nil, b.agentsOf(f.key.Destination), 0, false
-	if len(f.unanswered) == 0 {
-		b.searched(now, f)
-		return
-	}
-	b.askAgain(now, f)
+	f.phase, f.unknown, f.unanswered, f.wide = locating, nil, nil, false
+	f.unasked, f.step = b.likelyOwners(f), SearchFirst
+	b.askMore(now, f)
 }
 
-// agentsOf are the agents of the services to which an address leads.
-func (b *Balancer) agentsOf(destination netip.AddrPort) []netip.AddrPort {
-	route := b.routes.Route(destination)
-	var out []netip.AddrPort
-	for _, a := range b.order {
-		if leadsTo(route, a) {
-			out = append(out, a.addr)
-		}
+// likelyOwners are the agents of the services to which a flow's address leads, those first to which it would be offered first when all
+// targets are free.
+func (b *Balancer) likelyOwners(f *flowState) []netip.AddrPort {
+	route := b.routes.Route(f.key.Destination)
+	if route == nil {
+		return nil
+	}
+	var agents []*agent
+	for _, share := range route.Shares {
+		agents = append(agents, b.services[share.Service]...)
+	}
+	slices.SortFunc(agents, func(x, y *agent) int {
+		return cmp.Or(
+			compareTrue(!x.suspect, !y.suspect),
+			compareTrue(x.dataCentre == b.cfg.DataCentre, y.dataCentre == b.cfg.DataCentre),
+			cmp.Compare(tieOf(f.hash, x.addr), tieOf(f.hash, y.addr)),
+		)
+	})
+	out := make([]netip.AddrPort, len(agents))
+	for i, a := range agents {
+		out[i] = a.addr
 	}
 	return out
 }
@@ -57,6 +68,20 @@
 	return slices.ContainsFunc(route.Shares, func(s configuration.Share) bool { return s.Service == a.service })
 }
 
+// askMore asks the next agents, more each time, and those again that have not answered; it ends the search when there are none left.
+func (b *Balancer) askMore(now time.Time, f *flowState) {
+	if len(f.unasked) == 0 {
+		b.searched(now, f)
+		return
+	}
+	n := min(f.step, len(f.unasked))
+	f.unanswered = append(f.unanswered, f.unasked[:n]...)
+	f.unasked = f.unasked[n:]
+	f.step *= SearchGrowth
+	f.rounds = 0
+	b.askAgain(now, f)
+}
+
 // askAgain asks the agents that have not answered.
 func (b *Balancer) askAgain(now time.Time, f *flowState) {
 	f.since = now
@@ -74,11 +99,11 @@
 	b.locates = append(b.locates, due{flow: f, at: now.Add(b.locateTimeout()), begun: now})
 }
 
-// missing reports whether a living agent has not answered.
+// missing reports whether an agent has not answered that was heard of a moment ago.
 func (b *Balancer) missing(now time.Time, f *flowState) bool {
 	return slices.ContainsFunc(f.unanswered, func(addr netip.AddrPort) bool {
 		a := b.agents[addr]
-		return a != nil && a.alive(now)
+		return a != nil && now.Sub(a.heard) <= AgentSilence
 	})
 }
 
@@ -99,7 +124,7 @@
 		f.unknown = append(f.unknown, from)
 	}
 	if len(f.unanswered) == 0 {
-		b.searched(now, f)
+		b.askMore(now, f)
 	}
 }
 
@@ -124,9 +149,9 @@
 	b.probeNext(now, f)
 }
 
-// sortCandidates orders the agents that cannot tell whether they hold the flow by how likely they do. One that started after
-// the others has seen the least of its target's flows. Of those that started together, the one comes first that a new flow
-// would be offered to when all are equally busy.
+// sortCandidates orders the agents that cannot tell whether they hold the flow by how likely they do. Those come last that were handed
+// a packet of it before. One that started after the others has seen the least of its target's flows. Of those that started together, the
+// one comes first that a new flow would be offered to when all are equally busy.
 func (b *Balancer) sortCandidates(f *flowState) {
 	var newest time.Time
 	for _, a := range f.unknown {
@@ -134,13 +159,32 @@
 			newest = at
 		}
 	}
+	latest := func(a netip.AddrPort) bool { return newest.Sub(b.startOf(a)) <= StartedTogether }
+	handed := func(a netip.AddrPort) bool { return slices.Contains(f.handed, a) }
 	slices.SortFunc(f.unknown, func(x, y netip.AddrPort) int {
-		latest := func(a netip.AddrPort) bool { return newest.Sub(b.startOf(a)) <= StartedTogether }
-		if latest(x) != latest(y) {
-			return compareTrue(latest(x), latest(y))
-		}
-		return cmp.Compare(tieOf(f.hash, x), tieOf(f.hash, y))
+		return cmp.Or(
+			compareTrue(!handed(x), !handed(y)),
+			compareTrue(latest(x), latest(y)),
+			cmp.Compare(tieOf(f.hash, x), tieOf(f.hash, y)),
+		)
 	})
+	b.drawSecond(f)
+}
+
+// drawSecond puts another agent in the second place when the first two were not the owner, a different one in each life of the balancer:
+// while balancers and agents restart again and again, the order of likelihood alone would name the same few for ever, and the flow of a
+// living target stay silent.
+func (b *Balancer) drawSecond(f *flowState) {
+	if len(f.handed) == 0 || len(f.unknown) <= MaxProbes {
+		return
+	}
+	rest := f.unknown[1:]
+	fresh := len(rest)
+	if i := slices.IndexFunc(rest, func(a netip.AddrPort) bool { return slices.Contains(f.handed, a) }); i > 0 {
+		fresh = i
+	}
+	i := int(flow.Mix(f.hash^uint64(b.started.UnixNano())) % uint64(fresh))
+	rest[0], rest[i] = rest[i], rest[0]
 }
 
 // compareTrue sorts true before false.
@@ -162,18 +206,16 @@
 		return false
 	}
 	route := b.routes.Route(f.key.Destination)
-	others := 0
 	for _, a := range b.order {
 		if !leadsTo(route, a) {
-			f.unanswered = append(f.unanswered, a.addr)
-			others++
+			f.unasked = append(f.unasked, a.addr)
 		}
 	}
-	if others == 0 {
+	if len(f.unasked) == 0 {
 		return false
 	}
-	f.wide, f.rounds = true, 0
-	b.askAgain(now, f)
+	f.wide = true
+	b.askMore(now, f)
 	return true
 }
 
@@ -198,6 +240,7 @@
 		return
 	}
 	f.asked = f.unknown[0]
+	f.handed = append(f.handed, f.asked)
 	f.unknown = f.unknown[1:]
 	f.probes++
 	f.phase, f.since, f.probed = probing, now, now
@@ -209,7 +252,7 @@
 
 // lose drops the packets of a flow that nobody holds. The caller is told nothing: an agent that was not reached may hold it.
 func (b *Balancer) lose(now time.Time, f *flowState) {
-	f.phase, f.since, f.held, f.unknown = lost, now, nil, nil
+	f.phase, f.since, f.held, f.unknown, f.unasked = lost, now, nil, nil, nil
 	b.decided(now, EventLost, f, netip.AddrPort{}, dsrpb.Verdict_VERDICT_UNSPECIFIED)
 }
 
@@ -219,11 +262,16 @@
 	if f.phase != locating || !d.begun.Equal(f.since) {
 		return
 	}
-	if f.rounds < LocateRounds && b.missing(now, f) && b.maySearch(now) {
+	switch {
+	case len(f.unasked) > 0 && !b.maySearch(now):
+		b.lose(now, f)
+	case len(f.unasked) > 0:
+		b.askMore(now, f)
+	case f.rounds < LocateRounds && b.missing(now, f) && b.maySearch(now):
 		b.askAgain(now, f)
-		return
+	default:
+		b.searched(now, f)
 	}
-	b.searched(now, f)
 }
 
 // probeOverdue goes on when an agent has not said what became of the packet.
--- a/pkg/dsr/dispatch/tick.go
+++ b/pkg/dsr/dispatch/tick.go
@@ -61,7 +61,8 @@
 	}
 	kept := b.order[:0]
 	for _, a := range b.order {
-		if now.Sub(a.heard) > ForgetAgent {
+		if now.Sub(a.heard) > a.silence()+ForgetAgent {
+			b.leave(a)
 			delete(b.agents, a.addr)
 			continue
 		}
--- a/pkg/dsr/ownership/from_balancer.go
+++ b/pkg/dsr/ownership/from_balancer.go
@@ -16,7 +16,7 @@
 	stale := m.Configuration < t.configuration
 	t.configuration = max(t.configuration, m.Configuration)
 	if m.Service != t.cfg.Service {
-		t.returned(balancer, m, key, dsrpb.Verdict_VERDICT_WRONG_SERVICE, s.Raw)
+		t.returned(now, balancer, m, key, dsrpb.Verdict_VERDICT_WRONG_SERVICE, s.Raw)
 		return
 	}
 	e := t.flows[key]
@@ -33,7 +33,7 @@
 		return
 	}
 	if !e.holds(s.Acknowledgement) {
-		t.returned(balancer, m, key, dsrpb.Verdict_VERDICT_NOT_HELD, s.Raw)
+		t.returned(now, balancer, m, key, dsrpb.Verdict_VERDICT_NOT_HELD, s.Raw)
 		return
 	}
 	t.deliver(now, balancer, key, e, s)
@@ -65,7 +65,7 @@
 	if e != nil && e.phase == queued {
 		e.origin = balancer
 		t.queue.Hear(key, s.Age, s.NextCopy)
-		t.returned(balancer, m, key, dsrpb.Verdict_VERDICT_QUEUED, nil)
+		t.returned(now, balancer, m, key, dsrpb.Verdict_VERDICT_QUEUED, nil)
 		return
 	}
 	if e != nil && e.phase != ended {
@@ -73,19 +73,19 @@
 		e.touched = now
 		t.out.ToTarget(s.Raw)
 		if e.phase == open {
-			t.accepted(key, e)
+			t.accepted(now, key, e)
 		}
 		return
 	}
 	if verdict := t.willing(now, stale); verdict != dsrpb.Verdict_VERDICT_UNSPECIFIED {
-		t.decline(balancer, m, key, verdict, nil)
+		t.decline(now, balancer, m, key, verdict, nil)
 		return
 	}
 	if e != nil {
 		t.drop(key, e)
 	}
 	if m.Patience == dsrpb.Patience_PATIENCE_FREE_SLOT && t.failing(now) {
-		t.decline(balancer, m, key, dsrpb.Verdict_VERDICT_BUSY, nil)
+		t.decline(now, balancer, m, key, dsrpb.Verdict_VERDICT_BUSY, nil)
 		return
 	}
 	if t.busy < t.limit(now) && t.queue.Len() == 0 {
@@ -146,7 +146,7 @@
 // unknown decides about a packet of an open flow that this agent does not know.
 func (t *Table) unknown(now time.Time, balancer netip.AddrPort, m *dsrpb.Message, s segment.Segment, key flow.Key) {
 	if !m.Owner || t.verdict(now, key) != dsrpb.Verdict_VERDICT_UNKNOWN {
-		t.returned(balancer, m, key, dsrpb.Verdict_VERDICT_NOT_HELD, s.Raw)
+		t.returned(now, balancer, m, key, dsrpb.Verdict_VERDICT_NOT_HELD, s.Raw)
 		return
 	}
 	e := &entry{origin: balancer, phase: probing, since: now, touched: now, callerAck: s.Acknowledgement, acknowledged: true}
--- a/pkg/dsr/ownership/from_target.go
+++ b/pkg/dsr/ownership/from_target.go
@@ -45,7 +45,7 @@
 		e.phase, e.since = open, now
 		e.requestBy = now.Add(t.halfOpen())
 		t.by(key, e.requestBy)
-		t.accepted(key, e)
+		t.accepted(now, key, e)
 		t.decided(EventAccepted, key, e.origin, t.configuration, dsrpb.Verdict_VERDICT_HELD)
 	}
 	t.failedBy(now, key, e, s)
@@ -76,7 +76,7 @@
 		if e.phase == offered {
 			t.drop(key, e)
 			t.pump(now)
-			t.decline(origin, m, key, dsrpb.Verdict_VERDICT_BUSY, nil)
+			t.decline(now, origin, m, key, dsrpb.Verdict_VERDICT_BUSY, nil)
 		}
 		return
 	}
@@ -87,11 +87,11 @@
 	if lost {
 		t.out.Reset(key, e.callerAck)
 		t.decided(EventReset, key, origin, t.configuration, dsrpb.Verdict_VERDICT_RESET)
-		t.tellReset(origin, key)
+		t.tellReset(now, origin, key)
 		return
 	}
 	if origin.IsValid() {
-		t.decline(origin, m, key, dsrpb.Verdict_VERDICT_NOT_HELD, s.Raw)
+		t.decline(now, origin, m, key, dsrpb.Verdict_VERDICT_NOT_HELD, s.Raw)
 	}
 }
 
--- a/pkg/dsr/ownership/life.go
+++ b/pkg/dsr/ownership/life.go
@@ -90,7 +90,7 @@
 		switch {
 		case e.phase == offered:
 			t.drop(key, e)
-			t.decline(e.origin, &dsrpb.Message{Flow: key.Hash()}, key, dsrpb.Verdict_VERDICT_SILENT, nil)
+			t.decline(now, e.origin, &dsrpb.Message{Flow: key.Hash()}, key, dsrpb.Verdict_VERDICT_SILENT, nil)
 		case e.phase == open && e.request != nil:
 			e.askedAgain = true
 			t.out.ToTarget(e.request)
@@ -100,8 +100,8 @@
 }
 
 // tellReset tells the balancer that a flow was reset; it keeps the record.
-func (t *Table) tellReset(origin netip.AddrPort, key flow.Key) {
+func (t *Table) tellReset(now time.Time, origin netip.AddrPort, key flow.Key) {
 	if origin.IsValid() {
-		t.returned(origin, &dsrpb.Message{Flow: key.Hash()}, key, dsrpb.Verdict_VERDICT_RESET, nil)
+		t.returned(now, origin, &dsrpb.Message{Flow: key.Hash()}, key, dsrpb.Verdict_VERDICT_RESET, nil)
 	}
 }
--- a/pkg/dsr/ownership/lifetime.go
+++ b/pkg/dsr/ownership/lifetime.go
@@ -106,7 +106,7 @@
 		t.unanswered(now, key, e)
 	case e.phase == probing && now.Sub(e.since) >= ProbeTimeout:
 		e.phase, e.since = open, now
-		t.accepted(key, e)
+		t.accepted(now, key, e)
 		t.decided(EventRecovered, key, e.origin, t.configuration, dsrpb.Verdict_VERDICT_HELD)
 	}
 }
@@ -118,7 +118,7 @@
 		t.giveBackAll(now, dsrpb.Verdict_VERDICT_SILENT)
 	}
 	t.done(e)
-	t.decline(e.origin, &dsrpb.Message{Flow: key.Hash()}, key, dsrpb.Verdict_VERDICT_SILENT, nil)
+	t.decline(now, e.origin, &dsrpb.Message{Flow: key.Hash()}, key, dsrpb.Verdict_VERDICT_SILENT, nil)
 }
 
 // sweep forgets flows that have ended or were idle for too long.
--- a/pkg/dsr/ownership/queueing.go
+++ b/pkg/dsr/ownership/queueing.go
@@ -14,7 +14,7 @@
 // is asked for.
 func (t *Table) enqueue(now time.Time, balancer netip.AddrPort, m *dsrpb.Message, s segment.Segment, key flow.Key) {
 	if m.Patience == dsrpb.Patience_PATIENCE_FREE_SLOT || !t.queue.Add(now, openingOf(now, key, m.Opening, s), t.pace(), t.slots()) {
-		t.decline(balancer, m, key, dsrpb.Verdict_VERDICT_BUSY, nil)
+		t.decline(now, balancer, m, key, dsrpb.Verdict_VERDICT_BUSY, nil)
 		return
 	}
 	t.flows[key] = &entry{
@@ -26,7 +26,7 @@
 		configuration: m.Configuration,
 	}
 	t.decided(EventQueued, key, balancer, m.Configuration, dsrpb.Verdict_VERDICT_QUEUED)
-	t.returned(balancer, m, key, dsrpb.Verdict_VERDICT_QUEUED, nil)
+	t.returned(now, balancer, m, key, dsrpb.Verdict_VERDICT_QUEUED, nil)
 	t.pump(now)
 }
 
@@ -52,7 +52,7 @@
 		if !ok {
 			break
 		}
-		t.giveUp(o.Key, dsrpb.Verdict_VERDICT_GIVEN_UP, EventGivenUp)
+		t.giveUp(now, o.Key, dsrpb.Verdict_VERDICT_GIVEN_UP, EventGivenUp)
 	}
 	for t.busy < t.limit(now) {
 		o, ok := t.queue.Next(now, t.pace())
@@ -74,11 +74,11 @@
 }
 
 // giveUp takes a flow that no longer waits back to its balancer.
-func (t *Table) giveUp(key flow.Key, v dsrpb.Verdict, ev Event) {
+func (t *Table) giveUp(now time.Time, key flow.Key, v dsrpb.Verdict, ev Event) {
 	e := t.flows[key]
 	delete(t.flows, key)
 	t.decided(ev, key, e.origin, e.configuration, v)
-	t.returned(e.origin, &dsrpb.Message{Flow: key.Hash()}, key, v, nil)
+	t.returned(now, e.origin, &dsrpb.Message{Flow: key.Hash()}, key, v, nil)
 }
 
 // giveBack returns the waiting flows to their balancers when the target takes no more.
@@ -95,7 +95,7 @@
 		if !ok {
 			return
 		}
-		t.giveUp(o.Key, v, EventDeclined)
+		t.giveUp(now, o.Key, v, EventDeclined)
 	}
 }
 
--- a/pkg/dsr/ownership/tell.go
+++ b/pkg/dsr/ownership/tell.go
@@ -8,25 +8,24 @@
 	"github.com/auburnwood/auburnwood/pkg/flow"
 )
 
-// Announcement describes the agent and its target for the balancers; it is valid until the next call.
-func (t *Table) Announcement(now time.Time, joined bool) *dsrpb.Message {
+// Announcement describes the agent and its target for the balancers; it is valid until the next call. Joined tells the receiver
+// that the agent hears of it, next is the time until the next announcement.
+func (t *Table) Announcement(now time.Time, joined bool, next time.Duration) *dsrpb.Message {
 	t.announced = dsrpb.Announcement{
-		Name:        t.cfg.Name,
 		DataCentre:  t.cfg.DataCentre,
-		Target:      t.target.last.ID,
 		State:       t.State(now),
 		Slots:       uint32(t.target.last.Slots),
-		Connections: uint32(t.target.last.Connections),
 		Incarnation: t.cfg.Incarnation,
 		Joined:      joined,
 		Failing:     t.failing(now),
-		WorkUs:      t.toldWork(now),
+		IntervalMs:  uint32(next / time.Millisecond),
 	}
 	t.reply = dsrpb.Message{
 		Kind:          dsrpb.Kind_KIND_ANNOUNCE,
 		Service:       t.cfg.Service,
 		Configuration: t.configuration,
 		Busy:          uint32(t.Busy()),
+		WorkUs:        t.toldWork(now),
 		Announcement:  &t.announced,
 	}
 	return &t.reply
@@ -66,6 +65,7 @@
 		Verdict:       t.verdict(now, key),
 		Configuration: t.configuration,
 		Busy:          uint32(t.Busy()),
+		WorkUs:        t.toldWork(now),
 	}
 	if e != nil && e.hasSequence {
 		t.reply.HasSequence, t.reply.Reference = true, e.reference()
@@ -74,7 +74,7 @@
 }
 
 // accepted tells the balancer that the target holds the flow.
-func (t *Table) accepted(key flow.Key, e *entry) {
+func (t *Table) accepted(now time.Time, key flow.Key, e *entry) {
 	if !e.origin.IsValid() {
 		return
 	}
@@ -87,19 +87,20 @@
 		Reference:     e.reference(),
 		Configuration: t.configuration,
 		Busy:          uint32(t.Busy()),
+		WorkUs:        t.toldWork(now),
 	}
 	t.reply.SetKey(key)
 	t.out.ToBalancer(e.origin, &t.reply)
 }
 
 // decline answers a balancer that a packet was not taken, and reports it.
-func (t *Table) decline(balancer netip.AddrPort, m *dsrpb.Message, key flow.Key, v dsrpb.Verdict, raw []byte) {
+func (t *Table) decline(now time.Time, balancer netip.AddrPort, m *dsrpb.Message, key flow.Key, v dsrpb.Verdict, raw []byte) {
 	t.decided(EventDeclined, key, balancer, m.Configuration, v)
-	t.returned(balancer, m, key, v, raw)
+	t.returned(now, balancer, m, key, v, raw)
 }
 
 // returned answers a balancer that a packet was not taken.
-func (t *Table) returned(balancer netip.AddrPort, m *dsrpb.Message, key flow.Key, v dsrpb.Verdict, raw []byte) {
+func (t *Table) returned(now time.Time, balancer netip.AddrPort, m *dsrpb.Message, key flow.Key, v dsrpb.Verdict, raw []byte) {
 	t.reply = dsrpb.Message{
 		Kind:          dsrpb.Kind_KIND_RETURNED,
 		Flow:          m.Flow,
@@ -108,6 +109,7 @@
 		Packet:        raw,
 		Configuration: t.configuration,
 		Busy:          uint32(t.Busy()),
+		WorkUs:        t.toldWork(now),
 	}
 	t.reply.SetKey(key)
 	t.out.ToBalancer(balancer, &t.reply)
--- a/pkg/dsr/roster/peers.go
+++ b/pkg/dsr/roster/peers.go
@@ -3,39 +3,35 @@
 import (
 	"net/netip"
 	"time"
-)
 
-// Times of the messages to a peer.
-const (
-	// LivelyInterval is the time between two messages to a peer that is heard of.
-	LivelyInterval = 250 * time.Millisecond
-	// QuietAfter is how long a peer may be silent until it is taken for gone: four messages.
-	QuietAfter = time.Second
-	// EagerTime is how long a peer that is new, or has just fallen silent, is spoken to every EagerInterval: processes that
-	// were stopped together come back within a few seconds of each other, and everything waits until they have met. With
-	// 500 ms in place of 50 ms, agents and balancers that were all killed met 400 ms later.
-	EagerTime     = 5 * time.Second
-	EagerInterval = 50 * time.Millisecond
-	// QuietInterval is the time between two messages to a peer that was silent for longer. It bounds how long a peer that
-	// comes back at the same address, and has forgotten everything, waits until it is spoken to.
-	QuietInterval = 500 * time.Millisecond
-	// ForgetAfter is how long a silent peer is kept. Peers that come back after a longer cut are found by the object API.
-	ForgetAfter = 2 * time.Minute
+	"github.com/auburnwood/auburnwood/pkg/flow"
 )
 
+// peer is what is known of one process.
 type peer struct {
 	added time.Time
 	heard time.Time
 	told  time.Time
+	// part is the part of the interval after which the peer is told again, sends the number of messages so far, from which the
+	// next part is drawn.
+	part  float64
+	sends uint64
 	// lively is set from the first message until the silence has been reported.
 	lively bool
+	// says is the time between two messages of the peer, as it says; wants is what it asks for between two messages to it.
+	says  time.Duration
+	wants time.Duration
 }
 
 // Peers are the known processes of one role. The zero value is empty.
 type Peers struct {
+	// Seed keeps the messages of processes that were started together apart.
+	Seed uint64
+
 	m map[netip.AddrPort]*peer
 	// order keeps the order of addition, so that every walk is the same.
 	order []netip.AddrPort
+	draws uint64
 }
 
 // Add adds a peer that is known by hearsay; it reports whether it is new.
@@ -46,7 +42,7 @@
 	if p.m[a] != nil {
 		return false
 	}
-	p.m[a] = &peer{added: now}
+	p.m[a] = &peer{added: now, part: 1}
 	p.order = append(p.order, a)
 	return true
 }
@@ -55,22 +51,46 @@
 func (p *Peers) Heard(now time.Time, a netip.AddrPort) bool {
 	p.Add(now, a)
 	e := p.m[a]
-	fresh := e.heard.IsZero() || now.Sub(e.heard) > QuietAfter
+	fresh := e.heard.IsZero() || now.Sub(e.heard) > e.silence()
 	e.heard, e.lively = now, true
 	return fresh
 }
 
+// Says notes the time between two messages of a peer, as the peer says. It may be silent for four times that.
+func (p *Peers) Says(a netip.AddrPort, interval time.Duration) {
+	if e := p.m[a]; e != nil {
+		e.says = min(interval, MaxInterval)
+	}
+}
+
+// Wants notes the time that a peer asks for between two messages to it.
+func (p *Peers) Wants(a netip.AddrPort, interval time.Duration) {
+	if e := p.m[a]; e != nil {
+		e.wants = min(interval, MaxInterval)
+	}
+}
+
+// silence is how long the peer may say nothing until it is taken for gone.
+func (e *peer) silence() time.Duration { return max(QuietAfter, quietMessages*e.says) }
+
+// Knows reports whether the peer is known.
+func (p *Peers) Knows(a netip.AddrPort) bool { return p.m[a] != nil }
+
 // Alive reports whether the peer was heard of lately.
 func (p *Peers) Alive(now time.Time, a netip.AddrPort) bool {
 	e := p.m[a]
-	return e != nil && !e.heard.IsZero() && now.Sub(e.heard) <= QuietAfter
+	return e != nil && e.alive(now)
+}
+
+func (e *peer) alive(now time.Time) bool {
+	return !e.heard.IsZero() && now.Sub(e.heard) <= e.silence()
 }
 
 // Lost returns the peers that have fallen silent since the last call.
 func (p *Peers) Lost(now time.Time) []netip.AddrPort {
 	var out []netip.AddrPort
 	for _, a := range p.order {
-		if e := p.m[a]; e.lively && !p.Alive(now, a) {
+		if e := p.m[a]; e.lively && !e.alive(now) {
 			e.lively = false
 			out = append(out, a)
 		}
@@ -78,32 +98,80 @@
 	return out
 }
 
-// Due returns the peers that are to be told something now, and notes that they were. Peers that were silent for ForgetAfter
-// are forgotten.
+// Due returns the peers that are to be told something now, and notes that they were. Peers that were silent for long are
+// forgotten.
 func (p *Peers) Due(now time.Time) []netip.AddrPort {
-	p.forget(now)
+	p.Forget(now)
 	var due []netip.AddrPort
 	for _, a := range p.order {
 		e := p.m[a]
-		if now.Sub(e.told) < p.interval(now, a) {
+		if now.Sub(e.told) < time.Duration(e.part*float64(p.interval(now, e))) {
 			continue
 		}
-		e.told = now
+		p.tell(now, a, e)
 		due = append(due, a)
 	}
 	return due
 }
 
+// tell notes a message to a peer, and draws when the next one is due. Processes that have told everybody at once, such as at the
+// start, would else do so again after each interval, with nothing to be heard in between.
+func (p *Peers) tell(now time.Time, a netip.AddrPort, e *peer) {
+	atOnce := e.told.IsZero()
+	e.told, e.part = now, 1
+	e.sends++
+	if !e.alive(now) || p.Interval(e.wants) == LivelyInterval {
+		return
+	}
+	drawn := p.draw(a, e.sends)
+	if atOnce {
+		e.part = drawn
+		return
+	}
+	e.part = 1 - steadySpread*drawn
+}
+
+// draw returns a number from 0 to 1 that is the same for the same peer, count and seed.
+func (p *Peers) draw(a netip.AddrPort, count uint64) float64 {
+	ip := a.Addr().As16()
+	place := uint64(ip[12])<<40 | uint64(ip[13])<<32 | uint64(ip[14])<<24 | uint64(ip[15])<<16 | uint64(a.Port())
+	return float64(flow.Mix(p.Seed^flow.Mix(place^count<<48))>>11) / (1 << 53)
+}
+
 // interval is the time between two messages to a peer.
-func (p *Peers) interval(now time.Time, a netip.AddrPort) time.Duration {
-	e := p.m[a]
+func (p *Peers) interval(now time.Time, e *peer) time.Duration {
 	switch {
-	case p.Alive(now, a):
-		return LivelyInterval
-	case now.Sub(e.added) < EagerTime, now.Sub(e.heard) < EagerTime:
-		return EagerInterval
+	case e.alive(now):
+		return p.Interval(e.wants)
+	case now.Sub(e.added) < EagerTime, now.Sub(e.heard) < e.silence()+EagerTime-QuietAfter:
+		return max(EagerInterval, perSecond(len(p.order), EagerMessages))
+	}
+	return max(QuietInterval, perSecond(len(p.order), QuietMessages))
+}
+
+// Interval is the time between two messages to a peer that is heard of and asks for one in the given time: the longer, the more
+// peers there are, so that their number does not change what this process sends.
+func (p *Peers) Interval(wanted time.Duration) time.Duration {
+	return max(LivelyInterval, perSecond(len(p.order), SentMessages), wanted)
+}
+
+// IntervalTo is the time between two messages to a peer that is heard of.
+func (p *Peers) IntervalTo(a netip.AddrPort) time.Duration {
+	if e := p.m[a]; e != nil {
+		return p.Interval(e.wants)
 	}
-	return QuietInterval
+	return LivelyInterval
+}
+
+// IntervalFor is what one of a number of processes is asked to leave between two messages to the same receiver, so that their
+// number does not change what the receiver hears.
+func IntervalFor(senders int) time.Duration {
+	return min(max(LivelyInterval, perSecond(senders, HeardMessages)), MaxInterval)
+}
+
+// perSecond is the interval of each of n messages when rate of them are sent a second.
+func perSecond(n int, rate float64) time.Duration {
+	return time.Duration(float64(n) / rate * float64(time.Second))
 }
 
 // Now makes the next call of Due return every peer.
@@ -113,6 +181,20 @@
 	}
 }
 
+// Sample returns up to n living peers, others each time.
+func (p *Peers) Sample(now time.Time, n int) []netip.AddrPort {
+	living := p.Living(now)
+	p.draws++
+	for i := range min(n, len(living)) {
+		j := i + int(p.draw(living[i], p.draws)*float64(len(living)-i))
+		living[i], living[j] = living[j], living[i]
+	}
+	return living[:min(n, len(living))]
+}
+
+// Len is the number of known peers.
+func (p *Peers) Len() int { return len(p.order) }
+
 // All returns the known peers in order of addition.
 func (p *Peers) All() []netip.AddrPort { return p.order }
 
@@ -127,11 +209,12 @@
 	return out
 }
 
-func (p *Peers) forget(now time.Time) {
+// Forget drops the peers that were silent for ForgetAfter.
+func (p *Peers) Forget(now time.Time) {
 	kept := p.order[:0]
 	for _, a := range p.order {
 		e := p.m[a]
-		if now.Sub(e.added) > ForgetAfter && now.Sub(e.heard) > ForgetAfter {
+		if now.Sub(e.added) > ForgetAfter && now.Sub(e.heard) > max(ForgetAfter, e.silence()) {
 			delete(p.m, a)
 			continue
 		}
--- a/pkg/dsr/roster/peers_test.go
+++ b/pkg/dsr/roster/peers_test.go
@@ -60,3 +60,110 @@
 	require.Equal(t, []netip.AddrPort{two}, p.Due(start.Add(ForgetAfter+time.Second)))
 	require.Equal(t, []netip.AddrPort{two}, p.All())
 }
+
+// many are the addresses of n peers.
+func many(n int) []netip.AddrPort {
+	out := make([]netip.AddrPort, n)
+	for i := range out {
+		out[i] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(i >> 8), byte(i)}), 7000)
+	}
+	return out
+}
+
+// lively plays some time in which every peer is heard of again and again, and returns the number of messages to peers a second.
+func lively(p *Peers, addresses []netip.AddrPort, length time.Duration) float64 {
+	sent := 0
+	for at := time.Duration(0); at < length; at += EagerInterval {
+		now := start.Add(at)
+		for _, a := range addresses {
+			p.Heard(now, a)
+		}
+		sent += len(p.Due(now))
+	}
+	return float64(sent) / length.Seconds()
+}
+
+// With four messages a second to each peer, 490 peers cost 1,960 messages a second, 196 kB with UDP and IP.
+func TestMessagesDoNotGrowWithThePeers(t *testing.T) {
+	for _, n := range []int{59, 490, 3300} {
+		var p Peers
+		addresses := many(n)
+		for _, a := range addresses {
+			p.Heard(start, a)
+		}
+		p.Due(start)
+		require.LessOrEqual(t, lively(&p, addresses, 3*time.Minute), SentMessages*1.25, "%d peers", n)
+	}
+}
+
+func TestAPeerIsToldAsRarelyAsItAsks(t *testing.T) {
+	var p Peers
+	p.Heard(start, one)
+	p.Due(start)
+	p.Wants(one, 10*time.Second)
+	require.InDelta(t, 0.1/(1-steadySpread/2), lively(&p, []netip.AddrPort{one}, 10*time.Minute), 0.01)
+	require.Equal(t, 10*time.Second, p.IntervalTo(one))
+	p.Wants(one, time.Hour)
+	require.Equal(t, MaxInterval, p.IntervalTo(one), "nobody may ask for silence")
+}
+
+func TestAPeerThatSpeaksRarelyIsAliveForLonger(t *testing.T) {
+	var p Peers
+	p.Heard(start, one)
+	p.Says(one, 2*time.Second)
+	require.True(t, p.Alive(start.Add(8*time.Second), one))
+	require.False(t, p.Alive(start.Add(8*time.Second+1), one))
+	require.False(t, p.Heard(start.Add(8*time.Second), one))
+	require.Equal(t, []netip.AddrPort{one}, p.Lost(start.Add(17*time.Second)))
+}
+
+// Processes that tell everybody at once when power is back would all be silent until the next interval together.
+func TestMessagesOfProcessesThatStartedTogetherSpreadOut(t *testing.T) {
+	const processes = 100
+	interval := IntervalFor(10 * processes)
+	heard := make([]bool, int(interval/EagerInterval)+1)
+	for seed := range processes {
+		p := Peers{Seed: uint64(seed)}
+		p.Heard(start, one)
+		p.Wants(one, interval)
+		require.Len(t, p.Due(start), 1)
+		for i := range heard {
+			now := start.Add(time.Duration(i) * EagerInterval)
+			p.Heard(now, one)
+			if i > 0 && len(p.Due(now)) > 0 {
+				heard[i] = true
+			}
+		}
+	}
+	silent := 0
+	for _, h := range heard[1:] {
+		if h {
+			silent = 0
+			continue
+		}
+		silent++
+		require.Less(t, time.Duration(silent)*EagerInterval, 500*time.Millisecond, "a balancer that hears of nobody for so long takes itself for cut off")
+	}
+}
+
+func TestASampleIsOfLivingPeersAndChanges(t *testing.T) {
+	var p Peers
+	addresses := many(30)
+	for i, a := range addresses {
+		p.Add(start, a)
+		if i < 20 {
+			p.Heard(start, a)
+		}
+	}
+	seen := make(map[netip.AddrPort]int)
+	for range 50 {
+		sample := p.Sample(start, 6)
+		require.Len(t, sample, 6)
+		for _, a := range sample {
+			require.Contains(t, addresses[:20], a)
+			seen[a]++
+		}
+	}
+	require.Len(t, seen, 20)
+	require.Len(t, p.Sample(start, 40), 20)
+}
--- a/pkg/dsrd/agent.go
+++ b/pkg/dsrd/agent.go
@@ -28,6 +28,9 @@
 	// probeTimeout bounds one question to the target on the same VM.
 	probeTime    = 2 * time.Second
 	probeTimeout = 300 * time.Millisecond
+	// cutOffAfter is how long an agent may hear of no balancer at all until it takes itself for one that was cut off: balancers
+	// answer every second announcement, 20 a second in a large deployment and eight in one with a single balancer.
+	cutOffAfter = time.Second
 )
 
 // Agent is the daemon beside one target of a pass-through service.
@@ -41,6 +44,8 @@
 	// table and the rest are guarded by node.mu.
 	table   *ownership.Table
 	probing bool
+	// lastHeard is when any balancer was last heard of.
+	lastHeard time.Time
 	// state is the last logged state of the target.
 	state dsrpb.State
 	// rejections counts the reports that were turned down.
@@ -87,7 +92,7 @@
 	g.Go(func() error { return a.packets.read(run, a.fromDaemon) })
 	g.Go(func() error { return a.outbound.read(run, a.fromTarget) })
 	g.Go(func() error { return a.alarm.run(run, a.tick) })
-	g.Go(func() error { return every(run, announceInterval, a.announce) })
+	g.Go(func() error { return every(run, tellInterval, a.announce) })
 	g.Go(func() error { return a.find(run) })
 	g.Go(func() error { return serveHTTP(run, a.cfg.AnnounceAddress, a.platform.TargetHandler(a)) })
 	g.Go(func() error { return serveHTTP(run, a.cfg.ReadyAddress, a.platform.ReadyHandler(a.ready)) })
@@ -152,10 +157,15 @@
 
 func (a *Agent) announceDue(now time.Time) {
 	for _, b := range a.balancers.Due(now) {
-		a.send(b, a.table.Announcement(now, a.balancers.Alive(now, b)))
+		a.tell(now, b)
 	}
 }
 
+// tell sends a balancer what the agent says of itself. a.mu is held.
+func (a *Agent) tell(now time.Time, b netip.AddrPort) {
+	a.send(b, a.table.Announcement(now, a.balancers.Alive(now, b), a.balancers.IntervalTo(b)))
+}
+
 // leave waits until the open flows have ended.
 func (a *Agent) leave(ctx context.Context) {
 	a.mu.Lock()
@@ -191,10 +201,7 @@
 		return
 	}
 	now := time.Now()
-	if a.balancers.Heard(now, from) {
-		a.log.Warn().Str("op", "balancer-regained").Stringer("peer", from).Uint64("configuration", m.Configuration).Msg("a balancer was heard of")
-		a.send(from, a.table.Announcement(now, true))
-	}
+	a.heardFrom(now, from, m.Configuration)
 	switch m.Kind {
 	case dsrpb.Kind_KIND_FORWARD:
 		s, err := a.platform.Codec.Decode(m.Packet)
@@ -211,15 +218,31 @@
 	a.alarm.by(a.table.Deadline())
 }
 
+// heardFrom notes a message of a balancer. One that is new, or was silent, is told of the agent at once; after a time without any
+// message all are, since they may have taken the agent for gone. a.mu is held.
+func (a *Agent) heardFrom(now time.Time, from netip.AddrPort, version uint64) {
+	cutOff := !a.lastHeard.IsZero() && now.Sub(a.lastHeard) > cutOffAfter
+	a.lastHeard = now
+	if a.balancers.Heard(now, from) {
+		a.log.Warn().Str("op", "balancer-regained").Stringer("peer", from).Uint64("configuration", version).Msg("a balancer was heard of")
+		a.tell(now, from)
+	}
+	if cutOff {
+		a.announceLocked(now)
+	}
+}
+
 // welcomed takes the balancers that a balancer names. a.mu is held.
 func (a *Agent) welcomed(now time.Time, from netip.AddrPort, r *dsrpb.Roster) {
 	if r == nil {
 		return
 	}
 	if r.Ask {
-		// A balancer that was away for less than a second has forgotten everything, and nobody has noticed.
-		a.send(from, a.table.Announcement(now, true))
+		// A balancer that was away for a moment has forgotten everything, and nobody has noticed.
+		a.tell(now, from)
 	}
+	a.balancers.Wants(from, milliseconds(r.IntervalMs))
+	a.balancers.Says(from, answeredAnnouncements*a.balancers.IntervalTo(from))
 	if a.know(now, decodeAddresses(r.Balancers)) {
 		a.announceLocked(now)
 	}
--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -32,8 +32,10 @@
 	quietTime = 400 * time.Millisecond
 	// stopMargin is left of the grace time for the end of the process.
 	stopMargin = 800 * time.Millisecond
-	// welcomeInterval is the time between two answers to an agent that knows the balancer.
-	welcomeInterval = 600 * time.Millisecond
+	// answeredAnnouncements is the number of announcements of an agent that knows the balancer for each one that is answered, and
+	// welcomeInterval the least time between two answers.
+	answeredAnnouncements = 2
+	welcomeInterval       = 600 * time.Millisecond
 )
 
 // Balancer is the daemon of a balancer of pass-through services.
@@ -78,7 +80,9 @@
 	b.keeper = newKeeper(p, env.Log)
 	b.keeper.adopt = b.adopt
 	b.keeper.before = b.readersBefore
+	b.keeper.spread = b.spread
 	b.keeper.checkedNow = b.gossipAtOnce
+	b.agents.Seed = uint64(n.started.UnixNano())
 	env.Status.Set(b.status)
 	return b, nil
 }
@@ -92,7 +96,7 @@
 	g.Go(func() error { return b.alarm.run(run, b.tick) })
 	g.Go(func() error { return b.keeper.run(run) })
 	g.Go(func() error { return b.handOver(run) })
-	g.Go(func() error { return every(run, announceInterval, b.gossip) })
+	g.Go(func() error { return every(run, tellInterval, b.gossip) })
 	g.Go(func() error { return b.join(run) })
 	g.Go(func() error { return b.refusals.Run(run) })
 	g.Go(func() error { return b.cleanUp(run) })
@@ -212,6 +216,10 @@
 		b.fromBalancer(now, from, m)
 		return
 	}
+	if m.Announcement != nil {
+		b.agents.Add(now, from)
+		b.agents.Says(from, milliseconds(m.Announcement.IntervalMs))
+	}
 	if b.agents.Heard(now, from) {
 		b.log.Warn().Str("op", "agent-regained").Stringer("peer", from).Str("service", m.Service).Msg("an agent was heard of")
 	}
--- a/pkg/dsrd/gossip.go
+++ b/pkg/dsrd/gossip.go
@@ -1,15 +1,28 @@
 package dsrd
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/roster"
 )
 
-// maxRoster bounds the addresses of one kind in a message, so that it fits a datagram of an Ethernet without fragments
-// twice over; the rest is found by other balancers.
-const maxRoster = 160
+const (
+	// maxRoster bounds the addresses of one kind in a message, so that it fits a datagram of an Ethernet without fragments
+	// twice over.
+	maxRoster = 160
+	// fanOut is the number of balancers that are told of a check or a change at once. Of 490 balancers all but one in 400 have heard
+	// of a change when each tells six; the rest learns it with the next regular message, of which each gets 40 a second.
+	fanOut = 6
+	// askedPeers is the number of balancers that a starting one asks for the agents in one round; each names all.
+	askedPeers = 3
+	// hopTime is what a message between balancers may take. It is added to the age of a check with each one that hands it on;
+	// without it a check would seem to stay fresh for ever where many pass it on.
+	hopTime = 10 * time.Millisecond
+)
 
 // found takes balancers that are known by hearsay, and speaks to the new ones at once.
 func (b *Balancer) found(addresses []netip.AddrPort) {
@@ -18,7 +31,7 @@
 	added := b.know(now, addresses)
 	b.mu.Unlock()
 	if added {
-		b.gossipAtOnce()
+		b.gossip(now)
 	}
 }
 
@@ -29,7 +42,7 @@
 	return b.balancers.Living(time.Now())
 }
 
-// gossip tells the other balancers of this one.
+// gossip tells the other balancers of this one, those that are due.
 func (b *Balancer) gossip(now time.Time) {
 	version, age, checked := b.keeper.state(now)
 	b.mu.Lock()
@@ -37,26 +50,51 @@
 	b.core.Awake(now)
 	b.logLost("agent-lost", b.agents.Lost(now))
 	b.logLost("balancer-lost", b.balancers.Lost(now))
-	m := b.gossipMessage(version, age, checked)
+	b.forget(now)
+	b.tell(now, b.balancers.Due(now), b.gossipMessage(version, age, checked))
+}
+
+// tell sends balancers a message about this one. b.mu is held.
+func (b *Balancer) tell(now time.Time, to []netip.AddrPort, m *dsrpb.Message) {
+	if len(to) == 0 {
+		return
+	}
 	balancers := encodeAddresses(firstOf(b.balancers.Living(now), maxRoster))
-	for _, a := range b.balancers.Due(now) {
+	asked := 0
+	for _, a := range to {
 		m.Roster.Balancers = nil
 		// A peer that was heard of lately knows the others; naming them would make the bytes grow with the square of their
 		// number.
 		if !b.balancers.Alive(now, a) {
 			m.Roster.Balancers = balancers
 		}
+		m.Roster.Ask = b.asking && asked < askedPeers
+		m.Roster.IntervalMs = uint32(b.balancers.IntervalTo(a) / time.Millisecond)
+		asked++
 		b.send(a, m)
 	}
 }
 
-// gossipAtOnce tells every balancer now.
+// forget drops what is kept of processes that were silent for long. b.mu is held.
+func (b *Balancer) forget(now time.Time) {
+	b.agents.Forget(now)
+	maps.DeleteFunc(b.welcomed, func(a netip.AddrPort, _ time.Time) bool { return !b.agents.Knows(a) })
+	maps.DeleteFunc(b.readers, func(a netip.AddrPort, _ uint32) bool { return !b.balancers.Knows(a) })
+}
+
+// gossipAtOnce tells balancers now that the configuration was checked or has changed: all of them in a small deployment, in a larger
+// one some, which tell others when they have it, so that neither messages nor bytes of the one that knows it first grow with their
+// number.
 func (b *Balancer) gossipAtOnce() {
 	now := time.Now()
+	version, age, checked := b.keeper.state(now)
 	b.mu.Lock()
-	b.balancers.Now()
-	b.mu.Unlock()
-	b.gossip(now)
+	defer b.mu.Unlock()
+	to := b.balancers.All()
+	if len(to) > fanOut {
+		to = b.balancers.Sample(now, fanOut)
+	}
+	b.tell(now, to, b.gossipMessage(version, age, checked))
 }
 
 func (b *Balancer) gossipMessage(version uint64, age time.Duration, checked bool) *dsrpb.Message {
@@ -64,13 +102,10 @@
 		Kind:          dsrpb.Kind_KIND_GOSSIP,
 		Configuration: version,
 		Roster: &dsrpb.Roster{
-			Name:       b.cfg.Name,
-			DataCentre: b.cfg.DataCentre,
-			Checked:    checked,
-			CheckedMs:  uint32(min(age, time.Hour) / time.Millisecond),
-			Ask:        b.asking,
-
-			ReadsPerSecond: readsPerSecond(b.cfg.CPUShare, b.cfg.LinkMbps),
+			Checked:        checked,
+			CheckedMs:      uint32(min(age, time.Hour) / time.Millisecond),
+			ReadsPerSecond: b.reads(),
+			Watches:        b.keeper.watches(),
 		},
 	}
 }
@@ -84,6 +119,7 @@
 	if b.balancers.Heard(now, from) {
 		b.log.Warn().Str("op", "balancer-regained").Stringer("peer", from).Uint64("configuration", m.Configuration).Msg("a balancer was heard of")
 	}
+	b.balancers.Says(from, milliseconds(r.IntervalMs))
 	if r.ReadsPerSecond > 0 {
 		b.readers[from] = r.ReadsPerSecond
 	}
@@ -102,26 +138,23 @@
 func (b *Balancer) compare(now time.Time, from netip.AddrPort, m *dsrpb.Message) {
 	b.keeper.want(m.Configuration, from)
 	if m.Roster.Checked {
-		b.keeper.vouched(m.Configuration, now.Add(-time.Duration(m.Roster.CheckedMs)*time.Millisecond))
+		b.keeper.vouched(m.Configuration, now.Add(-milliseconds(m.Roster.CheckedMs)-hopTime))
+	}
+	if m.Roster.Watches && readsBefore(m.Roster.ReadsPerSecond, from, b.reads(), b.self) {
+		b.keeper.setWatching(false)
 	}
 }
 
 // tellAgents names the living agents to a balancer that has just started. b.mu is held.
 func (b *Balancer) tellAgents(now time.Time, to netip.AddrPort) {
-	agents := firstOf(b.agents.Living(now), maxRoster)
-	if len(agents) == 0 {
-		return
+	balancers := encodeAddresses(firstOf(b.balancers.Living(now), maxRoster))
+	for agents := range slices.Chunk(b.agents.Living(now), maxRoster) {
+		b.send(to, &dsrpb.Message{
+			Kind:          dsrpb.Kind_KIND_GOSSIP,
+			Configuration: b.core.Routes().Version(),
+			Roster:        &dsrpb.Roster{Agents: encodeAddresses(agents), Balancers: balancers},
+		})
 	}
-	b.send(to, &dsrpb.Message{
-		Kind:          dsrpb.Kind_KIND_GOSSIP,
-		Configuration: b.core.Routes().Version(),
-		Roster: &dsrpb.Roster{
-			Name:       b.cfg.Name,
-			DataCentre: b.cfg.DataCentre,
-			Agents:     encodeAddresses(agents),
-			Balancers:  encodeAddresses(firstOf(b.balancers.Living(now), maxRoster)),
-		},
-	})
 }
 
 // greet makes this balancer known to agents by hearsay; they announce themselves at once. b.mu is held.
@@ -137,7 +170,7 @@
 
 // welcome answers an agent's announcement. b.mu is held.
 func (b *Balancer) welcome(now time.Time, from netip.AddrPort, service string, a *dsrpb.Announcement) {
-	if a == nil || a.Joined && a.State != dsrpb.State_STATE_ABSENT && now.Sub(b.welcomed[from]) < welcomeInterval {
+	if a == nil || a.Joined && a.State != dsrpb.State_STATE_ABSENT && now.Sub(b.welcomed[from]) < welcomePause(a) {
 		return
 	}
 	b.welcomed[from] = now
@@ -146,9 +179,18 @@
 		// An agent that has heard of this balancer lately knows the others.
 		m.Roster.Balancers = nil
 	}
+	if a.State != dsrpb.State_STATE_ABSENT {
+		m.Roster.HealthPath = ""
+	}
 	b.send(from, m)
 }
 
+// welcomePause is the least time between two answers to an agent that knows this balancer: announcements come a quarter earlier than
+// the agent says, so that this one is between the first and the second of them.
+func welcomePause(a *dsrpb.Announcement) time.Duration {
+	return max(welcomeInterval, milliseconds(a.IntervalMs)*(answeredAnnouncements*4-3)/4)
+}
+
 // tellHealthPaths tells agents without a target how to ask it whether it is ready, which they learn from the configuration.
 // b.mu is held.
 func (b *Balancer) tellHealthPaths(now time.Time) {
@@ -162,10 +204,9 @@
 		Kind:          dsrpb.Kind_KIND_WELCOME,
 		Configuration: b.core.Routes().Version(),
 		Roster: &dsrpb.Roster{
-			Name:       b.cfg.Name,
-			DataCentre: b.cfg.DataCentre,
 			Balancers:  encodeAddresses(firstOf(b.balancers.Living(now), maxRoster)),
 			HealthPath: b.core.Routes().HealthPath(service),
+			IntervalMs: uint32(roster.IntervalFor(b.agents.Len()) / time.Millisecond),
 		},
 	}
 }
--- a/pkg/dsrd/keeper.go
+++ b/pkg/dsrd/keeper.go
@@ -30,6 +30,8 @@
 	checkStagger = 150 * time.Millisecond
 	// maxStagger bounds the sum of the additions.
 	maxStagger = 900 * time.Millisecond
+	// spreadTime is how long the word of a check takes to all balancers where it is handed on from one to the next.
+	spreadTime = 300 * time.Millisecond
 	// readTimeout bounds the reading of a whole configuration; one of 300 kB takes a link of 10 Mbit/s 0.25 s.
 	readTimeout = time.Second
 	// readInterval is the time between two whole readings while objects of other kinds change. A watch that has missed a change
@@ -62,8 +64,9 @@
 	adopt func(configuration.Configuration)
 	// checkedNow is called after each check that worked and after each change, so that the other balancers need not check.
 	checkedNow func()
-	// before is the number of living balancers that check before this one.
+	// before is the number of living balancers that check before this one; spread is how long the word of a check may take.
 	before func() int
+	spread func() time.Duration
 
 	// taking lets one configuration be taken into force at a time, encoding one be encoded; both are locked before mu.
 	taking   sync.Mutex
@@ -72,6 +75,9 @@
 	cursor cursor
 
 	mu sync.Mutex
+	// watching is set while this balancer checks for others: from a check that worked to one that failed, or until it hears that one
+	// which comes before it does.
+	watching bool
 	// inForce is the configuration in force, of version 0 when there is none yet, encoded its form for other balancers once one
 	// has asked; checked is when it was last known to be the newest.
 	inForce configuration.Configuration
@@ -131,7 +137,7 @@
 	signal(k.wake)
 }
 
-// vouched takes another balancer's word that a version was the newest at a time.
+// vouched notes that a version was the newest at a time, as a check or another balancer says.
 func (k *keeper) vouched(version uint64, at time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -186,13 +192,13 @@
 // due reports whether the configuration is to be compared with the object API. The balancer that comes first always watches;
 // the others step in when it does not tell them that it does.
 func (k *keeper) due(now time.Time) bool {
-	before := k.before()
+	before, spread := k.before(), k.spread()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if now.Before(k.pauseUntil) {
 		return false
 	}
-	if before == 0 || k.inForce.Version == 0 {
+	if before == 0 || k.watching || k.inForce.Version == 0 {
 		return true
 	}
 	// Other balancers hand a newer version over in less time and bytes than the object API.
@@ -203,13 +209,14 @@
 	if k.adopted.After(last) {
 		last = k.adopted
 	}
-	return now.Sub(last) >= checkInterval+min(time.Duration(before)*checkStagger, maxStagger)
+	return now.Sub(last) >= checkInterval+spread+min(time.Duration(before)*checkStagger, maxStagger)
 }
 
 // check learns from the object API whether the configuration in force is the newest, and takes the newer one if there is. It
 // ends at once when something is new, and after WatchWait when nothing is.
 func (k *keeper) check(ctx context.Context) {
 	began := time.Now()
+	version, _, _ := k.state(began)
 	var err error
 	if k.mustRead(began) {
 		err = k.read(ctx, began)
@@ -217,11 +224,26 @@
 		err = k.watch(ctx)
 	}
 	k.note(began, err)
+	k.setWatching(version > 0 && err == nil)
 	if err == nil {
 		k.checkedNow()
 	}
 }
 
+// setWatching notes whether this balancer checks for others. A reading at its start is none for others.
+func (k *keeper) setWatching(on bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.watching = on
+}
+
+// watches reports whether this balancer checks for others.
+func (k *keeper) watches() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.watching
+}
+
 // mustRead reports whether a whole reading is needed: at the start, after a change or a failure, when another process knows of
 // a newer version, and now and then while anything changes in the object API.
 func (k *keeper) mustRead(now time.Time) bool {
--- a/pkg/dsrd/keeper_test.go
+++ b/pkg/dsrd/keeper_test.go
@@ -127,6 +127,7 @@
 	adopted []uint64
 	decoded int
 	ahead   int
+	slack   time.Duration
 }
 
 func newKeeperFixture() *keeperFixture {
@@ -144,6 +145,7 @@
 	}, zerolog.Nop())
 	f.adopt = func(c configuration.Configuration) { f.adopted = append(f.adopted, c.Version) }
 	f.before = func() int { return f.ahead }
+	f.spread = func() time.Duration { return f.slack }
 	f.checkedNow = func() {}
 	return f
 }
--- a/pkg/dsrd/node.go
+++ b/pkg/dsrd/node.go
@@ -18,9 +18,8 @@
 	"github.com/auburnwood/auburnwood/pkg/wire"
 )
 
-// announceInterval is the time between two looks at which processes are to be told of this one; the roster says how often
-// each is.
-const announceInterval = roster.EagerInterval
+// tellInterval is the time between two looks at which processes are to be told of this one; the roster says how often each is.
+const tellInterval = roster.EagerInterval
 
 // node is what the daemons have in common.
 type node struct {
@@ -67,6 +66,7 @@
 		return nil, err
 	}
 	n.callerPort = n.packets.address().Port()
+	n.balancers.Seed = uint64(n.started.UnixNano())
 	n.life, n.end = context.WithCancel(context.Background())
 	return n, nil
 }
@@ -88,6 +88,9 @@
 	return out
 }
 
+// milliseconds reads a time of a message.
+func milliseconds(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
+
 // know adds balancers by hearsay; it reports whether one is new. n.mu is held.
 func (n *node) know(now time.Time, addresses []netip.AddrPort) bool {
 	added := false
@@ -102,7 +105,7 @@
 // logLost logs the peers that have fallen silent.
 func (n *node) logLost(op string, lost []netip.AddrPort) {
 	for _, a := range lost {
-		n.log.Warn().Str("op", op).Stringer("peer", a).Dur("silent_ms", roster.QuietAfter).Msg("nothing was heard of a process")
+		n.log.Warn().Str("op", op).Stringer("peer", a).Msg("nothing was heard of a process")
 	}
 }
 
--- a/pkg/dsrd/readers.go
+++ b/pkg/dsrd/readers.go
@@ -24,7 +24,7 @@
 func (b *Balancer) readersBefore() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	own := readsPerSecond(b.cfg.CPUShare, b.cfg.LinkMbps)
+	own := b.reads()
 	n := 0
 	for _, a := range b.balancers.Living(time.Now()) {
 		if readsBefore(b.readers[a], a, own, b.self) {
@@ -34,9 +34,23 @@
 	return n
 }
 
+// reads is how many large configurations this balancer could read in a second.
+func (b *Balancer) reads() uint32 { return readsPerSecond(b.cfg.CPUShare, b.cfg.LinkMbps) }
+
+// readsBefore reports whether a balancer comes before another one in the order of those that check.
 func readsBefore(reads uint32, a netip.AddrPort, otherReads uint32, other netip.AddrPort) bool {
 	if reads != otherReads {
 		return reads > otherReads
 	}
 	return a.Compare(other) < 0
 }
+
+// spread is how long the word of a check takes to this balancer: nothing where whoever checks tells all others.
+func (b *Balancer) spread() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.balancers.Len() <= fanOut {
+		return 0
+	}
+	return spreadTime
+}
