Compare three agents for a place in a queue instead of all

Cause: what balancers know of queues is old, and all of them know the same after each announcement, so that they send their flows to the same shortest queue until the next one.

Change: three agents, drawn for each flow and try, are compared for a place in a queue. Free slots are chosen as before.

--- a/internal/lab/policy/policy_test.go
+++ b/internal/lab/policy/policy_test.go
@@ -92,6 +92,8 @@
 		{"power-loss", policy.Without{TimelyFirst: true}, 0.1},
 		{"calm", policy.Without{FreeFirst: true}, 0.005},
 		{"agents-die", policy.Without{HedgedOffers: true}, 0.001},
+		{"large-agents-die", policy.Without{SampledQueues: true}, 0.003},
+		{"large-targets-restart", policy.Without{SampledQueues: true}, 0.002},
 	} {
 		t.Run(c.scenario, func(t *testing.T) {
 			t.Parallel()
--- a/pkg/dsr/dispatch/balancer.go
+++ b/pkg/dsr/dispatch/balancer.go
@@ -32,6 +32,8 @@
 	// order keeps the order in which agents came, so that every walk is the same; services has those of each service, in order too.
 	order    []*agent
 	services map[string][]*agent
+	// candidates is the space of the agents among which one is chosen.
+	candidates []*agent
 	// lastHeard is when any agent was last heard of.
 	lastHeard time.Time
 	flows     map[flow.Key]*flowState
--- a/pkg/dsr/dispatch/choose.go
+++ b/pkg/dsr/dispatch/choose.go
@@ -39,41 +39,64 @@
 // best returns the untried agent with the lowest load; with free set, one that seems to have a free slot, in the own data
 // centre where there is one. Suspect agents come last. Those whose targets fail are left out, as long as they are the fewer.
 func (b *Balancer) best(now time.Time, f *flowState, free bool) *agent {
-	var best, failing candidate
-	healthy, ill := 0, 0
 	usual := b.usualWork(f.service)
-	for _, a := range b.services[f.service] {
-		if !a.takes(now) {
-			continue
-		}
-		group := &best
-		if a.failing && !b.cfg.Without.FailingLast {
-			group = &failing
-			ill++
-		} else {
-			healthy++
+	list := b.worthAsking(now, f)
+	if free {
+		list = slices.DeleteFunc(list, func(a *agent) bool { return a.suspect || !a.free(now) || a.slow(usual) })
+	} else {
+		list = b.sample(f, list)
+	}
+	var best *agent
+	var bestRank rank
+	for _, a := range list {
+		if r := b.rank(now, a, f.hash, free, usual); best == nil || r.before(bestRank) {
+			best, bestRank = a, r
 		}
-		if slices.Contains(f.tried, a.addr) || free && (a.suspect || !a.free(now) || a.slow(usual)) {
+	}
+	return best
+}
+
+// worthAsking are the untried agents that take flows of the service, in a slice that is valid until the next call.
+func (b *Balancer) worthAsking(now time.Time, f *flowState) []*agent {
+	leaveOut := b.leaveFailingOut(now, f.service)
+	b.candidates = b.candidates[:0]
+	for _, a := range b.services[f.service] {
+		if !a.takes(now) || a.failing && leaveOut || slices.Contains(f.tried, a.addr) {
 			continue
 		}
-		group.consider(a, b.rank(now, a, f.hash, free, usual))
+		b.candidates = append(b.candidates, a)
 	}
-	if healthy < ill && failing.agent != nil && (best.agent == nil || failing.rank.before(best.rank)) {
-		return failing.agent
-	}
-	return best.agent
+	return b.candidates
 }
 
-// candidate is the best agent of a group so far.
-type candidate struct {
-	agent *agent
-	rank  rank
+// leaveFailingOut reports whether the targets that fail are the fewer ones of a service. When most seem to fail, the reason is not theirs.
+func (b *Balancer) leaveFailingOut(now time.Time, service string) bool {
+	if b.cfg.Without.FailingLast {
+		return false
+	}
+	healthy, failing := 0, 0
+	for _, a := range b.services[service] {
+		switch {
+		case !a.takes(now):
+		case a.failing:
+			failing++
+		default:
+			healthy++
+		}
+	}
+	return healthy >= failing
 }
 
-func (c *candidate) consider(a *agent, r rank) {
-	if c.agent == nil || r.before(c.rank) {
-		c.agent, c.rank = a, r
+// sample keeps the agents that are compared for a place in a queue: some of them, others for each flow, those that are not suspect first.
+func (b *Balancer) sample(f *flowState, list []*agent) []*agent {
+	if b.cfg.Without.SampledQueues || len(list) <= QueueSample {
+		return list
 	}
+	draw := f.hash + uint64(f.tries)
+	slices.SortFunc(list, func(x, y *agent) int {
+		return cmp.Or(compareTrue(!x.suspect, !y.suspect), cmp.Compare(tieOf(draw, x.addr), tieOf(draw, y.addr)))
+	})
+	return list[:QueueSample]
 }
 
 // rank is the order of two agents for one flow.
--- a/pkg/dsr/policy/policy.go
+++ b/pkg/dsr/policy/policy.go
@@ -14,6 +14,8 @@
 	NearFirst bool
 	// FreeFirst: agents are asked for free slots before places in queues.
 	FreeFirst bool
+	// SampledQueues: only some agents are compared for a place in a queue.
+	SampledQueues bool
 	// TimelyFirst: waiting flows that can still be answered in the promised time go first. Without it they go in order of arrival.
 	TimelyFirst bool
 	// GiveUpSilent: waiting flows are given up whose callers stopped repeating the opening packet.
@@ -43,6 +45,7 @@
 		{"suspicion", Without{Suspicion: true}},
 		{"near-first", Without{NearFirst: true}},
 		{"free-first", Without{FreeFirst: true}},
+		{"sampled-queues", Without{SampledQueues: true}},
 		{"timely-first", Without{TimelyFirst: true}},
 		{"give-up-silent", Without{GiveUpSilent: true}},
 		{"extra-requests", Without{ExtraRequests: true}},
