--- a/internal/archtest/layers_test.go
+++ b/internal/archtest/layers_test.go
@@ -11,6 +11,7 @@
 // layers lists the packages below pkg from the lowest layer up, as docs/ARCHITECTURE.md draws them. A package imports
 // packages of its own layer or a lower one.
 var layers = [][]string{
+	{"wait"},
 	{"wire", "flow", "resource", "objectapi", "errqueue", "dsr/announcement", "dsr/configuration", "dsr/dsrpb", "dsr/estimate", "dsr/policy", "dsr/roster"},
 	{"lease", "refusal", "netstack", "packet", "dsr/segment", "dsr/routing", "dsr/admission", "dsr/outlier"},
 	{"membership", "view", "placement", "ticket"},
--- a/internal/lab/capacity/agent_flows.go
+++ b/internal/lab/capacity/agent_flows.go
@@ -12,6 +12,7 @@
 	"github.com/auburnwood/auburnwood/pkg/netstack"
 	"github.com/auburnwood/auburnwood/pkg/placement"
 	"github.com/auburnwood/auburnwood/pkg/view"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 	"github.com/auburnwood/auburnwood/pkg/wire"
 )
 
@@ -149,12 +150,12 @@
 			}
 			defer x.close()
 			// The stacks of the measurement before let their connections go late.
-			wait(ctx, stalledTime)
+			_ = wait.For(ctx, stalledTime)
 			before := liveMemory()
 			if err := openFlows(ctx, int(size), x.dial, x.keep); err != nil {
 				return nil, err
 			}
-			wait(ctx, stalledTime)
+			_ = wait.For(ctx, stalledTime)
 			return []float64{liveMemory() - before}, ctx.Err()
 		},
 	}
--- a/internal/lab/capacity/duty.go
+++ b/internal/lab/capacity/duty.go
@@ -15,6 +15,7 @@
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
 	"github.com/auburnwood/auburnwood/pkg/resource"
 	"github.com/auburnwood/auburnwood/pkg/revision"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // compileServices measures the compilation by the number of services.
@@ -107,16 +108,16 @@
 	c := revision.Compiler{Store: s, Acks: &slowAcks{}, Log: zerolog.Nop(), Resync: time.Hour}
 	done := make(chan error, 1)
 	go func() { done <- c.Duty(ctx, lease.Grant{Holder: "balancer-0000/1", Term: 1}) }()
-	wait(ctx, dutyQuiet)
+	_ = wait.For(ctx, dutyQuiet)
 	before := s.Counts()
 	for i := range changes {
 		services[0].Spec.Limits.Connections = uint32(100 + i)
 		if err := put(ctx, s, services[0], uint64(i+1)); err != nil {
 			return nil, err
 		}
-		wait(ctx, changeEvery)
+		_ = wait.For(ctx, changeEvery)
 	}
-	wait(ctx, dutyQuiet-changeEvery)
+	_ = wait.For(ctx, dutyQuiet-changeEvery)
 	after := s.Counts()
 	cancel()
 	<-done
@@ -145,13 +146,6 @@
 	return trace.Wrap(err)
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // slowAcks counts a revision as in force on more and more balancers.
 type slowAcks struct {
 	mu    sync.Mutex
--- a/internal/lab/capacity/refusals.go
+++ b/internal/lab/capacity/refusals.go
@@ -13,6 +13,7 @@
 	"github.com/auburnwood/auburnwood/internal/standin/store"
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
 	"github.com/auburnwood/auburnwood/pkg/refusal"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // newRefusal is the refusal of the i-th caller.
@@ -128,9 +129,9 @@
 				done.Go(func() { _ = l.Run(ctx) })
 				done.Go(func() { refuseUntil(ctx, l) })
 			}
-			wait(ctx, paceSettle)
+			_ = wait.For(ctx, paceSettle)
 			before := s.Applied()
-			wait(ctx, paceWindow)
+			_ = wait.For(ctx, paceWindow)
 			writes := float64(s.Applied()-before) / paceWindow.Seconds()
 			cancel()
 			done.Wait()
@@ -143,6 +144,6 @@
 func refuseUntil(ctx context.Context, l *refusal.Log) {
 	for i := 0; ctx.Err() == nil; i++ {
 		l.Record(newRefusal(i))
-		wait(ctx, 50*time.Millisecond)
+		_ = wait.For(ctx, 50*time.Millisecond)
 	}
 }
--- a/internal/lab/capacity/store_calls.go
+++ b/internal/lab/capacity/store_calls.go
@@ -15,6 +15,7 @@
 	"github.com/auburnwood/auburnwood/pkg/membership"
 	"github.com/auburnwood/auburnwood/pkg/settings"
 	"github.com/auburnwood/auburnwood/pkg/telemetry"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 const (
@@ -57,7 +58,7 @@
 		return nil, err
 	}
 	defer f.close()
-	wait(ctx, callSettle)
+	_ = wait.For(ctx, callSettle)
 	writes := f.store.Counts().Writes()
 	reads := f.reads(ctx, callWindow)
 	return []float64{reads, float64(f.store.Counts().Writes()-writes) / callWindow.Seconds()}, ctx.Err()
@@ -92,7 +93,7 @@
 // reads returns the reads a second during a time.
 func (f *daemonFleet) reads(ctx context.Context, during time.Duration) float64 {
 	before := f.store.Counts().Reads()
-	wait(ctx, during)
+	_ = wait.For(ctx, during)
 	return float64(f.store.Counts().Reads()-before) / during.Seconds()
 }
 
@@ -133,7 +134,7 @@
 				return nil, err
 			}
 			defer f.close()
-			wait(ctx, callSettle)
+			_ = wait.For(ctx, callSettle)
 			idle := f.reads(ctx, callWindow)
 			service := newServices(1)[0]
 			begin := time.Now()
@@ -143,7 +144,7 @@
 				if err := put(ctx, f.store, service, uint64(i+1)); err != nil {
 					return nil, err
 				}
-				wait(ctx, time.Second)
+				_ = wait.For(ctx, time.Second)
 			}
 			busy := float64(f.store.Counts().Reads() - before)
 			return []float64{(busy - idle*time.Since(begin).Seconds()) / changes}, ctx.Err()
--- a/internal/lab/control/callers.go
+++ b/internal/lab/control/callers.go
@@ -11,6 +11,8 @@
 	"github.com/gravitational/trace"
 	"gvisor.dev/gvisor/pkg/tcpip"
 	"gvisor.dev/gvisor/pkg/tcpip/header"
+
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // callers open flows to an address that no service has, and take the resets.
@@ -113,7 +115,7 @@
 // call lets callers come to random living balancers until ctx ends.
 func (c *cluster) call(ctx context.Context, pick func(n int) int) {
 	for ctx.Err() == nil {
-		wait(ctx, callPause)
+		_ = wait.For(ctx, callPause)
 		live := c.live()
 		b := live[pick(len(live))]
 		if b.takesCallers() {
--- a/internal/lab/control/cluster.go
+++ b/internal/lab/control/cluster.go
@@ -13,6 +13,7 @@
 
 	"github.com/auburnwood/auburnwood/internal/standin/store"
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 const (
@@ -121,7 +122,7 @@
 		if time.Now().After(end) {
 			return trace.LimitExceeded("not reached within %s", limit)
 		}
-		wait(c.ctx, pollTime)
+		_ = wait.For(c.ctx, pollTime)
 		if c.ctx.Err() != nil {
 			return trace.Wrap(c.ctx.Err())
 		}
--- a/internal/lab/control/measure.go
+++ b/internal/lab/control/measure.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // Size is the size of one measured installation.
@@ -63,10 +65,10 @@
 		return p, trace.Wrap(err)
 	}
 	defer c.close()
-	wait(ctx, calmTime)
+	_ = wait.For(ctx, calmTime)
 	daemons := s.Balancers + s.Targets
 	begin := c.usage()
-	wait(ctx, idleTime)
+	_ = wait.For(ctx, idleTime)
 	idle := c.usage()
 	p.Idle = ratesBetween(begin, idle, daemons, s.Targets)
 	if now := heap(); now > before {
--- a/internal/lab/control/operators.go
+++ b/internal/lab/control/operators.go
@@ -12,6 +12,7 @@
 
 	"github.com/auburnwood/auburnwood/pkg/ctl"
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 const (
@@ -53,14 +54,14 @@
 // run makes the changes, spread over the window, by operators that work side by side.
 func (o *operators) run(ctx context.Context, count int, window time.Duration) {
 	if count == 0 {
-		wait(ctx, window)
+		_ = wait.For(ctx, window)
 		return
 	}
 	var group sync.WaitGroup
 	began := time.Now()
 	for i := 0; i < count && ctx.Err() == nil; {
 		due := began.Add(time.Duration(float64(window) * float64(i) / float64(count)))
-		wait(ctx, time.Until(due))
+		_ = wait.For(ctx, time.Until(due))
 		list := o.plan(i, count-i)
 		i += len(list)
 		for operator, x := range list {
@@ -123,7 +124,7 @@
 		if err == nil || errors.Is(err, objectapi.ErrConflict) {
 			return
 		}
-		wait(ctx, callRetry)
+		_ = wait.For(ctx, callRetry)
 	}
 }
 
--- a/internal/lab/control/run.go
+++ b/internal/lab/control/run.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // settleTime is what the installation gets to agree after the last fault.
@@ -53,7 +55,7 @@
 	go r.c.call(callers, r.script.pick)
 	daemons := r.o.Balancers + r.o.Targets
 	begin := r.c.usage()
-	wait(ctx, r.o.Idle)
+	_ = wait.For(ctx, r.o.Idle)
 	idle := r.c.usage()
 	r.result.Idle = ratesBetween(begin, idle, daemons, r.o.Targets)
 	faults := make(chan struct{})
--- a/internal/lab/control/script.go
+++ b/internal/lab/control/script.go
@@ -14,6 +14,7 @@
 	"github.com/auburnwood/auburnwood/pkg/membership"
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
 	"github.com/auburnwood/auburnwood/pkg/resource"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // script carries out the faults at fixed parts of the window.
@@ -108,7 +109,7 @@
 			continue
 		}
 		group.Go(func() {
-			wait(ctx, time.Until(s.began.Add(time.Duration(x.at*float64(window)))))
+			_ = wait.For(ctx, time.Until(s.began.Add(time.Duration(x.at*float64(window)))))
 			if ctx.Err() == nil {
 				x.do(ctx)
 			}
@@ -134,7 +135,7 @@
 func (s *script) loseAnswers(ctx context.Context) {
 	s.printf("the store loses the answers of %.0f%% of the writes", 100*loseShare)
 	s.c.truth.set(func() { s.c.truth.loseShare = loseShare })
-	wait(ctx, s.part(0.9))
+	_ = wait.For(ctx, s.part(0.9))
 	s.c.truth.set(func() { s.c.truth.loseShare = 0 })
 }
 
@@ -145,7 +146,7 @@
 		f.HoldKinds = map[objectapi.Kind]time.Duration{resource.KindService: heldKind, resource.KindHead: heldKind / 2}
 	})
 	for end := time.Now().Add(s.part(0.9)); time.Now().Before(end) && ctx.Err() == nil; {
-		wait(ctx, gapEvery)
+		_ = wait.For(ctx, gapEvery)
 		s.c.truth.inner.CutHistory()
 	}
 	s.faults(func(f *store.Faults) { f.Duplicate, f.HoldKinds = 0, nil })
@@ -154,7 +155,7 @@
 func (s *script) slowStore(ctx context.Context) {
 	s.printf("the store is slow: %s to %s for each call", slowLatency, slowLatency+slowJitter)
 	s.c.truth.set(func() { s.c.truth.latency, s.c.truth.jitter = slowLatency, slowJitter })
-	wait(ctx, s.part(0.25))
+	_ = wait.For(ctx, s.part(0.25))
 	s.c.truth.set(func() { s.c.truth.latency, s.c.truth.jitter = 0, 0 })
 }
 
@@ -173,7 +174,7 @@
 	case number := <-down:
 		from := time.Now()
 		s.printf("the store goes down right after it accepted revision %d", number)
-		wait(ctx, outageTime)
+		_ = wait.For(ctx, outageTime)
 		s.faults(func(f *store.Faults) { f.Outage = false })
 		s.mu.Lock()
 		s.outages = append(s.outages, span{from: from, to: time.Now()})
@@ -231,7 +232,7 @@
 	for range lastWords {
 		s.c.callers.open(b.daemon.PacketAddr())
 	}
-	wait(ctx, syncTime/50)
+	_ = wait.For(ctx, syncTime/50)
 	call, cancel := context.WithTimeout(ctx, syncTime)
 	defer cancel()
 	err := b.daemon.Refusals().Sync(call)
@@ -311,7 +312,7 @@
 	before := s.c.truth.holder()
 	s.printf("%s holds the lease of term %d; its calls hang for %s%s", b.name, before.Term, s.pauseTime(), where)
 	hold(b)
-	wait(ctx, s.pauseTime()+s.leaseTime())
+	_ = wait.For(ctx, s.pauseTime()+s.leaseTime())
 	after := s.c.truth.holder()
 	s.printf("%s is back, %d writes went through late; term %d is held by %s", b.name, b.gate.held.Load(), after.Term, after.Holder)
 }
@@ -332,7 +333,7 @@
 		left.stop()
 	}
 	s.goesOn(joined)
-	wait(ctx, time.Until(end))
+	_ = wait.For(ctx, time.Until(end))
 	s.c.boundary.set(false)
 	s.printf("the regions can reach each other again; meanwhile %s joined in %s and %s left the other", s.split.joined, joined.region, s.split.left)
 }
--- a/internal/lab/control/truth.go
+++ b/internal/lab/control/truth.go
@@ -12,6 +12,7 @@
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
 	"github.com/auburnwood/auburnwood/pkg/resource"
 	"github.com/auburnwood/auburnwood/pkg/revision"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // truth is the store of a run with a record of every write that took effect, in the order of the effects. It loses
@@ -78,19 +79,7 @@
 		d += time.Duration(t.random.Int64N(int64(t.jitter)))
 	}
 	t.mu.Unlock()
-	wait(ctx, d)
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	_ = wait.For(ctx, d)
 }
 
 // Get implements objectapi.Store, as the methods that follow.
--- a/internal/lab/flows/datagrams.go
+++ b/internal/lab/flows/datagrams.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/auburnwood/auburnwood/internal/standin/target"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 const (
@@ -43,7 +44,7 @@
 		if time.Now().After(end) {
 			return nil
 		}
-		if err := pause(ctx, c.plan.every); err != nil {
+		if err := wait.For(ctx, c.plan.every); err != nil {
 			return trace.Wrap(err)
 		}
 		c.last = time.Now()
--- a/internal/lab/flows/direct.go
+++ b/internal/lab/flows/direct.go
@@ -15,6 +15,7 @@
 	"github.com/auburnwood/auburnwood/pkg/refusal"
 	"github.com/auburnwood/auburnwood/pkg/resource"
 	"github.com/auburnwood/auburnwood/pkg/view"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 const (
@@ -124,7 +125,7 @@
 
 // publish brings the present view to all and waits until all have it.
 func (d *direct) publish(ctx context.Context) error {
-	return pause(ctx, d.views.publish(d.view()))
+	return wait.For(ctx, d.views.publish(d.view()))
 }
 
 func (d *direct) setState(t *directTarget, s view.TargetState) {
@@ -174,7 +175,7 @@
 	if err := d.publish(ctx); err != nil {
 		return "", trace.Wrap(err)
 	}
-	if err := pause(ctx, joinTime); err != nil {
+	if err := wait.For(ctx, joinTime); err != nil {
 		return "", trace.Wrap(err)
 	}
 	d.setState(t, view.StateActive)
@@ -309,17 +310,6 @@
 	return d.started
 }
 
-func pause(ctx context.Context, t time.Duration) error {
-	timer := time.NewTimer(t)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return trace.Wrap(ctx.Err())
-	case <-timer.C:
-		return nil
-	}
-}
-
 func loopbackPort() netip.AddrPort {
 	return netip.MustParseAddrPort("127.0.0.1:0")
 }
--- a/internal/lab/flows/run.go
+++ b/internal/lab/flows/run.go
@@ -17,6 +17,7 @@
 	"github.com/auburnwood/auburnwood/internal/standin/target"
 	"github.com/auburnwood/auburnwood/pkg/refusal"
 	"github.com/auburnwood/auburnwood/pkg/resource"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 const (
@@ -187,12 +188,12 @@
 	for _, p := range plans {
 		clients.Go(func() { r.client(ctx, p) })
 	}
-	if err := pause(ctx, r.timeline.ramp+r.timeline.warm/2); err != nil {
+	if err := wait.For(ctx, r.timeline.ramp+r.timeline.warm/2); err != nil {
 		return Result{}, trace.Wrap(err)
 	}
 	r.events.printf("warm: %d flows open", r.open.Load())
 	balances, times := sample(ctx, r.cluster, r.timeline.warm/2)
-	if err := pause(ctx, r.timeline.faults()-time.Since(began)); err != nil {
+	if err := wait.For(ctx, r.timeline.faults()-time.Since(began)); err != nil {
 		return Result{}, trace.Wrap(err)
 	}
 	counts := r.cluster.Counts()
@@ -219,7 +220,7 @@
 		if !slices.ContainsFunc(r.outcomes, func(o outcome) bool { return r.lacksRecord(&o, records) }) {
 			return
 		}
-		if pause(ctx, recordPoll) != nil {
+		if wait.For(ctx, recordPoll) != nil {
 			return
 		}
 	}
@@ -238,7 +239,7 @@
 
 // client runs one flow at its time.
 func (r *run) client(ctx context.Context, p *plan) {
-	if pause(ctx, p.start) != nil {
+	if wait.For(ctx, p.start) != nil {
 		return
 	}
 	n := r.open.Add(1)
--- a/internal/lab/flows/sampler.go
+++ b/internal/lab/flows/sampler.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/view"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 const (
@@ -60,7 +61,7 @@
 				worst[name] = b
 			}
 		}
-		if !time.Now().Add(sampleEvery).Before(end) || pause(ctx, sampleEvery) != nil {
+		if !time.Now().Add(sampleEvery).Before(end) || wait.For(ctx, sampleEvery) != nil {
 			return worst, times
 		}
 	}
--- a/internal/lab/flows/script.go
+++ b/internal/lab/flows/script.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/auburnwood/auburnwood/pkg/view"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 const (
@@ -42,7 +43,7 @@
 	for _, f := range s.opts.Faults {
 		at := s.draw(faultSpread)
 		s.done.Go(func() {
-			if pause(s.ctx, at) != nil {
+			if wait.For(s.ctx, at) != nil {
 				return
 			}
 			if err := s.make(f); err != nil && s.ctx.Err() == nil {
@@ -201,7 +202,7 @@
 // machine joins are slower than drains.
 func (s *script) awaitTargets(service string, least int) error {
 	for s.activeTargets(service) < least {
-		if err := pause(s.ctx, sampleEvery); err != nil {
+		if err := wait.For(s.ctx, sampleEvery); err != nil {
 			return trace.Wrap(err, "wait for %d targets of %s", least, service)
 		}
 	}
@@ -230,7 +231,7 @@
 		if err := do(); err != nil {
 			return trace.Wrap(err, "round %d", i+1)
 		}
-		if i+1 < s.opts.Rounds && pause(s.ctx, every-time.Since(began)) != nil {
+		if i+1 < s.opts.Rounds && wait.For(s.ctx, every-time.Since(began)) != nil {
 			return nil
 		}
 	}
@@ -264,7 +265,7 @@
 func (s *script) storeDown() error {
 	s.cluster.StoreDown(true)
 	s.events.printf("store down")
-	err := pause(s.ctx, time.Duration(storeDownPart*float64(s.opts.Window)))
+	err := wait.For(s.ctx, time.Duration(storeDownPart*float64(s.opts.Window)))
 	s.cluster.StoreDown(false)
 	s.events.printf("store up")
 	return trace.Wrap(err)
--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/segment"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 	"github.com/auburnwood/auburnwood/platform/platformtest"
 )
 
@@ -48,7 +49,7 @@
 		if !c.request(ctx, fmt.Sprintf("%s#%d", c.end, i)) {
 			return
 		}
-		pause(ctx, time.Duration(c.random.Int64N(int64(maxThink))))
+		_ = wait.For(ctx, time.Duration(c.random.Int64N(int64(maxThink))))
 	}
 	c.send(segment.FIN|segment.ACK, c.ack, nil)
 	c.w.counts.add(func(r *Result) { r.Finished++ })
@@ -169,13 +170,3 @@
 	c.w.counts.add(func(r *Result) { r.Ended++ })
 	return false
 }
-
-// pause waits for a time or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // Times of the faults.
@@ -38,7 +40,7 @@
 	for ctx.Err() == nil {
 		f.one(ctx)
 		f.w.counts.add(func(r *Result) { r.Faults++ })
-		pause(ctx, f.between(minGap, maxGap))
+		_ = wait.For(ctx, f.between(minGap, maxGap))
 	}
 	f.wg.Wait()
 }
@@ -107,7 +109,7 @@
 
 func (f *faults) restart(ctx context.Context, p *process, down time.Duration) {
 	p.stop(graceTime + stopSlack)
-	pause(ctx, down)
+	_ = wait.For(ctx, down)
 	f.again(p)
 }
 
@@ -118,7 +120,7 @@
 	for _, p := range list {
 		p.ended(time.Second)
 	}
-	pause(ctx, down)
+	_ = wait.For(ctx, down)
 	for _, p := range list {
 		f.again(p)
 	}
@@ -126,7 +128,7 @@
 
 func (f *faults) still(ctx context.Context, p *process, d time.Duration) {
 	p.signal(syscall.SIGSTOP)
-	pause(ctx, d)
+	_ = wait.For(ctx, d)
 	p.signal(syscall.SIGCONT)
 }
 
@@ -134,7 +136,7 @@
 	for _, l := range links {
 		l.set(m)
 	}
-	pause(ctx, d)
+	_ = wait.For(ctx, d)
 	for _, l := range links {
 		l.set(linkPasses)
 	}
@@ -158,7 +160,7 @@
 }
 
 func (f *faults) replace(ctx context.Context, t *target, down time.Duration) {
-	pause(ctx, min(down, targetDown))
+	_ = wait.For(ctx, min(down, targetDown))
 	if err := t.begin(); err != nil {
 		f.w.counts.violation("starting a target: %v", err)
 	}
--- a/internal/lab/soak/operator.go
+++ b/internal/lab/soak/operator.go
@@ -13,6 +13,7 @@
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/configuration"
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 	"github.com/auburnwood/auburnwood/platform/platformtest"
 )
 
@@ -80,7 +81,7 @@
 		if err := w.configure(ctx); err != nil && ctx.Err() == nil {
 			w.counts.violation("the stand-in for the object API failed: %v", err)
 		}
-		pause(ctx, changeTime+time.Duration(random.Int64N(int64(inForceTime))))
+		_ = wait.For(ctx, changeTime+time.Duration(random.Int64N(int64(inForceTime))))
 	}
 }
 
@@ -95,7 +96,7 @@
 // newest one in time when nothing has disturbed the balancer.
 func (w *world) watch(ctx context.Context, b *balancer) {
 	life, last, undisturbed := 0, 0, time.Now()
-	for ; ctx.Err() == nil; pause(ctx, statusTime) {
+	for ; ctx.Err() == nil; _ = wait.For(ctx, statusTime) {
 		if b.lives() != life {
 			life, last = b.lives(), 0
 		}
--- a/internal/lab/soak/routers.go
+++ b/internal/lab/soak/routers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/flow"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 	"github.com/auburnwood/auburnwood/platform/platformtest"
 )
 
@@ -52,7 +53,7 @@
 			e.in = false
 		}
 		r.mu.Unlock()
-		pause(ctx, checkTime)
+		_ = wait.For(ctx, checkTime)
 	}
 }
 
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // Times of a run.
@@ -98,7 +100,7 @@
 		if time.Now().After(end) || ctx.Err() != nil {
 			return trace.LimitExceeded("%d of %d balancers are in rotation %s after the start", served, len(w.balancers), startTime)
 		}
-		pause(ctx, statusTime)
+		_ = wait.For(ctx, statusTime)
 	}
 }
 
@@ -125,7 +127,7 @@
 	for during.Err() == nil {
 		c := w.call(rand.New(rand.NewPCG(random.Uint64(), seedCallers)))
 		flows.Go(func() { c.run(whole) })
-		pause(during, time.Second/time.Duration(w.o.Rate))
+		_ = wait.For(during, time.Second/time.Duration(w.o.Rate))
 	}
 }
 
@@ -144,14 +146,14 @@
 
 // settle checks that everything is served once the faults have ended.
 func (w *world) settle(ctx context.Context) {
-	pause(ctx, settleTime)
+	_ = wait.For(ctx, settleTime)
 	before := w.counts.result()
 	random := rand.New(rand.NewPCG(w.o.Seed, seedFinal))
 	var flows sync.WaitGroup
 	for range finalFlows {
 		c := w.call(rand.New(rand.NewPCG(random.Uint64(), seedFinal)))
 		flows.Go(func() { c.run(ctx) })
-		pause(ctx, time.Second/finalFlows)
+		_ = wait.For(ctx, time.Second/finalFlows)
 	}
 	flows.Wait()
 	if ctx.Err() != nil {
--- a/internal/lab/soak/target.go
+++ b/internal/lab/soak/target.go
@@ -12,6 +12,7 @@
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/announcement"
 	"github.com/auburnwood/auburnwood/pkg/dsr/segment"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 	"github.com/auburnwood/auburnwood/platform"
 	"github.com/auburnwood/auburnwood/platform/platformtest"
 )
@@ -129,7 +130,7 @@
 	t.draining = true
 	word := announcement.Farewell{ID: t.name, Born: t.born}
 	t.mu.Unlock()
-	pause(ctx, after)
+	_ = wait.For(ctx, after)
 	call, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	_ = platformtest.Deregister(call, t.control, word)
--- a/internal/lab/soak/writers.go
+++ b/internal/lab/soak/writers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsrd"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 	"github.com/auburnwood/auburnwood/platform/platformtest"
 )
 
@@ -46,7 +47,7 @@
 		}
 		w.strangeReport(ctx, a, body)
 		w.strangeEntry(ctx, n, strangeEntries[random.IntN(len(strangeEntries))])
-		pause(ctx, minStrangeGap+time.Duration(random.Int64N(int64(maxStrangeGap-minStrangeGap))))
+		_ = wait.For(ctx, minStrangeGap+time.Duration(random.Int64N(int64(maxStrangeGap-minStrangeGap))))
 	}
 }
 
--- a/internal/standin/store/config.go
+++ b/internal/standin/store/config.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // Default settings of a Store.
@@ -36,18 +38,7 @@
 		c.Now = time.Now
 	}
 	if c.Sleep == nil {
-		c.Sleep = sleep
+		c.Sleep = wait.For
 	}
 	return c
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/standin/target/work.go
+++ b/internal/standin/target/work.go
@@ -1,9 +1,10 @@
 package target
 
 import (
-	"context"
 	"net/http"
 	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // work runs one request if a slot is free.
@@ -21,7 +22,7 @@
 	}
 	defer t.freeSlot()
 	i := t.journal.start(Run{ID: r.URL.Query().Get("id"), Target: t.cfg.ID, Start: time.Now()})
-	cancelled := wait(r.Context(), t.slowed(takes))
+	cancelled := wait.For(r.Context(), t.slowed(takes)) != nil
 	failed := t.fails()
 	t.journal.end(i, time.Now(), cancelled, failed)
 	if failed {
@@ -60,15 +61,3 @@
 	defer t.mu.Unlock()
 	return t.random.Float64() < t.cfg.FailWork
 }
-
-// wait reports whether ctx ended first.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return true
-	case <-timer.C:
-		return false
-	}
-}
--- a/pkg/caller/options.go
+++ b/pkg/caller/options.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"net/http"
 	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // Defaults of Options.
@@ -52,21 +54,10 @@
 		o.Now = time.Now
 	}
 	if o.Sleep == nil {
-		o.Sleep = sleep
+		o.Sleep = wait.For
 	}
 	if o.Rand == nil {
 		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
 	return o
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/pkg/dsr/roster/config.go
+++ b/pkg/dsr/roster/config.go
@@ -23,8 +23,8 @@
 	// SentMessages is the number of messages a second to peers that are heard of, all together, HeardMessages the number that a
 	// process asks its peers for. Load and liveness are also told with every answer, so that a report may be as old as the
 	// number of peers makes it.
-	SentMessages  = 40
-	HeardMessages = 100
+	SentMessages  = 25
+	HeardMessages = 60
 	// EagerMessages and QuietMessages are the numbers a second to peers that are spoken to eagerly, and to silent ones.
 	EagerMessages = 1000
 	QuietMessages = 100
--- a/pkg/dsr/roster/peers_test.go
+++ b/pkg/dsr/roster/peers_test.go
@@ -119,8 +119,8 @@
 
 // Processes that tell everybody at once when power is back would all be silent until the next interval together.
 func TestMessagesOfProcessesThatStartedTogetherSpreadOut(t *testing.T) {
-	const processes = 100
-	interval := IntervalFor(10 * processes)
+	const processes = 500
+	interval := IntervalFor(processes)
 	heard := make([]bool, int(interval/EagerInterval)+1)
 	for seed := range processes {
 		p := Peers{Seed: uint64(seed)}
--- a/pkg/dsrd/agent.go
+++ b/pkg/dsrd/agent.go
@@ -15,6 +15,7 @@
 	"github.com/auburnwood/auburnwood/pkg/dsr/ownership"
 	"github.com/auburnwood/auburnwood/pkg/settings"
 	"github.com/auburnwood/auburnwood/pkg/telemetry"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // Times of an agent's end.
@@ -28,6 +29,10 @@
 	// probeTimeout bounds one question to the target on the same VM.
 	probeTime    = 2 * time.Second
 	probeTimeout = 300 * time.Millisecond
+	// probePause is the time between two questions at the start, which grows to a part of the agent's age: a target that starts together
+	// with its agent is up within a tenth of a second, and one that is not is asked a few dozen times, whatever the number of balancers.
+	probePause    = 20 * time.Millisecond
+	probeSlowdown = 10
 	// cutOffAfter is how long an agent may hear of no balancer at all until it takes itself for one that was cut off: balancers
 	// answer every second announcement, 20 a second in a large deployment and eight in one with a single balancer.
 	cutOffAfter = time.Second
@@ -133,7 +138,7 @@
 func (a *Agent) announce(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.logLost("balancer-lost", a.balancers.Lost(now))
+	a.logBalancers(now)
 	a.noteState(now)
 	a.announceDue(now)
 }
@@ -176,10 +181,8 @@
 	began := time.Now()
 	end := began.Add(a.cfg.GraceTime.Duration() - stopMargin)
 	for time.Now().Before(end) {
-		select {
-		case <-ctx.Done():
+		if wait.For(ctx, leaveAtLeast/6) != nil {
 			return
-		case <-time.After(leaveAtLeast / 6):
 		}
 		a.mu.Lock()
 		open := a.table.Unfinished(time.Now(), unfinishedWithin)
@@ -201,7 +204,7 @@
 		return
 	}
 	now := time.Now()
-	a.heardFrom(now, from, m.Configuration)
+	a.heardFrom(now, from)
 	switch m.Kind {
 	case dsrpb.Kind_KIND_FORWARD:
 		s, err := a.platform.Codec.Decode(m.Packet)
@@ -220,11 +223,11 @@
 
 // heardFrom notes a message of a balancer. One that is new, or was silent, is told of the agent at once; after a time without any
 // message all are, since they may have taken the agent for gone. a.mu is held.
-func (a *Agent) heardFrom(now time.Time, from netip.AddrPort, version uint64) {
+func (a *Agent) heardFrom(now time.Time, from netip.AddrPort) {
 	cutOff := !a.lastHeard.IsZero() && now.Sub(a.lastHeard) > cutOffAfter
 	a.lastHeard = now
 	if a.balancers.Heard(now, from) {
-		a.log.Warn().Str("op", "balancer-regained").Stringer("peer", from).Uint64("configuration", version).Msg("a balancer was heard of")
+		a.noteRegained(from)
 		a.tell(now, from)
 	}
 	if cutOff {
@@ -246,33 +249,59 @@
 	if a.know(now, decodeAddresses(r.Balancers)) {
 		a.announceLocked(now)
 	}
-	if r.HealthPath == "" || a.probing || a.table.TargetKnown() || now.Sub(a.started) > probeTime {
+	if r.HealthPath == "" || a.probing || !a.mayProbe(now) {
 		return
 	}
 	a.probing = true
 	path := strings.Clone(r.HealthPath)
-	go a.probe(path)
+	go a.probe(a.life, path)
+}
+
+// mayProbe reports whether the target is still to be asked whether it is ready. a.mu is held.
+func (a *Agent) mayProbe(now time.Time) bool {
+	return !a.table.TargetKnown() && now.Sub(a.started) <= probeTime
 }
 
-// probe asks the target whether it is ready, so that an agent that starts beside a living target need not wait for the
+// probe asks the target whether it is ready until it is, so that an agent that starts beside a living target need not wait for the
 // next heartbeat, which takes up to 1.2 s.
-func (a *Agent) probe(path string) {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+func (a *Agent) probe(ctx context.Context, path string) {
+	var err error
+	for range int(probeTime / probePause) {
+		if err = a.probeOnce(ctx, path); err == nil {
+			return
+		}
+		now := time.Now()
+		a.mu.Lock()
+		goOn := a.mayProbe(now)
+		a.mu.Unlock()
+		if !goOn || wait.For(ctx, max(probePause, now.Sub(a.started)/probeSlowdown)) != nil {
+			break
+		}
+	}
+	a.log.Info().Err(err).Str("op", "probe").Stringer("peer", a.target).Msg("the target did not say that it is ready")
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.probing = false
+}
+
+// probeOnce asks the target once.
+func (a *Agent) probeOnce(ctx context.Context, path string) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	n, err := a.platform.Probe(ctx, a.target, path)
+	if err != nil {
+		return err
+	}
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.probing = false
-	if err != nil {
-		a.log.Info().Err(err).Str("op", "probe").Stringer("peer", a.target).Msg("the target did not say that it is ready")
-		return
-	}
 	if a.table.Probed(now, n.ID, n.Born) {
 		a.log.Warn().Str("op", "target-state").Str("target", n.ID).Stringer("state", a.table.State(now)).Msg("the target says that it is ready")
 		a.state = a.table.State(now)
 		a.announceLocked(now)
 	}
+	return nil
 }
 
 // fromTarget takes a packet that the target sent.
--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -18,6 +18,7 @@
 	"github.com/auburnwood/auburnwood/pkg/refusal"
 	"github.com/auburnwood/auburnwood/pkg/settings"
 	"github.com/auburnwood/auburnwood/pkg/telemetry"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // Times of a balancer's start and end.
@@ -50,6 +51,8 @@
 	core     *dispatch.Balancer
 	agents   roster.Peers
 	welcomed map[netip.AddrPort]time.Time
+	// regainedAgents are the agents that were heard of again since the last look.
+	regainedAgents []netip.AddrPort
 	// readers are what the other balancers say of how much they can read.
 	readers map[netip.AddrPort]uint32
 	asking  bool
@@ -128,10 +131,8 @@
 	began := time.Now()
 	end := began.Add(b.cfg.GraceTime.Duration() - stopMargin)
 	for time.Now().Before(end) {
-		select {
-		case <-ctx.Done():
+		if wait.For(ctx, quietTime/4) != nil {
 			return
-		case <-time.After(quietTime / 4):
 		}
 		b.mu.Lock()
 		open := b.core.Open(time.Now(), quietTime)
@@ -221,7 +222,7 @@
 		b.agents.Says(from, milliseconds(m.Announcement.IntervalMs))
 	}
 	if b.agents.Heard(now, from) {
-		b.log.Warn().Str("op", "agent-regained").Stringer("peer", from).Str("service", m.Service).Msg("an agent was heard of")
+		b.regainedAgents = append(b.regainedAgents, from)
 	}
 	b.core.FromAgent(now, from, m)
 	if m.Kind == dsrpb.Kind_KIND_ANNOUNCE {
--- a/pkg/dsrd/gossip.go
+++ b/pkg/dsrd/gossip.go
@@ -15,8 +15,11 @@
 	// twice over.
 	maxRoster = 160
 	// fanOut is the number of balancers that are told of a check or a change at once. Of 490 balancers all but one in 400 have heard
-	// of a change when each tells six; the rest learns it with the next regular message, of which each gets 40 a second.
+	// of a change when each tells six; the rest learns it with the next regular message, of which each gets 25 a second.
 	fanOut = 6
+	// namedPeers is the number of balancers that a regular message names, others each time. A process that has missed one when all started
+	// together hears of it within a second among 59, within a minute among 490.
+	namedPeers = 2
 	// askedPeers is the number of balancers that a starting one asks for the agents in one round; each names all.
 	askedPeers = 3
 	// hopTime is what a message between balancers may take. It is added to the age of a check with each one that hands it on;
@@ -48,8 +51,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.core.Awake(now)
-	b.logLost("agent-lost", b.agents.Lost(now))
-	b.logLost("balancer-lost", b.balancers.Lost(now))
+	agentLost.log(b.log, b.agents.Lost(now))
+	agentRegained.log(b.log, b.regainedAgents)
+	b.regainedAgents = b.regainedAgents[:0]
+	b.logBalancers(now)
 	b.forget(now)
 	b.tell(now, b.balancers.Due(now), b.gossipMessage(version, age, checked))
 }
@@ -60,11 +65,12 @@
 		return
 	}
 	balancers := encodeAddresses(firstOf(b.balancers.Living(now), maxRoster))
+	some := encodeAddresses(b.balancers.Sample(now, namedPeers))
 	asked := 0
 	for _, a := range to {
-		m.Roster.Balancers = nil
-		// A peer that was heard of lately knows the others; naming them would make the bytes grow with the square of their
+		// A peer that was heard of lately knows most others; naming them all would make the bytes grow with the square of their
 		// number.
+		m.Roster.Balancers = some
 		if !b.balancers.Alive(now, a) {
 			m.Roster.Balancers = balancers
 		}
@@ -117,7 +123,7 @@
 		return
 	}
 	if b.balancers.Heard(now, from) {
-		b.log.Warn().Str("op", "balancer-regained").Stringer("peer", from).Uint64("configuration", m.Configuration).Msg("a balancer was heard of")
+		b.noteRegained(from)
 	}
 	b.balancers.Says(from, milliseconds(r.IntervalMs))
 	if r.ReadsPerSecond > 0 {
@@ -176,8 +182,8 @@
 	b.welcomed[from] = now
 	m := b.welcomeMessage(now, service)
 	if a.Joined {
-		// An agent that has heard of this balancer lately knows the others.
-		m.Roster.Balancers = nil
+		// An agent that has heard of this balancer lately knows most others.
+		m.Roster.Balancers = encodeAddresses(b.balancers.Sample(now, namedPeers))
 	}
 	if a.State != dsrpb.State_STATE_ABSENT {
 		m.Roster.HealthPath = ""
--- a/pkg/dsrd/keeper.go
+++ b/pkg/dsrd/keeper.go
@@ -31,7 +31,7 @@
 	// maxStagger bounds the sum of the additions.
 	maxStagger = 900 * time.Millisecond
 	// spreadTime is how long the word of a check takes to all balancers where it is handed on from one to the next.
-	spreadTime = 300 * time.Millisecond
+	spreadTime = 500 * time.Millisecond
 	// readTimeout bounds the reading of a whole configuration; one of 300 kB takes a link of 10 Mbit/s 0.25 s.
 	readTimeout = time.Second
 	// readInterval is the time between two whole readings while objects of other kinds change. A watch that has missed a change
--- a/pkg/dsrd/members.go
+++ b/pkg/dsrd/members.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // MemberKind is the kind of the objects by which balancers are found, one for each, named like the process.
@@ -116,10 +117,8 @@
 			failing = true
 			log.Warn().Err(err).Str("op", op).Msg("the object API fails")
 		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(backoff.Next()):
+		if err := wait.For(ctx, backoff.Next()); err != nil {
+			return err
 		}
 	}
 }
--- a/pkg/dsrd/node.go
+++ b/pkg/dsrd/node.go
@@ -43,8 +43,10 @@
 	// mu guards everything below and the decisions of the daemon.
 	mu        sync.Mutex
 	balancers roster.Peers
-	stopping  bool
-	buffer    []byte
+	// regained are the balancers that were heard of again since the last look.
+	regained []netip.AddrPort
+	stopping bool
+	buffer   []byte
 }
 
 func newNode(cfg settings.DSRProcess, p Platform, env telemetry.Env) (*node, error) {
@@ -102,11 +104,14 @@
 	return added
 }
 
-// logLost logs the peers that have fallen silent.
-func (n *node) logLost(op string, lost []netip.AddrPort) {
-	for _, a := range lost {
-		n.log.Warn().Str("op", op).Stringer("peer", a).Msg("nothing was heard of a process")
-	}
+// noteRegained keeps a balancer that was heard of again for the log. n.mu is held.
+func (n *node) noteRegained(a netip.AddrPort) { n.regained = append(n.regained, a) }
+
+// logBalancers logs which balancers were lost and regained since the last call. n.mu is held.
+func (n *node) logBalancers(now time.Time) {
+	balancerLost.log(n.log, n.balancers.Lost(now))
+	balancerRegained.log(n.log, n.regained)
+	n.regained = n.regained[:0]
 }
 
 // send encodes a message and sends it to another daemon. n.mu is held.
--- a/pkg/objectapi/backoff.go
+++ b/pkg/objectapi/backoff.go
@@ -1,7 +1,6 @@
 package objectapi
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
 )
@@ -48,18 +47,3 @@
 		b.Rand = rand.Float64
 	}
 }
-
-// pause waits for d or the end of the context.
-func pause(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/pkg/objectapi/budget.go
+++ b/pkg/objectapi/budget.go
@@ -9,6 +9,8 @@
 
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/time/rate"
+
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // Default settings of a Budgeted store.
@@ -164,7 +166,7 @@
 		if !b.mayRetry(err, n) {
 			return err
 		}
-		if pause(ctx, backoff.Next()) != nil {
+		if wait.For(ctx, backoff.Next()) != nil {
 			return err
 		}
 	}
@@ -198,7 +200,7 @@
 		return errBudget
 	}
 	b.counts.waited()
-	if err := pause(ctx, d); err != nil {
+	if err := wait.For(ctx, d); err != nil {
 		r.Cancel()
 		return errors.Join(errClosed, err)
 	}
--- a/pkg/objectapi/informer.go
+++ b/pkg/objectapi/informer.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // DefaultMinInterval is the least time between two watch calls of an Informer. It bounds the reads of a busy kind,
@@ -87,7 +89,7 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if err := pause(ctx, i.after(err)); err != nil {
+		if err := wait.For(ctx, i.after(err)); err != nil {
 			return err
 		}
 	}
--- a/pkg/objectapi/resolve.go
+++ b/pkg/objectapi/resolve.go
@@ -5,6 +5,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // Settings of the resolved writes.
@@ -73,7 +75,7 @@
 			return o, err
 		}
 		last = err
-		if pause(ctx, backoff.Next()) != nil {
+		if wait.For(ctx, backoff.Next()) != nil {
 			break
 		}
 	}
--- a/pkg/peer/control_watch.go
+++ b/pkg/peer/control_watch.go
@@ -13,6 +13,7 @@
 	"github.com/auburnwood/auburnwood/pkg/membership"
 	"github.com/auburnwood/auburnwood/pkg/peer/peerpb"
 	"github.com/auburnwood/auburnwood/pkg/resource"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // WatchService implements peerpb.ControlServer.
@@ -41,7 +42,7 @@
 		case <-changes:
 		case <-revisions:
 		}
-		sleep(s.Context(), watchGatherTime)
+		_ = wait.For(s.Context(), watchGatherTime)
 	}
 }
 
--- a/pkg/peer/heartbeater.go
+++ b/pkg/peer/heartbeater.go
@@ -11,6 +11,7 @@
 
 	"github.com/auburnwood/auburnwood/pkg/membership"
 	"github.com/auburnwood/auburnwood/pkg/peer/peerpb"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // heartbeater keeps one heartbeat stream to each watcher of this process.
@@ -116,7 +117,7 @@
 		if h.failed != nil {
 			h.failed()
 		}
-		sleep(stop, jitter(pause))
+		_ = wait.For(stop, jitter(pause))
 		pause = min(pause*2, streamRetryMax)
 	}
 }
@@ -213,15 +214,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func waitFor(c <-chan error, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -16,6 +16,7 @@
 	"github.com/auburnwood/auburnwood/pkg/membership"
 	"github.com/auburnwood/auburnwood/pkg/peer/peerpb"
 	"github.com/auburnwood/auburnwood/pkg/resource"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // Node is the control side of a balancer: it serves agents and exchanges members and revisions with other balancers.
@@ -221,7 +222,7 @@
 			return nil
 		case <-changes:
 		}
-		sleep(ctx, gatherTime)
+		_ = wait.For(ctx, gatherTime)
 	}
 }
 
--- a/pkg/peer/node_exchange.go
+++ b/pkg/peer/node_exchange.go
@@ -11,13 +11,14 @@
 
 	"github.com/auburnwood/auburnwood/pkg/membership"
 	"github.com/auburnwood/auburnwood/pkg/peer/peerpb"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // exchangeLoop compares tables with a few neighbours in each interval; less often while the byte budget is overdrawn.
 func (n *Node) exchangeLoop(ctx context.Context) error {
 	n.joinPeers(ctx)
 	for {
-		sleep(ctx, n.jitter(n.stretched(n.cfg.ExchangeInterval)))
+		_ = wait.For(ctx, n.jitter(n.stretched(n.cfg.ExchangeInterval)))
 		if ctx.Err() != nil {
 			return nil
 		}
--- a/pkg/peer/node_push.go
+++ b/pkg/peer/node_push.go
@@ -6,6 +6,7 @@
 
 	"github.com/auburnwood/auburnwood/pkg/membership"
 	"github.com/auburnwood/auburnwood/pkg/peer/peerpb"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // pushLoop passes changes of the table and new revisions on to a few neighbours. A change is passed on once by each
@@ -23,7 +24,7 @@
 		case <-changes:
 		case <-revisions:
 		}
-		sleep(ctx, n.stretched(gatherTime))
+		_ = wait.For(ctx, n.stretched(gatherTime))
 		n.push(ctx)
 	}
 }
@@ -60,7 +61,7 @@
 			return nil
 		case <-n.acks.Changed():
 		}
-		sleep(ctx, n.stretched(ackGatherTime))
+		_ = wait.For(ctx, n.stretched(ackGatherTime))
 		acks, version := n.acks.ChangedSince(pushed)
 		pushed = version
 		if len(acks) == 0 {
--- a/pkg/peer/session.go
+++ b/pkg/peer/session.go
@@ -13,6 +13,7 @@
 
 	"github.com/auburnwood/auburnwood/pkg/membership"
 	"github.com/auburnwood/auburnwood/pkg/peer/peerpb"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // Numbers of a session.
@@ -139,9 +140,9 @@
 
 // joinLoop makes the agent active once it has been joining for the set time, a balancer has its record and it is ready.
 func (s *Session) joinLoop(ctx context.Context) error {
-	sleep(ctx, s.cfg.JoinTime)
+	_ = wait.For(ctx, s.cfg.JoinTime)
 	for ctx.Err() == nil && !s.mayServe() {
-		sleep(ctx, streamRetry)
+		_ = wait.For(ctx, streamRetry)
 	}
 	if ctx.Err() != nil {
 		return nil
@@ -169,7 +170,7 @@
 	for ctx.Err() == nil {
 		if s.announceAll(ctx) == 0 {
 			s.cfg.Log.Warn().Str("op", "announce").Str("reason", "no balancer answered").Send()
-			sleep(ctx, jitter(pause))
+			_ = wait.For(ctx, jitter(pause))
 			pause = min(pause*2, streamRetryMax)
 			continue
 		}
--- a/pkg/peer/session_watch.go
+++ b/pkg/peer/session_watch.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/auburnwood/auburnwood/pkg/peer/peerpb"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // watchLoop keeps the streams of views on two balancers. A stream that fails is replaced by one to another balancer.
@@ -78,7 +79,7 @@
 	}
 	s.cfg.Log.Info().Err(err).Str("op", "watch service").Str("peer", addr).Msg("stream ended")
 	s.notify()
-	sleep(ctx, streamRetryMax)
+	_ = wait.For(ctx, streamRetryMax)
 	s.notify()
 }
 
--- a/pkg/peer/watch_views.go
+++ b/pkg/peer/watch_views.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/auburnwood/auburnwood/pkg/view"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // WatchViews builds a view whenever the members or the revision have changed and hands it to onView, until
@@ -26,6 +27,6 @@
 		case <-changes:
 		case <-revisions:
 		}
-		sleep(ctx, pace.wait(n.cfg.Now()))
+		_ = wait.For(ctx, pace.wait(n.cfg.Now()))
 	}
 }
--- a/pkg/refusal/log_mirror.go
+++ b/pkg/refusal/log_mirror.go
@@ -7,6 +7,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // Waits after a failed call of the mirror.
@@ -40,7 +41,7 @@
 			backoff.Reset()
 			continue
 		}
-		if err := pause(ctx, backoff.Next()); err != nil {
+		if err := wait.For(ctx, backoff.Next()); err != nil {
 			return err
 		}
 	}
@@ -153,15 +154,3 @@
 	close(l.moved)
 	l.moved = make(chan struct{})
 }
-
-// pause waits for d or the end of the context.
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/pkg/refusal/log_write.go
+++ b/pkg/refusal/log_write.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
+	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
 // tick is how often a log looks whether an object is due.
@@ -16,7 +17,7 @@
 // tickLoop writes objects at the pace that the store and the number of records allow, or forgets what was handed over.
 func (l *Log) tickLoop(ctx context.Context) error {
 	for {
-		if err := pause(ctx, tick); err != nil {
+		if err := wait.For(ctx, tick); err != nil {
 			return err
 		}
 		if l.cfg.Store == nil {
@@ -55,7 +56,7 @@
 			backoff.Reset()
 			continue
 		}
-		if pause(ctx, backoff.Next()) != nil {
+		if wait.For(ctx, backoff.Next()) != nil {
 			return err
 		}
 	}
