Work out the bound of a loss of power by a command

auburnwood-lab bound takes the figures of a deployment (callers' timings, starts, slots, slow-down) and prints what a system that knew every request could serve, and what the decisions reach.

--- a/internal/lab/command/main.go
+++ b/internal/lab/command/main.go
@@ -46,6 +46,7 @@
 		{"requests", "Run checked requests through overload and failures", "Sends requests with tickets, claims and neither, makes the faults, and compares what ran with what the callers were told.", &requestsCommand{}},
 		{"capacity", "Measure what each part costs by its size", "Measures costs at several sizes, fits lines to them and writes the tables of docs/CAPACITY.md.", &capacityCommand{}},
 		{"policy", "Compare decisions with and without single mechanisms", "Plays the decision packages of pass-through services in virtual time under loads and losses, all mechanisms against each one switched off, and prints what callers got.", &policyCommand{}},
+		{"bound", "Work out what any system could serve around a loss of power", "Works out what a system that knew every request could serve when power is lost for a time, and plays the decisions of pass-through services beside it.", &boundCommand{}},
 		{"run", "Make the runs of an experiment file", "Reads runs and their options from a TOML file, makes them one after another and prints a table or JSON.", &runCommand{}},
 		{"rollout", "Compare the gates of rollouts", "Lets each gate judge the same seeded rollouts of harmless and harmful versions, and prints its false promotions, false rollbacks and times.", &rolloutCommand{}},
 		{"soak", "Run the real programs under random faults", "Starts the daemons of pass-through services as processes, makes faults by signals and by proxies before the object API, and checks what callers and targets see.", &soakCommand{}},
--- a/internal/lab/policy/options.go
+++ b/internal/lab/policy/options.go
@@ -76,8 +76,8 @@
 	AgentDies FaultKind = "agent-dies"
 )
 
-// defaults are a small deployment at two thirds of its load.
-func defaults() Options {
+// Defaults are a small deployment at two thirds of its load.
+func Defaults() Options {
 	return Options{
 		Length: 8 * time.Second, Balancers: 5, Targets: 12, Slots: 2, Queue: 8,
 		Work: 25 * time.Millisecond, Spread: 0.5, Load: 0.68, Aim: 120 * time.Millisecond, Budget: 1200 * time.Millisecond, Tries: 3,
--- a/internal/lab/policy/policy_test.go
+++ b/internal/lab/policy/policy_test.go
@@ -170,7 +170,7 @@
 		"loses all":     func(o *Options) { o.Loss = 1 },
 		"negative load": func(o *Options) { o.Load = -1 },
 	} {
-		o := defaults()
+		o := Defaults()
 		change(&o)
 		_, err := Run(o)
 		require.Error(t, err, name)
--- a/internal/lab/policy/result.go
+++ b/internal/lab/policy/result.go
@@ -18,6 +18,11 @@
 	Asked, InTime, Late, Lost int
 }
 
+// Plus adds counts.
+func (c Counts) Plus(o Counts) Counts {
+	return Counts{Asked: c.Asked + o.Asked, InTime: c.InTime + o.InTime, Late: c.Late + o.Late, Lost: c.Lost + o.Lost}
+}
+
 // Worth is the mean worth of a request.
 func (c Counts) Worth() float64 {
 	if c.Asked == 0 {
--- a/internal/lab/policy/scenario.go
+++ b/internal/lab/policy/scenario.go
@@ -24,7 +24,7 @@
 // scenario is the default deployment with a change.
 func scenario(name string, least float64, change func(*Options)) Scenario {
 	return Scenario{Name: name, Least: least, options: func() Options {
-		o := defaults()
+		o := Defaults()
 		change(&o)
 		return o
 	}}
