Tell only balancers that are new; say in every message when the next one comes

An agent that learnt of one more balancer told all of them: at the start of 59 balancers 59 messages for each that it met. A balancer that named its agents to another one did not say when it speaks next, and was taken for gone after a second. Both have a test that fails without the change; so have the maps of processes, and that a starting balancer hears of more agents than a message can name.

--- a/pkg/dsrd/agent.go
+++ b/pkg/dsrd/agent.go
@@ -247,7 +247,9 @@
 	a.balancers.Wants(from, milliseconds(r.IntervalMs))
 	a.balancers.Says(from, answeredAnnouncements*a.balancers.IntervalTo(from))
 	if a.know(now, decodeAddresses(r.Balancers)) {
-		a.announceLocked(now)
+		// Those that the agent knew already hear of it when their turn comes. Telling all of them cost 59 messages for each of 59
+		// balancers that an agent met at its start.
+		a.announceDue(now)
 	}
 	if r.HealthPath == "" || a.probing || !a.mayProbe(now) {
 		return
--- a/pkg/dsrd/gossip.go
+++ b/pkg/dsrd/gossip.go
@@ -162,7 +162,11 @@
 		b.send(to, &dsrpb.Message{
 			Kind:          dsrpb.Kind_KIND_GOSSIP,
 			Configuration: b.core.Routes().Version(),
-			Roster:        &dsrpb.Roster{Agents: encodeAddresses(agents), Balancers: balancers},
+			Roster: &dsrpb.Roster{
+				Agents:     encodeAddresses(agents),
+				Balancers:  balancers,
+				IntervalMs: uint32(b.balancers.IntervalTo(to) / time.Millisecond),
+			},
 		})
 	}
 }
@@ -173,6 +177,8 @@
 		if !b.agents.Alive(now, a) {
 			m := b.welcomeMessage(now, "")
 			m.Roster.Ask = true
+			// Agents that others know have met them.
+			m.Roster.Balancers = encodeAddresses(b.balancers.Sample(now, namedPeers))
 			b.send(a, m)
 		}
 	}
--- /dev/null
+++ b/pkg/dsrd/messages_test.go
@@ -0,0 +1,143 @@
+package dsrd
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/auburnwood/auburnwood/pkg/dsr/dispatch"
+	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/dsrtest"
+	"github.com/auburnwood/auburnwood/pkg/dsr/ownership"
+	"github.com/auburnwood/auburnwood/pkg/dsr/roster"
+	"github.com/auburnwood/auburnwood/pkg/telemetry"
+)
+
+var messagesEnv = telemetry.Env{Log: zerolog.Nop(), Scope: tally.NoopScope}
+
+// listener is another process, which keeps what it is sent until the test looks.
+type listener struct {
+	*testing.T
+	conn *net.UDPConn
+}
+
+func newListener(t *testing.T) *listener {
+	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return &listener{T: t, conn: c}
+}
+
+func (l *listener) address() netip.AddrPort { return l.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// received returns the messages that have come. On loopback a message is there when its sender's call has returned.
+func (l *listener) received() []*dsrpb.Message {
+	var out []*dsrpb.Message
+	b := make([]byte, maxDatagram)
+	for {
+		require.NoError(l, l.conn.SetReadDeadline(time.Now().Add(5*time.Millisecond)))
+		n, err := l.conn.Read(b)
+		if err != nil {
+			return out
+		}
+		m := new(dsrpb.Message)
+		require.NoError(l, m.UnmarshalVT(b[:n]))
+		out = append(out, m)
+	}
+}
+
+// testNode is what the daemons have in common, with a socket for messages only.
+func testNode(t *testing.T) *node {
+	s, err := listenUDP(netip.MustParseAddrPort("127.0.0.1:0"), messagesEnv)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = s.conn.Close() })
+	return &node{log: zerolog.Nop(), scope: tally.NoopScope, messages: s, self: s.address(), alarm: newAlarm(), buffer: make([]byte, maxDatagram), started: time.Now()}
+}
+
+func testBalancer(t *testing.T) *Balancer {
+	b := &Balancer{node: testNode(t), welcomed: make(map[netip.AddrPort]time.Time), readers: make(map[netip.AddrPort]uint32)}
+	b.out = newBalancerOutput(b)
+	b.core = dispatch.NewBalancer(dispatch.Config{}, dsrtest.Codec{}, b.out, b.started)
+	b.keeper = newKeeper(Platform{}, zerolog.Nop())
+	return b
+}
+
+// strangers are the addresses of processes that do not run.
+func strangers(n int) []netip.AddrPort {
+	out := make([]netip.AddrPort, n)
+	for i := range out {
+		out[i] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i >> 8), byte(i)}), 9)
+	}
+	return out
+}
+
+func TestAnAgentTellsOnlyBalancersThatItDidNotKnow(t *testing.T) {
+	known, fresh := newListener(t), newListener(t)
+	a := &Agent{node: testNode(t)}
+	a.table = ownership.NewTable(ownership.Config{}, dsrtest.Codec{}, nil, a.started)
+	now := a.started
+	a.balancers.Heard(now, known.address())
+	a.announceDue(now)
+	require.Len(t, known.received(), 1)
+	a.welcomed(now, known.address(), &dsrpb.Roster{Balancers: encodeAddresses([]netip.AddrPort{known.address(), fresh.address()})})
+	require.Empty(t, known.received())
+	require.Len(t, fresh.received(), 1)
+}
+
+// A balancer that does not say when it speaks next is taken for gone after a second.
+func TestEveryMessageOfABalancerSaysWhenTheNextOneComes(t *testing.T) {
+	peer := newListener(t)
+	b := testBalancer(t)
+	now := b.started
+	b.balancers.Heard(now, peer.address())
+	for _, a := range strangers(58) {
+		b.balancers.Heard(now, a)
+	}
+	b.agents.Heard(now, strangers(1)[0])
+	interval := uint32(b.balancers.IntervalTo(peer.address()) / time.Millisecond)
+	require.Greater(t, interval, uint32(roster.LivelyInterval/time.Millisecond))
+	b.tellAgents(now, peer.address())
+	b.tell(now, []netip.AddrPort{peer.address()}, b.gossipMessage(1, 0, true))
+	sent := peer.received()
+	require.Len(t, sent, 2)
+	for _, m := range sent {
+		require.Equal(t, interval, m.Roster.IntervalMs)
+	}
+}
+
+func TestAStartingBalancerHearsOfEveryAgent(t *testing.T) {
+	peer := newListener(t)
+	b := testBalancer(t)
+	agents := strangers(400)
+	for _, a := range agents {
+		b.agents.Heard(b.started, a)
+	}
+	b.tellAgents(b.started, peer.address())
+	var named []netip.AddrPort
+	for _, m := range peer.received() {
+		named = append(named, decodeAddresses(m.Roster.Agents)...)
+	}
+	require.ElementsMatch(t, agents, named)
+}
+
+func TestWhatIsKeptOfProcessesIsForgottenWithThem(t *testing.T) {
+	b := testBalancer(t)
+	now := b.started
+	for _, a := range strangers(100) {
+		b.agents.Heard(now, a)
+		b.welcomed[a] = now
+		b.balancers.Heard(now, a)
+		b.readers[a] = 1
+	}
+	later := now.Add(roster.ForgetAfter + time.Second)
+	b.balancers.Due(later)
+	b.forget(later)
+	require.Empty(t, b.welcomed)
+	require.Empty(t, b.readers)
+	require.Zero(t, b.agents.Len())
+}
