--- a/pkg/dsr/dispatch/balancer.go
+++ b/pkg/dsr/dispatch/balancer.go
@@ -37,10 +37,11 @@
 	// lastHeard is when any agent was last heard of.
 	lastHeard time.Time
 	flows     map[flow.Key]*flowState
-	// hedges, locates, probes and parks are queues by time: entries of one wait the same, or nearly so.
+	// hedges, locates, probes, later and parks are queues by time: entries of one wait the same, or nearly so.
 	hedges  []due
 	locates []due
 	probes  []due
+	later   []due
 	parks   []due
 	swept   time.Time
 	// searchMessages is the number of messages that searches may send now, searchedAt when it was worked out.
--- a/pkg/dsr/dispatch/flow_state.go
+++ b/pkg/dsr/dispatch/flow_state.go
@@ -87,6 +87,8 @@
 	missed time.Time
 	probes int
 	probed time.Time
+	// waited is set once the held packets were kept for a second search.
+	waited bool
 	// handed are the agents that were handed a packet on suspicion.
 	handed []netip.AddrPort
 }
--- a/pkg/dsr/dispatch/searching.go
+++ b/pkg/dsr/dispatch/searching.go
@@ -30,6 +30,12 @@
 		return
 	}
 	f.hold(s.Raw)
+	f.waited = false
+	b.searchHeld(now, f)
+}
+
+// searchHeld asks for the owner of the packets that are held.
+func (b *Balancer) searchHeld(now time.Time, f *flowState) {
 	f.phase, f.unknown, f.unanswered, f.wide = locating, nil, nil, false
 	f.unasked, f.step = b.likelyOwners(f), SearchFirst
 	b.askMore(now, f)
@@ -141,7 +147,7 @@
 		f.missed = now
 	}
 	if b.missing(now, f) || now.Sub(b.started) < SettleTime || now.Sub(f.missed) < SettleTime {
-		b.lose(now, f)
+		b.searchLater(now, f)
 		return
 	}
 	f.unknown = slices.DeleteFunc(f.unknown, func(a netip.AddrPort) bool { return !b.serves(a, f.key.Destination) })
@@ -149,6 +155,27 @@
 	b.probeNext(now, f)
 }
 
+// searchLater searches once more when every agent must be known. Packets of a flow that nobody answers come 1.6 s apart and by any balancer:
+// when each was dropped at once, the flow of a living target stayed silent for 15 s while balancers were restarted every few seconds.
+func (b *Balancer) searchLater(now time.Time, f *flowState) {
+	if f.waited {
+		b.lose(now, f)
+		return
+	}
+	held := f.held
+	b.lose(now, f)
+	f.held, f.waited = held, true
+	b.later = append(b.later, due{flow: f, at: now.Add(SettleTime), begun: now})
+}
+
+// searchAgain searches for the owner of packets that were kept.
+func (b *Balancer) searchAgain(now time.Time, d due) {
+	f := d.flow
+	if f.phase == lost && len(f.held) > 0 && d.begun.Equal(f.since) && b.maySearch(now) {
+		b.searchHeld(now, f)
+	}
+}
+
 // sortCandidates orders the agents that cannot tell whether they hold the flow by how likely they do. Those come last that were handed
 // a packet of it before. One that started after the others has seen the least of its target's flows. Of those that started together, the
 // one comes first that a new flow would be offered to when all are equally busy.
--- a/pkg/dsr/dispatch/searching_test.go
+++ b/pkg/dsr/dispatch/searching_test.go
@@ -225,3 +225,23 @@
 	}
 	require.Equal(t, flows, found)
 }
+
+// A caller that nobody answers repeats its packet every 1.6 s, and each may come by another balancer.
+func TestAPacketThatNobodyClaimsIsSearchedForOnceMore(t *testing.T) {
+	f := newFixture(t)
+	f.ready(1, "dc-1", 0)
+	f.data(1, 1001, "tail")
+	f.take()
+	f.located(1, 1, dsrpb.Verdict_VERDICT_UNKNOWN)
+	require.Empty(t, f.take(), "other agents may not be known yet")
+	f.pass(SettleTime)
+	require.Equal(t, dsrpb.Kind_KIND_LOCATE, f.asked().kind)
+	f.located(1, 1, dsrpb.Verdict_VERDICT_UNKNOWN)
+	handed := f.asked()
+	require.Equal(t, dsrpb.Kind_KIND_FORWARD, handed.kind)
+	require.Equal(t, "tail", handed.packet)
+	for range 5 {
+		f.pass(SettleTime)
+	}
+	require.Empty(t, f.take(), "once")
+}
--- a/pkg/dsr/dispatch/tick.go
+++ b/pkg/dsr/dispatch/tick.go
@@ -5,7 +5,7 @@
 // Deadline is when Tick has to be called next.
 func (b *Balancer) Deadline() time.Time {
 	next := b.swept.Add(sweepInterval)
-	for _, queue := range [][]due{b.hedges, b.locates, b.probes, b.parks} {
+	for _, queue := range [][]due{b.hedges, b.locates, b.probes, b.later, b.parks} {
 		if len(queue) > 0 && queue[0].at.Before(next) {
 			next = queue[0].at
 		}
@@ -24,6 +24,11 @@
 	for _, d := range take(&b.probes, now) {
 		b.probeOverdue(now, d)
 	}
+	for _, d := range take(&b.later, now) {
+		if b.flows[d.flow.key] == d.flow {
+			b.searchAgain(now, d)
+		}
+	}
 	for _, d := range take(&b.parks, now) {
 		if b.flows[d.flow.key] == d.flow {
 			b.unpark(now, d.flow)
