--- a/pkg/dsr/dispatch/searching.go
+++ b/pkg/dsr/dispatch/searching.go
@@ -49,8 +49,11 @@
 		return nil
 	}
 	var agents []*agent
-	for _, share := range route.Shares {
-		agents = append(agents, b.services[share.Service]...)
+	for i, share := range route.Shares {
+		named := slices.ContainsFunc(route.Shares[:i], func(s configuration.Share) bool { return s.Service == share.Service })
+		if !named {
+			agents = append(agents, b.services[share.Service]...)
+		}
 	}
 	slices.SortFunc(agents, func(x, y *agent) int {
 		return cmp.Or(
--- a/pkg/dsr/dispatch/searching_test.go
+++ b/pkg/dsr/dispatch/searching_test.go
@@ -245,3 +245,14 @@
 	}
 	require.Empty(t, f.take(), "once")
 }
+
+func TestARouteThatNamesAServiceTwiceAsksItsAgentsOnce(t *testing.T) {
+	f := newFixture(t)
+	twice := route(service, "route-svc")
+	twice.Shares = append(twice.Shares, twice.Shares...)
+	f.b.SetRoutes(f.now, table(6, twice))
+	f.ready(1, "dc-1", 0)
+	f.ready(2, "dc-1", 0)
+	f.data(1, 1001, "tail")
+	require.ElementsMatch(t, []netip.AddrPort{agentAt(1), agentAt(2)}, targets(f.take()))
+}
