--- a/pkg/dsr/roster/config.go
+++ b/pkg/dsr/roster/config.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Times of the messages to a peer, and how many of them a process sends and hears. The numbers keep a process within 12 kB and 1%
-// of a core a second whatever the size of the deployment: a message with UDP and IP is about 80 bytes and takes 20 us.
+// of a core a second whatever the size of the deployment: a message with UDP and IP is about 85 bytes and takes 20 us.
 const (
 	// LivelyInterval is the least time between two messages to a peer that is heard of.
 	LivelyInterval = 250 * time.Millisecond
@@ -23,8 +23,8 @@
 	// SentMessages is the number of messages a second to peers that are heard of, all together, HeardMessages the number that a
 	// process asks its peers for. Load and liveness are also told with every answer, so that a report may be as old as the
 	// number of peers makes it.
-	SentMessages  = 25
-	HeardMessages = 60
+	SentMessages  = 20
+	HeardMessages = 45
 	// EagerMessages and QuietMessages are the numbers a second to peers that are spoken to eagerly, and to silent ones.
 	EagerMessages = 1000
 	QuietMessages = 100
--- a/pkg/dsrd/gossip.go
+++ b/pkg/dsrd/gossip.go
@@ -15,7 +15,7 @@
 	// twice over.
 	maxRoster = 160
 	// fanOut is the number of balancers that are told of a check or a change at once. Of 490 balancers all but one in 400 have heard
-	// of a change when each tells six; the rest learns it with the next regular message, of which each gets 25 a second.
+	// of a change when each tells six; the rest learns it with the next regular message, of which each gets 20 a second.
 	fanOut = 6
 	// introducedPeers is the number of balancers that a message to a process names which may know nobody. Such a process reads all from the
 	// object API; while that is down, three seeds that name 16 each lead to all others in a few messages. With all 96 balancers of a deployment
--- a/pkg/dsrd/messages_test.go
+++ b/pkg/dsrd/messages_test.go
@@ -141,3 +141,35 @@
 	require.Empty(t, b.readers)
 	require.Zero(t, b.agents.Len())
 }
+
+// udpHeader is the size of the headers of UDP and IPv4, in bytes.
+const udpHeader = 28
+
+// The users' bound for the control traffic of a daemon is 12 kB a second, at 490 balancers and 3,300 agents.
+func TestControlTrafficOfABalancerIsBounded(t *testing.T) {
+	b := testBalancer(t)
+	now := b.started
+	for _, a := range strangers(490) {
+		b.balancers.Heard(now, a)
+	}
+	for _, a := range strangers(3300) {
+		b.agents.Heard(now, a)
+	}
+	size := func(m *dsrpb.Message) float64 { return float64(m.SizeVT() + udpHeader) }
+	table := ownership.NewTable(ownership.Config{Service: "manifest-post-service", DataCentre: "ain-ghazal-hall", Incarnation: 1 << 60}, dsrtest.Codec{}, nil, now)
+	announced := table.Announcement(now, true, roster.MaxInterval)
+	announced.Configuration, announced.Busy, announced.WorkUs = 1<<30, 20, 250_000
+	welcome := b.welcomeMessage(now, "")
+	welcome.Configuration = 1 << 30
+	welcome.Roster.Balancers = encodeAddresses(b.balancers.Sample(now, namedPeers))
+	gossip := b.gossipMessage(1<<30, time.Second, true)
+	gossip.Roster.IntervalMs = uint32(roster.MaxInterval / time.Millisecond)
+	gossip.Roster.Balancers = welcome.Roster.Balancers
+	// Messages come up to a quarter of the interval early, an eighth on average.
+	const early = 1 - 0.25/2
+	heard := roster.HeardMessages / early
+	sent := roster.SentMessages / early
+	perSecond := heard*size(announced) + heard/answeredAnnouncements*size(welcome) + 2*sent*size(gossip)
+	require.LessOrEqual(t, perSecond, 12_000.0)
+	t.Logf("%.0f bytes a second: announcements of %.0f bytes, answers of %.0f, gossip of %.0f", perSecond, size(announced), size(welcome), size(gossip))
+}
