--- a/pkg/dsrd/agent.go
+++ b/pkg/dsrd/agent.go
@@ -33,8 +33,8 @@
 	// with its agent is up within a tenth of a second, and one that is not is asked a few dozen times, whatever the number of balancers.
 	probePause    = 20 * time.Millisecond
 	probeSlowdown = 10
-	// cutOffAfter is how long an agent may hear of no balancer at all until it takes itself for one that was cut off: balancers
-	// answer every second announcement, 20 a second in a large deployment and eight in one with a single balancer.
+	// cutOffAfter is how long an agent may hear of no balancer at all until it takes itself for one that was cut off: 59 balancers answer
+	// ten times a second, a single one every 0.75 s. A false alarm costs an announcement to each balancer.
 	cutOffAfter = time.Second
 )
 
--- a/pkg/dsrd/keeper_test.go
+++ b/pkg/dsrd/keeper_test.go
@@ -288,6 +288,25 @@
 	})
 }
 
+// The others hear late that the first balancer is gone; meanwhile one of them watches without a gap.
+func TestABalancerThatHasSteppedInGoesOnUntilTheFirstOneChecks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newKeeperFixture()
+		f.ahead = 1
+		f.during(t, 50*time.Millisecond)
+		f.during(t, 2*time.Second)
+		f.store.calls()
+		f.during(t, 6*time.Second)
+		_, watches := f.store.calls()
+		require.GreaterOrEqual(t, watches, 8, "one each 0.6 to 0.7 s")
+		f.setWatching(false)
+		f.vouched(5, time.Now())
+		f.during(t, 900*time.Millisecond)
+		reads, watches := f.store.calls()
+		require.Zero(t, reads+watches, "the first one checks again")
+	})
+}
+
 // A balancer that hears of a newer version leaves the object API to others while one of them may hand it over.
 func TestANewerVersionIsFetchedBeforeItIsRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
