--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -29,7 +29,9 @@
 //	   at two of six targets each 4 s, in the order of their starts.
 //	342: a balancer that had been paused found opening packets in its socket, took them for new and reset the flows, which
 //	   their copies had opened by way of other balancers.
-var regressionSeeds = []uint64{1, 342}
+//	509: flows of living targets got no answer for 15 s while balancers and agents restarted again and again: packets that nobody claimed
+//	   at once were dropped, and those agents came first that had forgotten that they do not hold the flow.
+var regressionSeeds = []uint64{1, 342, 509}
 
 func TestPromisesHoldUnderRandomFaults(t *testing.T) {
 	if testing.Short() {
