Evacuate data centres, bound what cold targets get, keep flows in allowed regions

Change: the balancer that watches the configuration for all watches the evacuations too; a set with the store's version goes on by the messages between balancers and by the answers to agents' announcements, and a set never gives way to an earlier one. Balancers do not offer there, agents there take nothing and give back what waits. A balancer takes its first configuration into force only when it knows the evacuations. Agents count the new flows of the last second and hand a cold target no more than its service declares; what waits counts on that. Balancers know the room of cold targets. Flows, and packets handed on suspicion, stay in the regions of route and service. Ruled out: a version of each evacuation instead of the set, since a withdrawn one leaves nothing to compare with.

--- a/pkg/dsr/admission/queue.go
+++ b/pkg/dsr/admission/queue.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/policy"
+	"github.com/auburnwood/auburnwood/pkg/dsr/warmup"
 	"github.com/auburnwood/auburnwood/pkg/flow"
 )
 
@@ -96,6 +97,8 @@
 	// Trips is the time that packets spend between the caller and the target from the answer to the opening packet to the answer
 	// to the request; 0 means StartTrips.
 	Trips time.Duration
+	// Cold is what the target takes while it warms up.
+	Cold warmup.Limit
 
 	waiting []Opening
 }
@@ -121,7 +124,7 @@
 			ahead++
 		}
 	}
-	return work * time.Duration(ahead) / time.Duration(max(1, slots))
+	return q.Cold.Wait(now, ahead, work/time.Duration(max(1, slots)))
 }
 
 // Next removes and returns the flow that is handed over next.
--- a/pkg/dsr/configuration/configuration.go
+++ b/pkg/dsr/configuration/configuration.go
@@ -23,6 +23,8 @@
 	Aim time.Duration
 	// Timeout is the time after which callers give a request up; 0 when none is named.
 	Timeout time.Duration
+	// Regions are those that its flows may reach; empty means all.
+	Regions []string
 }
 
 // Service is what operators declare of a service.
@@ -30,6 +32,12 @@
 	Name string
 	// HealthPath is the path of the health check of its targets; empty when there is none.
 	HealthPath string
+	// WarmUp is how long a target is cold after its start, ColdPerSecond the number of new flows that it takes in any second until
+	// then; 0 for no limit.
+	WarmUp        time.Duration
+	ColdPerSecond float64
+	// Regions are those that flows of the service may reach; empty means all.
+	Regions []string
 }
 
 // Configuration is one whole configuration of a deployment's routes.
--- a/pkg/dsr/dispatch/agent.go
+++ b/pkg/dsr/dispatch/agent.go
@@ -6,12 +6,14 @@
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/warmup"
 )
 
 // agent is what the balancer believes of one agent and its target.
 type agent struct {
 	addr        netip.AddrPort
 	dataCentre  string
+	region      string
 	service     string
 	state       dsrpb.State
 	slots       int
@@ -27,6 +29,8 @@
 	asked    int
 	// work is how long its target lately took for a request; 0 when the agent does not know.
 	work time.Duration
+	// cold is what its target takes while it warms up.
+	cold warmup.Limit
 	// failing is set while the agent's target fails more than a healthy one, as the agent says.
 	failing bool
 	// suspect is set when the agent left a packet unanswered, until it is heard of again.
@@ -49,6 +53,7 @@
 func (a *agent) report(now time.Time, m *dsrpb.Message) {
 	a.busy, a.reported, a.asked = int(m.Busy), now, 0
 	a.work = time.Duration(m.WorkUs) * time.Microsecond
+	a.cold = coldOf(now, m.Cold)
 	a.heard, a.suspect = now, false
 }
 
@@ -62,10 +67,19 @@
 
 // finish estimates the time until the target has answered one more request.
 func (a *agent) finish(now time.Time, usual time.Duration) time.Duration {
-	return time.Duration(max(1, a.load(now)) * float64(cmp.Or(a.work, usual)))
+	work := cmp.Or(a.work, usual)
+	finish := time.Duration(max(1, a.load(now)) * float64(work))
+	if !a.cold.Holds(now) {
+		return finish
+	}
+	ahead := max(0, a.busy-a.slots) + a.asked
+	return max(finish, a.coldNow(now).Wait(now, ahead, 0)+work)
 }
 
-// free reports whether the target seems to have a free slot.
+// free reports whether the target seems to have a free slot, and room for a new flow while it is cold.
 func (a *agent) free(now time.Time) bool {
+	if a.cold.Holds(now) && a.coldNow(now).Room <= a.asked {
+		return false
+	}
 	return a.load(now) <= 1
 }
--- a/pkg/dsr/dispatch/agents.go
+++ b/pkg/dsr/dispatch/agents.go
@@ -42,6 +42,17 @@
 	return out
 }
 
+// AgentsOf returns the living agents of a data centre.
+func (b *Balancer) AgentsOf(now time.Time, dataCentre string) []AgentService {
+	var out []AgentService
+	for _, a := range b.order {
+		if a.alive(now) && a.dataCentre == dataCentre {
+			out = append(out, AgentService{Address: a.addr, Service: a.service})
+		}
+	}
+	return out
+}
+
 // report takes over what every message of an agent names.
 func (b *Balancer) report(now time.Time, a *agent, m *dsrpb.Message) {
 	b.lastHeard = now
@@ -86,7 +97,7 @@
 	}
 	before := a.state
 	// The message refers to the receive buffer.
-	a.dataCentre = strings.Clone(n.DataCentre)
+	a.dataCentre, a.region = strings.Clone(n.DataCentre), strings.Clone(n.Region)
 	b.join(a, strings.Clone(m.Service))
 	a.state, a.slots, a.incarnation, a.failing = n.State, int(n.Slots), n.Incarnation, n.Failing
 	a.interval = min(time.Duration(n.IntervalMs)*time.Millisecond, MaxAnnounceInterval)
--- a/pkg/dsr/dispatch/answers.go
+++ b/pkg/dsr/dispatch/answers.go
@@ -89,13 +89,18 @@
 	case dsrpb.Verdict_VERDICT_BUSY:
 	default:
 		f.failed = append(f.failed, from)
-		if a := b.agents[from]; a != nil && m.Verdict == dsrpb.Verdict_VERDICT_LEAVING {
+		if a := b.agents[from]; a != nil && takesNone(m.Verdict) {
 			a.state = dsrpb.State_STATE_LEAVING
 		}
 	}
 	b.offerNext(now, f)
 }
 
+// takesNone reports whether an agent that gives a verdict takes no other new flow either.
+func takesNone(v dsrpb.Verdict) bool {
+	return v == dsrpb.Verdict_VERDICT_LEAVING || v == dsrpb.Verdict_VERDICT_EVACUATED
+}
+
 // notHeld takes a packet back whose flow the agent's target does not hold.
 func (b *Balancer) notHeld(now time.Time, f *flowState, from netip.AddrPort, m *dsrpb.Message) {
 	f.dropOwner(from)
--- a/pkg/dsr/dispatch/balancer.go
+++ b/pkg/dsr/dispatch/balancer.go
@@ -7,6 +7,7 @@
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/dsr/estimate"
+	"github.com/auburnwood/auburnwood/pkg/dsr/evacuation"
 	"github.com/auburnwood/auburnwood/pkg/dsr/routing"
 	"github.com/auburnwood/auburnwood/pkg/dsr/segment"
 	"github.com/auburnwood/auburnwood/pkg/flow"
@@ -28,7 +29,9 @@
 	out     Output
 	started time.Time
 	routes  *routing.Table
-	agents  map[netip.AddrPort]*agent
+	// evacuations are the data centres whose targets take no new flows.
+	evacuations evacuation.Set
+	agents      map[netip.AddrPort]*agent
 	// order keeps the order in which agents came, so that every walk is the same; services has those of each service, in order too.
 	order    []*agent
 	services map[string][]*agent
@@ -92,6 +95,19 @@
 	return true
 }
 
+// SetEvacuations takes the evacuated data centres into force. An earlier set than that in force is left out.
+func (b *Balancer) SetEvacuations(now time.Time, s evacuation.Set) bool {
+	if !s.Replaces(b.evacuations) {
+		return false
+	}
+	b.evacuations = s
+	b.retryParked(now, false)
+	return true
+}
+
+// Evacuations are the evacuated data centres.
+func (b *Balancer) Evacuations() evacuation.Set { return b.evacuations }
+
 // Routes is the configuration in force, or nil.
 func (b *Balancer) Routes() *routing.Table { return b.routes }
 
--- a/pkg/dsr/dispatch/opening.go
+++ b/pkg/dsr/dispatch/opening.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -126,6 +127,10 @@
 		PatienceMs: uint32(patience(route.Timeout) / time.Millisecond),
 		Priority:   uint32(max(0, route.Priority)),
 	}
+	if declared := b.routes.Declared(f.service); declared.ColdPerSecond > 0 {
+		f.opening.ColdPerSecond = float32(declared.ColdPerSecond)
+		f.opening.WarmUpMs = uint32(declared.WarmUp / time.Millisecond)
+	}
 	f.patience = dsrpb.Patience_PATIENCE_FREE_SLOT
 	if b.cfg.Without.FreeFirst {
 		f.patience = dsrpb.Patience_PATIENCE_QUEUE
@@ -156,9 +161,35 @@
 		b.refuse(now, f, refusal.ReasonAllFull)
 		return
 	}
+	if reason, final := b.unusable(now, f); final {
+		b.refuse(now, f, reason)
+		return
+	}
 	b.parkOrRefuse(now, f, refusal.ReasonNoTarget)
 }
 
+// unusable reports whether there are targets that would take the flow, of which none may be used, and why: waiting does not help
+// then.
+func (b *Balancer) unusable(now time.Time, f *flowState) (refusal.Reason, bool) {
+	if b.starting(now, f.service) {
+		return "", false
+	}
+	route := b.routes.Route(f.key.Destination)
+	var reason refusal.Reason
+	for _, a := range b.services[f.service] {
+		switch {
+		case !a.alive(now) || a.state == dsrpb.State_STATE_ABSENT:
+		case b.evacuations.Covers(a.dataCentre):
+			reason = refusal.ReasonEvacuated
+		case !b.allows(route, a):
+			reason = cmp.Or(reason, refusal.ReasonRegion)
+		default:
+			return "", false
+		}
+	}
+	return reason, reason != ""
+}
+
 // parkOrRefuse lets a new flow wait while this balancer or the service's agents have just started or the balancer is cut
 // off, and refuses it else. A cut-off balancer is about to leave the rotation: the next copy of the opening packet reaches
 // another balancer, while a refusal would use up the caller's tries.
--- a/pkg/dsr/dispatch/searching.go
+++ b/pkg/dsr/dispatch/searching.go
@@ -249,10 +249,12 @@
 	return true
 }
 
-// serves reports whether the agent's service is one to which the address leads. Nobody else is handed a packet on suspicion.
+// serves reports whether the agent's service is one to which the address leads, in a region that its flows may reach. Nobody else is
+// handed a packet on suspicion.
 func (b *Balancer) serves(a netip.AddrPort, destination netip.AddrPort) bool {
 	known := b.agents[a]
-	return known != nil && leadsTo(b.routes.Route(destination), known)
+	route := b.routes.Route(destination)
+	return known != nil && leadsTo(route, known) && b.allows(route, known)
 }
 
 // startOf is when the balancer first heard of the agent's present life.
--- a/pkg/dsr/dsrpb/configuration.go
+++ b/pkg/dsr/dsrpb/configuration.go
@@ -70,6 +70,7 @@
 			Priority:    int64(r.Priority),
 			AimUs:       microseconds(r.Aim),
 			TimeoutUs:   microseconds(r.Timeout),
+			Regions:     r.Regions,
 		}
 		for _, s := range r.Shares {
 			route.Shares = append(route.Shares, &Share{Service: s.Service, Weight: s.Weight})
@@ -77,7 +78,13 @@
 		m.Routes = append(m.Routes, route)
 	}
 	for _, s := range c.Services {
-		m.Services = append(m.Services, &Service{Name: s.Name, HealthPath: s.HealthPath})
+		m.Services = append(m.Services, &Service{
+			Name:          s.Name,
+			HealthPath:    s.HealthPath,
+			WarmUpUs:      microseconds(s.WarmUp),
+			ColdPerSecond: s.ColdPerSecond,
+			Regions:       s.Regions,
+		})
 	}
 	return m
 }
@@ -96,6 +103,7 @@
 			Priority:    int(r.Priority),
 			Aim:         duration(r.AimUs),
 			Timeout:     duration(r.TimeoutUs),
+			Regions:     r.Regions,
 		}
 		for _, s := range r.Shares {
 			route.Shares = append(route.Shares, configuration.Share{Service: s.Service, Weight: s.Weight})
@@ -103,7 +111,13 @@
 		c.Routes = append(c.Routes, route)
 	}
 	for _, s := range m.Services {
-		c.Services = append(c.Services, configuration.Service{Name: s.Name, HealthPath: s.HealthPath})
+		c.Services = append(c.Services, configuration.Service{
+			Name:          s.Name,
+			HealthPath:    s.HealthPath,
+			WarmUp:        duration(s.WarmUpUs),
+			ColdPerSecond: s.ColdPerSecond,
+			Regions:       s.Regions,
+		})
 	}
 	return c, nil
 }
--- /dev/null
+++ b/pkg/dsr/evacuation/set.go
@@ -0,0 +1,63 @@
+// Package evacuation holds the data centres that operators have evacuated: their targets take no new flows until the evacuation is
+// withdrawn. It does no input or output.
+package evacuation
+
+import (
+	"maps"
+	"slices"
+)
+
+// Kind is the kind of the objects by which operators declare evacuations in the product's own object API; an object's name is the
+// data centre, its value is not read.
+const Kind = "evacuations"
+
+// Set is the evacuated data centres at one time. The zero value is not known yet.
+type Set struct {
+	// Version is the object API's version at which the set was read, 0 when it is not known. Of two sets the one with the higher
+	// version is the later one.
+	Version uint64
+	// DataCentres are sorted and unique.
+	DataCentres []string
+}
+
+// NewSet returns a set of data centres in any order.
+func NewSet(version uint64, dataCentres []string) Set {
+	sorted := slices.Sorted(slices.Values(dataCentres))
+	return Set{Version: version, DataCentres: slices.Compact(sorted)}
+}
+
+// FromMembers returns the set of a map's keys.
+func FromMembers(version uint64, members map[string]bool) Set {
+	return Set{Version: version, DataCentres: slices.Sorted(maps.Keys(members))}
+}
+
+// Known reports whether the set was ever read.
+func (s Set) Known() bool { return s.Version > 0 }
+
+// Covers reports whether a data centre is evacuated.
+func (s Set) Covers(dataCentre string) bool {
+	_, found := slices.BinarySearch(s.DataCentres, dataCentre)
+	return found
+}
+
+// Replaces reports whether the set is later than another one, and so takes its place.
+func (s Set) Replaces(o Set) bool { return s.Version > o.Version }
+
+// Same reports whether two sets name the same data centres.
+func (s Set) Same(o Set) bool { return slices.Equal(s.DataCentres, o.DataCentres) }
+
+// Changed returns the data centres that only one of two sets names.
+func (s Set) Changed(o Set) []string {
+	var out []string
+	for _, d := range s.DataCentres {
+		if !o.Covers(d) {
+			out = append(out, d)
+		}
+	}
+	for _, d := range o.DataCentres {
+		if !s.Covers(d) {
+			out = append(out, d)
+		}
+	}
+	return out
+}
--- a/pkg/dsr/ownership/config.go
+++ b/pkg/dsr/ownership/config.go
@@ -64,8 +64,9 @@
 
 // Config describes the agent.
 type Config struct {
-	// Name and DataCentre are the agent's; Service is the service of its target.
+	// Name, Region and DataCentre are the agent's; Service is the service of its target.
 	Name       string
+	Region     string
 	DataCentre string
 	Service    string
 	// Target is the target's address; reports of one at another address are turned down. It may be invalid.
--- a/pkg/dsr/ownership/from_balancer.go
+++ b/pkg/dsr/ownership/from_balancer.go
@@ -62,6 +62,7 @@
 
 // opening decides about an opening packet.
 func (t *Table) opening(now time.Time, balancer netip.AddrPort, m *dsrpb.Message, s segment.Segment, key flow.Key, e *entry, stale bool) {
+	t.declared(m)
 	if e != nil && e.phase == queued {
 		e.origin = balancer
 		t.queue.Hear(key, s.Age, s.NextCopy)
@@ -71,6 +72,7 @@
 	if e != nil && e.phase != ended {
 		e.origin = balancer
 		e.touched = now
+		t.handed(now)
 		t.out.ToTarget(s.Raw)
 		if e.phase == open {
 			t.accepted(now, key, e)
@@ -88,7 +90,7 @@
 		t.decline(now, balancer, m, key, dsrpb.Verdict_VERDICT_BUSY, nil)
 		return
 	}
-	if t.busy < t.limit(now) && t.queue.Len() == 0 {
+	if t.busy < t.limit(now) && t.queue.Len() == 0 && t.hasRoom(now) {
 		e = &entry{origin: balancer, touched: now, configuration: m.Configuration}
 		t.flows[key] = e
 		t.offer(now, key, e, s.Raw)
@@ -99,6 +101,9 @@
 
 // willing says why a new flow is not taken, or nothing when it is.
 func (t *Table) willing(now time.Time, stale bool) dsrpb.Verdict {
+	if t.evacuated {
+		return dsrpb.Verdict_VERDICT_EVACUATED
+	}
 	if t.State(now) != dsrpb.State_STATE_READY {
 		return dsrpb.Verdict_VERDICT_LEAVING
 	}
@@ -135,6 +140,7 @@
 	e.phase, e.since, e.packet = offered, now, nil
 	delete(t.notHeld, key)
 	t.work(now, e)
+	t.handed(now)
 	t.by(key, now.Add(OfferTimeout))
 	if !t.silent.IsZero() {
 		t.silentOffer = now
--- a/pkg/dsr/ownership/lifetime.go
+++ b/pkg/dsr/ownership/lifetime.go
@@ -71,6 +71,9 @@
 // Deadline is when Tick has to be called next.
 func (t *Table) Deadline() time.Time {
 	next := t.swept.Add(sweepInterval)
+	if !t.roomAgain.IsZero() && t.roomAgain.Before(next) {
+		next = t.roomAgain
+	}
 	if len(t.due) > 0 && t.due[0].at.Before(next) {
 		return t.due[0].at
 	}
--- a/pkg/dsr/ownership/queueing.go
+++ b/pkg/dsr/ownership/queueing.go
@@ -13,6 +13,7 @@
 // enqueue lets a new flow wait for the target, or declines it when its caller would leave before its turn or a free slot
 // is asked for.
 func (t *Table) enqueue(now time.Time, balancer netip.AddrPort, m *dsrpb.Message, s segment.Segment, key flow.Key) {
+	t.queue.Cold = t.coldLimit(now)
 	if m.Patience == dsrpb.Patience_PATIENCE_FREE_SLOT || !t.queue.Add(now, openingOf(now, key, m.Opening, s), t.pace(), t.slots()) {
 		t.decline(now, balancer, m, key, dsrpb.Verdict_VERDICT_BUSY, nil)
 		return
@@ -54,7 +55,12 @@
 		}
 		t.giveUp(now, o.Key, dsrpb.Verdict_VERDICT_GIVEN_UP, EventGivenUp)
 	}
+	t.roomAgain = time.Time{}
 	for t.busy < t.limit(now) {
+		if t.queue.Len() > 0 && !t.hasRoom(now) {
+			t.roomAgain = t.roomAt()
+			return
+		}
 		o, ok := t.queue.Next(now, t.pace())
 		if !ok {
 			return
--- a/pkg/dsr/ownership/table.go
+++ b/pkg/dsr/ownership/table.go
@@ -50,9 +50,16 @@
 	silentOffer time.Time
 	// configuration is the highest version that a balancer has named.
 	configuration uint64
-	swept         time.Time
-	reply         dsrpb.Message
-	announced     dsrpb.Announcement
+	// evacuated is set while the agent's data centre takes no new flows.
+	evacuated bool
+	// cold is what is known of the target's warm-up, roomAgain when the queue is looked at again since the target is cold; zero when
+	// something else has to happen first.
+	cold      coldness
+	roomAgain time.Time
+	swept     time.Time
+	reply     dsrpb.Message
+	announced dsrpb.Announcement
+	coldTold  dsrpb.Cold
 }
 
 // NewTable returns a table without flows.
@@ -76,9 +83,27 @@
 	t.giveBack(now)
 }
 
+// SetEvacuated says whether the agent's data centre takes no new flows. What waits for the target goes elsewhere at once; open flows
+// stay. It reports whether that is new.
+func (t *Table) SetEvacuated(now time.Time, on bool) bool {
+	if t.evacuated == on {
+		return false
+	}
+	t.evacuated = on
+	if on {
+		t.giveBackAll(now, dsrpb.Verdict_VERDICT_EVACUATED)
+	} else {
+		t.target.mayBeCold(now)
+	}
+	return true
+}
+
+// Evacuated reports whether the agent's data centre takes no new flows.
+func (t *Table) Evacuated() bool { return t.evacuated }
+
 // State is what the balancers are told.
 func (t *Table) State(now time.Time) dsrpb.State {
-	if t.leaving {
+	if t.leaving || t.evacuated && t.target.known {
 		return dsrpb.State_STATE_LEAVING
 	}
 	return t.target.state(now, t.silence())
--- a/pkg/dsr/ownership/table_test.go
+++ b/pkg/dsr/ownership/table_test.go
@@ -81,13 +81,18 @@
 }
 
 func newFixture(t *testing.T, cfg Config) *fixture {
-	cfg.Service, cfg.HeartbeatInterval = "route-svc", time.Second
 	f := &fixture{T: t, out: &recorder{}, now: start, beat: 4}
-	f.table = NewTable(cfg, dsrtest.Codec{}, f.out, start)
+	f.table = newTestTable(f, cfg)
 	f.announce(announcement.Ready)
 	return f
 }
 
+// newTestTable returns a table whose target has not been heard of.
+func newTestTable(f *fixture, cfg Config) *Table {
+	cfg.Service, cfg.HeartbeatInterval = "route-svc", time.Second
+	return NewTable(cfg, dsrtest.Codec{}, f.out, f.now)
+}
+
 func (f *fixture) announce(s announcement.State) bool {
 	f.beat++
 	// Beats of a target that is older than the agent: the first one is not seen.
--- a/pkg/dsr/ownership/tell.go
+++ b/pkg/dsr/ownership/tell.go
@@ -13,6 +13,7 @@
 func (t *Table) Announcement(now time.Time, joined bool, next time.Duration) *dsrpb.Message {
 	t.announced = dsrpb.Announcement{
 		DataCentre:  t.cfg.DataCentre,
+		Region:      t.cfg.Region,
 		State:       t.State(now),
 		Slots:       uint32(t.target.last.Slots),
 		Incarnation: t.cfg.Incarnation,
@@ -26,6 +27,7 @@
 		Configuration: t.configuration,
 		Busy:          uint32(t.Busy()),
 		WorkUs:        t.toldWork(now),
+		Cold:          t.toldCold(now),
 		Announcement:  &t.announced,
 	}
 	return &t.reply
@@ -66,6 +68,7 @@
 		Configuration: t.configuration,
 		Busy:          uint32(t.Busy()),
 		WorkUs:        t.toldWork(now),
+		Cold:          t.toldCold(now),
 	}
 	if e != nil && e.hasSequence {
 		t.reply.HasSequence, t.reply.Reference = true, e.reference()
@@ -88,6 +91,7 @@
 		Configuration: t.configuration,
 		Busy:          uint32(t.Busy()),
 		WorkUs:        t.toldWork(now),
+		Cold:          t.toldCold(now),
 	}
 	t.reply.SetKey(key)
 	t.out.ToBalancer(e.origin, &t.reply)
@@ -110,6 +114,7 @@
 		Configuration: t.configuration,
 		Busy:          uint32(t.Busy()),
 		WorkUs:        t.toldWork(now),
+		Cold:          t.toldCold(now),
 	}
 	t.reply.SetKey(key)
 	t.out.ToBalancer(balancer, &t.reply)
--- a/pkg/dsr/policy/policy.go
+++ b/pkg/dsr/policy/policy.go
@@ -30,6 +30,8 @@
 	Parking bool
 	// FailingLast: targets that fail their requests are left out.
 	FailingLast bool
+	// ColdLimit: targets that warm up get no more new flows than their service declares.
+	ColdLimit bool
 }
 
 // Mechanism is one mechanism by name.
@@ -55,5 +57,6 @@
 		{"half-open", Without{HalfOpen: true}},
 		{"parking", Without{Parking: true}},
 		{"failing-last", Without{FailingLast: true}},
+		{"cold-limit", Without{ColdLimit: true}},
 	}
 }
--- a/pkg/dsr/routing/table.go
+++ b/pkg/dsr/routing/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/configuration"
@@ -15,11 +16,19 @@
 type Table struct {
 	configuration configuration.Configuration
 	routes        map[netip.AddrPort]*configuration.Route
+	services      map[string]*configuration.Service
 }
 
 // NewTable returns the table of a configuration.
 func NewTable(c configuration.Configuration) *Table {
-	t := &Table{configuration: c, routes: make(map[netip.AddrPort]*configuration.Route, len(c.Routes))}
+	t := &Table{
+		configuration: c,
+		routes:        make(map[netip.AddrPort]*configuration.Route, len(c.Routes)),
+		services:      make(map[string]*configuration.Service, len(c.Services)),
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
 	for i := range c.Routes {
 		t.routes[c.Routes[i].Destination] = &c.Routes[i]
 	}
@@ -55,15 +64,26 @@
 
 // HealthPath returns the path of the health check of a service's targets, or nothing.
 func (t *Table) HealthPath(service string) string {
-	if t == nil {
-		return ""
-	}
-	for _, s := range t.configuration.Services {
-		if s.Name == service {
-			return s.HealthPath
-		}
+	return t.Declared(service).HealthPath
+}
+
+// Declared is what operators declare of a service; the zero value when they declare nothing.
+func (t *Table) Declared(service string) configuration.Service {
+	if t == nil || t.services[service] == nil {
+		return configuration.Service{}
 	}
-	return ""
+	return *t.services[service]
+}
+
+// Allows reports whether a flow of a route to one of its services may reach a region. Both the route's and the service's regions
+// bind.
+func (t *Table) Allows(r *configuration.Route, service, region string) bool {
+	return allows(r.Regions, region) && allows(t.Declared(service).Regions, region)
+}
+
+// allows reports whether a list of regions names one; an empty list allows all.
+func allows(regions []string, region string) bool {
+	return len(regions) == 0 || slices.Contains(regions, region)
 }
 
 // Len returns the number of routes.
--- /dev/null
+++ b/pkg/dsr/warmup/window.go
@@ -0,0 +1,54 @@
+// Package warmup bounds what a target is given while it warms up after its start.
+//
+// It does no input or output and reads no clock. It answers for targets that fail when they get their full load before their caches
+// are filled: restarted together, they would otherwise fail together, start again cold, and get the whole load once more.
+package warmup
+
+import (
+	"math"
+	"time"
+)
+
+// span is the time over which new flows are counted. The bound holds for every span, wherever it begins. A flow of exactly a span ago
+// still counts, since it reaches the target a moment after it was counted.
+const span = time.Second
+
+// Window counts the new flows of the last second. The zero value is empty.
+type Window struct {
+	// taken are the times of the last flows, the oldest first.
+	taken []time.Time
+}
+
+// Note counts a flow.
+func (w *Window) Note(now time.Time) {
+	w.forget(now)
+	w.taken = append(w.taken, now)
+}
+
+// Room is the number of flows that may be taken now when perSecond may be taken in any second.
+func (w *Window) Room(now time.Time, perSecond float64) int {
+	w.forget(now)
+	return max(0, bound(perSecond)-len(w.taken))
+}
+
+// Next is the earliest time at which there is room, given the flows counted so far; the zero time when there is room at any time.
+func (w *Window) Next(perSecond float64) time.Time {
+	over := len(w.taken) - bound(perSecond)
+	if over < 0 {
+		return time.Time{}
+	}
+	return w.taken[over].Add(span + time.Nanosecond)
+}
+
+func (w *Window) forget(now time.Time) {
+	n := 0
+	for n < len(w.taken) && now.Sub(w.taken[n]) > span {
+		n++
+	}
+	if n > 0 {
+		w.taken = append(w.taken[:0], w.taken[n:]...)
+	}
+}
+
+// bound is the whole number of flows within a rate. A target that takes any must get one, or it would stay without flows for ever.
+func bound(perSecond float64) int { return max(1, int(math.Floor(perSecond))) }
--- a/pkg/dsrd/agent.go
+++ b/pkg/dsrd/agent.go
@@ -12,6 +12,7 @@
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/announcement"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/evacuation"
 	"github.com/auburnwood/auburnwood/pkg/dsr/ownership"
 	"github.com/auburnwood/auburnwood/pkg/settings"
 	"github.com/auburnwood/auburnwood/pkg/telemetry"
@@ -56,6 +57,8 @@
 	// rejections counts the reports that were turned down.
 	rejections map[announcement.Reason]uint64
 	message    dsrpb.Message
+	// evacuations are the data centres that take no new flows, as balancers say.
+	evacuations evacuation.Set
 }
 
 // NewAgent binds the sockets of an agent.
@@ -79,6 +82,7 @@
 	a.out = newAgentOutput(a)
 	a.table = ownership.NewTable(ownership.Config{
 		Name:              cfg.Name,
+		Region:            cfg.Region,
 		DataCentre:        cfg.DataCentre,
 		Service:           cfg.Service,
 		Incarnation:       uint64(n.started.UnixNano()),
@@ -216,6 +220,7 @@
 	case dsrpb.Kind_KIND_LOCATE:
 		a.table.Locate(now, from, m)
 	case dsrpb.Kind_KIND_WELCOME:
+		a.hearEvacuations(now, m.Evacuations)
 		a.welcomed(now, from, m.Roster)
 	}
 	a.alarm.by(a.table.Deadline())
@@ -259,6 +264,23 @@
 	go a.probe(a.life, path)
 }
 
+// hearEvacuations takes over which data centres are evacuated, as a balancer says. The balancers hear at once when the agent's own data
+// centre is concerned. a.mu is held.
+func (a *Agent) hearEvacuations(now time.Time, m *dsrpb.Evacuations) {
+	s := decodeEvacuations(m)
+	if !s.Replaces(a.evacuations) {
+		return
+	}
+	a.evacuations = s
+	if !a.table.SetEvacuated(now, s.Covers(a.cfg.DataCentre)) {
+		return
+	}
+	a.log.Warn().Str("op", "adopt-evacuations").Uint64("version", s.Version).Bool("evacuated", a.table.Evacuated()).
+		Int("flows", a.table.Flows()).Msg("the data centre was evacuated or is used again")
+	a.state = a.table.State(now)
+	a.announceLocked(now)
+}
+
 // mayProbe reports whether the target is still to be asked whether it is ready. a.mu is held.
 func (a *Agent) mayProbe(now time.Time) bool {
 	return !a.table.TargetKnown() && now.Sub(a.started) <= probeTime
@@ -338,6 +360,8 @@
 		return errors.New("stopping")
 	case len(a.balancers.Living(now)) == 0:
 		return errors.New("no balancer heard of yet")
+	case a.table.Evacuated():
+		return errors.New("the data centre is evacuated")
 	case a.table.State(now) != dsrpb.State_STATE_READY:
 		return errors.New("the target has not announced itself as ready")
 	}
--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -1,6 +1,7 @@
 package dsrd
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -13,6 +14,7 @@
 	"github.com/auburnwood/auburnwood/pkg/dsr/configuration"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dispatch"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/evacuation"
 	"github.com/auburnwood/auburnwood/pkg/dsr/roster"
 	"github.com/auburnwood/auburnwood/pkg/dsr/routing"
 	"github.com/auburnwood/auburnwood/pkg/refusal"
@@ -56,7 +58,10 @@
 	// readers are what the other balancers say of how much they can read.
 	readers map[netip.AddrPort]uint32
 	asking  bool
-	message dsrpb.Message
+	// evacuations reads them; waiting is the configuration that takes force once they are known.
+	evacuations *evacuations
+	waiting     *routing.Table
+	message     dsrpb.Message
 }
 
 // NewBalancer binds the sockets of a balancer.
@@ -85,6 +90,13 @@
 	b.keeper.before = b.readersBefore
 	b.keeper.spread = b.spread
 	b.keeper.checkedNow = b.gossipAtOnce
+	b.evacuations = &evacuations{
+		store:  p.Store,
+		kind:   cmp.Or(p.EvacuationKind, evacuation.Kind),
+		log:    env.Log,
+		wanted: b.readsEvacuations,
+		adopt:  b.evacuate,
+	}
 	b.agents.Seed = uint64(n.started.UnixNano())
 	env.Status.Set(b.status)
 	return b, nil
@@ -98,6 +110,7 @@
 	g.Go(func() error { return b.messages.read(run, b.fromDaemon) })
 	g.Go(func() error { return b.alarm.run(run, b.tick) })
 	g.Go(func() error { return b.keeper.run(run) })
+	g.Go(func() error { return b.evacuations.run(run) })
 	g.Go(func() error { return b.handOver(run) })
 	g.Go(func() error { return every(run, tellInterval, b.gossip) })
 	g.Go(func() error { return b.join(run) })
@@ -174,18 +187,27 @@
 	return nil
 }
 
-// adopt takes a configuration into force.
+// adopt takes a configuration into force, the first one when the evacuations are known: without them, flows would go to data centres
+// that are to get none.
 func (b *Balancer) adopt(c configuration.Configuration) {
 	t := routing.NewTable(c)
-	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !b.core.Evacuations().Known() {
+		b.waiting = t
+		return
+	}
+	b.useRoutes(time.Now(), t)
+}
+
+// useRoutes takes a configuration into force. b.mu is held.
+func (b *Balancer) useRoutes(now time.Time, t *routing.Table) {
 	if !b.core.SetRoutes(now, t) {
 		return
 	}
 	b.alarm.by(b.core.Deadline())
 	b.tellHealthPaths(now)
-	b.log.Warn().Str("op", "adopt-configuration").Uint64("configuration", c.Version).Str("label", c.Label).
+	b.log.Warn().Str("op", "adopt-configuration").Uint64("configuration", t.Version()).Str("label", t.Label()).
 		Int("routes", t.Len()).Msg("the configuration is in force")
 }
 
--- /dev/null
+++ b/pkg/dsrd/evacuate.go
@@ -0,0 +1,98 @@
+package dsrd
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/evacuation"
+)
+
+// agentFanOut is the number of balancers from which an agent hears at once, on average, that its data centre is evacuated or used
+// again. The others tell it when they answer its next announcement.
+const agentFanOut = 6
+
+// readsEvacuations reports whether this balancer reads the evacuations: until it knows any, and while it checks for others.
+func (b *Balancer) readsEvacuations() bool {
+	b.mu.Lock()
+	known := b.core.Evacuations().Known()
+	b.mu.Unlock()
+	return !known || b.keeper.watches()
+}
+
+// evacuate takes over which data centres are evacuated, and hands it on when that is news.
+func (b *Balancer) evacuate(s evacuation.Set) {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.useEvacuations(now, s) {
+		b.tellNews(now)
+	}
+}
+
+// hearEvacuations takes over what another balancer says. News goes on at once, as for a change of the configuration. b.mu is held.
+func (b *Balancer) hearEvacuations(now time.Time, m *dsrpb.Evacuations) {
+	if b.useEvacuations(now, decodeEvacuations(m)) {
+		b.tellNews(now)
+	}
+}
+
+// useEvacuations takes evacuations into force; it reports whether other balancers may not know them. b.mu is held.
+func (b *Balancer) useEvacuations(now time.Time, s evacuation.Set) bool {
+	before := b.core.Evacuations()
+	if !b.core.SetEvacuations(now, s) {
+		return false
+	}
+	if b.waiting != nil {
+		b.useRoutes(now, b.waiting)
+		b.waiting = nil
+	}
+	changed := s.Changed(before)
+	if len(changed) == 0 {
+		return false
+	}
+	b.alarm.by(b.core.Deadline())
+	b.tellEvacuations(now, changed)
+	b.log.Warn().Str("op", "adopt-evacuations").Uint64("version", s.Version).Strs("data_centres", s.DataCentres).
+		Strs("before", before.DataCentres).Msg("the evacuated data centres are known")
+	return true
+}
+
+// tellEvacuations tells some of the agents of data centres that were evacuated or are used again. b.mu is held.
+func (b *Balancer) tellEvacuations(now time.Time, dataCentres []string) {
+	for _, d := range dataCentres {
+		for _, a := range b.core.AgentsOf(now, d) {
+			if b.tells(a.Address) {
+				b.send(a.Address, b.welcomeMessage(now, a.Service))
+			}
+		}
+	}
+}
+
+// tells draws whether this balancer is one of those that tell an agent at once.
+func (b *Balancer) tells(a netip.AddrPort) bool {
+	others := b.balancers.Len()
+	return others < agentFanOut || rand.IntN(others+1) < agentFanOut
+}
+
+// encodeEvacuations writes a set for a message; nothing when it is not known.
+func encodeEvacuations(s evacuation.Set) *dsrpb.Evacuations {
+	if !s.Known() {
+		return nil
+	}
+	return &dsrpb.Evacuations{Version: s.Version, DataCentres: s.DataCentres}
+}
+
+// decodeEvacuations reads what a message says; the set is not known when it says nothing. The message refers to the receive buffer.
+func decodeEvacuations(m *dsrpb.Evacuations) evacuation.Set {
+	if m == nil {
+		return evacuation.Set{}
+	}
+	names := make([]string, len(m.DataCentres))
+	for i, name := range m.DataCentres {
+		names[i] = strings.Clone(name)
+	}
+	return evacuation.NewSet(m.Version, names)
+}
--- /dev/null
+++ b/pkg/dsrd/evacuations_test.go
@@ -0,0 +1,150 @@
+package dsrd
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwood/auburnwood/internal/standin/store"
+	"github.com/auburnwood/auburnwood/pkg/dsr/evacuation"
+)
+
+// evacuationFixture reads evacuations from a stand-in of the object API and keeps the last set of the highest version, as a balancer does.
+type evacuationFixture struct {
+	*testing.T
+	store *store.Store
+	mu    sync.Mutex
+	set   evacuation.Set
+	watch bool
+}
+
+// newEvacuationFixture must be called in a synctest bubble.
+func newEvacuationFixture(t *testing.T) *evacuationFixture {
+	f := &evacuationFixture{T: t, store: store.New(store.Config{WatchWait: WatchWait, History: 8}), watch: true}
+	e := &evacuations{store: f.store, kind: evacuation.Kind, log: zerolog.Nop(), wanted: f.wanted, adopt: f.adopt}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = e.run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return f
+}
+
+func (f *evacuationFixture) wanted() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.watch || !f.set.Known()
+}
+
+func (f *evacuationFixture) adopt(s evacuation.Set) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s.Replaces(f.set) {
+		f.set = s
+	}
+}
+
+func (f *evacuationFixture) known() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.set.DataCentres
+}
+
+func (f *evacuationFixture) setWatch(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.watch = on
+}
+
+func (f *evacuationFixture) declare(dataCentre string) uint64 {
+	o, err := f.store.Create(f.Context(), evacuation.Kind, dataCentre, []byte("{}"))
+	require.NoError(f, err)
+	return o.Version
+}
+
+func (f *evacuationFixture) withdraw(dataCentre string, version uint64) {
+	require.NoError(f, f.store.Delete(f.Context(), evacuation.Kind, dataCentre, version))
+}
+
+// pass lets time go by, and what is under way come to rest.
+func (f *evacuationFixture) pass(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+// evacuationBound is the time within which a declaration is in force.
+const evacuationBound = time.Second
+
+func TestEvacuationsAreReadWhateverTheStoreDoes(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// before and after change the store before and after the operator's call.
+		before, after func(f *evacuationFixture)
+	}{
+		{"nothing fails", nil, nil},
+		{"slow", func(f *evacuationFixture) { f.store.SetFaults(store.Faults{Latency: 240 * time.Millisecond}) }, nil},
+		{"events are repeated", func(f *evacuationFixture) { f.store.SetFaults(store.Faults{Duplicate: 4}) }, nil},
+		{"history is forgotten", nil, func(f *evacuationFixture) { f.store.CutHistory() }},
+		{"a short outage follows", nil, func(f *evacuationFixture) {
+			f.store.SetFaults(store.Faults{Outage: true})
+			f.pass(300 * time.Millisecond)
+			f.store.SetFaults(store.Faults{})
+		}},
+		{"another balancer watched", func(f *evacuationFixture) {
+			f.setWatch(false)
+			f.pass(time.Second)
+		}, func(f *evacuationFixture) { f.setWatch(true) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newEvacuationFixture(t)
+				f.pass(time.Second)
+				if c.before != nil {
+					c.before(f)
+				}
+				marka := f.declare("marka")
+				f.declare("zarqa")
+				if c.after != nil {
+					c.after(f)
+				}
+				f.pass(evacuationBound)
+				require.Equal(t, []string{"marka", "zarqa"}, f.known())
+				f.withdraw("marka", marka)
+				if c.after != nil {
+					c.after(f)
+				}
+				f.pass(evacuationBound)
+				require.Equal(t, []string{"zarqa"}, f.known())
+				f.pass(5 * time.Second)
+				require.Equal(t, []string{"zarqa"}, f.known(), "a withdrawn evacuation does not come back")
+			})
+		})
+	}
+}
+
+// Until it knows the evacuations, a balancer asks; from then on only one that watches for others does.
+func TestOnlyTheWatcherReadsEvacuations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newEvacuationFixture(t)
+		f.declare("marka")
+		f.setWatch(false)
+		f.pass(time.Second)
+		require.Equal(t, []string{"marka"}, f.known())
+		before := f.store.Counts()
+		f.pass(10 * time.Second)
+		require.Equal(t, before.Reads(), f.store.Counts().Reads())
+		f.setWatch(true)
+		f.pass(10 * time.Second)
+		require.LessOrEqual(t, f.store.Counts().Reads()-before.Reads(), uint64(20), "two calls a second at most")
+	})
+}
--- a/pkg/dsrd/gossip.go
+++ b/pkg/dsrd/gossip.go
@@ -96,10 +96,14 @@
 // one some, which tell others when they have it, so that neither messages nor bytes of the one that knows it first grow with their
 // number.
 func (b *Balancer) gossipAtOnce() {
-	now := time.Now()
-	version, age, checked := b.keeper.state(now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.tellNews(time.Now())
+}
+
+// tellNews is gossipAtOnce with b.mu held.
+func (b *Balancer) tellNews(now time.Time) {
+	version, age, checked := b.keeper.state(now)
 	to := b.balancers.All()
 	if len(to) > fanOut {
 		to = b.balancers.Sample(now, fanOut)
@@ -111,6 +115,7 @@
 	return &dsrpb.Message{
 		Kind:          dsrpb.Kind_KIND_GOSSIP,
 		Configuration: version,
+		Evacuations:   encodeEvacuations(b.core.Evacuations()),
 		Roster: &dsrpb.Roster{
 			Checked:        checked,
 			CheckedMs:      uint32(min(age, time.Hour) / time.Millisecond),
@@ -135,6 +140,7 @@
 	}
 	b.know(now, decodeAddresses(r.Balancers))
 	b.compare(now, from, m)
+	b.hearEvacuations(now, m.Evacuations)
 	if agents := decodeAddresses(r.Agents); len(agents) > 0 {
 		b.asking = false
 		b.greet(now, agents)
@@ -162,6 +168,7 @@
 		b.send(to, &dsrpb.Message{
 			Kind:          dsrpb.Kind_KIND_GOSSIP,
 			Configuration: b.core.Routes().Version(),
+			Evacuations:   encodeEvacuations(b.core.Evacuations()),
 			Roster: &dsrpb.Roster{
 				Agents:     encodeAddresses(agents),
 				Balancers:  balancers,
@@ -219,6 +226,7 @@
 	return &dsrpb.Message{
 		Kind:          dsrpb.Kind_KIND_WELCOME,
 		Configuration: b.core.Routes().Version(),
+		Evacuations:   encodeEvacuations(b.core.Evacuations()),
 		Roster: &dsrpb.Roster{
 			Balancers:  encodeAddresses(b.balancers.Sample(now, introducedPeers)),
 			HealthPath: b.core.Routes().HealthPath(service),
--- a/pkg/dsrd/keeper.go
+++ b/pkg/dsrd/keeper.go
@@ -344,10 +344,15 @@
 		k.log.Warn().Err(err).Str("op", "check-configuration").Uint64("configuration", k.inForce.Version).
 			Dur("age_ms", time.Since(k.checked)).Msg("the configuration cannot be checked; the last one stays in force")
 	}
-	k.pauseUntil = time.Now().Add(min(failurePause<<min(k.failures, 8), maxFailurePause))
+	k.pauseUntil = time.Now().Add(pauseAfter(k.failures))
 	k.failures++
 }
 
+// pauseAfter is the pause after a call that failed when others in a row have failed before it.
+func pauseAfter(failures int) time.Duration {
+	return min(failurePause<<min(failures, 8), maxFailurePause)
+}
+
 // takeObject takes a stored object into force when it is newer. At is when it was known to be the newest.
 func (k *keeper) takeObject(o objectapi.Object, at time.Time) (changed bool, err error) {
 	if version, _, _ := k.state(at); o.Version <= version {
--- a/pkg/dsrd/platform.go
+++ b/pkg/dsrd/platform.go
@@ -32,6 +32,9 @@
 	ConfigurationKind objectapi.Kind
 	ConfigurationName string
 	Decode            func(objectapi.Object) (configuration.Configuration, error)
+	// EvacuationKind is the kind of the objects by which operators evacuate data centres; an object is named like its data centre.
+	// Empty means evacuation.Kind.
+	EvacuationKind objectapi.Kind
 	// ReadyHandler serves the readiness check; ready returns why the daemon is not ready, or nil.
 	ReadyHandler func(ready func() error) http.Handler
 	// TargetHandler serves the calls of the target on the same VM.
--- a/pkg/refusal/record.go
+++ b/pkg/refusal/record.go
@@ -34,6 +34,8 @@
 	ReasonDrainTimeOver   Reason = "drain-time-over"
 	ReasonMalformed       Reason = "malformed-request"
 	ReasonTargetFailed    Reason = "target-failed"
+	ReasonEvacuated       Reason = "data-centre-evacuated"
+	ReasonRegion          Reason = "no-target-in-allowed-region"
 )
 
 // Run says whether the refused work was run.
