Leave targets out whose answers are hollow beside those of the others

Such a target looks free and draws more than its share; resets and silence, by which failing targets were told, it has none. Change: no payload is read. Agents keep the shortest time and the smallest size of the last 16 answers for each address and announce them; balancers tell the median of a service's targets back with their answers to announcements. An answer that beats both, one of them by far, counts as a failure of the outlier detector. An answer is judged when it is whole, so that the test of a target that is tried again lets its targets close their flows. Ruled out: callers that return (those of requests that may not be repeated do not), shares of flows closed early (errors are whole answers).

--- a/pkg/dsr/dispatch/agent.go
+++ b/pkg/dsr/dispatch/agent.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/outlier"
 	"github.com/auburnwood/auburnwood/pkg/dsr/warmup"
 )
 
@@ -31,6 +32,8 @@
 	work time.Duration
 	// cold is what its target takes while it warms up.
 	cold warmup.Limit
+	// answers are the least of its target's last answers, by the hash of the address.
+	answers map[uint32]outlier.Answer
 	// failing is set while the agent's target fails more than a healthy one, as the agent says.
 	failing bool
 	// suspect is set when the agent left a packet unanswered, until it is heard of again.
--- a/pkg/dsr/dispatch/balancer.go
+++ b/pkg/dsr/dispatch/balancer.go
@@ -58,6 +58,8 @@
 	// answer learns how long agents take to answer an offer, works the usual work of each service.
 	answer estimate.Answer
 	works  map[string]*estimate.Mean
+	// usual are the least answers of the median target of a service.
+	usual map[usualKey]usualAnswer
 
 	message dsrpb.Message
 }
@@ -77,6 +79,7 @@
 
 		flows: make(map[flow.Key]*flowState),
 		works: make(map[string]*estimate.Mean),
+		usual: make(map[usualKey]usualAnswer),
 		swept: now,
 
 		searchMessages: SearchBurst,
--- a/pkg/dsr/dispatch/choose.go
+++ b/pkg/dsr/dispatch/choose.go
@@ -147,10 +147,4 @@
 }
 
 // tieOf orders equally busy agents for one flow.
-func tieOf(hash uint64, a netip.AddrPort) uint64 { return flow.Mix(hash ^ addrBits(a)) }
-
-// addrBits are the last bits of an IP address and its port.
-func addrBits(a netip.AddrPort) uint64 {
-	ip := a.Addr().As16()
-	return uint64(ip[12])<<40 | uint64(ip[13])<<32 | uint64(ip[14])<<24 | uint64(ip[15])<<16 | uint64(a.Port())
-}
+func tieOf(hash uint64, a netip.AddrPort) uint64 { return flow.Mix(hash ^ flow.AddrBits(a)) }
--- a/pkg/dsr/dispatch/tick.go
+++ b/pkg/dsr/dispatch/tick.go
@@ -53,6 +53,7 @@
 // sweep forgets flows and agents that were silent for too long.
 func (b *Balancer) sweep(now time.Time) {
 	b.swept = now
+	b.forgetUsual(now)
 	idle := b.routes.IdleTimeout()
 	for key, f := range b.flows {
 		silent := now.Sub(f.touched)
--- a/pkg/dsr/ownership/entry.go
+++ b/pkg/dsr/ownership/entry.go
@@ -37,6 +37,8 @@
 	requestBy time.Time
 	// failed is set when the present request counts as failed.
 	failed bool
+	// reply is the answer to the present request.
+	reply reply
 	// answered is set once the target has sent data, requested once the caller has.
 	answered  bool
 	requested bool
--- a/pkg/dsr/ownership/from_balancer.go
+++ b/pkg/dsr/ownership/from_balancer.go
@@ -46,6 +46,7 @@
 	e.callerAck, e.acknowledged = s.Acknowledgement, true
 	t.learnTrip(now, e, s)
 	if e.fresh(s) {
+		t.replied(now, key, e)
 		e.request = append(e.request[:0], s.Raw...)
 		t.request(now, e)
 	}
@@ -55,6 +56,7 @@
 		t.end(now, e)
 	case s.Has(segment.FIN):
 		e.callerClosed = true
+		t.replied(now, key, e)
 		t.closed(now, e)
 	}
 	t.out.ToTarget(s.Raw)
--- a/pkg/dsr/ownership/from_target.go
+++ b/pkg/dsr/ownership/from_target.go
@@ -51,13 +51,15 @@
 	t.failedBy(now, key, e, s)
 	if s.Length > 0 {
 		e.answered = true
-		t.answered(now, key, e)
+		t.answered(now, key, e, s)
 	}
+	e.reply.sent(s)
 	switch {
 	case s.Has(segment.RST):
 		t.end(now, e)
 	case s.Has(segment.FIN):
 		e.targetClosed = true
+		t.replied(now, key, e)
 		t.closed(now, e)
 	}
 }
--- a/pkg/dsr/ownership/life.go
+++ b/pkg/dsr/ownership/life.go
@@ -86,6 +86,7 @@
 	t.silent, t.worked, t.outcomes = time.Time{}, estimate.Mean{}, outlier.Detector{}
 	clear(t.notHeld)
 	clear(t.served)
+	clear(t.answers)
 	for key, e := range t.flows {
 		switch {
 		case e.phase == offered:
--- a/pkg/dsr/ownership/outcome.go
+++ b/pkg/dsr/ownership/outcome.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
@@ -53,28 +54,24 @@
 		return
 	}
 	if t.outcomes.Failed(now) {
-		t.judged(now)
+		t.judged(now, Judgement{})
 	}
 }
 
-func (t *Table) success(now time.Time, key flow.Key) {
+// serves notes that the target has answered a request for an address.
+func (t *Table) serves(a netip.AddrPort) {
 	if len(t.served) < maxServed {
-		t.served[key.Destination] = true
-	}
-	if t.outcomes.Succeeded(now) {
-		t.judged(now)
+		t.served[a] = true
 	}
 }
 
 // judged reports that the target is left out, or in use again; the balancers are told at once.
-func (t *Table) judged(now time.Time) {
-	t.out.Judged(Judgement{
-		State:    t.outcomes.State(now),
-		Failures: t.outcomes.Count(),
-		Until:    t.outcomes.Ends(now),
-		Pace:     t.pace(),
-		Busy:     t.Busy(),
-	})
+func (t *Table) judged(now time.Time, j Judgement) {
+	j.State = t.outcomes.State(now)
+	j.Failures = t.outcomes.Count()
+	j.Until = t.outcomes.Ends(now)
+	j.Pace, j.Busy = t.pace(), t.Busy()
+	t.out.Judged(j)
 	if t.outcomes.State(now) == outlier.Resting {
 		t.giveBackAll(now, dsrpb.Verdict_VERDICT_BUSY)
 	}
@@ -89,4 +86,8 @@
 	// Pace is how long the target lately took for a request, Busy the requests at it.
 	Pace time.Duration
 	Busy int
+	// Hollow is set when the last request was answered, but with much less than usual; Answer is that answer, Usual the least one of the
+	// median target.
+	Hollow        bool
+	Answer, Usual outlier.Answer
 }
--- a/pkg/dsr/ownership/queueing.go
+++ b/pkg/dsr/ownership/queueing.go
@@ -106,9 +106,10 @@
 }
 
 // answered notes that the target has answered a request, and learns its pace from requests that had a slot at once.
-func (t *Table) answered(now time.Time, key flow.Key, e *entry) {
+func (t *Table) answered(now time.Time, key flow.Key, e *entry, s segment.Segment) {
 	if e.working {
-		t.success(now, key)
+		t.serves(key.Destination)
+		e.replying(now, s)
 	}
 	if e.working && e.alone {
 		t.learnWork(now, now.Sub(e.busySince))
--- a/pkg/dsr/ownership/table.go
+++ b/pkg/dsr/ownership/table.go
@@ -42,6 +42,9 @@
 	outcomes outlier.Detector
 	// served are the addresses for which the target has answered a request.
 	served map[netip.AddrPort]bool
+	// answers are the target's last answers by the hash of the address, usual the least answers of the median target of the service.
+	answers map[uint32]*outlier.Least
+	usual   map[uint32]outlier.Answer
 	// notHeld are flows that the target has returned since the agent started.
 	notHeld map[flow.Key]time.Time
 	// silent is when the target first left an opening packet unanswered; zero when it answers. silentOffer is the time of
@@ -72,6 +75,8 @@
 		flows:   make(map[flow.Key]*entry),
 		notHeld: make(map[flow.Key]time.Time),
 		served:  make(map[netip.AddrPort]bool),
+		answers: make(map[uint32]*outlier.Least),
+		usual:   make(map[uint32]outlier.Answer),
 		queue:   admission.Queue{Without: cfg.Without},
 		swept:   now,
 	}
--- a/pkg/dsr/ownership/tell.go
+++ b/pkg/dsr/ownership/tell.go
@@ -20,6 +20,7 @@
 		Joined:      joined,
 		Failing:     t.failing(now),
 		IntervalMs:  uint32(next / time.Millisecond),
+		Answers:     t.toldLeast(),
 	}
 	t.reply = dsrpb.Message{
 		Kind:          dsrpb.Kind_KIND_ANNOUNCE,
--- a/pkg/dsr/policy/policy.go
+++ b/pkg/dsr/policy/policy.go
@@ -32,6 +32,8 @@
 	FailingLast bool
 	// ColdLimit: targets that warm up get no more new flows than their service declares.
 	ColdLimit bool
+	// HollowAnswers: answers that are much faster and smaller than those of the service's other targets count as failures.
+	HollowAnswers bool
 }
 
 // Mechanism is one mechanism by name.
@@ -58,5 +60,6 @@
 		{"parking", Without{Parking: true}},
 		{"failing-last", Without{FailingLast: true}},
 		{"cold-limit", Without{ColdLimit: true}},
+		{"hollow-answers", Without{HollowAnswers: true}},
 	}
 }
--- a/pkg/dsr/roster/peers.go
+++ b/pkg/dsr/roster/peers.go
@@ -133,9 +133,7 @@
 
 // draw returns a number from 0 to 1 that is the same for the same peer, count and seed.
 func (p *Peers) draw(a netip.AddrPort, count uint64) float64 {
-	ip := a.Addr().As16()
-	place := uint64(ip[12])<<40 | uint64(ip[13])<<32 | uint64(ip[14])<<24 | uint64(ip[15])<<16 | uint64(a.Port())
-	return float64(flow.Mix(p.Seed^flow.Mix(place^count<<48))>>11) / (1 << 53)
+	return float64(flow.Mix(p.Seed^flow.Mix(flow.AddrBits(a)^count<<48))>>11) / (1 << 53)
 }
 
 // interval is the time between two messages to a peer.
--- a/pkg/dsrd/agent.go
+++ b/pkg/dsrd/agent.go
@@ -249,6 +249,7 @@
 		// A balancer that was away for a moment has forgotten everything, and nobody has noticed.
 		a.tell(now, from)
 	}
+	a.table.Usual(r.Usual)
 	a.balancers.Wants(from, milliseconds(r.IntervalMs))
 	a.balancers.Says(from, answeredAnnouncements*a.balancers.IntervalTo(from))
 	if a.know(now, decodeAddresses(r.Balancers)) {
--- a/pkg/dsrd/agent_output.go
+++ b/pkg/dsrd/agent_output.go
@@ -76,6 +76,10 @@
 func (o *agentOutput) Judged(j ownership.Judgement) {
 	line := o.a.log.Warn().Str("op", "target-judged").Stringer("state", j.State).Int("failures_of_20", j.Failures).
 		Dur("pace_ms", j.Pace).Int("busy", j.Busy)
+	if j.Hollow {
+		line = line.Dur("answer_ms", j.Answer.Time).Uint32("answer_bytes", j.Answer.Bytes).
+			Dur("usual_ms", j.Usual.Time).Uint32("usual_bytes", j.Usual.Bytes)
+	}
 	if !j.Until.IsZero() {
 		line = line.Dur("rest_ms", time.Until(j.Until))
 	}
