--- a/internal/lab/policy/bound.go
+++ b/internal/lab/policy/bound.go
@@ -18,7 +18,7 @@
 // Bound is about the most that any system could serve in a run: it knows every request and its tries, divides the targets' slots
 // without loss, never waits for a packet between VMs, and gives every slot to a request that can still be answered in time, the most
 // urgent first, before any late one. Callers' packets reach it only while there is power, at the times at which callers send them.
-// Failing, mute and slow targets are left out by it from the first moment; agents that die cost it nothing.
+// Failing, mute, wrong and slow targets are left out by it from the first moment; agents that die cost it nothing.
 func Bound(o Options) (Counts, error) {
 	if err := o.check(); err != nil {
 		return Counts{}, err
@@ -101,16 +101,25 @@
 		case f.Kind == PowerLoss && during:
 			return 0
 		case f.Kind == PowerLoss && cold:
-			whole /= o.ColdFactor
-		case f.Kind == Restart && during, during && (f.Kind == Fails || f.Kind == Mute || f.Kind == Slow):
+			whole = o.coldCapacity(whole)
+		case f.Kind == Restart && during, during && (f.Kind == Fails || f.Kind == Mute || f.Kind == Slow || f.Kind == Wrong):
 			whole *= 1 - f.Share
 		case f.Kind == Restart && cold:
-			whole *= 1 - f.Share + f.Share/o.ColdFactor
+			whole = whole*(1-f.Share) + f.Share*o.coldCapacity(whole)
 		}
 	}
 	return whole
 }
 
+// coldCapacity is the number of requests a second that all targets can work off when they are cold.
+func (o Options) coldCapacity(whole float64) float64 {
+	slow := whole / o.ColdFactor
+	if o.ColdPerSecond == 0 {
+		return slow
+	}
+	return min(slow, float64(o.Targets)*o.ColdPerSecond)
+}
+
 // expire moves requests that cannot be answered in time any more to the late ones, and leaves those out whose callers have left.
 func expire(at time.Time, timely, late []wanted) (stillTimely, stillLate []wanted) {
 	for _, w := range timely {
--- a/internal/lab/policy/caller.go
+++ b/internal/lab/policy/caller.go
@@ -109,8 +109,13 @@
 		t.opened, t.ack = true, s.Sequence+1
 		t.demand(resendTime)
 	case s.Length > 0 && t.opened && s.Sequence == t.ack:
-		t.request.answered()
 		t.send(dsrtest.Packet{Flags: segment.ACK | segment.FIN, Acknowledgement: t.ack + uint32(s.Length)})
+		if string(dsrtest.Data(raw)) == wrongAnswer {
+			t.request.w.result.Wrong++
+			t.end()
+			return
+		}
+		t.request.answered()
 		t.ended = true
 	}
 }
--- a/internal/lab/policy/nodes.go
+++ b/internal/lab/policy/nodes.go
@@ -65,6 +65,19 @@
 	if b.up && m.UnmarshalVT(raw) == nil {
 		b.core.FromAgent(b.w.now(), from, &m)
 		b.schedule()
+		if m.Kind == dsrpb.Kind_KIND_ANNOUNCE {
+			b.welcome(from)
+		}
+	}
+}
+
+// welcome answers an announcement with what other targets' answers are like.
+func (b *balancerNode) welcome(to netip.AddrPort) {
+	usual := b.core.Usual(b.w.now(), to)
+	for _, a := range b.w.agents {
+		if a.address == to {
+			b.w.carry(b.w.between(b.index, a.index), func() { a.table.Usual(usual) })
+		}
 	}
 }
 
--- a/internal/lab/policy/options.go
+++ b/internal/lab/policy/options.go
@@ -40,6 +40,10 @@
 	// ColdTime is how long a target is slow after its start, by the factor ColdFactor.
 	ColdTime   time.Duration
 	ColdFactor float64
+	// ColdPerSecond is the number of new flows that a cold target takes in any second, 0 for no limit. One that gets more than
+	// coldMargin allows falls over: it ends, and starts anew after FallTime.
+	ColdPerSecond float64
+	FallTime      time.Duration
 	// Announce is the time between two announcements of an agent; 0 means as the daemons pace them by the number of VMs.
 	Announce time.Duration
 	// Faults are what happens.
@@ -72,6 +76,8 @@
 	Fails FaultKind = "fails"
 	// Mute: targets answer nothing to the share Factor of their requests.
 	Mute FaultKind = "mute"
+	// Wrong: targets answer the share Factor of their requests with a short error at once.
+	Wrong FaultKind = "wrong"
 	// AgentDies: agents are away while their targets live.
 	AgentDies FaultKind = "agent-dies"
 )
--- a/internal/lab/policy/policy_test.go
+++ b/internal/lab/policy/policy_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -52,7 +53,8 @@
 		require.Zero(t, r.Twice, "no flow runs at two targets")
 		require.Equal(t, r.Asked, r.InTime+r.Late+r.Lost, "every request has one end")
 		sum := &out.sum
-		sum.Asked, sum.InTime, sum.Late, sum.Lost = sum.Asked+r.Asked, sum.InTime+r.InTime, sum.Late+r.Late, sum.Lost+r.Lost
+		sum.Counts = sum.Plus(r.Counts)
+		sum.FellOver, sum.Wrong = sum.FellOver+r.FellOver, sum.Wrong+r.Wrong
 		out.worth += r.Worth() / float64(seeds)
 	}
 	return out
@@ -97,6 +99,8 @@
 		least    float64
 	}{
 		{"targets-fail", policy.Without{FailingLast: true}, 0.01},
+		{"targets-wrong", policy.Without{HollowAnswers: true}, 0.05},
+		{"all-cold", policy.Without{ColdLimit: true}, 0.25},
 		{"far", policy.Without{ExtraRequests: true}, 0.2},
 		{"far", policy.Without{HalfOpen: true}, 0.2},
 		{"burst", policy.Without{TimelyFirst: true}, 0.1},
@@ -144,6 +148,41 @@
 	require.Greater(t, without.Lost+without.Late, 3*(with.Lost+with.Late))
 }
 
+// Targets that answer everything at once with an error look free; each of the two is found by a handful of requests, and by one more at
+// each try.
+func TestWrongAnswersAreFew(t *testing.T) {
+	with, _ := play(t, "targets-wrong", policy.Without{})
+	without, _ := play(t, "targets-wrong", policy.Without{HollowAnswers: true})
+	require.Less(t, with.Wrong, 3*2*20)
+	require.Greater(t, without.Wrong, 20*with.Wrong)
+}
+
+// Targets that all start cold and get their full load fall over, start cold once more, and never recover. With the bound that their
+// service declares none does.
+func TestColdTargetsDoNotFallOver(t *testing.T) {
+	for _, name := range []string{"all-cold", "half-cold"} {
+		with, _ := play(t, name, policy.Without{})
+		require.Zero(t, with.FellOver, name)
+	}
+	without, _ := play(t, "all-cold", policy.Without{ColdLimit: true})
+	require.Greater(t, without.FellOver, 100)
+}
+
+// Full goodput is back within twice the warm-up of targets that all start cold.
+func TestGoodputReturnsWhenTargetsAreWarm(t *testing.T) {
+	found, err := Find([]string{"all-cold"})
+	require.NoError(t, err)
+	o := found[0].Options(1)
+	r, err := Run(o)
+	require.NoError(t, err)
+	restarted := o.Faults[0].At + o.Faults[0].For
+	for i, c := range r.Windows {
+		if time.Duration(i)*windowTime >= restarted+2*o.ColdTime && c.Asked > 0 {
+			require.Greater(t, c.Worth(), 0.99, "window %d", i)
+		}
+	}
+}
+
 // Work three times longer or shorter, and targets of 1 and 16 slots, are served like those that the start values fit.
 func TestNoFigureIsThatOfOneDeployment(t *testing.T) {
 	for _, name := range []string{"work-long", "work-short", "slots-1", "slots-16", "far"} {
--- a/internal/lab/policy/result.go
+++ b/internal/lab/policy/result.go
@@ -41,7 +41,9 @@
 	Refusals, Told, GivenUp, Unanswered int
 	// Twice is the number of flows that ran at two targets, which must not be.
 	Twice int
-	runs  map[netip.AddrPort]int
+	// FellOver is the number of times that a cold target ended since it got too many flows, Wrong that of errors that callers got.
+	FellOver, Wrong int
+	runs            map[netip.AddrPort]int
 }
 
 func newResult(o Options) *Result {
--- a/internal/lab/policy/run.go
+++ b/internal/lab/policy/run.go
@@ -39,6 +39,8 @@
 		w.during(f, func(t *target, on bool) { t.failing = pick(on, f.Factor, 0) })
 	case Mute:
 		w.during(f, func(t *target, on bool) { t.mute = pick(on, f.Factor, 0) })
+	case Wrong:
+		w.during(f, func(t *target, on bool) { t.wrong = pick(on, f.Factor, 0) })
 	case AgentDies:
 		for _, a := range w.some(f.Share) {
 			a.up = false
--- a/internal/lab/policy/target.go
+++ b/internal/lab/policy/target.go
@@ -27,14 +27,16 @@
 	// coldUntil is when the target is as fast as usual; slow is the present multiple of its work.
 	coldUntil time.Time
 	slow      float64
-	// failing and mute are the shares of requests that are reset, or never answered.
-	failing, mute float64
-	share         float64
-	sequence      uint64
-	initial       uint32
-	busy          int
-	waiting       []waiting
-	flows         map[netip.AddrPort]*held
+	// failing, mute and wrong are the shares of requests that are reset, never answered, or answered with an error at once.
+	failing, mute, wrong float64
+	share                float64
+	// opened are the times of the last new flows while the target is cold.
+	opened   []time.Time
+	sequence uint64
+	initial  uint32
+	busy     int
+	waiting  []waiting
+	flows    map[netip.AddrPort]*held
 }
 
 // held is one flow at a target.
@@ -55,7 +57,7 @@
 	t.w.lives++
 	t.id = fmt.Sprintf("target-%d", t.agent.index)
 	t.born = uint64(t.w.now().UnixMilli()) + t.w.lives
-	t.up, t.sequence, t.busy, t.waiting = true, 0, 0, nil
+	t.up, t.sequence, t.busy, t.waiting, t.opened = true, 0, 0, nil, nil
 	t.flows = make(map[netip.AddrPort]*held)
 	t.initial = t.w.random.Uint32()
 	t.coldUntil = t.w.now()
@@ -103,6 +105,10 @@
 
 func (t *target) open(f *held, s segment.Segment) {
 	if f == nil {
+		if t.overrun() {
+			t.fall()
+			return
+		}
 		t.initial += initialStep
 		f = &held{initial: t.initial}
 		t.flows[s.Source] = f
@@ -110,6 +116,29 @@
 	t.reply(s, segment.SYN|segment.ACK, f.initial, "")
 }
 
+// coldMargin is what a cold target bears beyond the rate that its service declares.
+func coldMargin(perSecond float64) int { return int(1.5*perSecond) + 5 }
+
+// overrun counts a new flow; it reports whether a cold target has got more in a second than it bears.
+func (t *target) overrun() bool {
+	now := t.w.now()
+	if t.w.o.ColdPerSecond == 0 || !now.Before(t.coldUntil) {
+		return false
+	}
+	t.opened = append(t.opened, now)
+	for now.Sub(t.opened[0]) >= time.Second {
+		t.opened = t.opened[1:]
+	}
+	return len(t.opened) > coldMargin(t.w.o.ColdPerSecond)
+}
+
+// fall ends the process; the next one starts cold.
+func (t *target) fall() {
+	t.w.result.FellOver++
+	t.end()
+	t.w.after(t.w.o.FallTime, func() { t.start(false) })
+}
+
 // request queues a request for a slot, or sheds it by a reset when the queue is full.
 func (t *target) request(f *held, s segment.Segment) {
 	switch draw := t.w.random.Float64(); {
@@ -118,6 +147,10 @@
 		return
 	case draw < t.failing+t.mute:
 		return
+	case draw < t.failing+t.mute+t.wrong:
+		f.answered = true
+		t.finish(s, wrongAnswer)
+		return
 	}
 	if t.busy < t.w.o.Slots {
 		t.run(f, s)
@@ -154,9 +187,16 @@
 	})
 }
 
+// Texts of answers; an error is a fifth of the size of an answer.
+const (
+	rightAnswer = "an answer that took some work, and so is of some size"
+	wrongAnswer = "error"
+)
+
 // answer sends the answer to a request and closes the flow.
-func (t *target) answer(s segment.Segment) {
-	const text = "answer"
+func (t *target) answer(s segment.Segment) { t.finish(s, rightAnswer) }
+
+func (t *target) finish(s segment.Segment, text string) {
 	t.reply(s, segment.ACK, s.Acknowledgement, text)
 	t.reply(s, segment.FIN|segment.ACK, s.Acknowledgement+uint32(len(text)), "")
 }
--- a/internal/lab/policy/world.go
+++ b/internal/lab/policy/world.go
@@ -71,7 +71,7 @@
 	return routing.NewTable(configuration.Configuration{Version: 1, Routes: []configuration.Route{{
 		Name: "r", Destination: serviceAddress, Shares: []configuration.Share{{Service: serviceName, Weight: 1}},
 		Aim: w.o.Aim, Timeout: w.o.Budget,
-	}}})
+	}}, Services: []configuration.Service{{Name: serviceName, WarmUp: w.o.ColdTime, ColdPerSecond: w.o.ColdPerSecond}}})
 }
 
 // carry delivers a packet after a delay, or never.
