Evacuate data centres for all services; auburnwoodctl evacuate and restore; fewer calls for evacuations

Change: the compile duty lists and watches evacuations and writes the evacuated data centres into each service of a revision, which every balancer and agent adopts as any change and never takes back. Views show their targets as draining; agents in request mode hand new and waiting requests to peers, or refuse them as not run. auburnwoodctl evacuates with a reason and restores; both may be repeated after a lost answer. Watches of evacuations for pass-through services wait 2.4 s. Ruled out: a field of its own beside the services of a revision, since deltas and agents' views carry services only.

--- a/pkg/agentd/requests.go
+++ b/pkg/agentd/requests.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,6 +69,7 @@
 func (r *requests) start(v *view.Service) {
 	s := request.New(r.options(v))
 	r.server = s
+	r.follow(v)
 	if r.d.control != nil {
 		go func() { _ = s.ServeControl(r.d.control) }()
 	}
@@ -80,6 +82,7 @@
 func (r *requests) follow(v *view.Service) {
 	r.server.SetLimits(r.slots(v), deadlineOf(v))
 	r.server.SetQueue(int(v.Spec.Limits.Queue))
+	r.server.SetEvacuated(slices.Contains(v.Spec.Evacuated, r.d.o.Settings.DataCentre))
 }
 
 // setAgents takes the number of live agents of the fleet, by which the claims are shared out.
--- a/pkg/ctl/app.go
+++ b/pkg/ctl/app.go
@@ -66,6 +66,8 @@
 		{"get", "Show objects", "Shows services with their status, or the objects of another kind.", &getCommand{}},
 		{"watch", "Follow changes", "Prints the objects of a kind and then each change.", &watchCommand{}},
 		{"delete", "Delete services", "Deletes services by name.", &deleteCommand{}},
+		{"evacuate", "Send no new work to data centres", "Declares that the targets of data centres take no new flows and requests until restore; open flows stay.", &evacuateCommand{}},
+		{"restore", "Use evacuated data centres again", "Withdraws evacuations.", &restoreCommand{}},
 		{"explain", "Say why callers were refused", "Finds refusal records by caller, service, reason and time.", &explainCommand{}},
 	}
 }
--- /dev/null
+++ b/pkg/ctl/evacuate.go
@@ -0,0 +1,115 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/gravitational/trace"
+
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
+	"github.com/auburnwood/auburnwood/pkg/resource"
+)
+
+// evacuateCommand declares that data centres take no new work.
+type evacuateCommand struct {
+	Reason string `long:"reason" value-name:"TEXT" description:"Why, for those who read it later"`
+	Args   struct {
+		DataCentres []string `positional-arg-name:"DATA-CENTRE"`
+	} `positional-args:"yes"`
+}
+
+// errNoDataCentre is the error of a command that names none.
+var errNoDataCentre = &usageError{reason: "name at least one data centre"}
+
+// run implements command.
+func (c *evacuateCommand) run(ctx context.Context, s *session) error {
+	if len(c.Args.DataCentres) == 0 {
+		return errNoDataCentre
+	}
+	store, err := s.store()
+	if err != nil {
+		return err
+	}
+	value, err := json.Marshal(resource.Evacuation{Reason: c.Reason})
+	if err != nil {
+		return trace.Wrap(err, "encoding the evacuation")
+	}
+	var errs []error
+	for _, d := range c.Args.DataCentres {
+		errs = append(errs, s.report(declare(ctx, store, d, value)))
+	}
+	return errors.Join(errs...)
+}
+
+// restoreCommand withdraws evacuations.
+type restoreCommand struct {
+	Args struct {
+		DataCentres []string `positional-arg-name:"DATA-CENTRE"`
+	} `positional-args:"yes"`
+}
+
+// run implements command.
+func (c *restoreCommand) run(ctx context.Context, s *session) error {
+	if len(c.Args.DataCentres) == 0 {
+		return errNoDataCentre
+	}
+	store, err := s.store()
+	if err != nil {
+		return err
+	}
+	var errs []error
+	for _, d := range c.Args.DataCentres {
+		errs = append(errs, s.report(withdraw(ctx, store, d)))
+	}
+	return errors.Join(errs...)
+}
+
+// report prints what became of one data centre.
+func (s *session) report(outcome string, err error) error {
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(s.app.Stdout, outcome)
+	return err
+}
+
+// declare stores an evacuation. Two operators may declare the same one: it is there once.
+func declare(ctx context.Context, store objectapi.Store, dataCentre string, value []byte) (string, error) {
+	for range maxAttempts {
+		o, err := store.Create(ctx, resource.KindEvacuation, dataCentre, value)
+		switch {
+		case err == nil:
+			return fmt.Sprintf("%s is evacuated, version %d", dataCentre, o.Version), nil
+		case errors.Is(err, objectapi.ErrConflict):
+			return dataCentre + " was evacuated before", nil
+		case !errors.Is(err, objectapi.ErrOutcomeUnknown):
+			return "", trace.Wrap(err, "evacuating %s", dataCentre)
+		}
+		// Declaring it again is safe whether or not the lost call took effect.
+	}
+	return "", trace.Wrap(objectapi.ErrOutcomeUnknown, "evacuating %s: gave up after %d answers were lost", dataCentre, maxAttempts)
+}
+
+// withdraw removes an evacuation.
+func withdraw(ctx context.Context, store objectapi.Store, dataCentre string) (string, error) {
+	for range maxAttempts {
+		o, err := store.Get(ctx, resource.KindEvacuation, dataCentre)
+		if errors.Is(err, objectapi.ErrNotFound) {
+			return dataCentre + " is not evacuated", nil
+		}
+		if err != nil {
+			return "", trace.Wrap(err, "reading the evacuation of %s", dataCentre)
+		}
+		err = store.Delete(ctx, resource.KindEvacuation, dataCentre, o.Version)
+		if err == nil {
+			return dataCentre + " is used again", nil
+		}
+		again := errors.Is(err, objectapi.ErrOutcomeUnknown) || errors.Is(err, objectapi.ErrConflict) || errors.Is(err, objectapi.ErrNotFound)
+		if !again {
+			return "", trace.Wrap(err, "restoring %s", dataCentre)
+		}
+	}
+	return "", trace.Wrap(objectapi.ErrOutcomeUnknown, "restoring %s: gave up after %d tries", dataCentre, maxAttempts)
+}
--- a/pkg/dsr/evacuation/set.go
+++ b/pkg/dsr/evacuation/set.go
@@ -5,11 +5,12 @@
 import (
 	"maps"
 	"slices"
+
+	"github.com/auburnwood/auburnwood/pkg/resource"
 )
 
-// Kind is the kind of the objects by which operators declare evacuations in the product's own object API; an object's name is the
-// data centre, its value is not read.
-const Kind = "evacuations"
+// Kind is the kind of the objects by which operators declare evacuations; an object's name is the data centre, its value is not read.
+const Kind = resource.KindEvacuation
 
 // Set is the evacuated data centres at one time. The zero value is not known yet.
 type Set struct {
--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -97,6 +97,9 @@
 		wanted: b.readsEvacuations,
 		adopt:  b.evacuate,
 	}
+	if p.EvacuationStore != nil {
+		b.evacuations.store = p.EvacuationStore
+	}
 	b.agents.Seed = uint64(n.started.UnixNano())
 	env.Status.Set(b.status)
 	return b, nil
--- a/pkg/dsrd/evacuations.go
+++ b/pkg/dsrd/evacuations.go
@@ -11,6 +11,10 @@
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
 )
 
+// EvacuationWait is how long the object API lets a watch of the evacuations wait. A watch that has gone silent is found soon after, so that a
+// declaration is in force within the 5 s that operators are promised.
+const EvacuationWait = 2400 * time.Millisecond
+
 // evacuations reads which data centres operators have evacuated. It runs beside the keeper: the balancer that compares the
 // configuration with the object API for all others also watches the evacuations for them. No lock is held during a call.
 type evacuations struct {
--- a/pkg/dsrd/evacuations_test.go
+++ b/pkg/dsrd/evacuations_test.go
@@ -25,7 +25,7 @@
 
 // newEvacuationFixture must be called in a synctest bubble.
 func newEvacuationFixture(t *testing.T) *evacuationFixture {
-	f := &evacuationFixture{T: t, store: store.New(store.Config{WatchWait: WatchWait, History: 8}), watch: true}
+	f := &evacuationFixture{T: t, store: store.New(store.Config{WatchWait: EvacuationWait, History: 8}), watch: true}
 	e := &evacuations{store: f.store, kind: evacuation.Kind, log: zerolog.Nop(), wanted: f.wanted, adopt: f.adopt}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -145,6 +145,7 @@
 		require.Equal(t, before.Reads(), f.store.Counts().Reads())
 		f.setWatch(true)
 		f.pass(10 * time.Second)
-		require.LessOrEqual(t, f.store.Counts().Reads()-before.Reads(), uint64(20), "two calls a second at most")
+		require.LessOrEqual(t, f.store.Counts().Reads()-before.Reads(), uint64(1+(10*time.Second+EvacuationWait-1)/EvacuationWait),
+			"one call at the start, and one for each wait that begins")
 	})
 }
--- a/pkg/dsrd/platform.go
+++ b/pkg/dsrd/platform.go
@@ -35,6 +35,8 @@
 	// EvacuationKind is the kind of the objects by which operators evacuate data centres; an object is named like its data centre.
 	// Empty means evacuation.Kind.
 	EvacuationKind objectapi.Kind
+	// EvacuationStore is the object API with watches of EvacuationWait, since evacuations are rare and each watch counts; nil means Store.
+	EvacuationStore objectapi.Store
 	// ReadyHandler serves the readiness check; ready returns why the daemon is not ready, or nil.
 	ReadyHandler func(ready func() error) http.Handler
 	// TargetHandler serves the calls of the target on the same VM.
--- a/pkg/limit/limiter.go
+++ b/pkg/limit/limiter.go
@@ -18,6 +18,8 @@
 	limit    float64
 	doubling bool
 	closed   bool
+	// paused is set while the target's data centre is evacuated.
+	paused bool
 
 	lead     estimate
 	hold     estimate
@@ -45,6 +47,26 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
+	return l.emptyQueue()
+}
+
+// Pause stops new work until Resume, for a target whose data centre is evacuated. It returns the waiting work, which has left the queue.
+func (l *Limiter) Pause() []*Work {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.paused = true
+	return l.emptyQueue()
+}
+
+// Resume takes new work again after Pause.
+func (l *Limiter) Resume() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.paused = false
+}
+
+// emptyQueue takes all waiting work out of the queue.
+func (l *Limiter) emptyQueue() []*Work {
 	var waiting []*Work
 	for w := l.queue.pop(); w != nil; w = l.queue.pop() {
 		w.state = workLeft
@@ -53,6 +75,17 @@
 	return waiting
 }
 
+// shut reports whether no new work is taken, and why.
+func (l *Limiter) shut() (refusal.Reason, bool) {
+	switch {
+	case l.closed:
+		return refusal.ReasonDraining, true
+	case l.paused:
+		return refusal.ReasonEvacuated, true
+	}
+	return "", false
+}
+
 // SetSlots changes the number of slots. It returns the waiting work that starts by it. A target that was used to the
 // full is so at once with the new number; another goes on growing.
 func (l *Limiter) SetSlots(now time.Time, slots int) []*Work {
@@ -101,8 +134,8 @@
 }
 
 func (l *Limiter) admit(now time.Time, w *Work, front bool) Decision {
-	if l.closed {
-		return l.refuse(now, w, refusal.ReasonDraining)
+	if reason, shut := l.shut(); shut {
+		return l.refuse(now, w, reason)
 	}
 	if l.queue.size == 0 && l.free(now) && l.startAtOnce(now, w) {
 		return Decision{Verdict: VerdictStart}
@@ -171,8 +204,8 @@
 
 // leftReason is why work left the queue without its own doing.
 func (l *Limiter) leftReason() refusal.Reason {
-	if l.closed {
-		return refusal.ReasonDraining
+	if reason, shut := l.shut(); shut {
+		return reason
 	}
 	return refusal.ReasonDeadline
 }
@@ -297,8 +330,8 @@
 
 // hopeless reports that work with so much ahead of it should not wait, and why.
 func (l *Limiter) hopeless(now time.Time, w *Work, ahead int) (refusal.Reason, bool) {
-	if l.closed {
-		return refusal.ReasonDraining, true
+	if reason, shut := l.shut(); shut {
+		return reason, true
 	}
 	if ahead >= l.o.Queue {
 		return refusal.ReasonQueueFull, true
--- a/pkg/limit/limiter_test.go
+++ b/pkg/limit/limiter_test.go
@@ -172,6 +172,22 @@
 	require.Equal(t, refusal.ReasonDraining, l.Admit(start, work("a", time.Hour)).Reason)
 }
 
+func TestPauseReturnsTheWaitingAndEnds(t *testing.T) {
+	l := newTestLimiter(1)
+	running, waiting := work("a", time.Hour), work("b", time.Hour)
+	l.Admit(start, running)
+	l.Admit(start, waiting)
+	require.Equal(t, []*Work{waiting}, l.Pause())
+	require.Equal(t, refusal.ReasonEvacuated, l.Poll(start, waiting).Reason)
+	require.Empty(t, l.Done(start, running, Outcome{Result: ResultAnswered}))
+	require.Equal(t, refusal.ReasonEvacuated, l.Admit(start, work("a", time.Hour)).Reason)
+	l.Resume()
+	require.Equal(t, VerdictStart, l.Admit(start, work("a", time.Hour)).Verdict)
+	l.Close()
+	l.Resume()
+	require.Equal(t, refusal.ReasonDraining, l.Admit(start, work("a", time.Hour)).Reason, "a target that leaves stays closed")
+}
+
 func TestRunningNeverExceedsTheSlots(t *testing.T) {
 	r := rand.New(rand.NewPCG(7, 7))
 	l := New(Options{Slots: 3, Queue: 8, Rand: r})
--- a/pkg/request/counts.go
+++ b/pkg/request/counts.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync/atomic"
 
 	"github.com/auburnwood/auburnwood/pkg/refusal"
@@ -12,10 +13,13 @@
 	ended, failed atomic.Uint64
 }
 
-// add counts an outcome. The caller's own cancel and the drain of the agent say nothing about the target and are not
-// counted.
+// notTheTargets are the reasons that say nothing about the target: the caller's own cancel, the drain of the agent, and the evacuation
+// of its data centre.
+var notTheTargets = []refusal.Reason{refusal.ReasonCancelled, refusal.ReasonDraining, refusal.ReasonEvacuated}
+
+// add counts an outcome, unless it says nothing about the target.
 func (c *counts) add(o *outcome) {
-	if o.refusal != nil && (o.refusal.Reason == refusal.ReasonCancelled || o.refusal.Reason == refusal.ReasonDraining) {
+	if o.refusal != nil && slices.Contains(notTheTargets, o.refusal.Reason) {
 		return
 	}
 	failed := o.failedAtTarget()
--- a/pkg/request/peer_test.go
+++ b/pkg/request/peer_test.go
@@ -175,6 +175,29 @@
 	require.EqualValues(t, 1, a.gate.hits.Load())
 }
 
+func TestRequestsOfAnEvacuatedDataCentreGoToPeers(t *testing.T) {
+	a, b := newPair(t)
+	running := a.server.issue(1)[0].String()
+	submitAndForget(t, a.url, running)
+	<-a.gate.began
+	a.server.SetEvacuated(true)
+	b.gate.leave <- struct{}{}
+	res, _ := call(t, "POST", a.url, "order")
+	require.Equal(t, 200, res.StatusCode)
+	require.EqualValues(t, 1, b.gate.hits.Load())
+	a.peers.set()
+	res, _ = call(t, "POST", a.url, "order")
+	require.Equal(t, string(refusal.ReasonEvacuated), res.Header.Get(HeaderReason))
+	require.Equal(t, "no", res.Header.Get(HeaderRun))
+	a.gate.leave <- struct{}{}
+	require.Eventually(t, func() bool { return stateOf(t, a.url, running).Run == RunYes }, 5*time.Second, time.Millisecond)
+	a.server.SetEvacuated(false)
+	a.gate.leave <- struct{}{}
+	res, _ = call(t, "POST", a.url, "order")
+	require.Equal(t, 200, res.StatusCode)
+	require.EqualValues(t, 2, a.gate.hits.Load())
+}
+
 func TestAgentOfAnotherServiceRefuses(t *testing.T) {
 	a := newMember(t, "agent-a", nil)
 	other := newMember(t, "agent-b", func(o *Options) { o.Service = "reports-svc" })
--- a/pkg/request/server.go
+++ b/pkg/request/server.go
@@ -161,6 +161,16 @@
 	s.claims.writes.SetLimitAt(s.o.Now(), rate.Limit(cmp.Or(perSecond, DefaultClaimRate)))
 }
 
+// SetEvacuated says whether the target's data centre is evacuated. New and waiting requests then go to peers, or are refused as not run;
+// those that run are answered.
+func (s *Server) SetEvacuated(on bool) {
+	if !on {
+		s.limiter.Resume()
+		return
+	}
+	s.wake(nil, s.limiter.Pause())
+}
+
 // Drain stops new work: waiting requests go to peers or are refused as not run. It returns when everything that had
 // started is answered, or with the error of ctx.
 func (s *Server) Drain(ctx context.Context) error {
--- a/pkg/request/steer.go
+++ b/pkg/request/steer.go
@@ -35,7 +35,8 @@
 
 // blocked reports whether the own target is of no use, so that a peer of unknown load is worth a try.
 func (u *submission) blocked(d limit.Decision) bool {
-	return d.Verdict == limit.VerdictRefuse && (d.Reason == refusal.ReasonDraining || u.failure != nil)
+	leaves := d.Reason == refusal.ReasonDraining || d.Reason == refusal.ReasonEvacuated
+	return d.Verdict == limit.VerdictRefuse && (leaves || u.failure != nil)
 }
 
 // readmit puts the submission back to where it was: to the front of the queue when it had waited.
--- a/pkg/resource/kinds.go
+++ b/pkg/resource/kinds.go
@@ -18,6 +18,8 @@
 	KindMembers objectapi.Kind = "members"
 	// KindRollout is the state of a service's rollout, written by the holder of the rollout lease.
 	KindRollout objectapi.Kind = "rollout"
+	// KindEvacuation is an Evacuation, written by operators; its name is the data centre.
+	KindEvacuation objectapi.Kind = "evacuations"
 	// KindClaim is the claim of one idempotency key.
 	KindClaim objectapi.Kind = "claim"
 )
--- a/pkg/resource/service.go
+++ b/pkg/resource/service.go
@@ -108,6 +108,9 @@
 	SlowStart Duration `json:"slowStart,omitempty"`
 	// UDPIdle ends a UDP flow without packets; 0 means DefaultUDPIdle.
 	UDPIdle Duration `json:"udpIdle,omitempty"`
+	// Evacuated are the data centres whose targets take no new work, sorted. The system sets it in what it accepts; operators write objects
+	// of KindEvacuation.
+	Evacuated []string `json:"evacuated,omitempty"`
 	// Rollout moves flows to a new version; nil when none is in progress.
 	Rollout *Rollout `json:"rollout,omitempty"`
 }
--- a/pkg/resource/validate.go
+++ b/pkg/resource/validate.go
@@ -49,6 +49,9 @@
 		e.name("spec.targets", s.Spec.Targets)
 	}
 	e.shares("spec.shares", s.Spec.Shares)
+	if len(s.Spec.Evacuated) > 0 {
+		e.add("spec.evacuated", "is set by the system; evacuate a data centre by an object of kind %s", KindEvacuation)
+	}
 	e.preference("spec.preference", s.Spec.Preference)
 	e.proxyProtocol("spec.proxyProtocol", s.Spec)
 	e.limits("spec.limits", s.Spec)
--- a/pkg/revision/compile.go
+++ b/pkg/revision/compile.go
@@ -15,6 +15,8 @@
 	Services []resource.VersionedService
 	// Rollouts are the states of the rollouts, by service.
 	Rollouts map[string]resource.RolloutStatus
+	// Evacuated are the data centres that take no new work, sorted.
+	Evacuated []string
 }
 
 // Compiled is the result of Compile.
@@ -38,6 +40,7 @@
 	next := previous.Number + 1
 	for _, c := range o.Services {
 		c.Spec = withShares(c, in.Rollouts)
+		c.Spec.Evacuated = in.Evacuated
 		was, ok := old[c.Name]
 		if ok && sameSpec(was.Spec, c.Spec) {
 			configs = append(configs, was)
--- a/pkg/revision/compiler.go
+++ b/pkg/revision/compiler.go
@@ -73,6 +73,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.watch(ctx, resource.KindService) })
 	group.Go(func() error { return s.watch(ctx, rollout.Kind) })
+	group.Go(func() error { return s.watch(ctx, resource.KindEvacuation) })
 	group.Go(func() error { return s.run(ctx) })
 	return group.Wait()
 }
--- a/pkg/revision/session.go
+++ b/pkg/revision/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -105,7 +106,11 @@
 	if err != nil {
 		return Inputs{}, trace.Wrap(err, "list rollouts")
 	}
-	in := Inputs{Services: resource.ReadServices(services)}
+	evacuations, _, err := s.cfg.Store.List(ctx, resource.KindEvacuation)
+	if err != nil {
+		return Inputs{}, trace.Wrap(err, "list evacuations")
+	}
+	in := Inputs{Services: resource.ReadServices(services), Evacuated: namesOf(evacuations)}
 	in.Rollouts, err = rollout.ReadStates(states)
 	if err != nil {
 		s.warn(err, "read rollouts")
@@ -113,6 +118,16 @@
 	return in, nil
 }
 
+// namesOf returns the sorted names of objects.
+func namesOf(objects []objectapi.Object) []string {
+	var names []string
+	for _, o := range objects {
+		names = append(names, o.Name)
+	}
+	slices.Sort(names)
+	return names
+}
+
 // publish stores the revision and then advances the head. When the head was written by somebody else of an earlier
 // term, the revision that it names is loaded, and the next round compiles on top of it.
 func (s *session) publish(ctx context.Context, r resource.Revision) error {
--- a/pkg/view/build.go
+++ b/pkg/view/build.go
@@ -41,7 +41,7 @@
 }
 
 func buildService(number uint64, c resource.ServiceConfig, groups map[string][]membership.Member) *Service {
-	members := groups[cmp.Or(c.Spec.Targets, c.Name)]
+	members := evacuated(groups[cmp.Or(c.Spec.Targets, c.Name)], c.Spec.Evacuated)
 	s := &Service{Name: c.Name, Revision: number, Spec: c.Spec}
 	s.Targets = make([]Target, 0, len(members))
 	weights := newWeights(c.Spec.Shares, members)
@@ -51,6 +51,21 @@
 	return s
 }
 
+// evacuated returns the members with those of evacuated data centres draining: they keep their flows and their places in the rows, and
+// take none until the data centre is used again.
+func evacuated(members []membership.Member, dataCentres []string) []membership.Member {
+	if len(dataCentres) == 0 {
+		return members
+	}
+	out := slices.Clone(members)
+	for i := range out {
+		if slices.Contains(dataCentres, out[i].DataCentre) {
+			out[i].State = membership.StateDraining
+		}
+	}
+	return out
+}
+
 func newTarget(m membership.Member, weight uint32) Target {
 	return Target{
 		ID:          m.ID,
--- a/pkg/view/build_test.go
+++ b/pkg/view/build_test.go
@@ -110,3 +110,24 @@
 		})
 	}
 }
+
+func TestTargetsOfAnEvacuatedDataCentreTakeNothingUntilItIsRestored(t *testing.T) {
+	members := []membership.Member{
+		agent("t1", "v1", membership.StateActive, 1), agent("t2", "v1", membership.StateActive, 1), agent("t3", "v1", membership.StateActive, 1),
+	}
+	members[0].DataCentre, members[1].DataCentre, members[2].DataCentre = "marka", "zarqa", "zarqa"
+	with := func(dataCentres ...string) *Service {
+		spec := resource.ServiceSpec{Evacuated: dataCentres}
+		return Build(resource.Revision{Number: 7, Services: []resource.ServiceConfig{{Name: "route-svc", Spec: spec}}}, members).Services[0]
+	}
+	s := with("marka")
+	require.Equal(t, StateDraining, s.Targets[0].State)
+	require.Zero(t, s.Targets[0].Weight)
+	require.Equal(t, s.Targets[1].Weight, s.Targets[2].Weight)
+	require.InDelta(t, weightScale, float64(s.Targets[1].Weight+s.Targets[2].Weight), 1, "the others take its part")
+	require.Equal(t, membership.StateActive, members[0].State, "the members themselves are not changed")
+	require.Equal(t, StateActive, with().Targets[0].State)
+	for _, x := range with("marka", "zarqa").Targets {
+		require.Zero(t, x.Weight)
+	}
+}
