Learn what a target takes while it is cold when its service declares nothing

Change: when two processes of a target in a row end within 6 s of their start, the next one gets half of the most flows that the last got in a second, and half as many more each second until it is 6 s old. Kept: two, since a single restart may have any reason.

--- a/internal/lab/policy/options.go
+++ b/internal/lab/policy/options.go
@@ -44,6 +44,8 @@
 	// coldMargin allows falls over: it ends, and starts anew after FallTime.
 	ColdPerSecond float64
 	FallTime      time.Duration
+	// Undeclared is set when the service does not say so.
+	Undeclared bool
 	// Announce is the time between two announcements of an agent; 0 means as the daemons pace them by the number of VMs.
 	Announce time.Duration
 	// Faults are what happens.
--- a/internal/lab/policy/policy_test.go
+++ b/internal/lab/policy/policy_test.go
@@ -100,7 +100,8 @@
 	}{
 		{"targets-fail", policy.Without{FailingLast: true}, 0.01},
 		{"targets-wrong", policy.Without{HollowAnswers: true}, 0.05},
-		{"all-cold", policy.Without{ColdLimit: true}, 0.25},
+		{"all-cold", policy.Without{ColdLimit: true, LearntLimit: true}, 0.25},
+		{"all-cold-undeclared", policy.Without{LearntLimit: true}, 0.25},
 		{"far", policy.Without{ExtraRequests: true}, 0.2},
 		{"far", policy.Without{HalfOpen: true}, 0.2},
 		{"burst", policy.Without{TimelyFirst: true}, 0.1},
@@ -164,8 +165,10 @@
 		with, _ := play(t, name, policy.Without{})
 		require.Zero(t, with.FellOver, name)
 	}
-	without, _ := play(t, "all-cold", policy.Without{ColdLimit: true})
+	without, _ := play(t, "all-cold", policy.Without{ColdLimit: true, LearntLimit: true})
 	require.Greater(t, without.FellOver, 100)
+	learnt, _ := play(t, "all-cold-undeclared", policy.Without{})
+	require.Less(t, learnt.FellOver, 3*4*12, "each of twelve targets ends a few times in each of three runs until its limit is known")
 }
 
 // Full goodput is back within twice the warm-up of targets that all start cold.
--- a/internal/lab/policy/world.go
+++ b/internal/lab/policy/world.go
@@ -71,7 +71,16 @@
 	return routing.NewTable(configuration.Configuration{Version: 1, Routes: []configuration.Route{{
 		Name: "r", Destination: serviceAddress, Shares: []configuration.Share{{Service: serviceName, Weight: 1}},
 		Aim: w.o.Aim, Timeout: w.o.Budget,
-	}}, Services: []configuration.Service{{Name: serviceName, WarmUp: w.o.ColdTime, ColdPerSecond: w.o.ColdPerSecond}}})
+	}}, Services: []configuration.Service{w.service()}})
+}
+
+// service is what operators declare of the only service.
+func (w *world) service() configuration.Service {
+	s := configuration.Service{Name: serviceName}
+	if !w.o.Undeclared {
+		s.WarmUp, s.ColdPerSecond = w.o.ColdTime, w.o.ColdPerSecond
+	}
+	return s
 }
 
 // carry delivers a packet after a delay, or never.
--- a/pkg/dsr/ownership/cold.go
+++ b/pkg/dsr/ownership/cold.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/auburnwood/auburnwood/pkg/dsr/announcement"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/dsr/warmup"
 )
@@ -16,8 +17,9 @@
 	perSecond float64
 	warmUp    time.Duration
 	version   uint64
-	// window counts the flows that were handed to the target.
-	window warmup.Window
+	// window counts the flows that were handed to the target, learner finds out what it takes.
+	window  warmup.Window
+	learner warmup.Learner
 }
 
 // declared takes what operators declare of cold targets, as a balancer says with a new flow. An earlier configuration than that known
@@ -41,14 +43,33 @@
 
 // handed counts a new flow that the target is handed.
 func (t *Table) handed(now time.Time) {
-	if t.cold.perSecond > 0 {
-		t.cold.window.Note(now)
+	t.cold.window.Note(now)
+	t.cold.learner.Given(t.cold.window.Count())
+}
+
+// lifeLost notes that the target's last process has ended without a word.
+func (t *Table) lifeLost(now time.Time, last target) {
+	if last.known && last.last.State == announcement.Ready {
+		t.cold.learner.Ended(now.Sub(last.since))
 	}
 }
 
 // isCold reports whether the target takes no more than a rate of new flows.
-func (t *Table) isCold(now time.Time) bool {
-	return t.cold.perSecond > 0 && now.Before(t.warmAt()) && !t.cfg.Without.ColdLimit
+func (t *Table) isCold(now time.Time) bool { return t.coldRate(now).Holds(now) }
+
+// coldRate is what the target takes in any second: as operators declare for one that warms up, or less where earlier processes have
+// ended by less.
+func (t *Table) coldRate(now time.Time) warmup.Limit {
+	var l warmup.Limit
+	if !t.cfg.Without.ColdLimit {
+		l = warmup.Limit{PerSecond: t.cold.perSecond, Until: t.warmAt()}
+	}
+	age := now.Sub(t.target.since)
+	learnt := t.cold.learner.Rate(age)
+	if learnt == 0 || t.cfg.Without.LearntLimit || l.Holds(now) && l.PerSecond <= learnt {
+		return l
+	}
+	return warmup.Limit{PerSecond: learnt, Until: t.target.since.Add(warmup.YoungLife)}
 }
 
 // blindUntil is when an agent that started beside a living target knows what the target was handed in the last second.
@@ -64,24 +85,25 @@
 
 // coldLimit is what the target takes now; no limit when it is warm.
 func (t *Table) coldLimit(now time.Time) warmup.Limit {
-	if !t.isCold(now) {
+	l := t.coldRate(now)
+	if !l.Holds(now) {
 		return warmup.Limit{}
 	}
-	l := warmup.Limit{PerSecond: t.cold.perSecond, Until: t.warmAt()}
 	if !now.Before(t.blindUntil()) {
-		l.Room = t.cold.window.Room(now, t.cold.perSecond)
+		l.Room = t.cold.window.Room(now, l.PerSecond)
 	}
 	return l
 }
 
-// roomAt is when a cold target without room has room again.
-func (t *Table) roomAt() time.Time {
-	at := t.cold.window.Next(t.cold.perSecond)
+// roomAt is when a cold target without room is looked at again.
+func (t *Table) roomAt(now time.Time) time.Time {
+	l := t.coldRate(now)
+	at := t.cold.window.Next(l.PerSecond)
 	if blind := t.blindUntil(); blind.After(at) {
 		at = blind
 	}
-	if warm := t.warmAt(); warm.Before(at) {
-		at = warm
+	if l.Until.Before(at) {
+		at = l.Until
 	}
 	return at
 }
--- a/pkg/dsr/ownership/life.go
+++ b/pkg/dsr/ownership/life.go
@@ -21,12 +21,13 @@
 		return false, &announcement.Rejection{Reason: announcement.WrongAddress}
 	}
 	before := t.State(now)
-	first := t.target.last.ID == ""
+	last := t.target
 	n, err := t.target.hear(now, a, t.silence())
 	if err != nil || n == nothing {
 		return false, err
 	}
-	if n == newLife && !first {
+	if n == newLife && last.last.ID != "" {
+		t.lifeLost(now, last)
 		t.lifeEnded(now)
 	}
 	t.giveBack(now)
--- a/pkg/dsr/ownership/queueing.go
+++ b/pkg/dsr/ownership/queueing.go
@@ -58,7 +58,7 @@
 	t.roomAgain = time.Time{}
 	for t.busy < t.limit(now) {
 		if t.queue.Len() > 0 && !t.hasRoom(now) {
-			t.roomAgain = t.roomAt()
+			t.roomAgain = t.roomAt(now)
 			return
 		}
 		o, ok := t.queue.Next(now, t.pace())
--- a/pkg/dsr/warmup/window.go
+++ b/pkg/dsr/warmup/window.go
@@ -25,6 +25,9 @@
 	w.taken = append(w.taken, now)
 }
 
+// Count is the number of flows of the last second, as of the last call that named a time.
+func (w *Window) Count() int { return len(w.taken) }
+
 // Room is the number of flows that may be taken now when perSecond may be taken in any second.
 func (w *Window) Room(now time.Time, perSecond float64) int {
 	w.forget(now)
