Send what a data centre gets beyond its part to targets elsewhere that get less

Callers of a data centre go to its targets first, and the callers of russeifa-hall and sahab-hall are 1.15 times their targets' part of all; what remains is chance. Change: agents tell the rate of new flows, averaged over 4 s; a balancer sends the part of its flows that its data centre's targets get beyond the mean of all to free targets elsewhere that get less.

--- a/pkg/dsr/dispatch/agent.go
+++ b/pkg/dsr/dispatch/agent.go
@@ -30,6 +30,8 @@
 	asked    int
 	// work is how long its target lately took for a request; 0 when the agent does not know.
 	work time.Duration
+	// rate is the number of new flows that its target lately got in a second.
+	rate float64
 	// cold is what its target takes while it warms up.
 	cold warmup.Limit
 	// answers are the least of its target's last answers, by the hash of the address.
@@ -57,6 +59,7 @@
 	a.busy, a.reported, a.asked = int(m.Busy), now, 0
 	a.work = time.Duration(m.WorkUs) * time.Microsecond
 	a.cold = coldOf(now, m.Cold)
+	a.rate = float64(m.FlowsPerSecond)
 	a.heard, a.suspect = now, false
 }
 
--- a/pkg/dsr/dispatch/balancer.go
+++ b/pkg/dsr/dispatch/balancer.go
@@ -58,6 +58,8 @@
 	// answer learns how long agents take to answer an offer, works the usual work of each service.
 	answer estimate.Answer
 	works  map[string]*estimate.Mean
+	// spreads compare the own data centre with others, by service.
+	spreads map[string]spread
 	// usual are the least answers of the median target of a service.
 	usual map[usualKey]usualAnswer
 
@@ -77,10 +79,11 @@
 		services:  make(map[string][]*agent),
 		lastHeard: now,
 
-		flows: make(map[flow.Key]*flowState),
-		works: make(map[string]*estimate.Mean),
-		usual: make(map[usualKey]usualAnswer),
-		swept: now,
+		flows:   make(map[flow.Key]*flowState),
+		works:   make(map[string]*estimate.Mean),
+		spreads: make(map[string]spread),
+		usual:   make(map[usualKey]usualAnswer),
+		swept:   now,
 
 		searchMessages: SearchBurst,
 		searchedAt:     now,
--- a/pkg/dsr/dispatch/choose.go
+++ b/pkg/dsr/dispatch/choose.go
@@ -44,6 +44,7 @@
 	list := b.worthAsking(now, f)
 	if free {
 		list = slices.DeleteFunc(list, func(a *agent) bool { return a.suspect || !a.free(now) || a.slow(usual) })
+		list = b.spreadOut(now, f, list)
 	} else {
 		list = b.sample(f, list)
 	}
--- a/pkg/dsr/estimate/estimate_test.go
+++ b/pkg/dsr/estimate/estimate_test.go
@@ -40,3 +40,18 @@
 	require.Greater(t, a.Longest(0), 24*ms)
 	require.Less(t, a.Longest(0), 32*ms)
 }
+
+func TestARateFollowsWhatHappens(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var r Rate
+	require.Zero(t, r.PerSecond(now))
+	for range 2000 {
+		now = now.Add(20 * time.Millisecond)
+		r.Note(now)
+		if now.Sub(time.Unix(1000, 0)) == 2*time.Second {
+			require.InDelta(t, 50, r.PerSecond(now), 3, "soon after the start")
+		}
+	}
+	require.InDelta(t, 50, r.PerSecond(now), 1)
+	require.InDelta(t, 50/2.718, r.PerSecond(now.Add(rateTime)), 1)
+}
--- a/pkg/dsr/ownership/table.go
+++ b/pkg/dsr/ownership/table.go
@@ -55,6 +55,8 @@
 	configuration uint64
 	// evacuated is set while the agent's data centre takes no new flows.
 	evacuated bool
+	// rate is the number of new flows that the target gets.
+	rate estimate.Rate
 	// cold is what is known of the target's warm-up, roomAgain when the queue is looked at again since the target is cold; zero when
 	// something else has to happen first.
 	cold      coldness
--- a/pkg/dsr/ownership/tell.go
+++ b/pkg/dsr/ownership/tell.go
@@ -23,13 +23,14 @@
 		Answers:     t.toldLeast(),
 	}
 	t.reply = dsrpb.Message{
-		Kind:          dsrpb.Kind_KIND_ANNOUNCE,
-		Service:       t.cfg.Service,
-		Configuration: t.configuration,
-		Busy:          uint32(t.Busy()),
-		WorkUs:        t.toldWork(now),
-		Cold:          t.toldCold(now),
-		Announcement:  &t.announced,
+		Kind:           dsrpb.Kind_KIND_ANNOUNCE,
+		Service:        t.cfg.Service,
+		Configuration:  t.configuration,
+		Busy:           uint32(t.Busy()),
+		WorkUs:         t.toldWork(now),
+		Cold:           t.toldCold(now),
+		FlowsPerSecond: float32(t.rate.PerSecond(now)),
+		Announcement:   &t.announced,
 	}
 	return &t.reply
 }
@@ -60,16 +61,17 @@
 	}
 	e := t.flows[key]
 	t.reply = dsrpb.Message{
-		Kind:          dsrpb.Kind_KIND_LOCATED,
-		Flow:          m.Flow,
-		Service:       t.cfg.Service,
-		Source:        m.Source,
-		Destination:   m.Destination,
-		Verdict:       t.verdict(now, key),
-		Configuration: t.configuration,
-		Busy:          uint32(t.Busy()),
-		WorkUs:        t.toldWork(now),
-		Cold:          t.toldCold(now),
+		Kind:           dsrpb.Kind_KIND_LOCATED,
+		Flow:           m.Flow,
+		Service:        t.cfg.Service,
+		Source:         m.Source,
+		Destination:    m.Destination,
+		Verdict:        t.verdict(now, key),
+		Configuration:  t.configuration,
+		Busy:           uint32(t.Busy()),
+		WorkUs:         t.toldWork(now),
+		Cold:           t.toldCold(now),
+		FlowsPerSecond: float32(t.rate.PerSecond(now)),
 	}
 	if e != nil && e.hasSequence {
 		t.reply.HasSequence, t.reply.Reference = true, e.reference()
@@ -83,16 +85,17 @@
 		return
 	}
 	t.reply = dsrpb.Message{
-		Kind:          dsrpb.Kind_KIND_ACCEPTED,
-		Flow:          key.Hash(),
-		Service:       t.cfg.Service,
-		Verdict:       dsrpb.Verdict_VERDICT_HELD,
-		HasSequence:   e.hasSequence,
-		Reference:     e.reference(),
-		Configuration: t.configuration,
-		Busy:          uint32(t.Busy()),
-		WorkUs:        t.toldWork(now),
-		Cold:          t.toldCold(now),
+		Kind:           dsrpb.Kind_KIND_ACCEPTED,
+		Flow:           key.Hash(),
+		Service:        t.cfg.Service,
+		Verdict:        dsrpb.Verdict_VERDICT_HELD,
+		HasSequence:    e.hasSequence,
+		Reference:      e.reference(),
+		Configuration:  t.configuration,
+		Busy:           uint32(t.Busy()),
+		WorkUs:         t.toldWork(now),
+		Cold:           t.toldCold(now),
+		FlowsPerSecond: float32(t.rate.PerSecond(now)),
 	}
 	t.reply.SetKey(key)
 	t.out.ToBalancer(e.origin, &t.reply)
@@ -107,15 +110,16 @@
 // returned answers a balancer that a packet was not taken.
 func (t *Table) returned(now time.Time, balancer netip.AddrPort, m *dsrpb.Message, key flow.Key, v dsrpb.Verdict, raw []byte) {
 	t.reply = dsrpb.Message{
-		Kind:          dsrpb.Kind_KIND_RETURNED,
-		Flow:          m.Flow,
-		Service:       t.cfg.Service,
-		Verdict:       v,
-		Packet:        raw,
-		Configuration: t.configuration,
-		Busy:          uint32(t.Busy()),
-		WorkUs:        t.toldWork(now),
-		Cold:          t.toldCold(now),
+		Kind:           dsrpb.Kind_KIND_RETURNED,
+		Flow:           m.Flow,
+		Service:        t.cfg.Service,
+		Verdict:        v,
+		Packet:         raw,
+		Configuration:  t.configuration,
+		Busy:           uint32(t.Busy()),
+		WorkUs:         t.toldWork(now),
+		Cold:           t.toldCold(now),
+		FlowsPerSecond: float32(t.rate.PerSecond(now)),
 	}
 	t.reply.SetKey(key)
 	t.out.ToBalancer(balancer, &t.reply)
--- a/pkg/dsr/policy/policy.go
+++ b/pkg/dsr/policy/policy.go
@@ -32,6 +32,8 @@
 	FailingLast bool
 	// ColdLimit: targets that warm up get no more new flows than their service declares.
 	ColdLimit bool
+	// SpreadOut: flows beyond a data centre's part of all go to targets elsewhere that get less.
+	SpreadOut bool
 	// LearntLimit: targets whose processes ended soon after their start get less.
 	LearntLimit bool
 	// HollowAnswers: answers that are much faster and smaller than those of the service's other targets count as failures.
@@ -62,6 +64,7 @@
 		{"parking", Without{Parking: true}},
 		{"failing-last", Without{FailingLast: true}},
 		{"cold-limit", Without{ColdLimit: true}},
+		{"spread-out", Without{SpreadOut: true}},
 		{"learnt-limit", Without{LearntLimit: true}},
 		{"hollow-answers", Without{HollowAnswers: true}},
 	}
