--- a/pkg/dsr/dispatch/choose.go
+++ b/pkg/dsr/dispatch/choose.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/auburnwood/auburnwood/pkg/dsr/configuration"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/flow"
 )
@@ -61,10 +60,10 @@
 // worthAsking are the untried agents that take flows of the service, in a slice that is valid until the next call.
 func (b *Balancer) worthAsking(now time.Time, f *flowState) []*agent {
 	leaveOut := b.leaveFailingOut(now, f.service)
-	route := b.routes.Route(f.key.Destination)
+	regions := b.routes.Regions(b.routes.Route(f.key.Destination), f.service)
 	b.candidates = b.candidates[:0]
 	for _, a := range b.services[f.service] {
-		if !b.usable(now, a) || a.failing && leaveOut || slices.Contains(f.tried, a.addr) || !b.allows(route, a) {
+		if !b.usable(now, a) || a.failing && leaveOut || !regions.Allow(a.region) || slices.Contains(f.tried, a.addr) {
 			continue
 		}
 		b.candidates = append(b.candidates, a)
@@ -77,12 +76,6 @@
 	return a.takes(now) && !b.evacuations.Covers(a.dataCentre)
 }
 
-// allows reports whether flows of a route may reach the agent's region. A route that has gone meanwhile allows all, as the flow was
-// placed when it was there.
-func (b *Balancer) allows(route *configuration.Route, a *agent) bool {
-	return route == nil || b.routes.Allows(route, a.service, a.region)
-}
-
 // leaveFailingOut reports whether the targets that fail are the fewer ones of a service. When most seem to fail, the reason is not theirs.
 func (b *Balancer) leaveFailingOut(now time.Time, service string) bool {
 	if b.cfg.Without.FailingLast {
--- a/pkg/dsr/dispatch/opening.go
+++ b/pkg/dsr/dispatch/opening.go
@@ -174,14 +174,14 @@
 	if b.starting(now, f.service) {
 		return "", false
 	}
-	route := b.routes.Route(f.key.Destination)
+	regions := b.routes.Regions(b.routes.Route(f.key.Destination), f.service)
 	var reason refusal.Reason
 	for _, a := range b.services[f.service] {
 		switch {
 		case !a.alive(now) || a.state == dsrpb.State_STATE_ABSENT:
 		case b.evacuations.Covers(a.dataCentre):
 			reason = refusal.ReasonEvacuated
-		case !b.allows(route, a):
+		case !regions.Allow(a.region):
 			reason = cmp.Or(reason, refusal.ReasonRegion)
 		default:
 			return "", false
--- a/pkg/dsr/dispatch/searching.go
+++ b/pkg/dsr/dispatch/searching.go
@@ -254,7 +254,7 @@
 func (b *Balancer) serves(a netip.AddrPort, destination netip.AddrPort) bool {
 	known := b.agents[a]
 	route := b.routes.Route(destination)
-	return known != nil && leadsTo(route, known) && b.allows(route, known)
+	return known != nil && leadsTo(route, known) && b.routes.Regions(route, known.service).Allow(known.region)
 }
 
 // startOf is when the balancer first heard of the agent's present life.
--- a/pkg/dsr/routing/table.go
+++ b/pkg/dsr/routing/table.go
@@ -75,10 +75,22 @@
 	return *t.services[service]
 }
 
-// Allows reports whether a flow of a route to one of its services may reach a region. Both the route's and the service's regions
-// bind.
-func (t *Table) Allows(r *configuration.Route, service, region string) bool {
-	return allows(r.Regions, region) && allows(t.Declared(service).Regions, region)
+// Regions are those that flows of a route to one of its services may reach. A nil route allows all.
+func (t *Table) Regions(r *configuration.Route, service string) Regions {
+	if r == nil {
+		return Regions{}
+	}
+	return Regions{route: r.Regions, service: t.Declared(service).Regions}
+}
+
+// Regions are the regions that a route and a service allow; both bind. The zero value allows all.
+type Regions struct {
+	route, service []string
+}
+
+// Allow reports whether a region is allowed by both.
+func (a Regions) Allow(region string) bool {
+	return allows(a.route, region) && allows(a.service, region)
 }
 
 // allows reports whether a list of regions names one; an empty list allows all.
