--- a/pkg/dsr/admission/queue.go
+++ b/pkg/dsr/admission/queue.go
@@ -7,8 +7,8 @@
 // promised time go first; late ones follow, those whose callers were heard of last first; one whose caller is gone, or will
 // be before its turn, is given up.
 //
-// Callers give up without a word, often long before their patience is over: of those that had waited for more than a second,
-// four of five did not answer when their turn came. What they do while they wait is to repeat the opening packet.
+// Callers give up without a word, often long before their patience is over. What they do while they wait is to repeat the opening
+// packet.
 package admission
 
 import (
@@ -26,8 +26,7 @@
 	StartTrips = 15 * time.Millisecond
 	// LongWork is the work of a long request as a multiple of the usual one, which 97 of 100 do not exceed. A request counts as one that
 	// can be answered in the promised time only when there is time for that much: those closest to the end of it go first, so that under an
-	// overload every request is handed over with just the time that is set aside. With four of five requests within it (WorkMargin), 0.90
-	// of the capacity were answered in time at 1.5 times the load that targets can take, and 0.78 at three times; with this, 1.00 and 0.98.
+	// overload every request is handed over with just the time that is set aside.
 	LongWork = 2.5
 	// WorkMargin is set aside at least, where half of the promised time is less than a long request takes: a target that is slow after its
 	// start would else count every request that has waited at all as late.
--- a/pkg/dsr/dispatch/config.go
+++ b/pkg/dsr/dispatch/config.go
@@ -19,17 +19,16 @@
 	ProbeWait     = 20 * time.Millisecond
 	maxTimeout    = 150 * time.Millisecond
 	// SearchMessagesPerSecond and SearchBurst bound the questions of one balancer about owners, since a search asks every
-	// agent of a service and anybody can send packets of flows that do not exist. A question and its answer take about 20 us:
-	// 500 a second are a sixth of 0.06 cores, the smallest VM that auburnwood was built for. The burst covers the open flows
-	// that a balancer takes over from one that left: 50 flows of a service with 40 agents.
+	// agent of a service and anybody can send packets of flows that do not exist. The rate is what the smallest VMs can bear, the burst
+	// covers the open flows that a balancer takes over from one that left.
 	SearchMessagesPerSecond = 500
 	SearchBurst             = 2000
 	// SettleTime is how long a balancer that has started may not know every agent, and every balancer an agent that has
 	// joined: two announcements and a lost one's margin. Until then no target gets a packet on suspicion.
 	SettleTime = 600 * time.Millisecond
 	// SearchFirst is the number of agents that a search asks first, those to which the flow would be offered first when all targets are
-	// free. What they do not hold is searched at SearchGrowth times as many others, and so on. Asking all at once cost 109 questions a flow where a
-	// service had 109 agents: a balancer then found the owners of 18 flows that it took over from one that left, and of 5 more a second.
+	// free. What they do not hold is searched at SearchGrowth times as many others, and so on: asking all at once would spend the budget of
+	// searches on a few flows where a service has many agents.
 	SearchFirst  = 8
 	SearchGrowth = 4
 	// LocateRounds is the number of times that agents are asked in one search; a question or an answer may be lost.
@@ -46,14 +45,12 @@
 	// queue: the two that seem to have the shortest. When their queues are too long, so are the others'.
 	MaxFreeTries  = 5
 	MaxQueueTries = 2
-	// QueueSample is the number of agents that are compared for a place in a queue. What a balancer knows of queues is old: when all balancers
-	// compared all targets, they sent their flows to the same shortest queue until the next report. With 59 balancers, 110 targets, a third
-	// of the agents dead and reports every 250 ms, 2,466 of 72,061 requests were late, and 5 with three; with two and four it was about the same.
+	// QueueSample is the number of agents that are compared for a place in a queue. What a balancer knows of queues is old: if all balancers
+	// compared all targets, they would send their flows to the same shortest queue until the next report.
 	QueueSample = 3
 	// HedgeShare is the number of unanswered offers for each offer that the next agent may be asked about, HedgeBurst that many
-	// at once. A dead agent is asked a few times until it is suspect, and 3 messages of 100 may be lost on a bad link. More
-	// unanswered offers mean that answers are late because balancers or links are overloaded: without a bound each new flow
-	// then was offered to five agents, opened at two or three, and the overload kept itself going for 16 s.
+	// at once. A dead agent is asked a few times until it is suspect, and a bad link loses some messages. More unanswered offers mean that
+	// answers are late because balancers or links are overloaded, and further offers would feed the overload.
 	HedgeShare = 0.1
 	HedgeBurst = 50
 	// MaxHeld is the number of packets of one flow that wait for its owner: what one end may have under way.
@@ -62,8 +59,7 @@
 	// balancer: callers send it after 200 ms. A flow that is older is not reset, since it may be open.
 	FirstCopy = 180 * time.Millisecond
 	// StandstillAfter is how long a balancer may not have run until it takes itself for one that stood still: more than two
-	// calls of Awake, and less than FirstCopy. DoubtTime is how long it then reads packets that may have waited in its
-	// socket: 1 MB of them at 30 us each.
+	// calls of Awake, and less than FirstCopy. DoubtTime is how long it then reads packets that may have waited in its socket.
 	StandstillAfter = 120 * time.Millisecond
 	DoubtTime       = 300 * time.Millisecond
 	// OpeningPatience is how long callers wait for an answer to their opening packet at most.
@@ -96,9 +92,8 @@
 	// SlowFactor is the multiple of the service's usual work above which a free slot does not count as free: another target
 	// answers earlier even when the request has to wait there for one or two others.
 	SlowFactor = 3
-	// MaxFlows is the number of flows that a balancer keeps when the settings name none: at 740 bytes a flow 37 MB, a third of
-	// the memory of the smallest VM that auburnwood was built for, and four times the open flows of a balancer at the size to
-	// design for.
+	// MaxFlows is the number of flows that a balancer keeps when the settings name none: a third of the memory of the smallest VM, and four
+	// times the open flows of a balancer at the size to design for.
 	MaxFlows = 50_000
 	// sweepInterval is the time between two walks over all flows.
 	sweepInterval = time.Second
--- a/pkg/dsr/dispatch/opening.go
+++ b/pkg/dsr/dispatch/opening.go
@@ -35,9 +35,9 @@
 		return
 	}
 	b.flows[key] = f
-	// Another balancer may have opened the flow when this packet is a copy. Asking who holds it would cost a question to every
-	// agent: after an outage, when all that comes are copies, the questions of 54 agents kept the links full and the overload
-	// going for 14 s. A second target that opens the flow loses a slot for a round trip instead.
+	// Another balancer may have opened the flow when this packet is a copy. Asking who holds it would cost a question to every agent: after an
+	// outage, when all that comes are copies, the questions would keep the links full. A second target that opens the flow loses a slot for a
+	// round trip instead.
 	b.place(now, f)
 }
 
--- a/pkg/dsr/dispatch/searching.go
+++ b/pkg/dsr/dispatch/searching.go
@@ -159,7 +159,7 @@
 }
 
 // searchLater searches once more when every agent must be known. Packets of a flow that nobody answers come 1.6 s apart and by any balancer:
-// when each was dropped at once, the flow of a living target stayed silent for 15 s while balancers were restarted every few seconds.
+// were each dropped at once, the flow of a living target could stay silent while balancers are restarted every few seconds.
 func (b *Balancer) searchLater(now time.Time, f *flowState) {
 	if f.waited {
 		b.lose(now, f)
--- a/pkg/dsr/dsrpb/configuration.go
+++ b/pkg/dsr/dsrpb/configuration.go
@@ -22,9 +22,8 @@
 	ErrDestination = errors.New("route has no address")
 )
 
-// EncodeConfiguration writes a configuration for another balancer, compressed: 1,000 routes take 12 kB, where the operator's
-// document in base64 took 257 kB, and 1.1 ms to read in place of 6.2 ms. All other balancers fetch at the same time, and the
-// smallest have a link of 10 Mbit/s and 0.06 cores.
+// EncodeConfiguration writes a configuration for another balancer, compressed: all other balancers fetch at the same time, and the
+// smallest have links and processors on which the operator's document would keep packets waiting.
 func EncodeConfiguration(c configuration.Configuration) ([]byte, error) {
 	raw, err := messageOf(c).MarshalVT()
 	if err != nil {
--- a/pkg/dsr/outlier/detector.go
+++ b/pkg/dsr/outlier/detector.go
@@ -14,9 +14,8 @@
 // Limits of the decision.
 const (
 	// Window is the number of last requests that are looked at, Failures the number of failed ones among them that takes a target
-	// out. A target that fails all is found after 8, one that fails 40 of 100 after about 20; one of which 5 of 100 requests end
-	// without an answer, since they are for something that it does not serve, once in ten million. With 3 of the last 8 healthy
-	// targets were left out all the time: 2 of 100 requests only asked for addresses that were just added or removed.
+	// out. A target that fails all is found after 8, one that fails 40 of 100 after about 20; one of which 5 of 100 requests end without an
+	// answer, since they are for something that it does not serve, hardly ever.
 	Window   = 20
 	Failures = 8
 	// FirstRest is how long a target is left out at first; each further time in a row doubles it up to MaxRest. One request is
--- a/pkg/dsr/ownership/cold.go
+++ b/pkg/dsr/ownership/cold.go
@@ -81,6 +81,9 @@
 	return t.started.Add(blindTime)
 }
 
+// ColdPerSecond is the number of new flows that the target takes in any second while it is cold; 0 when it is warm.
+func (t *Table) ColdPerSecond(now time.Time) float64 { return t.coldLimit(now).PerSecond }
+
 // hasRoom reports whether the target may be handed a new flow as far as its warm-up goes.
 func (t *Table) hasRoom(now time.Time) bool { return !t.isCold(now) || t.coldLimit(now).Room > 0 }
 
--- a/pkg/dsr/ownership/config.go
+++ b/pkg/dsr/ownership/config.go
@@ -18,8 +18,8 @@
 	// SilentRetry is the time between two opening packets that are offered to a target that did not answer the last one.
 	SilentRetry = 150 * time.Millisecond
 	// HalfOpenBusy is how long a flow whose caller has not sent its request counts as work at least; where callers are farther
-	// away, the longest usual round trip. One that takes longer has chosen another target or is gone. Counting those for
-	// 500 ms kept a burst of late requests going for 15 s, since most slots waited for callers that had left.
+	// away, the longest usual round trip. One that takes longer has chosen another target or is gone; slots that wait for it would keep a
+	// burst of late requests going.
 	HalfOpenBusy = 30 * time.Millisecond
 	// OfferedLinger is how long an opening packet that the target has not answered is known, for a late answer.
 	OfferedLinger = 500 * time.Millisecond
--- a/pkg/dsr/ownership/from_balancer.go
+++ b/pkg/dsr/ownership/from_balancer.go
@@ -148,7 +148,7 @@
 		t.silentOffer = now
 	}
 	t.out.ToTarget(raw)
-	t.decided(EventOffered, key, e.origin, e.configuration, dsrpb.Verdict_VERDICT_UNSPECIFIED)
+	t.decided(now, EventOffered, key, e.origin, e.configuration, dsrpb.Verdict_VERDICT_UNSPECIFIED)
 }
 
 // unknown decides about a packet of an open flow that this agent does not know.
--- a/pkg/dsr/ownership/from_target.go
+++ b/pkg/dsr/ownership/from_target.go
@@ -32,7 +32,7 @@
 	e := &entry{phase: open, since: now, touched: now, requested: true}
 	t.flows[key] = e
 	delete(t.notHeld, key)
-	t.decided(EventRecovered, key, netip.AddrPort{}, t.configuration, dsrpb.Verdict_VERDICT_HELD)
+	t.decided(now, EventRecovered, key, netip.AddrPort{}, t.configuration, dsrpb.Verdict_VERDICT_HELD)
 	return e
 }
 
@@ -46,7 +46,7 @@
 		e.requestBy = now.Add(t.halfOpen())
 		t.by(key, e.requestBy)
 		t.accepted(now, key, e)
-		t.decided(EventAccepted, key, e.origin, t.configuration, dsrpb.Verdict_VERDICT_HELD)
+		t.decided(now, EventAccepted, key, e.origin, t.configuration, dsrpb.Verdict_VERDICT_HELD)
 	}
 	t.failedBy(now, key, e, s)
 	if s.Length > 0 {
@@ -88,7 +88,7 @@
 	t.forgetHeld(now, key)
 	if lost {
 		t.out.Reset(key, e.callerAck)
-		t.decided(EventReset, key, origin, t.configuration, dsrpb.Verdict_VERDICT_RESET)
+		t.decided(now, EventReset, key, origin, t.configuration, dsrpb.Verdict_VERDICT_RESET)
 		t.tellReset(now, origin, key)
 		return
 	}
--- a/pkg/dsr/ownership/lifetime.go
+++ b/pkg/dsr/ownership/lifetime.go
@@ -110,7 +110,7 @@
 	case e.phase == probing && now.Sub(e.since) >= ProbeTimeout:
 		e.phase, e.since = open, now
 		t.accepted(now, key, e)
-		t.decided(EventRecovered, key, e.origin, t.configuration, dsrpb.Verdict_VERDICT_HELD)
+		t.decided(now, EventRecovered, key, e.origin, t.configuration, dsrpb.Verdict_VERDICT_HELD)
 	}
 }
 
--- a/pkg/dsr/ownership/outcome.go
+++ b/pkg/dsr/ownership/outcome.go
@@ -17,7 +17,7 @@
 func (e *entry) waiting() bool { return e.phase == open && e.working && !e.failed }
 
 // failedBy takes a packet by which the target ends a flow while it works on a request. One whose caller has closed it before says
-// nothing about the target: counting those took 7 of 58 healthy targets out for a second after an outage.
+// nothing about the target; after an outage most end so.
 func (t *Table) failedBy(now time.Time, key flow.Key, e *entry, s segment.Segment) {
 	if e.waiting() && !e.callerClosed && (s.Has(segment.RST) || s.Has(segment.FIN) && e.empty(s)) {
 		t.failure(now, key, e)
--- a/pkg/dsr/ownership/output.go
+++ b/pkg/dsr/ownership/output.go
@@ -32,6 +32,8 @@
 	// Busy and Slots are the target's load when it was decided.
 	Busy  int
 	Slots int
+	// ColdPerSecond is the number of new flows that the target took in any second when it was decided; 0 when it was warm.
+	ColdPerSecond float64
 	// Balancer is the balancer that sent the packet.
 	Balancer netip.AddrPort
 	// Configuration is the version under which the balancer sent it.
--- a/pkg/dsr/ownership/pace.go
+++ b/pkg/dsr/ownership/pace.go
@@ -42,8 +42,7 @@
 }
 
 // extra is the number of requests that the target is handed beyond its slots: those whose callers have still to send them, since
-// the slots would stand idle for a round trip each. With a third of the slots in its place, a deployment with a round trip of
-// 50 ms and 15 ms of work served three of four requests of a busy day in time; with this, nine of ten.
+// the slots would stand idle for a round trip each.
 func (t *Table) extra() int {
 	slots := t.slots()
 	waiting := float64(slots) * float64(t.trip.Mean(admission.StartTrips/2)) / float64(t.pace())
--- a/pkg/dsr/ownership/queueing.go
+++ b/pkg/dsr/ownership/queueing.go
@@ -26,7 +26,7 @@
 		packet:        append([]byte(nil), s.Raw...),
 		configuration: m.Configuration,
 	}
-	t.decided(EventQueued, key, balancer, m.Configuration, dsrpb.Verdict_VERDICT_QUEUED)
+	t.decided(now, EventQueued, key, balancer, m.Configuration, dsrpb.Verdict_VERDICT_QUEUED)
 	t.returned(now, balancer, m, key, dsrpb.Verdict_VERDICT_QUEUED, nil)
 	t.pump(now)
 }
@@ -83,7 +83,7 @@
 func (t *Table) giveUp(now time.Time, key flow.Key, v dsrpb.Verdict, ev Event) {
 	e := t.flows[key]
 	delete(t.flows, key)
-	t.decided(ev, key, e.origin, e.configuration, v)
+	t.decided(now, ev, key, e.origin, e.configuration, v)
 	t.returned(now, e.origin, &dsrpb.Message{Flow: key.Hash()}, key, v, nil)
 }
 
--- a/pkg/dsr/ownership/tell.go
+++ b/pkg/dsr/ownership/tell.go
@@ -103,7 +103,7 @@
 
 // decline answers a balancer that a packet was not taken, and reports it.
 func (t *Table) decline(now time.Time, balancer netip.AddrPort, m *dsrpb.Message, key flow.Key, v dsrpb.Verdict, raw []byte) {
-	t.decided(EventDeclined, key, balancer, m.Configuration, v)
+	t.decided(now, EventDeclined, key, balancer, m.Configuration, v)
 	t.returned(now, balancer, m, key, v, raw)
 }
 
@@ -125,7 +125,7 @@
 	t.out.ToBalancer(balancer, &t.reply)
 }
 
-func (t *Table) decided(ev Event, key flow.Key, balancer netip.AddrPort, configuration uint64, v dsrpb.Verdict) {
+func (t *Table) decided(now time.Time, ev Event, key flow.Key, balancer netip.AddrPort, configuration uint64, v dsrpb.Verdict) {
 	t.out.Decided(Decision{
 		Event:         ev,
 		Key:           key,
@@ -133,6 +133,7 @@
 		Verdict:       v,
 		Busy:          t.Busy(),
 		Slots:         t.target.last.Slots,
+		ColdPerSecond: t.ColdPerSecond(now),
 		Balancer:      balancer,
 		Configuration: configuration,
 	})
--- a/pkg/dsr/roster/config.go
+++ b/pkg/dsr/roster/config.go
@@ -11,8 +11,7 @@
 	QuietAfter    = time.Second
 	quietMessages = 4
 	// EagerTime is how long a peer that is new, or has just fallen silent, is spoken to every EagerInterval: processes that
-	// were stopped together come back within a few seconds of each other, and everything waits until they have met. With
-	// 500 ms in place of 50 ms, agents and balancers that were all killed met 400 ms later.
+	// were stopped together come back within a few seconds of each other, and everything waits until they have met.
 	EagerTime     = 5 * time.Second
 	EagerInterval = 50 * time.Millisecond
 	// QuietInterval is the time between two messages to a peer that was silent for longer. It bounds how long a peer that
--- a/pkg/dsrd/agent.go
+++ b/pkg/dsrd/agent.go
@@ -253,8 +253,8 @@
 	a.balancers.Wants(from, milliseconds(r.IntervalMs))
 	a.balancers.Says(from, answeredAnnouncements*a.balancers.IntervalTo(from))
 	if a.know(now, decodeAddresses(r.Balancers)) {
-		// Those that the agent knew already hear of it when their turn comes. Telling all of them cost 59 messages for each of 59
-		// balancers that an agent met at its start.
+		// Those that the agent knew already hear of it when their turn comes: telling all of them for each one that is new would be the square
+		// of their number in messages.
 		a.announceDue(now)
 	}
 	if r.HealthPath == "" || a.probing || !a.mayProbe(now) {
--- a/pkg/dsrd/agent_output.go
+++ b/pkg/dsrd/agent_output.go
@@ -68,7 +68,7 @@
 	o.counter(decisionKey{event: d.Event, verdict: d.Verdict}).Inc(1)
 	o.a.log.Info().Str("op", string(d.Event)).Uint64("flow", d.Hash).Stringer("caller", d.Key.Source).
 		Stringer("destination", d.Key.Destination).Str("service", o.a.cfg.Service).Str("verdict", d.Verdict.String()).
-		Int("busy", d.Busy).Int("slots", d.Slots).Stringer("balancer", d.Balancer).
+		Int("busy", d.Busy).Int("slots", d.Slots).Float64("cold_per_second", d.ColdPerSecond).Stringer("balancer", d.Balancer).
 		Uint64("configuration", d.Configuration).Msg("flow")
 }
 
@@ -112,6 +112,11 @@
 	Flows           int                            `json:"flows"`
 	Configuration   uint64                         `json:"configuration"`
 	LivingBalancers int                            `json:"livingBalancers"`
+	// Evacuated is set while the agent's data centre takes no new flows; Unfinished flows had a packet lately and have not ended.
+	Evacuated  bool `json:"evacuated"`
+	Unfinished int  `json:"unfinished"`
+	// ColdPerSecond is the number of new flows that the target takes in any second while it is cold; 0 when it is warm.
+	ColdPerSecond float64 `json:"coldPerSecond"`
 }
 
 // status describes the agent.
@@ -129,5 +134,7 @@
 	s.Rejected = maps.Clone(a.rejections)
 	s.Busy, s.Flows, s.Configuration = a.table.Busy(), a.table.Flows(), a.table.Configuration()
 	s.LivingBalancers = len(a.balancers.Living(now))
+	s.Evacuated, s.Unfinished = a.table.Evacuated(), a.table.Unfinished(now, unfinishedWithin)
+	s.ColdPerSecond = a.table.ColdPerSecond(now)
 	return s
 }
--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -180,7 +180,7 @@
 	if b.core.Routes() == nil {
 		return errors.New("no configuration yet")
 	}
-	// Callers of a cut-off balancer are better served by another: in a cut of 4 s, one that stayed in rotation refused 700.
+	// Callers of a cut-off balancer are better served by another.
 	if now.Sub(b.core.LastHeard()) > dispatch.IsolatedAfter && now.Sub(b.started) >= readyWithoutAgents {
 		return errors.New("no agent is heard of")
 	}
--- a/pkg/dsrd/balancer_status.go
+++ b/pkg/dsrd/balancer_status.go
@@ -17,6 +17,10 @@
 	LivingAgents    int     `json:"livingAgents"`
 	ReadyAgents     int     `json:"readyAgents"`
 	LivingBalancers int     `json:"livingBalancers"`
+	// Evacuated are the data centres that get no new flows, EvacuationsVersion is the object API's version at which they were read, 0
+	// before they are known.
+	Evacuated          []string `json:"evacuated"`
+	EvacuationsVersion uint64   `json:"evacuationsVersion"`
 }
 
 // status describes the balancer.
@@ -33,6 +37,8 @@
 	s.Label, s.Flows = b.core.Routes().Label(), b.core.Flows()
 	s.LivingAgents, s.ReadyAgents = b.core.Agents(now)
 	s.LivingBalancers = len(b.balancers.Living(now))
+	evacuations := b.core.Evacuations()
+	s.Evacuated, s.EvacuationsVersion = evacuations.DataCentres, evacuations.Version
 	return s
 }
 
--- a/pkg/dsrd/gossip.go
+++ b/pkg/dsrd/gossip.go
@@ -18,8 +18,8 @@
 	// of a change when each tells six; the rest learns it with the next regular message, of which each gets 20 a second.
 	fanOut = 6
 	// introducedPeers is the number of balancers that a message to a process names which may know nobody. Such a process reads all from the
-	// object API; while that is down, three seeds that name 16 each lead to all others in a few messages. With all 96 balancers of a deployment
-	// of 304 VMs named, the start of an agent cost 1.8 kB from each of them.
+	// object API; while that is down, three seeds that name 16 each lead to all others in a few messages. Naming all would make the bytes of a
+	// start grow with the number of balancers.
 	introducedPeers = 16
 	// soughtPeers is the number of balancers that a message names to a silent one, which is spoken to several times a second.
 	soughtPeers = 4
--- a/pkg/dsrd/keeper.go
+++ b/pkg/dsrd/keeper.go
@@ -44,8 +44,8 @@
 	handOverTimeout = 500 * time.Millisecond
 	// keeperInterval is the time between two looks at whether a check is due.
 	keeperInterval = 100 * time.Millisecond
-	// failurePause is the pause after a failed check, doubled with each further one up to maxFailurePause: a balancer that asked
-	// ten times a second made 40 calls in an outage of 4 s, of which each is charged to the object API's budget.
+	// failurePause is the pause after a failed check, doubled with each further one up to maxFailurePause, since each call of an outage is
+	// charged to the object API's budget.
 	failurePause    = 200 * time.Millisecond
 	maxFailurePause = 800 * time.Millisecond
 	// maxHandOver bounds a configuration that is handed over, in bytes.
--- a/pkg/dsrd/readers.go
+++ b/pkg/dsrd/readers.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Cost of reading a large configuration from the object API, 1,300 routes, measured on a core of its own.
+// Cost of reading a large configuration of 1,300 routes from the object API.
 const (
 	// readCPU is the processor time for its bytes and its document, readBits its size.
 	readCPU  = 5 * time.Millisecond
