An agent that starts together with its target hands it flows at once

Cause: after a loss of power the first report of a target finds no agent yet, so that the agent hears of a life whose beginning it has not seen, and handed a cold target of a service with a declared bound nothing for one of its two cold seconds. Change: the time that is left of the warm-up tells the target's age; one that started less than 0.1 s before its agent got nothing from an earlier agent, since no supervisor replaces a process sooner. The test of a restarted agent gave a target of nine reports a whole warm-up; it has an age of 0.3 s now, and one more moment at which nothing may be handed.

--- a/pkg/dsr/ownership/cold.go
+++ b/pkg/dsr/ownership/cold.go
@@ -8,8 +8,12 @@
 	"github.com/auburnwood/auburnwood/pkg/dsr/warmup"
 )
 
-// blindTime is how long an agent that started beside a living target does not know what an earlier agent handed to it.
-const blindTime = time.Second + time.Millisecond
+const (
+	// blindTime is how long an agent that started beside a living target does not know what an earlier agent handed to it.
+	blindTime = time.Second + time.Millisecond
+	// replacedAfter is the least time between the end of a process and the start of the next one, as supervisors of processes have it.
+	replacedAfter = 100 * time.Millisecond
+)
 
 // coldness is what the agent knows of its target's warm-up.
 type coldness struct {
@@ -75,12 +79,22 @@
 
 // blindUntil is when an agent that started beside a living target knows what the target was handed in the last second.
 func (t *Table) blindUntil() time.Time {
-	if t.cfg.First || t.target.seenFirst {
+	if t.cfg.First || t.target.seenFirst || t.startedTogether() {
 		return time.Time{}
 	}
 	return t.started.Add(blindTime)
 }
 
+// startedTogether reports whether the target started so shortly before the agent that an earlier agent had ended by then, as after a loss
+// of power. What is left of its warm-up tells its age.
+func (t *Table) startedTogether() bool {
+	if !t.target.warmthTold {
+		return false
+	}
+	targetStarted := t.target.warmAt.Add(-t.cold.warmUp)
+	return targetStarted.After(t.started.Add(-replacedAfter))
+}
+
 // ColdPerSecond is the number of new flows that the target takes in any second while it is cold; 0 when it is warm.
 func (t *Table) ColdPerSecond(now time.Time) float64 { return t.coldLimit(now).PerSecond }
 
--- a/pkg/dsr/ownership/cold_test.go
+++ b/pkg/dsr/ownership/cold_test.go
@@ -100,10 +100,25 @@
 // An agent that starts beside a living target cannot know what the last agent handed to it.
 func TestARestartedAgentHandsAColdTargetNothingForASecond(t *testing.T) {
 	f := newFixture(t, Config{})
-	f.hear(announcement.Announcement{ID: "i-1", Service: "route-svc", Slots: 4, WarmUp: warmTime, Sequence: 9})
+	f.hear(announcement.Announcement{ID: "i-1", Service: "route-svc", Slots: 4, WarmUp: warmTime - 300*time.Millisecond, Sequence: 9})
 	require.False(t, f.serve(1, dsrpb.Patience_PATIENCE_FREE_SLOT))
-	f.pass(blindTime)
-	require.True(t, f.serve(2, dsrpb.Patience_PATIENCE_FREE_SLOT))
+	f.pass(blindTime - time.Millisecond)
+	require.False(t, f.serve(2, dsrpb.Patience_PATIENCE_FREE_SLOT))
+	f.pass(time.Millisecond)
+	require.True(t, f.serve(3, dsrpb.Patience_PATIENCE_FREE_SLOT))
+}
+
+// After a loss of power the first report of a target may find no agent yet: its age says that no earlier agent can have handed it anything.
+func TestAnAgentThatStartsTogetherWithItsTargetIsNotBlind(t *testing.T) {
+	for _, c := range []struct {
+		age  time.Duration
+		want bool
+	}{{40 * time.Millisecond, true}, {replacedAfter + 40*time.Millisecond, false}} {
+		f := &fixture{T: t, out: &recorder{}, now: start}
+		f.table = newTestTable(f, Config{})
+		f.hear(announcement.Announcement{ID: "i-1", Service: "route-svc", Slots: 4, WarmUp: warmTime - c.age, Sequence: 2})
+		require.Equal(t, c.want, f.serve(1, dsrpb.Patience_PATIENCE_FREE_SLOT), c.age)
+	}
 }
 
 // Until a target says how warm it is, it counts as cold.
