--- a/pkg/dsrd/agent_target.go
+++ b/pkg/dsrd/agent_target.go
@@ -17,7 +17,8 @@
 		return err
 	}
 	a.log.Warn().Str("op", "target-state").Str("target", n.ID).Uint64("born", n.Born).Uint64("sequence", n.Sequence).
-		Str("service", n.Service).Int("slots", n.Slots).Dur("warm_up_ms", n.WarmUp).Stringer("before", before).
+		Str("service", n.Service).Int("slots", n.Slots).Dur("warm_up_ms", n.WarmUp).
+		Float64("cold_per_second", a.table.ColdPerSecond(now)).Stringer("before", before).
 		Stringer("state", a.table.State(now)).Msg("the target changed")
 	a.state = a.table.State(now)
 	a.announceLocked(now)
--- a/pkg/dsrd/evacuate.go
+++ b/pkg/dsrd/evacuate.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net/netip"
 	"strings"
 	"time"
 
@@ -64,15 +63,15 @@
 func (b *Balancer) tellEvacuations(now time.Time, dataCentres []string) {
 	for _, d := range dataCentres {
 		for _, a := range b.core.AgentsOf(now, d) {
-			if b.tells(a.Address) {
+			if b.tellsAtOnce() {
 				b.send(a.Address, b.welcomeMessage(now, a.Service))
 			}
 		}
 	}
 }
 
-// tells draws whether this balancer is one of those that tell an agent at once.
-func (b *Balancer) tells(a netip.AddrPort) bool {
+// tellsAtOnce draws whether this balancer is one of those that tell an agent at once. b.mu is held.
+func (b *Balancer) tellsAtOnce() bool {
 	others := b.balancers.Len()
 	return others < agentFanOut || rand.IntN(others+1) < agentFanOut
 }
