--- a/pkg/dsr/dispatch/config.go
+++ b/pkg/dsr/dispatch/config.go
@@ -65,7 +65,7 @@
 	// OpeningPatience is how long callers wait for an answer to their opening packet at most.
 	OpeningPatience = 1400 * time.Millisecond
 	// MaxAnnounceInterval bounds what an agent says of the time between its announcements.
-	MaxAnnounceInterval = 2 * time.Minute
+	MaxAnnounceInterval = 5 * time.Minute
 	// FreshAnswer is how old an agent's last message may be for a flow that waits there to be taken for alive.
 	FreshAnswer = 500 * time.Millisecond
 	// ParkTime is how long a new flow waits for a balancer or agents that have just started. Its caller sends the last
--- a/pkg/dsr/roster/config.go
+++ b/pkg/dsr/roster/config.go
@@ -31,8 +31,8 @@
 	// process is used by those of its own data centre before others.
 	farFactor = 4
 	farAfter  = time.Second
-	// MaxInterval bounds what a peer says or asks for: 5,400 processes are heard at HeardMessages.
-	MaxInterval = 2 * time.Minute
+	// MaxInterval bounds what a peer says or asks for: 3,300 processes of other data centres are heard at a quarter of HeardMessages.
+	MaxInterval = 5 * time.Minute
 	// steadySpread is the part of an interval by which messages of it may come earlier.
 	steadySpread = 0.25
 )
