--- a/internal/lab/command/bound.go
+++ b/internal/lab/command/bound.go
@@ -20,6 +20,7 @@
 	Dark      time.Duration `long:"dark" default:"1400ms" description:"How long everything is without power, until its processes run again"`
 	ColdTime  time.Duration `long:"cold-time" default:"2s" description:"How long targets are slow after their start"`
 	Cold      float64       `long:"cold-factor" default:"1.6" description:"How much longer they work then"`
+	ColdRate  float64       `long:"cold-per-second" description:"New flows that a cold target takes in a second; 0 for no limit"`
 	Length    time.Duration `long:"length" default:"12s" description:"How long callers send requests; power is lost after 3 s"`
 	Seeds     int           `long:"seeds" default:"3" description:"Number of seeds"`
 }
@@ -31,7 +32,7 @@
 	o.Balancers, o.Targets, o.Slots, o.Work = c.Balancers, c.Targets, c.Slots, c.Work
 	o.Load = c.Rate * c.Work.Seconds() / float64(c.Targets*c.Slots)
 	o.Aim, o.Budget, o.Caller, o.Length = c.Aim, c.Budget, c.Caller, c.Length
-	o.ColdTime, o.ColdFactor = c.ColdTime, c.Cold
+	o.ColdTime, o.ColdFactor, o.ColdPerSecond, o.FallTime = c.ColdTime, c.Cold, c.ColdRate, time.Second
 	o.Faults = []policy.Fault{{Kind: policy.PowerLoss, At: 3 * time.Second, For: c.Dark, Share: 1}}
 	return o
 }
