--- a/internal/lab/command/bound.go
+++ b/internal/lab/command/bound.go
@@ -32,7 +32,7 @@
 	o.Balancers, o.Targets, o.Slots, o.Work = c.Balancers, c.Targets, c.Slots, c.Work
 	o.Load = c.Rate * c.Work.Seconds() / float64(c.Targets*c.Slots)
 	o.Aim, o.Budget, o.Caller, o.Length = c.Aim, c.Budget, c.Caller, c.Length
-	o.ColdTime, o.ColdFactor, o.ColdPerSecond, o.FallTime = c.ColdTime, c.Cold, c.ColdRate, time.Second
+	o.ColdTime, o.ColdFactor, o.ColdPerSecond, o.CrashTime = c.ColdTime, c.Cold, c.ColdRate, time.Second
 	o.Faults = []policy.Fault{{Kind: policy.PowerLoss, At: 3 * time.Second, For: c.Dark, Share: 1}}
 	return o
 }
--- a/internal/lab/policy/options.go
+++ b/internal/lab/policy/options.go
@@ -41,9 +41,9 @@
 	ColdTime   time.Duration
 	ColdFactor float64
 	// ColdPerSecond is the number of new flows that a cold target takes in any second, 0 for no limit. One that gets more than
-	// coldMargin allows falls over: it ends, and starts anew after FallTime.
+	// coldMargin allows crashes: it ends, and starts anew after CrashTime.
 	ColdPerSecond float64
-	FallTime      time.Duration
+	CrashTime     time.Duration
 	// Undeclared is set when the service does not say so.
 	Undeclared bool
 	// Announce is the time between two announcements of an agent; 0 means as the daemons pace them by the number of VMs.
--- a/internal/lab/policy/policy_test.go
+++ b/internal/lab/policy/policy_test.go
@@ -58,7 +58,7 @@
 		require.Equal(t, r.Asked, r.InTime+r.Late+r.Lost, "every request has one end")
 		sum := &out.sum
 		sum.Counts = sum.Plus(r.Counts)
-		sum.FellOver, sum.Wrong = sum.FellOver+r.FellOver, sum.Wrong+r.Wrong
+		sum.Crashed, sum.Wrong = sum.Crashed+r.Crashed, sum.Wrong+r.Wrong
 		out.worth += r.Worth() / float64(seeds)
 	}
 	return out
@@ -103,7 +103,7 @@
 		least    float64
 	}{
 		{"targets-fail", policy.Without{FailingLast: true}, 0.01},
-		{"targets-wrong", policy.Without{HollowAnswers: true}, 0.05},
+		{"targets-wrong", policy.Without{FailedAnswers: true}, 0.05},
 		{"all-cold", policy.Without{ColdLimit: true, LearntLimit: true}, 0.25},
 		{"all-cold-undeclared", policy.Without{LearntLimit: true}, 0.25},
 		{"far", policy.Without{ExtraRequests: true}, 0.2},
@@ -157,22 +157,22 @@
 // each try.
 func TestWrongAnswersAreFew(t *testing.T) {
 	with, _ := play(t, "targets-wrong", policy.Without{})
-	without, _ := play(t, "targets-wrong", policy.Without{HollowAnswers: true})
+	without, _ := play(t, "targets-wrong", policy.Without{FailedAnswers: true})
 	require.Less(t, with.Wrong, 3*2*20)
 	require.Greater(t, without.Wrong, 20*with.Wrong)
 }
 
-// Targets that all start cold and get their full load fall over, start cold once more, and never recover. With the bound that their
+// Targets that all start cold and get their full load crash, start cold once more, and never recover. With the bound that their
 // service declares none does.
-func TestColdTargetsDoNotFallOver(t *testing.T) {
+func TestColdTargetsDoNotCrash(t *testing.T) {
 	for _, name := range []string{"all-cold", "half-cold"} {
 		with, _ := play(t, name, policy.Without{})
-		require.Zero(t, with.FellOver, name)
+		require.Zero(t, with.Crashed, name)
 	}
 	without, _ := play(t, "all-cold", policy.Without{ColdLimit: true, LearntLimit: true})
-	require.Greater(t, without.FellOver, 3*12, "each of twelve targets falls over again and again")
+	require.Greater(t, without.Crashed, 3*12, "each of twelve targets crashes again and again")
 	learnt, _ := play(t, "all-cold-undeclared", policy.Without{})
-	require.Less(t, learnt.FellOver, 4*12, "each of twelve targets ends a few times until its limit is known")
+	require.Less(t, learnt.Crashed, 4*12, "each of twelve targets ends a few times until its limit is known")
 }
 
 // Full goodput is back within twice the warm-up of targets that all start cold.
--- a/internal/lab/policy/result.go
+++ b/internal/lab/policy/result.go
@@ -41,9 +41,9 @@
 	Refusals, Told, GivenUp, Unanswered int
 	// Twice is the number of flows that ran at two targets, which must not be.
 	Twice int
-	// FellOver is the number of times that a cold target ended since it got too many flows, Wrong that of errors that callers got.
-	FellOver, Wrong int
-	runs            map[netip.AddrPort]int
+	// Crashed is the number of times that a cold target ended since it got too many flows, Wrong that of errors that callers got.
+	Crashed, Wrong int
+	runs           map[netip.AddrPort]int
 }
 
 func newResult(o Options) *Result {
--- a/internal/lab/policy/scenario.go
+++ b/internal/lab/policy/scenario.go
@@ -68,15 +68,15 @@
 		scenario("targets-wrong", 0.97, func(o *Options) { o.Faults = faultAt(Wrong, 4*time.Second, 0.17, 1) }),
 		scenario("targets-wrong-partly", 0.96, func(o *Options) { o.Faults = faultAt(Wrong, 4*time.Second, 0.17, 0.4) }),
 		scenario("all-cold", 0.80, func(o *Options) {
-			o.ColdPerSecond, o.FallTime, o.Length = 20, time.Second, 12*time.Second
+			o.ColdPerSecond, o.CrashTime, o.Length = 20, time.Second, 12*time.Second
 			o.Faults = faultAt(Restart, 300*time.Millisecond, 1, 0)
 		}),
 		scenario("all-cold-undeclared", 0.75, func(o *Options) {
-			o.ColdPerSecond, o.FallTime, o.Undeclared, o.Length = 20, time.Second, true, 16*time.Second
+			o.ColdPerSecond, o.CrashTime, o.Undeclared, o.Length = 20, time.Second, true, 16*time.Second
 			o.Faults = faultAt(Restart, 300*time.Millisecond, 1, 0)
 		}),
 		scenario("half-cold", 0.95, func(o *Options) {
-			o.ColdPerSecond, o.FallTime, o.Load = 20, time.Second, 0.4
+			o.ColdPerSecond, o.CrashTime, o.Load = 20, time.Second, 0.4
 			o.Faults = faultAt(Restart, 300*time.Millisecond, 0.5, 0)
 		}),
 		scenario("targets-mute", 0.90, func(o *Options) { o.Faults = faultAt(Mute, 4*time.Second, 0.17, 0.5) }),
--- a/internal/lab/policy/target.go
+++ b/internal/lab/policy/target.go
@@ -105,8 +105,8 @@
 
 func (t *target) open(f *held, s segment.Segment) {
 	if f == nil {
-		if t.overrun() {
-			t.fall()
+		if t.overloaded() {
+			t.crash()
 			return
 		}
 		t.initial += initialStep
@@ -119,8 +119,8 @@
 // coldMargin is what a cold target bears beyond the rate that its service declares.
 func coldMargin(perSecond float64) int { return int(1.5*perSecond) + 5 }
 
-// overrun counts a new flow; it reports whether a cold target has got more in a second than it bears.
-func (t *target) overrun() bool {
+// overloaded counts a new flow; it reports whether a cold target has got more in a second than it bears.
+func (t *target) overloaded() bool {
 	now := t.w.now()
 	if t.w.o.ColdPerSecond == 0 || !now.Before(t.coldUntil) {
 		return false
@@ -132,11 +132,11 @@
 	return len(t.opened) > coldMargin(t.w.o.ColdPerSecond)
 }
 
-// fall ends the process; the next one starts cold.
-func (t *target) fall() {
-	t.w.result.FellOver++
+// crash ends the process; the next one starts cold.
+func (t *target) crash() {
+	t.w.result.Crashed++
 	t.end()
-	t.w.after(t.w.o.FallTime, func() { t.start(false) })
+	t.w.after(t.w.o.CrashTime, func() { t.start(false) })
 }
 
 // request queues a request for a slot, or sheds it by a reset when the queue is full.
--- a/pkg/dsr/outlier/answers.go
+++ b/pkg/dsr/outlier/answers.go
@@ -6,7 +6,7 @@
 // has changed, four of five targets have one among them, so that such answers do not stand out.
 const LeastOf = 16
 
-// An answer may be hollow that takes less than fast of the usual least time, or is smaller than short of the usual smallest one.
+// An answer may be an error that takes less than fast of the usual least time, or is smaller than short of the usual smallest one.
 const (
 	fast  = 0.5
 	short = 0.125
@@ -19,10 +19,10 @@
 	Bytes uint32
 }
 
-// Hollow reports whether an answer began earlier than is usual and is smaller than is usual, one of them by far: it may well be an error
+// LooksFailed reports whether an answer began earlier than is usual and is smaller than is usual, one of them by far: it may well be an error
 // that took no work. Neither alone says so, since a target may be fast, or compress its answers. The usual is the least answer of the
 // median target, the zero value when it is not known.
-func (a Answer) Hollow(usual Answer) bool {
+func (a Answer) LooksFailed(usual Answer) bool {
 	if a.Time >= usual.Time || a.Bytes >= usual.Bytes {
 		return false
 	}
--- a/pkg/dsr/outlier/answers_test.go
+++ b/pkg/dsr/outlier/answers_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-func TestAHollowAnswerIsFastAndSmall(t *testing.T) {
+func TestAnAnswerThatLooksFailedIsFastAndSmall(t *testing.T) {
 	usual := Answer{Time: 16 * time.Millisecond, Bytes: 800}
 	for _, c := range []struct {
 		name   string
@@ -22,7 +22,7 @@
 		{"much smaller and a little faster", Answer{Time: 15 * time.Millisecond, Bytes: 99}, usual, true},
 		{"nothing is known of others", Answer{}, Answer{}, false},
 	} {
-		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, c.answer.Hollow(c.usual)) })
+		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, c.answer.LooksFailed(c.usual)) })
 	}
 }
 
--- a/pkg/dsr/ownership/answers.go
+++ b/pkg/dsr/ownership/answers.go
@@ -48,7 +48,8 @@
 	}
 }
 
-// replied judges an answer that is whole, since an end closes the flow or the next request comes. One that is hollow, beside those of the service's other targets, counts as failed.
+// replied judges an answer that is whole, since an end closes the flow or the next request comes. One that looks failed beside those of the
+// service's other targets counts as a failure.
 func (t *Table) replied(now time.Time, key flow.Key, e *entry) {
 	if !e.reply.pending {
 		return
@@ -58,15 +59,15 @@
 	address := flow.AddrHash(key.Destination)
 	t.keepAnswer(address, a)
 	usual := t.usual[address]
-	hollow := a.Hollow(usual) && !t.cfg.Without.HollowAnswers
-	if t.noteOutcome(now, hollow) {
-		t.judged(now, Judgement{Hollow: hollow, Answer: a, Usual: usual})
+	failed := a.LooksFailed(usual) && !t.cfg.Without.FailedAnswers
+	if t.noteOutcome(now, failed) {
+		t.judged(now, Judgement{LooksFailed: failed, Answer: a, Usual: usual})
 	}
 }
 
 // noteOutcome counts an answered request; it reports whether that changes what the target is taken for.
-func (t *Table) noteOutcome(now time.Time, hollow bool) bool {
-	if hollow {
+func (t *Table) noteOutcome(now time.Time, failed bool) bool {
+	if failed {
 		return t.outcomes.Failed(now)
 	}
 	return t.outcomes.Succeeded(now)
--- a/pkg/dsr/ownership/answers_test.go
+++ b/pkg/dsr/ownership/answers_test.go
@@ -41,7 +41,7 @@
 	}
 	require.True(t, f.announced())
 	last := f.out.judgements[len(f.out.judgements)-1]
-	require.True(t, last.Hollow)
+	require.True(t, last.LooksFailed)
 	require.Equal(t, uint32(171), last.Answer.Bytes)
 	require.Equal(t, uint32(500), last.Usual.Bytes)
 }
@@ -51,8 +51,8 @@
 		name string
 		work time.Duration
 		size int
-		// hollow is set for one request of that many.
-		hollow int
+		// failed is set for one request of that many.
+		failed int
 	}{
 		{"much faster", time.Millisecond, 1000, 0},
 		{"compressed", 40 * time.Millisecond, 60, 0},
@@ -62,7 +62,7 @@
 			f := newFixture(t, Config{})
 			f.usualAnswers()
 			for port := 1; port <= 300; port++ {
-				if c.hollow > 0 && port%c.hollow == 0 {
+				if c.failed > 0 && port%c.failed == 0 {
 					f.answerAfter(port, time.Millisecond, 90)
 					continue
 				}
--- a/pkg/dsr/ownership/cold.go
+++ b/pkg/dsr/ownership/cold.go
@@ -9,14 +9,14 @@
 )
 
 const (
-	// blindTime is how long an agent that started beside a living target does not know what an earlier agent handed to it.
-	blindTime = time.Second + time.Millisecond
+	// unseenTime is how long an agent that started beside a living target does not know what an earlier agent handed to it.
+	unseenTime = time.Second + time.Millisecond
 	// replacedAfter is the least time between the end of a process and the start of the next one, as supervisors of processes have it.
 	replacedAfter = 100 * time.Millisecond
 )
 
-// coldness is what the agent knows of its target's warm-up.
-type coldness struct {
+// coldState is what the agent knows of its target's warm-up.
+type coldState struct {
 	// perSecond and warmUp are what operators declare of the service, version the configuration that says so.
 	perSecond float64
 	warmUp    time.Duration
@@ -39,7 +39,7 @@
 
 // warmAt is when the target is warm: as it says, or the whole warm-up after it was first heard of or its data centre was last evacuated.
 func (t *Table) warmAt() time.Time {
-	if t.target.warmthTold {
+	if t.target.warmAtKnown {
 		return t.target.warmAt
 	}
 	return t.target.coldFrom.Add(t.cold.warmUp)
@@ -77,18 +77,18 @@
 	return warmup.Limit{PerSecond: learnt, Until: t.target.since.Add(warmup.YoungLife)}
 }
 
-// blindUntil is when an agent that started beside a living target knows what the target was handed in the last second.
-func (t *Table) blindUntil() time.Time {
+// unseenUntil is when an agent that started beside a living target knows what the target was handed in the last second.
+func (t *Table) unseenUntil() time.Time {
 	if t.cfg.First || t.target.seenFirst || t.startedTogether() {
 		return time.Time{}
 	}
-	return t.started.Add(blindTime)
+	return t.started.Add(unseenTime)
 }
 
 // startedTogether reports whether the target started so shortly before the agent that an earlier agent had ended by then, as after a loss
 // of power. What is left of its warm-up tells its age.
 func (t *Table) startedTogether() bool {
-	if !t.target.warmthTold {
+	if !t.target.warmAtKnown {
 		return false
 	}
 	targetStarted := t.target.warmAt.Add(-t.cold.warmUp)
@@ -107,7 +107,7 @@
 	if !l.Holds(now) {
 		return warmup.Limit{}
 	}
-	if !now.Before(t.blindUntil()) {
+	if !now.Before(t.unseenUntil()) {
 		l.Room = t.cold.window.Room(now, l.PerSecond)
 	}
 	return l
@@ -117,8 +117,8 @@
 func (t *Table) roomAt(now time.Time) time.Time {
 	l := t.coldRate(now)
 	at := t.cold.window.Next(l.PerSecond)
-	if blind := t.blindUntil(); blind.After(at) {
-		at = blind
+	if unseen := t.unseenUntil(); unseen.After(at) {
+		at = unseen
 	}
 	if l.Until.Before(at) {
 		at = l.Until
--- a/pkg/dsr/ownership/cold_test.go
+++ b/pkg/dsr/ownership/cold_test.go
@@ -102,14 +102,14 @@
 	f := newFixture(t, Config{})
 	f.hear(announcement.Announcement{ID: "i-1", Service: "route-svc", Slots: 4, WarmUp: warmTime - 300*time.Millisecond, Sequence: 9})
 	require.False(t, f.serve(1, dsrpb.Patience_PATIENCE_FREE_SLOT))
-	f.pass(blindTime - time.Millisecond)
+	f.pass(unseenTime - time.Millisecond)
 	require.False(t, f.serve(2, dsrpb.Patience_PATIENCE_FREE_SLOT))
 	f.pass(time.Millisecond)
 	require.True(t, f.serve(3, dsrpb.Patience_PATIENCE_FREE_SLOT))
 }
 
 // After a loss of power the first report of a target may find no agent yet: its age says that no earlier agent can have handed it anything.
-func TestAnAgentThatStartsTogetherWithItsTargetIsNotBlind(t *testing.T) {
+func TestAnAgentThatStartsTogetherWithItsTargetKnowsWhatItWasHanded(t *testing.T) {
 	for _, c := range []struct {
 		age  time.Duration
 		want bool
--- a/pkg/dsr/ownership/outcome.go
+++ b/pkg/dsr/ownership/outcome.go
@@ -86,8 +86,8 @@
 	// Pace is how long the target lately took for a request, Busy the requests at it.
 	Pace time.Duration
 	Busy int
-	// Hollow is set when the last request was answered, but with much less than usual; Answer is that answer, Usual the least one of the
+	// LooksFailed is set when the last request was answered, but with much less than usual; Answer is that answer, Usual the least one of the
 	// median target.
-	Hollow        bool
+	LooksFailed   bool
 	Answer, Usual outlier.Answer
 }
--- a/pkg/dsr/ownership/table.go
+++ b/pkg/dsr/ownership/table.go
@@ -59,7 +59,7 @@
 	rate estimate.Rate
 	// cold is what is known of the target's warm-up, roomAgain when the queue is looked at again since the target is cold; zero when
 	// something else has to happen first.
-	cold      coldness
+	cold      coldState
 	roomAgain time.Time
 	swept     time.Time
 	reply     dsrpb.Message
--- a/pkg/dsr/ownership/target.go
+++ b/pkg/dsr/ownership/target.go
@@ -32,9 +32,9 @@
 	since time.Time
 	// seenFirst is set when the process announced itself here for the first time, so that all its flows came by here.
 	seenFirst bool
-	// warmAt is when the process is warm as it says, once warmthTold is set; the answer to a health check says nothing of it.
-	warmAt     time.Time
-	warmthTold bool
+	// warmAt is when the process is warm as it says, once warmAtKnown is set; the answer to a health check says nothing of it.
+	warmAt      time.Time
+	warmAtKnown bool
 	// coldFrom is when the warm-up may have begun at the latest, as long as the process says nothing of it.
 	coldFrom time.Time
 	// retired are earlier processes that do not say when they started, the latest last.
@@ -60,7 +60,7 @@
 	}
 	t.known, t.last, t.heard = true, a, now
 	if a.Sequence >= firstSequence {
-		t.warmAt, t.warmthTold = now.Add(a.WarmUp), true
+		t.warmAt, t.warmAtKnown = now.Add(a.WarmUp), true
 	}
 	return n, nil
 }
@@ -76,7 +76,7 @@
 }
 
 // mayBeCold forgets what the process has said of its warm-up, since it may have begun anew.
-func (t *target) mayBeCold(now time.Time) { t.coldFrom, t.warmthTold = now, false }
+func (t *target) mayBeCold(now time.Time) { t.coldFrom, t.warmAtKnown = now, false }
 
 // judge says what an announcement means. The start of a process orders lives, whatever the target's name; the sequence orders
 // announcements within one. A target that never says when it started never reuses a name either: then a new name is a new
--- a/pkg/dsr/policy/policy.go
+++ b/pkg/dsr/policy/policy.go
@@ -36,8 +36,8 @@
 	SpreadOut bool
 	// LearntLimit: targets whose processes ended soon after their start get less.
 	LearntLimit bool
-	// HollowAnswers: answers that are much faster and smaller than those of the service's other targets count as failures.
-	HollowAnswers bool
+	// FailedAnswers: answers that are much faster and smaller than those of the service's other targets count as failures.
+	FailedAnswers bool
 }
 
 // Mechanism is one mechanism by name.
@@ -66,6 +66,6 @@
 		{"cold-limit", Without{ColdLimit: true}},
 		{"spread-out", Without{SpreadOut: true}},
 		{"learnt-limit", Without{LearntLimit: true}},
-		{"hollow-answers", Without{HollowAnswers: true}},
+		{"failed-answers", Without{FailedAnswers: true}},
 	}
 }
--- a/pkg/dsrd/agent_output.go
+++ b/pkg/dsrd/agent_output.go
@@ -76,7 +76,7 @@
 func (o *agentOutput) Judged(j ownership.Judgement) {
 	line := o.a.log.Warn().Str("op", "target-judged").Stringer("state", j.State).Int("failures_of_20", j.Failures).
 		Dur("pace_ms", j.Pace).Int("busy", j.Busy)
-	if j.Hollow {
+	if j.LooksFailed {
 		line = line.Dur("answer_ms", j.Answer.Time).Uint32("answer_bytes", j.Answer.Bytes).
 			Dur("usual_ms", j.Usual.Time).Uint32("usual_bytes", j.Usual.Bytes)
 	}
