--- a/pkg/dsr/ownership/cold.go
+++ b/pkg/dsr/ownership/cold.go
@@ -59,9 +59,6 @@
 	}
 }
 
-// isCold reports whether the target takes no more than a rate of new flows.
-func (t *Table) isCold(now time.Time) bool { return t.coldRate(now).Holds(now) }
-
 // coldRate is what the target takes in any second: as operators declare for one that warms up, or less where earlier processes have
 // ended by less.
 func (t *Table) coldRate(now time.Time) warmup.Limit {
@@ -99,7 +96,10 @@
 func (t *Table) ColdPerSecond(now time.Time) float64 { return t.coldLimit(now).PerSecond }
 
 // hasRoom reports whether the target may be handed a new flow as far as its warm-up goes.
-func (t *Table) hasRoom(now time.Time) bool { return !t.isCold(now) || t.coldLimit(now).Room > 0 }
+func (t *Table) hasRoom(now time.Time) bool {
+	l := t.coldLimit(now)
+	return !l.Holds(now) || l.Room > 0
+}
 
 // coldLimit is what the target takes now; no limit when it is warm.
 func (t *Table) coldLimit(now time.Time) warmup.Limit {
