--- a/internal/standin/store/config.go
+++ b/internal/standin/store/config.go
@@ -21,6 +21,8 @@
 	WatchWait time.Duration
 	// Seed makes the random faults repeatable.
 	Seed uint64
+	// Era is the era in which the store starts; a store in era 0 names none until it comes back from a copy.
+	Era uint64
 	// Now is the clock; the default is time.Now.
 	Now func() time.Time
 	// Sleep waits for a duration or the end of the context; the default uses a timer.
--- a/internal/standin/store/http.go
+++ b/internal/standin/store/http.go
@@ -18,6 +18,9 @@
 	objectapi.Store
 }
 
+// Era implements objectapi.EraSource.
+func (c cutting) Era() uint64 { return objectapi.CurrentEra(c.Store) }
+
 func (c cutting) Create(ctx context.Context, kind objectapi.Kind, name string, value []byte) (objectapi.Object, error) {
 	o, err := c.Store.Create(ctx, kind, name, value)
 	cut(err)
--- /dev/null
+++ b/internal/standin/store/restore.go
@@ -0,0 +1,101 @@
+package store
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
+)
+
+// Copy is a copy of a store's objects and history, from which it can come back.
+type Copy struct {
+	objects map[key]objectapi.Object
+	history []event
+	version uint64
+	trimmed uint64
+}
+
+// Copy returns a copy of the store as it is now.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{
+		objects: maps.Clone(s.objects),
+		history: slices.Clone(s.history),
+		version: s.version,
+		trimmed: s.trimmed,
+	}
+}
+
+// Restore replaces the objects and the history by those of an earlier copy and begins the next era, in which revisions go on from
+// those of the copy. What was written since is lost, except for objects of the kinds in rewritten: they are written again as they
+// are now, in the order of their versions. Waiting watches fail.
+func (s *Store) Restore(c Copy, rewritten ...objectapi.Kind) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lost := s.objects
+	era := objectapi.EraOf(s.version) + 1
+	s.version, s.trimmed = inEra(era, c.version), inEra(era, c.trimmed)
+	s.objects = make(map[key]objectapi.Object, len(c.objects))
+	for k, o := range c.objects {
+		o.Version = inEra(era, o.Version)
+		s.objects[k] = o
+	}
+	s.history = slices.Clone(c.history)
+	for i := range s.history {
+		s.history[i].Object.Version = inEra(era, s.history[i].Object.Version)
+	}
+	s.writeAgain(lost, rewritten)
+	s.restores++
+	for kind := range s.changed {
+		s.wake(kind)
+	}
+}
+
+// Era implements objectapi.EraSource.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return objectapi.EraOf(s.version)
+}
+
+// writeAgain writes the lost objects of some kinds again and deletes those that were deleted; s.mu is held.
+func (s *Store) writeAgain(lost map[key]objectapi.Object, kinds []objectapi.Kind) {
+	objects := slices.Collect(maps.Values(lost))
+	slices.SortFunc(objects, func(a, b objectapi.Object) int { return cmp.Compare(a.Version, b.Version) })
+	for _, o := range objects {
+		old, exists := s.objects[key{o.Kind, o.Name}]
+		if !slices.Contains(kinds, o.Kind) || exists && slices.Equal(old.Value, o.Value) {
+			continue
+		}
+		s.put(o, objectapi.EventPut)
+	}
+	for k, o := range s.objects {
+		if _, kept := lost[k]; !kept && slices.Contains(kinds, k.kind) {
+			s.put(o, objectapi.EventDelete)
+		}
+	}
+}
+
+// put stores or deletes an object under the next version; s.mu is held.
+func (s *Store) put(o objectapi.Object, t objectapi.EventType) objectapi.Object {
+	s.version++
+	o.Version = s.version
+	if t == objectapi.EventDelete {
+		delete(s.objects, key{o.Kind, o.Name})
+	} else {
+		s.objects[key{o.Kind, o.Name}] = o
+	}
+	s.publish(objectapi.Event{Type: t, Object: o})
+	return o
+}
+
+// inEra moves a version to another era.
+func inEra(era, version uint64) uint64 {
+	v, err := objectapi.MakeVersion(era, objectapi.RevisionOf(version))
+	if err != nil {
+		panic(err) // No test restores a store millions of times.
+	}
+	return v
+}
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -21,10 +21,11 @@
 var _ objectapi.Store = (*Store)(nil)
 
 var (
-	errOutage = errors.New("outage")
-	errRate   = errors.New("rate limit")
-	errLost   = errors.New("answer lost")
-	errSize   = errors.New("value above MaxValueSize")
+	errRestored = errors.New("the store came back from a copy")
+	errOutage   = errors.New("outage")
+	errRate     = errors.New("rate limit")
+	errLost     = errors.New("answer lost")
+	errSize     = errors.New("value above MaxValueSize")
 )
 
 // key identifies an object.
@@ -56,6 +57,8 @@
 	limiter *rate.Limiter
 	counts  Counts
 	applied uint64
+	// restores is the number of times that the store came back from a copy.
+	restores int
 }
 
 // New returns an empty store.
@@ -67,6 +70,8 @@
 		objects: make(map[key]objectapi.Object),
 		changed: make(map[objectapi.Kind]chan struct{}),
 		counts:  make(Counts),
+		version: inEra(cfg.Era, 0),
+		trimmed: inEra(cfg.Era, 0),
 	}
 }
 
@@ -195,18 +200,12 @@
 	case op != objectapi.OpCreate && old.Version != o.Version, op == objectapi.OpUpdate && !ok:
 		return o, objectapi.ErrConflict
 	}
-	s.version++
 	s.applied++
-	o.Version = s.version
 	o = clone(o)
 	if op == objectapi.OpDelete {
-		delete(s.objects, k)
-		s.publish(objectapi.Event{Type: objectapi.EventDelete, Object: o})
-		return o, nil
+		return s.put(o, objectapi.EventDelete), nil
 	}
-	s.objects[k] = o
-	s.publish(objectapi.Event{Type: objectapi.EventPut, Object: o})
-	return o, nil
+	return s.put(o, objectapi.EventPut), nil
 }
 
 // publish adds an event to the history and wakes the watches of its kind; s.mu is held.
--- a/pkg/objectapi/handler.go
+++ b/pkg/objectapi/handler.go
@@ -24,6 +24,16 @@
 	return mux
 }
 
+// version returns the store's version of a revision that a caller has named. Callers do not name an era, so that it is taken for one of the
+// current era.
+func (h *handler) version(revision uint64) (uint64, error) {
+	v, err := MakeVersion(CurrentEra(h.store), revision)
+	if err != nil {
+		return 0, errors.Join(ErrInvalid, err)
+	}
+	return v, nil
+}
+
 func (h *handler) listOrWatch(w http.ResponseWriter, r *http.Request) {
 	if !r.URL.Query().Has(paramWatch) {
 		h.list(w, r)
@@ -35,70 +45,89 @@
 func (h *handler) list(w http.ResponseWriter, r *http.Request) {
 	kind := Kind(r.PathValue("kind"))
 	if err := CheckKind(kind); err != nil {
-		answerError(w, errors.Join(ErrInvalid, err))
+		h.answerError(w, errors.Join(ErrInvalid, err))
 		return
 	}
 	items, version, err := h.store.List(r.Context(), kind)
-	answer(w, listAnswer{Items: items, Version: version}, err)
+	for i := range items {
+		items[i].Version = RevisionOf(items[i].Version)
+	}
+	h.answer(w, listAnswer{Items: items, Version: RevisionOf(version)}, err)
 }
 
 func (h *handler) watch(w http.ResponseWriter, r *http.Request) {
 	kind := Kind(r.PathValue("kind"))
 	if err := CheckKind(kind); err != nil {
-		answerError(w, errors.Join(ErrInvalid, err))
+		h.answerError(w, errors.Join(ErrInvalid, err))
 		return
 	}
-	from, err := strconv.ParseUint(r.URL.Query().Get(paramWatch), 10, 64)
+	from, err := h.number(r, paramWatch)
 	if err != nil {
-		answerError(w, errors.Join(ErrInvalid, err))
+		h.answerError(w, err)
 		return
 	}
 	events, version, err := h.store.Watch(r.Context(), kind, from)
-	answer(w, watchAnswer{Events: events, Version: version}, err)
+	for i := range events {
+		events[i].Object.Version = RevisionOf(events[i].Object.Version)
+	}
+	h.answer(w, watchAnswer{Events: events, Version: RevisionOf(version)}, err)
 }
 
 func (h *handler) get(w http.ResponseWriter, r *http.Request) {
 	kind, name, err := key(r)
 	if err != nil {
-		answerError(w, err)
+		h.answerError(w, err)
 		return
 	}
 	o, err := h.store.Get(r.Context(), kind, name)
-	answer(w, o, err)
+	h.answerObject(w, o, err)
 }
 
 func (h *handler) create(w http.ResponseWriter, r *http.Request) {
 	o, err := body(w, r)
 	if err != nil {
-		answerError(w, err)
+		h.answerError(w, err)
 		return
 	}
 	o, err = h.store.Create(r.Context(), o.Kind, o.Name, o.Value)
-	answer(w, o, err)
+	h.answerObject(w, o, err)
 }
 
 func (h *handler) update(w http.ResponseWriter, r *http.Request) {
 	o, err := body(w, r)
 	if err != nil {
-		answerError(w, err)
+		h.answerError(w, err)
+		return
+	}
+	if o.Version, err = h.version(o.Version); err != nil {
+		h.answerError(w, err)
 		return
 	}
 	o, err = h.store.Update(r.Context(), o)
-	answer(w, o, err)
+	h.answerObject(w, o, err)
 }
 
 func (h *handler) delete(w http.ResponseWriter, r *http.Request) {
 	kind, name, err := key(r)
 	if err != nil {
-		answerError(w, err)
+		h.answerError(w, err)
 		return
 	}
-	version, err := strconv.ParseUint(r.URL.Query().Get(paramVersion), 10, 64)
+	version, err := h.number(r, paramVersion)
 	if err != nil {
-		answerError(w, errors.Join(ErrInvalid, err))
+		h.answerError(w, err)
 		return
 	}
-	answer(w, struct{}{}, h.store.Delete(r.Context(), kind, name, version))
+	h.answer(w, struct{}{}, h.store.Delete(r.Context(), kind, name, version))
+}
+
+// number reads a version from the query.
+func (h *handler) number(r *http.Request, param string) (uint64, error) {
+	revision, err := strconv.ParseUint(r.URL.Query().Get(param), 10, 64)
+	if err != nil {
+		return 0, errors.Join(ErrInvalid, err)
+	}
+	return h.version(revision)
 }
 
 // key reads and checks the object's kind and name from the path.
@@ -128,22 +157,37 @@
 	return o, nil
 }
 
+// answerObject writes an object, or the error when there is one.
+func (h *handler) answerObject(w http.ResponseWriter, o Object, err error) {
+	o.Version = RevisionOf(o.Version)
+	h.answer(w, o, err)
+}
+
 // answer writes v, or the error when there is one.
-func answer(w http.ResponseWriter, v any, err error) {
+func (h *handler) answer(w http.ResponseWriter, v any, err error) {
 	if err != nil {
-		answerError(w, err)
+		h.answerError(w, err)
 		return
 	}
 	b, err := json.Marshal(v)
 	if err != nil {
-		answerError(w, err)
+		h.answerError(w, err)
 		return
 	}
+	h.nameEra(w)
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(b) // The client sees a broken answer by itself.
 }
 
-func answerError(w http.ResponseWriter, err error) {
+// nameEra writes the header with the store's era, if it has one.
+func (h *handler) nameEra(w http.ResponseWriter) {
+	if era := CurrentEra(h.store); era > 0 {
+		w.Header().Set(EraHeader, FormatEra(era))
+	}
+}
+
+func (h *handler) answerError(w http.ResponseWriter, err error) {
+	h.nameEra(w)
 	status := statusOf(err)
 	b, _ := json.Marshal(problem{Status: status, Title: http.StatusText(status), Detail: err.Error()})
 	w.Header().Set("Content-Type", "application/problem+json")
--- /dev/null
+++ b/pkg/objectapi/version.go
@@ -0,0 +1,68 @@
+package objectapi
+
+import (
+	"errors"
+	"strconv"
+)
+
+// EraHeader is the header in which the object API names its era in every answer. The era rises by one each time the API comes back
+// from an older copy of its objects: changes that it has acknowledged may then be gone, and their revisions are given out again.
+const EraHeader = "Store-Era"
+
+// A version is an era and a revision within it, so that versions of a later era are higher than all earlier ones. An API that names no
+// era is in era 0, and its versions are its revisions.
+const (
+	// revisionBits are the lower bits of a version: 400 changes a second for 87 years.
+	revisionBits = 40
+	maxRevision  = 1<<revisionBits - 1
+	maxEra       = 1<<(64-revisionBits-2) - 1
+)
+
+// ErrVersionRange is the error of an era or a revision that no version can hold.
+var ErrVersionRange = errors.New("era or revision out of range")
+
+// MakeVersion returns the version of a revision in an era, or ErrVersionRange.
+func MakeVersion(era, revision uint64) (uint64, error) {
+	if era > maxEra || revision > maxRevision {
+		return 0, ErrVersionRange
+	}
+	return era<<revisionBits | revision, nil
+}
+
+// EraOf returns the era of a version.
+func EraOf(version uint64) uint64 { return version >> revisionBits }
+
+// RevisionOf returns the revision of a version within its era.
+func RevisionOf(version uint64) uint64 { return version & maxRevision }
+
+// EraStart returns a version below all changes of the era of a version.
+func EraStart(version uint64) uint64 { return version &^ maxRevision }
+
+// FormatEra returns the text of the header for an era above 0.
+func FormatEra(era uint64) string { return strconv.FormatUint(era-1, 10) }
+
+// ParseEra reads the header. The era of the first text, "0", is 1: era 0 is that of an API without the header.
+func ParseEra(text string) (uint64, error) {
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, err
+	}
+	if n >= maxEra {
+		return 0, ErrVersionRange
+	}
+	return n + 1, nil
+}
+
+// EraSource is a Store that knows its era.
+type EraSource interface {
+	// Era returns the era of the next answer; 0 when there are no eras.
+	Era() uint64
+}
+
+// CurrentEra returns the era of a store, or 0 when it is no EraSource.
+func CurrentEra(s Store) uint64 {
+	if e, ok := s.(EraSource); ok {
+		return e.Era()
+	}
+	return 0
+}
