Order configurations by the operator's number where the object API may come back older

Cause: object versions were the revisions of the store. When it comes back from a copy it gives revisions out again, so the balancers held version 21 of the time before and took every later configuration, at revisions up to 21, for an old answer, or even for a confirmation. A watch from revision 21 could pass unnoticed once others had written enough.

Ruled out: a hanging watch (calls were answered) and a hand-over from a peer (no line of one).

Change: a version is an era and a revision; the era comes from the header Store-Era. Conditions and watches of an earlier era are refused by the clients of both protocols, a write that met a later era unawares has an unknown outcome, answers of an earlier era are left out. Versions of configurations are the operator's numbers where eras are named, since a restored store may hold an older configuration than the one in force. Without the header, versions are what they were.

Logs and status name the era, and a check says when the store holds an earlier configuration than the one in force.

--- a/pkg/dsr/configuration/configuration.go
+++ b/pkg/dsr/configuration/configuration.go
@@ -42,7 +42,8 @@
 
 // Configuration is one whole configuration of a deployment's routes.
 type Configuration struct {
-	// Version is the version of the stored object; it rises with each change.
+	// Version rises with each change. It is the operator's number where the object API names eras, see VersionOf, and the version of
+	// the stored object elsewhere.
 	Version uint64
 	// Label is the operator's own number of the configuration, for logs.
 	Label string
--- a/pkg/dsrd/agent_output.go
+++ b/pkg/dsrd/agent_output.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/announcement"
+	"github.com/auburnwood/auburnwood/pkg/dsr/configuration"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/dsr/ownership"
 	"github.com/auburnwood/auburnwood/pkg/flow"
@@ -69,7 +70,7 @@
 	o.a.log.Info().Str("op", string(d.Event)).Uint64("flow", d.Hash).Stringer("caller", d.Key.Source).
 		Stringer("destination", d.Key.Destination).Str("service", o.a.cfg.Service).Str("verdict", d.Verdict.String()).
 		Int("busy", d.Busy).Int("slots", d.Slots).Float64("cold_per_second", d.ColdPerSecond).Stringer("balancer", d.Balancer).
-		Uint64("configuration", d.Configuration).Msg("flow")
+		Uint64("configuration", configuration.ShownVersion(d.Configuration)).Msg("flow")
 }
 
 // Judged implements ownership.Output.
@@ -132,7 +133,7 @@
 	life := a.table.Life()
 	s.TargetName, s.Born, s.Since, s.Sequence = life.ID, life.Born, life.Since, life.Sequence
 	s.Rejected = maps.Clone(a.rejections)
-	s.Busy, s.Flows, s.Configuration = a.table.Busy(), a.table.Flows(), a.table.Configuration()
+	s.Busy, s.Flows, s.Configuration = a.table.Busy(), a.table.Flows(), configuration.ShownVersion(a.table.Configuration())
 	s.LivingBalancers = len(a.balancers.Living(now))
 	s.Evacuated, s.Unfinished = a.table.Evacuated(), a.table.Unfinished(now, unfinishedWithin)
 	s.ColdPerSecond = a.table.ColdPerSecond(now)
--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -117,6 +117,7 @@
 	g.Go(func() error { return b.handOver(run) })
 	g.Go(func() error { return every(run, tellInterval, b.gossip) })
 	g.Go(func() error { return b.join(run) })
+	g.Go(func() error { return b.logEras(run) })
 	g.Go(func() error { return b.refusals.Run(run) })
 	g.Go(func() error { return b.cleanUp(run) })
 	g.Go(func() error { return serveHTTP(run, b.cfg.ReadyAddress, b.platform.ReadyHandler(b.ready)) })
@@ -210,7 +211,7 @@
 	}
 	b.alarm.by(b.core.Deadline())
 	b.tellHealthPaths(now)
-	b.log.Warn().Str("op", "adopt-configuration").Uint64("configuration", t.Version()).Str("label", t.Label()).
+	b.log.Warn().Str("op", "adopt-configuration").Uint64("configuration", configuration.ShownVersion(t.Version())).Str("label", t.Label()).
 		Int("routes", t.Len()).Msg("the configuration is in force")
 }
 
--- a/pkg/dsrd/balancer_output.go
+++ b/pkg/dsrd/balancer_output.go
@@ -6,6 +6,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/auburnwood/auburnwood/pkg/dsr/configuration"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dispatch"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/flow"
@@ -68,13 +69,13 @@
 		Caller:      r.Key.Source,
 		Destination: r.Key.Destination,
 		Flow:        r.Hash,
-		Revision:    r.Configuration,
+		Revision:    configuration.ShownVersion(r.Configuration),
 		Reason:      r.Reason,
 		Run:         r.Run,
 	})
 	o.b.log.Warn().Str("op", "refuse").Str("record", id).Uint64("flow", r.Hash).Stringer("caller", r.Key.Source).
 		Stringer("destination", r.Key.Destination).Str("service", r.Service).Str("reason", string(r.Reason)).Str("run", string(r.Run)).Bool("told", r.Told).
-		Int("tried", r.Tried).Dur("waited_ms", r.Waited).Uint64("configuration", r.Configuration).Msg("flow refused")
+		Int("tried", r.Tried).Dur("waited_ms", r.Waited).Uint64("configuration", configuration.ShownVersion(r.Configuration)).Msg("flow refused")
 }
 
 // Decided implements dispatch.Output.
@@ -86,7 +87,7 @@
 	o.b.log.Info().Str("op", string(d.Event)).Uint64("flow", d.Hash).Stringer("caller", d.Key.Source).
 		Stringer("destination", d.Key.Destination).Str("service", d.Service).Stringer("agent", d.Agent).
 		Str("verdict", d.Verdict.String()).Float64("load", d.Load).Dur("report_age_ms", d.ReportAge).
-		Int("tried", d.Tried).Dur("waited_ms", d.Waited).Uint64("configuration", d.Configuration).Msg("flow")
+		Int("tried", d.Tried).Dur("waited_ms", d.Waited).Uint64("configuration", configuration.ShownVersion(d.Configuration)).Msg("flow")
 }
 
 func (o *balancerOutput) decisionCounter(e dispatch.Event) tally.Counter {
--- a/pkg/dsrd/balancer_status.go
+++ b/pkg/dsrd/balancer_status.go
@@ -5,12 +5,15 @@
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/announcement"
+	"github.com/auburnwood/auburnwood/pkg/dsr/configuration"
 )
 
 // balancerStatus is what /status shows of a balancer.
 type balancerStatus struct {
-	Ready           string  `json:"ready"`
-	Configuration   uint64  `json:"configuration"`
+	Ready         string `json:"ready"`
+	Configuration uint64 `json:"configuration"`
+	// Era is the newest era of the object API that is known, 0 when it names none.
+	Era             uint64  `json:"era"`
 	Label           string  `json:"label"`
 	CheckedSeconds  float64 `json:"checkedSeconds"`
 	Flows           int     `json:"flows"`
@@ -31,7 +34,8 @@
 		s.Ready = err.Error()
 	}
 	version, age, _ := b.keeper.state(now)
-	s.Configuration, s.CheckedSeconds = version, age.Seconds()
+	s.Configuration, s.CheckedSeconds = configuration.ShownVersion(version), age.Seconds()
+	s.Era = b.eras.Newest()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s.Label, s.Flows = b.core.Routes().Label(), b.core.Flows()
--- a/pkg/dsrd/keeper.go
+++ b/pkg/dsrd/keeper.go
@@ -71,8 +71,9 @@
 	// taking lets one configuration be taken into force at a time, encoding one be encoded; both are locked before mu.
 	taking   sync.Mutex
 	encoding sync.Mutex
-	// cursor is used by the check loop alone.
-	cursor cursor
+	// cursor and lastRead are used by the check loop alone.
+	cursor   cursor
+	lastRead readVersion
 
 	mu sync.Mutex
 	// watching is set while this balancer checks for others: from a check that worked to one that failed, or until it hears that one
@@ -104,6 +105,11 @@
 	readRevision uint64
 }
 
+// readVersion says which configuration an object holds, so that its document is decoded once.
+type readVersion struct {
+	object, configuration uint64
+}
+
 func newKeeper(p Platform, log zerolog.Logger) *keeper {
 	return &keeper{
 		platform: p,
@@ -334,14 +340,14 @@
 	defer k.mu.Unlock()
 	if err == nil {
 		if k.failures > 0 {
-			k.log.Warn().Str("op", "check-configuration").Uint64("configuration", k.inForce.Version).
+			k.log.Warn().Str("op", "check-configuration").Uint64("configuration", configuration.ShownVersion(k.inForce.Version)).
 				Dur("took_ms", time.Since(began)).Msg("the configuration is checked again")
 		}
 		k.failures = 0
 		return
 	}
 	if k.failures == 0 {
-		k.log.Warn().Err(err).Str("op", "check-configuration").Uint64("configuration", k.inForce.Version).
+		k.log.Warn().Err(err).Str("op", "check-configuration").Uint64("configuration", configuration.ShownVersion(k.inForce.Version)).
 			Dur("age_ms", time.Since(k.checked)).Msg("the configuration cannot be checked; the last one stays in force")
 	}
 	k.pauseUntil = time.Now().Add(pauseAfter(k.failures))
@@ -355,18 +361,49 @@
 
 // takeObject takes a stored object into force when it is newer. At is when it was known to be the newest.
 func (k *keeper) takeObject(o objectapi.Object, at time.Time) (changed bool, err error) {
-	if version, _, _ := k.state(at); o.Version <= version {
-		k.vouched(o.Version, at)
+	version, _, _ := k.state(at)
+	if o.Version == version || o.Version == k.lastRead.object && k.lastRead.configuration <= version {
+		k.compared(o, at)
 		return false, nil
 	}
 	c, err := k.platform.Decode(o)
 	if err != nil {
-		return false, trace.Wrap(err, "reading configuration %d", o.Version)
+		return false, trace.Wrap(err, "reading the configuration of version %d", objectapi.RevisionOf(o.Version))
+	}
+	k.lastRead = readVersion{object: o.Version, configuration: c.Version}
+	if c.Version <= version {
+		k.logNotNewer(c, version)
+		k.compared(o, at)
+		return false, nil
 	}
 	k.take(c, nil, at)
 	return true, nil
 }
 
+// compared notes that a stored object was compared with the configuration in force and is not newer. A numbered one that is lower was stored
+// before the object API came back from a copy; the one in force is the newest then.
+func (k *keeper) compared(o objectapi.Object, at time.Time) {
+	version, _, _ := k.state(at)
+	stored := o.Version
+	if o.Version == k.lastRead.object {
+		stored = k.lastRead.configuration
+	}
+	if configuration.IsNumbered(stored) {
+		stored = max(stored, version)
+	}
+	k.vouched(stored, at)
+}
+
+// logNotNewer logs that the object API holds an earlier configuration than the one in force.
+func (k *keeper) logNotNewer(stored configuration.Configuration, inForce uint64) {
+	if stored.Version == inForce {
+		return
+	}
+	k.log.Warn().Str("op", "check-configuration").Uint64("configuration", configuration.ShownVersion(inForce)).
+		Uint64("stored", configuration.ShownVersion(stored.Version)).Str("label", stored.Label).
+		Msg("the object API holds an earlier configuration; the one in force stays")
+}
+
 // take takes a configuration into force when it is newer. At is when it was known to be the newest; one that is not newer only
 // tells that. Encoded is its form for other balancers, if known.
 func (k *keeper) take(c configuration.Configuration, encoded []byte, at time.Time) {
@@ -437,7 +474,7 @@
 	}
 	encoded, err := dsrpb.EncodeConfiguration(c)
 	if err != nil {
-		return nil, trace.Wrap(err, "encoding configuration %d", c.Version)
+		return nil, trace.Wrap(err, "encoding configuration %d", configuration.ShownVersion(c.Version))
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/pkg/dsrd/messages_test.go
+++ b/pkg/dsrd/messages_test.go
@@ -15,6 +15,7 @@
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrtest"
 	"github.com/auburnwood/auburnwood/pkg/dsr/ownership"
 	"github.com/auburnwood/auburnwood/pkg/dsr/roster"
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
 	"github.com/auburnwood/auburnwood/pkg/telemetry"
 )
 
@@ -56,7 +57,7 @@
 	s, err := listenUDP(netip.MustParseAddrPort("127.0.0.1:0"), messagesEnv)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = s.conn.Close() })
-	return &node{log: zerolog.Nop(), scope: tally.NoopScope, messages: s, self: s.address(), alarm: newAlarm(), buffer: make([]byte, maxDatagram), started: time.Now()}
+	return &node{eras: objectapi.NewEras(), log: zerolog.Nop(), scope: tally.NoopScope, messages: s, self: s.address(), alarm: newAlarm(), buffer: make([]byte, maxDatagram), started: time.Now()}
 }
 
 func testBalancer(t *testing.T) *Balancer {
--- a/pkg/dsrd/node.go
+++ b/pkg/dsrd/node.go
@@ -13,6 +13,7 @@
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/dsr/roster"
 	"github.com/auburnwood/auburnwood/pkg/flow"
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
 	"github.com/auburnwood/auburnwood/pkg/settings"
 	"github.com/auburnwood/auburnwood/pkg/telemetry"
 	"github.com/auburnwood/auburnwood/pkg/wire"
@@ -36,6 +37,8 @@
 	packets  *socket
 	messages *socket
 	alarm    *alarm
+	// eras are those of the object API.
+	eras *objectapi.Eras
 	// life ends when Run returns or Close is called.
 	life context.Context
 	end  context.CancelFunc
@@ -68,6 +71,9 @@
 		return nil, err
 	}
 	n.callerPort = n.packets.address().Port()
+	if n.eras = p.Eras; n.eras == nil {
+		n.eras = objectapi.NewEras()
+	}
 	n.balancers.Seed = uint64(n.started.UnixNano())
 	n.life, n.end = context.WithCancel(context.Background())
 	return n, nil
@@ -93,6 +99,23 @@
 // milliseconds reads a time of a message.
 func milliseconds(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
 
+// logEras logs each era of the object API after the first one, until the context ends.
+func (n *node) logEras(ctx context.Context) error {
+	for known := uint64(0); ; {
+		era, changed := n.eras.Changed()
+		if known > 0 && era > known {
+			n.log.Warn().Str("op", "object-api-era").Uint64("era", era).Uint64("before", known).
+				Msg("the object API came back from an older copy")
+		}
+		known = era
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
 // know adds balancers by hearsay; it reports whether one is new. n.mu is held.
 func (n *node) know(now time.Time, addresses []netip.AddrPort) bool {
 	added := false
--- a/pkg/dsrd/platform.go
+++ b/pkg/dsrd/platform.go
@@ -28,6 +28,8 @@
 	Codec segment.Codec
 	// Store is the object API.
 	Store objectapi.Store
+	// Eras are the eras that the answers of Store and EvacuationStore name; nil means that they name none.
+	Eras *objectapi.Eras
 	// ConfigurationKind and ConfigurationName name the object with the operator's configuration; Decode reads it.
 	ConfigurationKind objectapi.Kind
 	ConfigurationName string
--- a/pkg/objectapi/client.go
+++ b/pkg/objectapi/client.go
@@ -38,6 +38,8 @@
 	CallTimeout time.Duration
 	// WatchTimeout bounds a watch.
 	WatchTimeout time.Duration
+	// Eras takes the eras that answers name; nil means that this client has its own.
+	Eras *Eras
 }
 
 // Client is a Store that is reached by HTTP.
@@ -46,6 +48,7 @@
 	http         *http.Client
 	callTimeout  time.Duration
 	watchTimeout time.Duration
+	eras         *Eras
 }
 
 // NewClient returns a client of the API at baseURL, for example "http://127.0.0.1:8080".
@@ -55,6 +58,10 @@
 		http:         o.HTTP,
 		callTimeout:  o.CallTimeout,
 		watchTimeout: o.WatchTimeout,
+		eras:         o.Eras,
+	}
+	if c.eras == nil {
+		c.eras = NewEras()
 	}
 	if c.http == nil {
 		c.http = defaultHTTP()
@@ -81,16 +88,27 @@
 
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, kind Kind, name string) (Object, error) {
-	var o Object
-	err := c.call(ctx, call{op: OpGet, method: http.MethodGet, kind: kind, name: name, answer: &o})
-	return o, err
+	return c.object(ctx, call{op: OpGet, method: http.MethodGet, kind: kind, name: name})
 }
 
 // List implements Store.
 func (c *Client) List(ctx context.Context, kind Kind) ([]Object, uint64, error) {
 	var a listAnswer
-	err := c.call(ctx, call{op: OpList, method: http.MethodGet, kind: kind, answer: &a})
-	return a.Items, a.Version, err
+	k := call{op: OpList, method: http.MethodGet, kind: kind, answer: &a}
+	era, err := c.call(ctx, k)
+	if err != nil {
+		return nil, 0, err
+	}
+	for i := range a.Items {
+		if a.Items[i].Version, err = MakeVersion(era, a.Items[i].Version); err != nil {
+			return nil, 0, c.fail(k, ErrUnavailable, err)
+		}
+	}
+	version, err := MakeVersion(era, a.Version)
+	if err != nil {
+		return nil, 0, c.fail(k, ErrUnavailable, err)
+	}
+	return a.Items, version, nil
 }
 
 // Create implements Store.
@@ -101,37 +119,64 @@
 
 // Update implements Store.
 func (c *Client) Update(ctx context.Context, o Object) (Object, error) {
-	return c.write(ctx, call{op: OpUpdate, method: http.MethodPut, kind: o.Kind, name: o.Name}, o)
+	k := call{op: OpUpdate, method: http.MethodPut, kind: o.Kind, name: o.Name, version: o.Version}
+	o.Version = RevisionOf(o.Version)
+	return c.write(ctx, k, o)
 }
 
 // Delete implements Store.
 func (c *Client) Delete(ctx context.Context, kind Kind, name string, version uint64) error {
-	query := url.Values{paramVersion: {strconv.FormatUint(version, 10)}}
-	return c.call(ctx, call{op: OpDelete, method: http.MethodDelete, kind: kind, name: name, query: query})
+	query := url.Values{paramVersion: {strconv.FormatUint(RevisionOf(version), 10)}}
+	_, err := c.call(ctx, call{op: OpDelete, method: http.MethodDelete, kind: kind, name: name, query: query, version: version})
+	return err
 }
 
 // Watch implements Store.
 func (c *Client) Watch(ctx context.Context, kind Kind, from uint64) ([]Event, uint64, error) {
 	var a watchAnswer
-	query := url.Values{paramWatch: {strconv.FormatUint(from, 10)}}
-	err := c.call(ctx, call{op: OpWatch, method: http.MethodGet, kind: kind, query: query, answer: &a})
-	return a.Events, a.Version, err
+	query := url.Values{paramWatch: {strconv.FormatUint(RevisionOf(from), 10)}}
+	k := call{op: OpWatch, method: http.MethodGet, kind: kind, query: query, answer: &a, version: from}
+	era, err := c.call(ctx, k)
+	if err != nil {
+		return nil, 0, err
+	}
+	for i := range a.Events {
+		o := &a.Events[i].Object
+		if o.Version, err = MakeVersion(era, o.Version); err != nil {
+			return nil, 0, c.fail(k, ErrUnavailable, err)
+		}
+	}
+	next, err := MakeVersion(era, a.Version)
+	if err != nil {
+		return nil, 0, c.fail(k, ErrUnavailable, err)
+	}
+	return a.Events, next, nil
 }
 
 func (c *Client) write(ctx context.Context, k call, in Object) (Object, error) {
 	if len(in.Value) > MaxValueSize {
-		return Object{}, Fail(k.op, k.kind, k.name, c.base, ErrInvalid, errors.New("value above MaxValueSize"))
+		return Object{}, c.fail(k, ErrInvalid, errors.New("value above MaxValueSize"))
 	}
 	b, err := json.Marshal(in)
 	if err != nil {
-		return Object{}, Fail(k.op, k.kind, k.name, c.base, ErrInvalid, err)
+		return Object{}, c.fail(k, ErrInvalid, err)
 	}
-	var out Object
-	k.body, k.answer = b, &out
-	if err := c.call(ctx, k); err != nil {
+	k.body = b
+	return c.object(ctx, k)
+}
+
+// object makes a call that is answered with one object.
+func (c *Client) object(ctx context.Context, k call) (Object, error) {
+	var o Object
+	k.answer = &o
+	era, err := c.call(ctx, k)
+	if err != nil {
 		return Object{}, err
 	}
-	return out, nil
+	if o.Version, err = MakeVersion(era, o.Version); err != nil {
+		return Object{}, c.fail(k, Unanswered(k.op, true), err)
+	}
+	return o, nil
 }
 
 // call is one request of the protocol.
@@ -143,6 +188,8 @@
 	query  url.Values
 	body   []byte
 	answer any
+	// version is the condition of a write or the position of a watch; it holds in its own era only.
+	version uint64
 }
 
 // check returns an error when the key cannot be sent.
@@ -164,11 +211,14 @@
 	return u
 }
 
-// call sends the request and reads the answer. A write that got a connection but no whole answer is ErrOutcomeUnknown,
-// since the store may have done it.
-func (c *Client) call(ctx context.Context, k call) error {
+// call sends the request and reads the answer, of which it returns the era. A write that got a connection but no whole answer is
+// ErrOutcomeUnknown, since the store may have done it.
+func (c *Client) call(ctx context.Context, k call) (uint64, error) {
 	if err := k.check(); err != nil {
-		return Fail(k.op, k.kind, k.name, c.base, ErrInvalid, err)
+		return 0, c.fail(k, ErrInvalid, err)
+	}
+	if err := c.eras.CheckSent(k.op, k.version); err != nil {
+		return 0, c.fail(k, err, nil)
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout(k.op))
 	defer cancel()
@@ -176,33 +226,44 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }})
 	req, err := http.NewRequestWithContext(ctx, k.method, k.url(c.base), bytes.NewReader(k.body))
 	if err != nil {
-		return Fail(k.op, k.kind, k.name, c.base, ErrInvalid, err)
+		return 0, c.fail(k, ErrInvalid, err)
 	}
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return Fail(k.op, k.kind, k.name, c.base, Unanswered(k.op, sent.Load()), err)
+		return 0, c.fail(k, Unanswered(k.op, sent.Load()), err)
 	}
 	defer resp.Body.Close() //nolint:errcheck // The body was read or is given up.
 	return c.read(k, resp)
 }
 
 // read takes the answer apart.
-func (c *Client) read(k call, resp *http.Response) error {
+func (c *Client) read(k call, resp *http.Response) (uint64, error) {
+	era, err := c.eras.OfAnswer(resp.Header)
+	if err != nil {
+		return 0, c.fail(k, Unanswered(k.op, true), err)
+	}
 	if resp.StatusCode/100 != 2 {
-		return Fail(k.op, k.kind, k.name, c.base, ErrorOfStatus(k.op, resp.StatusCode), detailOf(resp))
+		return 0, c.fail(k, ErrorOfStatus(k.op, resp.StatusCode), detailOf(resp))
+	}
+	if err := CheckAnswered(k.op, k.version, era); err != nil {
+		return 0, c.fail(k, err, nil)
 	}
 	if k.answer == nil {
-		return nil
+		return era, nil
 	}
 	limit := int64(maxBodySize)
 	if k.op == OpList || k.op == OpWatch {
 		limit = maxListSize
 	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, limit)).Decode(k.answer); err != nil {
-		return Fail(k.op, k.kind, k.name, c.base, Unanswered(k.op, true), err)
+		return 0, c.fail(k, Unanswered(k.op, true), err)
 	}
-	return nil
+	return era, nil
+}
+
+func (c *Client) fail(k call, kind, cause error) error {
+	return Fail(k.op, k.kind, k.name, c.base, kind, cause)
 }
 
 func (c *Client) timeout(op Op) time.Duration {
--- a/pkg/objectapi/store.go
+++ b/pkg/objectapi/store.go
@@ -10,7 +10,8 @@
 	// Kind and Name identify the object.
 	Kind Kind   `json:"kind"`
 	Name string `json:"name"`
-	// Version rises with every change in the store; it is 0 for an object that does not exist.
+	// Version rises with every change in the store, also when the store came back from an older copy: see MakeVersion. It is 0 for
+	// an object that does not exist.
 	Version uint64 `json:"version"`
 	// Value is the content, at most MaxValueSize bytes.
 	Value []byte `json:"value"`
@@ -35,7 +36,9 @@
 }
 
 // Store is the narrow interface to the object API. Every method returns one of the errors of this package:
-// ErrConflict, ErrNotFound, ErrExpired, ErrUnavailable or ErrOutcomeUnknown, wrapped with the step and the peer.
+// ErrConflict, ErrNotFound, ErrExpired, ErrUnavailable or ErrOutcomeUnknown, wrapped with the step and the peer. In a later era
+// a condition on an earlier version never holds, and a watch from one has expired. When a conditional write met a later era that was not
+// known before, it is ErrOutcomeUnknown: it may have replaced an object that only had the same revision.
 type Store interface {
 	// Get returns an object, or ErrNotFound.
 	Get(ctx context.Context, kind Kind, name string) (Object, error)
