Balancers join again in each era of the object API; lonely agents read the members again

A store that came back from a copy has lost the objects of balancers that joined shortly before, while they live. A balancer that starts then found nobody, so that it kept the older configuration of the store (TestAConfigurationThatTheObjectStoreHasLostStaysInForce), and an agent that read the members in that time would have known no balancer for good.

Balancers tell each other the newest era in their gossip; its word alone only causes the call that joins again, within a second that is drawn at random, and the answer says what is true. Agents that hear of no balancer read the members again after 3 s, then 6, 12, 24 and 30 s.

Cost: one list and one create for each balancer and restore, within one second; 10 bytes in each gossip message of a platform that names eras.

--- a/pkg/dsrd/agent.go
+++ b/pkg/dsrd/agent.go
@@ -121,10 +121,28 @@
 	return trace.Wrap(err, "running the agent")
 }
 
-// find makes the agent known to the balancers.
+// find makes the agent known to the balancers, again while it hears of none.
 func (a *Agent) find(ctx context.Context) error {
 	a.found(a.seeds())
-	return findMembers(ctx, a.platform.Store, a.log, a.found)
+	pause := findAgainMin
+	for {
+		if a.alone(time.Now()) {
+			if err := findMembers(ctx, a.platform.Store, a.log, a.found); err != nil {
+				return err
+			}
+		}
+		if err := wait.For(ctx, pause); err != nil {
+			return err
+		}
+		pause = min(2*pause, findAgainMax)
+	}
+}
+
+// alone reports whether no balancer is heard of.
+func (a *Agent) alone(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.balancers.Living(now)) == 0
 }
 
 // found takes balancers that are known by hearsay, and speaks to the new ones at once.
--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"time"
@@ -62,6 +63,8 @@
 	evacuations *evacuations
 	waiting     *routing.Table
 	message     dsrpb.Message
+	// laterEra tells when the object API may have lost the balancer's object.
+	laterEra *laterEra
 }
 
 // NewBalancer binds the sockets of a balancer.
@@ -101,6 +104,7 @@
 		b.evacuations.store = p.EvacuationStore
 	}
 	b.agents.Seed = uint64(n.started.UnixNano())
+	b.laterEra = newLaterEra(n.eras)
 	env.Status.Set(b.status)
 	return b, nil
 }
@@ -273,10 +277,22 @@
 	return serveHTTP(ctx, b.self.String(), mux)
 }
 
-// join makes the balancer known in the object API.
+// join makes the balancer known in the object API, again in each era: an API that came back from an older copy may have lost the balancer's
+// object.
 func (b *Balancer) join(ctx context.Context) error {
 	b.found(b.seeds())
-	return joinMembers(ctx, b.platform.Store, b.log, b.cfg.Name, b.self, b.found)
+	for {
+		era, err := joinMembers(ctx, b.platform.Store, b.log, b.cfg.Name, b.self, b.found)
+		if err != nil {
+			return err
+		}
+		if err := b.laterEra.await(ctx, era); err != nil {
+			return err
+		}
+		if err := wait.For(ctx, rand.N(rejoinSpread)); err != nil {
+			return err
+		}
+	}
 }
 
 // noTargets turns down targets that call a balancer.
--- a/pkg/dsrd/gossip.go
+++ b/pkg/dsrd/gossip.go
@@ -123,6 +123,7 @@
 			CheckedMs:      uint32(min(age, time.Hour) / time.Millisecond),
 			ReadsPerSecond: b.reads(),
 			Watches:        b.keeper.watches(),
+			Era:            b.eras.Newest(),
 		},
 	}
 }
@@ -142,6 +143,7 @@
 	}
 	b.know(now, decodeAddresses(r.Balancers))
 	b.compare(now, from, m)
+	b.laterEra.heard(r.Era)
 	b.hearEvacuations(now, m.Evacuations)
 	if agents := decodeAddresses(r.Agents); len(agents) > 0 {
 		b.asking = false
--- a/pkg/dsrd/members.go
+++ b/pkg/dsrd/members.go
@@ -20,6 +20,12 @@
 	// memberRetry paces the calls while the object API fails, up to memberRetryMax.
 	memberRetry    = 200 * time.Millisecond
 	memberRetryMax = 3 * time.Second
+	// rejoinSpread bounds the random time until a balancer joins again in a later era, so that not all call at once.
+	rejoinSpread = time.Second
+	// findAgainMin is the time after which an agent that hears of no balancer reads the members again, doubled each time up to findAgainMax: the
+	// balancers may have joined after the last reading.
+	findAgainMin = 3 * time.Second
+	findAgainMax = 30 * time.Second
 )
 
 // member is the value of a balancer's object.
@@ -44,14 +50,14 @@
 	return m.Value, nil
 }
 
-// readMembers lists the balancers in the object API and hands their addresses to found. Objects that cannot be read are
-// logged and left out.
-func readMembers(ctx context.Context, store objectapi.Store, log zerolog.Logger, found func([]netip.AddrPort)) (map[string]objectapi.Object, error) {
-	objects, _, err := store.List(ctx, MemberKind)
+// readMembers lists the balancers in the object API, with the store version of the list, and hands their addresses to found. Objects that cannot be
+// read are logged and left out.
+func readMembers(ctx context.Context, store objectapi.Store, log zerolog.Logger, found func([]netip.AddrPort)) (known map[string]objectapi.Object, version uint64, err error) {
+	objects, version, err := store.List(ctx, MemberKind)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	known := make(map[string]objectapi.Object, len(objects))
+	known = make(map[string]objectapi.Object, len(objects))
 	var addresses []netip.AddrPort
 	for _, o := range objects {
 		known[o.Name] = o
@@ -63,28 +69,31 @@
 		addresses = append(addresses, m.Messages)
 	}
 	found(addresses)
-	return known, nil
+	return known, version, nil
 }
 
 // findMembers reads the members once, trying until it works.
 func findMembers(ctx context.Context, store objectapi.Store, log zerolog.Logger, found func([]netip.AddrPort)) error {
 	return untilDone(ctx, log, "read-members", func() error {
-		_, err := readMembers(ctx, store, log, found)
+		_, _, err := readMembers(ctx, store, log, found)
 		return err
 	})
 }
 
-// joinMembers reads the members and sees to it that this process is one of them, trying until it works.
-func joinMembers(ctx context.Context, store objectapi.Store, log zerolog.Logger, name string, self netip.AddrPort, found func([]netip.AddrPort)) error {
+// joinMembers reads the members and sees to it that this process is one of them, trying until it works. It returns the era of the object API in
+// which that was so.
+func joinMembers(ctx context.Context, store objectapi.Store, log zerolog.Logger, name string, self netip.AddrPort, found func([]netip.AddrPort)) (uint64, error) {
 	o, err := objectapi.Encode(objectapi.Typed[member]{Kind: MemberKind, Name: name, Value: member{Messages: self}})
 	if err != nil {
-		return err
+		return 0, err
 	}
-	return untilDone(ctx, log, "join-members", func() error {
-		known, err := readMembers(ctx, store, log, found)
+	var era uint64
+	err = untilDone(ctx, log, "join-members", func() error {
+		known, version, err := readMembers(ctx, store, log, found)
 		if err != nil {
 			return err
 		}
+		era = objectapi.EraOf(version)
 		own, exists := known[name]
 		switch {
 		case !exists:
@@ -96,6 +105,7 @@
 		// A conflict means that the write of an earlier life took effect late; the next round sees it.
 		return err
 	})
+	return era, err
 }
 
 // untilDone calls f until it succeeds or the context ends. The first failure and the end of failures are logged.
--- a/pkg/dsrd/members_test.go
+++ b/pkg/dsrd/members_test.go
@@ -33,7 +33,7 @@
 		`{"messages":"10.1.0.2:7720"}`,
 	}}
 	var got []netip.AddrPort
-	known, err := readMembers(t.Context(), s, zerolog.Nop(), func(a []netip.AddrPort) { got = a })
+	known, _, err := readMembers(t.Context(), s, zerolog.Nop(), func(a []netip.AddrPort) { got = a })
 	require.NoError(t, err)
 	require.Len(t, known, len(s.values))
 	require.Equal(t, []netip.AddrPort{firstAddress, selfAddress}, got)
