Evacuations that a restored object API does not name stay in force for 2 s

Operators' evacuations are written again after the object API came back older, but maybe not at once; until then targets of an evacuated data centre would have got new flows. A set of a later era that lacks some of the known ones is joined with them for 2 s, then what is stored counts.

--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -98,6 +98,7 @@
 		kind:   cmp.Or(p.EvacuationKind, evacuation.Kind),
 		log:    env.Log,
 		wanted: b.readsEvacuations,
+		known:  b.knownEvacuations,
 		adopt:  b.evacuate,
 	}
 	if p.EvacuationStore != nil {
--- a/pkg/dsrd/evacuate.go
+++ b/pkg/dsrd/evacuate.go
@@ -21,6 +21,13 @@
 	return !known || b.keeper.watches()
 }
 
+// knownEvacuations returns the evacuated data centres as this balancer knows them.
+func (b *Balancer) knownEvacuations() evacuation.Set {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.core.Evacuations()
+}
+
 // evacuate takes over which data centres are evacuated, and hands it on when that is news.
 func (b *Balancer) evacuate(s evacuation.Set) {
 	now := time.Now()
--- a/pkg/dsrd/evacuations.go
+++ b/pkg/dsrd/evacuations.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -15,6 +16,9 @@
 // declaration is in force within the 5 s that operators are promised.
 const EvacuationWait = 2400 * time.Millisecond
 
+// restoredWait is how long what operators wrote may take to be written again after the object API came back from an older copy.
+const restoredWait = 2 * time.Second
+
 // evacuations reads which data centres operators have evacuated. It runs beside the keeper: the balancer that compares the
 // configuration with the object API for all others also watches the evacuations for them. No lock is held during a call.
 type evacuations struct {
@@ -23,12 +27,16 @@
 	log   zerolog.Logger
 	// wanted reports whether this balancer has to read: nobody has told it yet, or it watches for others.
 	wanted func() bool
-	// adopt takes a set that was read.
+	// known returns the set in force, adopt takes one that was read.
+	known func() evacuation.Set
 	adopt func(evacuation.Set)
 
 	// revision is the store version that members stands for, 0 when a whole reading is needed.
 	revision uint64
 	members  map[string]bool
+	// lostUntil is until when evacuations stay in force that an object API which came back older does not name; zero outside of such a time.
+	lostUntil time.Time
+	lostEra   uint64
 	// pauseUntil is the time before which nothing is read, failures the number of readings that have failed in a row.
 	pauseUntil time.Time
 	failures   int
@@ -45,6 +53,9 @@
 		if now.Before(e.pauseUntil) {
 			return
 		}
+		if !e.lostUntil.IsZero() && !now.Before(e.lostUntil) {
+			e.lostUntil, e.revision = time.Time{}, 0
+		}
 		e.note(e.read(ctx))
 	})
 }
@@ -69,10 +80,39 @@
 	for _, o := range objects {
 		e.members[o.Name] = true
 	}
-	e.adopt(evacuation.FromMembers(revision, e.members))
+	e.adoptMembers()
 	return nil
 }
 
+// adoptMembers takes what was read into force. Evacuations that a later era of the object API does not name stay for a while: they may have been
+// lost, and are written again then.
+func (e *evacuations) adoptMembers() {
+	known, era := e.known(), objectapi.EraOf(e.revision)
+	if known.Known() && objectapi.EraOf(known.Version) < era && e.lostEra < era {
+		e.lostEra, e.lostUntil = era, time.Now().Add(restoredWait)
+	}
+	if e.lostUntil.IsZero() || e.namesAll(known) {
+		e.adopt(evacuation.FromMembers(e.revision, e.members))
+		return
+	}
+	// The version is below all of the era, so that what is read at the end of the wait replaces this set.
+	both := maps.Clone(e.members)
+	for _, d := range known.DataCentres {
+		both[d] = true
+	}
+	e.adopt(evacuation.FromMembers(objectapi.EraStart(e.revision), both))
+}
+
+// namesAll reports whether what was read names every data centre of a set.
+func (e *evacuations) namesAll(s evacuation.Set) bool {
+	for _, d := range s.DataCentres {
+		if !e.members[d] {
+			return false
+		}
+	}
+	return true
+}
+
 // watch waits for a change. Whatever fails, the next call is a whole reading.
 func (e *evacuations) watch(ctx context.Context) error {
 	from := e.revision
@@ -94,7 +134,7 @@
 	}
 	e.revision = max(from, next)
 	if len(events) > 0 {
-		e.adopt(evacuation.FromMembers(e.revision, e.members))
+		e.adoptMembers()
 	}
 	return nil
 }
--- a/pkg/dsrd/evacuations_test.go
+++ b/pkg/dsrd/evacuations_test.go
@@ -26,7 +26,7 @@
 // newEvacuationFixture must be called in a synctest bubble.
 func newEvacuationFixture(t *testing.T) *evacuationFixture {
 	f := &evacuationFixture{T: t, store: store.New(store.Config{WatchWait: EvacuationWait, History: 8}), watch: true}
-	e := &evacuations{store: f.store, kind: evacuation.Kind, log: zerolog.Nop(), wanted: f.wanted, adopt: f.adopt}
+	e := &evacuations{store: f.store, kind: evacuation.Kind, log: zerolog.Nop(), wanted: f.wanted, known: f.inForce, adopt: f.adopt}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -54,12 +54,14 @@
 	}
 }
 
-func (f *evacuationFixture) known() []string {
+func (f *evacuationFixture) inForce() evacuation.Set {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.set.DataCentres
+	return f.set
 }
 
+func (f *evacuationFixture) known() []string { return f.inForce().DataCentres }
+
 func (f *evacuationFixture) setWatch(on bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -149,3 +151,52 @@
 			"one call at the start, and one for each wait that begins")
 	})
 }
+
+func TestAnEvacuationThatTheObjectAPIHasLostStaysUntilItIsWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newEvacuationFixture(t)
+		f.pass(time.Second)
+		older := f.store.Copy()
+		f.declare("marka")
+		f.pass(time.Second)
+		f.store.Restore(older)
+		for range 17 {
+			f.pass(100 * time.Millisecond)
+			require.Equal(t, []string{"marka"}, f.known())
+		}
+		f.declare("marka")
+		f.pass(10 * time.Second)
+		require.Equal(t, []string{"marka"}, f.known())
+	})
+}
+
+func TestAnEvacuationThatNobodyWritesAgainEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newEvacuationFixture(t)
+		f.declare("zarqa")
+		f.pass(time.Second)
+		older := f.store.Copy()
+		f.declare("marka")
+		f.pass(time.Second)
+		f.store.Restore(older)
+		f.pass(5 * time.Second)
+		require.Equal(t, []string{"zarqa"}, f.known())
+		f.declare("sahab")
+		f.pass(evacuationBound)
+		require.Equal(t, []string{"sahab", "zarqa"}, f.known())
+	})
+}
+
+func TestAWithdrawalThatTheObjectAPIWritesAgainIsInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newEvacuationFixture(t)
+		marka := f.declare("marka")
+		f.pass(time.Second)
+		older := f.store.Copy()
+		f.withdraw("marka", marka)
+		f.pass(time.Second)
+		f.store.Restore(older, evacuation.Kind)
+		f.pass(evacuationBound)
+		require.Empty(t, f.known())
+	})
+}
