Write refusal records again that a restored object API may have lost

A record that the API had acknowledged was gone for good after it came back from a copy, and with it the explanation of a refusal.

--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -83,6 +83,7 @@
 		Process:     cfg.Name,
 		Incarnation: uint64(n.started.UnixNano()),
 		Store:       p.Store,
+		Eras:        n.eras,
 		Logger:      env.Log,
 		Scope:       env.Scope,
 	})
--- a/pkg/refusal/config.go
+++ b/pkg/refusal/config.go
@@ -31,6 +31,10 @@
 	DefaultMirrorBatch = 256
 	// DefaultMirrorTimeout bounds a call of the mirror.
 	DefaultMirrorTimeout = 2 * time.Second
+	// keepWritten is how long written objects are kept to be written again, the most that an object API may lose when it comes back from an older
+	// copy, and maxKeptWritten the bytes of them.
+	keepWritten    = time.Minute
+	maxKeptWritten = 4 << 20
 	// DefaultWriteTimeout bounds a call of the store.
 	DefaultWriteTimeout = 10 * time.Second
 )
@@ -43,6 +47,9 @@
 	Incarnation uint64
 	// Store takes the batches. A process without it hands its records to a peer by Mirror, which accepts and writes them.
 	Store objectapi.Store
+	// Eras are those of the object API behind Store. In a later era what was written shortly before is written again, since it may be lost; nil means
+	// that there are none.
+	Eras *objectapi.Eras
 	// Mirror takes a copy of each record; without it a death loses the records that are not yet in the store.
 	Mirror Mirror
 	// MaxHeld is the number of own records from which equal ones are merged.
--- a/pkg/refusal/log.go
+++ b/pkg/refusal/log.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
 )
 
 var _ Recorder = (*Log)(nil)
@@ -41,6 +43,10 @@
 	adopted map[adoptionKey]*pool
 	// receipts wait to be sent to the peer.
 	receipts []Record
+	// recent are the objects written lately.
+	recent recentObjects
+	// lostTurn is when an object that was lost is written again next; used by Run alone.
+	lostTurn time.Time
 	// retainUntil is when a process without a store forgets the generation that it has handed over.
 	retainUntil time.Time
 	stats       Stats
@@ -49,6 +55,9 @@
 // NewLog returns an empty log.
 func NewLog(cfg Config) *Log {
 	cfg = cfg.withDefaults()
+	if cfg.Eras == nil {
+		cfg.Eras = objectapi.NewEras()
+	}
 	origin := originOf(cfg.Process, cfg.Incarnation)
 	return &Log{
 		cfg:      cfg,
--- a/pkg/refusal/log_write.go
+++ b/pkg/refusal/log_write.go
@@ -27,6 +27,7 @@
 		if l.due() {
 			_ = l.writeOnce(ctx) // Counted and logged; the records stay for the next time.
 		}
+		l.writeLostInTurn(ctx)
 	}
 }
 
@@ -50,7 +51,7 @@
 	for {
 		err := l.writeOnce(ctx)
 		if err == nil && l.Stats().Held == 0 {
-			return nil
+			return l.writeAllLost(ctx)
 		}
 		if err == nil {
 			backoff.Reset()
@@ -73,29 +74,30 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, l.cfg.WriteTimeout)
 	defer cancel()
-	_, err = l.cfg.Store.Create(ctx, o.Kind, o.Name, o.Value)
+	stored, err := l.cfg.Store.Create(ctx, o.Kind, o.Name, o.Value)
 	if errors.Is(err, objectapi.ErrConflict) {
-		err = l.readBack(ctx, *o)
+		stored, err = l.readBack(ctx, *o)
 	}
 	if err != nil {
 		l.writeFailed(o, err)
 		return err
 	}
+	o.Version = stored.Version
 	l.wrote(o)
 	return nil
 }
 
 // readBack finds out whether the object that stands under our name is this batch.
-func (l *Log) readBack(ctx context.Context, o objectapi.Object) error {
+func (l *Log) readBack(ctx context.Context, o objectapi.Object) (objectapi.Object, error) {
 	got, err := l.cfg.Store.Get(ctx, o.Kind, o.Name)
 	if err != nil {
-		return err
+		return objectapi.Object{}, err
 	}
 	if bytes.Equal(got.Value, o.Value) {
-		return nil
+		return got, nil
 	}
 	l.rename()
-	return objectapi.Fail(objectapi.OpCreate, o.Kind, o.Name, l.origin, objectapi.ErrConflict,
+	return objectapi.Object{}, objectapi.Fail(objectapi.OpCreate, o.Kind, o.Name, l.origin, objectapi.ErrConflict,
 		errors.New("another batch stands under this name; two processes share an incarnation"))
 }
 
@@ -148,6 +150,7 @@
 func (l *Log) wrote(o *objectapi.Object) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.recent.add(l.cfg.Now(), *o)
 	written := l.writing.done()
 	l.stats.Batches++
 	l.stats.WrittenRefusals += sum(written)
