A configuration from before the first named era keeps its place by its number

A platform may name its first era when its store comes back older. What was in force until then has the version of its object, below all operators' numbers, so that an older configuration of the restored store, read or handed over, would have replaced it. The keeper compares it by its number then.

Tests: TestAConfigurationInForceDoesNotGoBackWithTheObjectAPI, TestAPeerThatReadTheRestoredObjectAPIFirstTakesNothingBack; without the change the second case of the first and the other adopt configuration 15 after 18.

--- a/pkg/dsrd/keeper.go
+++ b/pkg/dsrd/keeper.go
@@ -371,12 +371,11 @@
 		return false, trace.Wrap(err, "reading the configuration of version %d", objectapi.RevisionOf(o.Version))
 	}
 	k.lastRead = readVersion{object: o.Version, configuration: c.Version}
-	if c.Version <= version {
-		k.logNotNewer(c, version)
+	if !k.take(c, nil, at) {
+		k.logNotNewer(c)
 		k.compared(o, at)
 		return false, nil
 	}
-	k.take(c, nil, at)
 	return true, nil
 }
 
@@ -395,7 +394,8 @@
 }
 
 // logNotNewer logs that the object API holds an earlier configuration than the one in force.
-func (k *keeper) logNotNewer(stored configuration.Configuration, inForce uint64) {
+func (k *keeper) logNotNewer(stored configuration.Configuration) {
+	inForce, _, _ := k.state(time.Time{})
 	if stored.Version == inForce {
 		return
 	}
@@ -404,18 +404,43 @@
 		Msg("the object API holds an earlier configuration; the one in force stays")
 }
 
-// take takes a configuration into force when it is newer. At is when it was known to be the newest; one that is not newer only
-// tells that. Encoded is its form for other balancers, if known.
-func (k *keeper) take(c configuration.Configuration, encoded []byte, at time.Time) {
+// take takes a configuration into force when it is newer, and reports whether it was. At is when it was known to be the newest; one that is not newer
+// only tells that. Encoded is its form for other balancers, if known.
+func (k *keeper) take(c configuration.Configuration, encoded []byte, at time.Time) bool {
 	k.taking.Lock()
 	defer k.taking.Unlock()
-	if version, _, _ := k.state(at); c.Version > version {
-		k.adopt(c)
-		k.mu.Lock()
-		k.inForce, k.encoded, k.adopted = c, encoded, time.Now()
-		k.mu.Unlock()
+	if configuration.IsNumbered(c.Version) {
+		k.number()
+	}
+	version, _, _ := k.state(at)
+	newer := c.Version > version
+	if newer {
+		k.put(c, encoded)
 	}
 	k.vouched(c.Version, at)
+	return newer
+}
+
+// number gives the configuration in force its operator's number as version, which it lacks when it was taken before the object API first named an
+// era. k.taking is held.
+func (k *keeper) number() {
+	k.mu.Lock()
+	c := k.inForce
+	k.mu.Unlock()
+	numbered := configuration.VersionOf(c.Label, c.Version, true)
+	if c.Version == 0 || numbered == c.Version {
+		return
+	}
+	c.Version = numbered
+	k.put(c, nil)
+}
+
+// put takes a configuration into force. k.taking is held.
+func (k *keeper) put(c configuration.Configuration, encoded []byte) {
+	k.adopt(c)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.inForce, k.encoded, k.adopted = c, encoded, time.Now()
 }
 
 // fetch takes the configuration of another balancer.
--- a/pkg/dsrd/keeper_test.go
+++ b/pkg/dsrd/keeper_test.go
@@ -403,3 +403,95 @@
 	require.False(t, readsBefore(small, selfAddress, small, firstAddress))
 	require.False(t, readsBefore(0, firstAddress, small, selfAddress), "one that has not said how much it can")
 }
+
+// numberedFixture is a keeper of an object API that has named its first era.
+func numberedFixture(label string) *keeperFixture {
+	f := newKeeperFixture()
+	f.platform.Decode = func(o objectapi.Object) (configuration.Configuration, error) {
+		f.decoded++
+		label := string(o.Value)
+		return configuration.Configuration{Version: configuration.VersionOf(label, o.Version, objectapi.EraOf(o.Version) > 0), Label: label}, nil
+	}
+	f.store.write(inEra(1, 21), label)
+	return f
+}
+
+// inEra returns the version of a revision in an era.
+func inEra(era, revision uint64) uint64 {
+	v, err := objectapi.MakeVersion(era, revision)
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+// shown are the operator's numbers of what was adopted.
+func (f *keeperFixture) shown() []uint64 {
+	var out []uint64
+	for _, v := range f.adopted {
+		out = append(out, configuration.ShownVersion(v))
+	}
+	return out
+}
+
+func TestAConfigurationInForceDoesNotGoBackWithTheObjectAPI(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// first is the version under which configuration 18 is stored.
+		first uint64
+		want  []uint64
+	}{
+		{"eras were named before", inEra(1, 21), []uint64{18, 20}},
+		{"eras are named from then on", 21, []uint64{21, 18, 20}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := numberedFixture("18")
+				f.store.write(c.first, "18")
+				f.during(t, 2*time.Second)
+				f.store.set(func(s *fakeStore) { s.revision = inEra(2, 9) })
+				f.store.write(inEra(2, 9), "15")
+				f.during(t, 5*time.Second)
+				require.Equal(t, c.want[:len(c.want)-1], f.shown())
+				f.store.calls()
+				f.during(t, 10*time.Second)
+				reads, _ := f.store.calls()
+				require.LessOrEqual(t, reads, 2, "an earlier configuration is not read over and over")
+				_, age, _ := f.state(time.Now())
+				require.LessOrEqual(t, age, WatchWait+2*keeperInterval, "the one in force counts as the newest")
+				f.store.write(inEra(2, 10), "18")
+				f.during(t, 2*time.Second)
+				f.store.write(inEra(2, 11), "20")
+				f.during(t, 2*time.Second)
+				require.Equal(t, c.want, f.shown())
+			})
+		})
+	}
+}
+
+// A balancer of a release that knows no eras names versions of objects.
+func TestAnUpgradeFollowsTheBalancersThatKnowEras(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := numberedFixture("18")
+		f.during(t, 2*time.Second)
+		f.want(900, firstAddress)
+		_, behind := f.behind()
+		require.False(t, behind, "its versions are below all numbers")
+		old := newKeeperFixture()
+		old.take(configuration.Configuration{Version: 900, Label: "16"}, nil, time.Now())
+		old.take(f.inForce, nil, time.Now())
+		require.Equal(t, f.inForce.Version, old.inForce.Version, "and it takes what the others hand over")
+	})
+}
+
+func TestAPeerThatReadTheRestoredObjectAPIFirstTakesNothingBack(t *testing.T) {
+	f := newKeeperFixture()
+	f.take(configuration.Configuration{Version: 21, Label: "18"}, nil, time.Now())
+	peer := newKeeperFixture()
+	peer.take(configuration.Configuration{Version: configuration.VersionOf("15", 9, true), Label: "15"}, nil, time.Now())
+	server := httptest.NewServer(peer.keeper)
+	defer server.Close()
+	require.NoError(t, f.fetch(t.Context(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))))
+	require.Equal(t, "18", f.inForce.Label)
+	require.Greater(t, f.inForce.Version, peer.inForce.Version, "so that the peer takes it in turn")
+}
