Terms of leases belong to an era of the object API

A lease that was acquired shortly before the object API came back older is lost. Its holder went on for up to the lease time, and the next one was given the same term again, so that the term fenced nothing: both could have advanced the head, each from another base.

Terms rise across eras like versions. A holder whose renewal is stored in a later era than its term does not hold the lease any more and takes it again under a term of that era; fenced objects refuse a grant of an earlier era, whatever revision they have.

Without eras terms are what they were. Cost: one write more when a lease is created on a platform that names eras.

--- a/pkg/lease/fenced.go
+++ b/pkg/lease/fenced.go
@@ -10,7 +10,7 @@
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
 )
 
-// ErrFenced means that a later term has claimed the object; the caller's term is over.
+// ErrFenced means that a later term has claimed the object, or that the object API is in a later era than the caller's term, which is over.
 var ErrFenced = errors.New("fenced by a later term")
 
 // Stamp is the grant that is kept inside a fenced object.
@@ -75,7 +75,7 @@
 	if err == nil {
 		f.object = o
 		f.value = v
-		return nil
+		return f.grant.CheckEra(o.Version)
 	}
 	if !errors.Is(err, objectapi.ErrConflict) {
 		return err
@@ -102,6 +102,9 @@
 	if err != nil {
 		return trace.Wrap(err, "read %s/%s", f.kind, f.name)
 	}
+	if err := f.grant.CheckEra(o.Version); err != nil {
+		return trace.Wrap(err, "read %s/%s", f.kind, f.name)
+	}
 	var v T
 	if err := json.Unmarshal(o.Value, &v); err != nil {
 		return trace.Wrap(err, "decode %s/%s", f.kind, f.name)
--- a/pkg/lease/record.go
+++ b/pkg/lease/record.go
@@ -15,7 +15,8 @@
 type Record struct {
 	// Holder identifies the process that holds the lease; empty after a release.
 	Holder string `json:"holder"`
-	// Term rises by one with every acquisition.
+	// Term rises with every acquisition, like a version: terms of a later era of the object API are higher, also when earlier ones were lost with
+	// the lease.
 	Term uint64 `json:"term"`
 	// Duration is the time without a renewal after which others may take over.
 	Duration resource.Duration `json:"duration"`
--- a/pkg/lease/runner.go
+++ b/pkg/lease/runner.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
@@ -23,6 +24,17 @@
 	Term uint64
 }
 
+// Era returns the era of the object API to which the grant belongs.
+func (g Grant) Era() uint64 { return objectapi.EraOf(g.Term) }
+
+// CheckEra returns ErrFenced when a version is of a later era than the grant: the lease may be lost, and another process may hold it.
+func (g Grant) CheckEra(version uint64) error {
+	if era := objectapi.EraOf(version); era > g.Era() {
+		return trace.Wrap(ErrFenced, "the object API is in era %d, the term in %d", era, g.Era())
+	}
+	return nil
+}
+
 // Runner carries out the actions of a State against a store and runs the duty while the lease is held.
 type Runner struct {
 	// Store keeps the lease object.
--- a/pkg/lease/state.go
+++ b/pkg/lease/state.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
 	"github.com/auburnwood/auburnwood/pkg/resource"
 )
 
@@ -126,11 +127,13 @@
 	s.readAt = now.Add(s.cfg.pollEvery())
 }
 
+// confirm takes a write that has taken effect. A lease that was written in a later era than that of its term is not held: another process may
+// have taken it in the era before, or may have had the term that follows. It is taken again, with a term of the later era.
 func (s *State) confirm() {
 	p := s.pending
 	s.pending = nil
 	s.term = p.record.Term
-	s.held = p.record.Holder == s.cfg.Holder
+	s.held = p.record.Holder == s.cfg.Holder && objectapi.EraOf(s.version) == objectapi.EraOf(s.term)
 	s.until = p.sent.Add(s.cfg.validity())
 	s.renewAt = p.sent.Add(s.cfg.renewEvery())
 }
@@ -187,7 +190,8 @@
 	if now.Before(free) {
 		return Action{Kind: ActionWait, At: earlier(free, s.readAt)}
 	}
-	return s.write(now, Record{Holder: s.cfg.Holder, Term: s.record.Term + 1})
+	last := max(s.record.Term, objectapi.EraStart(s.version))
+	return s.write(now, Record{Holder: s.cfg.Holder, Term: last + 1})
 }
 
 // freeAt returns when this process may take the lease, by what it has seen.
