Go on from the last revision in force when the head came back older

What callers would have seen: after a restore of the object API the compile duty went on from the restored head, say 1, while all balancers had revision 5 in force; the next four accepted changes were in force nowhere, and later ones on top of another history. A restored rollout took its steps again, and a version that had been given up got flows again.

Revision numbers rise across eras like versions. A balancer that knows nothing does not take a head of an earlier era, but what its peers or the next head say. Shares of a rollout stay as they are in force until the rollout duty has written its state in the new era, which it takes from these shares where the stored state is behind.

--- a/pkg/revision/compile.go
+++ b/pkg/revision/compile.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"reflect"
 
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
 	"github.com/auburnwood/auburnwood/pkg/resource"
 	"github.com/auburnwood/auburnwood/pkg/rollout"
 )
@@ -17,6 +18,10 @@
 	Rollouts map[string]resource.RolloutStatus
 	// Evacuated are the data centres that take no new work, sorted.
 	Evacuated []string
+	// Era is the era of the object API. Where it is above 0, states of rollouts may be lost.
+	Era uint64
+	// Republish asks for a new revision although nothing changed: the head in the object API names another one than the previous.
+	Republish bool
 }
 
 // Compiled is the result of Compile.
@@ -36,12 +41,12 @@
 	o := resource.ValidateAll(in.Services, previous.Services)
 	configs := make([]resource.ServiceConfig, 0, len(o.Services))
 	old := byName(previous.Services)
-	changed := len(o.Services) != len(previous.Services)
-	next := previous.Number + 1
+	changed := len(o.Services) != len(previous.Services) || in.Republish
+	next := max(previous.Number, in.firstNumber()) + 1
 	for _, c := range o.Services {
-		c.Spec = withShares(c, in.Rollouts)
-		c.Spec.Evacuated = in.Evacuated
 		was, ok := old[c.Name]
+		c.Spec.Shares = in.shares(c, was)
+		c.Spec.Evacuated = in.Evacuated
 		if ok && sameSpec(was.Spec, c.Spec) {
 			configs = append(configs, was)
 			continue
@@ -65,18 +70,30 @@
 	return m
 }
 
-// withShares returns the specification with the shares that the rollout has reached.
-func withShares(c resource.ServiceConfig, states map[string]resource.RolloutStatus) resource.ServiceSpec {
-	s := c.Spec
-	if s.Rollout == nil {
-		return s
+// firstNumber returns the number below all revisions of the era, so that they are above those of earlier eras, of which the object API may have
+// lost the last.
+func (in Inputs) firstNumber() uint64 {
+	n, err := objectapi.MakeVersion(in.Era, 0)
+	if err != nil {
+		return 0 // Versions of this era could not have been read.
+	}
+	return n
+}
+
+// shares returns the shares that a service's rollout has reached. While the rollout's state is not known in a later era, the shares in force stay.
+func (in Inputs) shares(c, inForce resource.ServiceConfig) []resource.Share {
+	r := c.Spec.Rollout
+	if r == nil {
+		return c.Spec.Shares
+	}
+	state, known := in.Rollouts[c.Name]
+	if known {
+		return rollout.Shares(c.Spec, state)
 	}
-	state, ok := states[c.Name]
-	if !ok {
-		state = rollout.Initial(*s.Rollout)
+	if was := inForce.Spec.Rollout; in.Era > 0 && was != nil && was.From == r.From && was.To == r.To {
+		return inForce.Spec.Shares
 	}
-	s.Shares = rollout.Shares(s, state)
-	return s
+	return rollout.Shares(c.Spec, rollout.Initial(*r))
 }
 
 // sameSpec compares the stored forms, in which empty and absent lists are equal.
--- a/pkg/revision/follower.go
+++ b/pkg/revision/follower.go
@@ -73,8 +73,12 @@
 	if err != nil {
 		return trace.Wrap(err, "list head")
 	}
-	if len(list) == 0 {
+	switch {
+	case len(list) > 0:
+	case objectapi.EraOf(from) == 0:
 		f.Adopter.Offer(resource.Revision{}, SourceHead)
+	default:
+		f.Adopter.Missing(SourceHead, errNoHeadOfEra.Error())
 	}
 	for _, o := range list {
 		if err := f.takeHead(ctx, o); err != nil {
@@ -118,7 +122,12 @@
 	if err := json.Unmarshal(o.Value, &h); err != nil {
 		return trace.Wrap(err, "decode head")
 	}
-	if _, known := f.Adopter.Current(); known && h.Revision <= f.Adopter.Number() {
+	_, known := f.Adopter.Current()
+	if known && h.Revision <= f.Adopter.Number() {
+		return nil
+	}
+	if !known && objectapi.EraOf(h.Revision) < objectapi.EraOf(o.Version) {
+		f.Adopter.Missing(SourceHead, errNoHeadOfEra.Error())
 		return nil
 	}
 	r, err := Load(ctx, f.Store, h)
@@ -133,6 +142,10 @@
 	return nil
 }
 
+// errNoHeadOfEra is why a process that knows no revision does not take the one of the head: the object API may have lost a later one, which peers
+// know. The holder of the compile lease writes the head again.
+var errNoHeadOfEra = errors.New("no revision was accepted in this era of the object API yet")
+
 func (f *Follower) followPeers(ctx context.Context) error {
 	for ctx.Err() == nil {
 		f.askPeers(ctx)
--- a/pkg/revision/session.go
+++ b/pkg/revision/session.go
@@ -53,11 +53,29 @@
 		return trace.Wrap(err, "load accepted revision")
 	}
 	s.current = r
+	s.keepAdopted()
 	return nil
 }
 
+// keepAdopted goes on from the revision that this process has in force when the object API has lost it.
+func (s *session) keepAdopted() {
+	if s.cfg.Adopter == nil {
+		return
+	}
+	if r, known := s.cfg.Adopter.Current(); known && r.Number > s.current.Number {
+		s.current = r
+	}
+}
+
+// restored reports whether no revision of this era was accepted yet.
+func (s *session) restored() bool { return objectapi.EraOf(s.current.Number) < s.grant.Era() }
+
 // run compiles at the start, at each signal and at each resync, and writes statuses in between.
 func (s *session) run(ctx context.Context) error {
+	if s.restored() {
+		_ = s.cfg.Clock.Sleep(ctx, RestoredWait)
+		s.keepAdopted()
+	}
 	for ctx.Err() == nil {
 		err := s.round(ctx)
 		if err == nil {
@@ -98,26 +116,40 @@
 }
 
 func (s *session) inputs(ctx context.Context) (Inputs, error) {
-	services, _, err := s.cfg.Store.List(ctx, resource.KindService)
+	services, err := s.list(ctx, resource.KindService)
 	if err != nil {
-		return Inputs{}, trace.Wrap(err, "list services")
+		return Inputs{}, err
 	}
-	states, _, err := s.cfg.Store.List(ctx, rollout.Kind)
+	states, err := s.list(ctx, rollout.Kind)
 	if err != nil {
-		return Inputs{}, trace.Wrap(err, "list rollouts")
+		return Inputs{}, err
 	}
-	evacuations, _, err := s.cfg.Store.List(ctx, resource.KindEvacuation)
+	evacuations, err := s.list(ctx, resource.KindEvacuation)
 	if err != nil {
-		return Inputs{}, trace.Wrap(err, "list evacuations")
+		return Inputs{}, err
+	}
+	in := Inputs{
+		Services:  resource.ReadServices(services),
+		Evacuated: namesOf(evacuations),
+		Era:       s.grant.Era(),
+		Republish: s.restored() || s.current.Number != s.head.Value().Revision,
 	}
-	in := Inputs{Services: resource.ReadServices(services), Evacuated: namesOf(evacuations)}
-	in.Rollouts, err = rollout.ReadStates(states)
+	in.Rollouts, err = rollout.ReadStates(states, s.grant.Era())
 	if err != nil {
 		s.warn(err, "read rollouts")
 	}
 	return in, nil
 }
 
+// list reads the objects of a kind in the era of the term.
+func (s *session) list(ctx context.Context, kind objectapi.Kind) ([]objectapi.Object, error) {
+	list, version, err := s.cfg.Store.List(ctx, kind)
+	if err == nil {
+		err = s.grant.CheckEra(version)
+	}
+	return list, trace.Wrap(err, "list %s", kind)
+}
+
 // namesOf returns the sorted names of objects.
 func namesOf(objects []objectapi.Object) []string {
 	var names []string
--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -131,6 +131,9 @@
 		if err != nil {
 			return err
 		}
+		if err := t.resume(ctx, c); err != nil {
+			return err
+		}
 		s.tracks[c.Name] = t
 	}
 	return t.step(ctx, c)
@@ -157,7 +160,7 @@
 		return trace.Wrap(err, "list rollouts")
 	}
 	// What can't be read is claimed and written when its service asks for a rollout.
-	states, _ := ReadStates(list)
+	states, _ := ReadStates(list, 0)
 	for name, state := range states {
 		if state.State == "" || asked[name] {
 			continue
@@ -166,7 +169,7 @@
 		if err != nil {
 			return err
 		}
-		if err := t.record.Write(ctx, Record{}); err != nil {
+		if err := t.record.Write(ctx, Record{Era: s.grant.Era()}); err != nil {
 			return trace.Wrap(err, "clear rollout of %s", name)
 		}
 	}
--- a/pkg/rollout/controller_test.go
+++ b/pkg/rollout/controller_test.go
@@ -32,7 +32,7 @@
 	list, _, err := s.List(t.Context(), Kind)
 	require.NoError(t, err)
 	require.Len(t, list, 1)
-	states, err := ReadStates(list)
+	states, err := ReadStates(list, 0)
 	require.NoError(t, err)
 	return Record{RolloutStatus: states["svc"]}
 }
--- a/pkg/rollout/record.go
+++ b/pkg/rollout/record.go
@@ -18,6 +18,8 @@
 	resource.RolloutStatus
 	// Past holds the counts of the steps that were passed.
 	Past []StepCounts `json:"past,omitempty"`
+	// Era is the era of the object API in which the state was written. In a later era the last steps may be lost.
+	Era uint64 `json:"era,omitempty"`
 	// Holder is the lease holder that wrote the record.
 	Holder string `json:"holder"`
 	// Term is the lease term under which the record was written.
@@ -33,9 +35,9 @@
 	r.Term = g.Term
 }
 
-// ReadStates returns the states of stored rollout objects by service. It returns the readable ones and an error that
-// names the others.
-func ReadStates(list []objectapi.Object) (map[string]resource.RolloutStatus, error) {
+// ReadStates returns the states of stored rollout objects by service, without those that were written before an era. It returns the readable ones and
+// an error that names the others.
+func ReadStates(list []objectapi.Object, era uint64) (map[string]resource.RolloutStatus, error) {
 	out := make(map[string]resource.RolloutStatus, len(list))
 	var bad []error
 	for _, o := range list {
@@ -44,7 +46,9 @@
 			bad = append(bad, trace.Wrap(err, "decode rollout %s", o.Name))
 			continue
 		}
-		out[o.Name] = r.RolloutStatus
+		if r.Era >= era {
+			out[o.Name] = r.RolloutStatus
+		}
 	}
 	return out, trace.NewAggregate(bad...)
 }
--- a/pkg/rollout/track.go
+++ b/pkg/rollout/track.go
@@ -15,6 +15,7 @@
 	cfg      Controller
 	metrics  metrics
 	service  string
+	era      uint64
 	record   *lease.Fenced[Record, *Record]
 	evidence Evidence
 	// began is when this term began to observe the step, on the local clock.
@@ -28,11 +29,28 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "claim rollout of %s", service)
 	}
-	t := &track{cfg: s.cfg, metrics: s.metrics, service: service, record: r, began: s.cfg.Clock.Now()}
+	t := &track{cfg: s.cfg, metrics: s.metrics, service: service, era: s.grant.Era(), record: r, began: s.cfg.Clock.Now()}
 	t.evidence.Past = r.Value().Past
 	return t, nil
 }
 
+// resume makes up for steps that the object API has lost, by the shares in force, once in each era.
+func (t *track) resume(ctx context.Context, c resource.ServiceConfig) error {
+	record := t.record.Value()
+	if record.Era >= t.era {
+		return nil
+	}
+	record.Era = t.era
+	state := Resume(*c.Spec.Rollout, record.RolloutStatus, c.Spec.Shares, t.cfg.Clock.Now())
+	if state != record.RolloutStatus {
+		record.RolloutStatus, record.Past = state, nil
+		t.evidence = Evidence{}
+		t.cfg.Log.Warn().Str("op", "rollout").Str("service", t.service).Str("to", state.To).Int("step", state.Step).
+			Uint32("weight", state.Weight).Str("state", string(state.State)).Str("reason", state.Message).Send()
+	}
+	return trace.Wrap(t.record.Write(ctx, record), "store rollout of %s", t.service)
+}
+
 // step reads the counters, judges and stores what changed.
 func (t *track) step(ctx context.Context, c resource.ServiceConfig) error {
 	r := *c.Spec.Rollout
@@ -86,7 +104,7 @@
 	if state.From != next.From || state.To != next.To {
 		evidence = Evidence{}
 	}
-	if err := t.record.Write(ctx, Record{RolloutStatus: next, Past: evidence.Past}); err != nil {
+	if err := t.record.Write(ctx, Record{RolloutStatus: next, Past: evidence.Past, Era: t.era}); err != nil {
 		return trace.Wrap(err, "store rollout of %s", t.service)
 	}
 	t.metrics.entered(next.State)
