--- a/pkg/ctl/wait.go
+++ b/pkg/ctl/wait.go
@@ -19,8 +19,8 @@
 	want map[string]uint64
 	// last describes the last status seen of each.
 	last map[string]string
-	// rejected has the reason of each service that is not accepted.
-	rejected []string
+	// failed has the reason of each service that is not accepted, or may be lost.
+	failed []string
 }
 
 // waitInForce waits until the services are in force at their versions on every known balancer. It returns an error when
@@ -53,10 +53,16 @@
 	if err != nil || s.Value.ObservedVersion < want {
 		return
 	}
+	if objectapi.EraOf(s.Value.ObservedVersion) > objectapi.EraOf(want) {
+		// What is judged is the restored service, or what was written over it.
+		w.failed = append(w.failed, fmt.Sprintf("%s was stored, but the object API came back from an older copy since; get it, and apply it again if it is lost", e.Object.Name))
+		delete(w.want, e.Object.Name)
+		return
+	}
 	w.last[e.Object.Name] = "in force on " + s.Value.InForce.String()
 	c, _ := s.Value.Condition(resource.ConditionAccepted)
 	if c.Status == resource.StatusFalse {
-		w.rejected = append(w.rejected, fmt.Sprintf("%s is not accepted: %s: %s", e.Object.Name, c.Reason, c.Message))
+		w.failed = append(w.failed, fmt.Sprintf("%s is not accepted: %s: %s", e.Object.Name, c.Reason, c.Message))
 		delete(w.want, e.Object.Name)
 	}
 	if s.Value.AcceptedVersion >= want && s.Value.InForce.Complete() {
@@ -66,7 +72,7 @@
 
 // err returns what is rejected or was not in force in time.
 func (w *waiter) err() error {
-	lines := slices.Sorted(slices.Values(w.rejected))
+	lines := slices.Sorted(slices.Values(w.failed))
 	for _, name := range slices.Sorted(maps.Keys(w.want)) {
 		lines = append(lines, fmt.Sprintf("%s is stored, but was not in force on every balancer in time: %s", name, w.last[name]))
 	}
--- a/pkg/lease/restored_test.go
+++ b/pkg/lease/restored_test.go
@@ -91,4 +91,3 @@
 func (s *stampedText) Grant() Grant { return Grant{Holder: s.Holder, Term: s.Term} }
 
 func (s *stampedText) SetGrant(g Grant) { s.Holder, s.Term = g.Holder, g.Term }
-
