Refuse keys whose claim a restored object API may have lost

What callers would have seen: a key whose work had run shortly before the object API came back older was free again, and the next submission of it ran a second time.

The holder of the compile lease writes since when the object API is in its era (kind era). Before an agent claims a key on a platform that names eras it reads that object, which also tells it of the newest era. For a minute after a restore a key without a claim is refused with claim-store-unavailable, run unknown for counted repeats, and for 10 s when the caller counts it as its first submission; claims that are still there are used. A claim that was made in a later era than the one that was asked about is deleted and asked about again.

Not covered: a key that is repeated more than a minute after the restore.

--- a/pkg/agentd/requests.go
+++ b/pkg/agentd/requests.go
@@ -112,6 +112,7 @@
 	s := r.d.o.Settings
 	// The settings were checked, so that the address is valid.
 	target, _ := netip.ParseAddrPort(s.TargetAddress)
+	eras := objectapi.NewEras()
 	return request.Options{
 		Agent:       s.Name,
 		Incarnation: r.d.o.Incarnation,
@@ -121,7 +122,8 @@
 		Queue:       int(v.Spec.Limits.Queue),
 		Cold:        v.Spec.SlowStart > 0,
 		Deadline:    deadlineOf(v),
-		Store:       r.store(),
+		Store:       r.store(eras),
+		Eras:        eras,
 		ClaimRate:   claimRate(s.ObjectAPI.CallsPerSecond, r.agents),
 		ClaimBurst:  ClaimBurst,
 		Peers:       r,
@@ -142,12 +144,12 @@
 }
 
 // store returns the object API for claims; nil when the settings name none.
-func (r *requests) store() objectapi.Store {
+func (r *requests) store(eras *objectapi.Eras) objectapi.Store {
 	s := r.d.o.Settings.ObjectAPI
 	if s.URL == "" {
 		return nil
 	}
-	client := objectapi.NewClient(s.URL, objectapi.Options{CallTimeout: s.Timeout.Duration()})
+	client := objectapi.NewClient(s.URL, objectapi.Options{CallTimeout: s.Timeout.Duration(), Eras: eras})
 	return objectapi.NewBudgeted(client, objectapi.BudgetConfig{
 		Rate: s.CallsPerSecond, Burst: s.Burst, Scope: r.d.o.Env.Scope,
 	})
--- a/pkg/ctl/kinds.go
+++ b/pkg/ctl/kinds.go
@@ -11,7 +11,7 @@
 // kinds are the kinds that get and watch show.
 var kinds = []objectapi.Kind{
 	resource.KindService, resource.KindServiceStatus, resource.KindHead, resource.KindRevision,
-	resource.KindLease, resource.KindMembers, resource.KindRollout, resource.KindClaim, resource.KindEvacuation,
+	resource.KindLease, resource.KindMembers, resource.KindRollout, resource.KindClaim, resource.KindEvacuation, resource.KindEra,
 }
 
 // parseKind reads the name of a kind; no name means services.
--- /dev/null
+++ b/pkg/request/absence.go
@@ -0,0 +1,86 @@
+package request
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
+	"github.com/auburnwood/auburnwood/pkg/resource"
+)
+
+// Times after the object API came back from an older copy in which a key without a claim may have been claimed before.
+const (
+	// distrustTime is as long as a ticket may be submitted.
+	distrustTime = time.Minute
+	// firstDistrustTime is for submissions that their callers count as the first ones: a later one may have run while the first was under way, which
+	// takes no longer than a deadline as a rule.
+	firstDistrustTime = 10 * time.Second
+	// firstAttempt is the count of a submission before which the caller has made none.
+	firstAttempt = 1
+)
+
+// errClaimsRestored refuses a key whose claim may be lost.
+var errClaimsRestored = errors.New("the object API came back from an older copy, and the claim of this key may be lost")
+
+// absence tells whether a key that has no claim was never claimed. It is safe for concurrent use.
+type absence struct {
+	store objectapi.Store
+	eras  *objectapi.Eras
+	now   func() time.Time
+
+	mu sync.Mutex
+	// era is the newest era whose start is known, since when the object API is in it; zero when nothing was lost at its start.
+	era   uint64
+	since time.Time
+}
+
+// proves returns nil when a key without a claim was never claimed, as far as the era goes that it returns. An object API that names no era loses
+// nothing.
+func (a *absence) proves(ctx context.Context, attempt uint64) (uint64, error) {
+	if a.eras.Newest() == 0 {
+		return 0, nil
+	}
+	if err := a.learn(ctx); err != nil {
+		return 0, err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if newest := a.eras.Newest(); newest != a.era {
+		return 0, trace.Wrap(errClaimsRestored, "the start of era %d is not known yet", newest)
+	}
+	wait := distrustTime
+	if attempt == firstAttempt {
+		wait = firstDistrustTime
+	}
+	if !a.since.IsZero() && a.now().Before(a.since.Add(wait)) {
+		return 0, errClaimsRestored
+	}
+	return a.era, nil
+}
+
+// learn reads since when the object API is in its era. The call also tells when there is a later one.
+func (a *absence) learn(ctx context.Context) error {
+	o, err := a.store.Get(ctx, resource.KindEra, resource.EraName)
+	if errors.Is(err, objectapi.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return trace.Wrap(err, "read the era")
+	}
+	var e resource.Era
+	if err := json.Unmarshal(o.Value, &e); err != nil {
+		return trace.Wrap(err, "decode the era")
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if e.Era < a.era || e.Era < objectapi.EraOf(o.Version) {
+		return nil
+	}
+	a.era, a.since = e.Era, e.Since
+	return nil
+}
--- a/pkg/request/claims.go
+++ b/pkg/request/claims.go
@@ -19,6 +19,8 @@
 	claimTimeout = 500 * time.Millisecond
 	// claimReadBacks bounds the reads after a lost answer.
 	claimReadBacks = 3
+	// eraChecks bounds the tries to make a claim in a known era; an agent learns of the era by its first call.
+	eraChecks = 2
 )
 
 // Errors of a claim.
@@ -31,6 +33,7 @@
 // claims binds callers' keys to tickets by create-if-absent, so that every agent finds the one ticket of a key.
 type claims struct {
 	store   objectapi.Store
+	absence *absence
 	writes  *rate.Limiter
 	service string
 	now     func() time.Time
@@ -38,7 +41,8 @@
 
 func newClaims(o Options) *claims {
 	writes := rate.NewLimiter(rate.Limit(o.ClaimRate), o.ClaimBurst)
-	return &claims{store: o.Store, writes: writes, service: o.Service, now: o.Now}
+	absence := &absence{store: o.Store, eras: o.Eras, now: o.Now}
+	return &claims{store: o.Store, absence: absence, writes: writes, service: o.Service, now: o.Now}
 }
 
 // name returns the object name of a key: keys are the callers' own text, and of one service.
@@ -55,6 +59,25 @@
 		return claim{}, err
 	}
 	defer cancel()
+	for range eraChecks {
+		era, err := c.absence.proves(ctx, offered.attempt)
+		if err != nil {
+			return c.find(ctx, name, err)
+		}
+		held, err := c.create(ctx, name, offered)
+		if err != nil || held.ticket != offered.ticket || objectapi.EraOf(held.object.Version) == era {
+			return held, err
+		}
+		// The era is later than the one that was asked about, so that the claim proves nothing.
+		if err := c.store.Delete(ctx, resource.KindClaim, name, held.object.Version); err != nil {
+			return claim{}, trace.NewAggregate(errClaimsRestored, err)
+		}
+	}
+	return claim{}, errClaimsRestored
+}
+
+// create stores the claim unless there is one, and returns the stored one.
+func (c *claims) create(ctx context.Context, name string, offered claim) (claim, error) {
 	o, err := c.store.Create(ctx, resource.KindClaim, name, offered.encode())
 	switch {
 	case err == nil:
@@ -66,6 +89,18 @@
 	return claim{}, trace.Wrap(err, "create claim")
 }
 
+// find returns the stored claim, or the cause for which none may be created.
+func (c *claims) find(ctx context.Context, name string, cause error) (claim, error) {
+	o, err := c.store.Get(ctx, resource.KindClaim, name)
+	if errors.Is(err, objectapi.ErrNotFound) {
+		return claim{}, cause
+	}
+	if err != nil {
+		return claim{}, trace.NewAggregate(cause, err)
+	}
+	return decodeClaim(o)
+}
+
 // replace binds the key to another ticket, if the stored claim is still the given one. The caller has made sure that the
 // stored ticket never runs.
 func (c *claims) replace(ctx context.Context, old, offered claim) (claim, error) {
--- a/pkg/request/options.go
+++ b/pkg/request/options.go
@@ -64,6 +64,8 @@
 	Answers int
 	// Store keeps the claims; nil refuses requests that need one.
 	Store objectapi.Store
+	// Eras are those of the object API behind Store; nil means that it names none.
+	Eras *objectapi.Eras
 	// ClaimRate is the highest number of claims a second of this agent; 0 means DefaultClaimRate.
 	ClaimRate float64
 	// ClaimBurst is the number of claims that may be made at once; 0 means as many as a second allows, at least one.
@@ -102,6 +104,9 @@
 	if o.Peers == nil {
 		o.Peers = noPeers{}
 	}
+	if o.Eras == nil {
+		o.Eras = objectapi.NewEras()
+	}
 	d := &net.Dialer{Timeout: dialTimeout}
 	if o.DialTarget == nil {
 		o.DialTarget = d.DialContext
--- a/pkg/resource/kinds.go
+++ b/pkg/resource/kinds.go
@@ -20,6 +20,8 @@
 	KindRollout objectapi.Kind = "rollout"
 	// KindEvacuation is an Evacuation, written by operators; its name is the data centre.
 	KindEvacuation objectapi.Kind = "evacuations"
+	// KindEra is the Era; its name is EraName.
+	KindEra objectapi.Kind = "era"
 	// KindClaim is the claim of one idempotency key.
 	KindClaim objectapi.Kind = "claim"
 )
--- a/pkg/revision/session.go
+++ b/pkg/revision/session.go
@@ -77,7 +77,10 @@
 		s.keepAdopted()
 	}
 	for ctx.Err() == nil {
-		err := s.round(ctx)
+		err := s.describeEra(ctx)
+		if err == nil {
+			err = s.round(ctx)
+		}
 		if err == nil {
 			err = s.wait(ctx)
 		}
