Soak: the object API comes back from older copies

Every few seconds the stand-in is away for up to 1.5 s and comes back from a copy that is up to 6 s old; with one of four restores 400 writes of others are lost, so that it takes long until revisions have caught up. The operator's configuration is written again at once or within a second. Half of the seeds begin without named eras. New check: at the end the object API knows every balancer. The other faults of a seed stay the same, since restores are drawn on their own.

--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -31,6 +31,7 @@
 	seedOperator
 	seedFinal
 	seedWriters
+	seedRestores
 )
 
 // Run starts the installation, makes faults for o.Length and checks what the daemons promise. The error is one of the run
@@ -112,9 +113,11 @@
 	parts.Go(func() { w.operate(during, rand.New(rand.NewPCG(w.o.Seed, seedOperator))) })
 	parts.Go(func() { w.writeStrange(during, rand.New(rand.NewPCG(w.o.Seed, seedWriters))) })
 	parts.Go(func() { w.openFlows(during, ctx, &flows) })
-	f := &faults{w: w, random: w.random, script: func(text string) {
+	note := func(text string) {
 		_, _ = fmt.Fprintf(script, "%.2f %s\n", time.Since(w.counts.began).Seconds(), text)
-	}}
+	}
+	parts.Go(func() { w.restore(during, rand.New(rand.NewPCG(w.o.Seed, seedRestores)), note) })
+	f := &faults{w: w, random: w.random, script: note}
 	f.run(during)
 	parts.Wait()
 	w.heal()
@@ -162,6 +165,7 @@
 	if served := w.counts.result().Finished - before.Finished; served < finalFlows {
 		w.counts.violation("%d of %d flows were served %s after the last fault", served, finalFlows, settleTime)
 	}
+	w.checkMembers(ctx)
 	version, _ := w.accepted()
 	for _, b := range w.balancers {
 		if label, err := b.label(ctx); err != nil || label != version {
--- a/internal/lab/soak/world.go
+++ b/internal/lab/soak/world.go
@@ -75,6 +75,11 @@
 	agents    []*agent
 	callers   []*callerVM
 
+	// operating is held while the operator's configuration is written or the object API comes back, and locked before mu; document is the
+	// last configuration that was accepted.
+	operating sync.Mutex
+	document  []byte
+
 	mu sync.Mutex
 	// requests are the targets that ran each request.
 	requests map[string]string
@@ -89,7 +94,7 @@
 func newWorld(o Options) (*world, error) {
 	w := &world{
 		o: o, random: rand.New(rand.NewPCG(o.Seed, 0)), counts: &counts{began: time.Now()},
-		store: store.New(store.Config{}), routers: &routers{}, requests: make(map[string]string),
+		store: store.New(store.Config{Era: o.Seed % 2}), routers: &routers{}, requests: make(map[string]string),
 	}
 	if err := os.MkdirAll(o.Dir, 0o755); err != nil {
 		return nil, trace.ConvertSystemError(err)
