Random restores of the object API against the compile duty and the followers

40 drawn runs in virtual time: restores from older copies, with the operator's service written again at once or up to 1.5 s later, outages, lost and late answers, restarts of balancers that know nothing, half of them without named eras at first. No balancer's limit goes back in its life, no number stands for two contents, and the last change is in force on all at the end.

--- a/pkg/revision/restored_test.go
+++ b/pkg/revision/restored_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,14 +15,17 @@
 
 	"github.com/auburnwood/auburnwood/internal/standin/store"
 	"github.com/auburnwood/auburnwood/pkg/lease"
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
 	"github.com/auburnwood/auburnwood/pkg/resource"
 )
 
 // restoredWorld is balancers of which each competes for the compile duty and follows the head.
 type restoredWorld struct {
-	t        *testing.T
-	store    *store.Store
-	ctx      context.Context
+	t     *testing.T
+	store *store.Store
+	ctx   context.Context
+
+	mu       sync.Mutex
 	adopters []*Adopter
 }
 
@@ -28,6 +35,8 @@
 
 // Highest implements Peers: the revisions of all balancers.
 func (w *restoredWorld) Highest(context.Context, uint64) ([]resource.Revision, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	var out []resource.Revision
 	for _, a := range w.adopters {
 		if r, known := a.Current(); known {
@@ -38,14 +47,19 @@
 }
 
 // start starts a balancer and returns its adopter.
-func (w *restoredWorld) start(name string) *Adopter {
+func (w *restoredWorld) start(name string) *Adopter { return w.startUntil(w.ctx, name) }
+
+// startUntil starts a balancer that ends with a context.
+func (w *restoredWorld) startUntil(ctx context.Context, name string) *Adopter {
 	a := NewAdopter(zerolog.Nop())
+	w.mu.Lock()
 	w.adopters = append(w.adopters, a)
+	w.mu.Unlock()
 	c := &Compiler{Store: w.store, Adopter: a, Log: zerolog.Nop()}
 	r := &lease.Runner{Store: w.store, Config: lease.Config{Name: LeaseName, Holder: name, Duration: 3 * time.Second}, Log: zerolog.Nop()}
 	f := &Follower{Store: w.store, Peers: w, Adopter: a}
-	go func() { _ = r.Run(w.ctx, c.Duty) }()
-	go func() { _ = f.Run(w.ctx) }()
+	go func() { _ = r.Run(ctx, c.Duty) }()
+	go func() { _ = f.Run(ctx) }()
 	return a
 }
 
@@ -119,3 +133,164 @@
 		require.EqualValues(t, 2, queueOf(a))
 	})
 }
+
+func TestTheDutyGoesOnFromTheRevisionInForceWhenTheHeadIsBehind(t *testing.T) {
+	s := store.New(store.Config{Era: 1})
+	grant := lease.Grant{Holder: "a", Term: 1<<40 + 1}
+	first := startSession(t, s, grant)
+	putService(t, s, testService("a", "10.0.0.1", 0).Service)
+	require.NoError(t, first.round(t.Context()))
+	older := s.Copy()
+	putService(t, s, testService("b", "10.0.0.2", 0).Service)
+	require.NoError(t, first.round(t.Context()))
+	adopter := NewAdopter(zerolog.Nop())
+	require.True(t, adopter.Offer(first.current, SourceHead))
+	s.Restore(older)
+	later, err := newSession(t.Context(), (&Compiler{Store: s, Adopter: adopter, Log: zerolog.Nop()}).withDefaults(), lease.Grant{Holder: "b", Term: 2<<40 + 1})
+	require.NoError(t, err)
+	require.Equal(t, adopter.Number(), later.current.Number)
+	require.Len(t, later.current.Services, 2)
+	require.True(t, later.restored())
+}
+
+// restoredSeeds is the number of drawn runs.
+const restoredSeeds = 40
+
+// restoredRun is one run with random restores, outages, lost answers and restarts.
+type restoredRun struct {
+	*restoredWorld
+	random *rand.Rand
+	queue  uint32
+	stops  []context.CancelFunc
+
+	queuesMu sync.Mutex
+	// queues are the limits that revisions hold, by number.
+	queues map[uint64]uint32
+}
+
+// begin starts a balancer that checks what it adopts.
+func (r *restoredRun) begin(name string) {
+	ctx, stop := context.WithCancel(r.ctx)
+	a := r.startUntil(ctx, name)
+	r.stops = append(r.stops, stop)
+	var last uint32
+	a.OnAdopt(func(v resource.Revision) {
+		q := uint32(0)
+		if len(v.Services) > 0 {
+			q = v.Services[0].Spec.Limits.Queue
+		}
+		require.GreaterOrEqual(r.t, q, last, "balancer %s goes back", name)
+		last = q
+		r.queuesMu.Lock()
+		defer r.queuesMu.Unlock()
+		if known, ok := r.queues[v.Number]; ok {
+			require.Equal(r.t, known, q, "two revisions have the number %d", v.Number)
+		}
+		r.queues[v.Number] = q
+	})
+}
+
+// restart ends a balancer at once and starts one that knows nothing in its place.
+func (r *restoredRun) restart(n int) {
+	i := r.random.IntN(len(r.stops))
+	r.stops[i]()
+	r.stops = slices.Delete(r.stops, i, i+1)
+	r.mu.Lock()
+	r.adopters = slices.Delete(r.adopters, i, i+1)
+	r.mu.Unlock()
+	r.begin("b" + strconv.Itoa(n))
+}
+
+// change stores the next limit, as operators do: until it works.
+func (r *restoredRun) change() {
+	r.queue++
+	r.write()
+}
+
+// write stores the last limit.
+func (r *restoredRun) write() {
+	v := testService("a", "10.0.0.1", 0).Service
+	v.Spec.Limits.Queue = r.queue
+	b, err := resource.Encode(v)
+	require.NoError(r.t, err)
+	for {
+		o, err := r.store.Get(r.ctx, resource.KindService, v.Name)
+		if err != nil {
+			o = objectapi.Object{Kind: resource.KindService, Name: v.Name}
+		}
+		o.Value = b
+		if _, err := lease.Put(r.ctx, r.store, o); err == nil {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// restore lets the store be away and come back from a copy. The service is written again at once, or within less than the time that the compile duty
+// waits.
+func (r *restoredRun) restore(older store.Copy) {
+	r.store.SetFaults(store.Faults{Outage: true})
+	time.Sleep(time.Duration(r.random.IntN(1500)) * time.Millisecond)
+	if r.random.IntN(2) == 0 {
+		r.store.Restore(older, resource.KindService)
+		r.store.SetFaults(store.Faults{})
+		return
+	}
+	r.store.Restore(older)
+	r.store.SetFaults(store.Faults{})
+	time.Sleep(time.Duration(r.random.IntN(1500)) * time.Millisecond)
+	r.write()
+}
+
+func (r *restoredRun) run() {
+	for n := range 3 {
+		r.begin("a" + strconv.Itoa(n))
+	}
+	r.change()
+	time.Sleep(5 * time.Second)
+	older := r.store.Copy()
+	for n := range 60 {
+		switch r.random.IntN(8) {
+		case 0:
+			r.restore(older)
+			older = r.store.Copy()
+		case 1:
+			older = r.store.Copy()
+		case 2:
+			r.restart(n)
+		case 3:
+			r.store.SetFaults(store.Faults{LoseShare: 0.3, DropShare: 0.1})
+		case 4:
+			r.store.SetFaults(store.Faults{})
+		default:
+			r.change()
+		}
+		time.Sleep(time.Duration(r.random.IntN(2000)) * time.Millisecond)
+	}
+	r.store.SetFaults(store.Faults{})
+	r.change()
+	time.Sleep(15 * time.Second)
+	for i, a := range r.adopters {
+		require.Equal(r.t, r.queue, queueOf(a), "balancer %d", i)
+	}
+}
+
+func TestNothingRevertsAndNothingIsLostUnderRandomRestores(t *testing.T) {
+	for seed := range uint64(restoredSeeds) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, stop := context.WithCancel(t.Context())
+				defer func() {
+					stop()
+					time.Sleep(time.Minute)
+				}()
+				r := &restoredRun{
+					restoredWorld: newRestoredWorld(ctx, t, seed%2),
+					random:        rand.New(rand.NewPCG(seed, 1)),
+					queues:        make(map[uint64]uint32),
+				}
+				r.run()
+			})
+		})
+	}
+}
