--- a/pkg/balancerd/daemon.go
+++ b/pkg/balancerd/daemon.go
@@ -24,21 +24,23 @@
 	store objectapi.Store
 	// compileStore is the store within the call budget of the compile duty.
 	compileStore objectapi.Store
-	listener     net.Listener
-	adopter      *revision.Adopter
-	node         *peer.Node
-	balancer     *balancer.Balancer
-	refusals     *refusal.Log
-	holders      holders
-	killed       context.Context
-	kill         context.CancelFunc
-	once         sync.Once
+	// eras are those of the object API.
+	eras     *objectapi.Eras
+	listener net.Listener
+	adopter  *revision.Adopter
+	node     *peer.Node
+	balancer *balancer.Balancer
+	refusals *refusal.Log
+	holders  holders
+	killed   context.Context
+	kill     context.CancelFunc
+	once     sync.Once
 }
 
 // New opens the sockets of a balancer. Run starts it.
 func New(o Options) (*Daemon, error) {
 	o = o.withDefaults()
-	d := &Daemon{o: o, adopter: revision.NewAdopter(o.Env.Log)}
+	d := &Daemon{o: o, adopter: revision.NewAdopter(o.Env.Log), eras: objectapi.NewEras()}
 	d.killed, d.kill = context.WithCancel(context.Background())
 	d.openStores()
 	d.refusals = d.newRefusals()
@@ -146,6 +148,7 @@
 	g.Go(func() error { return d.cleanupDuty(run) })
 	g.Go(func() error { return d.rolloutDuty(run) })
 	g.Go(func() error { return d.runRefusals(run) })
+	g.Go(func() error { return objectapi.LogEras(run, d.eras, d.o.Env.Log) })
 	err := g.Wait()
 	if ctx.Err() != nil {
 		return nil
--- a/pkg/balancerd/refusals.go
+++ b/pkg/balancerd/refusals.go
@@ -20,6 +20,7 @@
 		Process:     d.o.Settings.Name,
 		Incarnation: d.o.Incarnation,
 		Store:       d.store,
+		Eras:        d.eras,
 		Mirror:      (*mirror)(d),
 		Logger:      d.o.Env.Log,
 		Scope:       d.o.Env.Scope,
--- a/pkg/balancerd/store.go
+++ b/pkg/balancerd/store.go
@@ -22,7 +22,7 @@
 		d.store, d.compileStore = d.o.WrapStore(api), d.o.WrapStore(api)
 		return
 	}
-	api = objectapi.NewClient(s.URL, objectapi.Options{CallTimeout: s.Timeout.Duration()})
+	api = objectapi.NewClient(s.URL, objectapi.Options{CallTimeout: s.Timeout.Duration(), Eras: d.eras})
 	d.store = d.o.WrapStore(budgeted(api, s.CallsPerSecond, s.Burst, d.o.Env.Scope))
 	rate, burst := max(s.CallsPerSecond, compileCallRate), max(s.Burst, compileCallBurst)
 	d.compileStore = d.o.WrapStore(budgeted(api, rate, burst, d.o.Env.Scope))
--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -18,6 +18,7 @@
 	"github.com/auburnwood/auburnwood/pkg/dsr/evacuation"
 	"github.com/auburnwood/auburnwood/pkg/dsr/roster"
 	"github.com/auburnwood/auburnwood/pkg/dsr/routing"
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
 	"github.com/auburnwood/auburnwood/pkg/refusal"
 	"github.com/auburnwood/auburnwood/pkg/settings"
 	"github.com/auburnwood/auburnwood/pkg/telemetry"
@@ -123,7 +124,7 @@
 	g.Go(func() error { return b.handOver(run) })
 	g.Go(func() error { return every(run, tellInterval, b.gossip) })
 	g.Go(func() error { return b.join(run) })
-	g.Go(func() error { return b.logEras(run) })
+	g.Go(func() error { return objectapi.LogEras(run, b.eras, b.log) })
 	g.Go(func() error { return b.refusals.Run(run) })
 	g.Go(func() error { return b.cleanUp(run) })
 	g.Go(func() error { return serveHTTP(run, b.cfg.ReadyAddress, b.platform.ReadyHandler(b.ready)) })
--- a/pkg/dsrd/node.go
+++ b/pkg/dsrd/node.go
@@ -99,23 +99,6 @@
 // milliseconds reads a time of a message.
 func milliseconds(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
 
-// logEras logs each era of the object API after the first one, until the context ends.
-func (n *node) logEras(ctx context.Context) error {
-	for known := uint64(0); ; {
-		era, changed := n.eras.Changed()
-		if known > 0 && era > known {
-			n.log.Warn().Str("op", "object-api-era").Uint64("era", era).Uint64("before", known).
-				Msg("the object API came back from an older copy")
-		}
-		known = era
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-changed:
-		}
-	}
-}
-
 // know adds balancers by hearsay; it reports whether one is new. n.mu is held.
 func (n *node) know(now time.Time, addresses []netip.AddrPort) bool {
 	added := false
