--- a/pkg/dsrd/members_test.go
+++ b/pkg/dsrd/members_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/netip"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/auburnwood/auburnwood/pkg/dsr/dsrtest"
+	"github.com/auburnwood/auburnwood/pkg/dsr/ownership"
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
 )
 
@@ -38,3 +43,32 @@
 	require.Len(t, known, len(s.values))
 	require.Equal(t, []netip.AddrPort{firstAddress, selfAddress}, got)
 }
+
+// lateMembers has no member at the first reading and one at the later ones.
+type lateMembers struct {
+	objectapi.Store
+	reads  atomic.Int32
+	member []byte
+}
+
+func (s *lateMembers) List(context.Context, objectapi.Kind) ([]objectapi.Object, uint64, error) {
+	if s.reads.Add(1) == 1 {
+		return nil, 1, nil
+	}
+	return []objectapi.Object{{Kind: MemberKind, Name: "balancer-1", Version: 2, Value: s.member}}, 2, nil
+}
+
+func TestAnAgentThatFindsNoBalancerReadsTheMembersAgain(t *testing.T) {
+	balancer := newListener(t)
+	a := &Agent{node: testNode(t)}
+	a.table = ownership.NewTable(ownership.Config{}, dsrtest.Codec{}, nil, a.started)
+	member, err := json.Marshal(member{Messages: balancer.address()})
+	require.NoError(t, err)
+	a.platform.Store = &lateMembers{member: member}
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- a.find(ctx) }()
+	require.Eventually(t, func() bool { return len(balancer.received()) > 0 }, 10*findAgainMin, 10*time.Millisecond)
+	stop()
+	require.ErrorIs(t, <-done, context.Canceled)
+}
