Upgrades where the object API names eras: read evacuations beside an older release; no decoding of what is known to be older

A balancer of the release before names evacuations by revisions, below all versions with an era.

Where no eras are named, an object that is not newer than the configuration in force is not decoded, as before.

--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -66,6 +66,8 @@
 	message     dsrpb.Message
 	// laterEra tells when the object API may have lost the balancer's object.
 	laterEra *laterEra
+	// eralessAt is when a balancer of a release without eras last named evacuations; their versions cannot be compared.
+	eralessAt time.Time
 }
 
 // NewBalancer binds the sockets of a balancer.
--- a/pkg/dsrd/evacuate.go
+++ b/pkg/dsrd/evacuate.go
@@ -7,18 +7,25 @@
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/dsr/evacuation"
+	"github.com/auburnwood/auburnwood/pkg/objectapi"
 )
 
 // agentFanOut is the number of balancers from which an agent hears at once, on average, that its data centre is evacuated or used
 // again. The others tell it when they answer its next announcement.
 const agentFanOut = 6
 
-// readsEvacuations reports whether this balancer reads the evacuations: until it knows any, and while it checks for others.
+// eralessTime is how long a balancer reads the evacuations itself after one of a release without eras has named them, which may be the one that
+// watches for all.
+const eralessTime = 2 * EvacuationWait
+
+// readsEvacuations reports whether this balancer reads the evacuations: until it knows any, while it checks for others, and while others may not be
+// able to tell it.
 func (b *Balancer) readsEvacuations() bool {
 	b.mu.Lock()
 	known := b.core.Evacuations().Known()
+	untold := !b.eralessAt.IsZero() && time.Since(b.eralessAt) < eralessTime
 	b.mu.Unlock()
-	return !known || b.keeper.watches()
+	return !known || untold || b.keeper.watches()
 }
 
 // knownEvacuations returns the evacuated data centres as this balancer knows them.
@@ -40,6 +47,9 @@
 
 // hearEvacuations takes over what another balancer says. News goes on at once, as for a change of the configuration. b.mu is held.
 func (b *Balancer) hearEvacuations(now time.Time, m *dsrpb.Evacuations) {
+	if m != nil && objectapi.EraOf(m.Version) == 0 && b.eras.Newest() > 0 {
+		b.eralessAt = now
+	}
 	if b.useEvacuations(now, decodeEvacuations(m)) {
 		b.tellNews(now)
 	}
--- a/pkg/dsrd/evacuations_test.go
+++ b/pkg/dsrd/evacuations_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/auburnwood/auburnwood/internal/standin/store"
+	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/dsr/evacuation"
 )
 
@@ -200,3 +201,21 @@
 		require.Empty(t, f.known())
 	})
 }
+
+func TestABalancerReadsEvacuationsWhileAnOlderReleaseWatchesThem(t *testing.T) {
+	b := testBalancer(t)
+	b.eras.See(1)
+	b.evacuate(evacuation.NewSet(inEra(1, 9), nil))
+	require.False(t, b.readsEvacuations(), "another balancer watches")
+	now := time.Now()
+	b.mu.Lock()
+	b.hearEvacuations(now, &dsrpb.Evacuations{Version: inEra(1, 12), DataCentres: []string{"marka"}})
+	b.mu.Unlock()
+	require.False(t, b.readsEvacuations())
+	require.Equal(t, []string{"marka"}, b.knownEvacuations().DataCentres)
+	b.mu.Lock()
+	b.hearEvacuations(now, &dsrpb.Evacuations{Version: 900})
+	b.mu.Unlock()
+	require.True(t, b.readsEvacuations(), "its word has no era")
+	require.Equal(t, []string{"marka"}, b.knownEvacuations().DataCentres)
+}
--- a/pkg/dsrd/keeper.go
+++ b/pkg/dsrd/keeper.go
@@ -361,8 +361,7 @@
 
 // takeObject takes a stored object into force when it is newer. At is when it was known to be the newest.
 func (k *keeper) takeObject(o objectapi.Object, at time.Time) (changed bool, err error) {
-	version, _, _ := k.state(at)
-	if o.Version == version || o.Version == k.lastRead.object && k.lastRead.configuration <= version {
+	if k.decided(o, at) {
 		k.compared(o, at)
 		return false, nil
 	}
@@ -421,6 +420,15 @@
 	return newer
 }
 
+// decided reports whether an object is known not to be newer than the configuration in force without decoding it.
+func (k *keeper) decided(o objectapi.Object, at time.Time) bool {
+	version, _, _ := k.state(at)
+	if o.Version == k.lastRead.object {
+		return k.lastRead.configuration <= version
+	}
+	return !configuration.IsNumbered(version) && o.Version <= version
+}
+
 // number gives the configuration in force its operator's number as version, which it lacks when it was taken before the object API first named an
 // era. k.taking is held.
 func (k *keeper) number() {
