--- a/pkg/revision/session.go
+++ b/pkg/revision/session.go
@@ -28,6 +28,8 @@
 	published time.Time
 	// holdUntil is the end of the time in which changes are gathered; zero outside of it.
 	holdUntil time.Time
+	// described is set when the object API's era is described.
+	described bool
 	// collected is the number below which revisions were deleted.
 	collected uint64
 }
