--- a/pkg/request/restored_test.go
+++ b/pkg/request/restored_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,22 +21,26 @@
 	store  *store.Store
 	eras   *objectapi.Eras
 	client objectapi.Store
-	now    time.Time
+	// passed is the time by which the agents' clock is ahead.
+	passed atomic.Int64
 }
 
 func newRestoredClaims(t *testing.T, era uint64) *restoredClaims {
 	s := store.New(store.Config{Era: era})
 	srv := httptest.NewServer(store.Handler(s))
 	t.Cleanup(srv.Close)
-	r := &restoredClaims{T: t, store: s, eras: objectapi.NewEras(), now: time.Now()}
+	r := &restoredClaims{T: t, store: s, eras: objectapi.NewEras()}
 	r.client = objectapi.NewClient(srv.URL, objectapi.Options{Eras: r.eras})
 	return r
 }
 
+// now is the agents' clock.
+func (r *restoredClaims) now() time.Time { return time.Now().Add(time.Duration(r.passed.Load())) }
+
 // options are those of an agent.
 func (r *restoredClaims) options(o *Options) {
 	o.Store, o.Eras = r.client, r.eras
-	o.Now = func() time.Time { return r.now }
+	o.Now = r.now
 	o.TicketLife = time.Hour
 }
 
@@ -83,7 +88,7 @@
 				require.Equal(t, 503, res.StatusCode, body)
 				require.Equal(t, string(refusal.ReasonClaimStore), res.Header.Get(HeaderReason))
 				require.Equal(t, string(c.run), res.Header.Get(HeaderRun))
-				r.describe(r.now)
+				r.describe(r.now())
 			}
 			require.Zero(t, other.hits.Load())
 			list, _, err := r.store.List(t.Context(), resource.KindClaim)
@@ -118,10 +123,10 @@
 		_, url := newFaultServer(t, target.addr(), r.options)
 		older := r.store.Copy()
 		r.store.Restore(older)
-		r.describe(r.now)
+		r.describe(r.now())
 		res, _ := call(t, "POST", url, "order", HeaderKey, testKey, HeaderAttempt, c.attempt)
 		require.Equal(t, 503, res.StatusCode)
-		r.now = r.now.Add(c.wait)
+		r.passed.Add(int64(c.wait))
 		res, body := call(t, "POST", url, "order", HeaderKey, testKey, HeaderAttempt, c.attempt)
 		require.Equal(t, 200, res.StatusCode, body)
 	}
