--- a/pkg/dsr/ownership/tell.go
+++ b/pkg/dsr/ownership/tell.go
@@ -22,17 +22,22 @@
 		IntervalMs:  uint32(next / time.Millisecond),
 		Answers:     t.toldLeast(),
 	}
+	t.begin(now, dsrpb.Kind_KIND_ANNOUNCE)
+	t.reply.Announcement = &t.announced
+	return &t.reply
+}
+
+// begin begins a message with what each one tells balancers of the target; it is valid until the next message.
+func (t *Table) begin(now time.Time, k dsrpb.Kind) {
 	t.reply = dsrpb.Message{
-		Kind:           dsrpb.Kind_KIND_ANNOUNCE,
+		Kind:           k,
 		Service:        t.cfg.Service,
 		Configuration:  t.configuration,
 		Busy:           uint32(t.Busy()),
 		WorkUs:         t.toldWork(now),
 		Cold:           t.toldCold(now),
 		FlowsPerSecond: float32(t.rate.PerSecond(now)),
-		Announcement:   &t.announced,
 	}
-	return &t.reply
 }
 
 // verdict says whether the target holds a flow.
@@ -60,19 +65,10 @@
 		return
 	}
 	e := t.flows[key]
-	t.reply = dsrpb.Message{
-		Kind:           dsrpb.Kind_KIND_LOCATED,
-		Flow:           m.Flow,
-		Service:        t.cfg.Service,
-		Source:         m.Source,
-		Destination:    m.Destination,
-		Verdict:        t.verdict(now, key),
-		Configuration:  t.configuration,
-		Busy:           uint32(t.Busy()),
-		WorkUs:         t.toldWork(now),
-		Cold:           t.toldCold(now),
-		FlowsPerSecond: float32(t.rate.PerSecond(now)),
-	}
+	t.begin(now, dsrpb.Kind_KIND_LOCATED)
+	t.reply.Flow = m.Flow
+	t.reply.Source, t.reply.Destination = m.Source, m.Destination
+	t.reply.Verdict = t.verdict(now, key)
 	if e != nil && e.hasSequence {
 		t.reply.HasSequence, t.reply.Reference = true, e.reference()
 	}
@@ -84,19 +80,10 @@
 	if !e.origin.IsValid() {
 		return
 	}
-	t.reply = dsrpb.Message{
-		Kind:           dsrpb.Kind_KIND_ACCEPTED,
-		Flow:           key.Hash(),
-		Service:        t.cfg.Service,
-		Verdict:        dsrpb.Verdict_VERDICT_HELD,
-		HasSequence:    e.hasSequence,
-		Reference:      e.reference(),
-		Configuration:  t.configuration,
-		Busy:           uint32(t.Busy()),
-		WorkUs:         t.toldWork(now),
-		Cold:           t.toldCold(now),
-		FlowsPerSecond: float32(t.rate.PerSecond(now)),
-	}
+	t.begin(now, dsrpb.Kind_KIND_ACCEPTED)
+	t.reply.Flow = key.Hash()
+	t.reply.Verdict = dsrpb.Verdict_VERDICT_HELD
+	t.reply.HasSequence, t.reply.Reference = e.hasSequence, e.reference()
 	t.reply.SetKey(key)
 	t.out.ToBalancer(e.origin, &t.reply)
 }
@@ -109,18 +96,10 @@
 
 // returned answers a balancer that a packet was not taken.
 func (t *Table) returned(now time.Time, balancer netip.AddrPort, m *dsrpb.Message, key flow.Key, v dsrpb.Verdict, raw []byte) {
-	t.reply = dsrpb.Message{
-		Kind:           dsrpb.Kind_KIND_RETURNED,
-		Flow:           m.Flow,
-		Service:        t.cfg.Service,
-		Verdict:        v,
-		Packet:         raw,
-		Configuration:  t.configuration,
-		Busy:           uint32(t.Busy()),
-		WorkUs:         t.toldWork(now),
-		Cold:           t.toldCold(now),
-		FlowsPerSecond: float32(t.rate.PerSecond(now)),
-	}
+	t.begin(now, dsrpb.Kind_KIND_RETURNED)
+	t.reply.Flow = m.Flow
+	t.reply.Verdict = v
+	t.reply.Packet = raw
 	t.reply.SetKey(key)
 	t.out.ToBalancer(balancer, &t.reply)
 }
