--- a/pkg/objectapi/client.go
+++ b/pkg/objectapi/client.go
@@ -1,18 +1,15 @@
 package objectapi
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 )
 
@@ -192,14 +189,6 @@
 	version uint64
 }
 
-// check returns an error when the key cannot be sent.
-func (k call) check() error {
-	if k.op == OpList || k.op == OpWatch {
-		return CheckKind(k.kind)
-	}
-	return CheckKey(k.kind, k.name)
-}
-
 func (k call) url(base string) string {
 	u := base + pathPrefix + url.PathEscape(string(k.kind))
 	if k.name != "" {
@@ -211,59 +200,43 @@
 	return u
 }
 
-// call sends the request and reads the answer, of which it returns the era. A write that got a connection but no whole answer is
-// ErrOutcomeUnknown, since the store may have done it.
+// request returns the call in the form that all protocols share.
+func (c *Client) request(k call) Request {
+	return Request{Op: k.op, Kind: k.kind, Name: k.name, Method: k.method, URL: k.url(c.base), Body: k.body, Version: k.version, Peer: c.base}
+}
+
+// call sends the request and reads the answer, of which it returns the era.
 func (c *Client) call(ctx context.Context, k call) (uint64, error) {
-	if err := k.check(); err != nil {
-		return 0, c.fail(k, ErrInvalid, err)
-	}
-	if err := c.eras.CheckSent(k.op, k.version); err != nil {
-		return 0, c.fail(k, err, nil)
-	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout(k.op))
 	defer cancel()
-	var sent atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }})
-	req, err := http.NewRequestWithContext(ctx, k.method, k.url(c.base), bytes.NewReader(k.body))
-	if err != nil {
-		return 0, c.fail(k, ErrInvalid, err)
-	}
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.http.Do(req)
+	resp, era, err := c.request(k).Send(ctx, c.http, c.eras)
 	if err != nil {
-		return 0, c.fail(k, Unanswered(k.op, sent.Load()), err)
+		return 0, err
 	}
 	defer resp.Body.Close() //nolint:errcheck // The body was read or is given up.
-	return c.read(k, resp)
+	return era, c.read(k, resp)
 }
 
 // read takes the answer apart.
-func (c *Client) read(k call, resp *http.Response) (uint64, error) {
-	era, err := c.eras.OfAnswer(resp.Header)
-	if err != nil {
-		return 0, c.fail(k, Unanswered(k.op, true), err)
-	}
+func (c *Client) read(k call, resp *http.Response) error {
 	if resp.StatusCode/100 != 2 {
-		return 0, c.fail(k, ErrorOfStatus(k.op, resp.StatusCode), detailOf(resp))
-	}
-	if err := CheckAnswered(k.op, k.version, era); err != nil {
-		return 0, c.fail(k, err, nil)
+		return c.fail(k, ErrorOfStatus(k.op, resp.StatusCode), detailOf(resp))
 	}
 	if k.answer == nil {
-		return era, nil
+		return nil
 	}
 	limit := int64(maxBodySize)
 	if k.op == OpList || k.op == OpWatch {
 		limit = maxListSize
 	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, limit)).Decode(k.answer); err != nil {
-		return 0, c.fail(k, Unanswered(k.op, true), err)
+		return c.fail(k, Unanswered(k.op, true), err)
 	}
-	return era, nil
+	return nil
 }
 
 func (c *Client) fail(k call, kind, cause error) error {
-	return Fail(k.op, k.kind, k.name, c.base, kind, cause)
+	return c.request(k).Fail(kind, cause)
 }
 
 func (c *Client) timeout(op Op) time.Duration {
--- a/pkg/objectapi/eras.go
+++ b/pkg/objectapi/eras.go
@@ -66,9 +66,9 @@
 	return era, nil
 }
 
-// CheckSent returns the error of a call that must not be sent, since its condition or position is a version of an earlier era: ErrExpired for
+// checkSent returns the error of a call that must not be sent, since its condition or position is a version of an earlier era: ErrExpired for
 // a watch, ErrConflict for a write. Their revisions may stand for other changes by now. Other calls have no version.
-func (e *Eras) CheckSent(op Op, version uint64) error {
+func (e *Eras) checkSent(op Op, version uint64) error {
 	if !op.hasVersion() || EraOf(version) >= e.Newest() {
 		return nil
 	}
@@ -78,9 +78,9 @@
 	return errors.Join(ErrExpired, errRestored)
 }
 
-// CheckAnswered returns the error of a call that was answered in another era than that of its version. A write may have replaced an object that
+// checkAnswered returns the error of a call that was answered in another era than that of its version. A write may have replaced an object that
 // the caller has never seen.
-func CheckAnswered(op Op, version, era uint64) error {
+func checkAnswered(op Op, version, era uint64) error {
 	if !op.hasVersion() || EraOf(version) == era {
 		return nil
 	}
