Both stand-ins serve eras with the same code; the stand-in's era is its count of restores

Each handler read the era, made versions of revisions and wrote the header for itself; the store counted restores beside the era, which rises with each, and checked the era of a watch that it had found too old already.

--- a/internal/standin/store/restore.go
+++ b/internal/standin/store/restore.go
@@ -47,7 +47,6 @@
 		s.history[i].Object.Version = inEra(era, s.history[i].Object.Version)
 	}
 	s.writeAgain(lost, rewritten)
-	s.restores++
 	for kind := range s.changed {
 		s.wake(kind)
 	}
@@ -91,11 +90,14 @@
 	return o
 }
 
-// inEra moves a version to another era.
-func inEra(era, version uint64) uint64 {
-	v, err := objectapi.MakeVersion(era, objectapi.RevisionOf(version))
+// Version returns the version of a revision in an era.
+func Version(era, revision uint64) uint64 {
+	v, err := objectapi.MakeVersion(era, revision)
 	if err != nil {
 		panic(err) // No test restores a store millions of times.
 	}
 	return v
 }
+
+// inEra moves a version to another era.
+func inEra(era, version uint64) uint64 { return Version(era, objectapi.RevisionOf(version)) }
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -57,8 +57,6 @@
 	limiter *rate.Limiter
 	counts  Counts
 	applied uint64
-	// restores is the number of times that the store came back from a copy.
-	restores int
 }
 
 // New returns an empty store.
@@ -70,8 +68,8 @@
 		objects: make(map[key]objectapi.Object),
 		changed: make(map[objectapi.Kind]chan struct{}),
 		counts:  make(Counts),
-		version: inEra(cfg.Era, 0),
-		trimmed: inEra(cfg.Era, 0),
+		version: Version(cfg.Era, 0),
+		trimmed: Version(cfg.Era, 0),
 	}
 }
 
--- a/internal/standin/store/watch.go
+++ b/internal/standin/store/watch.go
@@ -18,10 +18,10 @@
 		return nil, 0, err
 	}
 	end := s.cfg.Now().Add(s.cfg.WatchWait)
-	restores := s.restoreCount()
+	era := s.Era()
 	for {
 		r := s.poll(kind, from)
-		if s.restoreCount() != restores {
+		if s.Era() != era {
 			return nil, 0, fail(objectapi.OpWatch, kind, "", objectapi.ErrUnavailable, errRestored)
 		}
 		if r.err != nil {
@@ -40,13 +40,6 @@
 	}
 }
 
-// restoreCount returns the number of times that the store came back from a copy.
-func (s *Store) restoreCount() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.restores
-}
-
 // polled is what a watch finds at one look.
 type polled struct {
 	events []objectapi.Event
@@ -68,7 +61,7 @@
 	if from < s.trimmed {
 		return polled{err: fail(objectapi.OpWatch, kind, "", objectapi.ErrExpired, nil)}
 	}
-	if from > s.version || objectapi.EraOf(from) != objectapi.EraOf(s.version) {
+	if from > s.version {
 		return polled{err: fail(objectapi.OpWatch, kind, "", objectapi.ErrExpired, errFuture)}
 	}
 	p := polled{next: s.version, changed: s.waiter(kind)}
--- a/pkg/ctl/wait_test.go
+++ b/pkg/ctl/wait_test.go
@@ -5,22 +5,18 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/auburnwood/auburnwood/internal/standin/store"
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
 	"github.com/auburnwood/auburnwood/pkg/resource"
 )
 
 // seen returns a waiter for version 45 of the first era after it saw a status of an observed version.
 func seen(t *testing.T, era, observed uint64) *waiter {
-	version := func(era, revision uint64) uint64 {
-		v, err := objectapi.MakeVersion(era, revision)
-		require.NoError(t, err)
-		return v
-	}
-	v := version(era, observed)
+	v := store.Version(era, observed)
 	status := resource.ServiceStatus{ObservedVersion: v, AcceptedVersion: v, InForce: resource.InForce{Adopted: 3, Known: 3}}
 	o, err := objectapi.Encode(objectapi.Typed[resource.ServiceStatus]{Kind: resource.KindServiceStatus, Name: "a", Value: status})
 	require.NoError(t, err)
-	w := &waiter{want: map[string]uint64{"a": version(1, 45)}, last: map[string]string{"a": "no status yet"}}
+	w := &waiter{want: map[string]uint64{"a": store.Version(1, 45)}, last: map[string]string{"a": "no status yet"}}
 	w.see(objectapi.Event{Type: objectapi.EventPut, Object: o})
 	return w
 }
--- a/pkg/dsrd/evacuations_test.go
+++ b/pkg/dsrd/evacuations_test.go
@@ -205,11 +205,11 @@
 func TestABalancerReadsEvacuationsWhileAnOlderReleaseWatchesThem(t *testing.T) {
 	b := testBalancer(t)
 	b.eras.See(1)
-	b.evacuate(evacuation.NewSet(inEra(1, 9), nil))
+	b.evacuate(evacuation.NewSet(store.Version(1, 9), nil))
 	require.False(t, b.readsEvacuations(), "another balancer watches")
 	now := time.Now()
 	b.mu.Lock()
-	b.hearEvacuations(now, &dsrpb.Evacuations{Version: inEra(1, 12), DataCentres: []string{"marka"}})
+	b.hearEvacuations(now, &dsrpb.Evacuations{Version: store.Version(1, 12), DataCentres: []string{"marka"}})
 	b.mu.Unlock()
 	require.False(t, b.readsEvacuations())
 	require.Equal(t, []string{"marka"}, b.knownEvacuations().DataCentres)
--- a/pkg/dsrd/keeper_test.go
+++ b/pkg/dsrd/keeper_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/auburnwood/auburnwood/internal/standin/store"
 	"github.com/auburnwood/auburnwood/pkg/dsr/configuration"
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
 )
@@ -412,19 +413,10 @@
 		label := string(o.Value)
 		return configuration.Configuration{Version: configuration.VersionOf(label, o.Version, objectapi.EraOf(o.Version) > 0), Label: label}, nil
 	}
-	f.store.write(inEra(1, 21), label)
+	f.store.write(store.Version(1, 21), label)
 	return f
 }
 
-// inEra returns the version of a revision in an era.
-func inEra(era, revision uint64) uint64 {
-	v, err := objectapi.MakeVersion(era, revision)
-	if err != nil {
-		panic(err)
-	}
-	return v
-}
-
 // shown are the operator's numbers of what was adopted.
 func (f *keeperFixture) shown() []uint64 {
 	var out []uint64
@@ -441,7 +433,7 @@
 		first uint64
 		want  []uint64
 	}{
-		{"eras were named before", inEra(1, 21), []uint64{18, 20}},
+		{"eras were named before", store.Version(1, 21), []uint64{18, 20}},
 		{"eras are named from then on", 21, []uint64{21, 18, 20}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -449,8 +441,8 @@
 				f := numberedFixture("18")
 				f.store.write(c.first, "18")
 				f.during(t, 2*time.Second)
-				f.store.set(func(s *fakeStore) { s.revision = inEra(2, 9) })
-				f.store.write(inEra(2, 9), "15")
+				f.store.set(func(s *fakeStore) { s.revision = store.Version(2, 9) })
+				f.store.write(store.Version(2, 9), "15")
 				f.during(t, 5*time.Second)
 				require.Equal(t, c.want[:len(c.want)-1], f.shown())
 				f.store.calls()
@@ -459,9 +451,9 @@
 				require.LessOrEqual(t, reads, 2, "an earlier configuration is not read over and over")
 				_, age, _ := f.state(time.Now())
 				require.LessOrEqual(t, age, WatchWait+2*keeperInterval, "the one in force counts as the newest")
-				f.store.write(inEra(2, 10), "18")
+				f.store.write(store.Version(2, 10), "18")
 				f.during(t, 2*time.Second)
-				f.store.write(inEra(2, 11), "20")
+				f.store.write(store.Version(2, 11), "20")
 				f.during(t, 2*time.Second)
 				require.Equal(t, c.want, f.shown())
 			})
--- a/pkg/lease/restored_test.go
+++ b/pkg/lease/restored_test.go
@@ -6,18 +6,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/auburnwood/auburnwood/internal/standin/store"
-	"github.com/auburnwood/auburnwood/pkg/objectapi"
 )
 
-// inEra returns the version of a revision in an era, or the term of a number.
-func inEra(era, n uint64) uint64 {
-	v, err := objectapi.MakeVersion(era, n)
-	if err != nil {
-		panic(err)
-	}
-	return v
-}
-
 func TestALeaseEndsWithTheEraOfItsTerm(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -27,26 +17,26 @@
 		term uint64
 	}{
 		{"the renewal replaced another object", func(r Record) Observation {
-			return Observation{Kind: ObservedObject, Version: inEra(2, 5), Record: r}
-		}, inEra(2, 1)},
+			return Observation{Kind: ObservedObject, Version: store.Version(2, 5), Record: r}
+		}, store.Version(2, 1)},
 		{"the lease is lost", func(Record) Observation {
 			return Observation{Kind: ObservedAbsent}
 		}, 1},
 		{"an earlier lease of this process came back", func(r Record) Observation {
 			r.Token = "a/0"
-			return Observation{Kind: ObservedObject, Version: inEra(2, 4), Record: r}
-		}, inEra(2, 1)},
+			return Observation{Kind: ObservedObject, Version: store.Version(2, 4), Record: r}
+		}, store.Version(2, 1)},
 		{"an earlier lease of another came back", func(Record) Observation {
-			return Observation{Kind: ObservedObject, Version: inEra(2, 4), Record: heldByOther("b/9")}
+			return Observation{Kind: ObservedObject, Version: store.Version(2, 4), Record: heldByOther("b/9")}
 		}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := NewState(stateConfig)
 			s.Step(at(0), Observation{})
 			s.Step(at(0), Observation{Kind: ObservedAbsent})
-			a := s.Step(at(0), Observation{Kind: ObservedWritten, Version: inEra(1, 1)})
-			require.Equal(t, inEra(1, 1), a.Record.Term, "the era is known by the first write")
-			s.Step(at(0), Observation{Kind: ObservedWritten, Version: inEra(1, 2)})
+			a := s.Step(at(0), Observation{Kind: ObservedWritten, Version: store.Version(1, 1)})
+			require.Equal(t, store.Version(1, 1), a.Record.Term, "the era is known by the first write")
+			s.Step(at(0), Observation{Kind: ObservedWritten, Version: store.Version(1, 2)})
 			_, held := s.Term(at(0))
 			require.True(t, held)
 			a = s.Step(at(4), Observation{})
@@ -66,7 +56,7 @@
 
 func TestAClaimOfAnEarlierEraIsFenced(t *testing.T) {
 	s := store.New(store.Config{Era: 1})
-	former := Grant{Holder: "a", Term: inEra(1, 7)}
+	former := Grant{Holder: "a", Term: store.Version(1, 7)}
 	f, err := Claim[stampedText](t.Context(), s, "thing", "x", former)
 	require.NoError(t, err)
 	older := s.Copy()
@@ -75,7 +65,7 @@
 	_, err = Claim[stampedText](t.Context(), s, "thing", "x", former)
 	require.ErrorIs(t, err, ErrFenced)
 	require.Error(t, f.Write(t.Context(), stampedText{Text: "late"}))
-	later, err := Claim[stampedText](t.Context(), s, "thing", "x", Grant{Holder: "b", Term: inEra(2, 1)})
+	later, err := Claim[stampedText](t.Context(), s, "thing", "x", Grant{Holder: "b", Term: store.Version(2, 1)})
 	require.NoError(t, err)
 	require.Empty(t, later.Value().Text)
 	require.ErrorIs(t, f.Write(t.Context(), stampedText{Text: "late"}), ErrFenced)
--- a/pkg/objectapi/handler.go
+++ b/pkg/objectapi/handler.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"net/http"
-	"strconv"
 )
 
 // handler serves a Store by HTTP.
@@ -24,16 +23,6 @@
 	return mux
 }
 
-// version returns the store's version of a revision that a caller has named. Callers do not name an era, so that it is taken for one of the
-// current era.
-func (h *handler) version(revision uint64) (uint64, error) {
-	v, err := MakeVersion(CurrentEra(h.store), revision)
-	if err != nil {
-		return 0, errors.Join(ErrInvalid, err)
-	}
-	return v, nil
-}
-
 func (h *handler) listOrWatch(w http.ResponseWriter, r *http.Request) {
 	if !r.URL.Query().Has(paramWatch) {
 		h.list(w, r)
@@ -61,7 +50,7 @@
 		h.answerError(w, errors.Join(ErrInvalid, err))
 		return
 	}
-	from, err := h.number(r, paramWatch)
+	from, err := ParseCurrentVersion(h.store, r.URL.Query().Get(paramWatch))
 	if err != nil {
 		h.answerError(w, err)
 		return
@@ -99,7 +88,7 @@
 		h.answerError(w, err)
 		return
 	}
-	if o.Version, err = h.version(o.Version); err != nil {
+	if o.Version, err = CurrentVersion(h.store, o.Version); err != nil {
 		h.answerError(w, err)
 		return
 	}
@@ -113,7 +102,7 @@
 		h.answerError(w, err)
 		return
 	}
-	version, err := h.number(r, paramVersion)
+	version, err := ParseCurrentVersion(h.store, r.URL.Query().Get(paramVersion))
 	if err != nil {
 		h.answerError(w, err)
 		return
@@ -121,15 +110,6 @@
 	h.answer(w, struct{}{}, h.store.Delete(r.Context(), kind, name, version))
 }
 
-// number reads a version from the query.
-func (h *handler) number(r *http.Request, param string) (uint64, error) {
-	revision, err := strconv.ParseUint(r.URL.Query().Get(param), 10, 64)
-	if err != nil {
-		return 0, errors.Join(ErrInvalid, err)
-	}
-	return h.version(revision)
-}
-
 // key reads and checks the object's kind and name from the path.
 func key(r *http.Request) (Kind, string, error) {
 	kind, name := Kind(r.PathValue("kind")), r.PathValue("name")
@@ -174,20 +154,13 @@
 		h.answerError(w, err)
 		return
 	}
-	h.nameEra(w)
+	NameEra(w.Header(), h.store)
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(b) // The client sees a broken answer by itself.
 }
 
-// nameEra writes the header with the store's era, if it has one.
-func (h *handler) nameEra(w http.ResponseWriter) {
-	if era := CurrentEra(h.store); era > 0 {
-		w.Header().Set(EraHeader, FormatEra(era))
-	}
-}
-
 func (h *handler) answerError(w http.ResponseWriter, err error) {
-	h.nameEra(w)
+	NameEra(w.Header(), h.store)
 	status := statusOf(err)
 	b, _ := json.Marshal(problem{Status: status, Title: http.StatusText(status), Detail: err.Error()})
 	w.Header().Set("Content-Type", "application/problem+json")
--- a/pkg/objectapi/version.go
+++ b/pkg/objectapi/version.go
@@ -52,17 +52,3 @@
 	}
 	return n + 1, nil
 }
-
-// EraSource is a Store that knows its era.
-type EraSource interface {
-	// Era returns the era of the next answer; 0 when there are no eras.
-	Era() uint64
-}
-
-// CurrentEra returns the era of a store, or 0 when it is no EraSource.
-func CurrentEra(s Store) uint64 {
-	if e, ok := s.(EraSource); ok {
-		return e.Era()
-	}
-	return 0
-}
--- a/pkg/revision/restored_test.go
+++ b/pkg/revision/restored_test.go
@@ -136,7 +136,7 @@
 
 func TestTheDutyGoesOnFromTheRevisionInForceWhenTheHeadIsBehind(t *testing.T) {
 	s := store.New(store.Config{Era: 1})
-	grant := lease.Grant{Holder: "a", Term: 1<<40 + 1}
+	grant := lease.Grant{Holder: "a", Term: store.Version(1, 1)}
 	first := startSession(t, s, grant)
 	putService(t, s, testService("a", "10.0.0.1", 0).Service)
 	require.NoError(t, first.round(t.Context()))
@@ -146,7 +146,7 @@
 	adopter := NewAdopter(zerolog.Nop())
 	require.True(t, adopter.Offer(first.current, SourceHead))
 	s.Restore(older)
-	later, err := newSession(t.Context(), (&Compiler{Store: s, Adopter: adopter, Log: zerolog.Nop()}).withDefaults(), lease.Grant{Holder: "b", Term: 2<<40 + 1})
+	later, err := newSession(t.Context(), (&Compiler{Store: s, Adopter: adopter, Log: zerolog.Nop()}).withDefaults(), lease.Grant{Holder: "b", Term: store.Version(2, 1)})
 	require.NoError(t, err)
 	require.Equal(t, adopter.Number(), later.current.Number)
 	require.Len(t, later.current.Services, 2)
--- a/pkg/rollout/resume_test.go
+++ b/pkg/rollout/resume_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/auburnwood/auburnwood/internal/standin/store"
 	"github.com/auburnwood/auburnwood/pkg/lease"
-	"github.com/auburnwood/auburnwood/pkg/objectapi"
 	"github.com/auburnwood/auburnwood/pkg/resource"
 )
 
@@ -52,11 +51,7 @@
 func TestAVersionThatWasGivenUpGetsNoFlowsWhenTheRollbackIsLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := store.New(store.Config{Era: 1})
-		term := func(era uint64) lease.Grant {
-			n, err := objectapi.MakeVersion(era, 1)
-			require.NoError(t, err)
-			return lease.Grant{Holder: "h", Term: n}
-		}
+		term := func(era uint64) lease.Grant { return lease.Grant{Holder: "h", Term: store.Version(era, 1)} }
 		c := newController(s, 0.01)
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
