Evacuations are in force at once while others may be lost

What callers would have seen: in the 2 s in which a restored object API may lack evacuations, a new one was stored and not in force, and one that was withdrawn went on, for up to 4.4 s. Found in reading the change. Cause: the set that joins what is stored with what was known had the version of the start of the era, so that the next one did not replace it. It is now just below the version that was read, and the wait ends when nothing is missing any more. The era of the wait is not kept: the known set's version tells it.

TestAnEvacuationIsInForceAtOnceWhileOthersMayBeLost fails on the commit before (sahab is not known 1 s after its declaration) and passes here.

--- a/pkg/dsr/evacuation/set.go
+++ b/pkg/dsr/evacuation/set.go
@@ -47,6 +47,9 @@
 // Same reports whether two sets name the same data centres.
 func (s Set) Same(o Set) bool { return slices.Equal(s.DataCentres, o.DataCentres) }
 
+// Union returns the data centres that any of two sets names, under this set's version.
+func (s Set) Union(o Set) Set { return NewSet(s.Version, slices.Concat(s.DataCentres, o.DataCentres)) }
+
 // Changed returns the data centres that only one of two sets names.
 func (s Set) Changed(o Set) []string {
 	var out []string
--- a/pkg/dsr/evacuation/set_test.go
+++ b/pkg/dsr/evacuation/set_test.go
@@ -32,6 +32,11 @@
 	require.False(t, Set{}.Known())
 }
 
+func TestUnion(t *testing.T) {
+	require.Equal(t, NewSet(7, []string{"a", "b", "c"}), NewSet(7, []string{"b", "a"}).Union(NewSet(9, []string{"c", "b"})))
+	require.True(t, NewSet(7, []string{"a"}).Union(Set{}).Same(NewSet(7, []string{"a"})))
+}
+
 func TestWhatChangedBetweenTwoSets(t *testing.T) {
 	before, after := NewSet(1, []string{"a", "b"}), NewSet(2, []string{"b", "c"})
 	require.ElementsMatch(t, []string{"a", "c"}, after.Changed(before))
--- a/pkg/dsrd/evacuations.go
+++ b/pkg/dsrd/evacuations.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -36,7 +35,6 @@
 	members  map[string]bool
 	// lostUntil is until when evacuations stay in force that an object API which came back older does not name; zero outside of such a time.
 	lostUntil time.Time
-	lostEra   uint64
 	// pauseUntil is the time before which nothing is read, failures the number of readings that have failed in a row.
 	pauseUntil time.Time
 	failures   int
@@ -87,30 +85,19 @@
 // adoptMembers takes what was read into force. Evacuations that a later era of the object API does not name stay for a while: they may have been
 // lost, and are written again then.
 func (e *evacuations) adoptMembers() {
-	known, era := e.known(), objectapi.EraOf(e.revision)
-	if known.Known() && objectapi.EraOf(known.Version) < era && e.lostEra < era {
-		e.lostEra, e.lostUntil = era, time.Now().Add(restoredWait)
+	read, known := evacuation.FromMembers(e.revision, e.members), e.known()
+	if known.Known() && objectapi.EraOf(known.Version) < objectapi.EraOf(e.revision) {
+		e.lostUntil = time.Now().Add(restoredWait)
 	}
-	if e.lostUntil.IsZero() || e.namesAll(known) {
-		e.adopt(evacuation.FromMembers(e.revision, e.members))
+	both := read.Union(known)
+	if e.lostUntil.IsZero() || both.Same(read) {
+		e.lostUntil = time.Time{}
+		e.adopt(read)
 		return
 	}
-	// The version is below all of the era, so that what is read at the end of the wait replaces this set.
-	both := maps.Clone(e.members)
-	for _, d := range known.DataCentres {
-		both[d] = true
-	}
-	e.adopt(evacuation.FromMembers(objectapi.EraStart(e.revision), both))
-}
-
-// namesAll reports whether what was read names every data centre of a set.
-func (e *evacuations) namesAll(s evacuation.Set) bool {
-	for _, d := range s.DataCentres {
-		if !e.members[d] {
-			return false
-		}
-	}
-	return true
+	// Below the version that was read, so that what is stored then replaces it when the wait is over.
+	both.Version--
+	e.adopt(both)
 }
 
 // watch waits for a change. Whatever fails, the next call is a whole reading.
--- a/pkg/dsrd/evacuations_test.go
+++ b/pkg/dsrd/evacuations_test.go
@@ -171,6 +171,27 @@
 	})
 }
 
+func TestAnEvacuationIsInForceAtOnceWhileOthersMayBeLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newEvacuationFixture(t)
+		f.declare("zarqa")
+		f.pass(time.Second)
+		older := f.store.Copy()
+		f.declare("marka")
+		f.pass(time.Second)
+		f.store.Restore(older)
+		f.pass(500 * time.Millisecond)
+		sahab := f.declare("sahab")
+		f.pass(evacuationBound)
+		require.Equal(t, []string{"marka", "sahab", "zarqa"}, f.known())
+		f.declare("marka")
+		f.pass(50 * time.Millisecond)
+		f.withdraw("sahab", sahab)
+		f.pass(50 * time.Millisecond)
+		require.Equal(t, []string{"marka", "zarqa"}, f.known(), "nothing is lost any more")
+	})
+}
+
 func TestAnEvacuationThatNobodyWritesAgainEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newEvacuationFixture(t)
