Take a stored configuration in one function

What was known without decoding, and what a reading vouches for, were worked out in two functions with the same three cases. Tests of the keeper as they are.

--- a/pkg/dsrd/keeper.go
+++ b/pkg/dsrd/keeper.go
@@ -361,35 +361,35 @@
 
 // takeObject takes a stored object into force when it is newer. At is when it was known to be the newest.
 func (k *keeper) takeObject(o objectapi.Object, at time.Time) (changed bool, err error) {
-	if k.decided(o, at) {
-		k.compared(o, at)
-		return false, nil
-	}
-	c, err := k.platform.Decode(o)
-	if err != nil {
-		return false, trace.Wrap(err, "reading the configuration of version %d", objectapi.RevisionOf(o.Version))
-	}
-	k.lastRead = readVersion{object: o.Version, configuration: c.Version}
-	if !k.take(c, nil, at) {
+	stored, known := k.storedVersion(o)
+	if !known {
+		c, err := k.platform.Decode(o)
+		if err != nil {
+			return false, trace.Wrap(err, "reading the configuration of version %d", objectapi.RevisionOf(o.Version))
+		}
+		k.lastRead = readVersion{object: o.Version, configuration: c.Version}
+		if k.take(c, nil, at) {
+			return true, nil
+		}
 		k.logNotNewer(c)
-		k.compared(o, at)
-		return false, nil
+		stored = c.Version
+	}
+	if configuration.IsNumbered(stored) {
+		// A lower number was stored before the object API came back from a copy: the configuration in force is the newest.
+		version, _, _ := k.state(at)
+		stored = version
 	}
-	return true, nil
+	k.vouched(stored, at)
+	return false, nil
 }
 
-// compared notes that a stored object was compared with the configuration in force and is not newer. A numbered one that is lower was stored
-// before the object API came back from a copy; the one in force is the newest then.
-func (k *keeper) compared(o objectapi.Object, at time.Time) {
-	version, _, _ := k.state(at)
-	stored := o.Version
+// storedVersion returns the version of a stored configuration that is not newer than the one in force, as far as that is known without decoding it.
+func (k *keeper) storedVersion(o objectapi.Object) (version uint64, known bool) {
 	if o.Version == k.lastRead.object {
-		stored = k.lastRead.configuration
+		return k.lastRead.configuration, true
 	}
-	if configuration.IsNumbered(stored) {
-		stored = max(stored, version)
-	}
-	k.vouched(stored, at)
+	inForce, _, _ := k.state(time.Time{})
+	return o.Version, !configuration.IsNumbered(inForce) && o.Version <= inForce
 }
 
 // logNotNewer logs that the object API holds an earlier configuration than the one in force.
@@ -420,15 +420,6 @@
 	return newer
 }
 
-// decided reports whether an object is known not to be newer than the configuration in force without decoding it.
-func (k *keeper) decided(o objectapi.Object, at time.Time) bool {
-	version, _, _ := k.state(at)
-	if o.Version == k.lastRead.object {
-		return k.lastRead.configuration <= version
-	}
-	return !configuration.IsNumbered(version) && o.Version <= version
-}
-
 // number gives the configuration in force its operator's number as version, which it lacks when it was taken before the object API first named an
 // era. k.taking is held.
 func (k *keeper) number() {
@@ -436,7 +427,7 @@
 	c := k.inForce
 	k.mu.Unlock()
 	numbered := configuration.VersionOf(c.Label, c.Version, true)
-	if c.Version == 0 || numbered == c.Version {
+	if numbered == c.Version {
 		return
 	}
 	c.Version = numbered
