Follow the eras that balancers name with the type that follows those of answers

A type of its own kept a newest number, a lock and a wake-up channel, as Eras does. Behaviour as before: one call for each newer era that is named.

--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -64,8 +64,8 @@
 	evacuations *evacuations
 	waiting     *routing.Table
 	message     dsrpb.Message
-	// laterEra tells when the object API may have lost the balancer's object.
-	laterEra *laterEra
+	// namedEras are the eras of the object API that other balancers name. Their word only causes a call: whether it is so, the answer says.
+	namedEras *objectapi.Eras
 	// eralessAt is when a balancer of a release without eras last named evacuations; their versions cannot be compared.
 	eralessAt time.Time
 }
@@ -109,7 +109,7 @@
 		b.evacuations.store = p.EvacuationStore
 	}
 	b.agents.Seed = uint64(n.started.UnixNano())
-	b.laterEra = newLaterEra(n.eras)
+	b.namedEras = objectapi.NewEras()
 	env.Status.Set(b.status)
 	return b, nil
 }
@@ -287,11 +287,12 @@
 func (b *Balancer) join(ctx context.Context) error {
 	b.found(b.seeds())
 	for {
+		named := b.namedEras.Newest()
 		era, err := joinMembers(ctx, b.platform.Store, b.log, b.cfg.Name, b.self, b.found)
 		if err != nil {
 			return err
 		}
-		if err := b.laterEra.await(ctx, era); err != nil {
+		if err := b.awaitEra(ctx, era, named); err != nil {
 			return err
 		}
 		if err := wait.For(ctx, rand.N(rejoinSpread)); err != nil {
@@ -300,5 +301,23 @@
 	}
 }
 
+// awaitEra returns when an era after the given one is known, or when others name one after both that and the one they had named. It returns the
+// context's error when that ends.
+func (b *Balancer) awaitEra(ctx context.Context, era, named uint64) error {
+	for {
+		newest, known := b.eras.Changed()
+		newestNamed, heard := b.namedEras.Changed()
+		if newest > era || newestNamed > max(era, named) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-known:
+		case <-heard:
+		}
+	}
+}
+
 // noTargets turns down targets that call a balancer.
 type noTargets struct{}
--- a/pkg/dsrd/messages_test.go
+++ b/pkg/dsrd/messages_test.go
@@ -65,7 +65,7 @@
 	b.out = newBalancerOutput(b)
 	b.core = dispatch.NewBalancer(dispatch.Config{}, dsrtest.Codec{}, b.out, b.started)
 	b.keeper = newKeeper(Platform{}, zerolog.Nop())
-	b.laterEra = newLaterEra(b.eras)
+	b.namedEras = objectapi.NewEras()
 	return b
 }
 
--- a/pkg/objectapi/eras.go
+++ b/pkg/objectapi/eras.go
@@ -13,7 +13,7 @@
 	errEarlierEra = errors.New("the answer is from an earlier era of the object API")
 )
 
-// Eras is the newest era of the object API that a process knows of from answers. It is safe for concurrent use.
+// Eras is the newest era of the object API that a process has seen named. It is safe for concurrent use.
 type Eras struct {
 	mu      sync.Mutex
 	newest  uint64
