--- a/pkg/refusal/log_restore.go
+++ b/pkg/refusal/log_restore.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
 )
@@ -47,13 +46,7 @@
 
 // writeLost creates an object again, or finds that the API still has it.
 func (l *Log) writeLost(ctx context.Context, o objectapi.Object) error {
-	ctx, cancel := context.WithTimeout(ctx, l.cfg.WriteTimeout)
-	defer cancel()
-	stored, err := l.cfg.Store.Create(ctx, o.Kind, o.Name, o.Value)
-	if errors.Is(err, objectapi.ErrConflict) {
-		// Names are those of one process and one life, so that it is the same object.
-		stored, err = l.cfg.Store.Get(ctx, o.Kind, o.Name)
-	}
+	stored, err := l.store(ctx, o)
 	if err != nil {
 		l.cfg.Logger.Warn().Err(err).Str("op", "write-refusals").Str("name", o.Name).
 			Msg("refusal records that the object API may have lost were not written again, kept")
--- a/pkg/refusal/log_write.go
+++ b/pkg/refusal/log_write.go
@@ -72,11 +72,9 @@
 	if o == nil || err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, l.cfg.WriteTimeout)
-	defer cancel()
-	stored, err := l.cfg.Store.Create(ctx, o.Kind, o.Name, o.Value)
+	stored, err := l.store(ctx, *o)
 	if errors.Is(err, objectapi.ErrConflict) {
-		stored, err = l.readBack(ctx, *o)
+		l.rename()
 	}
 	if err != nil {
 		l.writeFailed(o, err)
@@ -87,16 +85,18 @@
 	return nil
 }
 
-// readBack finds out whether the object that stands under our name is this batch.
-func (l *Log) readBack(ctx context.Context, o objectapi.Object) (objectapi.Object, error) {
-	got, err := l.cfg.Store.Get(ctx, o.Kind, o.Name)
-	if err != nil {
-		return objectapi.Object{}, err
+// store creates an object, or finds that it is there already: its writer may not have learnt of it.
+func (l *Log) store(ctx context.Context, o objectapi.Object) (objectapi.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.cfg.WriteTimeout)
+	defer cancel()
+	stored, err := l.cfg.Store.Create(ctx, o.Kind, o.Name, o.Value)
+	if !errors.Is(err, objectapi.ErrConflict) {
+		return stored, err
 	}
-	if bytes.Equal(got.Value, o.Value) {
-		return got, nil
+	got, err := l.cfg.Store.Get(ctx, o.Kind, o.Name)
+	if err != nil || bytes.Equal(got.Value, o.Value) {
+		return got, err
 	}
-	l.rename()
 	return objectapi.Object{}, objectapi.Fail(objectapi.OpCreate, o.Kind, o.Name, l.origin, objectapi.ErrConflict,
 		errors.New("another batch stands under this name; two processes share an incarnation"))
 }
