--- a/pkg/request/absence.go
+++ b/pkg/request/absence.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"sync"
 	"time"
@@ -65,22 +64,18 @@
 
 // learn reads since when the object API is in its era. The call also tells when there is a later one.
 func (a *absence) learn(ctx context.Context) error {
-	o, err := a.store.Get(ctx, resource.KindEra, resource.EraName)
+	stored, err := objectapi.GetTyped[resource.Era](ctx, a.store, resource.KindEra, resource.EraName)
 	if errors.Is(err, objectapi.ErrNotFound) {
 		return nil
 	}
 	if err != nil {
 		return trace.Wrap(err, "read the era")
 	}
-	var e resource.Era
-	if err := json.Unmarshal(o.Value, &e); err != nil {
-		return trace.Wrap(err, "decode the era")
-	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if e.Era < a.era || e.Era < objectapi.EraOf(o.Version) {
-		return nil
+	e := stored.Value
+	if e.Era >= a.era && e.Era >= objectapi.EraOf(stored.Version) {
+		a.era, a.since = e.Era, e.Since
 	}
-	a.era, a.since = e.Era, e.Since
 	return nil
 }
