One constant for the wait after a restore; the start of the era as an input of Compile

Two packages had the same 2 s with the same reason. Compile worked the first number of an era out of its number, with an error that could not come; the grant's term has it.

--- a/pkg/dsrd/evacuations.go
+++ b/pkg/dsrd/evacuations.go
@@ -15,9 +15,6 @@
 // declaration is in force within the 5 s that operators are promised.
 const EvacuationWait = 2400 * time.Millisecond
 
-// restoredWait is how long what operators wrote may take to be written again after the object API came back from an older copy.
-const restoredWait = 2 * time.Second
-
 // evacuations reads which data centres operators have evacuated. It runs beside the keeper: the balancer that compares the
 // configuration with the object API for all others also watches the evacuations for them. No lock is held during a call.
 type evacuations struct {
@@ -87,7 +84,7 @@
 func (e *evacuations) adoptMembers() {
 	read, known := evacuation.FromMembers(e.revision, e.members), e.known()
 	if known.Known() && objectapi.EraOf(known.Version) < objectapi.EraOf(e.revision) {
-		e.lostUntil = time.Now().Add(restoredWait)
+		e.lostUntil = time.Now().Add(objectapi.RestoredWait)
 	}
 	both := read.Union(known)
 	if e.lostUntil.IsZero() || both.Same(read) {
--- a/pkg/objectapi/eras.go
+++ b/pkg/objectapi/eras.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"time"
 )
 
 var (
@@ -13,6 +14,10 @@
 	errEarlierEra = errors.New("the answer is from an earlier era of the object API")
 )
 
+// RestoredWait is how long what operators wrote may take to be written again after the object API came back from an older copy. What is in force
+// stays until then.
+const RestoredWait = 2 * time.Second
+
 // Eras is the newest era of the object API that a process has seen named. It is safe for concurrent use.
 type Eras struct {
 	mu      sync.Mutex
--- a/pkg/revision/compile.go
+++ b/pkg/revision/compile.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"reflect"
 
-	"github.com/auburnwood/auburnwood/pkg/objectapi"
 	"github.com/auburnwood/auburnwood/pkg/resource"
 	"github.com/auburnwood/auburnwood/pkg/rollout"
 )
@@ -18,8 +17,9 @@
 	Rollouts map[string]resource.RolloutStatus
 	// Evacuated are the data centres that take no new work, sorted.
 	Evacuated []string
-	// Era is the era of the object API. Where it is above 0, states of rollouts may be lost.
-	Era uint64
+	// EraStart is the number below all revisions of the object API's era, so that they are above those of earlier eras, of which the API may have lost
+	// the last; 0 when it names none, and nothing is lost.
+	EraStart uint64
 	// Republish asks for a new revision although nothing changed: the head in the object API names another one than the previous.
 	Republish bool
 }
@@ -42,7 +42,7 @@
 	configs := make([]resource.ServiceConfig, 0, len(o.Services))
 	old := byName(previous.Services)
 	changed := len(o.Services) != len(previous.Services) || in.Republish
-	next := max(previous.Number, in.firstNumber()) + 1
+	next := max(previous.Number, in.EraStart) + 1
 	for _, c := range o.Services {
 		was, ok := old[c.Name]
 		c.Spec.Shares = in.shares(c, was)
@@ -70,16 +70,6 @@
 	return m
 }
 
-// firstNumber returns the number below all revisions of the era, so that they are above those of earlier eras, of which the object API may have
-// lost the last.
-func (in Inputs) firstNumber() uint64 {
-	n, err := objectapi.MakeVersion(in.Era, 0)
-	if err != nil {
-		return 0 // Versions of this era could not have been read.
-	}
-	return n
-}
-
 // shares returns the shares that a service's rollout has reached. While the rollout's state is not known in a later era, the shares in force stay.
 func (in Inputs) shares(c, inForce resource.ServiceConfig) []resource.Share {
 	r := c.Spec.Rollout
@@ -90,7 +80,7 @@
 	if known {
 		return rollout.Shares(c.Spec, state)
 	}
-	if was := inForce.Spec.Rollout; in.Era > 0 && was != nil && was.From == r.From && was.To == r.To {
+	if was := inForce.Spec.Rollout; in.EraStart > 0 && was != nil && was.From == r.From && was.To == r.To {
 		return inForce.Spec.Shares
 	}
 	return rollout.Shares(c.Spec, rollout.Initial(*r))
--- a/pkg/revision/compile_test.go
+++ b/pkg/revision/compile_test.go
@@ -208,11 +208,11 @@
 func TestARevisionOfALaterEraIsAboveAllEarlierOnes(t *testing.T) {
 	previous := Compile(resource.Revision{}, Inputs{Services: manyServices(2)}).Revision
 	previous.Number = 45
-	next := Compile(previous, Inputs{Services: manyServices(2), Era: 1, Republish: true})
+	next := Compile(previous, Inputs{Services: manyServices(2), EraStart: store.Version(1, 0), Republish: true})
 	require.True(t, next.Changed)
 	require.Greater(t, next.Revision.Number, uint64(1<<40))
 	require.Equal(t, previous.Services, next.Revision.Services)
-	after := Compile(next.Revision, Inputs{Services: manyServices(3), Era: 1})
+	after := Compile(next.Revision, Inputs{Services: manyServices(3), EraStart: store.Version(1, 0)})
 	require.Equal(t, next.Revision.Number+1, after.Revision.Number)
 }
 
@@ -223,14 +223,14 @@
 		From: "old", To: "new", Objective: 0.999, MaxBurnRatio: 2,
 		Steps: []resource.RolloutStep{{Weight: 25, Window: resource.Duration(time.Minute)}, {Weight: 100, Window: resource.Duration(time.Minute)}},
 	}
-	in := Inputs{Services: []resource.VersionedService{s}, Era: 1}
+	in := Inputs{Services: []resource.VersionedService{s}, EraStart: store.Version(1, 0)}
 	in.Rollouts = map[string]resource.RolloutStatus{"a": {From: "old", To: "new", Weight: 25}}
 	first := Compile(resource.Revision{}, in).Revision
-	lost := Inputs{Services: in.Services, Era: 2}
+	lost := Inputs{Services: in.Services, EraStart: store.Version(2, 0)}
 	require.False(t, Compile(first, lost).Changed)
 	another := s
 	another.Spec.Rollout = &resource.Rollout{From: "new", To: "newer", Objective: 0.999, MaxBurnRatio: 2, Steps: s.Spec.Rollout.Steps}
-	next := Compile(first, Inputs{Services: []resource.VersionedService{another}, Era: 2})
+	next := Compile(first, Inputs{Services: []resource.VersionedService{another}, EraStart: store.Version(2, 0)})
 	require.True(t, next.Changed, "another rollout begins")
 	require.Equal(t, "newer", next.Revision.Services[0].Spec.Shares[1].Version)
 	require.Zero(t, next.Revision.Services[0].Spec.Shares[1].Weight)
--- a/pkg/revision/compiler.go
+++ b/pkg/revision/compiler.go
@@ -25,9 +25,6 @@
 	// DefaultInterval is the shortest time between two revisions. A revision takes each balancer some 3 KB of control
 	// traffic (auburnwood-lab control), and each may spend 12 KB a second; changes that come faster share a revision.
 	DefaultInterval = 500 * time.Millisecond
-	// RestoredWait is the time after the object API came back from an older copy in which no revision is compiled: operators write again what it has
-	// lost, and peers hand over the last revision before.
-	RestoredWait = 2 * time.Second
 	// DefaultResync is the time between two compilations without a signal, against gaps in a watch.
 	DefaultResync = 10 * time.Second
 	// DefaultKeep is the number of revisions below the head that stay stored.
--- a/pkg/revision/session.go
+++ b/pkg/revision/session.go
@@ -75,7 +75,8 @@
 // run compiles at the start, at each signal and at each resync, and writes statuses in between.
 func (s *session) run(ctx context.Context) error {
 	if s.restored() {
-		_ = s.cfg.Clock.Sleep(ctx, RestoredWait)
+		// Operators write again what was lost, and peers hand over the last revision before.
+		_ = s.cfg.Clock.Sleep(ctx, objectapi.RestoredWait)
 		s.keepAdopted()
 	}
 	for ctx.Err() == nil {
@@ -136,7 +137,7 @@
 	in := Inputs{
 		Services:  resource.ReadServices(services),
 		Evacuated: namesOf(evacuations),
-		Era:       s.grant.Era(),
+		EraStart:  objectapi.EraStart(s.grant.Term),
 		Republish: s.restored() || s.current.Number != s.head.Value().Revision,
 	}
 	in.Rollouts, err = rollout.ReadStates(states, s.grant.Era())
