--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -45,8 +45,11 @@
 	f.wg.Wait()
 }
 
-func (f *faults) between(low, high time.Duration) time.Duration {
-	return low + time.Duration(f.random.Int64N(int64(high-low)))
+func (f *faults) between(low, high time.Duration) time.Duration { return between(f.random, low, high) }
+
+// between draws a time from low to below high.
+func between(random *rand.Rand, low, high time.Duration) time.Duration {
+	return low + time.Duration(random.Int64N(int64(high-low)))
 }
 
 // one starts one fault. All that is random is drawn before it is started.
--- a/internal/lab/soak/operator.go
+++ b/internal/lab/soak/operator.go
@@ -84,7 +84,7 @@
 		if err := w.configure(ctx); err != nil && !errors.Is(err, objectapi.ErrUnavailable) && ctx.Err() == nil {
 			w.counts.violation("the stand-in for the object API failed: %v", err)
 		}
-		_ = wait.For(ctx, changeTime+time.Duration(random.Int64N(int64(inForceTime))))
+		_ = wait.For(ctx, between(random, changeTime, changeTime+inForceTime))
 	}
 }
 
--- a/internal/lab/soak/restores.go
+++ b/internal/lab/soak/restores.go
@@ -37,7 +37,7 @@
 		if n%manyEvery == 0 {
 			w.writeOthers(ctx)
 		}
-		age, away, rewrite := between(random, maxCopyAge), between(random, maxAway), between(random, maxRewrite)
+		age, away, rewrite := between(random, 0, maxCopyAge), between(random, 0, maxAway), between(random, 0, maxRewrite)
 		atOnce := random.IntN(2) == 0
 		_ = wait.For(ctx, minRestoreGap+age)
 		w.store.SetFaults(store.Faults{Outage: true})
@@ -51,15 +51,10 @@
 			_ = wait.For(ctx, rewrite)
 			w.configureAgain()
 		}
-		_ = wait.For(ctx, between(random, maxRestoreGap-minRestoreGap))
+		_ = wait.For(ctx, between(random, 0, maxRestoreGap-minRestoreGap))
 	}
 }
 
-// between draws a time below a bound.
-func between(random *rand.Rand, bound time.Duration) time.Duration {
-	return time.Duration(random.Int64N(int64(bound)))
-}
-
 // writeOthers writes what will be lost.
 func (w *world) writeOthers(ctx context.Context) {
 	for n := range lostWrites {
--- a/internal/lab/soak/writers.go
+++ b/internal/lab/soak/writers.go
@@ -49,7 +49,7 @@
 		}
 		w.strangeReport(ctx, a, body)
 		w.strangeEntry(ctx, n, strangeEntries[random.IntN(len(strangeEntries))])
-		_ = wait.For(ctx, minStrangeGap+time.Duration(random.Int64N(int64(maxStrangeGap-minStrangeGap))))
+		_ = wait.For(ctx, between(random, minStrangeGap, maxStrangeGap))
 	}
 }
 
