--- a/pkg/ctl/evacuate.go
+++ b/pkg/ctl/evacuate.go
@@ -25,22 +25,13 @@
 
 // run implements command.
 func (c *evacuateCommand) run(ctx context.Context, s *session) error {
-	if len(c.Args.DataCentres) == 0 {
-		return errNoDataCentre
-	}
-	store, err := s.store()
-	if err != nil {
-		return err
-	}
 	value, err := json.Marshal(resource.Evacuation{Reason: c.Reason})
 	if err != nil {
 		return trace.Wrap(err, "encoding the evacuation")
 	}
-	var errs []error
-	for _, d := range c.Args.DataCentres {
-		errs = append(errs, s.report(declare(ctx, store, d, value)))
-	}
-	return errors.Join(errs...)
+	return s.eachDataCentre(c.Args.DataCentres, func(store objectapi.Store, dataCentre string) (string, error) {
+		return declare(ctx, store, dataCentre, value)
+	})
 }
 
 // restoreCommand withdraws evacuations.
@@ -52,7 +43,14 @@
 
 // run implements command.
 func (c *restoreCommand) run(ctx context.Context, s *session) error {
-	if len(c.Args.DataCentres) == 0 {
+	return s.eachDataCentre(c.Args.DataCentres, func(store objectapi.Store, dataCentre string) (string, error) {
+		return withdraw(ctx, store, dataCentre)
+	})
+}
+
+// eachDataCentre calls f for each data centre that a command names, and prints what became of it.
+func (s *session) eachDataCentre(names []string, f func(store objectapi.Store, dataCentre string) (string, error)) error {
+	if len(names) == 0 {
 		return errNoDataCentre
 	}
 	store, err := s.store()
@@ -60,8 +58,8 @@
 		return err
 	}
 	var errs []error
-	for _, d := range c.Args.DataCentres {
-		errs = append(errs, s.report(withdraw(ctx, store, d)))
+	for _, d := range names {
+		errs = append(errs, s.report(f(store, d)))
 	}
 	return errors.Join(errs...)
 }
