--- a/pkg/ctl/applier_test.go
+++ b/pkg/ctl/applier_test.go
@@ -180,6 +180,20 @@
 	require.Equal(t, ActionUnknown, r.Action)
 }
 
+func TestApplierDoesNotDenyAWriteThatTheObjectAPIHasLost(t *testing.T) {
+	s := store.New(store.Config{Era: 1})
+	_, err := Applier{Store: s}.Apply(t.Context(), service("a", "10.0.0.1", 1))
+	require.NoError(t, err)
+	older := s.Copy()
+	h := &hooked{Store: s, lost: true, after: func() { s.Restore(older) }}
+	r, err := Applier{Store: h}.Apply(t.Context(), service("a", "10.0.0.1", 2))
+	require.ErrorIs(t, err, objectapi.ErrOutcomeUnknown)
+	require.Equal(t, ActionUnknown, r.Action)
+	r, err = Applier{Store: s}.Apply(t.Context(), service("a", "10.0.0.1", 2))
+	require.NoError(t, err)
+	require.Equal(t, ActionConfigured, r.Action)
+}
+
 // TestRacingOperators lets operators apply different content at once while answers are lost. Who is told that its write
 // was stored must find it in the history, and who is told that it was not, must not.
 func TestRacingOperators(t *testing.T) {
