A balancer that has just started does not take the known balancers for all

Cause: a status counts the live balancers in the holder's membership, which held only itself then. Nothing said that more were to be expected.

A count says "of at least" while a node is younger than 10 s and a balancer was added within the last 2 s, in which the call of a joining balancer has ended; it is not complete until then. Acceptance is written as before. A node that is older counts as before, so that a status of a settled installation does not wait.

Ruled out: the members stored in the object API (they are written by a duty too, and empty at a first start); a wait for one exchange (its partner may know as little).

--- a/internal/lab/capacity/control_fleet.go
+++ b/internal/lab/capacity/control_fleet.go
@@ -134,7 +134,7 @@
 // inForce reports whether all nodes know that all have the revision in force.
 func (f *controlFleet) inForce(number uint64) bool {
 	for _, n := range f.nodes {
-		if count, m := n.node.InForce(number); count < len(f.nodes) || m != len(f.nodes) {
+		if count := n.node.InForce(number); count.Adopted < len(f.nodes) || count.Known != len(f.nodes) {
 			return false
 		}
 	}
--- a/internal/lab/capacity/duty.go
+++ b/internal/lab/capacity/duty.go
@@ -153,7 +153,7 @@
 }
 
 // InForce implements revision.Acks.
-func (a *slowAcks) InForce(number uint64) (n, m int) {
+func (a *slowAcks) InForce(number uint64) resource.InForce {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.first == nil {
@@ -163,5 +163,5 @@
 		a.first[number] = time.Now()
 	}
 	part := min(1, time.Since(a.first[number]).Seconds()/inForceTime.Seconds())
-	return int(part * fleetBalancers), fleetBalancers
+	return resource.InForce{Adopted: int(part * fleetBalancers), Known: fleetBalancers}
 }
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -32,6 +32,8 @@
 	watchers *WatcherSet
 	// agents is the result of LiveAgents.
 	agents int
+	// balancerAdded is the result of BalancerAdded.
+	balancerAdded time.Time
 }
 
 func NewTable(cfg TableConfig) *Table {
@@ -60,27 +62,46 @@
 	if t.expired(&m, now) {
 		return false
 	}
-	if !t.merge(m) {
+	if !t.merge(m, now) {
 		return false
 	}
 	t.notify()
 	return true
 }
 
-func (t *Table) merge(m Member) bool {
+func (t *Table) merge(m Member, now time.Time) bool {
 	e, ok := t.entries[m.ID]
 	if !ok {
 		t.insert(m)
+		t.recordAdded(&m, now)
 		return true
 	}
-	joined := merged(e.member, m)
-	if joined == e.member {
+	before := e.member
+	joined := merged(before, m)
+	if joined == before {
 		return false
 	}
 	t.replace(e, joined)
+	if !before.Live() {
+		t.recordAdded(&joined, now)
+	}
 	return true
 }
 
+// recordAdded records that a member was added or came back.
+func (t *Table) recordAdded(m *Member, now time.Time) {
+	if m.Role == RoleBalancer && m.Live() {
+		t.balancerAdded = now
+	}
+}
+
+// BalancerAdded returns when a live balancer was last added, or came back, by the clock of Merge.
+func (t *Table) BalancerAdded() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.balancerAdded
+}
+
 func (t *Table) Get(id string) (Member, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkg/peer/bytes_bench_test.go
+++ b/pkg/peer/bytes_bench_test.go
@@ -111,7 +111,7 @@
 					n.Confirm(number)
 				}
 				adopted += time.Since(begin)
-				eventually(b, "counted", func() bool { count, _ := nodes[15].InForce(number); return count == 16 })
+				eventually(b, "counted", func() bool { return nodes[15].InForce(number).Adopted == 16 })
 				counted += time.Since(begin)
 			}
 		})
--- a/pkg/peer/limits.go
+++ b/pkg/peer/limits.go
@@ -6,6 +6,10 @@
 const (
 	// callTimeout is the timeout of a call to a peer.
 	callTimeout = 2 * time.Second
+	// settleTime is how long no balancer may have joined until a node that has just started takes the known ones for all:
+	// the call by which one joins has ended by then. maxSettleTime is the age from which a node does so anyway.
+	settleTime    = callTimeout
+	maxSettleTime = 5 * callTimeout
 	// streamRetry is the initial backoff before a broken stream is opened again; it doubles up to streamRetryMax.
 	streamRetry    = 100 * time.Millisecond
 	streamRetryMax = 2 * time.Second
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -29,6 +29,7 @@
 	readings   *readings
 	history    *history
 	self       *self
+	started    time.Time
 	budget     *budget
 	dialer     *dialer
 	heartbeats *heartbeater
@@ -72,6 +73,7 @@
 		readings:   newReadings(),
 		history:    &history{},
 		self:       newSelf(cfg.Self, cfg.Now),
+		started:    cfg.Now(),
 		budget:     newBudget(cfg.BytesPerSecond, cfg.Now, cfg.Metrics),
 		metrics:    newNodeMetrics(cfg.Metrics),
 		changes:    newBroadcast(),
@@ -194,9 +196,16 @@
 	n.acks.Set(n.cfg.Self.ID, revision)
 }
 
-// InForce returns how many of the m live balancers have acknowledged this or a higher revision.
-func (n *Node) InForce(revision uint64) (count, m int) {
-	return n.acks.InForce(revision, n.table.Balancers())
+// InForce returns how many of the live balancers have acknowledged this or a higher revision.
+func (n *Node) InForce(revision uint64) resource.InForce {
+	count, m := n.acks.InForce(revision, n.table.Balancers())
+	return resource.InForce{Adopted: count, Known: m, AtLeast: !n.isSettled(n.cfg.Now())}
+}
+
+// isSettled reports whether this node may be taken to know all balancers. One that has just started cannot tell while
+// further balancers are still joining.
+func (n *Node) isSettled(now time.Time) bool {
+	return now.Sub(n.started) >= maxSettleTime || now.Sub(n.table.BalancerAdded()) >= settleTime
 }
 
 // onAdopted adds a revision that this balancer has adopted to the history and notifies the loops that send it.
--- a/pkg/peer/node_test.go
+++ b/pkg/peer/node_test.go
@@ -31,14 +31,21 @@
 	done    chan error
 }
 
-func startNode(t testing.TB, id string, change func(*NodeConfig)) *testNode {
+// listener returns a listener on loopback that is closed at the end of the test.
+func listener(t testing.TB) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+func startNode(t testing.TB, id string, change func(*NodeConfig)) *testNode {
+	t.Helper()
 	adopter := revision.NewAdopter(zerolog.Nop())
 	cfg := NodeConfig{
 		Self:             membership.Member{ID: id, Incarnation: 1, Region: "amman-east", DataCentre: "marka-hall"},
-		Listener:         l,
+		Listener:         listener(t),
 		Adopter:          adopter,
 		ExchangeInterval: 50 * time.Millisecond,
 		Detector:         testDetector,
@@ -198,8 +205,8 @@
 		n.Confirm(3)
 	}
 	eventually(t, "acknowledged", func() bool {
-		count, all := nodes[0].InForce(3)
-		return count == 4 && all == 4
+		f := nodes[0].InForce(3)
+		return f.Adopted == 4 && f.Known == 4
 	})
 	for _, a := range agents {
 		eventually(t, "view", func() bool {
--- a/pkg/resource/status.go
+++ b/pkg/resource/status.go
@@ -36,16 +36,21 @@
 	Adopted int `json:"adopted"`
 	// Known is the number of known balancers.
 	Known int `json:"known"`
+	// AtLeast is set when there may be balancers that are not known: the reporter and other balancers have just started.
+	AtLeast bool `json:"atLeast,omitempty"`
 }
 
-// String returns the count as, for example, "3 of 5".
+// String returns the count as, for example, "3 of 5" or "3 of at least 5".
 func (f InForce) String() string {
+	if f.AtLeast {
+		return fmt.Sprintf("%d of at least %d", f.Adopted, f.Known)
+	}
 	return fmt.Sprintf("%d of %d", f.Adopted, f.Known)
 }
 
-// Complete reports whether every known balancer has adopted the revision.
+// Complete reports whether every known balancer has adopted the revision and no other balancers are to be expected.
 func (f InForce) Complete() bool {
-	return f.Known > 0 && f.Adopted >= f.Known
+	return !f.AtLeast && f.Known > 0 && f.Adopted >= f.Known
 }
 
 // ServiceStatus is the status of a Service, reported by the system. Its object has the service's name.
--- a/pkg/revision/cachedacks.go
+++ b/pkg/revision/cachedacks.go
@@ -13,11 +13,11 @@
 }
 
 // InForce implements Acks.
-func (c *cachedAcks) InForce(revision uint64) (n, m int) {
+func (c *cachedAcks) InForce(revision uint64) resource.InForce {
 	f, ok := c.counts[revision]
 	if !ok {
-		f.Adopted, f.Known = c.acks.InForce(revision)
+		f = c.acks.InForce(revision)
 		c.counts[revision] = f
 	}
-	return f.Adopted, f.Known
+	return f
 }
--- a/pkg/revision/compile_test.go
+++ b/pkg/revision/compile_test.go
@@ -175,7 +175,7 @@
 // fixedAcks returns the same count for every revision.
 type fixedAcks resource.InForce
 
-func (f fixedAcks) InForce(uint64) (n, m int) { return f.Adopted, f.Known }
+func (f fixedAcks) InForce(uint64) resource.InForce { return resource.InForce(f) }
 
 func benchmarkStatusPass(b *testing.B, acks fixedAcks) {
 	clock := &steppedClock{now: time.Unix(1, 0)}
@@ -201,9 +201,13 @@
 
 func (c *steppedClock) Sleep(context.Context, time.Duration) error { return nil }
 
-func BenchmarkStatusPass680InForce(b *testing.B) { benchmarkStatusPass(b, fixedAcks{490, 490}) }
+func BenchmarkStatusPass680InForce(b *testing.B) {
+	benchmarkStatusPass(b, fixedAcks{Adopted: 490, Known: 490})
+}
 
-func BenchmarkStatusPass680Spreading(b *testing.B) { benchmarkStatusPass(b, fixedAcks{489, 490}) }
+func BenchmarkStatusPass680Spreading(b *testing.B) {
+	benchmarkStatusPass(b, fixedAcks{Adopted: 489, Known: 490})
+}
 
 func TestRevisionOfLaterEraIsHigher(t *testing.T) {
 	previous := Compile(resource.Revision{}, Inputs{Services: manyServices(2)}).Revision
--- a/pkg/revision/compiler.go
+++ b/pkg/revision/compiler.go
@@ -101,4 +101,4 @@
 
 type noAcks struct{}
 
-func (noAcks) InForce(uint64) (int, int) { return 0, 0 }
+func (noAcks) InForce(uint64) resource.InForce { return resource.InForce{} }
--- a/pkg/revision/compiler_test.go
+++ b/pkg/revision/compiler_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,7 +33,7 @@
 		a := NewAdopter(zerolog.Nop())
 		f := &Follower{Store: s, Adopter: a, Log: zerolog.Nop()}
 		go func() { _ = f.Run(ctx) }()
-		c := &Compiler{Store: s, Acks: fixedAcks{3, 3}, Log: zerolog.Nop()}
+		c := &Compiler{Store: s, Acks: fixedAcks{Adopted: 3, Known: 3}, Log: zerolog.Nop()}
 		go func() { _ = c.Duty(ctx, lease.Grant{Holder: "a", Term: 1}) }()
 		time.Sleep(time.Second)
 		for i := range 4 {
@@ -53,3 +54,39 @@
 		synctest.Wait()
 	})
 }
+
+// growingAcks counts one balancer until it is settled, and then all.
+type growingAcks struct{ settled atomic.Bool }
+
+func (g *growingAcks) InForce(uint64) resource.InForce {
+	if g.settled.Load() {
+		return resource.InForce{Adopted: 5, Known: 5}
+	}
+	return resource.InForce{Adopted: 1, Known: 1, AtLeast: true}
+}
+
+// The first holder of the duty once reported a service as in force while it knew only itself.
+func TestServiceIsNotReportedInForceWhileBalancersJoin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New(store.Config{})
+		ctx, stop := context.WithCancel(t.Context())
+		acks := &growingAcks{}
+		c := &Compiler{Store: s, Acks: acks, Log: zerolog.Nop()}
+		go func() { _ = c.Duty(ctx, lease.Grant{Holder: "a", Term: 1}) }()
+		putService(t, s, testService("svc-0", "10.0.0.1", 0).Service)
+		time.Sleep(2 * time.Second)
+		st := readStatus(t, s, "svc-0")
+		require.EqualValues(t, 1, st.AcceptedRevision, "acceptance does not wait")
+		require.Equal(t, "1 of at least 1", st.InForce.String())
+		condition, _ := st.Condition(resource.ConditionInForce)
+		require.Equal(t, resource.StatusFalse, condition.Status)
+		acks.settled.Store(true)
+		time.Sleep(2 * time.Second)
+		st = readStatus(t, s, "svc-0")
+		require.Equal(t, resource.InForce{Adopted: 5, Known: 5}, st.InForce)
+		condition, _ = st.Condition(resource.ConditionInForce)
+		require.Equal(t, resource.StatusTrue, condition.Status)
+		stop()
+		synctest.Wait()
+	})
+}
--- a/pkg/revision/describe.go
+++ b/pkg/revision/describe.go
@@ -77,8 +77,7 @@
 	if revision == 0 {
 		return resource.InForce{}
 	}
-	n, m := acks.InForce(revision)
-	return resource.InForce{Adopted: n, Known: m}
+	return acks.InForce(revision)
 }
 
 func accepted(r Result, now time.Time) resource.Condition {
--- a/pkg/revision/history_simulation_test.go
+++ b/pkg/revision/history_simulation_test.go
@@ -96,14 +96,15 @@
 }
 
 // InForce implements Acks.
-func (w *simulation) InForce(number uint64) (n, m int) {
+func (w *simulation) InForce(number uint64) resource.InForce {
+	var f resource.InForce
 	for _, p := range w.live() {
-		m++
+		f.Known++
 		if p.adopter.Number() >= number {
-			n++
+			f.Adopted++
 		}
 	}
-	return n, m
+	return f
 }
 
 // join starts a process: a balancer that is a candidate for the compile lease.
--- a/pkg/revision/session.go
+++ b/pkg/revision/session.go
@@ -268,8 +268,8 @@
 // batchDelay returns how long to batch changes: the window, or longer to keep the interval since the last revision and
 // the time in which all balancers can fetch it at ReadRate.
 func (s *session) batchDelay() time.Duration {
-	_, m := s.cfg.Acks.InForce(s.current.Number)
-	pace := time.Duration(m*readsPerAdoption) * time.Second / time.Duration(s.cfg.ReadRate)
+	balancers := s.cfg.Acks.InForce(s.current.Number).Known
+	pace := time.Duration(balancers*readsPerAdoption) * time.Second / time.Duration(s.cfg.ReadRate)
 	next := s.publishedAt.Add(max(pace, s.cfg.Interval))
 	return max(s.cfg.Window, next.Sub(s.cfg.Clock.Now()))
 }
