Probes reach the owner of a flow although others restart

Cause: of the agents that cannot tell whether they hold a flow, two in 2.5 s are handed a packet. A balancer that restarts began with the same two each time, by the start of agents as it had heard of them; the agent that was up for longest came last, behind agents that had been asked in an earlier life. A second pair was asked with the caller's next packet only, 3.2 s later.

- Agents say in announcements how long they run, while they may not know all flows (3 to 4 bytes for 60 s).
- Of two candidates one is the agent that is up for longest: it answers "not held" once it was asked, so that each agent that stays up is asked, however often others restart.
A balancer that has run for a while and has not asked anybody keeps the two latest.
- The remaining candidates are asked when the 2.5 s are over, without another packet.
At most two packets in 2.5 s as before.

Both tests fail without the change. Agents of earlier releases say nothing; their start is when the balancer first heard of them, as before.

--- a/pkg/dsr/dispatch/agent.go
+++ b/pkg/dsr/dispatch/agent.go
@@ -19,7 +19,8 @@
 	state       dsrpb.State
 	slots       int
 	incarnation uint64
-	// started is when the balancer received the first announcement of the agent's current incarnation.
+	// started is when the agent's current incarnation started, as reported, or when the balancer received its first
+	// announcement.
 	started  time.Time
 	lastSeen time.Time
 	// interval is the time between two announcements, as reported by the agent.
--- a/pkg/dsr/dispatch/agents.go
+++ b/pkg/dsr/dispatch/agents.go
@@ -90,7 +90,7 @@
 	// Incarnations have no order, since the wall clock may jump: one that differs is assumed to be the current one. A
 	// late datagram of an earlier incarnation is corrected by the next announcement.
 	if n.Incarnation != a.incarnation {
-		a.started = now
+		a.started = now.Add(-time.Duration(n.RunningMs) * time.Millisecond)
 	}
 	before := a.state
 	// The message refers to the receive buffer.
--- a/pkg/dsr/dispatch/balancer.go
+++ b/pkg/dsr/dispatch/balancer.go
@@ -40,11 +40,12 @@
 	// lastSeen is the time of the last message of any agent.
 	lastSeen time.Time
 	flows    map[flow.Key]*flowState
-	// hedges, locates, probes, secondSearches and parkedFlows are queues in order of time: all entries of one queue
-	// have (nearly) the same delay.
+	// hedges, locates, probes, probeWindows, secondSearches and parkedFlows are queues in order of time: all entries of
+	// one queue have (nearly) the same delay.
 	hedges         []due
 	locates        []due
 	probes         []due
+	probeWindows   []due
 	secondSearches []due
 	parkedFlows    []due
 	lastSweep      time.Time
--- a/pkg/dsr/dispatch/search.go
+++ b/pkg/dsr/dispatch/search.go
@@ -9,7 +9,6 @@
 	"github.com/auburnwood/auburnwood/pkg/dsr/configuration"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/dsr/segment"
-	"github.com/auburnwood/auburnwood/pkg/flow"
 )
 
 // maySearch reports whether the search budget allows a search. A search may overdraw the budget, so that one that asks
@@ -155,7 +154,7 @@
 		return
 	}
 	f.undetermined = slices.DeleteFunc(f.undetermined, func(a netip.AddrPort) bool { return !b.mayProbe(a, f.key.Destination) })
-	b.sortCandidates(f)
+	b.sortCandidates(now, f)
 	b.probeNext(now, f)
 }
 
@@ -181,44 +180,6 @@
 	}
 }
 
-// sortCandidates orders the agents that cannot tell whether they hold the flow by likelihood. Agents that were probed
-// before come last. An agent that started after the others has seen the least of its target's flows and comes first.
-// Agents that started together are in the order in which the flow is offered to them when all are equally busy.
-func (b *Balancer) sortCandidates(f *flowState) {
-	var newest time.Time
-	for _, a := range f.undetermined {
-		if at := b.incarnationStart(a); at.After(newest) {
-			newest = at
-		}
-	}
-	latest := func(a netip.AddrPort) bool { return newest.Sub(b.incarnationStart(a)) <= StartedTogetherWindow }
-	probed := func(a netip.AddrPort) bool { return slices.Contains(f.probed, a) }
-	slices.SortFunc(f.undetermined, func(x, y netip.AddrPort) int {
-		return cmp.Or(
-			compareTrue(!probed(x), !probed(y)),
-			compareTrue(latest(x), latest(y)),
-			cmp.Compare(tieBreak(f.hash, x), tieBreak(f.hash, y)),
-		)
-	})
-	b.randomizeSecond(f)
-}
-
-// randomizeSecond draws the second candidate, differently in each incarnation of the balancer, once a probe has missed
-// the owner. While balancers and agents restart repeatedly, the order by likelihood alone would always name the same
-// few and the flow of a living target would get no answer.
-func (b *Balancer) randomizeSecond(f *flowState) {
-	if len(f.probed) == 0 || len(f.undetermined) <= MaxProbes {
-		return
-	}
-	rest := f.undetermined[1:]
-	fresh := len(rest)
-	if i := slices.IndexFunc(rest, func(a netip.AddrPort) bool { return slices.Contains(f.probed, a) }); i > 0 {
-		fresh = i
-	}
-	i := int(flow.Mix(f.hash^uint64(b.started.UnixNano())) % uint64(fresh))
-	rest[0], rest[i] = rest[i], rest[0]
-}
-
 // compareTrue sorts true before false.
 func compareTrue(x, y bool) int {
 	switch {
@@ -251,39 +212,6 @@
 	return true
 }
 
-// mayProbe reports whether the agent may be sent a packet of a flow that its target may not hold: its service must be
-// on the route of the address, and its region allowed.
-func (b *Balancer) mayProbe(a netip.AddrPort, destination netip.AddrPort) bool {
-	known := b.agents[a]
-	route := b.routes.Route(destination)
-	return known != nil && routeIncludes(route, known) && b.routes.Regions(route, known.service).Allow(known.region)
-}
-
-// incarnationStart returns when the balancer received the first announcement of the agent's current incarnation.
-func (b *Balancer) incarnationStart(a netip.AddrPort) time.Time {
-	if known := b.agents[a]; known != nil {
-		return known.started
-	}
-	return time.Time{}
-}
-
-// probeNext sends the first held packet to the next agent that may hold the flow.
-func (b *Balancer) probeNext(now time.Time, f *flowState) {
-	if len(f.undetermined) == 0 || f.probes >= MaxProbes || len(f.held) == 0 {
-		b.markLost(now, f)
-		return
-	}
-	f.asked = f.undetermined[0]
-	f.probed = append(f.probed, f.asked)
-	f.undetermined = f.undetermined[1:]
-	f.probes++
-	f.phase, f.since, f.lastProbe = probing, now, now
-	raw := f.held[0]
-	f.held = f.held[1:]
-	b.probes = append(b.probes, due{flow: f, at: now.Add(b.probeTimeout()), phaseStart: now})
-	b.forward(now, f, f.asked, raw, true, dsrpb.Patience_PATIENCE_QUEUE)
-}
-
 // markLost drops the held packets of a flow without a known owner. The caller is not sent a reset: an agent that was
 // not reached may hold the flow.
 func (b *Balancer) markLost(now time.Time, f *flowState) {
@@ -308,10 +236,3 @@
 		b.ownerNotFound(now, f)
 	}
 }
-
-// probeTimedOut probes the next agent when one has not said whether its target returned the packet.
-func (b *Balancer) probeTimedOut(now time.Time, d due) {
-	if d.flow.phase == probing && d.phaseStart.Equal(d.flow.since) {
-		b.probeNext(now, d.flow)
-	}
-}
--- a/pkg/dsr/dispatch/search_test.go
+++ b/pkg/dsr/dispatch/search_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
@@ -256,3 +257,92 @@
 	f.data(1, 1001, "tail")
 	require.ElementsMatch(t, []netip.AddrPort{agentAt(1), agentAt(2)}, targets(f.takeSent()))
 }
+
+// probingAgent is an agent that cannot tell whether its target holds a flow until it has been probed.
+type probingAgent struct {
+	started time.Time
+	probed  bool
+}
+
+// After all processes were killed no agent can tell whether its target holds a flow. While balancers and other agents
+// were restarted again and again, the same ones were asked each time, and the flow of a living target got no answer.
+func TestProbesReachTheOwnerDespiteRepeatedRestarts(t *testing.T) {
+	const (
+		agents = 6
+		life   = 2400 * time.Millisecond
+	)
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		owner := random.IntN(agents)
+		list := make([]probingAgent, agents)
+		for i := range list {
+			list[i].started = start.Add(-time.Duration(random.IntN(600)) * time.Millisecond)
+		}
+		for n := 0; n < agents && !list[owner].probed; n++ {
+			f := newFixture(t)
+			f.now = start.Add(time.Duration(n) * life)
+			f.b.started = f.now
+			f.probeAll(list, life)
+			for i := range list {
+				if i != owner && random.IntN(2) == 0 {
+					list[i] = probingAgent{started: f.now}
+				}
+			}
+		}
+		require.True(t, list[owner].probed, "seed %d: the owner is agent %d", seed, owner+1)
+	}
+}
+
+// probeAll runs a balancer that has just started while the caller of one flow retransmits, and records who is probed.
+func (f *fixture) probeAll(list []probingAgent, d time.Duration) {
+	for i, a := range list {
+		f.b.FromAgent(f.now, agentAt(i+1), &dsrpb.Message{
+			Kind: dsrpb.Kind_KIND_ANNOUNCE, Service: "route-svc",
+			Announcement: &dsrpb.Announcement{
+				DataCentre: "dc-1", State: dsrpb.State_STATE_READY, Slots: 2, Incarnation: uint64(a.started.UnixNano()),
+				RunningMs: uint32(f.now.Sub(a.started) / time.Millisecond),
+			},
+		})
+	}
+	f.pass(SettleTime)
+	f.data(1, 1001, "tail")
+	for end := f.now.Add(d - SettleTime); f.now.Before(end); f.pass(10 * time.Millisecond) {
+		for _, m := range f.takeSent() {
+			i := int(m.to.Addr().As4()[3])
+			if m.kind == dsrpb.Kind_KIND_FORWARD {
+				list[i-1].probed = true
+				f.returnPacket(i, 1, 1001, "tail")
+				continue
+			}
+			verdict := dsrpb.Verdict_VERDICT_UNKNOWN
+			if list[i-1].probed {
+				verdict = dsrpb.Verdict_VERDICT_NOT_HELD
+			}
+			f.located(i, 1, verdict)
+		}
+	}
+}
+
+// returnPacket delivers a packet that agent i's target has returned.
+func (f *fixture) returnPacket(i, port int, ack uint32, text string) {
+	f.answer(i, port, dsrpb.Kind_KIND_RETURNED, dsrpb.Verdict_VERDICT_NOT_HELD, func(m *dsrpb.Message) {
+		m.Packet = dsrtest.Encode(dsrtest.Packet{
+			Source: caller(port), Destination: service, Flags: segment.ACK, Acknowledgement: ack, Data: []byte(text),
+		})
+	})
+}
+
+// A caller retransmits every 1.6 s. If each window of two probes waited for its next packet, four of six agents would
+// have been probed after 4 s; balancers may not run for longer.
+func TestProbesContinueWithoutAnotherPacket(t *testing.T) {
+	const agents = 6
+	list := make([]probingAgent, agents)
+	for i := range list {
+		list[i].started = start
+	}
+	f := newFixture(t)
+	f.probeAll(list, SettleTime+SettleTime+2*ProbeWindow+200*time.Millisecond)
+	for i, a := range list {
+		require.True(t, a.probed, "agent %d", i+1)
+	}
+}
--- a/pkg/dsr/dispatch/tick.go
+++ b/pkg/dsr/dispatch/tick.go
@@ -5,7 +5,7 @@
 // Deadline returns when Tick has to be called next.
 func (b *Balancer) Deadline() time.Time {
 	next := b.lastSweep.Add(sweepInterval)
-	for _, queue := range [][]due{b.hedges, b.locates, b.probes, b.secondSearches, b.parkedFlows} {
+	for _, queue := range [][]due{b.hedges, b.locates, b.probes, b.probeWindows, b.secondSearches, b.parkedFlows} {
 		if len(queue) > 0 && queue[0].at.Before(next) {
 			next = queue[0].at
 		}
@@ -24,6 +24,11 @@
 	for _, d := range takeDue(&b.probes, now) {
 		b.probeTimedOut(now, d)
 	}
+	for _, d := range takeDue(&b.probeWindows, now) {
+		if b.flows[d.flow.key] == d.flow {
+			b.probeWindowOver(now, d)
+		}
+	}
 	for _, d := range takeDue(&b.secondSearches, now) {
 		if b.flows[d.flow.key] == d.flow {
 			b.secondSearch(now, d)
--- a/pkg/dsr/ownership/locate_test.go
+++ b/pkg/dsr/ownership/locate_test.go
@@ -1,6 +1,11 @@
 package ownership
 
 import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/flow"
 	"github.com/auburnwood/auburnwood/pkg/wire"
@@ -14,3 +19,16 @@
 		Destination: wire.AppendAddr(nil, key.Destination),
 	}
 }
+
+// Balancers pass over agents that they have probably asked before, by the time since the agents lost their records.
+func TestAnnouncementReportsTheAgeOfAnAgentThatMayNotKnowAllFlows(t *testing.T) {
+	f := newFixture(t, Config{})
+	running := func(after time.Duration) uint32 {
+		return f.table.Announcement(f.now.Add(after), true, 0).Announcement.RunningMs
+	}
+	require.EqualValues(t, 1, running(0))
+	require.EqualValues(t, 2500, running(2500*time.Millisecond))
+	require.Zero(t, running(MaxFlowAge+1))
+	f.table.cfg.First = true
+	require.Zero(t, running(time.Second))
+}
--- a/pkg/dsr/ownership/messages.go
+++ b/pkg/dsr/ownership/messages.go
@@ -21,12 +21,22 @@
 		Failing:     t.failing(now),
 		IntervalMs:  uint32(next / time.Millisecond),
 		Answers:     t.reportedMinAnswers(),
+		RunningMs:   t.reportedRunning(now),
 	}
 	t.startMessage(now, dsrpb.Kind_KIND_ANNOUNCE)
 	t.msg.Announcement = &t.announcementMsg
 	return &t.msg
 }
 
+// reportedRunning returns the milliseconds since the agent's start, at least 1, while it may not know every flow of its
+// target, and 0 otherwise.
+func (t *Table) reportedRunning(now time.Time) uint32 {
+	if t.knowsAllFlows(now) {
+		return 0
+	}
+	return uint32(max(1, now.Sub(t.started)/time.Millisecond))
+}
+
 // startMessage initialises a message with the target's state that every message carries; it is valid until the next
 // message.
 func (t *Table) startMessage(now time.Time, k dsrpb.Kind) {
