Metrics: calls of the object API by kind, messages by kind, age of reports

Operators could not see what a daemon of pass-through services asks of the object API (its counters went nowhere), how many messages of which kind it sends and receives, nor how old the report was by which a target was chosen: the log line of a placed flow gave the age of the report that came with the acceptance, nearly 0.

- auburnwood_objectapi_calls{op,kind,outcome} for both daemons; a kind without the hour of refusal records.
- auburnwood_dsr_messages{direction,kind}, auburnwood_dsr_message_bytes{direction}.
- auburnwood_dsr_report_age; load and report_age_ms of a decision are those of the offer.

--- a/pkg/dsr/dispatch/balancer_test.go
+++ b/pkg/dsr/dispatch/balancer_test.go
@@ -638,3 +638,16 @@
 func (discard) Refused(Refusal)                        {}
 func (discard) Decided(Decision)                       {}
 func (discard) Outdated(uint64)                        {}
+
+// The acceptance brings a new report; the decision must name the one by which the target was chosen.
+func TestDecisionNamesTheReportBehindTheChoice(t *testing.T) {
+	f := newFixture(t)
+	f.announceReady(1, "dc-1", 0)
+	f.pass(700 * time.Millisecond)
+	f.open(1)
+	f.pass(5 * time.Millisecond)
+	f.accept(1, 1, 1000)
+	placed := f.out.decisions[len(f.out.decisions)-1]
+	require.Equal(t, EventPlaced, placed.Event)
+	require.Equal(t, 700*time.Millisecond, placed.ReportAge)
+}
--- a/pkg/dsr/dispatch/flow_state.go
+++ b/pkg/dsr/dispatch/flow_state.go
@@ -61,7 +61,9 @@
 	tried    []netip.AddrPort
 	failed   []netip.AddrPort
 	asked    netip.AddrPort
-	tries    int
+	// offer is the load that was assumed when the flow was last offered.
+	offer loadEstimate
+	tries int
 	// hedgeAt is when the flow is offered to the next agent unless the last one has answered.
 	hedgeAt time.Time
 	// stale is set while the flow waits for a newer configuration.
--- a/pkg/dsr/dispatch/opening.go
+++ b/pkg/dsr/dispatch/opening.go
@@ -149,7 +149,7 @@
 		b.noAgentLeft(now, f)
 		return
 	}
-	f.asked = c.agent.addr
+	f.asked, f.offer = c.agent.addr, estimateOf(now, c.agent)
 	f.tried = append(f.tried, c.agent.addr)
 	f.tries++
 	c.agent.asked++
--- a/pkg/dsr/dispatch/output.go
+++ b/pkg/dsr/dispatch/output.go
@@ -46,10 +46,11 @@
 	Key     flow.Key
 	Hash    uint64
 	Service string
-	// Agent is the agent concerned, Load the balancer's estimate of its load in requests per slot.
+	// Agent is the agent concerned, Load the balancer's estimate of its load in requests per slot: of the agent that was
+	// offered the flow, when it was offered.
 	Agent netip.AddrPort
 	Load  float64
-	// ReportAge is the age of the agent's last report.
+	// ReportAge is the age of the report behind Load.
 	ReportAge     time.Duration
 	Verdict       dsrpb.Verdict
 	Tried         int
--- a/pkg/dsr/dispatch/report.go
+++ b/pkg/dsr/dispatch/report.go
@@ -22,11 +22,27 @@
 		Configuration: b.routes.Version(),
 	}
 	if a := b.agents[about]; a != nil {
-		d.Load, d.ReportAge = a.load(now), now.Sub(a.reported)
+		e := f.offer
+		if e.agent != about {
+			e = estimateOf(now, a)
+		}
+		d.Load, d.ReportAge = e.load, e.reportAge
 	}
 	b.out.Decided(d)
 }
 
+// loadEstimate is what the balancer assumed about an agent's target.
+type loadEstimate struct {
+	agent netip.AddrPort
+	// load is in requests per slot, including one new request; reportAge is the age of the report behind it.
+	load      float64
+	reportAge time.Duration
+}
+
+func estimateOf(now time.Time, a *agent) loadEstimate {
+	return loadEstimate{agent: a.addr, load: a.load(now), reportAge: now.Sub(a.reported)}
+}
+
 // refuse refuses a flow. The caller is sent a reset only when nobody else can have opened the flow.
 func (b *Balancer) refuse(now time.Time, f *flowState, reason refusal.Reason) {
 	f.packet, f.held = nil, nil
--- a/pkg/dsrd/agent.go
+++ b/pkg/dsrd/agent.go
@@ -228,6 +228,7 @@
 		a.out.malformed.Inc(1)
 		return
 	}
+	a.received.count(m.Kind, len(raw))
 	now := time.Now()
 	a.recordSeen(now, from)
 	switch m.Kind {
--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -252,6 +252,7 @@
 		b.out.malformed.Inc(1)
 		return
 	}
+	b.received.count(m.Kind, len(raw))
 	now := time.Now()
 	if m.Kind == dsrpb.Kind_KIND_GOSSIP {
 		b.fromBalancer(now, from, m)
--- a/pkg/dsrd/balancer_output.go
+++ b/pkg/dsrd/balancer_output.go
@@ -20,6 +20,11 @@
 	50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond, time.Second,
 }
 
+// reportAgeBuckets are the upper bounds of the histogram of the age of the report by which a target was chosen.
+var reportAgeBuckets = tally.DurationBuckets{
+	100 * time.Millisecond, 500 * time.Millisecond, time.Second, 3 * time.Second, 10 * time.Second, 30 * time.Second, time.Minute, 5 * time.Minute,
+}
+
 // balancerOutput carries out a balancer's decisions; it runs under the balancer's lock.
 type balancerOutput struct {
 	b         *Balancer
@@ -29,6 +34,7 @@
 	decisions map[dispatch.Event]tally.Counter
 	refused   map[refusal.Reason]tally.Counter
 	opened    tally.Histogram
+	reportAge tally.Histogram
 }
 
 func newBalancerOutput(b *Balancer) *balancerOutput {
@@ -40,6 +46,7 @@
 		decisions: make(map[dispatch.Event]tally.Counter),
 		refused:   make(map[refusal.Reason]tally.Counter),
 		opened:    b.scope.Histogram("dsr_open_time", openBuckets),
+		reportAge: b.scope.Histogram("dsr_report_age", reportAgeBuckets),
 	}
 	return o
 }
@@ -83,6 +90,7 @@
 	o.decisionCounter(d.Event).Inc(1)
 	if d.Event == dispatch.EventPlaced {
 		o.opened.RecordDuration(d.Waited)
+		o.reportAge.RecordDuration(d.ReportAge)
 	}
 	o.b.log.Info().Str("op", string(d.Event)).Uint64("flow", d.Hash).Stringer("caller", d.Key.Source).
 		Stringer("destination", d.Key.Destination).Str("service", d.Service).Stringer("agent", d.Agent).
--- a/pkg/dsrd/messages_test.go
+++ b/pkg/dsrd/messages_test.go
@@ -58,7 +58,11 @@
 	s, err := listenUDP(netip.MustParseAddrPort("127.0.0.1:0"), messagesEnv)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = s.conn.Close() })
-	return &node{eras: objectapi.NewEras(), log: zerolog.Nop(), scope: tally.NoopScope, messages: s, self: s.address(), alarm: newAlarm(), buffer: make([]byte, maxDatagram), started: time.Now()}
+	return &node{
+		eras: objectapi.NewEras(), log: zerolog.Nop(), scope: tally.NoopScope, messages: s, self: s.address(), alarm: newAlarm(),
+		sent: newMessageCounters(tally.NoopScope, "sent"), received: newMessageCounters(tally.NoopScope, "received"),
+		buffer: make([]byte, maxDatagram), started: time.Now(),
+	}
 }
 
 func testBalancer(t *testing.T) *Balancer {
--- a/pkg/dsrd/node.go
+++ b/pkg/dsrd/node.go
@@ -36,6 +36,9 @@
 	// packets is the socket for packets to callers, messages the one for other daemons.
 	packets  *socket
 	messages *socket
+	// sent and received count the messages.
+	sent     *messageCounters
+	received *messageCounters
 	alarm    *alarm
 	// eras are those of the object API.
 	eras *objectapi.Eras
@@ -64,6 +67,8 @@
 		scope:       env.Scope,
 		started:     time.Now(),
 		messagePort: uint16(cfg.MessagePort),
+		sent:        newMessageCounters(env.Scope, "sent"),
+		received:    newMessageCounters(env.Scope, "received"),
 		alarm:       newAlarm(),
 		buffer:      make([]byte, maxDatagram),
 	}
@@ -127,6 +132,7 @@
 		n.log.Error().Err(err).Str("op", "send").Stringer("peer", to).Msg("a message cannot be encoded")
 		return
 	}
+	n.sent.count(m.Kind, size)
 	n.messages.write(to, n.buffer[:size])
 }
 
--- a/pkg/objectapi/budget.go
+++ b/pkg/objectapi/budget.go
@@ -181,7 +181,7 @@
 	}
 	b.earnRetry()
 	err := f()
-	b.counts.countCall(op, err)
+	b.counts.countCall(op, kind, err)
 	return err
 }
 
--- a/pkg/objectapi/budget_test.go
+++ b/pkg/objectapi/budget_test.go
@@ -78,7 +78,7 @@
 		require.NotZero(t, b.Stats().RetriesDenied)
 		require.ErrorIs(t, calls[objectapi.OpUpdate](t.Context(), b), objectapi.ErrUnavailable)
 		require.EqualValues(t, 1, mem.Counts()[objectapi.OpUpdate])
-		got := scope.Snapshot().Counters()["objectapi.calls+op=create,outcome=ok"]
+		got := scope.Snapshot().Counters()["objectapi.calls+kind=thing,op=create,outcome=ok"]
 		require.NotNil(t, got)
 		require.EqualValues(t, 1, got.Value())
 	})
--- a/pkg/objectapi/call_stats.go
+++ b/pkg/objectapi/call_stats.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"sync"
 
 	"github.com/uber-go/tally/v4"
@@ -93,15 +94,18 @@
 	return out
 }
 
-func (c *callCounts) countCall(op Op, err error) {
+func (c *callCounts) countCall(op Op, kind Kind, err error) {
 	outcome := OutcomeOf(err)
 	c.mu.Lock()
 	c.stats.Calls[op]++
 	c.stats.Outcomes[outcome]++
 	c.mu.Unlock()
-	c.scope.Tagged(map[string]string{"op": string(op), "outcome": string(outcome)}).Counter("calls").Inc(1)
+	c.scope.Tagged(map[string]string{"op": string(op), "kind": kindTag(kind), "outcome": string(outcome)}).Counter("calls").Inc(1)
 }
 
+// kindTag returns the kind without a number at its end, which would make a series of each hour of refusal records.
+func kindTag(k Kind) string { return strings.TrimRight(string(k), "-0123456789") }
+
 func (c *callCounts) countRefused(op Op) {
 	c.mu.Lock()
 	c.stats.Refused[op]++
