Processes keep the interval that they named while intervals grow

Seen in a trial of 304 balancers and 678 agents that meet one after the other (first 6 s of traffic): 8,610 log lines of balancers that were lost, up to 286 of 303 at one balancer a second after the start, and agents likewise; several balancers took over the watch of the configuration, since they knew nobody before them.

Cause: a message names the time until the next one. That interval grows with the number of known peers (250 ms with few, 15 s among 304): a process that named 250 ms while it knew few others kept the 15 s, and counted as lost after a second. Holds only while the fleet is small, or while everybody knows everybody from the first message on.

The next message now comes within the interval that the last one named, and names the longer one; an agent expects answers by the interval that it names itself. Cost: one more message for each pair while all start, none later.

Ruled out: lost datagrams (the same pairs, 1 s after their first message), overload (processor 7% of the share).

TestPeersAreNotLostWhileIntervalsGrow (300, 700, 3,800 peers) fails without the change: 19 of 20 receivers lose the sender.

--- a/pkg/dsr/roster/peers.go
+++ b/pkg/dsr/roster/peers.go
@@ -16,6 +16,9 @@
 	// messages sent, from which the next fraction is drawn.
 	fraction  float64
 	sendCount uint64
+	// promised is the interval that the last message to the peer named: without another message within a multiple of it,
+	// the peer takes this process for lost.
+	promised time.Duration
 	// reportedAlive is set from the first message until NewlySilent has reported the peer.
 	reportedAlive bool
 	// sendInterval is the time between two messages of the peer, as reported by it; requestedInterval is the time that
@@ -119,7 +122,7 @@
 // to all peers at once, such as at its start, would otherwise continue to send in such bursts.
 func (p *Peers) recordSent(now time.Time, a netip.AddrPort, e *peer) {
 	atOnce := e.lastSent.IsZero()
-	e.lastSent, e.fraction = now, 1
+	e.lastSent, e.fraction, e.promised = now, 1, p.Interval(e.requestedInterval)
 	e.sendCount++
 	if !e.isAlive(now) || p.Interval(e.requestedInterval) == MinInterval {
 		return
@@ -141,7 +144,8 @@
 func (p *Peers) interval(now time.Time, e *peer) time.Duration {
 	switch {
 	case e.isAlive(now):
-		return p.Interval(e.requestedInterval)
+		// Intervals grow as peers are added; the next message names the longer one.
+		return min(p.Interval(e.requestedInterval), e.promised)
 	case now.Sub(e.added) < EagerTime, now.Sub(e.lastSeen) < e.silenceTimeout()+EagerTime-SilenceTimeout:
 		return max(EagerInterval, intervalAtRate(len(p.order), EagerRate))
 	}
--- a/pkg/dsr/roster/peers_test.go
+++ b/pkg/dsr/roster/peers_test.go
@@ -184,3 +184,36 @@
 		require.Equal(t, c.far, RemoteIntervalFor(c.senders))
 	}
 }
+
+// At a start of all, intervals grow with every peer that is met. A process that named 250 ms while it knew few others, and
+// then kept the 15 s of a large fleet, was taken for lost by nearly all of them.
+func TestPeersAreNotLostWhileIntervalsGrow(t *testing.T) {
+	for _, n := range []int{300, 700, 3800} {
+		const watched = 20
+		var sender Peers
+		addresses := peerAddresses(n)
+		receivers := make(map[netip.AddrPort]*Peers)
+		for _, a := range addresses[:watched] {
+			receivers[a] = &Peers{}
+		}
+		lost := 0
+		for at := time.Duration(0); at < 10*time.Second; at += EagerInterval {
+			now := start.Add(at)
+			// The others are met within two seconds, and are alive from then on.
+			met := addresses[:min(n, 1+int(float64(n)*at.Seconds()/2))]
+			for _, a := range met {
+				sender.MarkSeen(now, a)
+			}
+			for _, a := range sender.Due(now) {
+				if r := receivers[a]; r != nil {
+					r.MarkSeen(now, one)
+					r.SetSendInterval(one, sender.IntervalTo(a))
+				}
+			}
+			for _, r := range receivers {
+				lost += len(r.NewlySilent(now))
+			}
+		}
+		require.Zero(t, lost, "%d peers", n)
+	}
+}
--- a/pkg/dsrd/agent.go
+++ b/pkg/dsrd/agent.go
@@ -191,9 +191,11 @@
 	}
 }
 
-// announceTo sends an announcement to a balancer. a.mu is held.
+// announceTo sends an announcement to a balancer, which answers every answeredAnnouncements of them. a.mu is held.
 func (a *Agent) announceTo(now time.Time, b netip.AddrPort) {
-	a.send(b, a.table.Announcement(now, a.balancers.Alive(now, b), a.balancers.IntervalTo(b)))
+	interval := a.balancers.IntervalTo(b)
+	a.send(b, a.table.Announcement(now, a.balancers.Alive(now, b), interval))
+	a.balancers.SetSendInterval(b, answeredAnnouncements*interval)
 }
 
 // drain stops new flows, announces that and waits until the open flows have ended.
@@ -273,7 +275,6 @@
 	}
 	a.table.Usual(r.Usual)
 	a.balancers.SetRequestedInterval(from, milliseconds(r.IntervalMs))
-	a.balancers.SetSendInterval(from, answeredAnnouncements*a.balancers.IntervalTo(from))
 	if a.addBalancers(now, decodeAddresses(r.Balancers)) {
 		// Balancers known before get an announcement when it is due: notifying all of them for each new one would take a
 		// number of messages that grows with the square of their number.
