A start costs a call of the object API at most, whatever the number of balancers

Cause: each process that started listed all balancers, page by page: two calls at 304, three at 490, and again while it heard of nobody; a balancer listed them to find its own object among them.

- A process contacts the balancers in its settings.
All others are named in messages.
- A balancer registers by one create.
The API sends the stored object with a conflict.

Ways weighed, calls at the start of 304 + 678 and 490 + 3,300: lists as before 1,964 and 11,370; a directory object of a few balancers, no registration of the others, about 20 at any size, but a conditional write that all need at once where the settings lead nowhere; this one 304 and 490, and 0.1 for each process at a restart.

--- a/internal/lab/passthrough/lab.go
+++ b/internal/lab/passthrough/lab.go
@@ -262,8 +262,8 @@
 		OutboundAddress:   outbound.String(),
 		AnnounceAddress:   netip.AddrPortFrom(address, 0).String(),
 		HeartbeatInterval: settings.NewDuration(heartbeat),
-		FirstStart:        first,
 	}
+	cfg.FirstStart = first
 	d, err := dsrd.NewAgent(cfg, l.platform(l.store), l.env())
 	if err != nil {
 		return err
--- a/pkg/dsr/roster/peers.go
+++ b/pkg/dsr/roster/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/flow"
@@ -211,6 +212,11 @@
 // All returns the known peers in order of addition.
 func (p *Peers) All() []netip.AddrPort { return p.order }
 
+// AnyAlive reports whether a peer is alive.
+func (p *Peers) AnyAlive(now time.Time) bool {
+	return slices.ContainsFunc(p.order, func(a netip.AddrPort) bool { return p.Alive(now, a) })
+}
+
 // Living returns the living peers in order of addition.
 func (p *Peers) Living(now time.Time) []netip.AddrPort {
 	var out []netip.AddrPort
--- a/pkg/dsrd/agent.go
+++ b/pkg/dsrd/agent.go
@@ -123,29 +123,12 @@
 	return trace.Wrap(err, "running the agent")
 }
 
-// discover announces the agent to the balancers in the settings, and to those in the object API while no balancer is
-// alive.
+// discover looks for balancers until the context ends.
 func (a *Agent) discover(ctx context.Context) error {
-	a.addDiscovered(a.seeds())
-	pause := rediscoverMin
-	for {
-		if a.hasNoBalancer(time.Now()) {
-			if err := findMembers(ctx, a.platform.Store, a.log, a.addDiscovered); err != nil {
-				return err
-			}
-		}
-		if err := wait.For(ctx, pause); err != nil {
-			return err
-		}
-		pause = min(2*pause, rediscoverMax)
+	d := discovery{
+		store: a.platform.Store, log: a.log, seeds: a.seeds(), firstStart: a.cfg.FirstStart, found: a.addDiscovered, isAlone: a.hasNoBalancer,
 	}
-}
-
-// hasNoBalancer reports whether no balancer is alive.
-func (a *Agent) hasNoBalancer(now time.Time) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return len(a.balancers.Living(now)) == 0
+	return d.run(ctx)
 }
 
 // addDiscovered adds balancers that others have named, and announces the agent to the new ones at once.
--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -41,6 +42,9 @@
 	// welcomeInterval is the least time between two answers.
 	answeredAnnouncements = 2
 	welcomeInterval       = 600 * time.Millisecond
+	// joinSpread bounds the random time until a balancer registers in the object API, at its start and in a later era, so
+	// that not all call at once.
+	joinSpread = time.Second
 )
 
 // Balancer is the daemon of a balancer of pass-through services.
@@ -62,6 +66,8 @@
 	// until one of them has sent the agents that it knows.
 	readCapacity  map[netip.AddrPort]uint32
 	requestAgents bool
+	// memberReader reads the list of balancers.
+	memberReader *memberReader
 	// evacuationReader reads the evacuations; pendingRoutes is the configuration that is applied once they are known.
 	evacuationReader *evacuationReader
 	pendingRoutes    *routing.Table
@@ -69,6 +75,8 @@
 	// reportedEras are the eras of the object API that other balancers report. A reported era only triggers a call;
 	// the answer to that confirms it.
 	reportedEras *objectapi.Eras
+	// registered is the version of this balancer's object as sampled at the start; 0 when it was not found or was used.
+	registered atomic.Uint64
 	// lastWithoutEra is when a balancer of a release without eras last reported evacuations; their versions cannot be
 	// compared.
 	lastWithoutEra time.Time
@@ -101,6 +109,7 @@
 	b.configSync.before = b.checkersBefore
 	b.configSync.propagation = b.propagation
 	b.configSync.onChecked = b.gossipNow
+	b.memberReader = &memberReader{store: p.Store, log: env.Log, watches: b.configSync.watches, found: b.addDiscovered}
 	b.evacuationReader = &evacuationReader{
 		store:      p.Store,
 		kind:       cmp.Or(p.EvacuationKind, evacuation.Kind),
@@ -129,7 +138,9 @@
 	g.Go(func() error { return b.evacuationReader.run(run) })
 	g.Go(func() error { return b.serveConfiguration(run) })
 	g.Go(func() error { return every(run, sendInterval, b.gossip) })
+	g.Go(func() error { return b.discover(run) })
 	g.Go(func() error { return b.join(run) })
+	g.Go(func() error { return b.memberReader.run(run) })
 	g.Go(func() error { return objectapi.LogEras(run, b.eras, b.log) })
 	g.Go(func() error { return b.refusals.Run(run) })
 	g.Go(func() error { return b.cleanUp(run) })
@@ -288,25 +299,50 @@
 	return serveHTTP(ctx, b.self.String(), mux)
 }
 
+// discover looks for other balancers until the context ends.
+func (b *Balancer) discover(ctx context.Context) error {
+	d := discovery{
+		store: b.platform.Store, log: b.log, seeds: b.seeds(), firstStart: b.cfg.FirstStart,
+		found: b.addDiscovered, isAlone: b.hasNoBalancer, sampled: b.recordSampled,
+	}
+	return d.run(ctx)
+}
+
+// recordSampled records whether the object API already has this balancer's object, as after a restart.
+func (b *Balancer) recordSampled(objects []objectapi.Object) {
+	for _, o := range objects {
+		if m, err := decodeMember(o); err == nil && o.Name == b.cfg.Name && m.Messages == b.self {
+			b.registered.Store(o.Version)
+		}
+	}
+}
+
 // join registers the balancer in the object API, again in each era: an API that was restored from an older copy may
 // have lost the balancer's object.
 func (b *Balancer) join(ctx context.Context) error {
-	b.addDiscovered(b.seeds())
 	for {
+		if err := wait.For(ctx, rand.N(joinSpread)); err != nil {
+			return err
+		}
 		reported := b.reportedEras.Newest()
-		era, err := joinMembers(ctx, b.platform.Store, b.log, b.cfg.Name, b.self, b.addDiscovered)
+		era, err := b.register(ctx)
 		if err != nil {
 			return err
 		}
 		if err := b.awaitEra(ctx, era, reported); err != nil {
 			return err
 		}
-		if err := wait.For(ctx, rand.N(rejoinSpread)); err != nil {
-			return err
-		}
 	}
 }
 
+// register makes sure that the object API has this balancer's object, and returns the era in which it has.
+func (b *Balancer) register(ctx context.Context) (uint64, error) {
+	if version := b.registered.Swap(0); version > 0 && objectapi.EraOf(version) == b.eras.Newest() {
+		return objectapi.EraOf(version), nil
+	}
+	return registerMember(ctx, b.platform.Store, b.log, b.cfg.Name, b.self)
+}
+
 // awaitEra returns when an era after the given one is known, or when others report one that is later than both that one
 // and reported, the last one that they had reported. It returns the context's error when that ends.
 func (b *Balancer) awaitEra(ctx context.Context, era, reported uint64) error {
--- a/pkg/dsrd/members.go
+++ b/pkg/dsrd/members.go
@@ -15,17 +15,10 @@
 // MemberKind is the kind of the objects by which balancers are discovered, one for each, named like the process.
 const MemberKind objectapi.Kind = "dsr-balancers"
 
-// Intervals of the calls for members.
+// memberRetry is the first retry interval while the object API fails, growing up to memberRetryMax.
 const (
-	// memberRetry is the first retry interval while the object API fails, growing up to memberRetryMax.
 	memberRetry    = 200 * time.Millisecond
 	memberRetryMax = 3 * time.Second
-	// rejoinSpread bounds the random time until a balancer joins again in a later era, so that not all call at once.
-	rejoinSpread = time.Second
-	// rediscoverMin is the time after which an agent without a living balancer reads the members again, doubled each
-	// time up to rediscoverMax: the balancers may have joined after the last read.
-	rediscoverMin = 3 * time.Second
-	rediscoverMax = 30 * time.Second
 )
 
 // member is the value of a balancer's object.
@@ -50,17 +43,11 @@
 	return m.Value, nil
 }
 
-// readMembers lists the balancers in the object API, with the store version of the list, and passes their addresses
-// to found. Objects that cannot be decoded are logged and skipped.
-func readMembers(ctx context.Context, store objectapi.Store, log zerolog.Logger, found func([]netip.AddrPort)) (known map[string]objectapi.Object, version uint64, err error) {
-	objects, version, err := store.List(ctx, MemberKind)
-	if err != nil {
-		return nil, 0, err
-	}
-	known = make(map[string]objectapi.Object, len(objects))
+// addressesOf returns the addresses of balancers in the object API. Objects that cannot be decoded are logged and
+// skipped.
+func addressesOf(objects []objectapi.Object, log zerolog.Logger) []netip.AddrPort {
 	var addresses []netip.AddrPort
 	for _, o := range objects {
-		known[o.Name] = o
 		m, err := decodeMember(o)
 		if err != nil {
 			log.Warn().Err(err).Str("op", "read-members").Str("name", o.Name).Msg("member object cannot be decoded")
@@ -68,44 +55,43 @@
 		}
 		addresses = append(addresses, m.Messages)
 	}
-	found(addresses)
-	return known, version, nil
+	return addresses
 }
 
-// findMembers reads the members, retrying until it succeeds.
-func findMembers(ctx context.Context, store objectapi.Store, log zerolog.Logger, found func([]netip.AddrPort)) error {
-	return untilDone(ctx, log, "read-members", func() error {
-		_, _, err := readMembers(ctx, store, log, found)
-		return err
-	})
-}
-
-// joinMembers reads the members and registers this process among them, retrying until it succeeds. It returns the era
-// of the object API in which it did.
-func joinMembers(ctx context.Context, store objectapi.Store, log zerolog.Logger, name string, self netip.AddrPort, found func([]netip.AddrPort)) (uint64, error) {
-	o, err := objectapi.Encode(objectapi.Typed[member]{Kind: MemberKind, Name: name, Value: member{Messages: self}})
+// registerMember creates the object of a balancer, or corrects the one of an earlier incarnation, retrying until that
+// succeeds. It returns the era of the object API in which it did.
+func registerMember(ctx context.Context, store objectapi.Store, log zerolog.Logger, name string, self netip.AddrPort) (uint64, error) {
+	own, err := objectapi.Encode(objectapi.Typed[member]{Kind: MemberKind, Name: name, Value: member{Messages: self}})
 	if err != nil {
 		return 0, err
 	}
-	var era uint64
+	var stored objectapi.Object
 	err = untilDone(ctx, log, "join-members", func() error {
-		known, version, err := readMembers(ctx, store, log, found)
-		if err != nil {
-			return err
-		}
-		era = objectapi.EraOf(version)
-		own, exists := known[name]
-		switch {
-		case !exists:
-			_, err = store.Create(ctx, MemberKind, name, o.Value)
-		case string(own.Value) != string(o.Value):
-			own.Value = o.Value
-			_, err = store.Update(ctx, own)
+		var err error
+		stored, err = store.Create(ctx, MemberKind, name, own.Value)
+		if errors.Is(err, objectapi.ErrConflict) {
+			stored, err = correctMember(ctx, store, name, own.Value, err)
 		}
-		// A conflict means that the write of an earlier incarnation took effect late; the next round sees it.
+		// After an unknown outcome the next try finds what was created.
 		return err
 	})
-	return era, err
+	return objectapi.EraOf(stored.Version), err
+}
+
+// correctMember updates the object of a balancer that exists with another value. Conflict is the error of its creation.
+func correctMember(ctx context.Context, store objectapi.Store, name string, value []byte, conflict error) (objectapi.Object, error) {
+	current, known := objectapi.CurrentObject(conflict)
+	if !known {
+		var err error
+		if current, err = store.Get(ctx, MemberKind, name); err != nil {
+			return objectapi.Object{}, err
+		}
+	}
+	if string(current.Value) == string(value) {
+		return current, nil
+	}
+	current.Value = value
+	return store.Update(ctx, current)
 }
 
 // untilDone calls f until it succeeds or the context ends. The first failure and the end of failures are logged.
--- a/pkg/dsrd/members_test.go
+++ b/pkg/dsrd/members_test.go
@@ -11,37 +11,73 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/auburnwood/auburnwood/internal/standin/store"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrtest"
 	"github.com/auburnwood/auburnwood/pkg/dsr/ownership"
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
 )
 
-// listStore returns the given values from a list.
-type listStore struct {
-	objectapi.Store
-	values []string
-}
-
-func (s listStore) List(context.Context, objectapi.Kind) ([]objectapi.Object, uint64, error) {
-	var out []objectapi.Object
-	for i, v := range s.values {
-		out = append(out, objectapi.Object{Kind: MemberKind, Name: string(rune('a' + i)), Version: 1, Value: []byte(v)})
-	}
-	return out, 1, nil
-}
-
 // An entry of another writer that identifies no balancer does not invalidate the others.
 func TestMembersWithoutAnAddressAreSkipped(t *testing.T) {
-	s := listStore{values: []string{
+	var objects []objectapi.Object
+	for _, v := range []string{
 		`{"messages":"10.1.0.1:7720"}`, ``, `null`, `{}`, `7`, `"x"`, `{"messages":7}`, `{"messages":""}`, `{"messages":"x"}`,
 		`{"messages":"10.1.0.1"}`, `{"messages":"10.1.0.1:0"}`, `{"messages":"0.0.0.0:7720"}`, `{"messages":"224.0.0.1:7720"}`,
 		`{"messages":"10.1.0.2:7720"}`,
-	}}
-	var got []netip.AddrPort
-	known, _, err := readMembers(t.Context(), s, zerolog.Nop(), func(a []netip.AddrPort) { got = a })
-	require.NoError(t, err)
-	require.Len(t, known, len(s.values))
-	require.Equal(t, []netip.AddrPort{firstAddress, selfAddress}, got)
+	} {
+		objects = append(objects, objectapi.Object{Kind: MemberKind, Name: v, Version: 1, Value: []byte(v)})
+	}
+	require.Equal(t, []netip.AddrPort{firstAddress, selfAddress}, addressesOf(objects, zerolog.Nop()))
+}
+
+// callStore counts the calls of a store, and hides that it can be sampled.
+type callStore struct {
+	objectapi.Store
+	calls atomic.Int32
+}
+
+func (s *callStore) Create(ctx context.Context, k objectapi.Kind, name string, value []byte) (objectapi.Object, error) {
+	s.calls.Add(1)
+	return s.Store.Create(ctx, k, name, value)
+}
+
+func (s *callStore) Get(ctx context.Context, k objectapi.Kind, name string) (objectapi.Object, error) {
+	s.calls.Add(1)
+	return s.Store.Get(ctx, k, name)
+}
+
+func (s *callStore) Update(ctx context.Context, o objectapi.Object) (objectapi.Object, error) {
+	s.calls.Add(1)
+	return s.Store.Update(ctx, o)
+}
+
+// Listing all members to find one's own made the calls of a start grow with the square of the number of balancers.
+func TestRegistrationCallsDoNotDependOnOtherMembers(t *testing.T) {
+	s := &callStore{Store: store.New(store.Config{})}
+	for _, a := range unreachable(300) {
+		_, err := registerMember(t.Context(), s, zerolog.Nop(), a.String(), a)
+		require.NoError(t, err)
+	}
+	require.EqualValues(t, 300, s.calls.Swap(0))
+	for _, c := range []struct {
+		reason  string
+		address netip.AddrPort
+		calls   int32
+	}{
+		{"new", selfAddress, 1},
+		{"restarted at its address", selfAddress, 2},
+		{"restarted elsewhere", firstAddress, 3},
+	} {
+		_, err := registerMember(t.Context(), s, zerolog.Nop(), "balancer-1", c.address)
+		require.NoError(t, err)
+		require.Equal(t, c.calls, s.calls.Swap(0), c.reason)
+		o, err := s.Get(t.Context(), MemberKind, "balancer-1")
+		require.NoError(t, err)
+		m, err := decodeMember(o)
+		require.NoError(t, err)
+		require.Equal(t, c.address, m.Messages, c.reason)
+		s.calls.Store(0)
+	}
 }
 
 // lateMembers has no member at the first read and one at later ones.
--- a/pkg/dsrd/node.go
+++ b/pkg/dsrd/node.go
@@ -115,6 +115,13 @@
 	return added
 }
 
+// hasNoBalancer reports whether no other balancer is alive.
+func (n *node) hasNoBalancer(now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.balancers.AnyAlive(now)
+}
+
 // recordRegained records for the log that a balancer was seen again. n.mu is held.
 func (n *node) recordRegained(a netip.AddrPort) { n.regained = append(n.regained, a) }
 
--- a/pkg/objectapi/budget.go
+++ b/pkg/objectapi/budget.go
@@ -88,7 +88,10 @@
 	retries float64
 }
 
-var _ Store = (*Budgeted)(nil)
+var (
+	_ Store   = (*Budgeted)(nil)
+	_ Sampler = (*Budgeted)(nil)
+)
 
 // NewBudgeted wraps a store. A process should share one Budgeted among all its users of the store.
 func NewBudgeted(store Store, cfg BudgetConfig) *Budgeted {
@@ -125,6 +128,15 @@
 	return items, version, err
 }
 
+// Sample implements Sampler.
+func (b *Budgeted) Sample(ctx context.Context, kind Kind) (items []Object, err error) {
+	err = b.callOnce(ctx, OpSample, kind, "", func() error {
+		items, err = Sample(ctx, b.store, kind)
+		return err
+	})
+	return items, err
+}
+
 // Create implements Store.
 func (b *Budgeted) Create(ctx context.Context, kind Kind, name string, value []byte) (o Object, err error) {
 	err = b.callOnce(ctx, OpCreate, kind, name, func() error {
--- a/pkg/objectapi/call_error.go
+++ b/pkg/objectapi/call_error.go
@@ -1,6 +1,7 @@
 package objectapi
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/gravitational/trace"
@@ -13,6 +14,7 @@
 const (
 	OpGet    Op = "get"
 	OpList   Op = "list"
+	OpSample Op = "sample"
 	OpCreate Op = "create"
 	OpUpdate Op = "update"
 	OpDelete Op = "delete"
@@ -27,7 +29,7 @@
 // CallError is the error of one call: the operation, the object, the peer and the reason.
 type CallError struct {
 	Op Op
-	// Kind and Name identify the object; Name is empty for a list and a watch.
+	// Kind and Name identify the object; Name is empty for a list, a sample and a watch.
 	Kind Kind
 	Name string
 	// Peer is the base URL of the API, or the name of the component that failed the call.
@@ -36,6 +38,17 @@
 	Err error
 	// Cause is the underlying error; nil when there is none.
 	Cause error
+	// Current is the stored object where the API sent it with a conflict; its Version is 0 otherwise.
+	Current Object
+}
+
+// CurrentObject returns the stored object that the API sent with a conflict, and whether it did.
+func CurrentObject(err error) (Object, bool) {
+	var e *CallError
+	if !errors.As(err, &e) || e.Current.Version == 0 {
+		return Object{}, false
+	}
+	return e.Current, true
 }
 
 // Error describes the call and its failure in one line.
--- a/pkg/objectapi/call_stats.go
+++ b/pkg/objectapi/call_stats.go
@@ -58,9 +58,9 @@
 	OpenWatches int
 }
 
-// Reads returns the number of gets, lists and watches that were made.
+// Reads returns the number of gets, lists, samples and watches that were made.
 func (s CallStats) Reads() uint64 {
-	return s.Calls[OpGet] + s.Calls[OpList] + s.Calls[OpWatch]
+	return s.Calls[OpGet] + s.Calls[OpList] + s.Calls[OpSample] + s.Calls[OpWatch]
 }
 
 // Writes returns the number of creates, updates and deletes that were made.
--- a/pkg/objectapi/request.go
+++ b/pkg/objectapi/request.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+
+	"github.com/gravitational/trace"
 )
 
 // Request is one HTTP call to an object API, independent of its protocol. Send validates the key, returns typed errors
@@ -13,7 +15,7 @@
 type Request struct {
 	Op   Op
 	Kind Kind
-	// Name is empty for a list and a watch.
+	// Name is empty for a list, a sample and a watch.
 	Name   string
 	Method string
 	URL    string
@@ -69,12 +71,17 @@
 
 // checkKey returns an error when the kind or name is invalid.
 func (r Request) checkKey() error {
-	if r.Op == OpList || r.Op == OpWatch {
+	if r.Op == OpList || r.Op == OpSample || r.Op == OpWatch {
 		return CheckKind(r.Kind)
 	}
 	return CheckKey(r.Kind, r.Name)
 }
 
+// NewConflictError returns a CallError for this request with the object that the API holds.
+func (r Request) NewConflictError(err error, current Object) error {
+	return trace.Wrap(&CallError{Op: r.Op, Kind: r.Kind, Name: r.Name, Peer: r.Peer, Err: err, Current: current})
+}
+
 // NewCallError returns a CallError for this request with a typed error and its cause.
 func (r Request) NewCallError(err, cause error) error {
 	return NewCallError(r.Op, r.Kind, r.Name, r.Peer, err, cause)
--- a/pkg/settings/dsr_agent.go
+++ b/pkg/settings/dsr_agent.go
@@ -15,8 +15,6 @@
 	AnnounceAddress string `toml:"announce_address"`
 	// HeartbeatInterval is the time between two announcements of the target. Default 1s.
 	HeartbeatInterval Duration `toml:"heartbeat_interval"`
-	// FirstStart is set at the first start of the whole system, when no flow can be older than the agent.
-	FirstStart bool `toml:"first_start"`
 }
 
 const defaultHeartbeatInterval = time.Second
--- a/pkg/settings/dsr_process.go
+++ b/pkg/settings/dsr_process.go
@@ -11,6 +11,9 @@
 	MessagePort int `toml:"message_port"`
 	// Seeds are addresses of the VMs of some balancers; only the IP addresses are used. May be empty.
 	Seeds []string `toml:"seeds"`
+	// FirstStart is set at the first start of the whole system, when no flow can be older than the process and no balancer
+	// has registered in the object API.
+	FirstStart bool `toml:"first_start"`
 	// ReadyAddress is the TCP address of the readiness check. Required.
 	ReadyAddress string `toml:"ready_address"`
 	// GraceTime is the maximum duration of a graceful shutdown. Default 6s.
