Adapter: take the logger and the scope instead of the daemon's environment

The adapter imported pkg/telemetry for the counters of calls, which internal/archtest forbids: it only translates.

--- a/cmd/auburnwood-dsr-balancer/main.go
+++ b/cmd/auburnwood-dsr-balancer/main.go
@@ -19,7 +19,7 @@
 }
 
 func run(ctx context.Context, s settings.DSRBalancer, env telemetry.Env) error {
-	d, err := dsrd.NewBalancer(s, platform.Adapter(s.ObjectAPI, env), env)
+	d, err := dsrd.NewBalancer(s, platform.Adapter(s.ObjectAPI, env.Log, env.Scope), env)
 	if err != nil {
 		return err
 	}
