Balancers that start leave the first read of the configuration to those in the settings

Each of 304 balancers read the configuration and the evacuations at its start, and read the configuration again every 0.2 to 0.8 s until the operator had written one.

- A balancer whose address the settings of others name, or that has no other to ask, reads at once.
The others are told within a gossip interval of 50 ms.
They read themselves after 0.3 s if they know nobody before them, and after the time that a check may take if they do (2.3 s at most, whatever the number), so that a start without these balancers costs a few reads a second, not all at once.
- That there is no configuration is the result of a check: it is told to others, and one balancer watches for the first.
- A balancer serves its configuration to eight others at once; the rest ask again 50 ms later, by when others have it.

Way weighed: reads that may be old, by everybody at a tenth of the price; a balancer would put a configuration in force that another one has replaced.

Tests: who reads when, a missing configuration is read once, a busy peer is asked again.

--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -108,6 +109,7 @@
 	b.configSync.adopt = b.adopt
 	b.configSync.before = b.checkersBefore
 	b.configSync.propagation = b.propagation
+	b.configSync.readsFirst = b.readsFirst()
 	b.configSync.onChecked = b.gossipNow
 	b.memberReader = &memberReader{store: p.Store, log: env.Log, watches: b.configSync.watches, found: b.addDiscovered}
 	b.evacuationReader = &evacuationReader{
@@ -216,6 +218,13 @@
 	return nil
 }
 
+// readsFirst reports whether this balancer is one of those in the settings, or these name no other: at a start of all
+// processes others wait for it.
+func (b *Balancer) readsFirst() bool {
+	seeds := b.seeds()
+	return len(seeds) == 0 || slices.Contains(seeds, b.self)
+}
+
 // adopt applies a configuration, the first one only when the evacuations are known: without them, flows would go to
 // evacuated data centres.
 func (b *Balancer) adopt(c configuration.Configuration) {
--- a/pkg/dsrd/config_sync.go
+++ b/pkg/dsrd/config_sync.go
@@ -46,12 +46,20 @@
 	changePause = 400 * time.Millisecond
 	// fetchTimeout bounds the fetch of a configuration from another balancer.
 	fetchTimeout = 500 * time.Millisecond
+	// startWait is how long a balancer that has just started waits for word from those in its settings. If all of them
+	// read the object API at once, the calls of a start of all would grow with their number.
+	startWait = 300 * time.Millisecond
 	// syncInterval is how often it is tested whether a check is due.
 	syncInterval = 100 * time.Millisecond
 	// failurePause is the pause after a failed check, doubled with each further one up to maxFailurePause, since each
 	// call in an outage is charged to the object API's budget.
 	failurePause    = 200 * time.Millisecond
 	maxFailurePause = 800 * time.Millisecond
+	// maxServed is the number of balancers that one serves its configuration at the same time. When all start together,
+	// the others are asked again once they have it, so that the bytes of one do not grow with the number of balancers.
+	maxServed = 8
+	// busyPause is the pause after a peer that serves as many as it may, before the next one is asked.
+	busyPause = 50 * time.Millisecond
 	// maxFetchSize bounds a configuration fetched from another balancer, in bytes.
 	maxFetchSize = 4 << 20
 	// configurationPath is where a balancer serves its configuration.
@@ -64,6 +72,8 @@
 	log      zerolog.Logger
 	client   *http.Client
 	wake     chan struct{}
+	// serving holds an element for each balancer that is being served.
+	serving chan struct{}
 	// adopt applies a newer configuration.
 	adopt func(configuration.Configuration)
 	// onChecked is called after each successful check and after each change, so that the other balancers need not
@@ -73,6 +83,9 @@
 	// of a check may take to arrive.
 	before      func() int
 	propagation func() time.Duration
+	// readsFirst is set when no balancer in the settings could have read the configuration before this one.
+	readsFirst bool
+	started    time.Time
 
 	// adoptMu serialises the adoption of configurations, encodeMu their encoding; both are locked before mu.
 	adoptMu  sync.Mutex
@@ -124,6 +137,8 @@
 		log:      log,
 		client:   &http.Client{Timeout: fetchTimeout},
 		wake:     make(chan struct{}, 1),
+		serving:  make(chan struct{}, maxServed),
+		started:  time.Now(),
 	}
 }
 
@@ -190,7 +205,12 @@
 		if !behind || !source.IsValid() {
 			continue
 		}
-		if err := k.fetch(ctx, source); err != nil {
+		err := k.fetch(ctx, source)
+		if errors.Is(err, errPeerBusy) {
+			time.AfterFunc(busyPause, func() { signal(k.wake) })
+			continue
+		}
+		if err != nil {
 			k.log.Warn().Err(err).Str("op", "fetch-configuration").Stringer("peer", source).Msg("fetching the configuration from another balancer failed")
 		}
 	}
@@ -212,18 +232,46 @@
 	if now.Before(k.pauseUntil) {
 		return false
 	}
-	if before == 0 || k.watching || k.inForce.Version == 0 {
+	starting := k.inForce.Version == 0
+	switch {
+	case k.watching:
 		return true
+	case starting && k.readsFirst && k.checked.IsZero():
+		return true
+	case before == 0 && !(starting && now.Sub(k.started) < startWait):
+		return true
+	}
+	// Fetching a newer version from other balancers takes less time and fewer bytes than reading the object API. When all
+	// start together, each may have to ask several times.
+	fetchTime := fetchTimeout
+	if starting {
+		fetchTime += stagger(before)
 	}
-	// Fetching a newer version from other balancers takes less time and fewer bytes than reading the object API.
-	if k.newerVersion > k.inForce.Version && now.Sub(k.newerSince) >= fetchTimeout {
+	if k.newerVersion > k.inForce.Version && now.Sub(k.newerSince) >= fetchTime {
 		return true
 	}
-	last := k.checked
-	if k.adopted.After(last) {
-		last = k.adopted
+	last := k.started
+	for _, at := range []time.Time{k.checked, k.adopted} {
+		if at.After(last) {
+			last = at
+		}
 	}
-	return now.Sub(last) >= checkInterval+propagation+min(time.Duration(before)*checkStagger, maxStagger)
+	return now.Sub(last) >= checkInterval+propagation+stagger(before)
+}
+
+// stagger is the additional time for which a balancer leaves a check to the given number of others.
+func stagger(before int) time.Duration { return min(time.Duration(before)*checkStagger, maxStagger) }
+
+// mayStillBeTold reports whether a balancer that has just started may leave the first read of the object API to others.
+func (k *configSync) mayStillBeTold(now time.Time) bool {
+	before, propagation := k.before(), k.propagation()
+	switch {
+	case k.readsFirst:
+		return false
+	case before == 0:
+		return now.Sub(k.started) < startWait
+	}
+	return now.Sub(k.started) < checkInterval+propagation+stagger(before)
 }
 
 // check queries the object API whether the configuration in force is the newest, and adopts a newer one. It returns
@@ -302,10 +350,16 @@
 		k.pause(began.Add(changePause))
 		return nil
 	}
-	return errNoConfiguration
+	if version, _, _ := k.state(began); version > 0 {
+		return errNoConfiguration
+	}
+	// Before the operator has written a configuration, others need not look for one either.
+	k.cursor = next
+	k.confirm(0, began)
+	return nil
 }
 
-// errNoConfiguration is the error of a check before the operator has written a configuration.
+// errNoConfiguration is the error of a check that does not find the configuration although one is in force.
 var errNoConfiguration = errors.New("the object API holds no configuration")
 
 // watch waits for a change of the configuration.
@@ -472,6 +526,9 @@
 		return trace.Wrap(err)
 	}
 	defer resp.Body.Close() //nolint:errcheck // The body was read or is given up.
+	if resp.StatusCode == http.StatusTooManyRequests {
+		return errPeerBusy
+	}
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("status %d", resp.StatusCode)
 	}
@@ -488,8 +545,18 @@
 	return nil
 }
 
+// errPeerBusy is returned to a balancer that asks one that serves as many as it may.
+var errPeerBusy = errors.New("the balancer serves its configuration to others")
+
 // ServeHTTP sends the configuration in force to another balancer.
 func (k *configSync) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	select {
+	case k.serving <- struct{}{}:
+		defer func() { <-k.serving }()
+	default:
+		http.Error(w, errPeerBusy.Error(), http.StatusTooManyRequests)
+		return
+	}
 	encoded, err := k.encodedConfiguration()
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
--- a/pkg/dsrd/config_sync_test.go
+++ b/pkg/dsrd/config_sync_test.go
@@ -147,6 +147,7 @@
 	f.before = func() int { return f.ahead }
 	f.propagation = func() time.Duration { return f.maxPropagation }
 	f.onChecked = func() {}
+	f.readsFirst = true
 	return f
 }
 
@@ -347,6 +348,60 @@
 	})
 }
 
+// When all balancers start together, each of them read the object API at once, and again and again until the operator
+// had written a configuration.
+func TestBalancersLeaveTheFirstReadToOthers(t *testing.T) {
+	for _, c := range []struct {
+		reason     string
+		readsFirst bool
+		ahead      int
+		length     time.Duration
+		reads      int
+	}{
+		{"one of the settings reads at once", true, 300, 50 * time.Millisecond, 1},
+		{"another one waits for those", false, 0, startWait - syncInterval, 0},
+		{"but not for long when it knows no other", false, 0, startWait + syncInterval, 1},
+		{"and as long as a check may take when it does", false, 300, checkInterval + maxStagger - syncInterval, 0},
+		{"that is bounded whatever the number of others", false, 300, checkInterval + maxStagger + syncInterval, 1},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newConfigSyncFixture()
+			f.readsFirst, f.ahead = c.readsFirst, c.ahead
+			require.Equal(t, !c.readsFirst, f.mayStillBeTold(time.Now()))
+			f.runFor(t, c.length)
+			reads, _ := f.store.calls()
+			require.Equal(t, c.reads, reads, c.reason)
+		})
+	}
+}
+
+// A configuration that does not exist yet is watched for by one balancer, and known not to exist by the others.
+func TestAMissingConfigurationIsNotReadAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, other := newConfigSyncFixture(), newConfigSyncFixture()
+		first.store.write(0, "")
+		other.store.write(0, "")
+		other.readsFirst, other.ahead = false, 1
+		first.onChecked = func() { other.confirm(0, time.Now()) }
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan error, 2)
+		go func() { done <- first.run(ctx) }()
+		go func() { done <- other.run(ctx) }()
+		time.Sleep(10 * time.Second)
+		reads, watches := first.store.calls()
+		require.Equal(t, 1, reads)
+		require.LessOrEqual(t, watches, 17)
+		reads, watches = other.store.calls()
+		require.Zero(t, reads+watches)
+		first.store.write(6, "")
+		time.Sleep(50 * time.Millisecond)
+		stop()
+		<-done
+		<-done
+		require.Equal(t, []uint64{6}, first.adopted)
+	})
+}
+
 func TestAReportOfAnotherVersionConfirmsNothing(t *testing.T) {
 	f := newConfigSyncFixture()
 	f.confirm(6, time.Now())
@@ -408,6 +463,31 @@
 	require.ErrorIs(t, <-done, context.Canceled)
 }
 
+// After a start of all, the balancers that have the configuration are asked by all others at once.
+func TestABusyPeerIsAskedAgain(t *testing.T) {
+	peer := newConfigSyncFixture()
+	peer.adoptIfNewer(configuration.Configuration{Version: 9}, nil, time.Now())
+	server := httptest.NewServer(peer.configSync)
+	defer server.Close()
+	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	for range maxServed {
+		peer.serving <- struct{}{}
+	}
+	f := newConfigSyncFixture()
+	require.ErrorIs(t, f.fetch(t.Context(), address), errPeerBusy)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- f.fetchLoop(ctx) }()
+	f.recordNewer(9, address)
+	<-peer.serving
+	require.Eventually(t, func() bool {
+		version, _, _ := f.state(time.Now())
+		return version == 9
+	}, 10*time.Second, time.Millisecond)
+	cancel()
+	require.ErrorIs(t, <-done, context.Canceled)
+}
+
 func TestABalancerWithoutAConfigurationServesNone(t *testing.T) {
 	server := httptest.NewServer(newConfigSyncFixture().configSync)
 	defer server.Close()
--- a/pkg/dsrd/evacuate.go
+++ b/pkg/dsrd/evacuate.go
@@ -18,14 +18,15 @@
 // reported them, since that one may be the one that watches for all.
 const withoutEraTime = 2 * EvacuationWait
 
-// readsEvacuations reports whether this balancer reads the evacuations: until it knows any, while it checks for
-// others, and while others may be unable to report them.
+// readsEvacuations reports whether this balancer reads the evacuations: while it checks for others, while others may be
+// unable to report them, and until it knows any unless another has had no time yet to report them.
 func (b *Balancer) readsEvacuations() bool {
+	now := time.Now()
 	b.mu.Lock()
 	known := b.core.Evacuations().Known()
-	uninformed := !b.lastWithoutEra.IsZero() && time.Since(b.lastWithoutEra) < withoutEraTime
+	uninformed := !b.lastWithoutEra.IsZero() && now.Sub(b.lastWithoutEra) < withoutEraTime
 	b.mu.Unlock()
-	return !known || uninformed || b.configSync.watches()
+	return !known && !b.configSync.mayStillBeTold(now) || uninformed || b.configSync.watches()
 }
 
 // knownEvacuations returns the evacuated data centres that this balancer knows.
