A few balancers read the configuration at once when all restart, and tell those that have none

Fifteen processes that restart together waited for three balancers of the settings and for gossip; callers give up after 1.4 s.

At a restart a balancer learns from its one look at the list whether it is among sixteen (by a hash of the address) that read at once, whatever the number registered; balancers of the settings read in any case. One that has the configuration and the evacuations answers a balancer without a configuration at once instead of within its regular interval.

--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -109,7 +108,11 @@
 	b.configSync.adopt = b.adopt
 	b.configSync.before = b.checkersBefore
 	b.configSync.propagation = b.propagation
-	b.configSync.readsFirst = b.readsFirst()
+	if isSeed(b.self, b.seeds()) {
+		b.configSync.firstRead.decide(true)
+	} else if cfg.FirstStart {
+		b.configSync.firstRead.decide(false)
+	}
 	b.configSync.onChecked = b.gossipNow
 	b.memberReader = &memberReader{store: p.Store, log: env.Log, watches: b.configSync.watches, found: b.addDiscovered}
 	b.evacuationReader = &evacuationReader{
@@ -119,6 +122,7 @@
 		shouldRead: b.readsEvacuations,
 		known:      b.knownEvacuations,
 		adopt:      b.applyReadEvacuations,
+		firstRead:  b.configSync.firstRead,
 	}
 	if p.EvacuationStore != nil {
 		b.evacuationReader.store = p.EvacuationStore
@@ -218,13 +222,6 @@
 	return nil
 }
 
-// readsFirst reports whether this balancer is one of those in the settings, or these name no other: at a start of all
-// processes others wait for it.
-func (b *Balancer) readsFirst() bool {
-	seeds := b.seeds()
-	return len(seeds) == 0 || slices.Contains(seeds, b.self)
-}
-
 // adopt applies a configuration, the first one only when the evacuations are known: without them, flows would go to
 // evacuated data centres.
 func (b *Balancer) adopt(c configuration.Configuration) {
@@ -317,8 +314,10 @@
 	return d.run(ctx)
 }
 
-// recordSampled records whether the object API already has this balancer's object, as after a restart.
+// recordSampled applies the answer to the first look of a restart: whether the object API already has this balancer's
+// object, and whether the balancer reads the rest at once.
 func (b *Balancer) recordSampled(objects []objectapi.Object) {
+	b.configSync.firstRead.decide(comesFirst(b.self, addressesOf(objects, b.log)))
 	for _, o := range objects {
 		if m, err := decodeMember(o); err == nil && o.Name == b.cfg.Name && m.Messages == b.self {
 			b.registered.Store(o.Version)
--- a/pkg/dsrd/config_sync.go
+++ b/pkg/dsrd/config_sync.go
@@ -83,9 +83,9 @@
 	// of a check may take to arrive.
 	before      func() int
 	propagation func() time.Duration
-	// readsFirst is set when no balancer in the settings could have read the configuration before this one.
-	readsFirst bool
-	started    time.Time
+	// firstRead tells whether this balancer reads the object API at once when it has just started.
+	firstRead *firstRead
+	started   time.Time
 
 	// adoptMu serialises the adoption of configurations, encodeMu their encoding; both are locked before mu.
 	adoptMu  sync.Mutex
@@ -138,7 +138,9 @@
 		client:   &http.Client{Timeout: fetchTimeout},
 		wake:     make(chan struct{}, 1),
 		serving:  make(chan struct{}, maxServed),
-		started:  time.Now(),
+
+		firstRead: newFirstRead(),
+		started:   time.Now(),
 	}
 }
 
@@ -186,6 +188,7 @@
 
 // checkLoop compares the configuration with the object API when that is due.
 func (k *configSync) checkLoop(ctx context.Context) error {
+	k.firstRead.await(ctx)
 	return every(ctx, syncInterval, func(now time.Time) {
 		if k.due(now) {
 			k.check(ctx)
@@ -236,7 +239,7 @@
 	switch {
 	case k.watching:
 		return true
-	case starting && k.readsFirst && k.checked.IsZero():
+	case starting && k.firstRead.isFirst() && k.checked.IsZero():
 		return true
 	case before == 0 && !(starting && now.Sub(k.started) < startWait):
 		return true
@@ -266,7 +269,7 @@
 func (k *configSync) mayStillBeTold(now time.Time) bool {
 	before, propagation := k.before(), k.propagation()
 	switch {
-	case k.readsFirst:
+	case k.firstRead.isFirst():
 		return false
 	case before == 0:
 		return now.Sub(k.started) < startWait
--- a/pkg/dsrd/config_sync_test.go
+++ b/pkg/dsrd/config_sync_test.go
@@ -147,7 +147,7 @@
 	f.before = func() int { return f.ahead }
 	f.propagation = func() time.Duration { return f.maxPropagation }
 	f.onChecked = func() {}
-	f.readsFirst = true
+	f.firstRead.decide(true)
 	return f
 }
 
@@ -366,7 +366,9 @@
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			f := newConfigSyncFixture()
-			f.readsFirst, f.ahead = c.readsFirst, c.ahead
+			f.firstRead = newFirstRead()
+			f.firstRead.decide(c.readsFirst)
+			f.ahead = c.ahead
 			require.Equal(t, !c.readsFirst, f.mayStillBeTold(time.Now()))
 			f.runFor(t, c.length)
 			reads, _ := f.store.calls()
@@ -381,7 +383,9 @@
 		first, other := newConfigSyncFixture(), newConfigSyncFixture()
 		first.store.write(0, "")
 		other.store.write(0, "")
-		other.readsFirst, other.ahead = false, 1
+		other.firstRead = newFirstRead()
+		other.firstRead.decide(false)
+		other.ahead = 1
 		first.onChecked = func() { other.confirm(0, time.Now()) }
 		ctx, stop := context.WithCancel(t.Context())
 		done := make(chan error, 2)
--- a/pkg/dsrd/evacuation_reader.go
+++ b/pkg/dsrd/evacuation_reader.go
@@ -27,6 +27,8 @@
 	// known returns the set in force, adopt applies one that was read.
 	known func() evacuation.Set
 	adopt func(evacuation.Set)
+	// firstRead tells when a balancer that has just started may read.
+	firstRead *firstRead
 
 	// revision is the store version of members, 0 when a full read is needed.
 	revision uint64
@@ -40,6 +42,7 @@
 }
 
 func (e *evacuationReader) run(ctx context.Context) error {
+	e.firstRead.await(ctx)
 	return every(ctx, syncInterval, func(now time.Time) {
 		if !e.shouldRead() {
 			// Changes until this balancer watches again are missed.
--- a/pkg/dsrd/evacuation_reader_test.go
+++ b/pkg/dsrd/evacuation_reader_test.go
@@ -28,7 +28,11 @@
 // newEvacuationFixture must be called in a synctest bubble.
 func newEvacuationFixture(t *testing.T) *evacuationFixture {
 	f := &evacuationFixture{T: t, store: store.New(store.Config{WatchWait: EvacuationWait, History: 8}), watch: true}
-	e := &evacuationReader{store: f.store, kind: evacuation.Kind, log: zerolog.Nop(), shouldRead: f.shouldRead, known: f.inForce, adopt: f.adopt}
+	first := newFirstRead()
+	first.decide(true)
+	e := &evacuationReader{
+		store: f.store, kind: evacuation.Kind, log: zerolog.Nop(), shouldRead: f.shouldRead, known: f.inForce, adopt: f.adopt, firstRead: first,
+	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
--- a/pkg/dsrd/gossip.go
+++ b/pkg/dsrd/gossip.go
@@ -144,6 +144,7 @@
 	}
 	b.addBalancers(now, decodeAddresses(r.Balancers))
 	b.compareConfiguration(now, from, m)
+	b.tellStarting(now, from, m.Configuration)
 	b.reportedEras.Observe(r.Era)
 	b.receiveEvacuations(now, m.Evacuations)
 	if agents := decodeAddresses(r.Agents); len(agents) > 0 {
@@ -166,6 +167,14 @@
 	}
 }
 
+// tellStarting answers a balancer that has no configuration yet at once, since it waits for word. b.mu is held.
+func (b *Balancer) tellStarting(now time.Time, from netip.AddrPort, configuration uint64) {
+	version, age, checked := b.configSync.state(now)
+	if configuration == 0 && version > 0 && b.core.Evacuations().Known() {
+		b.sendGossip(now, []netip.AddrPort{from}, b.gossipMessage(version, age, checked))
+	}
+}
+
 // sendAgents names the living agents to a balancer that has just started. b.mu is held.
 func (b *Balancer) sendAgents(now time.Time, to netip.AddrPort) {
 	balancers := encodeAddresses(b.balancers.Sample(now, bootstrapPeers))
