One balancer of 32 writes the refusal records of its group

Users saw (baseline): every balancer refuses a few flows in a while, and each wrote an object of its own within two seconds, then after 4, 8, 16 s and so on: 176 objects in the first 3 s of traffic of the fleet, some 4 for each balancer in 25 s, and 5 a second for as long as it goes on.

A balancer collects its records for two seconds and hands them, with the message port's HTTP, to a balancer that writes them with its own: one of the largest VMs for each 32, chosen by package dsr/recording from the living ones. It keeps them for two minutes and hands them over again when another one is chosen; it writes them itself while nobody takes them. One that has taken records writes all that it has and passes none on. A process that ends hands over its last ones.

Cost by formula, B balancers: B/32 objects a minute at rest (10 at 304, 16 at 490) instead of B; 0.5 calls a second and some 300 bytes at each balancer that refuses, 16 calls a second at one that writes; a storm of refusals (6 kB a second from each) brings 1.5 Mbit/s there. Way weighed: longer intervals that grow with B: no hand-over, but records would be in one process's memory for minutes.

--- a/internal/archtest/layers_test.go
+++ b/internal/archtest/layers_test.go
@@ -13,7 +13,7 @@
 var layers = [][]string{
 	{"wait"},
 	{"wire", "flow", "resource", "objectapi", "errqueue", "dsr/announcement", "dsr/configuration", "dsr/dsrpb", "dsr/estimate", "dsr/evacuation", "dsr/policy", "dsr/roster", "dsr/warmup"},
-	{"lease", "refusal", "netstack", "packet", "dsr/segment", "dsr/routing", "dsr/admission", "dsr/outlier"},
+	{"lease", "refusal", "netstack", "packet", "dsr/recording", "dsr/segment", "dsr/routing", "dsr/admission", "dsr/outlier"},
 	{"membership", "view", "placement", "ticket"},
 	{"revision", "rollout", "arbiter", "limit", "dsr/dispatch", "dsr/ownership"},
 	{"balancer", "agent", "request", "peer", "peer/peerpb", "telemetry", "settings"},
--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -17,6 +17,7 @@
 	"github.com/auburnwood/auburnwood/pkg/dsr/dispatch"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/dsr/evacuation"
+	"github.com/auburnwood/auburnwood/pkg/dsr/recording"
 	"github.com/auburnwood/auburnwood/pkg/dsr/roster"
 	"github.com/auburnwood/auburnwood/pkg/dsr/routing"
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
@@ -53,6 +54,7 @@
 	cfg        settings.DSRBalancer
 	configSync *configSync
 	refusals   *refusal.Log
+	handover   *refusalHandover
 	out        *balancerOutput
 
 	// core and the fields below are guarded by node.mu.
@@ -94,14 +96,7 @@
 	}
 	n.self = n.messages.address()
 	b := &Balancer{node: n, cfg: cfg, lastWelcome: make(map[netip.AddrPort]time.Time), readCapacity: make(map[netip.AddrPort]uint32), requestAgents: true}
-	b.refusals = refusal.NewLog(refusal.Config{
-		Process:     cfg.Name,
-		Incarnation: uint64(n.started.UnixNano()),
-		Store:       p.Store,
-		Eras:        n.eras,
-		Logger:      env.Log,
-		Scope:       env.Scope,
-	})
+	b.openRefusals()
 	b.out = newBalancerOutput(b)
 	b.core = dispatch.NewBalancer(dispatch.Config{DataCentre: cfg.DataCentre}, p.Codec, b.out, n.started)
 	b.configSync = newConfigSync(p, env.Log)
@@ -133,6 +128,35 @@
 	return b, nil
 }
 
+// openRefusals creates the log of refusals, whose records another balancer may write.
+func (b *Balancer) openRefusals() {
+	b.handover = &refusalHandover{self: b.self, client: &http.Client{Timeout: fetchTimeout}, living: b.writerCandidates}
+	b.refusals = refusal.NewLog(refusal.Config{
+		Process:     b.cfg.Name,
+		Incarnation: uint64(b.started.UnixNano()),
+		Store:       b.platform.Store,
+		Eras:        b.eras,
+		Mirror:      b.handover,
+		MirrorDelay: refusalDelay,
+		HandsOver:   b.handover.handsOver,
+		Retain:      refusalRetain,
+		Logger:      b.log,
+		Scope:       b.scope,
+	})
+	b.handover.log = b.refusals
+}
+
+// writerCandidates returns the living balancers, this one included, with their read capacity.
+func (b *Balancer) writerCandidates() []recording.Candidate {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := []recording.Candidate{{Address: b.self, Capacity: b.ownReadCapacity()}}
+	for _, a := range b.balancers.Living(time.Now()) {
+		out = append(out, recording.Candidate{Address: a, Capacity: b.readCapacity[a]})
+	}
+	return out
+}
+
 // Run runs the balancer. When ctx ends it leaves the rotation, forwards until its flows have moved, and returns.
 func (b *Balancer) Run(ctx context.Context) error {
 	g, run := errgroup.WithContext(b.runCtx)
@@ -142,7 +166,7 @@
 	g.Go(func() error { return b.alarm.run(run, b.tick) })
 	g.Go(func() error { return b.configSync.run(run) })
 	g.Go(func() error { return b.evacuationReader.run(run) })
-	g.Go(func() error { return b.serveConfiguration(run) })
+	g.Go(func() error { return b.serveBalancers(run) })
 	g.Go(func() error { return every(run, sendInterval, b.gossip) })
 	g.Go(func() error { return b.discover(run) })
 	g.Go(func() error { return b.join(run) })
@@ -298,10 +322,11 @@
 	return b.alarm.next
 }
 
-// serveConfiguration serves the configuration to other balancers.
-func (b *Balancer) serveConfiguration(ctx context.Context) error {
+// serveBalancers serves the configuration to other balancers, and takes their refusal records.
+func (b *Balancer) serveBalancers(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+configurationPath, b.configSync)
+	mux.Handle("POST "+refusalPath, b.handover)
 	return serveHTTP(ctx, b.self.String(), mux)
 }
 
--- a/pkg/refusal/adoption.go
+++ b/pkg/refusal/adoption.go
@@ -25,7 +25,7 @@
 	}
 }
 
-// Accept takes records of a process that has no store: they are mirrored and written like this process's own records.
+// Accept takes records of a process that hands them over: they are mirrored and written like this process's own records.
 // Once Sync has returned, they are as safe as those.
 func (l *Log) Accept(records []Record) {
 	l.mu.Lock()
--- a/pkg/refusal/config.go
+++ b/pkg/refusal/config.go
@@ -22,7 +22,7 @@
 	// at the design size, and DefaultMirrorBurst the burst in bytes.
 	DefaultMirrorRate  = 6000
 	DefaultMirrorBurst = 100000
-	// DefaultRetain is how long a process without a store keeps records that it has handed over.
+	// DefaultRetain is how long a process keeps records that it has handed over.
 	DefaultRetain = 30 * time.Second
 	// DefaultMinInterval and DefaultMaxInterval bound the time between two objects.
 	DefaultMinInterval = 2 * time.Second
@@ -53,6 +53,11 @@
 	Eras *objectapi.Eras
 	// Mirror receives a copy of each record; without it, a crash loses the records that are not yet in the store.
 	Mirror Mirror
+	// HandsOver reports whether the peer behind Mirror accepts and writes the records at present, so that this process
+	// does not; nil means never while there is a store. It is called without locks.
+	HandsOver func() bool
+	// MirrorDelay is how long records are collected for a mirror call.
+	MirrorDelay time.Duration
 	// MaxHeld is the number of own records at which equal ones are merged.
 	MaxHeld int
 	// MaxAdopted is the number of peers' records at which equal ones are merged.
@@ -62,7 +67,7 @@
 	// MirrorRate is the mirroring rate in bytes per second, after a burst of MirrorBurst bytes.
 	MirrorRate  int
 	MirrorBurst int
-	// Retain is how long a process without a store keeps records that it has handed over, for MirrorChanged.
+	// Retain is how long a process keeps records that it has handed over, for MirrorChanged.
 	Retain time.Duration
 	// MinInterval and MaxInterval bound the time between two objects that this process writes.
 	MinInterval time.Duration
--- a/pkg/refusal/log.go
+++ b/pkg/refusal/log.go
@@ -20,6 +20,9 @@
 	counters counters
 	// wake signals the mirror loop that there are records.
 	wake chan struct{}
+	// draining is closed, once, by drain when Drain begins.
+	draining chan struct{}
+	drain    sync.Once
 
 	// writeMu serialises writes of objects.
 	writeMu sync.Mutex
@@ -47,7 +50,7 @@
 	recent recentObjects
 	// nextRewrite is when the next lost object is written again; only Run uses it.
 	nextRewrite time.Time
-	// retainUntil is when a process without a store releases the records that it has handed over.
+	// retainUntil is when a process that hands its records over releases those of the last generation.
 	retainUntil time.Time
 	stats       Stats
 }
@@ -63,6 +66,7 @@
 		origin:   origin,
 		counters: newCounters(cfg.Scope),
 		wake:     make(chan struct{}, 1),
+		draining: make(chan struct{}),
 		streams:  newStreams(origin),
 		held:     newPool(poolLimit(cfg.MaxHeld)),
 		pacer:    pacer{min: cfg.MinInterval, max: cfg.MaxInterval, rand: cfg.Rand},
--- a/pkg/refusal/log_mirror.go
+++ b/pkg/refusal/log_mirror.go
@@ -32,6 +32,9 @@
 		if err := l.awaitRecords(ctx); err != nil {
 			return err
 		}
+		if err := l.awaitMore(ctx); err != nil {
+			return err
+		}
 		records := l.takeQueued()
 		if err := budget.WaitN(ctx, min(l.cfg.MirrorBurst, mirrorCallCost+mirrorRecordCost*len(records))); err != nil {
 			l.requeueFailed(records, err)
@@ -64,6 +67,18 @@
 	}
 }
 
+// awaitMore waits for Config.MirrorDelay, so that one call carries many records, or until Drain has begun.
+func (l *Log) awaitMore(ctx context.Context) error {
+	timer := time.NewTimer(l.cfg.MirrorDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-l.draining:
+	case <-ctx.Done():
+	}
+	return ctx.Err()
+}
+
 // send makes one mirror call.
 func (l *Log) send(ctx context.Context, records []Record) error {
 	call, cancel := context.WithTimeout(ctx, l.cfg.MirrorTimeout)
@@ -149,6 +164,13 @@
 	}
 }
 
+// syncWithin is Sync with a limit of time; it reports whether the peer or the store has all records.
+func (l *Log) syncWithin(ctx context.Context, d time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	return l.Sync(ctx) == nil
+}
+
 // notifyProgress wakes the callers of Sync; l.mu is held.
 func (l *Log) notifyProgress() {
 	close(l.progress)
--- a/pkg/refusal/log_write.go
+++ b/pkg/refusal/log_write.go
@@ -14,23 +14,28 @@
 // tickInterval is how often a log checks whether an object is due.
 const tickInterval = 250 * time.Millisecond
 
-// tickLoop writes objects when the pacer allows, or, without a store, releases mirrored records.
+// tickLoop writes objects when the pacer allows, or releases mirrored records while a peer writes them.
 func (l *Log) tickLoop(ctx context.Context) error {
 	for {
 		if err := wait.For(ctx, tickInterval); err != nil {
 			return err
 		}
-		if l.cfg.Store == nil {
+		if l.handsOver() {
 			l.releaseMirrored()
-			continue
-		}
-		if l.isDue() {
+		} else if l.isDue() {
 			_ = l.writeOnce(ctx) // Counted and logged; the records are kept and retried.
 		}
-		l.rewriteNextLost(ctx)
+		if l.cfg.Store != nil {
+			l.rewriteNextLost(ctx)
+		}
 	}
 }
 
+// handsOver reports whether a peer writes the records of this process.
+func (l *Log) handsOver() bool {
+	return l.cfg.Store == nil || l.cfg.HandsOver != nil && l.cfg.HandsOver()
+}
+
 // isDue reports whether an object is to be written now.
 func (l *Log) isDue() bool {
 	l.mu.Lock()
@@ -42,11 +47,16 @@
 	return l.held.len() > 0 && l.pacer.isDue(l.cfg.Now(), l.oldest, full)
 }
 
-// Drain writes all own records without pacing, until they are in the store or the context ends.
+// Drain writes all own records without pacing, until they are in the store or the context ends. While a peer writes them,
+// it waits until that has them, which needs Run; a peer that does not take them in time leaves them to this process.
 func (l *Log) Drain(ctx context.Context) error {
 	if l.cfg.Store == nil {
 		return nil
 	}
+	l.drain.Do(func() { close(l.draining) })
+	if l.handsOver() && l.syncWithin(ctx, l.cfg.MirrorTimeout) {
+		return l.rewriteAllLost(ctx)
+	}
 	backoff := objectapi.Backoff{Rand: l.cfg.Rand}
 	for {
 		err := l.writeOnce(ctx)
@@ -187,7 +197,7 @@
 	l.signal()
 }
 
-// releaseMirrored drops records that a process without a store has handed over, after Config.Retain, during which
+// releaseMirrored drops records that this process has handed over, after Config.Retain, during which
 // MirrorChanged can still send them to another peer.
 func (l *Log) releaseMirrored() {
 	l.mu.Lock()
