Messages to a peer that was never seen become rarer

Cause: at a first start everybody asks the same few balancers, each every 50 ms until it is answered. One that answers late because of that gets 982 x 20 messages a second, 76,000 at 490 + 3,300: what holds while few ask.

After four messages the interval doubles, up to 0.5 s: 17 messages in the first five seconds instead of 100. Peers that were seen before and fell silent are sent one every 50 ms as before: they may be back any moment.

--- a/pkg/dsr/roster/config.go
+++ b/pkg/dsr/roster/config.go
@@ -17,6 +17,8 @@
 	// have met.
 	EagerTime     = 5 * time.Second
 	EagerInterval = 50 * time.Millisecond
+	// eagerMessages is the number of messages to a peer that was never seen after which their interval doubles.
+	eagerMessages = 4
 	// SilentInterval is the minimum time between two messages to a peer that has been silent for longer. It bounds how
 	// long a peer that restarts at the same address without state waits for a message.
 	SilentInterval = 500 * time.Millisecond
--- a/pkg/dsr/roster/peer.go
+++ b/pkg/dsr/roster/peer.go
@@ -39,6 +39,15 @@
 	return !e.lastSeen.IsZero() && now.Sub(e.lastSeen) <= e.silenceTimeout()
 }
 
+// eagerInterval returns the time between two messages to a peer that is new or has just become silent. To one that was
+// never seen it grows: it may be asked by all processes at once, and answer late because of that.
+func (e *peer) eagerInterval() time.Duration {
+	if !e.lastSeen.IsZero() || e.sendCount <= eagerMessages {
+		return EagerInterval
+	}
+	return min(EagerInterval<<min(e.sendCount-eagerMessages, 8), SilentInterval)
+}
+
 // isExpired reports whether the peer has been silent for ExpireAfter, and for its silence timeout if that is longer.
 func (e *peer) isExpired(now time.Time) bool {
 	return now.Sub(e.added) > ExpireAfter && now.Sub(e.lastSeen) > max(ExpireAfter, e.silenceTimeout())
--- a/pkg/dsr/roster/peers.go
+++ b/pkg/dsr/roster/peers.go
@@ -179,7 +179,7 @@
 		// Intervals grow as peers are added; the next message names the longer one.
 		return min(p.Interval(e.requestedInterval), e.promised)
 	case now.Sub(e.added) < EagerTime, now.Sub(e.lastSeen) < e.silenceTimeout()+EagerTime-SilenceTimeout:
-		return max(EagerInterval, intervalAtRate(len(p.order), EagerRate))
+		return max(e.eagerInterval(), intervalAtRate(len(p.order), EagerRate))
 	}
 	return max(SilentInterval, intervalAtRate(len(p.order), SilentRate))
 }
--- a/pkg/dsr/roster/peers_test.go
+++ b/pkg/dsr/roster/peers_test.go
@@ -186,6 +186,24 @@
 	}
 }
 
+// At a first start everybody asks the same few balancers. If one that answers late were asked every 50 ms by each of 3,790
+// processes, it would get 76,000 messages a second.
+func TestMessagesToAPeerThatWasNeverSeenBecomeRarer(t *testing.T) {
+	var p Peers
+	p.Add(start, one)
+	var times []time.Duration
+	for at := time.Duration(0); at < EagerTime; at += EagerInterval {
+		if len(p.Due(start.Add(at))) > 0 {
+			times = append(times, at)
+		}
+	}
+	require.Equal(t, []time.Duration{
+		0, 50 * time.Millisecond, 100 * time.Millisecond, 150 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond,
+		500 * time.Millisecond, 900 * time.Millisecond,
+	}, times[:8])
+	require.LessOrEqual(t, len(times), 17)
+}
+
 // At a start of all, intervals grow with every peer that is met. A process that named 250 ms while it knew few others, and
 // then kept the 15 s of a large fleet, was taken for lost by nearly all of them.
 func TestPeersAreNotLostWhileIntervalsGrow(t *testing.T) {
