While nobody reaches the object API, balancers together retry at a bounded rate

Cause: when checks of the configuration fail everywhere, each balancer retries every 0.8 s: 380 calls a second at 304 balancers, 612 at 490, for as long as the outage lasts. Every call is charged, and the API has to serve them when it comes back.

A balancer that does not come first pauses at least for the number of living balancers in hundredths of a second: 100 calls a second together at any size, nothing changes up to 20 balancers.

Cost: a balancer that alone reaches the API after an outage finds out 3 s later at 304, 4.9 s at 490.

--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -104,6 +104,7 @@
 	b.configSync = newConfigSync(p, env.Log)
 	b.configSync.adopt = b.adopt
 	b.configSync.before = b.checkersBefore
+	b.configSync.living = func() int { return len(b.living()) }
 	b.configSync.propagation = b.propagation
 	if isSeed(b.self, b.seeds()) {
 		b.configSync.firstRead.decide(true)
--- a/pkg/dsrd/config_sync.go
+++ b/pkg/dsrd/config_sync.go
@@ -55,6 +55,8 @@
 	// call in an outage is charged to the object API's budget.
 	failurePause    = 200 * time.Millisecond
 	maxFailurePause = 800 * time.Millisecond
+	// retryRate is the number of checks a second that all balancers together make while checks fail.
+	retryRate = 100
 	// maxServed is the number of balancers that one serves its configuration at the same time. When all start together,
 	// the others are asked again once they have it, so that the bytes of one do not grow with the number of balancers.
 	maxServed = 8
@@ -81,7 +83,9 @@
 	onChecked func()
 	// before is the number of living balancers that check before this one; propagation is how long the result
 	// of a check may take to arrive.
-	before      func() int
+	before func() int
+	// living is the number of living balancers.
+	living      func() int
 	propagation func() time.Duration
 	// firstRead tells whether this balancer reads the object API at once when it has just started.
 	firstRead *firstRead
@@ -410,6 +414,7 @@
 
 // recordCheck records the result of a check and logs when checks start to fail or to succeed.
 func (k *configSync) recordCheck(began time.Time, err error) {
+	fleetPause := k.fleetPause()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if err == nil {
@@ -424,10 +429,19 @@
 		k.log.Warn().Err(err).Str("op", "check-configuration").Uint64("configuration", configuration.DisplayVersion(k.inForce.Version)).
 			Dur("age_ms", time.Since(k.checked)).Msg("the configuration cannot be checked; the last one stays in force")
 	}
-	k.pauseUntil = time.Now().Add(pauseAfter(k.failures))
+	k.pauseUntil = time.Now().Add(max(pauseAfter(k.failures), fleetPause))
 	k.failures++
 }
 
+// fleetPause is the minimum pause after a failed check of a balancer that does not come first. All balancers check while
+// nobody succeeds; together they make retryRate calls a second, whatever their number.
+func (k *configSync) fleetPause() time.Duration {
+	if k.before() == 0 {
+		return 0
+	}
+	return time.Duration(k.living()) * time.Second / retryRate
+}
+
 // pauseAfter is the pause after a failed call, given the number of consecutive failures before it.
 func pauseAfter(failures int) time.Duration {
 	return min(failurePause<<min(failures, 8), maxFailurePause)
--- a/pkg/dsrd/config_sync_test.go
+++ b/pkg/dsrd/config_sync_test.go
@@ -127,6 +127,7 @@
 	adopted        []uint64
 	decoded        int
 	ahead          int
+	fleet          int
 	maxPropagation time.Duration
 }
 
@@ -145,6 +146,7 @@
 	}, zerolog.Nop())
 	f.adopt = func(c configuration.Configuration) { f.adopted = append(f.adopted, c.Version) }
 	f.before = func() int { return f.ahead }
+	f.configSync.living = func() int { return f.fleet }
 	f.propagation = func() time.Duration { return f.maxPropagation }
 	f.onChecked = func() {}
 	f.firstRead.decide(true)
@@ -447,6 +449,25 @@
 	})
 }
 
+// While nobody reaches the object API, each balancer of a large fleet retried once a second.
+func TestBalancersTogetherRetryAtABoundedRate(t *testing.T) {
+	for _, fleet := range []int{304, 490, 3800} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newConfigSyncFixture()
+			f.ahead, f.fleet = 100, fleet
+			f.runFor(t, 50*time.Millisecond)
+			f.store.err = objectapi.ErrUnavailable
+			f.runFor(t, 3*time.Second)
+			f.store.calls()
+			const length = 10 * time.Minute
+			f.runFor(t, length)
+			reads, watches := f.store.calls()
+			require.LessOrEqual(t, float64(reads+watches)*float64(fleet)/length.Seconds(), 1.2*retryRate, "%d balancers", fleet)
+			require.Positive(t, reads+watches)
+		})
+	}
+}
+
 // A balancer that starts while the object API does not answer gets a peer's configuration at once.
 func TestAPeersConfigurationDoesNotWaitForTheObjectAPI(t *testing.T) {
 	peer := newConfigSyncFixture()
