Meeting test: count the last second, which may be cut short

The count of the busiest process was taken at the end of each whole second only, so that the messages of the last, shorter one were not judged. It is taken after each step now; same bound, stricter.

--- a/pkg/dsrd/meeting_test.go
+++ b/pkg/dsrd/meeting_test.go
@@ -22,8 +22,8 @@
 	// balancers are those that it knows; met are the agents that a balancer knows, with the time of its last answer.
 	balancers roster.Peers
 	met       map[netip.AddrPort]time.Time
-	// received counts the messages of the current second, most those of the busiest one.
-	received, most int
+	// received counts the messages of the current second.
+	received int
 }
 
 // meetingMessage is a message between daemons.
@@ -155,18 +155,24 @@
 func (w *meeting) run(limit time.Duration) (took time.Duration, most int) {
 	began := w.now
 	for !w.complete() && w.now.Sub(began) < limit {
-		w.step()
-		if w.now.Sub(began)%time.Second != 0 {
-			continue
+		if w.now.Sub(began)%time.Second == 0 {
+			w.startSecond()
 		}
+		w.step()
 		for _, n := range w.order {
 			most = max(most, n.received)
-			n.received = 0
 		}
 	}
 	return w.now.Sub(began), most
 }
 
+// startSecond starts the count of received messages anew.
+func (w *meeting) startSecond() {
+	for _, n := range w.order {
+		n.received = 0
+	}
+}
+
 // At the first start of all, everybody knows the same few balancers, and nobody lists the others. All must meet soon, and
 // the few must not get more messages than a process that meets all others does.
 func TestProcessesMeetThroughAFewBalancers(t *testing.T) {
