A restarted balancer looks for its object before it creates it

Cause: one page of the list (200 names) holds the object of a balancer only by luck when there are 304. The others tried to create it after a restart: a write that is refused, and during an outage one again and again, at ten times the price of a look.

A restarted balancer asks for the page that begins at its own name, until one answers, and creates the object only if it is not there. Cost at a restart of B balancers: 0.1B calls instead of up to B.

Way weighed: no registration at a restart at all; a balancer whose object was lost with an older copy would stay unlisted until an era is reported.

TestARestartedBalancerLooksForItsObjectBeforeItCreatesIt.

--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -70,7 +69,8 @@
 	requestAgents bool
 	// evicted is when the state of lost processes was last removed.
 	evicted time.Time
-	// memberReader reads the list of balancers.
+	// discovery looks for other balancers, memberReader reads the list of them.
+	discovery    *discovery
 	memberReader *memberReader
 	// evacuationReader reads the evacuations; pendingRoutes is the configuration that is applied once they are known.
 	evacuationReader *evacuationReader
@@ -79,8 +79,6 @@
 	// reportedEras are the eras of the object API that other balancers report. A reported era only triggers a call;
 	// the answer to that confirms it.
 	reportedEras *objectapi.Eras
-	// registered is the version of this balancer's object as sampled at the start; 0 when it was not found or was used.
-	registered atomic.Uint64
 	// lastWithoutEra is when a balancer of a release without eras last reported evacuations; their versions cannot be
 	// compared.
 	lastWithoutEra time.Time
@@ -112,6 +110,10 @@
 		b.configSync.firstRead.decide(false)
 	}
 	b.configSync.onChecked = b.gossipNow
+	b.discovery = &discovery{
+		store: p.Store, log: env.Log, seeds: b.seeds(), firstStart: cfg.FirstStart, found: b.addDiscovered, isAlone: b.hasNoBalancer,
+		sampled: b.recordSampled,
+	}
 	b.memberReader = &memberReader{store: p.Store, log: env.Log, watches: b.configSync.watches, found: b.addDiscovered}
 	b.evacuationReader = &evacuationReader{
 		store:      p.Store,
@@ -171,7 +173,7 @@
 	g.Go(func() error { return b.evacuationReader.run(run) })
 	g.Go(func() error { return b.serveBalancers(run) })
 	g.Go(func() error { return every(run, sendInterval, b.gossip) })
-	g.Go(func() error { return b.discover(run) })
+	g.Go(func() error { return b.discovery.run(run) })
 	g.Go(func() error { return b.join(run) })
 	g.Go(func() error { return b.memberReader.run(run) })
 	g.Go(func() error { return objectapi.LogEras(run, b.eras, b.log) })
@@ -333,35 +335,21 @@
 	return serveHTTP(ctx, b.self.String(), mux)
 }
 
-// discover looks for other balancers until the context ends.
-func (b *Balancer) discover(ctx context.Context) error {
-	d := discovery{
-		store: b.platform.Store, log: b.log, seeds: b.seeds(), firstStart: b.cfg.FirstStart,
-		found: b.addDiscovered, isAlone: b.hasNoBalancer, sampled: b.recordSampled,
-	}
-	return d.run(ctx)
-}
-
-// recordSampled applies the answer to the first look of a restart: whether the object API already has this balancer's
-// object, and whether the balancer reads the rest at once.
+// recordSampled applies the answer to the first look of a restart: whether the balancer reads the rest of the object API at
+// once.
 func (b *Balancer) recordSampled(objects []objectapi.Object) {
 	b.configSync.firstRead.decide(comesFirst(b.self, addressesOf(objects, b.log)))
-	for _, o := range objects {
-		if m, err := decodeMember(o); err == nil && o.Name == b.cfg.Name && m.Messages == b.self {
-			b.registered.Store(o.Version)
-		}
-	}
 }
 
 // join registers the balancer in the object API, again in each era: an API that was restored from an older copy may
 // have lost the balancer's object.
 func (b *Balancer) join(ctx context.Context) error {
-	for {
+	for restarted := !b.cfg.FirstStart; ; restarted = false {
 		if err := wait.For(ctx, rand.N(joinSpread)); err != nil {
 			return err
 		}
 		reported := b.reportedEras.Newest()
-		era, err := b.register(ctx)
+		era, err := b.register(ctx, restarted)
 		if err != nil {
 			return err
 		}
@@ -371,9 +359,20 @@
 	}
 }
 
-// register makes sure that the object API has this balancer's object, and returns the era in which it has.
-func (b *Balancer) register(ctx context.Context) (uint64, error) {
-	if version := b.registered.Swap(0); version > 0 && objectapi.EraOf(version) == b.eras.Newest() {
+// register makes sure that the object API has this balancer's object, and returns the era in which it has. A balancer that
+// restarts looks for it first, again and again while the object API is down: a try to create it costs ten times as much.
+func (b *Balancer) register(ctx context.Context, restarted bool) (uint64, error) {
+	var version uint64
+	if restarted {
+		err := untilDone(ctx, b.log, "join-members", func() (err error) {
+			version, err = storedMember(ctx, b.platform.Store, b.cfg.Name, b.self)
+			return err
+		})
+		if err != nil {
+			return 0, err
+		}
+	}
+	if version > 0 && objectapi.EraOf(version) == b.eras.Newest() {
 		return objectapi.EraOf(version), nil
 	}
 	return registerMember(ctx, b.platform.Store, b.log, b.cfg.Name, b.self)
--- a/pkg/dsrd/discovery.go
+++ b/pkg/dsrd/discovery.go
@@ -52,19 +52,25 @@
 	})
 }
 
-// sample reads some balancers from the object API.
+// sample reads some balancers from the object API, and logs a failure.
 func (d *discovery) sample(ctx context.Context) {
-	objects, err := objectapi.Sample(ctx, d.store, MemberKind)
+	err := d.read(ctx)
+	if err != nil && ctx.Err() == nil {
+		d.log.Warn().Err(err).Str("op", "read-members").Msg("balancers cannot be read from the object API; retrying while none is alive")
+	}
+}
+
+// read reads some balancers from the object API.
+func (d *discovery) read(ctx context.Context) error {
+	objects, err := objectapi.Sample(ctx, d.store, MemberKind, "")
 	if err != nil {
-		if ctx.Err() == nil {
-			d.log.Warn().Err(err).Str("op", "read-members").Msg("balancers cannot be read from the object API; retrying while none is alive")
-		}
-		return
+		return err
 	}
 	if d.sampled != nil {
 		d.sampled(objects)
 	}
 	d.found(addressesOf(objects, d.log))
+	return nil
 }
 
 // rediscovery decides when a process looks for balancers in the object API.
--- a/pkg/dsrd/members.go
+++ b/pkg/dsrd/members.go
@@ -78,6 +78,34 @@
 	return objectapi.EraOf(stored.Version), err
 }
 
+// storedMember looks for the object of a balancer at a tenth of the price of a call, and returns its version, 0 when there
+// is none with this address. It may have been stored since.
+func storedMember(ctx context.Context, store objectapi.Store, name string, self netip.AddrPort) (uint64, error) {
+	objects, err := objectapi.Sample(ctx, store, MemberKind, placeBefore(name))
+	if err != nil {
+		return 0, err
+	}
+	return versionOf(objects, name, self), nil
+}
+
+// placeBefore returns a place shortly before a name in the order of names.
+func placeBefore(name string) string {
+	if name == "" {
+		return ""
+	}
+	return name[:len(name)-1]
+}
+
+// versionOf returns the version of a balancer's object with its address among others, 0 when it is not there.
+func versionOf(objects []objectapi.Object, name string, self netip.AddrPort) uint64 {
+	for _, o := range objects {
+		if m, err := decodeMember(o); err == nil && o.Name == name && m.Messages == self {
+			return o.Version
+		}
+	}
+	return 0
+}
+
 // correctMember updates the object of a balancer that exists with another value. Conflict is the error of its creation.
 func correctMember(ctx context.Context, store objectapi.Store, name string, value []byte, conflict error) (objectapi.Object, error) {
 	current, known := objectapi.CurrentObject(conflict)
--- a/pkg/dsrd/members_test.go
+++ b/pkg/dsrd/members_test.go
@@ -108,3 +108,44 @@
 	stop()
 	require.ErrorIs(t, <-done, context.Canceled)
 }
+
+// sampledStore can be sampled once it is up, and counts the tries.
+type sampledStore struct {
+	callStore
+	down    int
+	samples int
+}
+
+func (s *sampledStore) Sample(ctx context.Context, k objectapi.Kind, _ string) ([]objectapi.Object, error) {
+	s.samples++
+	if s.samples <= s.down {
+		return nil, objectapi.NewCallError(objectapi.OpSample, k, "", "test", objectapi.ErrUnavailable, nil)
+	}
+	objects, _, err := s.Store.List(ctx, k)
+	return objects, err
+}
+
+// After a loss of power during an outage of the object API, hundreds of balancers tried to create the objects that they had.
+func TestARestartedBalancerLooksForItsObjectBeforeItCreatesIt(t *testing.T) {
+	for _, c := range []struct {
+		reason     string
+		registered bool
+		writes     int32
+	}{
+		{"it has an object", true, 0},
+		{"it has none", false, 1},
+	} {
+		s := &sampledStore{callStore: callStore{Store: store.New(store.Config{})}, down: 3}
+		b := testBalancer(t)
+		b.cfg.Name = "balancer-1"
+		b.platform.Store = s
+		if c.registered {
+			_, err := registerMember(t.Context(), s.Store, zerolog.Nop(), "balancer-1", b.self)
+			require.NoError(t, err)
+		}
+		_, err := b.register(t.Context(), true)
+		require.NoError(t, err)
+		require.Equal(t, 4, s.samples, c.reason)
+		require.Equal(t, c.writes, s.calls.Load(), c.reason)
+	}
+}
--- a/pkg/objectapi/budget.go
+++ b/pkg/objectapi/budget.go
@@ -129,9 +129,9 @@
 }
 
 // Sample implements Sampler.
-func (b *Budgeted) Sample(ctx context.Context, kind Kind) (items []Object, err error) {
+func (b *Budgeted) Sample(ctx context.Context, kind Kind, after string) (items []Object, err error) {
 	err = b.callOnce(ctx, OpSample, kind, "", func() error {
-		items, err = Sample(ctx, b.store, kind)
+		items, err = Sample(ctx, b.store, kind, after)
 		return err
 	})
 	return items, err
