Settings: mistakes name the unit of the key, a new log format asks for a restart

Operators saw for a cpu_share of 0 that it is outside 0 to 1024 calls a second, and for a changed log.format at SIGHUP that no restart is needed, although the format stays until one.

Both tests fail without the change.

--- a/pkg/settings/checks.go
+++ b/pkg/settings/checks.go
@@ -96,10 +96,10 @@
 	}
 }
 
-// rate checks that v is above 0 and at most high. NaN fails.
-func (m *mistakes) rate(key string, v, high float64) {
+// positive checks that v is above 0 and at most high, both in the given unit. NaN fails.
+func (m *mistakes) positive(key string, v, high float64, unit string) {
 	if !(v > 0 && v <= high) {
-		m.add(key, "%g is outside 0 (excluded) to %g calls a second", v, high)
+		m.add(key, "%g is outside 0 (excluded) to %g %s", v, high, unit)
 	}
 }
 
--- a/pkg/settings/dsr_balancer.go
+++ b/pkg/settings/dsr_balancer.go
@@ -48,6 +48,6 @@
 func (b DSRBalancer) check(m *mistakes) {
 	b.DSRProcess.check(m)
 	m.optionalBind("control_address", b.ControlAddress)
-	m.rate("cpu_share", b.CPUShare, maxCPUShare)
-	m.rate("link_mbps", b.LinkMbps, maxLinkMbps)
+	m.positive("cpu_share", b.CPUShare, maxCPUShare, "cores")
+	m.positive("link_mbps", b.LinkMbps, maxLinkMbps, "Mbit/s")
 }
--- a/pkg/settings/objectapi.go
+++ b/pkg/settings/objectapi.go
@@ -29,6 +29,6 @@
 func (o ObjectAPI) check(m *mistakes) {
 	m.url("object_api.url", o.URL)
 	m.duration("object_api.timeout", o.Timeout, minTimeout, maxTimeout)
-	m.rate("object_api.calls_per_second", o.CallsPerSecond, maxCallsPerSecond)
+	m.positive("object_api.calls_per_second", o.CallsPerSecond, maxCallsPerSecond, "calls a second")
 	m.within("object_api.burst", o.Burst, 1, maxBurst)
 }
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -126,6 +126,14 @@
 	}, reasons(t, err))
 }
 
+// The share of a core and the speed of the link were said to be calls a second.
+func TestMistakesNameTheUnitOfTheKey(t *testing.T) {
+	_, err := ParseDSRBalancer([]byte("cpu_share = 0.0\nlink_mbps = -1.0\n"))
+	all := strings.Join(reasons(t, err), "\n")
+	require.Contains(t, all, "cpu_share: 0 is outside 0 (excluded) to 1024 cores")
+	require.Contains(t, all, "link_mbps: -1 is outside 0 (excluded) to 1e+06 Mbit/s")
+}
+
 func TestTextThatIsNotTOML(t *testing.T) {
 	_, err := ParseAgent([]byte("name = \"a\"\nregion = \n"))
 	require.Len(t, reasons(t, err), 1)
--- a/pkg/telemetry/daemon.go
+++ b/pkg/telemetry/daemon.go
@@ -135,7 +135,7 @@
 		}
 		d.setLevel(next, log)
 		log.Warn().Str("op", "reload").Str("file", path).Str("level", next.LogSettings().Level).
-			Bool("restart_needed", withoutLog(next) != withoutLog(inForce)).Msg("settings reloaded")
+			Bool("restart_needed", withoutLevel(next) != withoutLevel(inForce)).Msg("settings reloaded")
 	}
 }
 
@@ -149,12 +149,12 @@
 	zerolog.SetGlobalLevel(level)
 }
 
-// withoutLog returns the settings without their log section as text, for comparison.
-func withoutLog(s any) string {
+// withoutLevel returns the settings without their log level as text, for comparison.
+func withoutLevel(s any) string {
 	v := reflect.New(reflect.TypeOf(s)).Elem()
 	v.Set(reflect.ValueOf(s))
 	if f := v.FieldByName("Log"); f.IsValid() {
-		f.SetZero()
+		f.FieldByName("Level").SetZero()
 	}
 	return fmt.Sprintf("%+v", v.Interface())
 }
--- a/pkg/telemetry/daemon_test.go
+++ b/pkg/telemetry/daemon_test.go
@@ -146,6 +146,8 @@
 		write("[log]\nlevel = \"warn\"\n")
 		require.Equal(t, "false", waitFor(t, &out, `"level":"warn","restart_needed":(\w+)`))
 		env.Log.Info().Msg("not written any more")
+		write("[log]\nlevel = \"debug\"\nformat = \"console\"\n")
+		require.Equal(t, "true", waitFor(t, &out, `"level":"debug","restart_needed":(\w+)`), "the format stays until a restart")
 		write("mtu = 1300\n")
 		require.Equal(t, "true", waitFor(t, &out, `"level":"info","restart_needed":(\w+)`))
 		return nil
