A daemon that stops logs its messages by kind; registration, probes and announcements in files of their own

Operators could not see what a process sent and received once it had ended: its metrics end with it. One line at each stop, with the counts that the metrics have.

Moved without a change: registration of a balancer, probes and announcements of an agent; NewBalancer is three steps now.

--- a/pkg/dsrd/agent.go
+++ b/pkg/dsrd/agent.go
@@ -26,15 +26,6 @@
 	minDrainTime = 300 * time.Millisecond
 	// unfinishedWithin is how recent the last packet of a flow must be for the agent to wait for its end.
 	unfinishedWithin = 700 * time.Millisecond
-	// probeWindow is how long after its start an agent probes its target for readiness; by then a heartbeat has
-	// arrived. probeTimeout bounds one probe of the target on the same VM.
-	probeWindow  = 2 * time.Second
-	probeTimeout = 300 * time.Millisecond
-	// minProbeInterval is the time between two probes at the start. It grows to a fraction of the agent's age,
-	// 1/probeSlowdown: a target that starts together with its agent is up within a tenth of a second, and one that is
-	// not gets a few dozen probes, whatever the number of balancers.
-	minProbeInterval = 20 * time.Millisecond
-	probeSlowdown    = 10
 	// isolatedAfter is how long an agent may receive nothing from any balancer until it counts itself as isolated:
 	// balancers answer four times a second or more, a single one every 0.75 s. A false positive costs an announcement
 	// to each balancer.
@@ -100,6 +91,7 @@
 func (a *Agent) Run(ctx context.Context) error {
 	g, run := errgroup.WithContext(a.runCtx)
 	defer a.cancel()
+	defer a.logTotals()
 	g.Go(func() error { return a.packets.read(run, a.fromDaemon) })
 	g.Go(func() error { return a.outbound.read(run, a.fromTarget) })
 	g.Go(func() error { return a.alarm.run(run, a.tick) })
@@ -126,61 +118,16 @@
 // discover looks for balancers until the context ends.
 func (a *Agent) discover(ctx context.Context) error {
 	d := discovery{
-		store: a.platform.Store, log: a.log, seeds: a.seeds(), firstStart: a.cfg.FirstStart, found: a.addDiscovered, isAlone: a.hasNoBalancer,
+		store:      a.platform.Store,
+		log:        a.log,
+		seeds:      a.seeds(),
+		firstStart: a.cfg.FirstStart,
+		found:      a.addDiscovered,
+		isAlone:    a.hasNoBalancer,
 	}
 	return d.run(ctx)
 }
 
-// addDiscovered adds balancers that others have named, and announces the agent to the new ones at once.
-func (a *Agent) addDiscovered(addresses []netip.AddrPort) {
-	now := time.Now()
-	a.mu.Lock()
-	added := a.addBalancers(now, addresses)
-	a.mu.Unlock()
-	if added {
-		a.announce(now)
-	}
-}
-
-// announce sends the balancers that are due an announcement of the agent and its target.
-func (a *Agent) announce(now time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.logBalancers(now)
-	a.logStateChange(now)
-	a.announceDue(now)
-}
-
-// logStateChange logs a change of the target's state that no announcement caused, such as the end of its heartbeats.
-// a.mu is held.
-func (a *Agent) logStateChange(now time.Time) {
-	state := a.table.State(now)
-	if state == a.state {
-		return
-	}
-	a.log.Warn().Str("op", "target-state").Stringer("before", a.state).Stringer("state", state).Msg("the target's state changed")
-	a.state = state
-}
-
-// announceNow announces to every balancer at once. a.mu is held.
-func (a *Agent) announceNow(now time.Time) {
-	a.balancers.MakeAllDue()
-	a.announceDue(now)
-}
-
-func (a *Agent) announceDue(now time.Time) {
-	for _, b := range a.balancers.Due(now) {
-		a.announceTo(now, b)
-	}
-}
-
-// announceTo sends an announcement to a balancer, which answers every answeredAnnouncements of them. a.mu is held.
-func (a *Agent) announceTo(now time.Time, b netip.AddrPort) {
-	interval := a.balancers.IntervalTo(b)
-	a.send(b, a.table.Announcement(now, a.balancers.Alive(now, b), interval))
-	a.balancers.SetSendInterval(b, answeredAnnouncements*interval)
-}
-
 // drain stops new flows, announces that and waits until the open flows have ended.
 func (a *Agent) drain(ctx context.Context) {
 	a.mu.Lock()
@@ -288,52 +235,6 @@
 	a.announceNow(now)
 }
 
-// mayProbe reports whether the target is still to be probed. a.mu is held.
-func (a *Agent) mayProbe(now time.Time) bool {
-	return !a.table.TargetKnown() && now.Sub(a.started) <= probeWindow
-}
-
-// probe probes the target until it is ready, so that an agent that starts beside a running target need not wait for
-// the next heartbeat, which takes up to 1.2 s.
-func (a *Agent) probe(ctx context.Context, path string) {
-	var err error
-	for range int(probeWindow / minProbeInterval) {
-		if err = a.probeOnce(ctx, path); err == nil {
-			return
-		}
-		now := time.Now()
-		a.mu.Lock()
-		keepProbing := a.mayProbe(now)
-		a.mu.Unlock()
-		if !keepProbing || wait.For(ctx, max(minProbeInterval, now.Sub(a.started)/probeSlowdown)) != nil {
-			break
-		}
-	}
-	a.log.Info().Err(err).Str("op", "probe").Stringer("peer", a.target).Msg("no health check of the target succeeded")
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.probing = false
-}
-
-func (a *Agent) probeOnce(ctx context.Context, path string) error {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	n, err := a.platform.Probe(ctx, a.target, path)
-	if err != nil {
-		return err
-	}
-	now := time.Now()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.probing = false
-	if a.table.Probed(now, n.ID, n.StartedMs) {
-		a.log.Warn().Str("op", "target-state").Str("target", n.ID).Stringer("state", a.table.State(now)).Msg("target is ready according to its health check")
-		a.state = a.table.State(now)
-		a.announceNow(now)
-	}
-	return nil
-}
-
 // fromTarget receives a packet that the target sent.
 func (a *Agent) fromTarget(_ netip.AddrPort, raw []byte) {
 	s, err := a.platform.Codec.Decode(raw)
--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"time"
@@ -42,9 +41,6 @@
 	// welcomeInterval is the least time between two answers.
 	answeredAnnouncements = 2
 	welcomeInterval       = 600 * time.Millisecond
-	// joinSpread bounds the random time until a balancer registers in the object API, at its start and in a later era, so
-	// that not all call at once.
-	joinSpread = time.Second
 )
 
 // Balancer is the daemon of a balancer of pass-through services.
@@ -99,38 +95,54 @@
 	b.openRefusals()
 	b.out = newBalancerOutput(b)
 	b.core = dispatch.NewBalancer(dispatch.Config{DataCentre: cfg.DataCentre}, p.Codec, b.out, n.started)
-	b.configSync = newConfigSync(p, env.Log)
+	b.openConfigSync()
+	b.openReaders()
+	b.agents.Seed = uint64(n.started.UnixNano())
+	b.reportedEras = objectapi.NewEras()
+	env.Status.Set(b.status)
+	return b, nil
+}
+
+// openConfigSync creates what keeps the configuration up to date.
+func (b *Balancer) openConfigSync() {
+	b.configSync = newConfigSync(b.platform, b.log)
 	b.configSync.adopt = b.adopt
 	b.configSync.before = b.checkersBefore
 	b.configSync.living = func() int { return len(b.living()) }
 	b.configSync.propagation = b.propagation
-	if isSeed(b.self, b.seeds()) {
+	b.configSync.onChecked = b.gossipNow
+	switch {
+	case isSeed(b.self, b.seeds()):
 		b.configSync.firstRead.decide(true)
-	} else if cfg.FirstStart {
+	case b.cfg.FirstStart:
 		b.configSync.firstRead.decide(false)
 	}
-	b.configSync.onChecked = b.gossipNow
+}
+
+// openReaders creates what reads the balancers and the evacuations from the object API.
+func (b *Balancer) openReaders() {
 	b.discovery = &discovery{
-		store: p.Store, log: env.Log, seeds: b.seeds(), firstStart: cfg.FirstStart, found: b.addDiscovered, isAlone: b.hasNoBalancer,
-		sampled: b.recordSampled,
+		store:      b.platform.Store,
+		log:        b.log,
+		seeds:      b.seeds(),
+		firstStart: b.cfg.FirstStart,
+		found:      b.addDiscovered,
+		isAlone:    b.hasNoBalancer,
+		sampled:    b.recordSampled,
 	}
-	b.memberReader = &memberReader{store: p.Store, log: env.Log, watches: b.configSync.watches, found: b.addDiscovered}
+	b.memberReader = &memberReader{store: b.platform.Store, log: b.log, watches: b.configSync.watches, found: b.addDiscovered}
 	b.evacuationReader = &evacuationReader{
-		store:      p.Store,
-		kind:       cmp.Or(p.EvacuationKind, evacuation.Kind),
-		log:        env.Log,
+		store:      b.platform.Store,
+		kind:       cmp.Or(b.platform.EvacuationKind, evacuation.Kind),
+		log:        b.log,
 		shouldRead: b.readsEvacuations,
 		known:      b.knownEvacuations,
 		adopt:      b.applyReadEvacuations,
 		firstRead:  b.configSync.firstRead,
 	}
-	if p.EvacuationStore != nil {
-		b.evacuationReader.store = p.EvacuationStore
+	if b.platform.EvacuationStore != nil {
+		b.evacuationReader.store = b.platform.EvacuationStore
 	}
-	b.agents.Seed = uint64(n.started.UnixNano())
-	b.reportedEras = objectapi.NewEras()
-	env.Status.Set(b.status)
-	return b, nil
 }
 
 // openRefusals creates the log of refusals, whose records another balancer may write.
@@ -166,6 +178,7 @@
 func (b *Balancer) Run(ctx context.Context) error {
 	g, run := errgroup.WithContext(b.runCtx)
 	defer b.cancel()
+	defer b.logTotals()
 	g.Go(func() error { return b.packets.read(run, b.fromCaller) })
 	g.Go(func() error { return b.messages.read(run, b.fromDaemon) })
 	g.Go(func() error { return b.alarm.run(run, b.tick) })
@@ -335,66 +348,5 @@
 	return serveHTTP(ctx, b.self.String(), mux)
 }
 
-// recordSampled applies the answer to the first look of a restart: whether the balancer reads the rest of the object API at
-// once.
-func (b *Balancer) recordSampled(objects []objectapi.Object) {
-	b.configSync.firstRead.decide(comesFirst(b.self, addressesOf(objects, b.log)))
-}
-
-// join registers the balancer in the object API, again in each era: an API that was restored from an older copy may
-// have lost the balancer's object.
-func (b *Balancer) join(ctx context.Context) error {
-	for restarted := !b.cfg.FirstStart; ; restarted = false {
-		if err := wait.For(ctx, rand.N(joinSpread)); err != nil {
-			return err
-		}
-		reported := b.reportedEras.Newest()
-		era, err := b.register(ctx, restarted)
-		if err != nil {
-			return err
-		}
-		if err := b.awaitEra(ctx, era, reported); err != nil {
-			return err
-		}
-	}
-}
-
-// register makes sure that the object API has this balancer's object, and returns the era in which it has. A balancer that
-// restarts looks for it first, again and again while the object API is down: a try to create it costs ten times as much.
-func (b *Balancer) register(ctx context.Context, restarted bool) (uint64, error) {
-	var version uint64
-	if restarted {
-		err := untilDone(ctx, b.log, "join-members", func() (err error) {
-			version, err = storedMember(ctx, b.platform.Store, b.cfg.Name, b.self)
-			return err
-		})
-		if err != nil {
-			return 0, err
-		}
-	}
-	if version > 0 && objectapi.EraOf(version) == b.eras.Newest() {
-		return objectapi.EraOf(version), nil
-	}
-	return registerMember(ctx, b.platform.Store, b.log, b.cfg.Name, b.self)
-}
-
-// awaitEra returns when an era after the given one is known, or when others report one that is later than both that one
-// and reported, the last one that they had reported. It returns the context's error when that ends.
-func (b *Balancer) awaitEra(ctx context.Context, era, reported uint64) error {
-	for {
-		newest, known := b.eras.Changed()
-		newestReported, reportedChanged := b.reportedEras.Changed()
-		if newest > era || newestReported > max(era, reported) {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-known:
-		case <-reportedChanged:
-		}
-	}
-}
-
 // noTargets rejects targets that call a balancer.
 type noTargets struct{}
--- a/pkg/dsrd/node.go
+++ b/pkg/dsrd/node.go
@@ -87,6 +87,12 @@
 // Close stops the daemon at once, without draining or notifying others.
 func (n *node) Close() { n.cancel() }
 
+// logTotals logs the messages of the whole life of the process, which the metrics lose with it.
+func (n *node) logTotals() {
+	n.log.Warn().Str("op", "stop").Dur("life_ms", time.Since(n.started)).Dict("sent", n.sent.totals()).
+		Dict("received", n.received.totals()).Msg("messages to and from other daemons")
+}
+
 // seeds are the message addresses of the balancers in the settings.
 func (n *node) seeds() []netip.AddrPort {
 	var out []netip.AddrPort
