A balancer that has just started does not take itself for the one that checks for all

A trial that logs each call: 110 lists of the configuration in the first second, of 304 balancers.

Cause: 0.3 s after its start, a balancer that knows nobody who comes before it reads the object API and watches it. Since messages to a peer that was never seen become rarer, a third of the balancers knows only a few others by then. Whether it is so depends on who starts first; it grows with the fleet, since all meet later.

A balancer comes first only once it has been up for the 5 s in which all meet, unless it is one of the few that read at once at a start, or knows no other at all. Until then one of the balancers in the settings watches for the first configuration, and goes on until one that comes before it reports that it does. Without any report, a balancer checks after 1.4 to 2.3 s as before.

TestABalancerThatHasJustStartedDoesNotTakeItselfForTheFirst, TestABalancerOfTheSettingsWatchesForTheFirstConfiguration fail without the change; TestOneBalancerComesFirstOnceAllHaveSettled (simulation) shows that the 5 s are enough.

--- a/pkg/dsrd/check_situation.go
+++ b/pkg/dsrd/check_situation.go
@@ -1,6 +1,10 @@
 package dsrd
 
-import "time"
+import (
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/dsr/roster"
+)
 
 // Times of the checks of the configuration.
 const (
@@ -18,6 +22,9 @@
 	// startWait is how long a balancer that has just started waits for word from those in its settings. If all of them
 	// read the object API at once, the calls of a start of all would grow with their number.
 	startWait = 300 * time.Millisecond
+	// settleTime is the time in which balancers that start together meet. Until then, many of them know none that comes
+	// before them.
+	settleTime = roster.EagerTime
 	// failurePause is the pause after a failed check, doubled with each further one up to maxFailurePause, since each
 	// call in an outage is charged to the object API's budget.
 	failurePause    = 200 * time.Millisecond
@@ -34,6 +41,8 @@
 	// may take to arrive.
 	before      int
 	propagation time.Duration
+	// alone is set when no other balancer is alive.
+	alone bool
 	// watching is set while this balancer checks for others.
 	watching bool
 	// starting is set until a configuration is in force. With readsFirst set, the balancer then reads at once.
@@ -53,7 +62,7 @@
 		return true
 	case s.starting && s.readsFirst && s.checked.IsZero():
 		return true
-	case s.before == 0 && !(s.starting && now.Sub(s.started) < startWait):
+	case s.comesFirst(now):
 		return true
 	case !s.newerSince.IsZero() && now.Sub(s.newerSince) >= s.fetchTime():
 		return true
@@ -66,12 +75,26 @@
 	switch {
 	case s.readsFirst:
 		return false
-	case s.before == 0:
+	case s.alone:
 		return now.Sub(s.started) < startWait
 	}
 	return now.Sub(s.started) < s.reportTime()
 }
 
+// comesFirst reports whether no balancer checks before this one, as far as it can know by now.
+func (s checkSituation) comesFirst(now time.Time) bool {
+	age := now.Sub(s.started)
+	switch {
+	case s.before > 0:
+		return false
+	case s.readsFirst:
+		return !s.starting || age >= startWait
+	case s.alone:
+		return age >= startWait
+	}
+	return age >= settleTime
+}
+
 // fetchTime is how long a newer configuration may take to be fetched from another balancer, which takes less time and fewer
 // bytes than a read of the object API. When all start together, each may have to ask several times.
 func (s checkSituation) fetchTime() time.Duration {
--- a/pkg/dsrd/config_check.go
+++ b/pkg/dsrd/config_check.go
@@ -48,7 +48,7 @@
 
 // situation returns what the decision about a check depends on.
 func (k *configSync) situation() checkSituation {
-	s := checkSituation{before: k.before(), propagation: k.propagation(), readsFirst: k.firstRead.isFirst()}
+	s := checkSituation{before: k.before(), propagation: k.propagation(), alone: k.living() == 0, readsFirst: k.firstRead.isFirst()}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s.watching = k.watching
@@ -65,6 +65,7 @@
 func (k *configSync) check(ctx context.Context) {
 	began := time.Now()
 	version, _, _ := k.state(began)
+	watching := k.watches()
 	var err error
 	if k.mustRead(began) {
 		err = k.read(ctx, began)
@@ -72,14 +73,20 @@
 		err = k.watch(ctx)
 	}
 	k.recordCheck(began, err)
-	k.setWatching(version > 0 && err == nil, began)
+	k.setWatching(err == nil && (watching || !k.isFirstRead(version)), began)
 	if err == nil {
 		k.onChecked()
 	}
 }
 
-// setWatching sets whether this balancer checks for others, after a check that began at the given time. The first read at
-// its start does not count.
+// isFirstRead reports whether a check, before which the given version was in force, was the first to find a configuration. It
+// does not make this balancer check for others: many make such a read when all restart.
+func (k *configSync) isFirstRead(before uint64) bool {
+	version, _, _ := k.state(time.Time{})
+	return before == 0 && version > 0
+}
+
+// setWatching sets whether this balancer checks for others, after a check that began at the given time.
 func (k *configSync) setWatching(on bool, began time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/pkg/dsrd/config_sync_test.go
+++ b/pkg/dsrd/config_sync_test.go
@@ -379,6 +379,54 @@
 	}
 }
 
+// When 304 balancers started together, 110 of them knew none before them after 0.3 s, read the object API and watched it.
+func TestABalancerThatHasJustStartedDoesNotTakeItselfForTheFirst(t *testing.T) {
+	for _, version := range []uint64{0, 5} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newConfigSyncFixture()
+			f.store.write(version, "")
+			f.firstRead = newFirstRead()
+			f.firstRead.decide(false)
+			f.fleet = 303
+			if version > 0 {
+				f.adoptIfNewer(configuration.Configuration{Version: version}, nil, time.Now())
+			}
+			ctx, stop := context.WithCancel(t.Context())
+			done := make(chan error, 1)
+			go func() { done <- f.run(ctx) }()
+			for time.Since(f.started) < settleTime-WatchWait {
+				f.confirm(version, time.Now())
+				time.Sleep(WatchWait)
+			}
+			reads, watches := f.store.calls()
+			require.Zero(t, reads+watches, "others check")
+			time.Sleep(2 * time.Second)
+			reads, watches = f.store.calls()
+			require.Positive(t, reads+watches, "it knows that it comes first")
+			stop()
+			require.ErrorIs(t, <-done, context.Canceled)
+		})
+	}
+}
+
+// Until the operator has written a configuration, one of the balancers in the settings watches for it, also when it knows
+// that others will check before it.
+func TestABalancerOfTheSettingsWatchesForTheFirstConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newConfigSyncFixture()
+		f.store.write(0, "")
+		f.ahead, f.fleet = 1, 303
+		f.runFor(t, 3*time.Second)
+		_, watches := f.store.calls()
+		require.GreaterOrEqual(t, watches, 4, "one each 0.6 to 0.7 s")
+		f.yield(time.Now())
+		f.confirm(0, time.Now())
+		f.runFor(t, time.Second)
+		reads, watches := f.store.calls()
+		require.Zero(t, reads+watches, "another one watches")
+	})
+}
+
 // A configuration that does not exist yet is watched for by one balancer, and known not to exist by the others.
 func TestAMissingConfigurationIsNotReadAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/dsrd/meeting_test.go
+++ b/pkg/dsrd/meeting_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -183,3 +184,29 @@
 		require.LessOrEqual(t, most, 4*(c.balancers+c.agents), "%d balancers, %d agents", c.balancers, c.agents)
 	}
 }
+
+// knowsNoneBefore counts the balancers that know no living one with a lower address.
+func (w *meeting) knowsNoneBefore() int {
+	n := 0
+	for _, b := range w.order {
+		if b.agent {
+			continue
+		}
+		before := slices.ContainsFunc(b.balancers.Living(w.now), func(a netip.AddrPort) bool { return a.Compare(b.address) < 0 })
+		if !before {
+			n++
+		}
+	}
+	return n
+}
+
+// Balancers that start together do not know each other at first; each takes itself for the one that checks for all.
+func TestOneBalancerComesFirstOnceAllHaveSettled(t *testing.T) {
+	for _, c := range []struct{ balancers, agents int }{{50, 110}, {150, 340}} {
+		w := newMeeting(c.balancers, c.agents)
+		for began := w.now; w.now.Sub(began) < settleTime; {
+			w.step()
+		}
+		require.Equal(t, 1, w.knowsNoneBefore(), "%d balancers, %d agents", c.balancers, c.agents)
+	}
+}
