Messages to peers that were met at one moment are spread over the interval

Cause: processes that start together meet within two seconds and then name an interval of 15 s (304 balancers; 0.25 s among five). The time of the next message was drawn over the whole interval only when the first one went to a living peer; at a start the first goes to one that has not answered yet. So each sent nothing to nearly all others for eleven seconds, nobody heard of the checks of the watching balancer, and others took over.

The time is drawn over the whole interval when a peer is met, and whenever its interval has grown by more than a quarter. Cost: on average half an interval earlier, once for each pair; the rate of 20 messages a second stays.

Ruled out: lost messages (the watching balancer did watch all the time, and told six others at each check).

TestMessagesAreSpreadEvenlyAfterAStart (150 balancers): 20 seconds without messages before, none now.

--- a/pkg/dsr/roster/peer.go
+++ b/pkg/dsr/roster/peer.go
@@ -20,6 +20,9 @@
 	// promised is the interval that the last message to the peer named: without another message within a multiple of it,
 	// the peer takes this process for lost.
 	promised time.Duration
+	// spread is the interval over which the time of a message to the peer was last drawn; zero after a message that the
+	// peer may not have received.
+	spread time.Duration
 	// reportedAlive is set from the first message until NewlySilent has reported the peer.
 	reportedAlive bool
 	// sendInterval is the time between two messages of the peer, as reported by it; requestedInterval is the time that
--- a/pkg/dsr/roster/peers.go
+++ b/pkg/dsr/roster/peers.go
@@ -53,6 +53,10 @@
 	e := p.m[a]
 	fresh := e.lastSeen.IsZero() || now.Sub(e.lastSeen) > e.silenceTimeout()
 	e.lastSeen = now
+	if fresh && !e.lastSent.IsZero() {
+		p.drawNext(e)
+		e.sendAt.set(&p.sendQueue, e, time.Time{})
+	}
 	if !e.reportedAlive {
 		e.reportedAlive = true
 		e.silentAt.set(&p.silentQueue, e, e.silentFrom())
@@ -150,21 +154,29 @@
 	return at
 }
 
-// recordSent records a message to a peer and draws the time of the next one. Intervals are jittered: a process that sends
-// to all peers at once, such as at its start, would otherwise continue to send in such bursts.
+// recordSent records a message to a peer and draws the time of the next one.
 func (p *Peers) recordSent(now time.Time, e *peer) {
-	atOnce := e.lastSent.IsZero()
 	e.lastSent, e.fraction, e.promised = now, 1, p.Interval(e.requestedInterval)
 	e.sendCount++
-	if !e.isAlive(now) || p.Interval(e.requestedInterval) == MinInterval {
+	if !e.isAlive(now) {
+		e.spread = 0
+		return
+	}
+	p.drawNext(e)
+}
+
+// drawNext draws the time of the next message to a living peer. A process that sends to all peers at once, as at its start
+// or while intervals grow, would otherwise go on in such bursts, with nothing between them.
+func (p *Peers) drawNext(e *peer) {
+	if e.promised == MinInterval {
 		return
 	}
 	drawn := p.draw(e.address, e.sendCount)
-	if atOnce {
-		e.fraction = drawn
+	if float64(e.promised) <= (1+intervalJitter)*float64(e.spread) {
+		e.fraction = 1 - intervalJitter*drawn
 		return
 	}
-	e.fraction = 1 - intervalJitter*drawn
+	e.fraction, e.spread = drawn, e.promised
 }
 
 // draw returns a pseudo-random number in [0, 1) that depends only on the peer, the count and the seed.
@@ -201,7 +213,7 @@
 // MakeAllDue makes the next call of Due return every peer.
 func (p *Peers) MakeAllDue() {
 	for _, e := range p.order {
-		e.lastSent = time.Time{}
+		e.lastSent, e.spread = time.Time{}, 0
 		e.sendAt.set(&p.sendQueue, e, time.Time{})
 	}
 }
--- a/pkg/dsrd/meeting_test.go
+++ b/pkg/dsrd/meeting_test.go
@@ -23,8 +23,8 @@
 	// balancers are those that it knows; met are the agents that a balancer knows, with the time of its last answer.
 	balancers roster.Peers
 	met       map[netip.AddrPort]time.Time
-	// received counts the messages of the current second.
-	received int
+	// sent and received count the messages of the current second.
+	sent, received int
 }
 
 // meetingMessage is a message between daemons.
@@ -62,7 +62,10 @@
 	return w
 }
 
-func (w *meeting) send(m meetingMessage) { w.sent = append(w.sent, m) }
+func (w *meeting) send(m meetingMessage) {
+	w.sent = append(w.sent, m)
+	m.from.sent++
+}
 
 // step delivers the messages of the last step and sends what is due.
 func (w *meeting) step() {
@@ -167,10 +170,10 @@
 	return w.now.Sub(began), most
 }
 
-// startSecond starts the count of received messages anew.
+// startSecond starts the counts of messages anew.
 func (w *meeting) startSecond() {
 	for _, n := range w.order {
-		n.received = 0
+		n.sent, n.received = 0, 0
 	}
 }
 
@@ -210,3 +213,22 @@
 		require.Equal(t, 1, w.knowsNoneBefore(), "%d balancers, %d agents", c.balancers, c.agents)
 	}
 }
+
+// All processes met at the same moment and sent each other nothing for the next eleven seconds, so that hardly anybody heard
+// of the checks of the configuration, and ten balancers watched it instead of one.
+func TestMessagesAreSpreadEvenlyAfterAStart(t *testing.T) {
+	w := newMeeting(150, 0)
+	silent := 0
+	for second := range 25 {
+		w.startSecond()
+		for range int(time.Second / meetingStep) {
+			w.step()
+		}
+		for _, n := range w.order {
+			if second >= 4 && n.sent < roster.SendRate/4 {
+				silent++
+			}
+		}
+	}
+	require.Zero(t, silent, "seconds in which a balancer sent hardly anything")
+}
