Lists of agents take a bounded part of a balancer's link

Each balancer that starts asks three others for all agents, at a start of all the same three: 304 lists of 12 kB. That grows with balancers times agents: 29 MB from each of three at 490 + 3,300, 12 s of a link of 20 Mbit/s.

- Such lists take an eighth of the sender's link; a balancer that gets none asks the next ones 50 ms later.
- At the first start of all nobody asks: no balancer knows all agents, and those announce themselves.

Ruled out: naming only some agents to each; a single restarted balancer needs all at once.

--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -63,6 +63,7 @@
 	// until one of them has sent the agents that it knows.
 	readCapacity  map[netip.AddrPort]uint32
 	requestAgents bool
+	rosters       rosterBudget
 	// evicted is when the state of lost processes was last removed.
 	evicted time.Time
 	// discovery looks for other balancers, memberReader reads the list of them.
@@ -91,7 +92,15 @@
 		return nil, err
 	}
 	n.self = n.messages.address()
-	b := &Balancer{node: n, cfg: cfg, lastWelcome: make(map[netip.AddrPort]time.Time), readCapacity: make(map[netip.AddrPort]uint32), requestAgents: true}
+	b := &Balancer{
+		node:         n,
+		cfg:          cfg,
+		lastWelcome:  make(map[netip.AddrPort]time.Time),
+		readCapacity: make(map[netip.AddrPort]uint32),
+		// At a first start nobody knows all agents yet; they announce themselves.
+		requestAgents: !cfg.FirstStart,
+		rosters:       newRosterBudget(cfg.LinkMbps),
+	}
 	b.openRefusals()
 	b.out = newBalancerOutput(b)
 	b.core = dispatch.NewBalancer(dispatch.Config{DataCentre: cfg.DataCentre}, p.Codec, b.out, n.started)
--- a/pkg/dsrd/gossip.go
+++ b/pkg/dsrd/gossip.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
@@ -11,8 +10,6 @@
 )
 
 const (
-	// maxRoster bounds the addresses of one kind in a message: 2,880 bytes, about two Ethernet frames.
-	maxRoster = 160
 	// fanOut is the number of balancers that are notified of a check or a change at once. Of 490 balancers all but
 	// one in 400 receive a change when each notifies six; the rest get it with the next regular message, of which
 	// each gets 20 a second.
@@ -28,8 +25,6 @@
 	// missed one when all started together learns its address within a second among 59 balancers, within a minute
 	// among 490.
 	gossipedPeers = 2
-	// queriedPeers is the number of balancers that a starting one asks for the agents in one round; each names all.
-	queriedPeers = 3
 	// evictInterval is the time between two removals of the state of lost processes, which look at all of them.
 	evictInterval = 5 * time.Second
 	// hopTime is the assumed time of a message between balancers. It is added to the age of a check at each hop;
@@ -181,37 +176,6 @@
 	}
 }
 
-// sendAgents names the living agents to a balancer that has just started. b.mu is held.
-func (b *Balancer) sendAgents(now time.Time, to netip.AddrPort) {
-	balancers := encodeAddresses(b.balancers.Sample(now, bootstrapPeers))
-	for agents := range slices.Chunk(b.agents.Living(now), maxRoster) {
-		b.send(to, &dsrpb.Message{
-			Kind:          dsrpb.Kind_KIND_GOSSIP,
-			Configuration: b.core.Routes().Version(),
-			Evacuations:   encodeEvacuations(b.core.Evacuations()),
-			Roster: &dsrpb.Roster{
-				Agents:     encodeAddresses(agents),
-				Balancers:  balancers,
-				IntervalMs: uint32(b.balancers.IntervalTo(to) / time.Millisecond),
-			},
-		})
-	}
-}
-
-// introduceTo makes this balancer known to agents that another balancer has named and that are not alive here; they
-// announce themselves at once. b.mu is held.
-func (b *Balancer) introduceTo(now time.Time, agents []netip.AddrPort) {
-	for _, a := range agents {
-		if !b.agents.Alive(now, a) {
-			m := b.welcomeMessage(now, "")
-			m.Roster.Ask = true
-			// Agents that other balancers know also know those balancers.
-			m.Roster.Balancers = encodeAddresses(b.balancers.Sample(now, gossipedPeers))
-			b.send(a, m)
-		}
-	}
-}
-
 // welcome answers an agent's announcement. b.mu is held.
 func (b *Balancer) welcome(now time.Time, from netip.AddrPort, service string, a *dsrpb.Announcement) {
 	if a == nil || a.Joined && a.State != dsrpb.State_STATE_ABSENT && now.Sub(b.lastWelcome[from]) < minWelcomeInterval(a) {
--- a/pkg/dsrd/messages_test.go
+++ b/pkg/dsrd/messages_test.go
@@ -71,6 +71,7 @@
 	b.core = dispatch.NewBalancer(dispatch.Config{}, dsrtest.Codec{}, b.out, b.started)
 	b.configSync = newConfigSync(Platform{}, zerolog.Nop())
 	b.reportedEras = objectapi.NewEras()
+	b.rosters = newRosterBudget(1000)
 	return b
 }
 
