An answer to an announcement causes no other announcement

Cause: an agent announces itself to a balancer that it hears for the first time. Nearly always that is the answer to its own announcement, of fifty milliseconds before. While its target is not known, such an announcement is answered too.

A greeting within a second of an announcement is its answer. A balancer that asks, one that is heard by another kind of message (it knows an earlier life of the agent), and one to which nothing was sent get an announcement at once as before.

TestAnAnswerToAnAnnouncementCausesNoOther; TestProcessesMeetThroughAFewBalancers (simulation) passes with it.

--- a/pkg/dsr/roster/peers.go
+++ b/pkg/dsr/roster/peers.go
@@ -99,6 +99,14 @@
 	return e != nil && e.isAlive(now)
 }
 
+// LastSent returns when the last message was sent to a peer; zero when none was.
+func (p *Peers) LastSent(a netip.AddrPort) time.Time {
+	if e := p.m[a]; e != nil {
+		return e.lastSent
+	}
+	return time.Time{}
+}
+
 // NewlySilent returns the peers that have become silent since the last call, in order of addition.
 func (p *Peers) NewlySilent(now time.Time) []netip.AddrPort {
 	var silent []*peer
--- a/pkg/dsrd/agent.go
+++ b/pkg/dsrd/agent.go
@@ -30,6 +30,8 @@
 	// balancers answer four times a second or more, a single one every 0.75 s. A false positive costs an announcement
 	// to each balancer.
 	isolatedAfter = 2 * time.Second
+	// answerTime is how long after an announcement a greeting counts as its answer.
+	answerTime = time.Second
 )
 
 // Agent is the daemon beside one target of a pass-through service.
@@ -162,7 +164,7 @@
 	}
 	a.received.count(m.Kind, len(raw))
 	now := time.Now()
-	a.recordSeen(now, from)
+	a.recordSeen(now, from, m)
 	switch m.Kind {
 	case dsrpb.Kind_KIND_FORWARD:
 		s, err := a.platform.Codec.Decode(m.Packet)
@@ -180,20 +182,27 @@
 	a.alarm.schedule(a.table.Deadline())
 }
 
-// recordSeen records a message of a balancer. One that is new, or was silent, gets an announcement at once; after a
-// time without any message all of them do, since they may have evicted the agent. a.mu is held.
-func (a *Agent) recordSeen(now time.Time, from netip.AddrPort) {
+// recordSeen records a message of a balancer. One that is new, or was silent, gets an announcement at once, unless it has
+// one or asks for one; after a time without any message all of them do, since they may have evicted the agent. a.mu is held.
+func (a *Agent) recordSeen(now time.Time, from netip.AddrPort, m *dsrpb.Message) {
 	isolated := !a.lastSeen.IsZero() && now.Sub(a.lastSeen) > isolatedAfter
 	a.lastSeen = now
 	if a.balancers.MarkSeen(now, from) {
 		a.recordRegained(from)
-		a.announceTo(now, from)
+		if !m.GetRoster().GetAsk() && !a.isAnswer(now, from, m) {
+			a.announceTo(now, from)
+		}
 	}
 	if isolated {
 		a.announceNow(now)
 	}
 }
 
+// isAnswer reports whether a balancer's message answers an announcement. a.mu is held.
+func (a *Agent) isAnswer(now time.Time, from netip.AddrPort, m *dsrpb.Message) bool {
+	return m.Kind == dsrpb.Kind_KIND_WELCOME && now.Sub(a.balancers.LastSent(from)) < answerTime
+}
+
 // receiveWelcome applies a balancer's answer to an announcement. a.mu is held.
 func (a *Agent) receiveWelcome(now time.Time, from netip.AddrPort, r *dsrpb.Roster) {
 	if r == nil {
--- a/pkg/dsrd/meeting_test.go
+++ b/pkg/dsrd/meeting_test.go
@@ -137,7 +137,7 @@
 // welcomed handles a balancer's answer at an agent.
 func (w *meeting) welcomed(m meetingMessage) {
 	n := m.to
-	if n.balancers.MarkSeen(w.now, m.from.address) {
+	if n.balancers.MarkSeen(w.now, m.from.address) && w.now.Sub(n.balancers.LastSent(m.from.address)) >= answerTime {
 		w.send(meetingMessage{from: n, to: m.from, interval: n.balancers.IntervalTo(m.from.address), joined: true})
 	}
 	n.balancers.SetRequestedInterval(m.from.address, m.interval)
--- a/pkg/dsrd/messages_test.go
+++ b/pkg/dsrd/messages_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -97,6 +98,38 @@
 	require.Len(t, fresh.received(), 1)
 }
 
+// Each agent announced itself to each balancer again when that answered, and such an announcement of an agent without a target
+// is answered too: a third of the messages of a start, which grow with agents times balancers.
+func TestAnAnswerToAnAnnouncementCausesNoOther(t *testing.T) {
+	for _, c := range []struct {
+		reason    string
+		announced bool
+		message   *dsrpb.Message
+		sent      int
+	}{
+		{"an answer", true, &dsrpb.Message{Kind: dsrpb.Kind_KIND_WELCOME, Roster: &dsrpb.Roster{}}, 0},
+		{"a balancer that has lost its state", true, &dsrpb.Message{Kind: dsrpb.Kind_KIND_WELCOME, Roster: &dsrpb.Roster{Ask: true}}, 1},
+		{"a balancer that knows an earlier life of the agent", true, &dsrpb.Message{Kind: dsrpb.Kind_KIND_LOCATE}, 1},
+		{"a balancer that this agent did not know", false, &dsrpb.Message{Kind: dsrpb.Kind_KIND_WELCOME, Roster: &dsrpb.Roster{}}, 1},
+		{"one that asks for an announcement", false, &dsrpb.Message{Kind: dsrpb.Kind_KIND_WELCOME, Roster: &dsrpb.Roster{Ask: true}}, 1},
+	} {
+		balancer := newListener(t)
+		a := &Agent{node: testNode(t)}
+		a.out = newAgentOutput(a)
+		a.table = ownership.NewTable(ownership.Config{}, dsrtest.Codec{}, a.out, a.started)
+		if c.announced {
+			a.balancers.Add(a.started, balancer.address())
+			a.announceDue(a.started)
+			require.Len(t, balancer.received(), 1)
+		}
+		raw, err := c.message.MarshalVT()
+		require.NoError(t, err)
+		a.fromDaemon(balancer.address(), raw)
+		announcements := slices.DeleteFunc(balancer.received(), func(m *dsrpb.Message) bool { return m.Kind != dsrpb.Kind_KIND_ANNOUNCE })
+		require.Len(t, announcements, c.sent, c.reason)
+	}
+}
+
 // A balancer that does not say when it sends its next message counts as silent after a second.
 func TestEveryMessageNamesTheNextInterval(t *testing.T) {
 	peer := newListener(t)
