An agent gets the path of its target's health check from a few balancers

Some six of the balancers send it, as they notify agents of an evacuation; an agent that gets none learns it with the answer to its next announcement, of which it sends 20 a second.

TestAnAgentGetsTheHealthPathFromAFewBalancers fails without the change.

--- a/pkg/dsrd/evacuate.go
+++ b/pkg/dsrd/evacuate.go
@@ -10,8 +10,8 @@
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
 )
 
-// agentFanOut is the number of balancers that, on average, notify an agent at once when its data centre is evacuated
-// or used again. The others report it when they answer its next announcement.
+// agentFanOut is the number of balancers that, on average, notify an agent at once: when its data centre is evacuated or used
+// again, and of the health check of its target. The others report it when they answer its next announcement.
 const agentFanOut = 6
 
 // withoutEraTime is how long a balancer reads the evacuations itself after a balancer of a release without eras has
--- a/pkg/dsrd/gossip.go
+++ b/pkg/dsrd/gossip.go
@@ -203,11 +203,13 @@
 	return max(welcomeInterval, milliseconds(a.IntervalMs)*(answeredAnnouncements*4-3)/4)
 }
 
-// sendHealthPaths sends agents without a target the path of the health check, which the configuration names. b.mu is
-// held.
+// sendHealthPaths sends agents without a target the path of the health check, which the configuration names. Each agent
+// gets it from some balancers, and with the answer to its next announcement. b.mu is held.
 func (b *Balancer) sendHealthPaths(now time.Time) {
 	for _, a := range b.core.AgentsWithoutTarget(now) {
-		b.send(a.Address, b.welcomeMessage(now, a.Service))
+		if b.isNotifier() {
+			b.send(a.Address, b.welcomeMessage(now, a.Service))
+		}
 	}
 }
 
--- a/pkg/dsrd/messages_test.go
+++ b/pkg/dsrd/messages_test.go
@@ -130,6 +130,29 @@
 	}
 }
 
+// When the first configuration came into force, each balancer sent each agent the path of the health check: 304 greetings for
+// each of 678 agents at one moment, where one is enough.
+func TestAnAgentGetsTheHealthPathFromAFewBalancers(t *testing.T) {
+	for _, c := range []struct{ balancers, least, most int }{
+		{1, 3000, 3000}, {agentFanOut, 3000, 3000}, {304, 5, 150}, {490, 5, 110},
+	} {
+		b := testBalancer(t)
+		now := b.started
+		for _, a := range unreachable(c.balancers - 1) {
+			b.balancers.MarkSeen(now, a)
+		}
+		for _, a := range unreachable(3000) {
+			b.core.FromAgent(now, a, &dsrpb.Message{
+				Kind: dsrpb.Kind_KIND_ANNOUNCE, Service: "s", Announcement: &dsrpb.Announcement{State: dsrpb.State_STATE_ABSENT},
+			})
+		}
+		b.sendHealthPaths(now)
+		sent := int(b.sent.kinds[dsrpb.Kind_KIND_WELCOME].total.Load())
+		require.GreaterOrEqual(t, sent, c.least, "%d balancers", c.balancers)
+		require.LessOrEqual(t, sent, c.most, "%d balancers", c.balancers)
+	}
+}
+
 // A balancer that does not say when it sends its next message counts as silent after a second.
 func TestEveryMessageNamesTheNextInterval(t *testing.T) {
 	peer := newListener(t)
