--- a/pkg/dsrd/agent_roster_test.go
+++ b/pkg/dsrd/agent_roster_test.go
@@ -9,8 +9,7 @@
 	"github.com/auburnwood/auburnwood/pkg/wire"
 )
 
-// After a restart of all, 304 balancers asked the three in the settings for all agents: 2.8 MB from each of the three, on links
-// of 2.5 MB a second. At 490 balancers and 3,300 agents it would be 29 MB.
+// When all balancers restart together, all ask the same few for all agents.
 func TestListsOfAgentsTakeABoundedPartOfTheLink(t *testing.T) {
 	for _, c := range []struct{ balancers, agents int }{{304, 678}, {490, 3300}, {1000, 2000}} {
 		const linkMbps = 20
--- a/pkg/dsrd/config_sync_test.go
+++ b/pkg/dsrd/config_sync_test.go
@@ -309,8 +309,7 @@
 	})
 }
 
-// The report of the first one nearly always arrives during a watch, whose end took the watch up again: two balancers
-// watched for as long as they ran.
+// The report of the first one nearly always arrives during a watch, whose end must not start the next one.
 func TestAWatchThatIsUnderWayDoesNotOutliveAYield(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newConfigSyncFixture()
@@ -350,8 +349,7 @@
 	})
 }
 
-// When all balancers start together, each of them read the object API at once, and again and again until the operator
-// had written a configuration.
+// If all balancers that start together read the object API at once, the calls would grow with their number.
 func TestBalancersLeaveTheFirstReadToOthers(t *testing.T) {
 	for _, c := range []struct {
 		reason     string
@@ -379,7 +377,8 @@
 	}
 }
 
-// When 304 balancers started together, 110 of them knew none before them after 0.3 s, read the object API and watched it.
+// Balancers that start together know few others at first. If each took itself for the first one, all would read and watch the
+// object API.
 func TestABalancerThatHasJustStartedDoesNotTakeItselfForTheFirst(t *testing.T) {
 	for _, version := range []uint64{0, 5} {
 		synctest.Test(t, func(t *testing.T) {
@@ -497,7 +496,7 @@
 	})
 }
 
-// While nobody reaches the object API, each balancer of a large fleet retried once a second.
+// While nobody reaches the object API, all balancers check. Their calls must not grow with their number.
 func TestBalancersTogetherRetryAtABoundedRate(t *testing.T) {
 	for _, fleet := range []int{304, 490, 3800} {
 		synctest.Test(t, func(t *testing.T) {
--- a/pkg/dsrd/gossip.go
+++ b/pkg/dsrd/gossip.go
@@ -14,9 +14,9 @@
 	// one in 400 receive a change when each notifies six; the rest get it with the next regular message, of which
 	// each gets 20 a second.
 	fanOut = 6
-	// bootstrapPeers is the number of balancers named in a message to a process that may know none. Such a process
-	// reads all balancers from the object API; while that is down, three seeds that name 16 each lead to all others
-	// in a few messages. Naming all would make the bytes of a start grow with the number of balancers.
+	// bootstrapPeers is the number of balancers named in a message to a process that may know only those in its settings.
+	// Three of them that name 16 each lead to all others in a few messages. Naming all would make the bytes of a start grow
+	// with the square of the number of balancers.
 	bootstrapPeers = 16
 	// reconnectPeers is the number of balancers named in a message to a silent one, which gets several messages a
 	// second.
--- a/pkg/dsrd/meeting_test.go
+++ b/pkg/dsrd/meeting_test.go
@@ -214,8 +214,8 @@
 	}
 }
 
-// All processes met at the same moment and sent each other nothing for the next eleven seconds, so that hardly anybody heard
-// of the checks of the configuration, and ten balancers watched it instead of one.
+// Processes that meet at the same moment must not go on in bursts: between two of them nobody would hear of the checks of the
+// configuration, and others would take over.
 func TestMessagesAreSpreadEvenlyAfterAStart(t *testing.T) {
 	w := newMeeting(150, 0)
 	silent := 0
--- a/pkg/dsrd/members_test.go
+++ b/pkg/dsrd/members_test.go
@@ -125,7 +125,7 @@
 	return objects, err
 }
 
-// After a loss of power during an outage of the object API, hundreds of balancers tried to create the objects that they had.
+// A try to create an object costs ten times as much as a look, and is repeated for as long as the object API is down.
 func TestARestartedBalancerLooksForItsObjectBeforeItCreatesIt(t *testing.T) {
 	for _, c := range []struct {
 		reason     string
--- a/pkg/dsrd/messages_test.go
+++ b/pkg/dsrd/messages_test.go
@@ -98,8 +98,8 @@
 	require.Len(t, fresh.received(), 1)
 }
 
-// Each agent announced itself to each balancer again when that answered, and such an announcement of an agent without a target
-// is answered too: a third of the messages of a start, which grow with agents times balancers.
+// An announcement for each answer would double the messages of a start, which grow with agents times balancers: that of an
+// agent without a target is answered too.
 func TestAnAnswerToAnAnnouncementCausesNoOther(t *testing.T) {
 	for _, c := range []struct {
 		reason    string
@@ -130,8 +130,8 @@
 	}
 }
 
-// When the first configuration came into force, each balancer sent each agent the path of the health check: 304 greetings for
-// each of 678 agents at one moment, where one is enough.
+// If each balancer sent the path of the health check to each agent, the messages of that moment would grow with agents times
+// balancers.
 func TestAnAgentGetsTheHealthPathFromAFewBalancers(t *testing.T) {
 	for _, c := range []struct{ balancers, least, most int }{
 		{1, 3000, 3000}, {agentFanOut, 3000, 3000}, {304, 5, 150}, {490, 5, 110},
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -126,7 +126,6 @@
 	}, reasons(t, err))
 }
 
-// The share of a core and the speed of the link were said to be calls a second.
 func TestMistakesNameTheUnitOfTheKey(t *testing.T) {
 	_, err := ParseDSRBalancer([]byte("cpu_share = 0.0\nlink_mbps = -1.0\n"))
 	all := strings.Join(reasons(t, err), "\n")
