--- a/pkg/dsrd/agent_roster.go
+++ b/pkg/dsrd/agent_roster.go
@@ -20,6 +20,8 @@
 	// rosterLinkShare is the divisor of a VM's link that gives the lasting rate of such lists and their burst: when all
 	// balancers restart together, all ask the same few, and each list has all agents.
 	rosterLinkShare = 16
+	// bytesPerMbit converts the rate of a link to bytes.
+	bytesPerMbit = 1e6 / 8
 )
 
 // rosterBudget bounds the bytes of the lists of agents that a balancer sends: in any second at most twice a rosterLinkShare of
@@ -29,7 +31,7 @@
 }
 
 func newRosterBudget(linkMbps float64) rosterBudget {
-	bytes := linkMbps * 1e6 / 8 / rosterLinkShare
+	bytes := linkMbps * bytesPerMbit / rosterLinkShare
 	return rosterBudget{limiter: rate.NewLimiter(rate.Limit(bytes), int(bytes))}
 }
 
--- a/pkg/dsrd/balancer_join.go
+++ b/pkg/dsrd/balancer_join.go
@@ -16,7 +16,7 @@
 // recordSampled applies the answer to the first look of a restart: whether the balancer reads the rest of the object API at
 // once.
 func (b *Balancer) recordSampled(objects []objectapi.Object) {
-	b.configSync.firstRead.decide(comesFirst(b.self, addressesOf(objects, b.log)))
+	b.configSync.firstRead.decide(isFirstReader(b.self, addressesOf(objects, b.log)))
 }
 
 // join registers the balancer in the object API, again in each era: an API that was restored from an older copy may
--- a/pkg/dsrd/first_read.go
+++ b/pkg/dsrd/first_read.go
@@ -58,9 +58,9 @@
 	return !slices.ContainsFunc(seeds, func(a netip.AddrPort) bool { return a != self }) || slices.Contains(seeds, self)
 }
 
-// comesFirst reports whether a balancer is one of the firstReaders among those registered, of which all balancers see the
+// isFirstReader reports whether a balancer is one of the firstReaders among those registered, of which all balancers see the
 // same part.
-func comesFirst(self netip.AddrPort, registered []netip.AddrPort) bool {
+func isFirstReader(self netip.AddrPort, registered []netip.AddrPort) bool {
 	if len(registered) == 0 {
 		return true
 	}
--- a/pkg/dsrd/first_read_test.go
+++ b/pkg/dsrd/first_read_test.go
@@ -21,13 +21,13 @@
 		sample := all[:min(n, 200)]
 		readers := 0
 		for _, a := range all {
-			if comesFirst(a, sample) {
+			if isFirstReader(a, sample) {
 				readers++
 			}
 		}
 		require.Equal(t, min(n, firstReaders), readers, "%d balancers", n)
 	}
-	require.True(t, comesFirst(selfAddress, nil), "none has registered yet")
+	require.True(t, isFirstReader(selfAddress, nil), "none has registered yet")
 }
 
 func TestBalancersOfTheSettingsReadAtOnce(t *testing.T) {
