--- a/pkg/dsrd/agent.go
+++ b/pkg/dsrd/agent.go
@@ -30,7 +30,7 @@
 	// balancers answer four times a second or more, a single one every 0.75 s. A false positive costs an announcement
 	// to each balancer.
 	isolatedAfter = 2 * time.Second
-	// answerTime is how long after an announcement a greeting counts as its answer.
+	// answerTime is how long after an announcement a welcome message counts as its answer.
 	answerTime = time.Second
 )
 
@@ -98,7 +98,7 @@
 	g.Go(func() error { return a.outbound.read(run, a.fromTarget) })
 	g.Go(func() error { return a.alarm.run(run, a.tick) })
 	g.Go(func() error { return every(run, sendInterval, a.announce) })
-	g.Go(func() error { return a.discover(run) })
+	g.Go(func() error { return a.newDiscovery(a.addDiscovered).run(run) })
 	g.Go(func() error { return serveHTTP(run, a.cfg.AnnounceAddress, a.platform.TargetHandler(a)) })
 	g.Go(func() error { return serveHTTP(run, a.cfg.ReadyAddress, a.platform.ReadyHandler(a.ready)) })
 	g.Go(func() error {
@@ -117,19 +117,6 @@
 	return trace.Wrap(err, "running the agent")
 }
 
-// discover looks for balancers until the context ends.
-func (a *Agent) discover(ctx context.Context) error {
-	d := discovery{
-		store:      a.platform.Store,
-		log:        a.log,
-		seeds:      a.seeds(),
-		firstStart: a.cfg.FirstStart,
-		found:      a.addDiscovered,
-		isAlone:    a.hasNoBalancer,
-	}
-	return d.run(ctx)
-}
-
 // drain stops new flows, announces that and waits until the open flows have ended.
 func (a *Agent) drain(ctx context.Context) {
 	a.mu.Lock()
--- a/pkg/dsrd/agent_announce.go
+++ b/pkg/dsrd/agent_announce.go
@@ -6,15 +6,7 @@
 )
 
 // addDiscovered adds balancers that others have named, and announces the agent to the new ones at once.
-func (a *Agent) addDiscovered(addresses []netip.AddrPort) {
-	now := time.Now()
-	a.mu.Lock()
-	added := a.addBalancers(now, addresses)
-	a.mu.Unlock()
-	if added {
-		a.announce(now)
-	}
-}
+func (a *Agent) addDiscovered(addresses []netip.AddrPort) { a.contactNew(addresses, a.announce) }
 
 // announce sends the balancers that are due an announcement of the agent and its target.
 func (a *Agent) announce(now time.Time) {
--- a/pkg/dsrd/agent_roster.go
+++ b/pkg/dsrd/agent_roster.go
@@ -24,8 +24,7 @@
 	bytesPerMbit = 1e6 / 8
 )
 
-// rosterBudget bounds the bytes of the lists of agents that a balancer sends: in any second at most twice a rosterLinkShare of
-// its link.
+// rosterBudget bounds the bytes of the lists of agents that a balancer sends, to an eighth of its link in any second.
 type rosterBudget struct {
 	limiter *rate.Limiter
 }
@@ -44,12 +43,12 @@
 // sendAgents names the living agents to a balancer that has just started, which asks another one when the budget is used up.
 // b.mu is held.
 func (b *Balancer) sendAgents(now time.Time, to netip.AddrPort) {
-	living := b.agents.Living(now)
-	if !b.rosters.take(now, len(living)) {
+	// All known agents are counted: to look for the living ones among them costs more than to decline.
+	if !b.rosters.take(now, b.agents.Len()) {
 		return
 	}
 	balancers := encodeAddresses(b.balancers.Sample(now, bootstrapPeers))
-	for agents := range slices.Chunk(living, maxRoster) {
+	for agents := range slices.Chunk(b.agents.Living(now), maxRoster) {
 		b.send(to, &dsrpb.Message{
 			Kind:          dsrpb.Kind_KIND_GOSSIP,
 			Configuration: b.core.Routes().Version(),
--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -118,6 +118,7 @@
 	b.configSync.adopt = b.adopt
 	b.configSync.before = b.checkersBefore
 	b.configSync.living = func() int { return len(b.living()) }
+	b.configSync.isAlone = func() bool { return b.hasNoBalancer(time.Now()) }
 	b.configSync.propagation = b.propagation
 	b.configSync.onChecked = b.gossipNow
 	switch {
@@ -130,15 +131,8 @@
 
 // openReaders creates what reads the balancers and the evacuations from the object API.
 func (b *Balancer) openReaders() {
-	b.discovery = &discovery{
-		store:      b.platform.Store,
-		log:        b.log,
-		seeds:      b.seeds(),
-		firstStart: b.cfg.FirstStart,
-		found:      b.addDiscovered,
-		isAlone:    b.hasNoBalancer,
-		sampled:    b.recordSampled,
-	}
+	b.discovery = b.newDiscovery(b.addDiscovered)
+	b.discovery.sampled = b.recordSampled
 	b.memberReader = &memberReader{store: b.platform.Store, log: b.log, watches: b.configSync.watches, found: b.addDiscovered}
 	b.evacuationReader = &evacuationReader{
 		store:      b.platform.Store,
--- a/pkg/dsrd/config_check.go
+++ b/pkg/dsrd/config_check.go
@@ -48,7 +48,7 @@
 
 // situation returns what the decision about a check depends on.
 func (k *configSync) situation() checkSituation {
-	s := checkSituation{before: k.before(), propagation: k.propagation(), alone: k.living() == 0, readsFirst: k.firstRead.isFirst()}
+	s := checkSituation{before: k.before(), propagation: k.propagation(), alone: k.isAlone(), readsFirst: k.firstRead.isFirst()}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s.watching = k.watching
--- a/pkg/dsrd/config_sync.go
+++ b/pkg/dsrd/config_sync.go
@@ -32,8 +32,9 @@
 	// before is the number of living balancers that check before this one; propagation is how long the result
 	// of a check may take to arrive.
 	before func() int
-	// living is the number of living balancers.
+	// living is the number of living balancers, isAlone reports whether no other balancer is alive.
 	living      func() int
+	isAlone     func() bool
 	propagation func() time.Duration
 	// firstRead tells whether this balancer reads the object API at once when it has just started.
 	firstRead *firstRead
--- a/pkg/dsrd/config_sync_test.go
+++ b/pkg/dsrd/config_sync_test.go
@@ -147,6 +147,7 @@
 	f.adopt = func(c configuration.Configuration) { f.adopted = append(f.adopted, c.Version) }
 	f.before = func() int { return f.ahead }
 	f.configSync.living = func() int { return f.fleet }
+	f.configSync.isAlone = func() bool { return f.fleet == 0 }
 	f.propagation = func() time.Duration { return f.maxPropagation }
 	f.onChecked = func() {}
 	f.firstRead.decide(true)
--- a/pkg/dsrd/gossip.go
+++ b/pkg/dsrd/gossip.go
@@ -33,15 +33,7 @@
 )
 
 // addDiscovered adds balancers that others have named, and sends gossip to the new ones at once.
-func (b *Balancer) addDiscovered(addresses []netip.AddrPort) {
-	now := time.Now()
-	b.mu.Lock()
-	added := b.addBalancers(now, addresses)
-	b.mu.Unlock()
-	if added {
-		b.gossip(now)
-	}
-}
+func (b *Balancer) addDiscovered(addresses []netip.AddrPort) { b.contactNew(addresses, b.gossip) }
 
 func (b *Balancer) living() []netip.AddrPort {
 	b.mu.Lock()
@@ -108,11 +100,15 @@
 // gossipNowLocked is gossipNow with b.mu held.
 func (b *Balancer) gossipNowLocked(now time.Time) {
 	version, age, checked := b.configSync.state(now)
-	to := b.balancers.All()
-	if len(to) > fanOut {
-		to = b.balancers.Sample(now, fanOut)
+	b.sendGossip(now, b.notified(now), b.gossipMessage(version, age, checked))
+}
+
+// notified returns the balancers that are notified at once. b.mu is held.
+func (b *Balancer) notified(now time.Time) []netip.AddrPort {
+	if b.balancers.Len() <= fanOut {
+		return b.balancers.All()
 	}
-	b.sendGossip(now, to, b.gossipMessage(version, age, checked))
+	return b.balancers.Sample(now, fanOut)
 }
 
 func (b *Balancer) gossipMessage(version uint64, age time.Duration, checked bool) *dsrpb.Message {
@@ -168,7 +164,7 @@
 	}
 }
 
-// tellStarting answers a balancer that has no configuration yet at once, since it waits for word. b.mu is held.
+// tellStarting answers a balancer that has no configuration yet at once, since it serves nobody until then. b.mu is held.
 func (b *Balancer) tellStarting(now time.Time, from netip.AddrPort, configuration uint64) {
 	version, age, checked := b.configSync.state(now)
 	if configuration == 0 && version > 0 && b.core.Evacuations().Known() {
--- a/pkg/dsrd/members_test.go
+++ b/pkg/dsrd/members_test.go
@@ -51,7 +51,7 @@
 	return s.Store.Update(ctx, o)
 }
 
-// Listing all members to find one's own made the calls of a start grow with the square of the number of balancers.
+// If each balancer listed all to find its own object, the calls of a start would grow with the square of their number.
 func TestRegistrationCallsDoNotDependOnOtherMembers(t *testing.T) {
 	s := &callStore{Store: store.New(store.Config{})}
 	for _, a := range unreachable(300) {
@@ -103,7 +103,7 @@
 	a.platform.Store = &lateMembers{member: member}
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan error, 1)
-	go func() { done <- a.discover(ctx) }()
+	go func() { done <- a.newDiscovery(a.addDiscovered).run(ctx) }()
 	require.Eventually(t, func() bool { return len(balancer.received()) > 0 }, 10*rediscoverMin, 10*time.Millisecond)
 	stop()
 	require.ErrorIs(t, <-done, context.Canceled)
--- a/pkg/dsrd/messages_test.go
+++ b/pkg/dsrd/messages_test.go
@@ -55,7 +55,7 @@
 }
 
 // testNode is the common part of the daemons, with a socket for messages only.
-func testNode(t *testing.T) *node {
+func testNode(t testing.TB) *node {
 	s, err := listenUDP(netip.MustParseAddrPort("127.0.0.1:0"), messagesEnv)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = s.conn.Close() })
@@ -66,7 +66,7 @@
 	}
 }
 
-func testBalancer(t *testing.T) *Balancer {
+func testBalancer(t testing.TB) *Balancer {
 	b := &Balancer{node: testNode(t), lastWelcome: make(map[netip.AddrPort]time.Time), readCapacity: make(map[netip.AddrPort]uint32)}
 	b.out = newBalancerOutput(b)
 	b.core = dispatch.NewBalancer(dispatch.Config{}, dsrtest.Codec{}, b.out, b.started)
--- a/pkg/dsrd/node.go
+++ b/pkg/dsrd/node.go
@@ -121,6 +121,29 @@
 	return added
 }
 
+// contactNew adds balancers that others have named, and calls send, which sends to those that are due, when one is new.
+func (n *node) contactNew(addresses []netip.AddrPort, send func(now time.Time)) {
+	now := time.Now()
+	n.mu.Lock()
+	added := n.addBalancers(now, addresses)
+	n.mu.Unlock()
+	if added {
+		send(now)
+	}
+}
+
+// newDiscovery returns the search for balancers, which passes those that it finds to found.
+func (n *node) newDiscovery(found func([]netip.AddrPort)) *discovery {
+	return &discovery{
+		store:      n.platform.Store,
+		log:        n.log,
+		seeds:      n.seeds(),
+		firstStart: n.cfg.FirstStart,
+		found:      found,
+		isAlone:    n.hasNoBalancer,
+	}
+}
+
 // hasNoBalancer reports whether no other balancer is alive.
 func (n *node) hasNoBalancer(now time.Time) bool {
 	n.mu.Lock()
