--- a/pkg/dsr/dispatch/search_test.go
+++ b/pkg/dsr/dispatch/search_test.go
@@ -264,8 +264,8 @@
 	probed  bool
 }
 
-// After all processes were killed no agent can tell whether its target holds a flow. While balancers and other agents
-// were restarted again and again, the same ones were asked each time, and the flow of a living target got no answer.
+// After all processes were killed no agent can tell whether its target holds a flow. While balancers and other agents are
+// restarted again and again, each agent must get its turn, or the flow of a living target gets no answer.
 func TestProbesReachTheOwnerDespiteRepeatedRestarts(t *testing.T) {
 	const (
 		agents = 6
--- a/pkg/dsr/recording/choose.go
+++ b/pkg/dsr/recording/choose.go
@@ -8,8 +8,8 @@
 	"github.com/auburnwood/auburnwood/pkg/flow"
 )
 
-// GroupSize is the number of balancers for each one that writes: at most 200 refusals a second from each of them take it
-// 1.5 Mbit/s, and 490 balancers make 16 objects a minute at rest.
+// GroupSize is the number of balancers for each one that writes. A larger group makes fewer objects, and more traffic at the
+// one that writes.
 const GroupSize = 32
 
 // Candidate is a living balancer.
--- a/pkg/dsr/roster/peers_test.go
+++ b/pkg/dsr/roster/peers_test.go
@@ -186,8 +186,8 @@
 	}
 }
 
-// At a first start everybody asks the same few balancers. If one that answers late were asked every 50 ms by each of 3,790
-// processes, it would get 76,000 messages a second.
+// At a first start everybody asks the same few balancers. One that answers late because of that must not be asked by all in
+// each EagerInterval.
 func TestMessagesToAPeerThatWasNeverSeenBecomeRarer(t *testing.T) {
 	var p Peers
 	p.Add(start, one)
@@ -204,8 +204,8 @@
 	require.LessOrEqual(t, len(times), 17)
 }
 
-// At a start of all, intervals grow with every peer that is met. A process that named 250 ms while it knew few others, and
-// then kept the 15 s of a large fleet, was taken for lost by nearly all of them.
+// At a start of all, intervals grow with every peer that is met. A process that has named a short interval, and then keeps a
+// longer one, would be taken for lost.
 func TestPeersAreNotLostWhileIntervalsGrow(t *testing.T) {
 	for _, n := range []int{300, 700, 3800} {
 		const watched = 20
--- a/pkg/dsrd/check_situation.go
+++ b/pkg/dsrd/check_situation.go
@@ -19,7 +19,7 @@
 	// propagationTime is how long the result of a check takes to reach all balancers where it is passed on from one
 	// to the next.
 	propagationTime = 500 * time.Millisecond
-	// startWait is how long a balancer that has just started waits for word from those in its settings. If all of them
+	// startWait is how long a balancer that has just started waits for a message of those in its settings. If all of them
 	// read the object API at once, the calls of a start of all would grow with their number.
 	startWait = 300 * time.Millisecond
 	// settleTime is the time in which balancers that start together meet. Until then, many of them know none that comes
--- a/pkg/dsrd/first_read_test.go
+++ b/pkg/dsrd/first_read_test.go
@@ -64,7 +64,7 @@
 	})
 }
 
-// A balancer that has just started waits for word; the next regular message may be 15 s away.
+// A balancer without a configuration serves nobody, and the next regular message to it may be far off.
 func TestABalancerWithoutAConfigurationIsToldAtOnce(t *testing.T) {
 	peer := newListener(t)
 	b := testBalancer(t)
--- a/pkg/dsrd/refusal_handover.go
+++ b/pkg/dsrd/refusal_handover.go
@@ -42,6 +42,7 @@
 	// living returns the living balancers, this one included.
 	living func() []recording.Candidate
 
+	// mu is locked before the balancer's, which living locks.
 	mu sync.Mutex
 	// writer is the balancer that writes the records, chosenAt when it was chosen.
 	writer   netip.AddrPort
--- a/pkg/peer/settle_test.go
+++ b/pkg/peer/settle_test.go
@@ -12,7 +12,7 @@
 	"github.com/auburnwood/auburnwood/pkg/revision"
 )
 
-// A balancer that has just started once reported a revision as in force on "1 of 1", while four others were joining.
+// A balancer that has just started must not report a revision as in force on "1 of 1" while others are joining.
 func TestFreshNodeDoesNotTakeItselfForAllBalancers(t *testing.T) {
 	start := time.Unix(1000, 0)
 	now := start
--- a/pkg/revision/compiler_test.go
+++ b/pkg/revision/compiler_test.go
@@ -65,7 +65,7 @@
 	return resource.InForce{Adopted: 1, Known: 1, AtLeast: true}
 }
 
-// The first holder of the duty once reported a service as in force while it knew only itself.
+// The first holder of the duty may know only itself. It must not report a service as in force on all balancers then.
 func TestServiceIsNotReportedInForceWhileBalancersJoin(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := store.New(store.Config{})
