A target's silence no longer counts as holding a probed flow

Cause, from the code: an agent that cannot tell whether its target holds a flow passes the packet to the target and counts the flow as held when the packet is not returned within 20 ms. A target that has stopped, or beside which no process runs yet, returns nothing, so its agent claimed the flow and the balancer kept sending there: nothing ever corrected the claim, since only a returned packet does. Ruled out: an agent that knows all flows of its target (it says so and gets no probe), a late return (it moves the flow on).

An answer on the flow itself settles it as before.

TestARestartedAgentRecoversItsTargetsFlows asserted the claim of a target that had said nothing since the probe, which is the fault; it now has the target send a heartbeat and asserts the same.

--- a/pkg/dsr/ownership/config.go
+++ b/pkg/dsr/ownership/config.go
@@ -12,8 +12,8 @@
 	// OfferTimeout is how long a target may take to answer an opening packet. Targets answer from memory within a
 	// millisecond; the rest covers the scheduling delay of a small VM.
 	OfferTimeout = 12 * time.Millisecond
-	// ProbeTimeout is how long a target may take to return a packet of a flow that it does not hold. A packet that is
-	// not returned by then belongs to the target.
+	// ProbeTimeout is how long a target may take to return a packet of a flow that it does not hold. A packet that a
+	// running target has not returned by then belongs to it.
 	ProbeTimeout = 20 * time.Millisecond
 	// SilentRetryInterval is the time between two opening packets that are offered to a target that did not answer
 	// the last one.
@@ -22,7 +22,8 @@
 	// longest typical round trip applies where that is more. A caller that takes longer has chosen another target or
 	// is gone, and reserving slots for it would prolong a burst of late requests.
 	HalfOpenTimeout = 30 * time.Millisecond
-	// OfferedLinger is how long an opening packet that the target has not answered is kept, for a late answer.
+	// OfferedLinger is how long a flow is kept whose opening packet or probe the target has not answered, for a late
+	// answer.
 	OfferedLinger = 500 * time.Millisecond
 	// BusyTimeout is how long a request without an answer counts as work. A full queue of a target takes well under a
 	// second; a request that takes longer has lost its target or its caller.
--- a/pkg/dsr/ownership/from_target.go
+++ b/pkg/dsr/ownership/from_target.go
@@ -12,7 +12,7 @@
 // FromTarget receives a packet that the target sent: one of its own goes to the caller, one that it returned to the
 // balancer.
 func (t *Table) FromTarget(now time.Time, s segment.Segment) {
-	t.silentSince = time.Time{}
+	t.silentSince, t.targetActive = time.Time{}, now
 	if s.Has(segment.Returned) {
 		t.receiveReturned(now, s)
 		return
--- a/pkg/dsr/ownership/incarnation.go
+++ b/pkg/dsr/ownership/incarnation.go
@@ -26,6 +26,7 @@
 	if err != nil || n == outdated {
 		return false, err
 	}
+	t.targetActive = now
 	if n == newIncarnation && last.last.ID != "" {
 		t.recordIncarnationEnd(now, last)
 		t.discardIncarnation(now)
--- a/pkg/dsr/ownership/lifetime.go
+++ b/pkg/dsr/ownership/lifetime.go
@@ -95,8 +95,8 @@
 	}
 }
 
-// expire applies a flow's timer: a half-open flow stops counting as work, an offer fails, or a probed flow is assumed
-// to be held.
+// expire applies a flow's timer: a half-open flow stops counting as work, an offer fails, or a probed flow has not been
+// returned.
 func (t *Table) expire(now time.Time, key flow.Key) {
 	e := t.flows[key]
 	if e == nil {
@@ -109,12 +109,23 @@
 	case e.phase == offered && now.Sub(e.since) >= OfferTimeout:
 		t.offerTimedOut(now, key, e)
 	case e.phase == probing && now.Sub(e.since) >= ProbeTimeout:
-		e.phase, e.since = open, now
-		t.sendAccepted(now, key, e)
-		t.reportDecision(now, EventRecovered, key, e.origin, t.configuration, dsrpb.Verdict_VERDICT_HELD)
+		t.probeTimedOut(now, key, e)
 	}
 }
 
+// probeTimedOut assumes that the target holds a probed flow when it has not returned the packet although it runs. The
+// silence of a target that may have stopped says nothing: the flow stays undetermined until the target answers or
+// returns the packet.
+func (t *Table) probeTimedOut(now time.Time, key flow.Key, e *entry) {
+	if t.targetActive.Before(e.since) {
+		t.schedule(key, now.Add(ProbeTimeout))
+		return
+	}
+	e.phase, e.since = open, now
+	t.sendAccepted(now, key, e)
+	t.reportDecision(now, EventRecovered, key, e.origin, t.configuration, dsrpb.Verdict_VERDICT_HELD)
+}
+
 // offerTimedOut declines a flow whose opening packet the target has not answered. The entry stays for a late answer.
 func (t *Table) offerTimedOut(now time.Time, key flow.Key, e *entry) {
 	if t.silentSince.IsZero() {
@@ -133,7 +144,7 @@
 		case e.phase == queued:
 		case e.phase == ended && now.Sub(e.since) > EndedLinger:
 			t.drop(key, e)
-		case e.phase == offered && now.Sub(e.since) > OfferedLinger:
+		case (e.phase == offered || e.phase == probing) && now.Sub(e.since) > OfferedLinger:
 			t.drop(key, e)
 		case now.Sub(e.touched) > MaxFlowAge:
 			t.drop(key, e)
--- a/pkg/dsr/ownership/table.go
+++ b/pkg/dsr/ownership/table.go
@@ -52,6 +52,8 @@
 	// is the time of the last offer since then.
 	silentSince     time.Time
 	lastSilentOffer time.Time
+	// targetActive is the time of the target's last packet or heartbeat.
+	targetActive time.Time
 	// configuration is the highest version that a balancer has named.
 	configuration uint64
 	// evacuated is set while the agent's data centre takes no new flows.
--- a/pkg/dsr/ownership/table_test.go
+++ b/pkg/dsr/ownership/table_test.go
@@ -269,14 +269,41 @@
 	f := newFixture(t, Config{})
 	f.data(1, 1001, true)
 	require.Len(t, f.out.target, 1, "the balancer names the target as the owner")
+	f.announce(announcement.Ready)
 	f.pass(ProbeTimeout)
-	require.Equal(t, dsrpb.Kind_KIND_ACCEPTED, f.out.last(t).kind, "a packet that is not returned belongs to it")
+	require.Equal(t, dsrpb.Kind_KIND_ACCEPTED, f.out.last(t).kind, "a packet that a running target does not return belongs to it")
 	f.target(2, segment.ACK, 50, "tail")
 	require.Len(t, f.out.caller, 1, "a packet of the target reveals another flow")
 	f.data(2, 55, false)
 	require.Len(t, f.out.target, 2)
 }
 
+// A target that has stopped returns nothing. An agent that took its silence for ownership drew the packets of a flow of
+// another, living target.
+func TestASilentTargetDoesNotClaimAProbedFlow(t *testing.T) {
+	cases := []struct {
+		name  string
+		table func(f *fixture) *Table
+	}{
+		{"the target has not announced itself", func(f *fixture) *Table { return newTestTable(f, Config{}) }},
+		{"the target stopped after its last heartbeat", func(f *fixture) *Table { f.pass(ProbeTimeout); return f.table }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, Config{})
+			f.table = c.table(f)
+			f.data(1, 1001, true)
+			require.Len(t, f.out.target, 1)
+			for range 10 {
+				f.pass(ProbeTimeout)
+			}
+			require.Empty(t, f.out.messages, "silence is no evidence that the target holds the flow")
+			f.target(1, segment.ACK, 1001, "answer")
+			require.Equal(t, dsrpb.Kind_KIND_ACCEPTED, f.out.last(t).kind, "an answer is")
+		})
+	}
+}
+
 func TestAFlowThatTheTargetReturnsIsNeverPassedToItAgain(t *testing.T) {
 	f := newFixture(t, Config{})
 	f.data(1, 1001, true)
