--- a/pkg/dsr/configuration/configuration.go
+++ b/pkg/dsr/configuration/configuration.go
@@ -36,6 +36,8 @@
 	// second until then; 0 for no limit.
 	WarmUp        time.Duration
 	ColdPerSecond float64
+	// MaxConnections is the number of flows that a target may hold; 0 for no limit.
+	MaxConnections int
 	// Regions are those that flows of the service may reach; empty means all.
 	Regions []string
 }
--- a/pkg/dsr/dsrpb/configuration.go
+++ b/pkg/dsr/dsrpb/configuration.go
@@ -79,11 +79,12 @@
 	}
 	for _, s := range c.Services {
 		m.Services = append(m.Services, &Service{
-			Name:          s.Name,
-			HealthPath:    s.HealthPath,
-			WarmUpUs:      microseconds(s.WarmUp),
-			ColdPerSecond: s.ColdPerSecond,
-			Regions:       s.Regions,
+			Name:           s.Name,
+			HealthPath:     s.HealthPath,
+			WarmUpUs:       microseconds(s.WarmUp),
+			ColdPerSecond:  s.ColdPerSecond,
+			Regions:        s.Regions,
+			MaxConnections: uint32(max(0, s.MaxConnections)),
 		})
 	}
 	return m
@@ -112,11 +113,12 @@
 	}
 	for _, s := range m.Services {
 		c.Services = append(c.Services, configuration.Service{
-			Name:          s.Name,
-			HealthPath:    s.HealthPath,
-			WarmUp:        duration(s.WarmUpUs),
-			ColdPerSecond: s.ColdPerSecond,
-			Regions:       s.Regions,
+			Name:           s.Name,
+			HealthPath:     s.HealthPath,
+			WarmUp:         duration(s.WarmUpUs),
+			ColdPerSecond:  s.ColdPerSecond,
+			Regions:        s.Regions,
+			MaxConnections: int(s.MaxConnections),
 		})
 	}
 	return c, nil
--- a/pkg/refusal/record.go
+++ b/pkg/refusal/record.go
@@ -35,6 +35,9 @@
 	ReasonTargetFailed    Reason = "target-failed"
 	ReasonEvacuated       Reason = "data-centre-evacuated"
 	ReasonRegion          Reason = "no-target-in-allowed-region"
+	ReasonConnectionLimit Reason = "connection-limit"
+	ReasonOverloaded      Reason = "service-overloaded"
+	ReasonTargetGone      Reason = "target-gone"
 )
 
 // Run is whether the refused work was run.
