--- a/pkg/dsr/admission/queue.go
+++ b/pkg/dsr/admission/queue.go
@@ -1,10 +1,12 @@
-// Package admission orders the new flows that are queued for one target, and decides which of them are abandoned.
+// Package admission orders the requests that wait for one target, those that open a flow and further ones on open
+// flows, and decides which new flows are refused or abandoned.
 //
 // It does no input or output and reads no clock. It is made for bursts that a target cannot work off at once, such as
 // the retransmissions and retries after an outage: a target's own queue is first in, first out, so that passing
 // everything on at once would make fresh requests wait behind those that are already late. Requests that can still be
 // answered in the promised time go first; late ones follow, those with the most recent transmission first; one whose
-// caller is gone, or will be before its turn, is abandoned.
+// caller is gone, or will be before its turn, is abandoned. A request on an open flow cannot be refused: it is due at
+// the last moment at which its answer can still come before its caller's timeout.
 //
 // Callers give up without notice, often long before their timeout. While they wait, they only retransmit the opening
 // packet.
@@ -12,6 +14,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/policy"
@@ -34,122 +37,162 @@
 	// RetransmissionSlack is how late a retransmission of an opening packet may be until its caller counts as gone:
 	// the delay of a busy balancer.
 	RetransmissionSlack = 100 * time.Millisecond
+	// AgedShare is how many turns pass, while requests of a higher priority are in time, until one goes to the request
+	// of a lower priority that has been late for longest.
+	AgedShare = 8
 )
 
-// Opening is a new flow that is queued for the target.
-type Opening struct {
-	Key flow.Key
-	// Arrived is when its first packet reached the system, as far as is known.
-	Arrived time.Time
-	// Aim is the response time promised to its caller, 0 when there is none; Timeout is how long the caller waits.
-	Aim     time.Duration
-	Timeout time.Duration
-	// Priority is the rank of its route; 0 is the highest.
-	Priority int
-	// LastSent is when the caller last sent the opening packet; NextDue is when its next retransmission is due, zero
-	// when it sends none.
-	LastSent time.Time
-	NextDue  time.Time
-}
-
-// RecordSent records a transmission of the opening packet, sent age after the first one. The next one is due after a
-// further next; 0 means that there is none. Transmissions may arrive in any order.
-func (o *Opening) RecordSent(age, next time.Duration) {
-	sentAt := o.Arrived.Add(age)
-	if !o.LastSent.IsZero() && sentAt.Before(o.LastSent) {
-		return
-	}
-	o.LastSent, o.NextDue = sentAt, time.Time{}
-	if next > 0 {
-		o.NextDue = sentAt.Add(next)
-	}
-}
-
-// deadline is when the caller gives up.
-func (o Opening) deadline() time.Time { return o.Arrived.Add(o.Timeout) }
-
-// timely reports whether the answer can still come in the promised time when the flow is offered now.
-func (o Opening) timely(now time.Time, work, roundTrips time.Duration, long float64) bool {
-	return !now.Add(roundTrips + o.margin(work, long)).After(o.Arrived.Add(o.Aim))
-}
-
-// margin is the time set aside for the work of one request: that of a long one, unless that would leave less than
-// half of the promised time for waiting.
-func (o Opening) margin(work time.Duration, long float64) time.Duration {
-	return min(time.Duration(long*float64(work)), max(o.Aim/2, time.Duration(MinWork*float64(work))))
-}
-
-// expired reports whether the caller will have left before an answer when the work begins now.
-func (o Opening) expired(now time.Time, work time.Duration) bool {
-	return now.Add(work).After(o.deadline())
-}
-
-// silent reports whether a retransmission of the opening packet is overdue.
-func (o Opening) silent(now time.Time) bool {
-	return !o.NextDue.IsZero() && now.After(o.NextDue.Add(RetransmissionSlack))
-}
-
-// Queue holds the flows that wait for one target. The zero value is empty.
+// Queue holds the requests that wait for one target. The zero value is empty.
 type Queue struct {
 	// Without names the mechanisms that are switched off, for measurements.
 	Without policy.Without
 	// RoundTrips is the time that packets spend between the caller and the target, from the answer to the opening
 	// packet to the answer to the request; 0 means DefaultRoundTrips.
 	RoundTrips time.Duration
-	// Cold limits the target while it warms up.
+	// Cold limits the new flows of the target while it warms up.
 	Cold warmup.Limit
 
-	waiting []Opening
+	waiting []Request
+	// open is the number of waiting requests on open flows.
+	open int
+	// passed counts the turns in which a late request of a lower priority was passed by a timely one.
+	passed int
 }
 
 func (q *Queue) Len() int { return len(q.waiting) }
 
-// Add queues a flow. It returns false when its caller would leave before its turn, given the target's work for one
+// NewFlows is the number of waiting requests that open a flow.
+func (q *Queue) NewFlows() int { return len(q.waiting) - q.open }
+
+// Add queues a new flow. It returns false when its caller would leave before its turn, given the target's work for one
 // request and its slots.
-func (q *Queue) Add(now time.Time, o Opening, work time.Duration, slots int) bool {
-	if now.Add(q.wait(now, o, work, slots) + work).After(o.deadline()) {
+func (q *Queue) Add(now time.Time, r Request, work time.Duration, slots int) bool {
+	if now.Add(q.wait(now, r, work, slots) + work).After(r.deadline()) {
 		return false
 	}
-	q.waiting = append(q.waiting, o)
+	q.waiting = append(q.waiting, r)
 	return true
 }
 
-// wait estimates how long a flow is queued.
-func (q *Queue) wait(now time.Time, o Opening, work time.Duration, slots int) time.Duration {
+// AddOpen queues a request on an open flow.
+func (q *Queue) AddOpen(r Request) {
+	r.Open = true
+	q.waiting = append(q.waiting, r)
+	q.open++
+}
+
+// wait estimates how long a request is queued.
+func (q *Queue) wait(now time.Time, r Request, work time.Duration, slots int) time.Duration {
 	ahead := 0
 	for _, w := range q.waiting {
-		if q.before(w, o, now, work) {
+		if q.before(w, r, now, work) {
 			ahead++
 		}
 	}
 	return q.Cold.Wait(now, ahead, work/time.Duration(max(1, slots)))
 }
 
-// Next removes and returns the flow to be offered next.
-func (q *Queue) Next(now time.Time, work time.Duration) (Opening, bool) {
+// Next removes and returns the request whose turn it is.
+func (q *Queue) Next(now time.Time, work time.Duration) (Request, bool) {
+	best := q.first(now, work, func(Request) bool { return true })
+	if best < 0 {
+		return Request{}, false
+	}
+	if aged := q.aged(now, work, q.waiting[best]); aged >= 0 {
+		best = aged
+	}
+	return q.take(best), true
+}
+
+// NextOpen removes and returns the first request on an open flow.
+func (q *Queue) NextOpen(now time.Time, work time.Duration) (Request, bool) {
+	return q.takeFirst(now, work, func(r Request) bool { return r.Open })
+}
+
+// NextNew removes and returns the first new flow.
+func (q *Queue) NextNew(now time.Time, work time.Duration) (Request, bool) {
+	return q.takeFirst(now, work, func(r Request) bool { return !r.Open })
+}
+
+func (q *Queue) takeFirst(now time.Time, work time.Duration, eligible func(Request) bool) (Request, bool) {
+	best := q.first(now, work, eligible)
+	if best < 0 {
+		return Request{}, false
+	}
+	return q.take(best), true
+}
+
+// first returns the index of the first eligible request in the order of before, -1 when there is none.
+func (q *Queue) first(now time.Time, work time.Duration, eligible func(Request) bool) int {
 	best := -1
-	for i, o := range q.waiting {
-		if best < 0 || q.before(o, q.waiting[best], now, work) {
+	for i, r := range q.waiting {
+		if eligible(r) && (best < 0 || q.before(r, q.waiting[best], now, work)) {
 			best = i
 		}
 	}
-	if best < 0 {
-		return Opening{}, false
+	return best
+}
+
+// aged returns the index of a late request that goes before a timely one of a higher priority, -1 when there is none:
+// each AgedShare-th such turn goes to the one that arrived first.
+func (q *Queue) aged(now time.Time, work time.Duration, best Request) int {
+	if q.open == 0 || q.Without.RequestQueue || !q.timely(best, now, work) {
+		return -1
 	}
-	return q.take(best), true
+	oldest := -1
+	for i, r := range q.waiting {
+		if r.Priority > best.Priority && !q.timely(r, now, work) && (oldest < 0 || r.Arrived.Before(q.waiting[oldest].Arrived)) {
+			oldest = i
+		}
+	}
+	if oldest < 0 {
+		return -1
+	}
+	q.passed++
+	if q.passed%AgedShare != 0 {
+		return -1
+	}
+	return oldest
+}
+
+// Expired removes and returns a new flow whose caller is gone or will have left before an answer.
+func (q *Queue) Expired(now time.Time, work time.Duration) (Request, bool) {
+	for i, r := range q.waiting {
+		if !r.Open && (r.expired(now, work) || !q.Without.GiveUpSilent && r.silent(now)) {
+			return q.take(i), true
+		}
+	}
+	return Request{}, false
 }
 
-// Expired removes and returns a flow whose caller is gone or will have left before an answer.
-func (q *Queue) Expired(now time.Time, work time.Duration) (Opening, bool) {
-	for i, o := range q.waiting {
-		if o.expired(now, work) || !q.Without.GiveUpSilent && o.silent(now) {
+// Due removes and returns a request on an open flow that can wait no longer.
+func (q *Queue) Due(now time.Time, work time.Duration) (Request, bool) {
+	if q.open == 0 {
+		return Request{}, false
+	}
+	for i, r := range q.waiting {
+		if r.Open && !now.Before(r.dueAt(work, q.roundTrips())) {
 			return q.take(i), true
 		}
 	}
-	return Opening{}, false
+	return Request{}, false
 }
 
-// RecordSent records a transmission of the opening packet of a queued flow, as Opening.RecordSent does.
+// NextDue returns when the next request on an open flow can wait no longer; false when none waits.
+func (q *Queue) NextDue(work time.Duration) (time.Time, bool) {
+	var next time.Time
+	if q.open == 0 {
+		return next, false
+	}
+	for _, r := range q.waiting {
+		if at := r.dueAt(work, q.roundTrips()); r.Open && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+	return next, true
+}
+
+// RecordSent records a transmission of the packet of a waiting request, as Request.RecordSent does.
 func (q *Queue) RecordSent(key flow.Key, age, next time.Duration) {
 	for i := range q.waiting {
 		if q.waiting[i].Key == key {
@@ -159,34 +202,60 @@
 	}
 }
 
-func (q *Queue) Remove(key flow.Key) {
-	for i, o := range q.waiting {
-		if o.Key == key {
-			q.take(i)
-			return
+// Promise sets the priority, the promised time and the timeout of the requests that wait for an address.
+func (q *Queue) Promise(destination netip.AddrPort, priority int, aim, timeout time.Duration) {
+	for i := range q.waiting {
+		r := &q.waiting[i]
+		if r.Key.Destination == destination {
+			r.Priority, r.Aim, r.Timeout = priority, aim, timeout
 		}
 	}
 }
 
-func (q *Queue) take(i int) Opening {
-	o := q.waiting[i]
-	q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
-	return o
+func (q *Queue) Remove(key flow.Key) { q.Take(key) }
+
+// Take removes and returns the request of a flow.
+func (q *Queue) Take(key flow.Key) (Request, bool) {
+	for i, r := range q.waiting {
+		if r.Key == key {
+			return q.take(i), true
+		}
+	}
+	return Request{}, false
 }
 
-// before reports whether a is offered before b: timely ones by priority and then by promised time, late ones by their
-// last transmission, the most recent first.
-func (q *Queue) before(a, b Opening, now time.Time, work time.Duration) bool {
-	if q.Without.TimelyFirst {
-		return a.Arrived.Before(b.Arrived)
+func (q *Queue) take(i int) Request {
+	r := q.waiting[i]
+	q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
+	if r.Open {
+		q.open--
 	}
-	roundTrips := cmp.Or(q.RoundTrips, DefaultRoundTrips)
+	return r
+}
+
+// Timely reports whether the answer to a request can still come in the promised time when its turn is now.
+func (q *Queue) Timely(now time.Time, r Request, work time.Duration) bool {
+	return q.timely(r, now, work)
+}
+
+func (q *Queue) timely(r Request, now time.Time, work time.Duration) bool {
 	long := LongWork
 	if q.Without.LongWork {
 		long = MinWork
 	}
-	timely := a.timely(now, work, roundTrips, long)
-	if timely != b.timely(now, work, roundTrips, long) {
+	return r.timely(now, work, q.roundTrips(), long)
+}
+
+func (q *Queue) roundTrips() time.Duration { return cmp.Or(q.RoundTrips, DefaultRoundTrips) }
+
+// before reports whether the turn of a comes before that of b: timely ones by priority and then by promised time, late
+// ones by their last transmission, the most recent first.
+func (q *Queue) before(a, b Request, now time.Time, work time.Duration) bool {
+	if q.Without.TimelyFirst {
+		return a.Arrived.Before(b.Arrived)
+	}
+	timely := q.timely(a, now, work)
+	if timely != q.timely(b, now, work) {
 		return timely
 	}
 	if !timely {
--- a/pkg/dsr/admission/queue_test.go
+++ b/pkg/dsr/admission/queue_test.go
@@ -20,8 +20,8 @@
 }
 
 // opening is a flow whose first packet arrived age ago, with the promised time of a small request.
-func opening(port int, age time.Duration, priority int) Opening {
-	return Opening{
+func opening(port int, age time.Duration, priority int) Request {
+	return Request{
 		Key:      key(port),
 		Arrived:  now.Add(-age),
 		Aim:      120 * time.Millisecond,
@@ -32,7 +32,7 @@
 }
 
 // retransmitted is a flow whose caller has sent the opening packet again, age after the first time.
-func retransmitted(o Opening, age time.Duration) Opening {
+func retransmitted(o Request, age time.Duration) Request {
 	o.RecordSent(age, 0)
 	return o
 }
@@ -52,16 +52,16 @@
 func TestTheOrderServesCallersInTime(t *testing.T) {
 	for _, c := range []struct {
 		name    string
-		waiting []Opening
+		waiting []Request
 		want    []uint16
 	}{
-		{"fresh before late", []Opening{opening(1, 600*time.Millisecond, 2), opening(2, 0, 2)}, []uint16{2, 1}},
-		{"late ones by their last transmission", []Opening{opening(1, 900*time.Millisecond, 2), opening(2, 300*time.Millisecond, 2)}, []uint16{2, 1}},
-		{"a retransmission counts", []Opening{opening(1, 300*time.Millisecond, 2), retransmitted(opening(2, 610*time.Millisecond, 2), 600*time.Millisecond)}, []uint16{2, 1}},
-		{"a late one goes after a fresh one of lower rank", []Opening{opening(1, 600*time.Millisecond, 1), opening(2, 0, 2)}, []uint16{2, 1}},
-		{"fresh ones by rank", []Opening{opening(1, 20*time.Millisecond, 2), opening(2, 0, 1)}, []uint16{2, 1}},
-		{"fresh ones of a rank by the time left", []Opening{opening(1, 0, 2), opening(2, 20*time.Millisecond, 2)}, []uint16{2, 1}},
-		{"one that would be late by the round trips is late", []Opening{opening(1, 90*time.Millisecond, 1), opening(2, 10*time.Millisecond, 2)}, []uint16{2, 1}},
+		{"fresh before late", []Request{opening(1, 600*time.Millisecond, 2), opening(2, 0, 2)}, []uint16{2, 1}},
+		{"late ones by their last transmission", []Request{opening(1, 900*time.Millisecond, 2), opening(2, 300*time.Millisecond, 2)}, []uint16{2, 1}},
+		{"a retransmission counts", []Request{opening(1, 300*time.Millisecond, 2), retransmitted(opening(2, 610*time.Millisecond, 2), 600*time.Millisecond)}, []uint16{2, 1}},
+		{"a late one goes after a fresh one of lower rank", []Request{opening(1, 600*time.Millisecond, 1), opening(2, 0, 2)}, []uint16{2, 1}},
+		{"fresh ones by rank", []Request{opening(1, 20*time.Millisecond, 2), opening(2, 0, 1)}, []uint16{2, 1}},
+		{"fresh ones of a rank by the time left", []Request{opening(1, 0, 2), opening(2, 20*time.Millisecond, 2)}, []uint16{2, 1}},
+		{"one that would be late by the round trips is late", []Request{opening(1, 90*time.Millisecond, 1), opening(2, 10*time.Millisecond, 2)}, []uint16{2, 1}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var q Queue
@@ -117,9 +117,9 @@
 // queue must keep most fresh requests in time, where first in, first out keeps none for seconds.
 func TestFreshRequestsStayInTimeBesideABacklog(t *testing.T) {
 	inTime, servedLate := playBacklog((*Queue).Next)
-	fifoInTime, _ := playBacklog(func(q *Queue, _ time.Time, _ time.Duration) (Opening, bool) {
+	fifoInTime, _ := playBacklog(func(q *Queue, _ time.Time, _ time.Duration) (Request, bool) {
 		if q.Len() == 0 {
-			return Opening{}, false
+			return Request{}, false
 		}
 		return q.take(0), true
 	})
@@ -129,7 +129,7 @@
 }
 
 // playBacklog simulates two seconds on three slots and returns how many requests were offered in time and late.
-func playBacklog(next func(*Queue, time.Time, time.Duration) (Opening, bool)) (inTime, late int) {
+func playBacklog(next func(*Queue, time.Time, time.Duration) (Request, bool)) (inTime, late int) {
 	var q Queue
 	for i := range 90 {
 		q.Add(now, opening(i, time.Duration(i)*13*time.Millisecond, 2), work, 3)
@@ -174,7 +174,7 @@
 		at := now
 		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			at = at.Add(time.Duration(rapid.IntRange(0, 80).Draw(t, "ms")) * time.Millisecond)
-			o := Opening{Key: key(i), Arrived: at, Aim: 100 * time.Millisecond, Timeout: 500 * time.Millisecond, Priority: i % 3}
+			o := Request{Key: key(i), Arrived: at, Aim: 100 * time.Millisecond, Timeout: 500 * time.Millisecond, Priority: i % 3}
 			if rapid.Bool().Draw(t, "add") && q.Add(at, o, work, 2) {
 				in[o.Key] = true
 			}
--- a/pkg/dsr/ownership/entry.go
+++ b/pkg/dsr/ownership/entry.go
@@ -64,6 +64,8 @@
 	request []byte
 	// requestResent is set when the request was sent again to a new incarnation of the target.
 	requestResent bool
+	// held is a request that waits for its turn, nil when there is none.
+	held *held
 	// since is when the phase began, touched the time of the last packet, busySince when the work arrived.
 	since     time.Time
 	touched   time.Time
@@ -92,13 +94,18 @@
 	return e.initialSequence
 }
 
-// recordNewData reports whether a packet has data that its caller has not sent before, and records its end.
-func (e *entry) recordNewData(s segment.Segment) bool {
+// hasNewData reports whether a packet has data that has not been passed to the target before.
+func (e *entry) hasNewData(s segment.Segment) bool {
 	end := s.Sequence + uint32(s.Length)
-	if s.Length == 0 || e.hasData && int32(end-e.dataEnd) <= 0 {
+	return s.Length > 0 && (!e.hasData || int32(end-e.dataEnd) > 0)
+}
+
+// recordNewData reports whether a packet has data that has not been passed to the target before, and records its end.
+func (e *entry) recordNewData(s segment.Segment) bool {
+	if !e.hasNewData(s) {
 		return false
 	}
-	e.requested, e.hasData, e.dataEnd = true, true, end
+	e.requested, e.hasData, e.dataEnd = true, true, s.Sequence+uint32(s.Length)
 	return true
 }
 
--- a/pkg/dsr/ownership/from_balancer.go
+++ b/pkg/dsr/ownership/from_balancer.go
@@ -39,11 +39,23 @@
 	t.deliver(now, balancer, key, e, s)
 }
 
-// deliver passes a packet of a known flow to the target.
+// deliver passes a packet of a known flow to the target, or holds it with the request that it belongs to.
 func (t *Table) deliver(now time.Time, balancer netip.AddrPort, key flow.Key, e *entry, s segment.Segment) {
 	e.origin = balancer
 	e.touched = now
 	e.callerAck, e.acknowledged = s.Acknowledgement, true
+	if e.held != nil && t.keepHeld(now, key, e, s) {
+		return
+	}
+	if e.held == nil && t.mustHold(now, key, e, s) {
+		t.hold(now, key, e, s)
+		return
+	}
+	t.pass(now, key, e, s)
+}
+
+// pass passes a packet of a known flow to the target.
+func (t *Table) pass(now time.Time, key flow.Key, e *entry, s segment.Segment) {
 	t.recordRoundTrip(now, e, s)
 	if e.recordNewData(s) {
 		t.finishReply(now, key, e)
@@ -53,11 +65,11 @@
 	t.checkCallerClose(now, key, e, s)
 	switch {
 	case s.Has(segment.RST):
-		t.end(now, e)
+		t.end(now, key, e)
 	case s.Has(segment.FIN):
 		e.callerClosed = true
 		t.finishReply(now, key, e)
-		t.endIfClosed(now, e)
+		t.endIfClosed(now, key, e)
 	}
 	t.out.ToTarget(s.Raw)
 }
@@ -66,6 +78,7 @@
 // only updates its state; one of a flow that was offered or is open is passed to the target again.
 func (t *Table) receiveOpening(now time.Time, balancer netip.AddrPort, m *dsrpb.Message, s segment.Segment, key flow.Key, e *entry, stale bool) {
 	t.applyDeclaredLimits(m)
+	t.learnPromise(m, key.Destination)
 	if e != nil && e.phase == queued {
 		e.origin = balancer
 		t.queue.RecordSent(key, s.Age, s.NextRetransmission)
@@ -124,11 +137,16 @@
 	return t.outcomes.State(now) == outlier.Ejected && !t.cfg.Without.FailingLast
 }
 
-// concurrencyLimit is the number of requests that the target is given at once.
+// concurrencyLimit is the number of requests that the target is given at once before it gets a new flow.
 func (t *Table) concurrencyLimit(now time.Time) int {
 	if t.outcomes.State(now) == outlier.Probing && !t.cfg.Without.FailingLast {
 		return 1
 	}
+	return t.requestLimit()
+}
+
+// requestLimit is the number of requests that the target is given at once.
+func (t *Table) requestLimit() int {
 	slots := t.slots()
 	if t.cfg.Without.ExtraRequests {
 		return slots
--- a/pkg/dsr/ownership/from_target.go
+++ b/pkg/dsr/ownership/from_target.go
@@ -57,11 +57,12 @@
 	e.reply.extend(s)
 	switch {
 	case s.Has(segment.RST):
-		t.end(now, e)
+		t.end(now, key, e)
 	case s.Has(segment.FIN):
 		e.targetClosed = true
 		t.finishReply(now, key, e)
-		t.endIfClosed(now, e)
+		t.endIfClosed(now, key, e)
+		t.handOverClosed(now, key, e)
 	}
 }
 
--- a/pkg/dsr/ownership/incarnation.go
+++ b/pkg/dsr/ownership/incarnation.go
@@ -84,7 +84,7 @@
 // A caller whose request the last incarnation was working on would wait until its timeout for an answer that cannot
 // come. Its request is sent to the target again: a process that does not hold the flow returns it, and the caller is
 // reset at once. Resetting these flows directly would be wrong, since the new incarnation may have accepted some
-// before its first report.
+// before its first report. Held requests are passed for the same reason.
 func (t *Table) discardIncarnation(now time.Time) {
 	t.silentSince, t.meanWork, t.outcomes = time.Time{}, estimate.Mean{}, outlier.Detector{}
 	clear(t.notHeld)
@@ -100,6 +100,7 @@
 			t.out.ToTarget(e.request)
 		}
 	}
+	t.handOverAll(now)
 	t.offerQueued(now)
 }
 
--- a/pkg/dsr/ownership/lifetime.go
+++ b/pkg/dsr/ownership/lifetime.go
@@ -42,18 +42,20 @@
 }
 
 // endIfClosed ends the flow when both ends have closed it.
-func (t *Table) endIfClosed(now time.Time, e *entry) {
+func (t *Table) endIfClosed(now time.Time, key flow.Key, e *entry) {
 	if e.callerClosed && e.targetClosed {
-		t.end(now, e)
+		t.end(now, key, e)
 	}
 }
 
-func (t *Table) end(now time.Time, e *entry) {
+func (t *Table) end(now time.Time, key flow.Key, e *entry) {
+	t.discardHeld(key, e)
 	t.clearBusy(e)
 	e.phase, e.since = ended, now
 }
 
 func (t *Table) drop(key flow.Key, e *entry) {
+	t.discardHeld(key, e)
 	t.clearBusy(e)
 	delete(t.flows, key)
 }
@@ -74,6 +76,9 @@
 	if !t.recheckAt.IsZero() && t.recheckAt.Before(next) {
 		next = t.recheckAt
 	}
+	if at, ok := t.queue.NextDue(t.workTime()); ok && at.Before(next) {
+		next = at
+	}
 	if len(t.due) > 0 && t.due[0].at.Before(next) {
 		return t.due[0].at
 	}
--- a/pkg/dsr/ownership/messages.go
+++ b/pkg/dsr/ownership/messages.go
@@ -116,7 +116,11 @@
 }
 
 func (t *Table) reportDecision(now time.Time, ev Event, key flow.Key, balancer netip.AddrPort, configuration uint64, v dsrpb.Verdict) {
-	t.out.Decided(Decision{
+	t.out.Decided(t.decision(now, ev, key, balancer, configuration, v))
+}
+
+func (t *Table) decision(now time.Time, ev Event, key flow.Key, balancer netip.AddrPort, configuration uint64, v dsrpb.Verdict) Decision {
+	return Decision{
 		Event:         ev,
 		Key:           key,
 		Hash:          key.Hash(),
@@ -126,5 +130,5 @@
 		ColdPerSecond: t.ColdPerSecond(now),
 		Balancer:      balancer,
 		Configuration: configuration,
-	})
+	}
 }
--- a/pkg/dsr/ownership/output.go
+++ b/pkg/dsr/ownership/output.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/flow"
@@ -38,6 +39,10 @@
 	Balancer      netip.AddrPort
 	// Configuration is the version under which the balancer sent the packet.
 	Configuration uint64
+	// Waited is how long a request on an open flow was held; Late is set when it is handed over too late to be answered
+	// in the promised time.
+	Waited time.Duration
+	Late   bool
 }
 
 // Event is a kind of decision.
@@ -59,4 +64,10 @@
 	EventRecovered Event = "recovered"
 	// EventReset: an open flow was reset because its target has lost it.
 	EventReset Event = "reset"
+	// EventRequestHeld: a request on an open flow waits for its turn.
+	EventRequestHeld Event = "request-held"
+	// EventRequestHandedOver: a held request is passed to the target.
+	EventRequestHandedOver Event = "request-handed-over"
+	// EventRequestCancelled: the caller of a held request has left.
+	EventRequestCancelled Event = "request-cancelled"
 )
--- a/pkg/dsr/ownership/queueing.go
+++ b/pkg/dsr/ownership/queueing.go
@@ -32,8 +32,8 @@
 }
 
 // openingOf combines what a balancer and the opening packet say about a new flow.
-func openingOf(now time.Time, key flow.Key, o *dsrpb.Opening, s segment.Segment) admission.Opening {
-	out := admission.Opening{Key: key, Arrived: now.Add(-s.Age), Timeout: DefaultTimeout}
+func openingOf(now time.Time, key flow.Key, o *dsrpb.Opening, s segment.Segment) admission.Request {
+	out := admission.Request{Key: key, Arrived: now.Add(-s.Age), Timeout: DefaultTimeout}
 	if o != nil {
 		out.Arrived = now.Add(-time.Duration(o.AgeMs) * time.Millisecond)
 		out.Aim = time.Duration(o.AimMs) * time.Millisecond
@@ -46,28 +46,46 @@
 	return out
 }
 
-// offerQueued offers queued flows to the target while it has room, and abandons those whose callers are gone.
+// offerQueued gives the target the requests that wait while it has room, and abandons new flows whose callers are gone.
 func (t *Table) offerQueued(now time.Time) {
-	for {
-		o, ok := t.queue.Expired(now, t.workTime())
-		if !ok {
-			break
-		}
-		t.returnQueued(now, o.Key, dsrpb.Verdict_VERDICT_GIVEN_UP, EventAbandoned)
-	}
+	t.abandonExpired(now)
+	t.handOverDue(now)
 	t.recheckAt = time.Time{}
-	for t.busy < t.concurrencyLimit(now) {
-		if t.queue.Len() > 0 && !t.hasRoom(now) {
-			t.recheckAt = t.nextRoomAt(now)
+	for t.queue.Len() > 0 && t.busy < t.requestLimit() {
+		r, ok := t.nextQueued(now)
+		if !ok {
 			return
 		}
-		o, ok := t.queue.Next(now, t.workTime())
+		if r.Open {
+			t.handOver(now, r)
+			continue
+		}
+		e := t.flows[r.Key]
+		t.offer(now, r.Key, e, e.packet)
+	}
+}
+
+// abandonExpired returns queued flows whose callers are gone.
+func (t *Table) abandonExpired(now time.Time) {
+	for {
+		r, ok := t.queue.Expired(now, t.workTime())
 		if !ok {
 			return
 		}
-		e := t.flows[o.Key]
-		t.offer(now, o.Key, e, e.packet)
+		t.returnQueued(now, r.Key, dsrpb.Verdict_VERDICT_GIVEN_UP, EventAbandoned)
+	}
+}
+
+// nextQueued removes and returns the request whose turn it is. New flows are passed over while the target takes none.
+func (t *Table) nextQueued(now time.Time) (admission.Request, bool) {
+	if t.busy >= t.concurrencyLimit(now) {
+		return t.queue.NextOpen(now, t.workTime())
+	}
+	if t.queue.NewFlows() > 0 && !t.hasRoom(now) {
+		t.recheckAt = t.nextRoomAt(now)
+		return t.queue.NextOpen(now, t.workTime())
 	}
+	return t.queue.Next(now, t.workTime())
 }
 
 // cancelQueued removes a queued flow when its caller resets or closes it.
@@ -94,14 +112,14 @@
 	}
 }
 
-// returnAllQueued returns every queued flow to its balancer.
+// returnAllQueued returns every queued new flow to its balancer.
 func (t *Table) returnAllQueued(now time.Time, v dsrpb.Verdict) {
 	for {
-		o, ok := t.queue.Next(now, t.workTime())
+		r, ok := t.queue.NextNew(now, t.workTime())
 		if !ok {
 			return
 		}
-		t.returnQueued(now, o.Key, v, EventDeclined)
+		t.returnQueued(now, r.Key, v, EventDeclined)
 	}
 }
 
--- a/pkg/dsr/ownership/table.go
+++ b/pkg/dsr/ownership/table.go
@@ -30,12 +30,15 @@
 	// busy is the number of flows with busy set, working the number of those with working set.
 	busy    int
 	working int
-	// queue holds the flows in phase queued. meanWork is the target's time for one request, last updated at
+	// queue holds the flows in phase queued and the held requests on open flows. meanWork is the target's time for one request, last updated at
 	// workUpdated. roundTrip is the time from the target's answer to an opening packet to the caller's request.
 	queue       admission.Queue
 	meanWork    estimate.Mean
 	workUpdated time.Time
 	roundTrip   estimate.Answer
+	// promises are what routes promise to callers, by address. heldBytes is the size of all held packets.
+	promises  map[netip.AddrPort]promise
+	heldBytes int
 	// due are the pending timers, sorted by time.
 	due []timer
 	// outcomes detects a failing target by the results of its requests.
@@ -81,15 +84,17 @@
 		served:     make(map[netip.AddrPort]bool),
 		minAnswers: make(map[uint32]*outlier.AnswerWindow),
 		median:     make(map[uint32]outlier.Answer),
+		promises:   make(map[netip.AddrPort]promise),
 		queue:      admission.Queue{Without: cfg.Without},
 		swept:      now,
 	}
 }
 
-// Leave stops the agent from taking new flows and returns the queued ones.
+// Leave stops the agent from taking new flows and returns the queued ones. Held requests on open flows go to the target.
 func (t *Table) Leave(now time.Time) {
 	t.leaving = true
 	t.returnQueuedUnlessReady(now)
+	t.handOverAll(now)
 }
 
 // SetEvacuated sets whether the agent's data centre is evacuated and takes no new flows. Queued flows are then
--- a/pkg/dsr/policy/policy.go
+++ b/pkg/dsr/policy/policy.go
@@ -40,6 +40,10 @@
 	// FailedAnswers: answers that are much faster and smaller than those of the service's other targets count as
 	// failures.
 	FailedAnswers bool
+	// RequestQueue: requests on open flows wait in the order of all requests. Without it, they go to the target at once.
+	RequestQueue bool
+	// RefuseLate: a new flow that would be late because of requests of the same or a higher priority is declined.
+	RefuseLate bool
 }
 
 // Mechanism is a named mechanism.
@@ -68,5 +72,7 @@
 		{"spread-out", Without{SpreadOut: true}},
 		{"learnt-limit", Without{LearntLimit: true}},
 		{"failed-answers", Without{FailedAnswers: true}},
+		{"request-queue", Without{RequestQueue: true}},
+		{"refuse-late", Without{RefuseLate: true}},
 	}
 }
--- a/pkg/dsrd/agent_output.go
+++ b/pkg/dsrd/agent_output.go
@@ -21,6 +21,8 @@
 	toCaller  tally.Counter
 	resets    tally.Counter
 	malformed tally.Counter
+	held      tally.Timer
+	late      tally.Counter
 	decisions map[decisionKey]tally.Counter
 }
 
@@ -37,6 +39,8 @@
 		toCaller:  a.scope.Counter("dsr_caller_packets"),
 		resets:    a.scope.Counter("dsr_resets"),
 		malformed: a.scope.Counter("dsr_malformed_packets"),
+		held:      a.scope.Timer("dsr_request_held"),
+		late:      a.scope.Counter("dsr_requests_late"),
 		decisions: make(map[decisionKey]tally.Counter),
 	}
 }
@@ -67,10 +71,26 @@
 // Decided implements ownership.Output.
 func (o *agentOutput) Decided(d ownership.Decision) {
 	o.counter(decisionKey{event: d.Event, verdict: d.Verdict}).Inc(1)
+	if d.Event == ownership.EventRequestHeld {
+		// Its end has a log line with the time that it was held.
+		return
+	}
+	o.recordHeld(d)
 	o.a.log.Info().Str("op", string(d.Event)).Uint64("flow", d.Hash).Stringer("caller", d.Key.Source).
 		Stringer("destination", d.Key.Destination).Str("service", o.a.cfg.Service).Str("verdict", d.Verdict.String()).
 		Int("busy", d.Busy).Int("slots", d.Slots).Float64("cold_per_second", d.ColdPerSecond).Stringer("balancer", d.Balancer).
-		Uint64("configuration", configuration.DisplayVersion(d.Configuration)).Msg("flow decision")
+		Dur("held_ms", d.Waited).Bool("late", d.Late).Uint64("configuration", configuration.DisplayVersion(d.Configuration)).Msg("flow decision")
+}
+
+// recordHeld measures how long a request on an open flow was held.
+func (o *agentOutput) recordHeld(d ownership.Decision) {
+	if d.Event != ownership.EventRequestHandedOver {
+		return
+	}
+	o.held.Record(d.Waited)
+	if d.Late {
+		o.late.Inc(1)
+	}
 }
 
 // HealthChanged implements ownership.Output.
