--- a/pkg/dsr/admission/queue.go
+++ b/pkg/dsr/admission/queue.go
@@ -74,6 +74,22 @@
 	return true
 }
 
+// Overloaded reports whether a new flow would be late because of requests of the same or a higher priority. A request
+// without a promised time, or one that is late already, is not: it takes what the others leave. The requests that the
+// target has to finish before it takes another count as ahead.
+func (q *Queue) Overloaded(now time.Time, r Request, work time.Duration, slots, ahead int, backlog time.Duration) bool {
+	if q.Without.RefuseLate || r.Aim == 0 || !q.timely(r, now, work) {
+		return false
+	}
+	for _, w := range q.waiting {
+		if w.Priority <= r.Priority && q.before(w, r, now, work) {
+			ahead++
+		}
+	}
+	turn := now.Add(q.Cold.Wait(now, ahead+1, work/time.Duration(max(1, slots))))
+	return !q.timely(r, turn.Add(backlog), work)
+}
+
 // AddOpen queues a request on an open flow.
 func (q *Queue) AddOpen(r Request) {
 	r.Open = true
@@ -165,31 +181,41 @@
 	return Request{}, false
 }
 
-// Due removes and returns a request on an open flow that can wait no longer.
-func (q *Queue) Due(now time.Time, work time.Duration) (Request, bool) {
-	if q.open == 0 {
+// Due removes and returns the request on an open flow that can wait no longer, given the time that the target needs for
+// what it has.
+func (q *Queue) Due(now time.Time, work, backlog time.Duration) (Request, bool) {
+	i := q.nextDue(work, backlog)
+	if i < 0 || now.Before(q.dueAt(q.waiting[i], work, backlog)) {
 		return Request{}, false
 	}
-	for i, r := range q.waiting {
-		if r.Open && !now.Before(r.dueAt(work, q.roundTrips())) {
-			return q.take(i), true
-		}
-	}
-	return Request{}, false
+	return q.take(i), true
 }
 
 // NextDue returns when the next request on an open flow can wait no longer; false when none waits.
-func (q *Queue) NextDue(work time.Duration) (time.Time, bool) {
-	var next time.Time
+func (q *Queue) NextDue(work, backlog time.Duration) (time.Time, bool) {
+	i := q.nextDue(work, backlog)
+	if i < 0 {
+		return time.Time{}, false
+	}
+	return q.dueAt(q.waiting[i], work, backlog), true
+}
+
+// nextDue returns the index of the request on an open flow that is due first, -1 when none waits.
+func (q *Queue) nextDue(work, backlog time.Duration) int {
 	if q.open == 0 {
-		return next, false
+		return -1
 	}
-	for _, r := range q.waiting {
-		if at := r.dueAt(work, q.roundTrips()); r.Open && (next.IsZero() || at.Before(next)) {
-			next = at
+	next := -1
+	for i, r := range q.waiting {
+		if r.Open && (next < 0 || q.dueAt(r, work, backlog).Before(q.dueAt(q.waiting[next], work, backlog))) {
+			next = i
 		}
 	}
-	return next, true
+	return next
+}
+
+func (q *Queue) dueAt(r Request, work, backlog time.Duration) time.Time {
+	return r.dueAt(work, q.roundTrips(), backlog, q.long())
 }
 
 // RecordSent records a transmission of the packet of a waiting request, as Request.RecordSent does.
@@ -233,17 +259,25 @@
 	return r
 }
 
+// Slack is how long a request with a promised time may wait in the target's own queue.
+func (q *Queue) Slack(aim, work time.Duration) time.Duration {
+	return aim - q.roundTrips() - Request{Aim: aim}.margin(work, q.long())
+}
+
 // Timely reports whether the answer to a request can still come in the promised time when its turn is now.
 func (q *Queue) Timely(now time.Time, r Request, work time.Duration) bool {
 	return q.timely(r, now, work)
 }
 
 func (q *Queue) timely(r Request, now time.Time, work time.Duration) bool {
-	long := LongWork
+	return r.timely(now, work, q.roundTrips(), q.long())
+}
+
+func (q *Queue) long() float64 {
 	if q.Without.LongWork {
-		long = MinWork
+		return MinWork
 	}
-	return r.timely(now, work, q.roundTrips(), long)
+	return LongWork
 }
 
 func (q *Queue) roundTrips() time.Duration { return cmp.Or(q.RoundTrips, DefaultRoundTrips) }
--- a/pkg/dsr/admission/request.go
+++ b/pkg/dsr/admission/request.go
@@ -61,8 +61,11 @@
 	return !r.NextDue.IsZero() && now.After(r.NextDue.Add(RetransmissionSlack))
 }
 
-// dueAt is when a request on an open flow has to be handed to the target, so that its answer can come before its
-// caller's timeout: the target first finishes what it has, which takes about as long as the request itself.
-func (r Request) dueAt(work, roundTrips time.Duration) time.Time {
-	return r.deadline().Add(-roundTrips - 2*work)
+// dueAt is when a request on an open flow has to be handed to the target, so that its answer can come in the promised
+// time, or before its caller's timeout when there is none. Backlog is the time that the target needs for what it has.
+func (r Request) dueAt(work, roundTrips, backlog time.Duration, long float64) time.Time {
+	if r.Aim > 0 {
+		return r.Arrived.Add(r.Aim - r.margin(work, long) - roundTrips - backlog)
+	}
+	return r.deadline().Add(-work - roundTrips - backlog)
 }
--- a/pkg/dsr/dispatch/flow_state.go
+++ b/pkg/dsr/dispatch/flow_state.go
@@ -64,6 +64,8 @@
 	// offer is the load that was assumed when the flow was last offered.
 	offer loadEstimate
 	tries int
+	// overloaded is set when the last agent declined the flow because its target's answer would be late.
+	overloaded bool
 	// hedgeAt is when the flow is offered to the next agent unless the last one has answered.
 	hedgeAt time.Time
 	// stale is set while the flow waits for a newer configuration.
--- a/pkg/dsr/dispatch/opening.go
+++ b/pkg/dsr/dispatch/opening.go
@@ -161,7 +161,7 @@
 // noAgentLeft refuses or parks a new flow that no eligible agent has accepted.
 func (b *Balancer) noAgentLeft(now time.Time, f *flowState) {
 	if len(f.tried) > len(f.failed) {
-		b.refuse(now, f, refusal.ReasonAllFull)
+		b.refuse(now, f, fullReason(f))
 		return
 	}
 	if reason, final := b.noneUsable(now, f); final {
@@ -171,6 +171,14 @@
 	b.parkOrRefuse(now, f, refusal.ReasonNoTarget)
 }
 
+// fullReason is the reason for refusing a flow that living agents have declined.
+func fullReason(f *flowState) refusal.Reason {
+	if f.overloaded {
+		return refusal.ReasonOverloaded
+	}
+	return refusal.ReasonAllFull
+}
+
 // noneUsable reports whether the service has living targets of which none may be used, because of an evacuation or the
 // allowed regions, and the reason for the refusal: waiting does not help then.
 func (b *Balancer) noneUsable(now time.Time, f *flowState) (refusal.Reason, bool) {
--- a/pkg/dsr/ownership/entry.go
+++ b/pkg/dsr/ownership/entry.go
@@ -32,7 +32,9 @@
 	// answers.
 	busy bool
 	// working is set while the target has a request; hadFreeSlot is set when a slot was free as that request arrived.
-	working     bool
+	working bool
+	// further is set while the target has a request that is not the first one of its flow.
+	further     bool
 	hadFreeSlot bool
 	// requestBy is when the flow stops counting as work unless its caller has sent a request.
 	requestBy time.Time
--- a/pkg/dsr/ownership/held.go
+++ b/pkg/dsr/ownership/held.go
@@ -61,7 +61,7 @@
 
 // mustHold reports whether a packet begins a request that waits for its turn.
 func (t *Table) mustHold(now time.Time, key flow.Key, e *entry, s segment.Segment) bool {
-	if !e.beginsRequest(s) || t.busy < t.requestLimit() || !t.mayHold(now) || e.targetClosed || s.Has(segment.RST) {
+	if !e.beginsRequest(s) || t.busy < t.openLimit() || !t.mayHold(now) || e.targetClosed || s.Has(segment.RST) {
 		return false
 	}
 	_, known := t.promises[key.Destination]
@@ -146,7 +146,7 @@
 		t.handOverAll(now)
 	}
 	for {
-		r, ok := t.queue.Due(now, t.workTime())
+		r, ok := t.queue.Due(now, t.workTime(), t.backlog())
 		if !ok {
 			return
 		}
--- a/pkg/dsr/ownership/lifetime.go
+++ b/pkg/dsr/ownership/lifetime.go
@@ -27,6 +27,11 @@
 	e.working, e.hadFreeSlot, e.failed = true, t.working < t.slots(), false
 	e.busySince = now
 	t.working++
+	if e.answered {
+		e.further = true
+		t.further++
+		t.lastFurther = now
+	}
 }
 
 // clearBusy marks that the target has no work for the flow any more.
@@ -37,7 +42,10 @@
 	if e.working {
 		t.working--
 	}
-	e.busy, e.working, e.request = false, false, nil
+	if e.further {
+		t.further--
+	}
+	e.busy, e.working, e.further, e.request = false, false, false, nil
 	t.busy--
 }
 
@@ -76,7 +84,7 @@
 	if !t.recheckAt.IsZero() && t.recheckAt.Before(next) {
 		next = t.recheckAt
 	}
-	if at, ok := t.queue.NextDue(t.workTime()); ok && at.Before(next) {
+	if at, ok := t.queue.NextDue(t.workTime(), t.backlog()); ok && at.Before(next) {
 		next = at
 	}
 	if len(t.due) > 0 && t.due[0].at.Before(next) {
--- a/pkg/dsr/ownership/queueing.go
+++ b/pkg/dsr/ownership/queueing.go
@@ -14,7 +14,16 @@
 // balancer asks only for a free slot.
 func (t *Table) enqueue(now time.Time, balancer netip.AddrPort, m *dsrpb.Message, s segment.Segment, key flow.Key) {
 	t.queue.Cold = t.coldLimit(now)
-	if m.Patience == dsrpb.Patience_PATIENCE_FREE_SLOT || !t.queue.Add(now, openingOf(now, key, m.Opening, s), t.workTime(), t.slots()) {
+	if m.Patience == dsrpb.Patience_PATIENCE_FREE_SLOT {
+		t.decline(now, balancer, m, key, dsrpb.Verdict_VERDICT_BUSY, nil)
+		return
+	}
+	r := openingOf(now, key, m.Opening, s)
+	if t.repeatsRequests(now) && t.queue.Overloaded(now, r, t.workTime(), t.slots(), max(0, t.busy-t.openLimit()), min(t.backlog(), t.limitBacklog())) {
+		t.decline(now, balancer, m, key, dsrpb.Verdict_VERDICT_OVERLOADED, nil)
+		return
+	}
+	if !t.queue.Add(now, r, t.workTime(), t.slots()) {
 		t.decline(now, balancer, m, key, dsrpb.Verdict_VERDICT_BUSY, nil)
 		return
 	}
@@ -51,7 +60,7 @@
 	t.abandonExpired(now)
 	t.handOverDue(now)
 	t.recheckAt = time.Time{}
-	for t.queue.Len() > 0 && t.busy < t.requestLimit() {
+	for t.queue.Len() > 0 {
 		r, ok := t.nextQueued(now)
 		if !ok {
 			return
@@ -78,14 +87,20 @@
 
 // nextQueued removes and returns the request whose turn it is. New flows are passed over while the target takes none.
 func (t *Table) nextQueued(now time.Time) (admission.Request, bool) {
-	if t.busy >= t.concurrencyLimit(now) {
-		return t.queue.NextOpen(now, t.workTime())
-	}
-	if t.queue.NewFlows() > 0 && !t.hasRoom(now) {
+	takesOpen, takesNew := t.busy < t.openLimit(), t.takesNewFlow(now)
+	if takesNew && t.queue.NewFlows() > 0 && !t.hasRoom(now) {
 		t.recheckAt = t.nextRoomAt(now)
+		takesNew = false
+	}
+	switch {
+	case takesOpen && takesNew:
+		return t.queue.Next(now, t.workTime())
+	case takesOpen:
 		return t.queue.NextOpen(now, t.workTime())
+	case takesNew:
+		return t.queue.NextNew(now, t.workTime())
 	}
-	return t.queue.Next(now, t.workTime())
+	return admission.Request{}, false
 }
 
 // cancelQueued removes a queued flow when its caller resets or closes it.
--- a/pkg/dsr/ownership/table.go
+++ b/pkg/dsr/ownership/table.go
@@ -30,6 +30,9 @@
 	// busy is the number of flows with busy set, working the number of those with working set.
 	busy    int
 	working int
+	// further is the number of flows with further set, lastFurther the time of the last further request.
+	further     int
+	lastFurther time.Time
 	// queue holds the flows in phase queued and the held requests on open flows. meanWork is the target's time for one request, last updated at
 	// workUpdated. roundTrip is the time from the target's answer to an opening packet to the caller's request.
 	queue       admission.Queue
