--- a/pkg/dsr/admission/queue.go
+++ b/pkg/dsr/admission/queue.go
@@ -110,11 +110,16 @@
 
 // Next removes and returns the request whose turn it is.
 func (q *Queue) Next(now time.Time, work time.Duration) (Request, bool) {
-	best := q.first(now, work, func(Request) bool { return true })
+	return q.NextOf(now, work, func(Request) bool { return true })
+}
+
+// NextOf removes and returns the eligible request whose turn it is.
+func (q *Queue) NextOf(now time.Time, work time.Duration, eligible func(Request) bool) (Request, bool) {
+	best := q.first(now, work, eligible)
 	if best < 0 {
 		return Request{}, false
 	}
-	if aged := q.aged(now, work, q.waiting[best]); aged >= 0 {
+	if aged := q.aged(now, work, q.waiting[best], eligible); aged >= 0 {
 		best = aged
 	}
 	return q.take(best), true
@@ -151,13 +156,13 @@
 
 // aged returns the index of a late request that goes before a timely one of a higher priority, -1 when there is none:
 // each AgedShare-th such turn goes to the one that arrived first.
-func (q *Queue) aged(now time.Time, work time.Duration, best Request) int {
+func (q *Queue) aged(now time.Time, work time.Duration, best Request, eligible func(Request) bool) int {
 	if q.open == 0 || q.Without.RequestQueue || !q.timely(best, now, work) {
 		return -1
 	}
 	oldest := -1
 	for i, r := range q.waiting {
-		if r.Priority > best.Priority && !q.timely(r, now, work) && (oldest < 0 || r.Arrived.Before(q.waiting[oldest].Arrived)) {
+		if eligible(r) && r.Priority > best.Priority && !q.timely(r, now, work) && (oldest < 0 || r.Arrived.Before(q.waiting[oldest].Arrived)) {
 			oldest = i
 		}
 	}
--- a/pkg/dsr/ownership/from_balancer.go
+++ b/pkg/dsr/ownership/from_balancer.go
@@ -106,7 +106,7 @@
 		t.decline(now, balancer, m, key, dsrpb.Verdict_VERDICT_BUSY, nil)
 		return
 	}
-	if t.mayOffer(now) && t.queue.Len() == 0 {
+	if t.busy < t.newFlowLimit(now, int(m.GetOpening().GetPriority())) && t.queue.Len() == 0 && t.hasRoom(now) {
 		e = &entry{origin: balancer, touched: now, configuration: m.Configuration}
 		t.flows[key] = e
 		t.offer(now, key, e, s.Raw)
--- a/pkg/dsr/ownership/limits.go
+++ b/pkg/dsr/ownership/limits.go
@@ -33,21 +33,27 @@
 // backlog is the time until the target begins a request that it is given now.
 func (t *Table) backlog() time.Duration { return t.backlogOf(t.busy) }
 
-// limitBacklog is the backlog of a target that has as many requests as it is given.
-func (t *Table) limitBacklog() time.Duration { return t.backlogOf(t.openLimit() - 1) }
-
 func (t *Table) backlogOf(requests int) time.Duration {
 	return time.Duration(max(0, requests-t.slots()+1)) * t.workTime() / time.Duration(t.slots())
 }
 
-// takesNewFlow reports whether the target is given a new flow now. Requests on open flows count only as far as they
-// keep the answer from coming in time.
-func (t *Table) takesNewFlow(now time.Time) bool {
-	if t.cfg.Without.RequestQueue || t.further == 0 {
-		return t.busy < t.concurrencyLimit(now)
+// newFlowLimit is the number of requests up to which the target is given a new flow. One that is more urgent than others
+// at the target shares the limit of requests on open flows; the others leave the target's own queue to these, since a
+// caller whose flow is new can be sent elsewhere.
+func (t *Table) newFlowLimit(now time.Time, priority int) int {
+	limit := t.concurrencyLimit(now)
+	if t.further == 0 || !t.isUrgent(priority) || limit < t.requestLimit() {
+		return limit
 	}
-	return t.busy-t.further < t.concurrencyLimit(now) && t.busy < t.openLimit()
+	return t.openLimit()
 }
 
-// mayOffer reports whether the target takes a new flow, also while it warms up.
-func (t *Table) mayOffer(now time.Time) bool { return t.takesNewFlow(now) && t.hasRoom(now) }
+// isUrgent reports whether a priority is above the lowest one of the routes to the target.
+func (t *Table) isUrgent(priority int) bool {
+	for _, p := range t.promises {
+		if p.priority > priority {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/dsr/ownership/queueing.go
+++ b/pkg/dsr/ownership/queueing.go
@@ -19,7 +19,8 @@
 		return
 	}
 	r := openingOf(now, key, m.Opening, s)
-	if t.repeatsRequests(now) && t.queue.Overloaded(now, r, t.workTime(), t.slots(), max(0, t.busy-t.openLimit()), min(t.backlog(), t.limitBacklog())) {
+	limit := t.newFlowLimit(now, r.Priority)
+	if t.repeatsRequests(now) && t.queue.Overloaded(now, r, t.workTime(), t.slots(), max(0, t.busy-limit), min(t.backlog(), t.backlogOf(limit-1))) {
 		t.decline(now, balancer, m, key, dsrpb.Verdict_VERDICT_OVERLOADED, nil)
 		return
 	}
@@ -87,20 +88,17 @@
 
 // nextQueued removes and returns the request whose turn it is. New flows are passed over while the target takes none.
 func (t *Table) nextQueued(now time.Time) (admission.Request, bool) {
-	takesOpen, takesNew := t.busy < t.openLimit(), t.takesNewFlow(now)
-	if takesNew && t.queue.NewFlows() > 0 && !t.hasRoom(now) {
+	takesNew := t.queue.NewFlows() > 0
+	if takesNew && t.busy < t.concurrencyLimit(now) && !t.hasRoom(now) {
 		t.recheckAt = t.nextRoomAt(now)
 		takesNew = false
 	}
-	switch {
-	case takesOpen && takesNew:
-		return t.queue.Next(now, t.workTime())
-	case takesOpen:
-		return t.queue.NextOpen(now, t.workTime())
-	case takesNew:
-		return t.queue.NextNew(now, t.workTime())
-	}
-	return admission.Request{}, false
+	return t.queue.NextOf(now, t.workTime(), func(r admission.Request) bool {
+		if r.Open {
+			return t.busy < t.openLimit()
+		}
+		return takesNew && t.busy < t.newFlowLimit(now, r.Priority)
+	})
 }
 
 // cancelQueued removes a queued flow when its caller resets or closes it.
