--- a/pkg/dsr/admission/queue.go
+++ b/pkg/dsr/admission/queue.go
@@ -70,6 +70,7 @@
 	if now.Add(q.wait(now, r, work, slots) + work).After(r.deadline()) {
 		return false
 	}
+	r.InTime = q.timely(r, now, work)
 	q.waiting = append(q.waiting, r)
 	return true
 }
@@ -186,6 +187,19 @@
 	return Request{}, false
 }
 
+// Late removes and returns a new flow that was queued while it could be answered in the promised time and now cannot.
+func (q *Queue) Late(now time.Time, work time.Duration) (Request, bool) {
+	if q.Without.RefuseLate {
+		return Request{}, false
+	}
+	for i, r := range q.waiting {
+		if !r.Open && r.InTime && !q.timely(r, now, work) {
+			return q.take(i), true
+		}
+	}
+	return Request{}, false
+}
+
 // Due removes and returns the request on an open flow that can wait no longer, given the time that the target needs for
 // what it has.
 func (q *Queue) Due(now time.Time, work, backlog time.Duration) (Request, bool) {
--- a/pkg/dsr/admission/request.go
+++ b/pkg/dsr/admission/request.go
@@ -11,6 +11,8 @@
 	Key flow.Key
 	// Open is set for a request on a flow that the target holds.
 	Open bool
+	// InTime is set when the request could be answered in the promised time as it was queued.
+	InTime bool
 	// Arrived is when its first packet reached the system, as far as is known.
 	Arrived time.Time
 	// Aim is the response time promised to its caller, 0 when there is none; Timeout is how long the caller waits.
--- a/pkg/dsr/ownership/queueing.go
+++ b/pkg/dsr/ownership/queueing.go
@@ -80,10 +80,17 @@
 	for {
 		r, ok := t.queue.Expired(now, t.workTime())
 		if !ok {
-			return
+			break
 		}
 		t.returnQueued(now, r.Key, dsrpb.Verdict_VERDICT_GIVEN_UP, EventAbandoned)
 	}
+	for t.repeatsRequests(now) && t.busy >= t.requestLimit() {
+		r, ok := t.queue.Late(now, t.workTime())
+		if !ok {
+			return
+		}
+		t.returnQueued(now, r.Key, dsrpb.Verdict_VERDICT_OVERLOADED, EventDeclined)
+	}
 }
 
 // nextQueued removes and returns the request whose turn it is. New flows are passed over while the target takes none.
