Requests on open flows wait in the order of all requests

Callers saw: under bursts the more urgent request that opens a flow waits at the agent, while requests on open flows go past it to the target's own queue, first in, first out, however urgent. New flows wait past their promised time until their caller's timeout.

Cause: only new flows were queued by priority and promised time, and a queue took a flow whenever its turn came before the timeout.

Change: a further request on an open flow is held at the agent while its target has more than it can finish in half of the time left in the least promised time, in one queue with new flows. It is handed over in its turn, and at the latest when the target's own queue leaves just enough of its promised time. A new flow that would be late because of requests of the same or a higher priority is declined at once, and returned when it becomes late in the queue; callers are told service-overloaded. Flows with one request each are decided about as before.

--- a/pkg/dsr/admission/queue.go
+++ b/pkg/dsr/admission/queue.go
@@ -37,9 +37,6 @@
 	// RetransmissionSlack is how late a retransmission of an opening packet may be until its caller counts as gone:
 	// the delay of a busy balancer.
 	RetransmissionSlack = 100 * time.Millisecond
-	// AgedShare is how many turns pass, while requests of a higher priority are in time, until one goes to the request
-	// of a lower priority that has been late for longest.
-	AgedShare = 8
 )
 
 // Queue holds the requests that wait for one target. The zero value is empty.
@@ -55,8 +52,6 @@
 	waiting []Request
 	// open is the number of waiting requests on open flows.
 	open int
-	// passed counts the turns in which a late request of a lower priority was passed by a timely one.
-	passed int
 }
 
 func (q *Queue) Len() int { return len(q.waiting) }
@@ -75,13 +70,16 @@
 	return true
 }
 
-// Overloaded reports whether a new flow would be late because of requests of the same or a higher priority. A request
-// without a promised time, or one that is late already, is not: it takes what the others leave. The requests that the
+// Overloaded reports whether a new flow would be late because of requests of the same or a higher priority, or is late
+// already while as many late ones wait as there are slots: those take what the others leave. The requests that the
 // target has to finish before it takes another count as ahead.
 func (q *Queue) Overloaded(now time.Time, r Request, work time.Duration, slots, ahead int, backlog time.Duration) bool {
-	if q.Without.RefuseLate || r.Aim == 0 || !q.timely(r, now, work) {
+	if q.Without.RefuseLate || r.Aim == 0 {
 		return false
 	}
+	if !q.timely(r, now, work) {
+		return q.late(now, work) >= slots
+	}
 	for _, w := range q.waiting {
 		if w.Priority <= r.Priority && q.before(w, r, now, work) {
 			ahead++
@@ -91,6 +89,17 @@
 	return !q.timely(r, turn.Add(backlog), work)
 }
 
+// late is the number of waiting requests that cannot be answered in the promised time.
+func (q *Queue) late(now time.Time, work time.Duration) int {
+	n := 0
+	for _, r := range q.waiting {
+		if !q.timely(r, now, work) {
+			n++
+		}
+	}
+	return n
+}
+
 // AddOpen queues a request on an open flow.
 func (q *Queue) AddOpen(r Request) {
 	r.Open = true
@@ -120,28 +129,17 @@
 	if best < 0 {
 		return Request{}, false
 	}
-	if aged := q.aged(now, work, q.waiting[best], eligible); aged >= 0 {
-		best = aged
-	}
 	return q.take(best), true
 }
 
 // NextOpen removes and returns the first request on an open flow.
 func (q *Queue) NextOpen(now time.Time, work time.Duration) (Request, bool) {
-	return q.takeFirst(now, work, func(r Request) bool { return r.Open })
+	return q.NextOf(now, work, func(r Request) bool { return r.Open })
 }
 
 // NextNew removes and returns the first new flow.
 func (q *Queue) NextNew(now time.Time, work time.Duration) (Request, bool) {
-	return q.takeFirst(now, work, func(r Request) bool { return !r.Open })
-}
-
-func (q *Queue) takeFirst(now time.Time, work time.Duration, eligible func(Request) bool) (Request, bool) {
-	best := q.first(now, work, eligible)
-	if best < 0 {
-		return Request{}, false
-	}
-	return q.take(best), true
+	return q.NextOf(now, work, func(r Request) bool { return !r.Open })
 }
 
 // first returns the index of the first eligible request in the order of before, -1 when there is none.
@@ -155,28 +153,6 @@
 	return best
 }
 
-// aged returns the index of a late request that goes before a timely one of a higher priority, -1 when there is none:
-// each AgedShare-th such turn goes to the one that arrived first.
-func (q *Queue) aged(now time.Time, work time.Duration, best Request, eligible func(Request) bool) int {
-	if q.open == 0 || q.Without.RequestQueue || !q.timely(best, now, work) {
-		return -1
-	}
-	oldest := -1
-	for i, r := range q.waiting {
-		if eligible(r) && r.Priority > best.Priority && !q.timely(r, now, work) && (oldest < 0 || r.Arrived.Before(q.waiting[oldest].Arrived)) {
-			oldest = i
-		}
-	}
-	if oldest < 0 {
-		return -1
-	}
-	q.passed++
-	if q.passed%AgedShare != 0 {
-		return -1
-	}
-	return oldest
-}
-
 // Expired removes and returns a new flow whose caller is gone or will have left before an answer.
 func (q *Queue) Expired(now time.Time, work time.Duration) (Request, bool) {
 	for i, r := range q.waiting {
--- a/pkg/dsr/admission/queue_test.go
+++ b/pkg/dsr/admission/queue_test.go
@@ -96,6 +96,94 @@
 	require.Zero(t, q.Len())
 }
 
+func TestRequestsOnOpenFlowsWaitInTheSameOrder(t *testing.T) {
+	var q Queue
+	require.True(t, q.Add(now, opening(1, 0, 2), work, 3))
+	q.AddOpen(opening(2, 0, 1))
+	q.AddOpen(opening(3, 10*time.Millisecond, 2))
+	require.Equal(t, 1, q.NewFlows())
+	require.Equal(t, []uint16{2, 3, 1}, order(&q))
+	require.Zero(t, q.NewFlows())
+}
+
+func TestARequestOnAnOpenFlowIsDueWhileItCanBeInTime(t *testing.T) {
+	var q Queue
+	require.True(t, q.Add(now, opening(1, 0, 2), work, 3))
+	_, waits := q.NextDue(work, 0)
+	require.False(t, waits, "a new flow is not due")
+	q.AddOpen(opening(2, 0, 2))
+	at, waits := q.NextDue(work, 0)
+	require.True(t, waits)
+	r := opening(2, 0, 2)
+	require.True(t, q.timely(r, at, work))
+	require.False(t, q.timely(r, at.Add(1), work))
+	sooner, _ := q.NextDue(work, work)
+	require.Equal(t, at.Add(-work), sooner, "the target first finishes what it has")
+	_, due := q.Due(at.Add(-1), work, 0)
+	require.False(t, due)
+	got, due := q.Due(at, work, 0)
+	require.True(t, due)
+	require.Equal(t, key(2), got.Key)
+}
+
+func TestARequestWithoutAPromisedTimeIsDueBeforeItsTimeout(t *testing.T) {
+	var q Queue
+	r := opening(1, 0, 2)
+	r.Aim = 0
+	q.AddOpen(r)
+	at, _ := q.NextDue(work, 0)
+	require.Equal(t, r.deadline().Add(-work-DefaultRoundTrips), at)
+}
+
+func TestANewFlowThatWouldBeLateIsDeclined(t *testing.T) {
+	var q Queue
+	r := opening(100, 0, 1)
+	require.False(t, q.Overloaded(now, r, work, 3, 0, 0))
+	require.True(t, q.Overloaded(now, r, work, 3, 0, 100*time.Millisecond), "the target is behind")
+	for i := range 20 {
+		q.AddOpen(opening(i, 10*time.Millisecond, 2))
+	}
+	require.False(t, q.Overloaded(now, r, work, 3, 0, 0), "less urgent requests do not delay it")
+	less := opening(101, 0, 2)
+	require.True(t, q.Overloaded(now, less, work, 3, 0, 0))
+	q.Without.RefuseLate = true
+	require.False(t, q.Overloaded(now, less, work, 3, 0, 0))
+}
+
+func TestFewLateNewFlowsWait(t *testing.T) {
+	var q Queue
+	late := opening(100, 600*time.Millisecond, 2)
+	for i := range 3 {
+		require.False(t, q.Overloaded(now, late, work, 3, 0, 0))
+		require.True(t, q.Add(now, opening(i, 600*time.Millisecond, 2), work, 3))
+	}
+	require.True(t, q.Overloaded(now, late, work, 3, 0, 0))
+	_, returned := q.Late(now, work)
+	require.False(t, returned, "those that came late stay")
+}
+
+func TestAQueuedNewFlowIsReturnedWhenItBecomesLate(t *testing.T) {
+	var q Queue
+	require.True(t, q.Add(now, opening(1, 0, 2), work, 3))
+	q.AddOpen(opening(2, 0, 2))
+	_, late := q.Late(now, work)
+	require.False(t, late)
+	r, late := q.Late(now.Add(100*time.Millisecond), work)
+	require.True(t, late)
+	require.Equal(t, key(1), r.Key)
+	require.Equal(t, 1, q.Len())
+}
+
+func TestAPromiseActsOnWhatWaits(t *testing.T) {
+	var q Queue
+	urgent := opening(1, 0, 1)
+	urgent.Key.Destination = netip.MustParseAddrPort("10.0.0.2:80")
+	q.AddOpen(urgent)
+	q.AddOpen(opening(2, 0, 2))
+	q.Promise(urgent.Key.Destination, 3, 120*time.Millisecond, time.Second)
+	require.Equal(t, []uint16{2, 1}, order(&q))
+}
+
 // Callers that leave send nothing, but stop retransmitting.
 func TestFlowsWithOverdueRetransmissionsExpire(t *testing.T) {
 	var q Queue
--- a/pkg/dsr/dispatch/balancer_test.go
+++ b/pkg/dsr/dispatch/balancer_test.go
@@ -329,6 +329,23 @@
 	require.Equal(t, refusal.RunNo, f.out.refusals[2].Run)
 }
 
+// A flow that would be late at one target is offered to another. When it would be late there too, its caller is told.
+func TestAnOverloadedServiceTellsCallersAtOnce(t *testing.T) {
+	f := newFixture(t)
+	f.announceReady(1, "dc-1", 5)
+	f.announceReady(2, "dc-1", 5)
+	f.open(1)
+	first := int(f.asked().to.Addr().As4()[3])
+	f.decline(first, 1, dsrpb.Verdict_VERDICT_OVERLOADED)
+	require.Empty(t, f.out.resets)
+	second := int(f.asked().to.Addr().As4()[3])
+	require.NotEqual(t, first, second)
+	f.decline(second, 1, dsrpb.Verdict_VERDICT_OVERLOADED)
+	require.Len(t, f.out.resets, 1)
+	require.Equal(t, refusal.ReasonOverloaded, f.out.refusals[0].Reason)
+	require.Equal(t, refusal.RunNo, f.out.refusals[0].Run)
+}
+
 // An agent that did not answer may still have opened the flow.
 func TestRefusalIsNotRunOnlyWhenEveryAgentAnswered(t *testing.T) {
 	f := newFixture(t)
--- a/pkg/dsr/ownership/from_balancer.go
+++ b/pkg/dsr/ownership/from_balancer.go
@@ -78,13 +78,13 @@
 // only updates its state; one of a flow that was offered or is open is passed to the target again.
 func (t *Table) receiveOpening(now time.Time, balancer netip.AddrPort, m *dsrpb.Message, s segment.Segment, key flow.Key, e *entry, stale bool) {
 	t.applyDeclaredLimits(m)
-	t.learnPromise(m, key.Destination)
 	if e != nil && e.phase == queued {
 		e.origin = balancer
 		t.queue.RecordSent(key, s.Age, s.NextRetransmission)
 		t.sendReturned(now, balancer, m, key, dsrpb.Verdict_VERDICT_QUEUED, nil)
 		return
 	}
+	t.learnPromise(m, key.Destination)
 	if e != nil && e.phase != ended {
 		e.origin = balancer
 		e.touched = now
@@ -106,7 +106,7 @@
 		t.decline(now, balancer, m, key, dsrpb.Verdict_VERDICT_BUSY, nil)
 		return
 	}
-	if t.busy < t.newFlowLimit(now, int(m.GetOpening().GetPriority())) && t.queue.Len() == 0 && t.hasRoom(now) {
+	if t.busy < t.limits(now).of(priorityOf(m)) && t.queue.Len() == 0 && t.hasRoom(now) {
 		e = &entry{origin: balancer, touched: now, configuration: m.Configuration}
 		t.flows[key] = e
 		t.offer(now, key, e, s.Raw)
--- a/pkg/dsr/ownership/held.go
+++ b/pkg/dsr/ownership/held.go
@@ -146,7 +146,7 @@
 		t.handOverAll(now)
 	}
 	for {
-		r, ok := t.queue.Due(now, t.workTime(), t.backlog())
+		r, ok := t.queue.Due(now, t.workTime(), t.backlog(t.busy))
 		if !ok {
 			return
 		}
--- a/pkg/dsr/ownership/lifetime.go
+++ b/pkg/dsr/ownership/lifetime.go
@@ -84,7 +84,7 @@
 	if !t.recheckAt.IsZero() && t.recheckAt.Before(next) {
 		next = t.recheckAt
 	}
-	if at, ok := t.queue.NextDue(t.workTime(), t.backlog()); ok && at.Before(next) {
+	if at, ok := t.queue.NextDue(t.workTime(), t.backlog(t.busy)); ok && at.Before(next) {
 		next = at
 	}
 	if len(t.due) > 0 && t.due[0].at.Before(next) {
--- a/pkg/dsr/ownership/promise.go
+++ b/pkg/dsr/ownership/promise.go
@@ -38,11 +38,23 @@
 		clear(t.promises)
 	}
 	t.promises[destination] = p
+	t.summarizePromises()
 	if known && !last.same(p) {
 		t.queue.Promise(destination, p.priority, p.aim, p.timeout)
 	}
 }
 
+// summarizePromises sets the least promised time and the lowest priority of all addresses.
+func (t *Table) summarizePromises() {
+	t.leastAim, t.lowestPriority = 0, 0
+	for _, p := range t.promises {
+		t.lowestPriority = max(t.lowestPriority, p.priority)
+		if p.aim > 0 && (t.leastAim == 0 || p.aim < t.leastAim) {
+			t.leastAim = p.aim
+		}
+	}
+}
+
 // same reports whether two promises differ in their configuration only.
 func (p promise) same(other promise) bool {
 	return p.priority == other.priority && p.aim == other.aim && p.timeout == other.timeout
--- a/pkg/dsr/ownership/queueing.go
+++ b/pkg/dsr/ownership/queueing.go
@@ -19,8 +19,7 @@
 		return
 	}
 	r := openingOf(now, key, m.Opening, s)
-	limit := t.newFlowLimit(now, r.Priority)
-	if t.repeatsRequests(now) && t.queue.Overloaded(now, r, t.workTime(), t.slots(), max(0, t.busy-limit), min(t.backlog(), t.backlogOf(limit-1))) {
+	if t.overloaded(now, r) {
 		t.decline(now, balancer, m, key, dsrpb.Verdict_VERDICT_OVERLOADED, nil)
 		return
 	}
@@ -56,9 +55,18 @@
 	return out
 }
 
+// priorityOf is the priority of a new flow; 0, the highest, when the balancer does not name one.
+func priorityOf(m *dsrpb.Message) int {
+	if m.Opening == nil {
+		return 0
+	}
+	return int(m.Opening.Priority)
+}
+
 // offerQueued gives the target the requests that wait while it has room, and abandons new flows whose callers are gone.
 func (t *Table) offerQueued(now time.Time) {
 	t.abandonExpired(now)
+	t.returnLate(now)
 	t.handOverDue(now)
 	t.recheckAt = time.Time{}
 	for t.queue.Len() > 0 {
@@ -80,11 +88,19 @@
 	for {
 		r, ok := t.queue.Expired(now, t.workTime())
 		if !ok {
-			break
+			return
 		}
 		t.returnQueued(now, r.Key, dsrpb.Verdict_VERDICT_GIVEN_UP, EventAbandoned)
 	}
-	for t.repeatsRequests(now) && t.busy >= t.requestLimit() {
+}
+
+// returnLate returns queued flows whose promised time other requests have used up, while their balancers can still send
+// them elsewhere or tell their callers.
+func (t *Table) returnLate(now time.Time) {
+	if !t.repeatsRequests(now) {
+		return
+	}
+	for t.busy >= t.requestLimit() {
 		r, ok := t.queue.Late(now, t.workTime())
 		if !ok {
 			return
@@ -100,11 +116,9 @@
 		t.recheckAt = t.nextRoomAt(now)
 		takesNew = false
 	}
+	l := t.limits(now)
 	return t.queue.NextOf(now, t.workTime(), func(r admission.Request) bool {
-		if r.Open {
-			return t.busy < t.openLimit()
-		}
-		return takesNew && t.busy < t.newFlowLimit(now, r.Priority)
+		return (r.Open || takesNew) && l.allows(r, t.busy)
 	})
 }
 
--- a/pkg/dsr/ownership/table.go
+++ b/pkg/dsr/ownership/table.go
@@ -40,8 +40,11 @@
 	workUpdated time.Time
 	roundTrip   estimate.Answer
 	// promises are what routes promise to callers, by address. heldBytes is the size of all held packets.
-	promises  map[netip.AddrPort]promise
-	heldBytes int
+	// leastAim is the least promised time, 0 when there is none, lowestPriority the lowest priority.
+	promises       map[netip.AddrPort]promise
+	leastAim       time.Duration
+	lowestPriority int
+	heldBytes      int
 	// due are the pending timers, sorted by time.
 	due []timer
 	// outcomes detects a failing target by the results of its requests.
