--- a/pkg/dsr/admission/queue.go
+++ b/pkg/dsr/admission/queue.go
@@ -180,7 +180,7 @@
 // what it has.
 func (q *Queue) Due(now time.Time, work, backlog time.Duration) (Request, bool) {
 	i := q.nextDue(work, backlog)
-	if i < 0 || now.Before(q.dueAt(q.waiting[i], work, backlog)) {
+	if i < 0 || now.Before(q.DueAt(q.waiting[i], work, backlog)) {
 		return Request{}, false
 	}
 	return q.take(i), true
@@ -192,7 +192,7 @@
 	if i < 0 {
 		return time.Time{}, false
 	}
-	return q.dueAt(q.waiting[i], work, backlog), true
+	return q.DueAt(q.waiting[i], work, backlog), true
 }
 
 // nextDue returns the index of the request on an open flow that is due first, -1 when none waits.
@@ -202,14 +202,15 @@
 	}
 	next := -1
 	for i, r := range q.waiting {
-		if r.Open && (next < 0 || q.dueAt(r, work, backlog).Before(q.dueAt(q.waiting[next], work, backlog))) {
+		if r.Open && (next < 0 || q.DueAt(r, work, backlog).Before(q.DueAt(q.waiting[next], work, backlog))) {
 			next = i
 		}
 	}
 	return next
 }
 
-func (q *Queue) dueAt(r Request, work, backlog time.Duration) time.Time {
+// DueAt returns when a request on an open flow can wait no longer.
+func (q *Queue) DueAt(r Request, work, backlog time.Duration) time.Time {
 	return r.dueAt(work, q.roundTrips(), backlog, q.long())
 }
 
--- a/pkg/dsr/ownership/from_balancer.go
+++ b/pkg/dsr/ownership/from_balancer.go
@@ -47,9 +47,12 @@
 	if e.held != nil && t.keepHeld(now, key, e, s) {
 		return
 	}
-	if e.held == nil && t.mustHold(now, key, e, s) {
-		t.hold(now, key, e, s)
-		return
+	if e.held == nil && e.beginsRequest(s) {
+		if t.mustHold(now, key, e, s) {
+			t.hold(now, key, e, s)
+			return
+		}
+		t.serveMoreUrgent(now, t.promises[key.Destination].priority)
 	}
 	t.pass(now, key, e, s)
 }
--- a/pkg/dsr/ownership/held.go
+++ b/pkg/dsr/ownership/held.go
@@ -59,13 +59,22 @@
 	return e.phase == open && e.answered && !e.busy && e.hasNewData(s)
 }
 
-// mustHold reports whether a packet begins a request that waits for its turn.
+// mustHold reports whether a request on an open flow waits for its turn. One whose answer would be late after any wait
+// goes to the target at once: the target may refuse it while its caller can still try again in time.
 func (t *Table) mustHold(now time.Time, key flow.Key, e *entry, s segment.Segment) bool {
-	if !e.beginsRequest(s) || t.busy < t.openLimit() || !t.mayHold(now) || e.targetClosed || s.Has(segment.RST) {
+	if t.busy < t.openLimit() || !t.mayHold(now) || e.targetClosed || s.Has(segment.RST) {
 		return false
 	}
-	_, known := t.promises[key.Destination]
-	return known && t.heldBytes+len(s.Raw) <= maxHeldBytes
+	if _, known := t.promises[key.Destination]; !known || t.heldBytes+len(s.Raw) > maxHeldBytes {
+		return false
+	}
+	return now.Before(t.queue.DueAt(t.furtherRequest(now, key), t.workTime(), t.backlog(t.busy)))
+}
+
+// furtherRequest is a request on an open flow that arrives now.
+func (t *Table) furtherRequest(now time.Time, key flow.Key) admission.Request {
+	p := t.promises[key.Destination]
+	return admission.Request{Key: key, Open: true, Arrived: now, Aim: p.aim, Timeout: p.timeout, Priority: p.priority, LastSent: now}
 }
 
 // mayHold reports whether requests on open flows wait for their turn: not while the agent leaves or its target may have
@@ -79,14 +88,11 @@
 
 // hold queues a request on an open flow.
 func (t *Table) hold(now time.Time, key flow.Key, e *entry, s segment.Segment) {
-	p := t.promises[key.Destination]
 	e.held = &held{since: now, begin: s.Sequence}
 	e.held.add(s)
 	t.heldBytes += e.held.bytes
-	t.queue.AddOpen(admission.Request{
-		Key: key, Arrived: now, Aim: p.aim, Timeout: p.timeout, Priority: p.priority, LastSent: now,
-	})
-	t.reportDecision(now, EventRequestHeld, key, e.origin, p.configuration, dsrpb.Verdict_VERDICT_QUEUED)
+	t.queue.AddOpen(t.furtherRequest(now, key))
+	t.reportDecision(now, EventRequestHeld, key, e.origin, t.configuration, dsrpb.Verdict_VERDICT_QUEUED)
 }
 
 // keepHeld decides about a packet on a flow whose request is held. It reports whether the packet is kept or is a
@@ -150,10 +156,38 @@
 		if !ok {
 			return
 		}
+		t.serveMoreUrgent(now, r.Priority)
 		t.handOver(now, r)
 	}
 }
 
+// serveMoreUrgent gives the target what waits with a higher priority than a request that it is about to be given.
+func (t *Table) serveMoreUrgent(now time.Time, priority int) {
+	if priority == 0 {
+		return
+	}
+	for {
+		takesNew := t.hasRoom(now)
+		r, ok := t.queue.NextOf(now, t.workTime(), func(r admission.Request) bool {
+			return r.Priority < priority && (r.Open || takesNew)
+		})
+		if !ok {
+			return
+		}
+		t.serve(now, r)
+	}
+}
+
+// serve gives the target a request that is no longer queued.
+func (t *Table) serve(now time.Time, r admission.Request) {
+	if r.Open {
+		t.handOver(now, r)
+		return
+	}
+	e := t.flows[r.Key]
+	t.offer(now, r.Key, e, e.packet)
+}
+
 // handOverAll passes all held requests to the target.
 func (t *Table) handOverAll(now time.Time) {
 	for {
--- a/pkg/dsr/ownership/queueing.go
+++ b/pkg/dsr/ownership/queueing.go
@@ -74,12 +74,7 @@
 		if !ok {
 			return
 		}
-		if r.Open {
-			t.handOver(now, r)
-			continue
-		}
-		e := t.flows[r.Key]
-		t.offer(now, r.Key, e, e.packet)
+		t.serve(now, r)
 	}
 }
 
--- a/pkg/dsr/ownership/request_queue_test.go
+++ b/pkg/dsr/ownership/request_queue_test.go
@@ -154,6 +154,20 @@
 	require.Equal(t, []int{100}, f.takenPorts())
 }
 
+// A request that can wait no longer goes past the target's limit, but not past more urgent ones.
+func TestARequestThatIsDueDoesNotPassMoreUrgentOnes(t *testing.T) {
+	f := newRequestFixture(t, Config{})
+	f.openAnswered(100, orders)
+	waiting := f.fill(1)[0]
+	f.ask(waiting, feed)
+	f.pass(5 * time.Millisecond)
+	f.ask(100, orders)
+	f.sendOpening(101, orders, promised(orders), 0)
+	require.Empty(t, f.takenPorts())
+	f.pass(feedAim / 2)
+	require.Equal(t, []int{100, 101, waiting}, f.takenPorts())
+}
+
 func TestAnUrgentNewFlowIsNotPassedByRequestsOnOpenFlows(t *testing.T) {
 	f := newRequestFixture(t, Config{})
 	f.openAnswered(100, orders)
