--- a/pkg/dsr/admission/queue_test.go
+++ b/pkg/dsr/admission/queue_test.go
@@ -20,8 +20,8 @@
 }
 
 // opening is a flow whose first packet arrived age ago, with the promised time of a small request.
-func opening(port int, age time.Duration, priority int) Opening {
-	return Opening{
+func opening(port int, age time.Duration, priority int) Request {
+	return Request{
 		Key:      key(port),
 		Arrived:  now.Add(-age),
 		Aim:      120 * time.Millisecond,
@@ -32,7 +32,7 @@
 }
 
 // retransmitted is a flow whose caller has sent the opening packet again, age after the first time.
-func retransmitted(o Opening, age time.Duration) Opening {
+func retransmitted(o Request, age time.Duration) Request {
 	o.RecordSent(age, 0)
 	return o
 }
@@ -52,16 +52,16 @@
 func TestTheOrderServesCallersInTime(t *testing.T) {
 	for _, c := range []struct {
 		name    string
-		waiting []Opening
+		waiting []Request
 		want    []uint16
 	}{
-		{"fresh before late", []Opening{opening(1, 600*time.Millisecond, 2), opening(2, 0, 2)}, []uint16{2, 1}},
-		{"late ones by their last transmission", []Opening{opening(1, 900*time.Millisecond, 2), opening(2, 300*time.Millisecond, 2)}, []uint16{2, 1}},
-		{"a retransmission counts", []Opening{opening(1, 300*time.Millisecond, 2), retransmitted(opening(2, 610*time.Millisecond, 2), 600*time.Millisecond)}, []uint16{2, 1}},
-		{"a late one goes after a fresh one of lower rank", []Opening{opening(1, 600*time.Millisecond, 1), opening(2, 0, 2)}, []uint16{2, 1}},
-		{"fresh ones by rank", []Opening{opening(1, 20*time.Millisecond, 2), opening(2, 0, 1)}, []uint16{2, 1}},
-		{"fresh ones of a rank by the time left", []Opening{opening(1, 0, 2), opening(2, 20*time.Millisecond, 2)}, []uint16{2, 1}},
-		{"one that would be late by the round trips is late", []Opening{opening(1, 90*time.Millisecond, 1), opening(2, 10*time.Millisecond, 2)}, []uint16{2, 1}},
+		{"fresh before late", []Request{opening(1, 600*time.Millisecond, 2), opening(2, 0, 2)}, []uint16{2, 1}},
+		{"late ones by their last transmission", []Request{opening(1, 900*time.Millisecond, 2), opening(2, 300*time.Millisecond, 2)}, []uint16{2, 1}},
+		{"a retransmission counts", []Request{opening(1, 300*time.Millisecond, 2), retransmitted(opening(2, 610*time.Millisecond, 2), 600*time.Millisecond)}, []uint16{2, 1}},
+		{"a late one goes after a fresh one of lower rank", []Request{opening(1, 600*time.Millisecond, 1), opening(2, 0, 2)}, []uint16{2, 1}},
+		{"fresh ones by rank", []Request{opening(1, 20*time.Millisecond, 2), opening(2, 0, 1)}, []uint16{2, 1}},
+		{"fresh ones of a rank by the time left", []Request{opening(1, 0, 2), opening(2, 20*time.Millisecond, 2)}, []uint16{2, 1}},
+		{"one that would be late by the round trips is late", []Request{opening(1, 90*time.Millisecond, 1), opening(2, 10*time.Millisecond, 2)}, []uint16{2, 1}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var q Queue
@@ -96,6 +96,94 @@
 	require.Zero(t, q.Len())
 }
 
+func TestRequestsOnOpenFlowsWaitInTheSameOrder(t *testing.T) {
+	var q Queue
+	require.True(t, q.Add(now, opening(1, 0, 2), work, 3))
+	q.AddOpen(opening(2, 0, 1))
+	q.AddOpen(opening(3, 10*time.Millisecond, 2))
+	require.Equal(t, 1, q.NewFlows())
+	require.Equal(t, []uint16{2, 3, 1}, order(&q))
+	require.Zero(t, q.NewFlows())
+}
+
+func TestARequestOnAnOpenFlowIsDueWhileItCanBeInTime(t *testing.T) {
+	var q Queue
+	require.True(t, q.Add(now, opening(1, 0, 2), work, 3))
+	_, waits := q.NextDue(work, 0)
+	require.False(t, waits, "a new flow is not due")
+	q.AddOpen(opening(2, 0, 2))
+	at, waits := q.NextDue(work, 0)
+	require.True(t, waits)
+	r := opening(2, 0, 2)
+	require.True(t, q.timely(r, at, work))
+	require.False(t, q.timely(r, at.Add(1), work))
+	sooner, _ := q.NextDue(work, work)
+	require.Equal(t, at.Add(-work), sooner, "the target first finishes what it has")
+	_, due := q.Due(at.Add(-1), work, 0)
+	require.False(t, due)
+	got, due := q.Due(at, work, 0)
+	require.True(t, due)
+	require.Equal(t, key(2), got.Key)
+}
+
+func TestARequestWithoutAPromisedTimeIsDueBeforeItsTimeout(t *testing.T) {
+	var q Queue
+	r := opening(1, 0, 2)
+	r.Aim = 0
+	q.AddOpen(r)
+	at, _ := q.NextDue(work, 0)
+	require.Equal(t, r.deadline().Add(-work-DefaultRoundTrips), at)
+}
+
+func TestANewFlowThatWouldBeLateIsDeclined(t *testing.T) {
+	var q Queue
+	r := opening(100, 0, 1)
+	require.False(t, q.Overloaded(now, r, work, 3, 0, 0))
+	require.True(t, q.Overloaded(now, r, work, 3, 0, 100*time.Millisecond), "the target is behind")
+	for i := range 20 {
+		q.AddOpen(opening(i, 10*time.Millisecond, 2))
+	}
+	require.False(t, q.Overloaded(now, r, work, 3, 0, 0), "less urgent requests do not delay it")
+	less := opening(101, 0, 2)
+	require.True(t, q.Overloaded(now, less, work, 3, 0, 0))
+	q.Without.RefuseLate = true
+	require.False(t, q.Overloaded(now, less, work, 3, 0, 0))
+}
+
+func TestFewLateNewFlowsWait(t *testing.T) {
+	var q Queue
+	late := opening(100, 600*time.Millisecond, 2)
+	for i := range 3 {
+		require.False(t, q.Overloaded(now, late, work, 3, 0, 0))
+		require.True(t, q.Add(now, opening(i, 600*time.Millisecond, 2), work, 3))
+	}
+	require.True(t, q.Overloaded(now, late, work, 3, 0, 0))
+	_, returned := q.Late(now, work)
+	require.False(t, returned, "those that came late stay")
+}
+
+func TestAQueuedNewFlowIsReturnedWhenItBecomesLate(t *testing.T) {
+	var q Queue
+	require.True(t, q.Add(now, opening(1, 0, 2), work, 3))
+	q.AddOpen(opening(2, 0, 2))
+	_, late := q.Late(now, work)
+	require.False(t, late)
+	r, late := q.Late(now.Add(100*time.Millisecond), work)
+	require.True(t, late)
+	require.Equal(t, key(1), r.Key)
+	require.Equal(t, 1, q.Len())
+}
+
+func TestAPromiseActsOnWhatWaits(t *testing.T) {
+	var q Queue
+	urgent := opening(1, 0, 1)
+	urgent.Key.Destination = netip.MustParseAddrPort("10.0.0.2:80")
+	q.AddOpen(urgent)
+	q.AddOpen(opening(2, 0, 2))
+	q.Promise(urgent.Key.Destination, 3, 120*time.Millisecond, time.Second)
+	require.Equal(t, []uint16{2, 1}, order(&q))
+}
+
 // Callers that leave send nothing, but stop retransmitting.
 func TestFlowsWithOverdueRetransmissionsExpire(t *testing.T) {
 	var q Queue
@@ -117,9 +205,9 @@
 // queue must keep most fresh requests in time, where first in, first out keeps none for seconds.
 func TestFreshRequestsStayInTimeBesideABacklog(t *testing.T) {
 	inTime, servedLate := playBacklog((*Queue).Next)
-	fifoInTime, _ := playBacklog(func(q *Queue, _ time.Time, _ time.Duration) (Opening, bool) {
+	fifoInTime, _ := playBacklog(func(q *Queue, _ time.Time, _ time.Duration) (Request, bool) {
 		if q.Len() == 0 {
-			return Opening{}, false
+			return Request{}, false
 		}
 		return q.take(0), true
 	})
@@ -129,7 +217,7 @@
 }
 
 // playBacklog simulates two seconds on three slots and returns how many requests were offered in time and late.
-func playBacklog(next func(*Queue, time.Time, time.Duration) (Opening, bool)) (inTime, late int) {
+func playBacklog(next func(*Queue, time.Time, time.Duration) (Request, bool)) (inTime, late int) {
 	var q Queue
 	for i := range 90 {
 		q.Add(now, opening(i, time.Duration(i)*13*time.Millisecond, 2), work, 3)
@@ -174,7 +262,7 @@
 		at := now
 		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			at = at.Add(time.Duration(rapid.IntRange(0, 80).Draw(t, "ms")) * time.Millisecond)
-			o := Opening{Key: key(i), Arrived: at, Aim: 100 * time.Millisecond, Timeout: 500 * time.Millisecond, Priority: i % 3}
+			o := Request{Key: key(i), Arrived: at, Aim: 100 * time.Millisecond, Timeout: 500 * time.Millisecond, Priority: i % 3}
 			if rapid.Bool().Draw(t, "add") && q.Add(at, o, work, 2) {
 				in[o.Key] = true
 			}
--- a/pkg/dsr/ownership/lifetime.go
+++ b/pkg/dsr/ownership/lifetime.go
@@ -27,6 +27,11 @@
 	e.working, e.hadFreeSlot, e.failed = true, t.working < t.slots(), false
 	e.busySince = now
 	t.working++
+	if e.answered {
+		e.further = true
+		t.further++
+		t.lastFurther = now
+	}
 }
 
 // clearBusy marks that the target has no work for the flow any more.
@@ -37,23 +42,28 @@
 	if e.working {
 		t.working--
 	}
-	e.busy, e.working, e.request = false, false, nil
+	if e.further {
+		t.further--
+	}
+	e.busy, e.working, e.further, e.request = false, false, false, nil
 	t.busy--
 }
 
 // endIfClosed ends the flow when both ends have closed it.
-func (t *Table) endIfClosed(now time.Time, e *entry) {
+func (t *Table) endIfClosed(now time.Time, key flow.Key, e *entry) {
 	if e.callerClosed && e.targetClosed {
-		t.end(now, e)
+		t.end(now, key, e)
 	}
 }
 
-func (t *Table) end(now time.Time, e *entry) {
+func (t *Table) end(now time.Time, key flow.Key, e *entry) {
+	t.discardHeld(key, e)
 	t.clearBusy(e)
 	e.phase, e.since = ended, now
 }
 
 func (t *Table) drop(key flow.Key, e *entry) {
+	t.discardHeld(key, e)
 	t.clearBusy(e)
 	delete(t.flows, key)
 }
@@ -74,6 +84,9 @@
 	if !t.recheckAt.IsZero() && t.recheckAt.Before(next) {
 		next = t.recheckAt
 	}
+	if at, ok := t.queue.NextDue(t.workTime(), t.backlog(t.busy)); ok && at.Before(next) {
+		next = at
+	}
 	if len(t.due) > 0 && t.due[0].at.Before(next) {
 		return t.due[0].at
 	}
--- a/pkg/dsr/ownership/queueing.go
+++ b/pkg/dsr/ownership/queueing.go
@@ -14,7 +14,16 @@
 // balancer asks only for a free slot.
 func (t *Table) enqueue(now time.Time, balancer netip.AddrPort, m *dsrpb.Message, s segment.Segment, key flow.Key) {
 	t.queue.Cold = t.coldLimit(now)
-	if m.Patience == dsrpb.Patience_PATIENCE_FREE_SLOT || !t.queue.Add(now, openingOf(now, key, m.Opening, s), t.workTime(), t.slots()) {
+	if m.Patience == dsrpb.Patience_PATIENCE_FREE_SLOT {
+		t.decline(now, balancer, m, key, dsrpb.Verdict_VERDICT_BUSY, nil)
+		return
+	}
+	r := openingOf(now, key, m.Opening, s)
+	if t.overloaded(now, r) {
+		t.decline(now, balancer, m, key, dsrpb.Verdict_VERDICT_OVERLOADED, nil)
+		return
+	}
+	if !t.queue.Add(now, r, t.workTime(), t.slots()) {
 		t.decline(now, balancer, m, key, dsrpb.Verdict_VERDICT_BUSY, nil)
 		return
 	}
@@ -32,8 +41,8 @@
 }
 
 // openingOf combines what a balancer and the opening packet say about a new flow.
-func openingOf(now time.Time, key flow.Key, o *dsrpb.Opening, s segment.Segment) admission.Opening {
-	out := admission.Opening{Key: key, Arrived: now.Add(-s.Age), Timeout: DefaultTimeout}
+func openingOf(now time.Time, key flow.Key, o *dsrpb.Opening, s segment.Segment) admission.Request {
+	out := admission.Request{Key: key, Arrived: now.Add(-s.Age), Timeout: DefaultTimeout}
 	if o != nil {
 		out.Arrived = now.Add(-time.Duration(o.AgeMs) * time.Millisecond)
 		out.Aim = time.Duration(o.AimMs) * time.Millisecond
@@ -46,28 +55,66 @@
 	return out
 }
 
-// offerQueued offers queued flows to the target while it has room, and abandons those whose callers are gone.
+// priorityOf is the priority of a new flow; 0, the highest, when the balancer does not name one.
+func priorityOf(m *dsrpb.Message) int {
+	if m.Opening == nil {
+		return 0
+	}
+	return int(m.Opening.Priority)
+}
+
+// offerQueued gives the target the requests that wait while it has room, and abandons new flows whose callers are gone.
 func (t *Table) offerQueued(now time.Time) {
-	for {
-		o, ok := t.queue.Expired(now, t.workTime())
+	t.abandonExpired(now)
+	t.returnLate(now)
+	t.handOverDue(now)
+	t.recheckAt = time.Time{}
+	for t.queue.Len() > 0 {
+		r, ok := t.nextQueued(now)
 		if !ok {
-			break
+			return
 		}
-		t.returnQueued(now, o.Key, dsrpb.Verdict_VERDICT_GIVEN_UP, EventAbandoned)
+		t.serve(now, r)
 	}
-	t.recheckAt = time.Time{}
-	for t.busy < t.concurrencyLimit(now) {
-		if t.queue.Len() > 0 && !t.hasRoom(now) {
-			t.recheckAt = t.nextRoomAt(now)
+}
+
+// abandonExpired returns queued flows whose callers are gone.
+func (t *Table) abandonExpired(now time.Time) {
+	for {
+		r, ok := t.queue.Expired(now, t.workTime())
+		if !ok {
 			return
 		}
-		o, ok := t.queue.Next(now, t.workTime())
+		t.returnQueued(now, r.Key, dsrpb.Verdict_VERDICT_GIVEN_UP, EventAbandoned)
+	}
+}
+
+// returnLate returns queued flows whose promised time other requests have used up, while their balancers can still send
+// them elsewhere or tell their callers.
+func (t *Table) returnLate(now time.Time) {
+	if !t.repeatsRequests(now) {
+		return
+	}
+	for t.busy >= t.requestLimit() {
+		r, ok := t.queue.Late(now, t.workTime())
 		if !ok {
 			return
 		}
-		e := t.flows[o.Key]
-		t.offer(now, o.Key, e, e.packet)
+		t.returnQueued(now, r.Key, dsrpb.Verdict_VERDICT_OVERLOADED, EventDeclined)
+	}
+}
+
+// nextQueued removes and returns the request whose turn it is. New flows are passed over while the target takes none.
+func (t *Table) nextQueued(now time.Time) (admission.Request, bool) {
+	takesNew := t.queue.NewFlows() > 0
+	if takesNew && t.busy < t.concurrencyLimit(now) && !t.hasRoom(now) {
+		t.recheckAt = t.nextRoomAt(now)
+		takesNew = false
 	}
+	l := t.limits(now)
+	return t.queue.NextOf(now, t.workTime(), func(r admission.Request) bool {
+		return (r.Open || takesNew) && l.allows(r, t.busy)
+	})
 }
 
 // cancelQueued removes a queued flow when its caller resets or closes it.
@@ -94,14 +141,14 @@
 	}
 }
 
-// returnAllQueued returns every queued flow to its balancer.
+// returnAllQueued returns every queued new flow to its balancer.
 func (t *Table) returnAllQueued(now time.Time, v dsrpb.Verdict) {
 	for {
-		o, ok := t.queue.Next(now, t.workTime())
+		r, ok := t.queue.NextNew(now, t.workTime())
 		if !ok {
 			return
 		}
-		t.returnQueued(now, o.Key, v, EventDeclined)
+		t.returnQueued(now, r.Key, v, EventDeclined)
 	}
 }
 
