A service's limit on connections is held at each target

Seen: maxConnections of a service was dropped by the adapter; nothing kept a target from being offered more flows than it holds, and a target at its limit used up the tries of a new flow.

Cause: no field for it in the configuration. Ruled out: a count at the balancers, which each see a part of the flows.

The agent counts the flows that its target holds, is offered or has queued, and declines what exceeds the declared limit with a verdict of its own. Without a declared limit nothing changes.

--- a/pkg/dsr/dispatch/agent.go
+++ b/pkg/dsr/dispatch/agent.go
@@ -34,6 +34,9 @@
 	workTime time.Duration
 	// rate is the target's reported rate of new flows, per second.
 	rate float64
+	// flows is the number of flows that the target held at the last announcement, announced the time of that.
+	flows     int
+	announced time.Time
 	// coldLimit is the reported limit on new flows while the target warms up.
 	coldLimit warmup.Limit
 	// answers are the minimum answer times and sizes of the target, by the hash of the address.
@@ -57,6 +60,12 @@
 	return a.state == dsrpb.State_STATE_READY && a.isAlive(now)
 }
 
+// atConnectionLimit reports whether the target is known to hold as many flows as its service allows; a limit of 0 means
+// none. An agent with an old report is asked.
+func (a *agent) atConnectionLimit(now time.Time, limit int) bool {
+	return limit > 0 && a.flows >= limit && now.Sub(a.announced) <= ConnectionReportMaxAge
+}
+
 // recordReport records the target's state, which every message of an agent carries.
 func (a *agent) recordReport(now time.Time, m *dsrpb.Message) {
 	a.busy, a.reported, a.asked = int(m.Busy), now, 0
--- a/pkg/dsr/dispatch/answers.go
+++ b/pkg/dsr/dispatch/answers.go
@@ -87,6 +87,9 @@
 		b.refuse(now, f, refusal.ReasonDeadline)
 		return
 	case dsrpb.Verdict_VERDICT_BUSY:
+	case dsrpb.Verdict_VERDICT_CONNECTIONS:
+		f.overLimit++
+		f.failed = append(f.failed, from)
 	default:
 		f.failed = append(f.failed, from)
 		if a := b.agents[from]; a != nil && declinesAllFlows(m.Verdict) {
--- a/pkg/dsr/dispatch/choose.go
+++ b/pkg/dsr/dispatch/choose.go
@@ -19,6 +19,9 @@
 // choose returns the next agent for a new flow, or false when no eligible agent is left. It turns from free slots to
 // queues once free slots or tries are used up.
 func (b *Balancer) choose(now time.Time, f *flowState) (choice, bool) {
+	if f.overLimit >= MaxLimitTries {
+		return choice{}, false
+	}
 	if f.patience == dsrpb.Patience_PATIENCE_FREE_SLOT && len(f.tried) < MaxFreeTries {
 		if a := b.best(now, f, true); a != nil {
 			return choice{agent: a, patience: dsrpb.Patience_PATIENCE_FREE_SLOT}, true
@@ -63,9 +66,10 @@
 func (b *Balancer) eligibleAgents(now time.Time, f *flowState) []*agent {
 	excludeFailing := b.excludesFailing(now, f.service)
 	regions := b.routes.Regions(b.routes.Route(f.key.Destination), f.service)
+	limit := int(f.opening.MaxConnections)
 	b.candidates = b.candidates[:0]
 	for _, a := range b.services[f.service] {
-		if !b.isUsable(now, a) || a.failing && excludeFailing || !regions.Allow(a.region) || slices.Contains(f.tried, a.addr) {
+		if !b.isUsable(now, a) || a.atConnectionLimit(now, limit) || a.failing && excludeFailing || !regions.Allow(a.region) || slices.Contains(f.tried, a.addr) {
 			continue
 		}
 		b.candidates = append(b.candidates, a)
--- a/pkg/dsr/dispatch/config.go
+++ b/pkg/dsr/dispatch/config.go
@@ -47,6 +47,12 @@
 	// in the queue: when the queues that seem to be the shortest two are too long, so are the others.
 	MaxFreeTries  = 5
 	MaxQueueTries = 2
+	// MaxLimitTries is the number of agents that may decline one new flow because of the connection limit of its
+	// service. Targets whose agents have lately reported as many flows as the limit are not asked.
+	MaxLimitTries = 5
+	// ConnectionReportMaxAge is the maximum age of a report of a target's flows that keeps it from being asked: two
+	// announcement intervals of a small fleet. In a large one agents announce less often and decide themselves.
+	ConnectionReportMaxAge = 500 * time.Millisecond
 	// QueueSampleSize is the number of agents that are compared for a place in a queue. Reported queue lengths are old:
 	// if all balancers compared all targets, they would send their flows to the same shortest queue until the next
 	// report.
--- a/pkg/dsr/dispatch/flow_state.go
+++ b/pkg/dsr/dispatch/flow_state.go
@@ -66,6 +66,8 @@
 	tries int
 	// hedgeAt is when the flow is offered to the next agent unless the last one has answered.
 	hedgeAt time.Time
+	// overLimit is the number of agents that declined the flow because of the connection limit of its service.
+	overLimit int
 	// stale is set while the flow waits for a newer configuration.
 	stale bool
 	// uncertain is set when another balancer, or an agent that did not answer, may have opened the flow; reset is set
--- a/pkg/dsr/dispatch/opening.go
+++ b/pkg/dsr/dispatch/opening.go
@@ -130,7 +130,9 @@
 		PatienceMs: uint32(patience(route.Timeout) / time.Millisecond),
 		Priority:   uint32(max(0, route.Priority)),
 	}
-	if declared := b.routes.Declared(f.service); declared.ColdPerSecond > 0 {
+	declared := b.routes.Declared(f.service)
+	f.opening.MaxConnections = uint32(declared.MaxConnections)
+	if declared.ColdPerSecond > 0 {
 		f.opening.ColdPerSecond = float32(declared.ColdPerSecond)
 		f.opening.WarmUpMs = uint32(declared.WarmUp / time.Millisecond)
 	}
@@ -138,7 +140,7 @@
 	if b.cfg.Without.FreeFirst {
 		f.patience = dsrpb.Patience_PATIENCE_QUEUE
 	}
-	f.tried, f.failed = f.tried[:0], f.failed[:0]
+	f.tried, f.failed, f.overLimit = f.tried[:0], f.failed[:0], 0
 	b.offerNext(now, f)
 }
 
@@ -160,6 +162,10 @@
 
 // noAgentLeft refuses or parks a new flow that no eligible agent has accepted.
 func (b *Balancer) noAgentLeft(now time.Time, f *flowState) {
+	if len(f.tried) <= len(f.failed) && (f.overLimit > 0 || b.allAtConnectionLimit(now, f)) {
+		b.refuse(now, f, refusal.ReasonConnectionLimit)
+		return
+	}
 	if len(f.tried) > len(f.failed) {
 		b.refuse(now, f, refusal.ReasonAllFull)
 		return
@@ -171,6 +177,21 @@
 	b.parkOrRefuse(now, f, refusal.ReasonNoTarget)
 }
 
+// allAtConnectionLimit reports whether the service has usable targets, all of which hold as many flows as it allows.
+func (b *Balancer) allAtConnectionLimit(now time.Time, f *flowState) bool {
+	limit, any := int(f.opening.MaxConnections), false
+	for _, a := range b.services[f.service] {
+		if !b.isUsable(now, a) {
+			continue
+		}
+		if !a.atConnectionLimit(now, limit) {
+			return false
+		}
+		any = true
+	}
+	return any
+}
+
 // noneUsable reports whether the service has living targets of which none may be used, because of an evacuation or the
 // allowed regions, and the reason for the refusal: waiting does not help then.
 func (b *Balancer) noneUsable(now time.Time, f *flowState) (refusal.Reason, bool) {
--- a/pkg/dsr/ownership/entry.go
+++ b/pkg/dsr/ownership/entry.go
@@ -60,6 +60,8 @@
 	// callerClosed and targetClosed are set when that end has sent its FIN.
 	callerClosed bool
 	targetClosed bool
+	// released is set once the target no longer holds a connection for the flow.
+	released bool
 	// request is the caller's last packet with data while the target works on it.
 	request []byte
 	// requestResent is set when the request was sent again to a new incarnation of the target.
--- a/pkg/dsr/ownership/from_balancer.go
+++ b/pkg/dsr/ownership/from_balancer.go
@@ -66,6 +66,7 @@
 // only updates its state; one of a flow that was offered or is open is passed to the target again.
 func (t *Table) receiveOpening(now time.Time, balancer netip.AddrPort, m *dsrpb.Message, s segment.Segment, key flow.Key, e *entry, stale bool) {
 	t.applyDeclaredLimits(m)
+	t.connectionLimit.apply(m)
 	if e != nil && e.phase == queued {
 		e.origin = balancer
 		t.queue.RecordSent(key, s.Age, s.NextRetransmission)
@@ -89,6 +90,10 @@
 	if e != nil {
 		t.drop(key, e)
 	}
+	if t.atConnectionLimit() {
+		t.decline(now, balancer, m, key, dsrpb.Verdict_VERDICT_CONNECTIONS, nil)
+		return
+	}
 	if m.Patience == dsrpb.Patience_PATIENCE_FREE_SLOT && t.failing(now) {
 		t.decline(now, balancer, m, key, dsrpb.Verdict_VERDICT_BUSY, nil)
 		return
--- a/pkg/dsr/ownership/from_target.go
+++ b/pkg/dsr/ownership/from_target.go
@@ -60,6 +60,7 @@
 		t.end(now, e)
 	case s.Has(segment.FIN):
 		e.targetClosed = true
+		t.releaseConnection(e)
 		t.finishReply(now, key, e)
 		t.endIfClosed(now, e)
 	}
--- a/pkg/dsr/ownership/lifetime.go
+++ b/pkg/dsr/ownership/lifetime.go
@@ -50,11 +50,15 @@
 
 func (t *Table) end(now time.Time, e *entry) {
 	t.clearBusy(e)
+	t.releaseConnection(e)
 	e.phase, e.since = ended, now
 }
 
 func (t *Table) drop(key flow.Key, e *entry) {
 	t.clearBusy(e)
+	if e.released {
+		t.released--
+	}
 	delete(t.flows, key)
 }
 
--- a/pkg/dsr/ownership/messages.go
+++ b/pkg/dsr/ownership/messages.go
@@ -22,6 +22,7 @@
 		IntervalMs:  uint32(next / time.Millisecond),
 		Answers:     t.reportedMinAnswers(),
 		RunningMs:   t.reportedRunning(now),
+		Flows:       uint32(t.Connections()),
 	}
 	t.startMessage(now, dsrpb.Kind_KIND_ANNOUNCE)
 	t.msg.Announcement = &t.announcementMsg
--- a/pkg/dsr/ownership/table.go
+++ b/pkg/dsr/ownership/table.go
@@ -27,6 +27,10 @@
 	target  target
 	leaving bool
 	flows   map[flow.Key]*entry
+	// released is the number of flows with released set.
+	released int
+	// connectionLimit is the declared limit on flows.
+	connectionLimit connectionLimit
 	// busy is the number of flows with busy set, working the number of those with working set.
 	busy    int
 	working int
