--- a/pkg/dsr/ownership/lifetime.go
+++ b/pkg/dsr/ownership/lifetime.go
@@ -59,12 +59,16 @@
 func (t *Table) end(now time.Time, key flow.Key, e *entry) {
 	t.discardHeld(key, e)
 	t.clearBusy(e)
+	t.releaseConnection(e)
 	e.phase, e.since = ended, now
 }
 
 func (t *Table) drop(key flow.Key, e *entry) {
 	t.discardHeld(key, e)
 	t.clearBusy(e)
+	if e.released {
+		t.released--
+	}
 	delete(t.flows, key)
 }
 
