The connection limit holds beside earlier releases and is named when it binds

Seen in review: a balancer of a release without limits sends 0, which lifted the limit at the agent until a later balancer's next flow; a target that had declined for its limit was asked again by each further flow of the same balancer until its next announcement; a flow whose permitted targets were all full was refused with no-target when a target that it may not reach had room.

Cause: the agent took 0 under the same configuration for a change; the balancer learnt from announcements alone; the reason was decided over all targets of the service. Ruled out: a field that marks senders that know limits, since one configuration declares one limit.

Tests: three, each of which fails with the code of before. No existing test is changed.

--- a/pkg/dsr/dispatch/agent.go
+++ b/pkg/dsr/dispatch/agent.go
@@ -34,7 +34,8 @@
 	workTime time.Duration
 	// rate is the target's reported rate of new flows, per second.
 	rate float64
-	// flows is the number of flows that the target held at the last announcement, announced the time of that.
+	// flows is the number of flows that the target held at the last announcement, or at least held when it last declined
+	// one because of the connection limit; announced is the time of that.
 	flows     int
 	announced time.Time
 	// coldLimit is the reported limit on new flows while the target warms up.
@@ -66,6 +67,11 @@
 	return limit > 0 && a.flows >= limit && now.Sub(a.announced) <= ConnectionReportMaxAge
 }
 
+// recordFull records that the agent declined a flow because of the connection limit.
+func (a *agent) recordFull(now time.Time, limit int) {
+	a.flows, a.announced = max(a.flows, limit), now
+}
+
 // recordReport records the target's state, which every message of an agent carries.
 func (a *agent) recordReport(now time.Time, m *dsrpb.Message) {
 	a.busy, a.reported, a.asked = int(m.Busy), now, 0
--- a/pkg/dsr/dispatch/answers.go
+++ b/pkg/dsr/dispatch/answers.go
@@ -90,6 +90,9 @@
 	case dsrpb.Verdict_VERDICT_CONNECTIONS:
 		f.overLimit++
 		f.failed = append(f.failed, from)
+		if a := b.agents[from]; a != nil {
+			a.recordFull(now, int(f.opening.MaxConnections))
+		}
 	default:
 		f.failed = append(f.failed, from)
 		if a := b.agents[from]; a != nil && declinesAllFlows(m.Verdict) {
--- a/pkg/dsr/dispatch/connections_test.go
+++ b/pkg/dsr/dispatch/connections_test.go
@@ -85,3 +85,34 @@
 	f.open(1)
 	require.Equal(t, agentAt(1), f.asked().to)
 }
+
+func TestATargetThatDeclinedBecauseOfItsConnectionLimitIsNotAskedByTheNextFlow(t *testing.T) {
+	f := newLimitedFixture(t)
+	f.announceFlows(1, 0)
+	f.announceFlows(2, 0)
+	f.open(1)
+	first := f.asked().to
+	f.decline(int(first.Addr().As4()[3]), 1, dsrpb.Verdict_VERDICT_CONNECTIONS)
+	require.NotEqual(t, first, f.asked().to)
+	f.open(2)
+	require.NotEqual(t, first, f.asked().to)
+}
+
+func TestTargetsThatAFlowMayNotReachDoNotHideTheConnectionLimit(t *testing.T) {
+	f := newFixture(t)
+	f.b.SetRoutes(f.now, routing.NewTable(configuration.Configuration{
+		Version:  6,
+		Routes:   []configuration.Route{route(service, "route-svc")},
+		Services: []configuration.Service{{Name: "route-svc", MaxConnections: 3, Regions: []string{"east"}}},
+	}))
+	for i, region := range []string{"east", "west"} {
+		f.b.FromAgent(f.now, agentAt(i+1), &dsrpb.Message{
+			Kind: dsrpb.Kind_KIND_ANNOUNCE, Service: "route-svc",
+			Announcement: &dsrpb.Announcement{DataCentre: "dc-1", Region: region, State: dsrpb.State_STATE_READY, Slots: 2, Incarnation: uint64(i + 1), Flows: uint32(3 * (1 - i))},
+		})
+	}
+	f.open(1)
+	require.Empty(t, f.out.messages)
+	require.Len(t, f.out.refusals, 1)
+	require.Equal(t, refusal.ReasonConnectionLimit, f.out.refusals[0].Reason)
+}
--- a/pkg/dsr/dispatch/opening.go
+++ b/pkg/dsr/dispatch/opening.go
@@ -177,19 +177,23 @@
 	b.parkOrRefuse(now, f, refusal.ReasonNoTarget)
 }
 
-// allAtConnectionLimit reports whether the service has usable targets, all of which hold as many flows as it allows.
+// allAtConnectionLimit reports whether there are targets that the flow may be offered to, all of which hold as many flows
+// as the service allows. Targets that have already failed the flow do not count.
 func (b *Balancer) allAtConnectionLimit(now time.Time, f *flowState) bool {
-	limit, any := int(f.opening.MaxConnections), false
+	limit := int(f.opening.MaxConnections)
+	excludeFailing := b.excludesFailing(now, f.service)
+	regions := b.routes.Regions(b.routes.Route(f.key.Destination), f.service)
+	full := 0
 	for _, a := range b.services[f.service] {
-		if !b.isUsable(now, a) {
+		if !b.isUsable(now, a) || a.failing && excludeFailing || !regions.Allow(a.region) || slices.Contains(f.failed, a.addr) {
 			continue
 		}
 		if !a.atConnectionLimit(now, limit) {
 			return false
 		}
-		any = true
+		full++
 	}
-	return any
+	return full > 0
 }
 
 // noneUsable reports whether the service has living targets of which none may be used, because of an evacuation or the
--- a/pkg/dsr/ownership/connections.go
+++ b/pkg/dsr/ownership/connections.go
@@ -9,11 +9,15 @@
 	version uint64
 }
 
-// apply takes the limit from a balancer's new flow. That of an earlier configuration is ignored.
+// apply takes the limit from a balancer's new flow. That of an earlier configuration is ignored, and so is none under the
+// same configuration: a balancer of a release without limits sends it.
 func (l *connectionLimit) apply(m *dsrpb.Message) {
 	if m.Opening == nil || m.Configuration < l.version {
 		return
 	}
+	if m.Configuration == l.version && m.Opening.MaxConnections == 0 {
+		return
+	}
 	l.version = m.Configuration
 	l.flows = int(m.Opening.MaxConnections)
 }
--- a/pkg/dsr/ownership/connections_test.go
+++ b/pkg/dsr/ownership/connections_test.go
@@ -60,6 +60,16 @@
 	require.Len(t, f.out.target, before+1, "an earlier configuration does not raise the limit again")
 }
 
+func TestABalancerOfAnEarlierReleaseDoesNotLiftTheConnectionLimit(t *testing.T) {
+	f := newFixture(t, Config{First: true})
+	f.acceptLimited(1, 1)
+	before := len(f.out.target)
+	f.openLimited(2, 0, 5)
+	require.Len(t, f.out.target, before, "the balancer does not send the limit")
+	f.openLimited(3, 0, 6)
+	require.Len(t, f.out.target, before+1, "a later configuration declares none")
+}
+
 func TestNoDeclaredLimitMeansNone(t *testing.T) {
 	f := newFixture(t, Config{First: true})
 	for port := 1; port <= 40; port++ {
