Operators see which pass-through services are saturated

Seen: that a service had more demand than its targets can do stood in records of single refusals and in log lines of hundreds of balancers; nobody could ask for it.

The balancer that compares the configuration with the object API for all writes one object a service, kind dsr-service-status, when the service becomes saturated, when the refused priorities change and when it ends; at most one in 5 s a service and 5 calls a second in all. Saturated means overload, which addOverload takes from the dispatcher once it decides on it, or all ready targets at their connection limit. Nothing is written for a service that was never saturated.

Ruled out: a write by each balancer (490 writers of one object), figures that are written as they change (a write a service and interval, saturated or not).

Tests: a table of eight behaviours of the store and of a second writer (slow, down, answer lost after the write took effect, write lost, same write twice, takeover, older copy), bounds on calls, and the summary of targets in dispatch.

--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -69,6 +69,8 @@
 	// discovery looks for other balancers, memberReader reads the list of them.
 	discovery    *discovery
 	memberReader *memberReader
+	// serviceStatusWriter writes the statuses of saturated services.
+	serviceStatusWriter *serviceStatusWriter
 	// evacuationReader reads the evacuations; pendingRoutes is the configuration that is applied once they are known.
 	evacuationReader *evacuationReader
 	pendingRoutes    *routing.Table
@@ -106,6 +108,9 @@
 	b.core = dispatch.NewBalancer(dispatch.Config{DataCentre: cfg.DataCentre}, p.Codec, b.out, n.started)
 	b.openConfigSync()
 	b.openReaders()
+	b.serviceStatusWriter = &serviceStatusWriter{
+		store: p.Store, log: b.log, scope: b.scope, writer: cfg.Name, watches: b.configSync.watches, states: b, era: b.eras.Newest,
+	}
 	b.agents.Seed = uint64(n.started.UnixNano())
 	b.reportedEras = objectapi.NewEras()
 	env.Status.Set(b.status)
@@ -192,6 +197,7 @@
 	g.Go(func() error { return b.discovery.run(run) })
 	g.Go(func() error { return b.join(run) })
 	g.Go(func() error { return b.memberReader.run(run) })
+	g.Go(func() error { return b.serviceStatusWriter.run(run) })
 	g.Go(func() error { return objectapi.LogEras(run, b.eras, b.log) })
 	g.Go(func() error { return b.refusals.Run(run) })
 	g.Go(func() error { return b.cleanUp(run) })
--- a/pkg/resource/kinds.go
+++ b/pkg/resource/kinds.go
@@ -8,6 +8,8 @@
 	KindService objectapi.Kind = "service"
 	// KindServiceStatus is a ServiceStatus, written by the holder of the compile lease.
 	KindServiceStatus objectapi.Kind = "service-status"
+	// KindDSRServiceStatus is a DSRServiceStatus; its name is the service's.
+	KindDSRServiceStatus objectapi.Kind = "dsr-service-status"
 	// KindRevision is a part of a Revision; its name begins with RevisionName of the number, see Head.Object.
 	KindRevision objectapi.Kind = "revision"
 	// KindHead is the Head; its name is HeadName.
