auburnwoodctl shows saturated services and says what a refusal reason means

Seen: the reason of a refusal was a word in a column; its sentence stood in the operators' page alone. The kind of saturated services was unknown to get and watch.

get and watch show dsr-service-status as a row a service, JSON as for other kinds. explain prints a line for each reason it found; a test compares the sentences with the page for all reasons.

--- a/pkg/ctl/docs_test.go
+++ b/pkg/ctl/docs_test.go
@@ -11,6 +11,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwood/auburnwood/pkg/refusal"
 )
 
 // refusalReasons returns the values of the constants of type Reason in pkg/refusal.
@@ -46,3 +48,19 @@
 	}
 	require.Equal(t, len(reasons), strings.Count(section, "\n| `"), "the page explains a reason that is gone")
 }
+
+func TestExplainPrintsASentenceForEveryReason(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
+	require.NoError(t, err)
+	d := newHarness(t)
+	for _, r := range refusalReasons(t) {
+		text := refusal.Reason(r).Explanation()
+		require.NotEmpty(t, text, r)
+		d.answer = refusal.QueryResult{Refusals: 2, Records: []refusal.Record{
+			{Time: d.now, Count: 1, Reason: refusal.Reason(r)}, {Time: d.now, Count: 1, Reason: refusal.Reason(r)},
+		}}
+		out := d.run(ExitOK, "explain")
+		require.Equal(t, 1, strings.Count(out, "\n"+r+": "+text+"\n"))
+		require.Contains(t, strings.ReplaceAll(string(page), "`", ""), "\n| "+r+" | "+text+" |", "the page says the same")
+	}
+}
--- a/pkg/ctl/explain.go
+++ b/pkg/ctl/explain.go
@@ -129,8 +129,26 @@
 	if err := s.writeTable(head, rows); err != nil {
 		return err
 	}
-	_, err := fmt.Fprintf(s.app.Stdout, "%d refusals in %d records\n", a.Refusals, len(a.Records))
-	return trace.Wrap(err, "writing the output")
+	if _, err := fmt.Fprintf(s.app.Stdout, "%d refusals in %d records\n", a.Refusals, len(a.Records)); err != nil {
+		return trace.Wrap(err, "writing the output")
+	}
+	return s.writeExplanations(a.Records)
+}
+
+// writeExplanations writes one line for each reason of the records.
+func (s *session) writeExplanations(records []refusal.Record) error {
+	seen := make(map[refusal.Reason]bool)
+	for _, r := range records {
+		text := r.Reason.Explanation()
+		if seen[r.Reason] || text == "" {
+			continue
+		}
+		seen[r.Reason] = true
+		if _, err := fmt.Fprintf(s.app.Stdout, "%s: %s\n", r.Reason, text); err != nil {
+			return trace.Wrap(err, "writing the output")
+		}
+	}
+	return nil
 }
 
 // recordColumns returns the table row of a record.
--- a/pkg/ctl/get.go
+++ b/pkg/ctl/get.go
@@ -69,6 +69,9 @@
 
 // writeObjects writes objects; services are joined with their status.
 func (s *session) writeObjects(ctx context.Context, store objectapi.Store, kind objectapi.Kind, list []objectapi.Object) error {
+	if kind == resource.KindDSRServiceStatus && !s.json() {
+		return s.writeDSRStatuses(list)
+	}
 	if kind != resource.KindService {
 		return s.writeRaw(list)
 	}
@@ -137,6 +140,15 @@
 	return r
 }
 
+// writeDSRStatuses writes a table of the statuses of pass-through services.
+func (s *session) writeDSRStatuses(list []objectapi.Object) error {
+	rows := make([][]string, 0, len(list))
+	for _, o := range list {
+		rows = append(rows, dsrStatusColumns(o))
+	}
+	return s.writeTable(dsrStatusHead, rows)
+}
+
 // writeRaw writes objects of any kind.
 func (s *session) writeRaw(list []objectapi.Object) error {
 	if s.json() {
--- a/pkg/ctl/kinds.go
+++ b/pkg/ctl/kinds.go
@@ -10,7 +10,7 @@
 
 // kinds has the kinds that get and watch accept.
 var kinds = []objectapi.Kind{
-	resource.KindService, resource.KindServiceStatus, resource.KindHead, resource.KindRevision,
+	resource.KindService, resource.KindServiceStatus, resource.KindDSRServiceStatus, resource.KindHead, resource.KindRevision,
 	resource.KindLease, resource.KindMembers, resource.KindRollout, resource.KindClaim, resource.KindEvacuation, resource.KindEra,
 }
 
--- a/pkg/ctl/watch.go
+++ b/pkg/ctl/watch.go
@@ -105,6 +105,10 @@
 		f.service(e)
 		return
 	}
+	if kind == resource.KindDSRServiceStatus && e.Type == objectapi.EventPut {
+		f.line(e.Type, rawOf(e.Object), append([]string{string(e.Type)}, dsrStatusColumns(e.Object)...))
+		return
+	}
 	f.line(e.Type, rawOf(e.Object), []string{string(e.Type), e.Object.Name, fmt.Sprintf("version %d", e.Object.Version), fmt.Sprintf("%d bytes", len(e.Object.Value))})
 }
 
