--- a/pkg/dsrd/agent_output.go
+++ b/pkg/dsrd/agent_output.go
@@ -108,11 +108,13 @@
 	FirstSeen  time.Time `json:"since"`
 	Sequence   uint64    `json:"lastSequence"`
 	// Rejected counts the rejected reports by reason.
-	Rejected        map[announcement.Reason]uint64 `json:"rejectedReports"`
-	Busy            int                            `json:"busy"`
-	Flows           int                            `json:"flows"`
-	Configuration   uint64                         `json:"configuration"`
-	LivingBalancers int                            `json:"livingBalancers"`
+	Rejected map[announcement.Reason]uint64 `json:"rejectedReports"`
+	Busy     int                            `json:"busy"`
+	Flows    int                            `json:"flows"`
+	// Connections is the number of flows that count for the connection limit; closed ones do not.
+	Connections     int    `json:"connections"`
+	Configuration   uint64 `json:"configuration"`
+	LivingBalancers int    `json:"livingBalancers"`
 	// Evacuated is set while the agent's data centre takes no new flows; Unfinished flows had a packet lately and
 	// have not ended.
 	Evacuated  bool `json:"evacuated"`
@@ -134,6 +136,7 @@
 	incarnation := a.table.TargetIncarnation()
 	s.TargetName, s.StartedMs, s.FirstSeen, s.Sequence = incarnation.ID, incarnation.StartedMs, incarnation.FirstSeen, incarnation.Sequence
 	s.Rejected = maps.Clone(a.rejections)
+	s.Connections = a.table.Connections()
 	s.Busy, s.Flows, s.Configuration = a.table.Busy(), a.table.Flows(), configuration.DisplayVersion(a.table.Configuration())
 	s.LivingBalancers = len(a.balancers.Living(now))
 	s.Evacuated, s.Unfinished = a.table.Evacuated(), a.table.Unfinished(now, unfinishedWithin)
