--- a/pkg/dsr/dispatch/connections_test.go
+++ b/pkg/dsr/dispatch/connections_test.go
@@ -116,3 +116,11 @@
 	require.Len(t, f.out.refusals, 1)
 	require.Equal(t, refusal.ReasonConnectionLimit, f.out.refusals[0].Reason)
 }
+
+func TestWithoutTheMechanismNoConnectionLimitBinds(t *testing.T) {
+	f := newLimitedFixture(t)
+	f.b.cfg.Without.ConnectionLimit = true
+	f.announceFlows(1, 4)
+	f.open(1)
+	require.Equal(t, agentAt(1), f.asked().to)
+}
--- a/pkg/dsr/dispatch/opening.go
+++ b/pkg/dsr/dispatch/opening.go
@@ -131,7 +131,9 @@
 		Priority:   uint32(max(0, route.Priority)),
 	}
 	declared := b.routes.Declared(f.service)
-	f.opening.MaxConnections = uint32(declared.MaxConnections)
+	if !b.cfg.Without.ConnectionLimit {
+		f.opening.MaxConnections = uint32(declared.MaxConnections)
+	}
 	if declared.ColdPerSecond > 0 {
 		f.opening.ColdPerSecond = float32(declared.ColdPerSecond)
 		f.opening.WarmUpMs = uint32(declared.WarmUp / time.Millisecond)
--- a/pkg/dsr/policy/policy.go
+++ b/pkg/dsr/policy/policy.go
@@ -37,6 +37,8 @@
 	SpreadOut bool
 	// LearntLimit: targets whose processes ended soon after their start get fewer flows.
 	LearntLimit bool
+	// ConnectionLimit: targets hold no more flows than their service declares.
+	ConnectionLimit bool
 	// FailedAnswers: answers that are much faster and smaller than those of the service's other targets count as
 	// failures.
 	FailedAnswers bool
@@ -67,6 +69,7 @@
 		{"cold-limit", Without{ColdLimit: true}},
 		{"spread-out", Without{SpreadOut: true}},
 		{"learnt-limit", Without{LearntLimit: true}},
+		{"connection-limit", Without{ConnectionLimit: true}},
 		{"failed-answers", Without{FailedAnswers: true}},
 	}
 }
