--- a/pkg/dsrd/service_status_writer_test.go
+++ b/pkg/dsrd/service_status_writer_test.go
@@ -300,3 +300,22 @@
 		require.InDelta(t, want, roundFigure(v), 1e-12)
 	}
 }
+
+// After a pause of the process another balancer may watch, and what is known of the agents is old.
+func TestAWriterThatWasPausedWaitsBeforeItWritesAgain(t *testing.T) {
+	w := &serviceStatusWriter{watches: func() bool { return true }}
+	now := time.Unix(1000, 0)
+	settles := func() {
+		t.Helper()
+		for passed := time.Duration(0); passed < serviceStatusSettleTime; passed += serviceStatusCallInterval {
+			require.False(t, w.mayWrite(now), "after %s", passed)
+			now = now.Add(serviceStatusCallInterval)
+		}
+		require.True(t, w.mayWrite(now))
+	}
+	settles()
+	w.known = true
+	now = now.Add(serviceStatusStall + readTimeout + time.Millisecond)
+	settles()
+	require.False(t, w.known, "the objects are read again")
+}
