New flows follow the paces of targets and the flows that they hold

What callers saw: with targets of two paces and several requests on a flow, the targets of a pace were given the same number of flows, and a data centre sent a tenth of its flows to others although its own targets answered in time.

Cause: free slots were chosen without the pace. Nobody counted the flows that a target holds, and the comparison of data centres was one of new flows.

Change: - estimate.Pace: a target's work time beside that of its service, with a long memory. Paces count only when their variance is more than chance gives it (shrinkage), so that alike targets have none. - agents report their open flows and whether these carry several requests. Where they do, a balancer draws two near targets for a flow by capacity, corrected for the flows that they hold, and leaves the data centre only when both would be late by the promised time. Draws follow the order in which searches ask for a flow's owner. - policy switches target-pace and flow-weight; the expected completion in the decision's line, the gauge dsr_target_imbalance.

Tests: in virtual time, 37 targets in three data centres, a quarter 1.4 times slower, 1,200 callers: the busiest target's work is at most 1.10 of the mean (1.19 without), late 0.5% at most. That a hanging target gets no new flow within four of the promised times passes without this change too: the agent's detector finds it.

--- a/pkg/dsr/admission/queue.go
+++ b/pkg/dsr/admission/queue.go
@@ -73,10 +73,17 @@
 	return !now.Add(roundTrips + o.margin(work, long)).After(o.Arrived.Add(o.Aim))
 }
 
-// margin is the time set aside for the work of one request: that of a long one, unless that would leave less than
-// half of the promised time for waiting.
+// margin is the time set aside for the work of one request.
 func (o Opening) margin(work time.Duration, long float64) time.Duration {
-	return min(time.Duration(long*float64(work)), max(o.Aim/2, time.Duration(MinWork*float64(work))))
+	return margin(work, o.Aim, long)
+}
+
+// Margin returns the time set aside for the work of one request, given the promised time: that of a long one, unless
+// that would leave less than half of the promised time for waiting.
+func Margin(work, aim time.Duration) time.Duration { return margin(work, aim, LongWork) }
+
+func margin(work, aim time.Duration, long float64) time.Duration {
+	return min(time.Duration(long*float64(work)), max(aim/2, time.Duration(MinWork*float64(work))))
 }
 
 // expired reports whether the caller will have left before an answer when the work begins now.
--- a/pkg/dsr/dispatch/agent.go
+++ b/pkg/dsr/dispatch/agent.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/estimate"
 	"github.com/auburnwood/auburnwood/pkg/dsr/outlier"
 	"github.com/auburnwood/auburnwood/pkg/dsr/warmup"
 )
@@ -40,6 +41,17 @@
 	answers map[uint32]outlier.Answer
 	// failing is set while the agent reports that its target fails more requests than a healthy one.
 	failing bool
+	// flows is the number of open flows at the last announcement, opened the number of flows offered since then, and
+	// announcedBusy the busy count of that announcement. repeated is set when flows carry several requests.
+	flows         int
+	opened        int
+	announcedBusy int
+	repeated      bool
+	// near is set when the agent is in the balancer's data centre.
+	near bool
+	// pace is the target's work time beside that of its service, factor the multiple that is expected; 0 means 1.
+	pace   estimate.Pace
+	factor float64
 	// suspect is set when the agent left an offer unanswered, until its next message.
 	suspect bool
 }
@@ -75,9 +87,9 @@
 }
 
 // completionTime estimates the time until the target has answered one more request. The typical work time of the
-// service stands in for one that the agent does not know.
+// service, by the target's pace, stands in for one that the agent does not know.
 func (a *agent) completionTime(now time.Time, typical time.Duration) time.Duration {
-	workTime := cmp.Or(a.workTime, typical)
+	workTime := a.expectedWorkTime(typical)
 	completionTime := time.Duration(max(1, a.load(now)) * float64(workTime))
 	if !a.coldLimit.InForce(now) {
 		return completionTime
--- a/pkg/dsr/dispatch/agents.go
+++ b/pkg/dsr/dispatch/agents.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/estimate"
 )
 
 // Agents returns the number of living agents, and of those whose targets take new flows.
@@ -56,6 +57,7 @@
 	b.lastSeen = now
 	a.recordReport(now, m)
 	b.recordWorkTime(a)
+	b.recordPace(now, a)
 }
 
 // addToService lists an agent under a service, and no longer under its previous one.
@@ -66,11 +68,13 @@
 	b.removeFromService(a)
 	a.service = service
 	b.services[service] = append(b.services[service], a)
+	b.expireComparison(service)
 }
 
 func (b *Balancer) removeFromService(a *agent) {
 	rest := slices.DeleteFunc(b.services[a.service], func(other *agent) bool { return other == a })
 	b.services[a.service] = rest
+	b.expireComparison(a.service)
 	if len(rest) == 0 {
 		delete(b.services, a.service)
 	}
@@ -92,14 +96,25 @@
 	if n.Incarnation != a.incarnation {
 		a.started = now.Add(-time.Duration(n.RunningMs) * time.Millisecond)
 	}
-	before := a.state
+	before, failedBefore := a.state, a.failing
+	if n.DataCentre != a.dataCentre {
+		b.expireComparison(a.service)
+	}
 	// The message refers to the receive buffer.
 	a.dataCentre, a.region = strings.Clone(n.DataCentre), strings.Clone(n.Region)
 	b.addToService(a, strings.Clone(m.Service))
 	a.state, a.slots, a.incarnation, a.failing = n.State, int(n.Slots), n.Incarnation, n.Failing
 	a.answers = answersOf(n.Answers)
+	a.recordLongFlows(n, m.Busy)
 	a.interval = min(time.Duration(n.IntervalMs)*time.Millisecond, MaxAnnounceInterval)
 	b.recordReport(now, a, m)
+	// A target that was away may have been replaced by another process.
+	if a.state == dsrpb.State_STATE_READY && before != a.state {
+		a.pace = estimate.Pace{}
+	}
+	if a.state != before || a.failing != failedBefore {
+		b.expireComparison(a.service)
+	}
 	if a.state == dsrpb.State_STATE_READY && before != a.state {
 		b.retryParked(now, false)
 	}
--- a/pkg/dsr/dispatch/answers.go
+++ b/pkg/dsr/dispatch/answers.go
@@ -78,6 +78,9 @@
 		return
 	}
 	b.reportDecision(now, EventDeclined, f, from, m.Verdict)
+	if a := b.agents[from]; a != nil {
+		a.opened = max(0, a.opened-1)
+	}
 	switch m.Verdict {
 	case dsrpb.Verdict_VERDICT_STALE:
 		b.park(now, f)
--- a/pkg/dsr/dispatch/balancer.go
+++ b/pkg/dsr/dispatch/balancer.go
@@ -63,6 +63,8 @@
 	workTimes     map[string]*estimate.Mean
 	// spreads compares the load of the balancer's data centre with that of all, by service.
 	spreads map[string]spread
+	// comparisons compares the targets of each service.
+	comparisons map[string]*comparison
 	// medians caches the median of the minimum answers, by service and address.
 	medians map[answerKey]medianAnswer
 
@@ -82,11 +84,12 @@
 		services: make(map[string][]*agent),
 		lastSeen: now,
 
-		flows:     make(map[flow.Key]*flowState),
-		workTimes: make(map[string]*estimate.Mean),
-		spreads:   make(map[string]spread),
-		medians:   make(map[answerKey]medianAnswer),
-		lastSweep: now,
+		flows:       make(map[flow.Key]*flowState),
+		workTimes:   make(map[string]*estimate.Mean),
+		spreads:     make(map[string]spread),
+		comparisons: make(map[string]*comparison),
+		medians:     make(map[answerKey]medianAnswer),
+		lastSweep:   now,
 
 		searchBudget:   SearchBurst,
 		searchBudgetAt: now,
@@ -112,6 +115,9 @@
 		return false
 	}
 	b.evacuations = s
+	for service := range b.comparisons {
+		b.expireComparison(service)
+	}
 	b.retryParked(now, false)
 	return true
 }
--- a/pkg/dsr/dispatch/choose.go
+++ b/pkg/dsr/dispatch/choose.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/routing"
 	"github.com/auburnwood/auburnwood/pkg/flow"
 )
 
@@ -16,9 +17,19 @@
 	patience dsrpb.Patience
 }
 
-// choose returns the next agent for a new flow, or false when no eligible agent is left. It turns from free slots to
-// queues once free slots or tries are used up.
+// choose returns the next agent for a new flow and counts the flow there, or false when no eligible agent is left.
 func (b *Balancer) choose(now time.Time, f *flowState) (choice, bool) {
+	c, ok := b.nextAgent(now, f)
+	if ok {
+		f.expected = c.agent.expectedCompletion(now, b.typicalWorkTime(f.service), b.comparisonOf(now, f.service))
+		c.agent.opened++
+	}
+	return c, ok
+}
+
+// nextAgent returns the next agent for a new flow. It turns from free slots to queues once free slots or tries are used
+// up.
+func (b *Balancer) nextAgent(now time.Time, f *flowState) (choice, bool) {
 	if f.patience == dsrpb.Patience_PATIENCE_FREE_SLOT && len(f.tried) < MaxFreeTries {
 		if a := b.best(now, f, true); a != nil {
 			return choice{agent: a, patience: dsrpb.Patience_PATIENCE_FREE_SLOT}, true
@@ -40,6 +51,10 @@
 // best returns the best-ranked untried agent. With hasFreeSlot set, only targets that seem to have one count; else a
 // sample of all targets is compared. Suspect agents come last. Failing targets are excluded while they are no majority.
 func (b *Balancer) best(now time.Time, f *flowState, hasFreeSlot bool) *agent {
+	c := b.comparisonOf(now, f.service)
+	if hasFreeSlot && c.longFlows {
+		return b.bestForLongFlow(now, f, c)
+	}
 	typical := b.typicalWorkTime(f.service)
 	list := b.eligibleAgents(now, f)
 	if hasFreeSlot {
@@ -51,7 +66,7 @@
 	var best *agent
 	var bestRank rank
 	for _, a := range list {
-		if r := b.rank(now, a, f.hash, hasFreeSlot, typical); best == nil || r.before(bestRank) {
+		if r := b.rank(now, a, f.hash, hasFreeSlot, typical, c); best == nil || r.before(bestRank) {
 			best, bestRank = a, r
 		}
 	}
@@ -61,18 +76,31 @@
 // eligibleAgents returns the untried agents that a flow may be offered to, in a slice that is valid until the next
 // call.
 func (b *Balancer) eligibleAgents(now time.Time, f *flowState) []*agent {
-	excludeFailing := b.excludesFailing(now, f.service)
-	regions := b.routes.Regions(b.routes.Route(f.key.Destination), f.service)
+	allowed := b.filterOf(f, b.excludesFailing(now, f.service))
 	b.candidates = b.candidates[:0]
 	for _, a := range b.services[f.service] {
-		if !b.isUsable(now, a) || a.failing && excludeFailing || !regions.Allow(a.region) || slices.Contains(f.tried, a.addr) {
-			continue
+		if b.isEligible(now, f, allowed, a) {
+			b.candidates = append(b.candidates, a)
 		}
-		b.candidates = append(b.candidates, a)
 	}
 	return b.candidates
 }
 
+// filter says which agents of a service a flow may be offered to.
+type filter struct {
+	regions        routing.Regions
+	excludeFailing bool
+}
+
+func (b *Balancer) filterOf(f *flowState, excludeFailing bool) filter {
+	return filter{regions: b.routes.Regions(b.routes.Route(f.key.Destination), f.service), excludeFailing: excludeFailing}
+}
+
+// isEligible reports whether the flow may be offered to an agent and has not been.
+func (b *Balancer) isEligible(now time.Time, f *flowState, allowed filter, a *agent) bool {
+	return b.isUsable(now, a) && !(a.failing && allowed.excludeFailing) && allowed.regions.Allow(a.region) && !slices.Contains(f.tried, a.addr)
+}
+
 // isUsable reports whether the agent accepts new flows and its data centre is not evacuated.
 func (b *Balancer) isUsable(now time.Time, a *agent) bool {
 	return a.canAccept(now) && !b.evacuations.Contains(a.dataCentre)
@@ -131,15 +159,15 @@
 
 // rank prefers free targets in the balancer's data centre, then those with the lowest load. Busy targets are ranked by
 // estimated completion time wherever they are.
-func (b *Balancer) rank(now time.Time, a *agent, hash uint64, hasFreeSlot bool, typical time.Duration) rank {
+func (b *Balancer) rank(now time.Time, a *agent, hash uint64, hasFreeSlot bool, typical time.Duration, c *comparison) rank {
 	r := rank{
 		suspect: a.suspect,
 		remote:  hasFreeSlot && a.dataCentre != b.cfg.DataCentre && !b.cfg.Without.NearFirst,
-		load:    a.load(now),
+		load:    a.load(now) * a.paceFactor(),
 		tie:     tieBreak(hash, a.addr),
 	}
 	if !hasFreeSlot {
-		r.completionTime = a.completionTime(now, typical)
+		r.completionTime = a.expectedCompletion(now, typical, c)
 	}
 	return r
 }
--- a/pkg/dsr/dispatch/flow_state.go
+++ b/pkg/dsr/dispatch/flow_state.go
@@ -63,7 +63,9 @@
 	asked    netip.AddrPort
 	// offer is the load that was assumed when the flow was last offered.
 	offer loadEstimate
-	tries int
+	// expected is the time to an answer that was expected of the agent that was offered the flow last.
+	expected time.Duration
+	tries    int
 	// hedgeAt is when the flow is offered to the next agent unless the last one has answered.
 	hedgeAt time.Time
 	// stale is set while the flow waits for a newer configuration.
--- a/pkg/dsr/dispatch/output.go
+++ b/pkg/dsr/dispatch/output.go
@@ -51,7 +51,12 @@
 	Agent netip.AddrPort
 	Load  float64
 	// ReportAge is the age of the report behind Load.
-	ReportAge     time.Duration
+	ReportAge time.Duration
+	// Expected is the time until the answer to the flow's first request that was expected of the agent that was offered
+	// the flow last. Imbalance is the load by pace of the service's busiest target as a multiple of the mean, 0 when
+	// there is no load.
+	Expected      time.Duration
+	Imbalance     float64
 	Verdict       dsrpb.Verdict
 	Tried         int
 	Waited        time.Duration
--- a/pkg/dsr/dispatch/report.go
+++ b/pkg/dsr/dispatch/report.go
@@ -19,8 +19,12 @@
 		Verdict:       v,
 		Tried:         f.tries,
 		Waited:        now.Sub(f.arrived),
+		Expected:      f.expected,
 		Configuration: b.routes.Version(),
 	}
+	if c := b.comparisons[f.service]; c != nil {
+		d.Imbalance = c.imbalance
+	}
 	if a := b.agents[about]; a != nil {
 		e := f.offer
 		if e.agent != about {
--- a/pkg/dsr/dispatch/spread.go
+++ b/pkg/dsr/dispatch/spread.go
@@ -21,7 +21,7 @@
 // spread compares the load of a service's local targets with that of all its targets.
 type spread struct {
 	at time.Time
-	// mean is the rate of new flows per slot over all targets, per second; excess is the fraction of this balancer's
+	// mean is the rate of new flows per slot over all targets, per second, weighted by pace; excess is the fraction of this balancer's
 	// flows to send to other data centres, 0 when the local load is not above the mean.
 	mean, excess float64
 }
@@ -37,9 +37,9 @@
 			continue
 		}
 		slots := float64(max(1, a.slots))
-		all, allSlots = all+a.rate, allSlots+slots
+		all, allSlots = all+a.loadByPace(false), allSlots+slots
 		if a.dataCentre == b.cfg.DataCentre {
-			near, nearSlots = near+a.rate, nearSlots+slots
+			near, nearSlots = near+a.loadByPace(false), nearSlots+slots
 		}
 	}
 	s := spread{at: now}
@@ -59,7 +59,7 @@
 		return free
 	}
 	below := func(a *agent) bool {
-		return a.dataCentre != b.cfg.DataCentre && a.rate < s.mean*float64(max(1, a.slots))
+		return a.dataCentre != b.cfg.DataCentre && a.loadByPace(false) < s.mean*float64(max(1, a.slots))
 	}
 	if !slices.ContainsFunc(free, below) {
 		return free
--- a/pkg/dsr/ownership/messages.go
+++ b/pkg/dsr/ownership/messages.go
@@ -22,6 +22,9 @@
 		IntervalMs:  uint32(next / time.Millisecond),
 		Answers:     t.reportedMinAnswers(),
 		RunningMs:   t.reportedRunning(now),
+
+		Flows:            t.reportedFlows(now),
+		RepeatedRequests: t.repeatsRequests(now),
 	}
 	t.startMessage(now, dsrpb.Kind_KIND_ANNOUNCE)
 	t.msg.Announcement = &t.announcementMsg
--- a/pkg/dsr/policy/policy.go
+++ b/pkg/dsr/policy/policy.go
@@ -40,6 +40,10 @@
 	// FailedAnswers: answers that are much faster and smaller than those of the service's other targets count as
 	// failures.
 	FailedAnswers bool
+	// TargetPace: targets that are slower than those of their service by their long-term work time get fewer requests.
+	TargetPace bool
+	// FlowWeight: where flows carry several requests, a new flow's place follows the open flows of the targets.
+	FlowWeight bool
 }
 
 // Mechanism is a named mechanism.
@@ -68,5 +72,7 @@
 		{"spread-out", Without{SpreadOut: true}},
 		{"learnt-limit", Without{LearntLimit: true}},
 		{"failed-answers", Without{FailedAnswers: true}},
+		{"target-pace", Without{TargetPace: true}},
+		{"flow-weight", Without{FlowWeight: true}},
 	}
 }
--- a/pkg/dsrd/balancer_output.go
+++ b/pkg/dsrd/balancer_output.go
@@ -25,6 +25,9 @@
 	100 * time.Millisecond, 500 * time.Millisecond, time.Second, 3 * time.Second, 10 * time.Second, 30 * time.Second, time.Minute, 5 * time.Minute,
 }
 
+// maxImbalanceGauges bounds the services with a gauge of their imbalance.
+const maxImbalanceGauges = 64
+
 // balancerOutput carries out a balancer's decisions; it runs under the balancer's lock.
 type balancerOutput struct {
 	b         *Balancer
@@ -35,6 +38,8 @@
 	refused   map[refusal.Reason]tally.Counter
 	opened    tally.Histogram
 	reportAge tally.Histogram
+	// imbalances are the gauges by service, at most maxImbalanceGauges.
+	imbalances map[string]tally.Gauge
 }
 
 func newBalancerOutput(b *Balancer) *balancerOutput {
@@ -47,6 +52,8 @@
 		refused:   make(map[refusal.Reason]tally.Counter),
 		opened:    b.scope.Histogram("dsr_open_time", openBuckets),
 		reportAge: b.scope.Histogram("dsr_report_age", reportAgeBuckets),
+
+		imbalances: make(map[string]tally.Gauge),
 	}
 	return o
 }
@@ -91,13 +98,27 @@
 	if d.Event == dispatch.EventPlaced {
 		o.opened.RecordDuration(d.Waited)
 		o.reportAge.RecordDuration(d.ReportAge)
+		o.recordImbalance(d.Service, d.Imbalance)
 	}
 	o.b.log.Info().Str("op", string(d.Event)).Uint64("flow", d.Hash).Stringer("caller", d.Key.Source).
 		Stringer("destination", d.Key.Destination).Str("service", d.Service).Stringer("agent", d.Agent).
-		Str("verdict", d.Verdict.String()).Float64("load", d.Load).Dur("report_age_ms", d.ReportAge).
+		Str("verdict", d.Verdict.String()).Float64("load", d.Load).Dur("report_age_ms", d.ReportAge).Dur("expected_ms", d.Expected).
 		Int("tried", d.Tried).Dur("waited_ms", d.Waited).Uint64("configuration", configuration.DisplayVersion(d.Configuration)).Msg("flow decision")
 }
 
+// recordImbalance sets the gauge of a service's imbalance; services beyond maxImbalanceGauges have none.
+func (o *balancerOutput) recordImbalance(service string, imbalance float64) {
+	g := o.imbalances[service]
+	if g == nil && len(o.imbalances) >= maxImbalanceGauges {
+		return
+	}
+	if g == nil {
+		g = o.b.scope.Tagged(map[string]string{"service": service}).Gauge("dsr_target_imbalance")
+		o.imbalances[service] = g
+	}
+	g.Update(imbalance)
+}
+
 func (o *balancerOutput) decisionCounter(e dispatch.Event) tally.Counter {
 	c := o.decisions[e]
 	if c == nil {
