--- a/pkg/dsr/admission/request.go
+++ b/pkg/dsr/admission/request.go
@@ -47,6 +47,9 @@
 	return !now.Add(roundTrips + r.margin(work, long)).After(r.Arrived.Add(r.Aim))
 }
 
+// Margin returns the time set aside for the work of one request with a promised time.
+func Margin(work, aim time.Duration) time.Duration { return Request{Aim: aim}.margin(work, LongWork) }
+
 // margin is the time set aside for the work of one request: that of a long one, unless that would leave less than
 // half of the promised time for waiting.
 func (r Request) margin(work time.Duration, long float64) time.Duration {
--- a/pkg/dsr/dispatch/agent.go
+++ b/pkg/dsr/dispatch/agent.go
@@ -6,13 +6,16 @@
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/estimate"
 	"github.com/auburnwood/auburnwood/pkg/dsr/outlier"
 	"github.com/auburnwood/auburnwood/pkg/dsr/warmup"
 )
 
 // agent is the balancer's view of an agent and its target.
 type agent struct {
-	addr        netip.AddrPort
+	addr netip.AddrPort
+	// bits are the address bits, as tieBreak uses them.
+	bits        uint64
 	dataCentre  string
 	region      string
 	service     string
@@ -44,6 +47,16 @@
 	answers map[uint32]outlier.Answer
 	// failing is set while the agent reports that its target fails more requests than a healthy one.
 	failing bool
+	// opened is the number of flows offered since the last announcement, announcedBusy the busy count of that. repeated is
+	// set when flows carry several requests.
+	opened        int
+	announcedBusy int
+	repeated      bool
+	// near is set when the agent is in the balancer's data centre.
+	near bool
+	// pace is the target's work time beside that of its service, factor the multiple that is expected; 0 means 1.
+	pace   estimate.Pace
+	factor float64
 	// suspect is set when the agent left an offer unanswered, until its next message.
 	suspect bool
 }
@@ -85,14 +98,17 @@
 // assumed to become free at the target's reported rate of work.
 func (a *agent) load(now time.Time) float64 {
 	slots := float64(max(1, a.slots))
+	if a.busy == 0 {
+		return float64(a.asked+1) / slots
+	}
 	freed := slots * float64(now.Sub(a.reported)) / float64(cmp.Or(a.workTime, DefaultWorkTime))
 	return (max(0, float64(a.busy)-freed) + float64(a.asked) + 1) / slots
 }
 
 // completionTime estimates the time until the target has answered one more request. The typical work time of the
-// service stands in for one that the agent does not know.
+// service, by the target's pace, stands in for one that the agent does not know.
 func (a *agent) completionTime(now time.Time, typical time.Duration) time.Duration {
-	workTime := cmp.Or(a.workTime, typical)
+	workTime := a.expectedWorkTime(typical)
 	completionTime := time.Duration(max(1, a.load(now)) * float64(workTime))
 	if !a.coldLimit.InForce(now) {
 		return completionTime
--- a/pkg/dsr/policy/policy.go
+++ b/pkg/dsr/policy/policy.go
@@ -46,6 +46,10 @@
 	RequestQueue bool
 	// RefuseLate: a new flow that would be late because of requests of the same or a higher priority is declined.
 	RefuseLate bool
+	// TargetPace: targets that are slower than those of their service by their long-term work time get fewer requests.
+	TargetPace bool
+	// FlowWeight: where flows carry several requests, a new flow's place follows the open flows of the targets.
+	FlowWeight bool
 }
 
 // Mechanism is a named mechanism.
@@ -77,5 +81,7 @@
 		{"failed-answers", Without{FailedAnswers: true}},
 		{"request-queue", Without{RequestQueue: true}},
 		{"refuse-late", Without{RefuseLate: true}},
+		{"target-pace", Without{TargetPace: true}},
+		{"flow-weight", Without{FlowWeight: true}},
 	}
 }
