The excess of an overloaded service is refused at once, the lowest priority first

What callers saw: while more was asked of a service than its targets could do, requests of every priority waited until their callers gave up, since each new flow was offered by itself and nobody decided for the service as a whole.

Cause: balancers knew loads of targets, not what all callers ask for; an agent declines a flow only when its caller would leave before its turn.

Change: agents announce capacity and demand by priority; balancers add them up when a report changes them, and refuse new flows of the lower priorities above capacity with a reset that says that they did not run. Further tries and callers that ask for more than others come after first tries.

Ruled out: refusing flows of a service with one priority, or of the highest priority: agents order these by who can be answered in time.

--- a/internal/lab/policy/caller.go
+++ b/internal/lab/policy/caller.go
@@ -28,6 +28,9 @@
 	began time.Time
 	tries int
 	done  bool
+	// destination is the address of the route, caller the number of the caller.
+	destination netip.AddrPort
+	caller      int
 }
 
 // try is one flow of a request.
@@ -41,13 +44,14 @@
 
 // startRequest begins a request.
 func (w *world) startRequest() {
-	r := &request{w: w, began: w.now()}
-	w.result.recordRequest(r.began)
+	r := &request{w: w, began: w.now(), destination: serviceAddress}
+	w.drawKind(r)
+	w.result.recordRequest(r)
 	r.try()
 	w.after(w.o.Budget, func() {
 		if !r.done {
 			r.done = true
-			w.result.recordLost(r.began)
+			w.result.recordLost(r)
 		}
 	})
 }
@@ -68,21 +72,41 @@
 		return
 	}
 	r.tries++
-	r.w.ports++
-	n := r.w.ports / callersPerAddress
-	source := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(n >> 8), byte(n)}), uint16(1024+r.w.ports%callersPerAddress))
-	t := &try{request: r, key: flow.Key{Source: source, Destination: serviceAddress, Protocol: flow.ProtocolTCP}}
+	source := r.source()
+	t := &try{request: r, key: flow.Key{Source: source, Destination: r.destination, Protocol: flow.ProtocolTCP}}
 	r.w.callers[source] = t
 	for i, at := range openingPacketTimes {
 		r.w.after(at, func() { t.open(byte(i)) })
 	}
 	r.w.after(openTimeout, func() {
-		if !t.opened {
+		if !t.opened && !t.ended {
+			r.w.result.TimedOut++
 			t.abandon()
 		}
 	})
 }
 
+// source returns a new port at the caller's address.
+func (r *request) source() netip.AddrPort {
+	r.w.ports++
+	n, port := r.w.ports/callersPerAddress, r.w.ports%callersPerAddress
+	if r.w.o.Callers > 0 {
+		r.w.callerPorts[r.caller]++
+		n, port = uint32(r.caller), r.w.callerPorts[r.caller]
+	}
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(n >> 8), byte(n)}), uint16(1024+port))
+}
+
+// drawKind draws the route and the caller of a request.
+func (w *world) drawKind(r *request) {
+	if w.kinds.Float64() < w.o.Urgent {
+		r.destination = urgentAddress
+	}
+	if w.o.Callers > 0 && w.kinds.Float64() >= w.o.Flood {
+		r.caller = w.kinds.IntN(w.o.Callers)
+	}
+}
+
 // open sends an opening packet, unless the flow is open or has ended.
 func (t *try) open(number byte) {
 	if t.opened || t.ended || t.request.done {
@@ -142,6 +166,6 @@
 func (r *request) recordAnswer() {
 	if !r.done {
 		r.done = true
-		r.w.result.recordAnswer(r.began, r.w.now().Sub(r.began) <= r.w.o.Aim)
+		r.w.result.recordAnswer(r, r.w.now().Sub(r.began) <= r.w.o.Aim)
 	}
 }
--- a/internal/lab/policy/nodes.go
+++ b/internal/lab/policy/nodes.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -8,6 +9,7 @@
 	"github.com/auburnwood/auburnwood/pkg/dsr/dispatch"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrtest"
+	saturation "github.com/auburnwood/auburnwood/pkg/dsr/overload"
 	"github.com/auburnwood/auburnwood/pkg/dsr/ownership"
 	"github.com/auburnwood/auburnwood/pkg/flow"
 )
@@ -32,7 +34,7 @@
 }
 
 func (b *balancerNode) start() {
-	b.core = dispatch.NewBalancer(dispatch.Config{DataCentre: dataCentre(b.index), Without: b.w.o.Without}, dsrtest.Codec{}, b, b.w.now())
+	b.core = dispatch.NewBalancer(dispatch.Config{DataCentre: b.w.dataCentreName(b.index), Without: b.w.o.Without}, dsrtest.Codec{}, b, b.w.now())
 	b.core.SetRoutes(b.w.now(), b.w.routes())
 	b.up, b.tickAt = true, time.Time{}
 	b.schedule()
@@ -46,7 +48,7 @@
 	b.w.after(markRunningInterval, b.markRunningPeriodically)
 }
 
-func dataCentre(index int) string { return [...]string{"dc-1", "dc-2"}[index%2] }
+func (w *world) dataCentreName(index int) string { return fmt.Sprintf("dc-%d", w.dataCentre(index)+1) }
 
 // inRotation reports whether the routers send packets to the balancer. During a power loss all balancers are in
 // rotation.
@@ -133,6 +135,9 @@
 // Outdated implements dispatch.Output; the configuration never changes during a run.
 func (b *balancerNode) Outdated(uint64) {}
 
+// SaturationChanged implements dispatch.Output.
+func (b *balancerNode) SaturationChanged(saturation.Status) { b.w.result.Saturations++ }
+
 // agentNode is a target's VM with its agent.
 type agentNode struct {
 	w       *world
@@ -156,7 +161,7 @@
 func (a *agentNode) start(first bool) {
 	a.w.incarnations++
 	a.table = ownership.NewTable(ownership.Config{
-		Service: serviceName, HeartbeatInterval: heartbeatInterval, First: first, DataCentre: dataCentre(a.index),
+		Service: serviceName, HeartbeatInterval: heartbeatInterval, First: first, DataCentre: a.w.dataCentreName(a.index),
 		Incarnation: a.w.incarnations, Without: a.w.o.Without,
 	}, dsrtest.Codec{}, a, a.w.now())
 	a.up, a.tickAt = true, time.Time{}
--- a/internal/lab/policy/options.go
+++ b/internal/lab/policy/options.go
@@ -47,6 +47,16 @@
 	CrashTime     time.Duration
 	// Undeclared omits the warm-up time and ColdPerSecond from the service configuration.
 	Undeclared bool
+	// DataCentres is the number of data centres that the VMs alternate between; 0 means two.
+	DataCentres int
+	// Urgent is the share of requests of a route with the highest priority; the others have the next one. With 0 there is
+	// one route.
+	Urgent float64
+	// Callers is the number of callers, each at an address in one data centre, whose packets reach the balancers there.
+	// With 0, callers share addresses and reach all balancers. Flood is the share of the first caller in all requests; 0
+	// means the same as the others.
+	Callers int
+	Flood   float64
 	// Announce is the interval between two announcements of an agent; 0 means the interval that the daemons derive from
 	// the number of VMs.
 	Announce time.Duration
@@ -108,6 +118,8 @@
 		return trace.BadParameter("slots, work and load must be positive")
 	case o.Tries < 1 || o.Tries > maxTries || o.Budget <= 0 || o.Length <= 0:
 		return trace.BadParameter("tries must be from 1 to %d, budget and length positive", maxTries)
+	case o.Urgent < 0 || o.Urgent > 1 || o.Flood < 0 || o.Flood > 1 || o.Callers < 0 || o.DataCentres < 0:
+		return trace.BadParameter("urgent and flood must be from 0 to 1, callers and data centres not negative")
 	case o.Loss < 0 || o.Loss >= 1:
 		return trace.BadParameter("loss must be from 0 to below 1")
 	}
--- a/internal/lab/policy/result.go
+++ b/internal/lab/policy/result.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"fmt"
 	"net/netip"
 	"time"
@@ -34,6 +35,13 @@
 // Result holds the outcome of a run.
 type Result struct {
 	Counts
+	// Urgent counts the requests of the highest priority, DataCentres those of the others by their callers' data centre,
+	// and Flooder those of the first caller; only in runs with callers at addresses of their own.
+	Urgent      Counts
+	DataCentres []Counts
+	Flooder     Counts
+	// TimedOut counts the tries whose callers got no answer to their opening packets.
+	TimedOut int
 	// Windows are the counts by the time at which requests began.
 	Windows []Counts
 	// Refusals counts refused flows, Notified those whose caller was notified, Abandoned the queued flows that agents
@@ -43,29 +51,45 @@
 	RanTwice int
 	// Crashed is the number of crashes of cold targets, Wrong that of error answers received by callers.
 	Crashed, Wrong int
-	runs           map[netip.AddrPort]int
+	// Saturations counts the begins and ends of overload at all balancers.
+	Saturations int
+	runs        map[netip.AddrPort]int
 }
 
 func newResult(o Options) *Result {
-	return &Result{Windows: make([]Counts, int(o.Length/windowTime)+1), runs: make(map[netip.AddrPort]int)}
+	return &Result{DataCentres: make([]Counts, cmp.Or(o.DataCentres, 2)), Windows: make([]Counts, int(o.Length/windowTime)+1), runs: make(map[netip.AddrPort]int)}
+}
+
+// groups returns the counts that a request belongs to.
+func (r *Result) groups(q *request) []*Counts {
+	out := []*Counts{&r.Counts, r.window(q.began)}
+	switch {
+	case q.destination == urgentAddress:
+		return append(out, &r.Urgent)
+	case q.w.o.Flood > 0 && q.caller == 0:
+		return append(out, &r.Flooder)
+	}
+	return append(out, &r.DataCentres[q.w.dataCentre(q.caller)])
 }
 
 func (r *Result) window(began time.Time) *Counts {
 	return &r.Windows[min(len(r.Windows)-1, int(began.Sub(epoch)/windowTime))]
 }
 
-func (r *Result) recordRequest(began time.Time) {
-	r.Requests++
-	r.window(began).Requests++
+func (r *Result) recordRequest(q *request) {
+	for _, c := range r.groups(q) {
+		c.Requests++
+	}
 }
 
-func (r *Result) recordLost(began time.Time) {
-	r.Lost++
-	r.window(began).Lost++
+func (r *Result) recordLost(q *request) {
+	for _, c := range r.groups(q) {
+		c.Lost++
+	}
 }
 
-func (r *Result) recordAnswer(began time.Time, inTime bool) {
-	for _, c := range []*Counts{&r.Counts, r.window(began)} {
+func (r *Result) recordAnswer(q *request, inTime bool) {
+	for _, c := range r.groups(q) {
 		if inTime {
 			c.InTime++
 		} else {
--- a/internal/lab/policy/world.go
+++ b/internal/lab/policy/world.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"encoding/binary"
 	"math"
 	"math/rand/v2"
@@ -30,6 +31,7 @@
 
 var (
 	serviceAddress = netip.MustParseAddrPort("198.18.0.1:443")
+	urgentAddress  = netip.MustParseAddrPort("198.18.0.2:443")
 	epoch          = time.Unix(1_790_000_000, 0)
 )
 
@@ -39,11 +41,15 @@
 	o      Options
 	random *rand.Rand
 	// arrivals draws the request times from a generator of their own, so that all policies get the same ones.
-	arrivals     *rand.Rand
-	balancers    []*balancerNode
-	agents       []*agentNode
-	callers      map[netip.AddrPort]*try
-	ports        uint32
+	arrivals  *rand.Rand
+	balancers []*balancerNode
+	agents    []*agentNode
+	callers   map[netip.AddrPort]*try
+	ports     uint32
+	// callerPorts are the last ports of callers with addresses of their own.
+	callerPorts map[int]uint32
+	// kinds draws the kinds and callers of requests.
+	kinds        *rand.Rand
 	incarnations uint64
 	result       *Result
 	// powerLost is set during a power loss; burst is the current multiple of the load.
@@ -53,7 +59,7 @@
 
 func newWorld(o Options) *world {
 	w := &world{
-		o: o, random: rand.New(rand.NewPCG(o.Seed, 1)), arrivals: rand.New(rand.NewPCG(o.Seed, 2)), callers: make(map[netip.AddrPort]*try), burst: 1,
+		o: o, random: rand.New(rand.NewPCG(o.Seed, 1)), arrivals: rand.New(rand.NewPCG(o.Seed, 2)), kinds: rand.New(rand.NewPCG(o.Seed, 3)), callers: make(map[netip.AddrPort]*try), callerPorts: make(map[int]uint32), burst: 1,
 		result: newResult(o),
 	}
 	w.clock = epoch
@@ -68,10 +74,15 @@
 
 // routes returns the only configuration of a run.
 func (w *world) routes() *routing.Table {
-	return routing.NewTable(configuration.Configuration{Version: 1, Routes: []configuration.Route{{
+	r := configuration.Route{
 		Name: "r", Destination: serviceAddress, Shares: []configuration.Share{{Service: serviceName, Weight: 1}},
-		Aim: w.o.Aim, Timeout: w.o.Budget,
-	}}, Services: []configuration.Service{w.service()}})
+		Aim: w.o.Aim, Timeout: w.o.Budget, Priority: 1,
+	}
+	urgent := r
+	urgent.Name, urgent.Destination, urgent.Priority = "urgent", urgentAddress, 0
+	return routing.NewTable(configuration.Configuration{
+		Version: 1, Routes: []configuration.Route{r, urgent}, Services: []configuration.Service{w.service()},
+	})
 }
 
 // service returns the configuration of the only service.
@@ -94,12 +105,15 @@
 
 // delayBetween returns the one-way delay between two VMs.
 func (w *world) delayBetween(a, b int) time.Duration {
-	if a%2 == b%2 {
+	if w.dataCentre(a) == w.dataCentre(b) {
 		return w.o.Near
 	}
 	return w.o.Far
 }
 
+// dataCentre returns the number of the data centre of a VM or caller.
+func (w *world) dataCentre(index int) int { return index % cmp.Or(w.o.DataCentres, 2) }
+
 // work draws the service time of a request.
 func (w *world) work() time.Duration {
 	s := math.Sqrt(math.Log(1 + w.o.Spread*w.o.Spread))
@@ -112,7 +126,7 @@
 	var bestHash uint64
 	for _, b := range w.balancers {
 		hash := flow.Mix(key.Hash() ^ binary.BigEndian.Uint64([]byte{0, 0, 0, 0, 0, 0, 1, byte(b.index)}))
-		if b.inRotation(w.now()) && (best == nil || hash > bestHash) {
+		if b.inRotation(w.now()) && w.reaches(key, b) && (best == nil || hash > bestHash) {
 			best, bestHash = b, hash
 		}
 	}
@@ -121,6 +135,15 @@
 	}
 }
 
+// reaches reports whether the packets of a flow go to the balancers of a data centre.
+func (w *world) reaches(key flow.Key, b *balancerNode) bool {
+	if w.o.Callers == 0 {
+		return true
+	}
+	address := key.Source.Addr().As4()
+	return w.dataCentre(int(binary.BigEndian.Uint16(address[2:]))) == w.dataCentre(b.index)
+}
+
 // send carries a packet from a caller to the routers.
 func (w *world) send(key flow.Key, raw []byte) {
 	w.deliver(w.o.Caller, func() { w.route(key, raw) })
--- a/pkg/dsr/dispatch/agent.go
+++ b/pkg/dsr/dispatch/agent.go
@@ -7,6 +7,7 @@
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/dsr/outlier"
+	"github.com/auburnwood/auburnwood/pkg/dsr/overload"
 	"github.com/auburnwood/auburnwood/pkg/dsr/warmup"
 )
 
@@ -40,6 +41,13 @@
 	answers map[uint32]outlier.Answer
 	// failing is set while the agent reports that its target fails more requests than a healthy one.
 	failing bool
+	// capacity and demands are as announced at demandAt. countedLoad is what counts of them in the picture of the service while
+	// counted is set.
+	capacity    float64
+	demands     []overload.Demand
+	demandAt    time.Time
+	countedLoad overload.Load
+	counted     bool
 	// suspect is set when the agent left an offer unanswered, until its next message.
 	suspect bool
 }
--- a/pkg/dsr/dispatch/agents.go
+++ b/pkg/dsr/dispatch/agents.go
@@ -56,6 +56,8 @@
 	b.lastSeen = now
 	a.recordReport(now, m)
 	b.recordWorkTime(a)
+	b.countLoad(now, a)
+	b.updateOverload(now, a.service)
 }
 
 // addToService lists an agent under a service, and no longer under its previous one.
@@ -69,6 +71,7 @@
 }
 
 func (b *Balancer) removeFromService(a *agent) {
+	b.uncountLoad(a)
 	rest := slices.DeleteFunc(b.services[a.service], func(other *agent) bool { return other == a })
 	b.services[a.service] = rest
 	if len(rest) == 0 {
@@ -98,6 +101,7 @@
 	b.addToService(a, strings.Clone(m.Service))
 	a.state, a.slots, a.incarnation, a.failing = n.State, int(n.Slots), n.Incarnation, n.Failing
 	a.answers = answersOf(n.Answers)
+	a.recordDemand(now, n)
 	a.interval = min(time.Duration(n.IntervalMs)*time.Millisecond, MaxAnnounceInterval)
 	b.recordReport(now, a, m)
 	if a.state == dsrpb.State_STATE_READY && before != a.state {
--- a/pkg/dsr/dispatch/balancer.go
+++ b/pkg/dsr/dispatch/balancer.go
@@ -8,6 +8,7 @@
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/dsr/estimate"
 	"github.com/auburnwood/auburnwood/pkg/dsr/evacuation"
+	"github.com/auburnwood/auburnwood/pkg/dsr/overload"
 	"github.com/auburnwood/auburnwood/pkg/dsr/routing"
 	"github.com/auburnwood/auburnwood/pkg/dsr/segment"
 	"github.com/auburnwood/auburnwood/pkg/flow"
@@ -65,6 +66,11 @@
 	spreads map[string]spread
 	// medians caches the median of the minimum answers, by service and address.
 	medians map[answerKey]medianAnswer
+	// overloads are the decisions about overload, by service; callers tells further tries from first ones, and retryBudget
+	// limits those while a service is overloaded.
+	overloads   map[string]*overload.Service
+	callers     *overload.Callers
+	retryBudget *limit.Budget
 
 	message dsrpb.Message
 }
@@ -86,11 +92,14 @@
 		workTimes: make(map[string]*estimate.Mean),
 		spreads:   make(map[string]spread),
 		medians:   make(map[answerKey]medianAnswer),
+		overloads: make(map[string]*overload.Service),
+		callers:   overload.NewCallers(now),
 		lastSweep: now,
 
 		searchBudget:   SearchBurst,
 		searchBudgetAt: now,
 		hedgeBudget:    limit.NewBudget(HedgeRatio, HedgeBurst),
+		retryBudget:    limit.NewBudget(RetryRatio, RetryBurst),
 	}
 }
 
@@ -112,6 +121,7 @@
 		return false
 	}
 	b.evacuations = s
+	b.recountLoads(now)
 	b.retryParked(now, false)
 	return true
 }
@@ -167,6 +177,7 @@
 		b.flows[key] = f
 	}
 	f.touched = now
+	b.recordRequest(now, f, s)
 	if s.Has(segment.FIN) || s.Has(segment.RST) {
 		f.closed = true
 	}
--- a/pkg/dsr/dispatch/balancer_test.go
+++ b/pkg/dsr/dispatch/balancer_test.go
@@ -12,6 +12,7 @@
 	"github.com/auburnwood/auburnwood/pkg/dsr/configuration"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrtest"
+	"github.com/auburnwood/auburnwood/pkg/dsr/overload"
 	"github.com/auburnwood/auburnwood/pkg/dsr/routing"
 	"github.com/auburnwood/auburnwood/pkg/dsr/segment"
 	"github.com/auburnwood/auburnwood/pkg/flow"
@@ -44,6 +45,8 @@
 	refusals  []Refusal
 	decisions []Decision
 	outdated  uint64
+	// saturations are the begins and ends of overload.
+	saturations []overload.Status
 }
 
 func (r *recorder) ToAgent(to netip.AddrPort, m *dsrpb.Message) {
@@ -58,6 +61,8 @@
 func (r *recorder) Decided(d Decision)           { r.decisions = append(r.decisions, d) }
 func (r *recorder) Outdated(v uint64)            { r.outdated = v }
 
+func (r *recorder) SaturationChanged(s overload.Status) { r.saturations = append(r.saturations, s) }
+
 // keyOf returns the key of the flow from a caller's port.
 func keyOf(port int) flow.Key {
 	return flow.Key{Source: caller(port), Destination: service, Protocol: flow.ProtocolTCP}
@@ -638,6 +643,7 @@
 func (discard) Refused(Refusal)                        {}
 func (discard) Decided(Decision)                       {}
 func (discard) Outdated(uint64)                        {}
+func (discard) SaturationChanged(overload.Status)      {}
 
 // The acceptance brings a new report; the decision must name the one by which the target was chosen.
 func TestDecisionNamesTheReportBehindTheChoice(t *testing.T) {
--- a/pkg/dsr/dispatch/config.go
+++ b/pkg/dsr/dispatch/config.go
@@ -56,6 +56,10 @@
 	// balancers or links are overloaded, and further offers would add to the overload.
 	HedgeRatio = 0.1
 	HedgeBurst = 50
+	// RetryRatio is the number of further tries that one first try allows while a service is overloaded, RetryBurst the
+	// number allowed at once: a caller's further tries would otherwise displace the first tries of others.
+	RetryRatio = 0.1
+	RetryBurst = 10
 	// MaxHeld is the number of packets of one flow that are held until its owner is known: what one end may have in
 	// flight.
 	MaxHeld = 16
--- a/pkg/dsr/dispatch/flow_state.go
+++ b/pkg/dsr/dispatch/flow_state.go
@@ -72,8 +72,15 @@
 	// when the caller was sent a reset for the refusal.
 	uncertain bool
 	reset     bool
-	// opening describes the new flow in offers.
+	// opening describes the new flow in offers. offered is set once it was counted as demand of its service, taken once it
+	// was found not to be excess; retry is set when its caller's address has lately had a flow refused or failed.
 	opening dsrpb.Opening
+	offered bool
+	taken   bool
+	retry   bool
+	// dataEnd is the sequence number after the last byte that the caller has sent, valid once hasData is set.
+	dataEnd uint32
+	hasData bool
 	// closed is set once the caller has closed the flow.
 	closed bool
 	// held are packets that wait until the owner is known.
--- a/pkg/dsr/dispatch/opening.go
+++ b/pkg/dsr/dispatch/opening.go
@@ -134,6 +134,11 @@
 		f.opening.ColdPerSecond = float32(declared.ColdPerSecond)
 		f.opening.WarmUpMs = uint32(declared.WarmUp / time.Millisecond)
 	}
+	if !b.takes(now, f, route.Priority) {
+		b.refuse(now, f, refusal.ReasonOverloaded)
+		return
+	}
+	f.opening.Retry = f.retry
 	f.patience = dsrpb.Patience_PATIENCE_FREE_SLOT
 	if b.cfg.Without.FreeFirst {
 		f.patience = dsrpb.Patience_PATIENCE_QUEUE
--- a/pkg/dsr/dispatch/output.go
+++ b/pkg/dsr/dispatch/output.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/overload"
 	"github.com/auburnwood/auburnwood/pkg/flow"
 	"github.com/auburnwood/auburnwood/pkg/refusal"
 )
@@ -21,6 +22,8 @@
 	Decided(d Decision)
 	// Outdated reports that an agent knows of a newer configuration than the one in force.
 	Outdated(version uint64)
+	// SaturationChanged reports that the overload of a service has begun or ended.
+	SaturationChanged(s overload.Status)
 }
 
 // Refusal describes a refused flow.
--- a/pkg/dsr/dispatch/report.go
+++ b/pkg/dsr/dispatch/report.go
@@ -61,6 +61,7 @@
 // recordRefusal reports a flow that was refused or reset; notified is set when its caller was sent a reset.
 func (b *Balancer) recordRefusal(now time.Time, f *flowState, reason refusal.Reason, run refusal.Run, notified bool) {
 	f.phase, f.since = refused, now
+	b.callers.Failed(now, f.key.Source.Addr())
 	b.out.Refused(Refusal{
 		Key:           f.key,
 		Hash:          f.hash,
--- a/pkg/dsr/dispatch/simulation_nodes_test.go
+++ b/pkg/dsr/dispatch/simulation_nodes_test.go
@@ -11,6 +11,7 @@
 	"github.com/auburnwood/auburnwood/pkg/dsr/dispatch"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrtest"
+	"github.com/auburnwood/auburnwood/pkg/dsr/overload"
 	"github.com/auburnwood/auburnwood/pkg/dsr/ownership"
 	"github.com/auburnwood/auburnwood/pkg/dsr/routing"
 	"github.com/auburnwood/auburnwood/pkg/dsr/segment"
@@ -122,6 +123,8 @@
 func (b *balancerNode) Refused(dispatch.Refusal)     {}
 func (b *balancerNode) Decided(dispatch.Decision)    {}
 func (b *balancerNode) Outdated(uint64)              { b.core.SetRoutes(b.w.now, b.w.routes()) }
+
+func (b *balancerNode) SaturationChanged(overload.Status) {}
 func (b *balancerNode) receive(from netip.AddrPort, raw []byte) {
 	var m dsrpb.Message
 	if b.up && m.UnmarshalVT(raw) == nil {
--- a/pkg/dsr/dispatch/tick.go
+++ b/pkg/dsr/dispatch/tick.go
@@ -80,4 +80,5 @@
 		kept = append(kept, a)
 	}
 	b.order = kept
+	b.recountLoads(now)
 }
--- a/pkg/dsr/ownership/from_balancer.go
+++ b/pkg/dsr/ownership/from_balancer.go
@@ -47,6 +47,7 @@
 	t.recordRoundTrip(now, e, s)
 	if e.recordNewData(s) {
 		t.finishReply(now, key, e)
+		t.demand.recordLater(now, key, e)
 		e.request = append(e.request[:0], s.Raw...)
 		t.request(now, e)
 	}
@@ -96,6 +97,7 @@
 	if t.busy < t.concurrencyLimit(now) && t.queue.Len() == 0 && t.hasRoom(now) {
 		e = &entry{origin: balancer, touched: now, configuration: m.Configuration}
 		t.flows[key] = e
+		t.demand.recordNew(now, m.Opening, key)
 		t.offer(now, key, e, s.Raw)
 		return
 	}
--- a/pkg/dsr/ownership/messages.go
+++ b/pkg/dsr/ownership/messages.go
@@ -23,6 +23,7 @@
 		Answers:     t.reportedMinAnswers(),
 		RunningMs:   t.reportedRunning(now),
 	}
+	t.announceDemand(now, &t.announcementMsg)
 	t.startMessage(now, dsrpb.Kind_KIND_ANNOUNCE)
 	t.msg.Announcement = &t.announcementMsg
 	return &t.msg
--- a/pkg/dsr/ownership/queueing.go
+++ b/pkg/dsr/ownership/queueing.go
@@ -18,6 +18,7 @@
 		t.decline(now, balancer, m, key, dsrpb.Verdict_VERDICT_BUSY, nil)
 		return
 	}
+	t.demand.recordNew(now, m.Opening, key)
 	t.flows[key] = &entry{
 		origin:        balancer,
 		phase:         queued,
--- a/pkg/dsr/ownership/table.go
+++ b/pkg/dsr/ownership/table.go
@@ -60,6 +60,8 @@
 	evacuated bool
 	// rate is the rate of new flows that the target gets.
 	rate estimate.Rate
+	// demand is what is asked of the target.
+	demand demand
 	// cold is the state of the target's warm-up. recheckAt is when the queue is checked again because the target is
 	// cold; zero when something else has to happen first.
 	cold            coldState
--- a/pkg/dsr/policy/policy.go
+++ b/pkg/dsr/policy/policy.go
@@ -40,6 +40,12 @@
 	// FailedAnswers: answers that are much faster and smaller than those of the service's other targets count as
 	// failures.
 	FailedAnswers bool
+	// ShedExcess: while a service is overloaded, the excess of its new flows is refused at once, the lowest priority first.
+	ShedExcess bool
+	// RetryBudget: while a service is overloaded, further tries of refused callers are limited to a share of first tries.
+	RetryBudget bool
+	// FairCallers: while a service is overloaded, flows of callers that ask for more than others are refused first.
+	FairCallers bool
 }
 
 // Mechanism is a named mechanism.
@@ -68,5 +74,8 @@
 		{"spread-out", Without{SpreadOut: true}},
 		{"learnt-limit", Without{LearntLimit: true}},
 		{"failed-answers", Without{FailedAnswers: true}},
+		{"shed-excess", Without{ShedExcess: true}},
+		{"retry-budget", Without{RetryBudget: true}},
+		{"fair-callers", Without{FairCallers: true}},
 	}
 }
--- a/pkg/dsr/routing/table.go
+++ b/pkg/dsr/routing/table.go
@@ -17,6 +17,7 @@
 	configuration configuration.Configuration
 	routes        map[netip.AddrPort]*configuration.Route
 	services      map[string]*configuration.Service
+	aims          map[string]time.Duration
 }
 
 func NewTable(c configuration.Configuration) *Table {
@@ -24,12 +25,14 @@
 		configuration: c,
 		routes:        make(map[netip.AddrPort]*configuration.Route, len(c.Routes)),
 		services:      make(map[string]*configuration.Service, len(c.Services)),
+		aims:          make(map[string]time.Duration, len(c.Services)),
 	}
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
 	}
 	for i := range c.Routes {
 		t.routes[c.Routes[i].Destination] = &c.Routes[i]
+		t.recordAim(&c.Routes[i])
 	}
 	if t.configuration.IdleTimeout == 0 {
 		t.configuration.IdleTimeout = DefaultIdleTimeout
@@ -37,6 +40,26 @@
 	return t
 }
 
+// recordAim notes the response time that a route promises for each of its services.
+func (t *Table) recordAim(r *configuration.Route) {
+	if r.Aim <= 0 {
+		return
+	}
+	for _, s := range r.Shares {
+		if aim, known := t.aims[s.Service]; s.Weight > 0 && (!known || r.Aim < aim) {
+			t.aims[s.Service] = r.Aim
+		}
+	}
+}
+
+// Aim returns the shortest response time that the routes of a service promise; 0 when none is declared.
+func (t *Table) Aim(service string) time.Duration {
+	if t == nil {
+		return 0
+	}
+	return t.aims[service]
+}
+
 // Version returns the version of the configuration; 0 for a nil table.
 func (t *Table) Version() uint64 {
 	if t == nil {
--- a/pkg/dsrd/balancer_output.go
+++ b/pkg/dsrd/balancer_output.go
@@ -9,6 +9,7 @@
 	"github.com/auburnwood/auburnwood/pkg/dsr/configuration"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dispatch"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/overload"
 	"github.com/auburnwood/auburnwood/pkg/flow"
 	"github.com/auburnwood/auburnwood/pkg/refusal"
 )
@@ -68,6 +69,27 @@
 	o.b.configSync.recordNewer(version, netip.AddrPort{})
 }
 
+// SaturationChanged implements dispatch.Output.
+func (o *balancerOutput) SaturationChanged(s overload.Status) {
+	var demand float64
+	for _, d := range s.Demands {
+		demand += d.PerSecond
+	}
+	line := o.b.log.Warn().Str("service", s.Service).Float64("demand_per_second", demand).Float64("capacity_per_second", s.Capacity).
+		Dur("wait_ms", s.Wait)
+	if s.SaturatedSince.IsZero() {
+		o.overloadCounter("ends").Inc(1)
+		line.Str("op", "overload-ends").Msg("service is no longer overloaded")
+		return
+	}
+	o.overloadCounter("begins").Inc(1)
+	line.Str("op", "overload-begins").Ints("priorities_refused", s.Refused).Msg("service is overloaded")
+}
+
+func (o *balancerOutput) overloadCounter(change string) tally.Counter {
+	return o.b.scope.Tagged(map[string]string{"change": change}).Counter("dsr_overloads")
+}
+
 // Refused implements dispatch.Output.
 func (o *balancerOutput) Refused(r dispatch.Refusal) {
 	o.refusedCounter(r.Reason).Inc(1)
