--- a/pkg/dsr/overload/service.go
+++ b/pkg/dsr/overload/service.go
@@ -7,14 +7,14 @@
 const (
 	// updateInterval is the time between two computations of the shares; reports do not change them faster.
 	updateInterval = 50 * time.Millisecond
-	// settleTime is the time in which the wait is brought to half of the promised time. It is several times
+	// settleTime is the time in which the wait is brought to the promised time. It is several times
 	// the age of reports, so that the effect of a change is seen before the next one.
 	settleTime = time.Second
 	// saturatedWeight is the weight of what is learnt during an overload about this balancer's part in all requests: what it
 	// takes changes faster then than the reports of the targets.
 	saturatedWeight = 0.1
 	// minRate bounds the correction for requests that wait, as a share of the capacity.
-	minRate = 0.7
+	minRate = 0.8
 	// DefaultAim is the promised time of services whose routes declare none.
 	DefaultAim = 250 * time.Millisecond
 )
@@ -156,10 +156,10 @@
 	return true
 }
 
-// sharesAt computes the shares that bring the waiting requests to half of the promised time. All flows of the highest priority are
+// sharesAt computes the shares that bring the waiting requests to the promised time. All flows of the highest priority are
 // taken: the agents order these by who can be answered in time, and know better than a balancer whom they cannot serve.
 func (s *Service) sharesAt(now time.Time, wait, aim time.Duration) [maxPriorities]float64 {
-	correction := (aim/2 - wait).Seconds() / settleTime.Seconds()
+	correction := (aim - wait).Seconds() / settleTime.Seconds()
 	rate := s.Picture.capacity * max(minRate, 1+correction)
 	shares := sharesOf(rate, s.demand(now))
 	shares[s.highest()] = 1
--- a/pkg/dsr/overload/service_test.go
+++ b/pkg/dsr/overload/service_test.go
@@ -50,10 +50,10 @@
 	require.False(t, known)
 }
 
-func TestRequestsOnOpenFlowsAreServedBeforeNewFlowsOfLowerPriority(t *testing.T) {
-	shares := sharesOf(100, [maxPriorities]split{{open: 10, offered: 60}, {open: 10, offered: 40}, {offered: 40}})
+func TestOpenFlowsOfLowerPriorityLeaveNoLessRoomToHigherOnes(t *testing.T) {
+	shares := sharesOf(100, [maxPriorities]split{{open: 10, offered: 60}, {open: 10, offered: 40}, {open: 200, offered: 40}})
 	require.InDelta(t, 1, shares[0], 1e-9)
-	require.InDelta(t, 0.5, shares[1], 1e-9)
+	require.InDelta(t, 0.5, shares[1], 1e-9, "10 on open flows come before 40 new ones")
 	require.InDelta(t, 0, shares[2], 1e-9)
 }
 
--- a/pkg/dsr/overload/shares.go
+++ b/pkg/dsr/overload/shares.go
@@ -6,14 +6,13 @@
 }
 
 // sharesOf returns the share of new flows of each priority that is taken, so that the requests of all priorities together
-// fit into a rate. Lower priorities are refused before higher ones.
+// fit into a rate. Lower priorities are refused before higher ones, and requests of a lower priority on open flows leave no
+// less room to higher ones.
 func sharesOf(rate float64, demand [maxPriorities]split) [maxPriorities]float64 {
 	var shares [maxPriorities]float64
 	room := rate
-	for _, d := range demand {
-		room -= d.open
-	}
 	for p, d := range demand {
+		room -= d.open
 		shares[p] = shareOf(room, d.offered)
 		room -= shares[p] * d.offered
 	}
