--- a/pkg/dsr/dispatch/overload.go
+++ b/pkg/dsr/dispatch/overload.go
@@ -170,6 +170,15 @@
 	return true
 }
 
+// Overloads returns the pictures of all services, by name, for operators.
+func (b *Balancer) Overloads() []overload.Status {
+	var out []overload.Status
+	for _, service := range slices.Sorted(maps.Keys(b.overloads)) {
+		out = append(out, b.Overload(service))
+	}
+	return out
+}
+
 // Overload returns the picture of a service for operators.
 func (b *Balancer) Overload(service string) overload.Status {
 	if s := b.overloads[service]; s != nil {
--- a/pkg/dsr/dispatch/overload_test.go
+++ b/pkg/dsr/dispatch/overload_test.go
@@ -88,6 +88,7 @@
 	require.True(t, last.Notified)
 	require.Zero(t, last.Tried)
 	require.Contains(t, b.Overload("svc").Refused, 2)
+	require.Len(t, b.Overloads(), 1)
 	require.False(t, b.Overload("svc").SaturatedSince.IsZero())
 }
 
--- a/pkg/dsr/overload/demand.go
+++ b/pkg/dsr/overload/demand.go
@@ -1,8 +1,6 @@
 package overload
 
 import (
-	"cmp"
-	"slices"
 	"time"
 )
 
@@ -45,8 +43,3 @@
 const minDemand = 0.01
 
 func clampPriority(p int) int { return min(max(0, p), maxPriorities-1) }
-
-func sortDemands(list []Demand) []Demand {
-	slices.SortFunc(list, func(x, y Demand) int { return cmp.Compare(x.Priority, y.Priority) })
-	return list
-}
--- a/pkg/dsr/overload/picture.go
+++ b/pkg/dsr/overload/picture.go
@@ -44,7 +44,7 @@
 	return time.Duration(max(0, p.waiting) / p.capacity * float64(time.Second)), true
 }
 
-// demands lists the demand by priority.
+// demands lists the demand by priority, the highest first.
 func (p *Picture) demands() []Demand {
 	var out []Demand
 	for priority, perSecond := range p.demand {
@@ -52,5 +52,5 @@
 			out = append(out, Demand{Priority: priority, PerSecond: perSecond})
 		}
 	}
-	return sortDemands(out)
+	return out
 }
--- a/pkg/dsr/overload/service.go
+++ b/pkg/dsr/overload/service.go
@@ -1,14 +1,11 @@
 package overload
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// updateInterval is the time between two computations of the shares; reports do not change them faster.
 	updateInterval = 50 * time.Millisecond
-	// settleTime is the time in which the wait is brought to the promised time. It is several times
-	// the age of reports, so that the effect of a change is seen before the next one.
+	// settleTime is the time in which the wait is brought to the promised time.
 	settleTime = time.Second
 	// saturatedWeight is the weight of what is learnt during an overload about this balancer's part in all requests: what it
 	// takes changes faster then than the reports of the targets.
