Merge the part: overload of a service

The status object of a service shows the overload. Of two functions with one name, that of the spread over data centres is now isExcessOfDataCentre.

--- a/pkg/dsr/dispatch/agent.go
+++ b/pkg/dsr/dispatch/agent.go
@@ -8,6 +8,7 @@
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/dsr/estimate"
 	"github.com/auburnwood/auburnwood/pkg/dsr/outlier"
+	"github.com/auburnwood/auburnwood/pkg/dsr/overload"
 	"github.com/auburnwood/auburnwood/pkg/dsr/warmup"
 )
 
@@ -57,6 +58,13 @@
 	// pace is the target's work time beside that of its service, factor the multiple that is expected; 0 means 1.
 	pace   estimate.Pace
 	factor float64
+	// capacity and demands are as announced at demandAt. countedLoad is what counts of them in the picture of the service while
+	// counted is set.
+	capacity    float64
+	demands     []overload.Demand
+	demandAt    time.Time
+	countedLoad overload.Load
+	counted     bool
 	// suspect is set when the agent left an offer unanswered, until its next message.
 	suspect bool
 }
--- a/pkg/dsr/dispatch/agents.go
+++ b/pkg/dsr/dispatch/agents.go
@@ -59,6 +59,8 @@
 	a.recordReport(now, m)
 	b.recordWorkTime(a)
 	b.recordPace(now, a)
+	b.countLoad(now, a)
+	b.updateOverload(now, a.service)
 }
 
 // addToService lists an agent under a service, and no longer under its previous one.
@@ -73,6 +75,7 @@
 }
 
 func (b *Balancer) removeFromService(a *agent) {
+	b.uncountLoad(a)
 	rest := slices.DeleteFunc(b.services[a.service], func(other *agent) bool { return other == a })
 	b.services[a.service] = rest
 	b.expireComparison(a.service)
@@ -108,6 +111,7 @@
 	a.state, a.slots, a.incarnation, a.failing = n.State, int(n.Slots), n.Incarnation, n.Failing
 	a.answers = answersOf(n.Answers)
 	a.recordLongFlows(now, n, m.Busy)
+	a.recordDemand(now, n)
 	a.interval = min(time.Duration(n.IntervalMs)*time.Millisecond, MaxAnnounceInterval)
 	b.recordReport(now, a, m)
 	// A target that was away may have been replaced by another process.
--- a/pkg/dsr/dispatch/balancer.go
+++ b/pkg/dsr/dispatch/balancer.go
@@ -8,6 +8,7 @@
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/dsr/estimate"
 	"github.com/auburnwood/auburnwood/pkg/dsr/evacuation"
+	"github.com/auburnwood/auburnwood/pkg/dsr/overload"
 	"github.com/auburnwood/auburnwood/pkg/dsr/routing"
 	"github.com/auburnwood/auburnwood/pkg/dsr/segment"
 	"github.com/auburnwood/auburnwood/pkg/flow"
@@ -67,6 +68,11 @@
 	comparisons map[string]*comparison
 	// medians caches the median of the minimum answers, by service and address.
 	medians map[answerKey]medianAnswer
+	// overloads are the decisions about overload, by service; callers tells further tries from first ones, and retryBudget
+	// limits those while a service is overloaded.
+	overloads   map[string]*overload.Service
+	callers     *overload.Callers
+	retryBudget *limit.Budget
 
 	message dsrpb.Message
 }
@@ -89,11 +95,14 @@
 		spreads:     make(map[string]spread),
 		comparisons: make(map[string]*comparison),
 		medians:     make(map[answerKey]medianAnswer),
+		overloads:   make(map[string]*overload.Service),
+		callers:     overload.NewCallers(now),
 		lastSweep:   now,
 
 		searchBudget:   SearchBurst,
 		searchBudgetAt: now,
 		hedgeBudget:    limit.NewBudget(HedgeRatio, HedgeBurst),
+		retryBudget:    limit.NewBudget(RetryRatio, RetryBurst),
 	}
 }
 
@@ -118,6 +127,7 @@
 	for service := range b.comparisons {
 		b.expireComparison(service)
 	}
+	b.recountLoads(now)
 	b.retryParked(now, false)
 	return true
 }
@@ -173,6 +183,7 @@
 		b.flows[key] = f
 	}
 	f.touched = now
+	b.recordRequest(now, f, s)
 	if s.Has(segment.FIN) || s.Has(segment.RST) {
 		f.closed = true
 	}
--- a/pkg/dsr/dispatch/choose.go
+++ b/pkg/dsr/dispatch/choose.go
@@ -84,7 +84,7 @@
 		return b.sample(f, b.eligibleAgents(now, f, b.services[f.service], func(*agent) bool { return true }))
 	}
 	isFree := func(a *agent) bool { return !a.suspect && a.hasFreeSlot(now) && !a.isSlow(typical) }
-	if b.cfg.Without.NearFirst || b.isExcess(now, f) {
+	if b.cfg.Without.NearFirst || b.isExcessOfDataCentre(now, f) {
 		return b.spreadOut(now, f, b.eligibleAgents(now, f, b.services[f.service], isFree))
 	}
 	for _, p := range []*pool{&c.near, &c.far} {
--- a/pkg/dsr/dispatch/long_flows_nodes_test.go
+++ b/pkg/dsr/dispatch/long_flows_nodes_test.go
@@ -11,6 +11,7 @@
 	"github.com/auburnwood/auburnwood/pkg/dsr/dispatch"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrtest"
+	"github.com/auburnwood/auburnwood/pkg/dsr/overload"
 	"github.com/auburnwood/auburnwood/pkg/dsr/ownership"
 	"github.com/auburnwood/auburnwood/pkg/dsr/policy"
 	"github.com/auburnwood/auburnwood/pkg/dsr/routing"
@@ -139,9 +140,10 @@
 	t := b.p.targets[to.Addr().As4()[3]]
 	b.p.carry(b.place, t.place, func() { t.fromBalancer(b, raw) })
 }
-func (b *longBalancer) Reset(key flow.Key, _ uint32) { b.p.toCaller(dsrtest.Codec{}.Reset(key, 0)) }
-func (b *longBalancer) Refused(dispatch.Refusal)     {}
-func (b *longBalancer) Outdated(uint64)              {}
+func (b *longBalancer) Reset(key flow.Key, _ uint32)      { b.p.toCaller(dsrtest.Codec{}.Reset(key, 0)) }
+func (b *longBalancer) Refused(dispatch.Refusal)          {}
+func (b *longBalancer) Outdated(uint64)                   {}
+func (b *longBalancer) SaturationChanged(overload.Status) {}
 func (b *longBalancer) Decided(d dispatch.Decision) {
 	if d.Event == dispatch.EventPlaced && b.p.counts() {
 		b.p.flows++
--- a/pkg/dsr/ownership/messages.go
+++ b/pkg/dsr/ownership/messages.go
@@ -26,6 +26,7 @@
 		Flows:            uint32(t.Connections()),
 		RepeatedRequests: t.repeatsRequests(now),
 	}
+	t.announceDemand(now, &t.announcementMsg)
 	t.startMessage(now, dsrpb.Kind_KIND_ANNOUNCE)
 	t.msg.Announcement = &t.announcementMsg
 	return &t.msg
--- a/pkg/dsr/policy/policy.go
+++ b/pkg/dsr/policy/policy.go
@@ -50,6 +50,12 @@
 	TargetPace bool
 	// FlowWeight: where flows carry several requests, a new flow's place follows the open flows of the targets.
 	FlowWeight bool
+	// ShedExcess: while a service is overloaded, the excess of its new flows is refused at once, the lowest priority first.
+	ShedExcess bool
+	// RetryBudget: while a service is overloaded, further tries of refused callers are limited to a share of first tries.
+	RetryBudget bool
+	// FairCallers: while a service is overloaded, flows of callers that ask for more than others are refused first.
+	FairCallers bool
 }
 
 // Mechanism is a named mechanism.
@@ -83,5 +89,8 @@
 		{"refuse-late", Without{RefuseLate: true}},
 		{"target-pace", Without{TargetPace: true}},
 		{"flow-weight", Without{FlowWeight: true}},
+		{"shed-excess", Without{ShedExcess: true}},
+		{"retry-budget", Without{RetryBudget: true}},
+		{"fair-callers", Without{FairCallers: true}},
 	}
 }
--- a/pkg/dsrd/service_states.go
+++ b/pkg/dsrd/service_states.go
@@ -1,6 +1,10 @@
 package dsrd
 
-import "time"
+import (
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/resource"
+)
 
 // serviceStates implements serviceStates.
 func (b *Balancer) serviceStates(now time.Time) map[string]serviceState {
@@ -16,5 +20,11 @@
 	return out
 }
 
-// addOverload adds what is known of the overload of a service: saturatedSince, refused, capacity and demands. b.mu is held.
-func (b *Balancer) addOverload(_ string, _ *serviceState) {}
+// addOverload adds what is known of the overload of a service. b.mu is held.
+func (b *Balancer) addOverload(service string, state *serviceState) {
+	o := b.core.Overload(service)
+	state.saturatedSince, state.refused, state.capacity = o.SaturatedSince, o.Refused, o.Capacity
+	for _, d := range o.Demands {
+		state.demands = append(state.demands, resource.DSRPriorityDemand{Priority: d.Priority, PerSecond: d.PerSecond})
+	}
+}
