Agents answer several questions at once, and claim to know all flows only with proof

A balancer asked every agent about every flow by a message of its own. Locate now answers Message.queries with one verdict for each, and repeats the number of each question, so that an answer to an earlier question is told apart; agents of earlier releases leave it 0.

An agent that got heartbeat 1 of its target claimed to know all of its flows. An earlier agent may have given the target a flow before that heartbeat and ended: VERDICT_NOT_HELD was then wrong, and it is about to lead to resets. The agent is certain now when it ran for a heartbeat interval and a second before heartbeat 1, or when the target's reported start is not before the end of any earlier agent and the number of its heartbeats fits; after a loss of power, where both start together, this holds also when heartbeat 1 is lost. A probed flow whose target is silent stays unknown at any age.

TestAnAgentThatIsOlderThanItsTargetKnowsAllFlows asserted the wrong claim (heartbeat 1 at the very start of the agent); nine cases replace it.

Run: go test ./pkg/dsr/dispatch ./pkg/dsr/ownership ./pkg/dsrd: ok.

--- a/pkg/dsr/dispatch/simulation_nodes_test.go
+++ b/pkg/dsr/dispatch/simulation_nodes_test.go
@@ -153,6 +153,7 @@
 	up             bool
 	target         map[netip.AddrPort]*held
 	targetSequence uint64
+	targetStarted  time.Time
 	draining       time.Time
 }
 
@@ -166,7 +167,7 @@
 func (w *simulation) addAgent(i int, service string, first bool) {
 	a := &agentNode{
 		w: w, addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, 0, byte(i)}), 7200), service: service,
-		target: make(map[netip.AddrPort]*held),
+		target: make(map[netip.AddrPort]*held), targetStarted: w.now,
 	}
 	w.agents = append(w.agents, a)
 	a.start(first)
@@ -181,7 +182,7 @@
 // announceTarget announces the target to its agent, and schedules the next announcement.
 func (a *agentNode) announceTarget() {
 	a.targetSequence++
-	n := announcement.Announcement{ID: a.addr.String(), Service: a.service, Slots: 3, Sequence: a.targetSequence}
+	n := announcement.Announcement{ID: a.addr.String(), Service: a.service, Slots: 3, Sequence: a.targetSequence, StartedMs: uint64(a.targetStarted.UnixMilli())}
 	if !a.draining.IsZero() {
 		n.State = announcement.Draining
 	}
--- a/pkg/dsr/ownership/incarnation.go
+++ b/pkg/dsr/ownership/incarnation.go
@@ -27,6 +27,10 @@
 		return false, err
 	}
 	t.targetActive = now
+	if n == newIncarnation {
+		t.target.seenFromStart = false
+	}
+	t.target.seenFromStart = t.target.seenFromStart || t.sawStart(now, a)
 	if n == newIncarnation && last.last.ID != "" {
 		t.recordIncarnationEnd(now, last)
 		t.discardIncarnation(now)
--- a/pkg/dsr/ownership/messages.go
+++ b/pkg/dsr/ownership/messages.go
@@ -22,6 +22,8 @@
 		IntervalMs:  uint32(next / time.Millisecond),
 		Answers:     t.reportedMinAnswers(),
 		RunningMs:   t.reportedRunning(now),
+
+		AnswersQueries: true,
 	}
 	t.startMessage(now, dsrpb.Kind_KIND_ANNOUNCE)
 	t.msg.Announcement = &t.announcementMsg
@@ -53,9 +55,13 @@
 
 // verdict returns whether the target holds a flow.
 func (t *Table) verdict(now time.Time, key flow.Key) dsrpb.Verdict {
-	if e := t.flows[key]; e != nil && e.phase >= open {
+	e := t.flows[key]
+	switch {
+	case e != nil && e.phase >= open:
 		return dsrpb.Verdict_VERDICT_HELD
-	} else if e != nil && e.phase != probing {
+	case e != nil && e.phase == probing:
+		return dsrpb.Verdict_VERDICT_UNKNOWN
+	case e != nil:
 		return dsrpb.Verdict_VERDICT_QUEUED
 	}
 	if _, returned := t.notHeld[key]; returned || t.knowsAllFlows(now) {
@@ -66,26 +72,41 @@
 
 // knowsAllFlows reports whether the agent has seen every open flow of its target.
 func (t *Table) knowsAllFlows(now time.Time) bool {
-	return t.cfg.First || t.target.sawFirstAnnouncement || now.Sub(t.started) > MaxFlowAge
+	return t.cfg.First || t.target.seenFromStart || now.Sub(t.started) > MaxFlowAge
 }
 
-// Locate answers a balancer that asks for the owner of a flow.
+// Locate answers a balancer that asks for the owners of flows.
 func (t *Table) Locate(now time.Time, balancer netip.AddrPort, m *dsrpb.Message) {
 	key, ok := m.Key()
 	if !ok {
 		return
 	}
-	e := t.flows[key]
 	t.startMessage(now, dsrpb.Kind_KIND_LOCATED)
 	t.msg.Flow = m.Flow
 	t.msg.Source, t.msg.Destination = m.Source, m.Destination
-	t.msg.Verdict = t.verdict(now, key)
-	if e != nil && e.hasSequence {
-		t.msg.HasSequence, t.msg.Reference = true, e.reference()
+	t.msg.Verdict, t.msg.Reference, t.msg.HasSequence = t.locate(now, key, m.Reference)
+	for _, q := range m.Queries {
+		key, ok := q.Key()
+		if !ok {
+			continue
+		}
+		a := &dsrpb.FlowQuery{Source: q.Source, Destination: q.Destination}
+		a.Verdict, a.Reference, a.HasSequence = t.locate(now, key, q.Reference)
+		t.msg.Queries = append(t.msg.Queries, a)
 	}
 	t.out.ToBalancer(balancer, &t.msg)
 }
 
+// locate returns the verdict on a flow with the reference of its caller's packets, or the number of the question when
+// the flow has none.
+func (t *Table) locate(now time.Time, key flow.Key, question uint32) (v dsrpb.Verdict, reference uint32, hasSequence bool) {
+	v = t.verdict(now, key)
+	if e := t.flows[key]; e != nil && e.hasSequence {
+		return v, e.reference(), true
+	}
+	return v, question, false
+}
+
 // sendAccepted notifies the balancer that the target holds the flow.
 func (t *Table) sendAccepted(now time.Time, key flow.Key, e *entry) {
 	if !e.origin.IsValid() {
--- a/pkg/dsr/ownership/table_test.go
+++ b/pkg/dsr/ownership/table_test.go
@@ -405,15 +405,107 @@
 	require.Zero(t, f.table.queue.Len())
 }
 
-// An agent that receives the first announcement of its target has seen all of the target's flows, also when other
-// agents were restarted: it must not pass packets of other targets' flows to a target that has just started.
-func TestAnAgentThatIsOlderThanItsTargetKnowsAllFlows(t *testing.T) {
-	for sequence, want := range map[uint64]dsrpb.Verdict{1: dsrpb.Verdict_VERDICT_NOT_HELD, 2: dsrpb.Verdict_VERDICT_UNKNOWN} {
-		f := newFixture(t, Config{})
-		f.apply(announcement.Announcement{ID: "i-2", Service: "route-svc", Slots: 2, Sequence: sequence})
-		f.table.Locate(f.now, balancer, locate(keyOfCaller(1)))
-		require.Equal(t, want, f.out.last(t).verdict)
+// An agent that ran when its target's process started has seen all of the target's flows, also when other agents were
+// restarted: it must not pass packets of other targets' flows to a target that has just started. The first announcement
+// alone is no proof: an earlier agent may have given the target a flow before it, and a balancer that is told otherwise
+// resets that flow.
+func TestAnAgentKnowsAllFlowsOnlyWhenItSawItsTargetStart(t *testing.T) {
+	const held, unknown = dsrpb.Verdict_VERDICT_NOT_HELD, dsrpb.Verdict_VERDICT_UNKNOWN
+	for _, c := range []struct {
+		name string
+		// ran is how long the agent ran before it got the announcement, age the time from the target's start to that of
+		// the agent; reported says whether the announcement names the target's start.
+		ran      time.Duration
+		age      time.Duration
+		reported bool
+		sequence uint64
+		want     dsrpb.Verdict
+	}{
+		{"the agent ran for long before the first announcement", 3 * time.Second, 0, false, 1, held},
+		{"the first announcement comes soon after the agent's start", 0, 0, false, 1, unknown},
+		{"an earlier agent may have given it flows before its first announcement", 300 * time.Millisecond, 400 * time.Millisecond, true, 1, unknown},
+		{"both start after a loss of power", 50 * time.Millisecond, 30 * time.Millisecond, true, 1, held},
+		{"both start after a loss of power and the first announcement is lost", 1100 * time.Millisecond, 30 * time.Millisecond, true, 2, held},
+		{"a health check finds a target that started with the agent", 50 * time.Millisecond, 0, true, 0, held},
+		{"a health check finds an older target", 50 * time.Millisecond, time.Minute, true, 0, unknown},
+		{"a later announcement that names no start", 3 * time.Second, 0, false, 2, unknown},
+		{"the wall clock was set back before the agent's start", 50 * time.Millisecond, -time.Minute, true, 40, unknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := &fixture{T: t, out: &recorder{}, now: start}
+			f.table = newTestTable(f, Config{})
+			f.pass(c.ran)
+			n := announcement.Announcement{ID: "i-2", Service: "route-svc", Slots: 2, Sequence: c.sequence}
+			if c.reported {
+				n.StartedMs = uint64(start.Add(-c.age).UnixMilli())
+			}
+			f.apply(n)
+			f.table.Locate(f.now, balancer, locate(keyOfCaller(1)))
+			require.Equal(t, c.want, f.out.last(t).verdict)
+		})
+	}
+}
+
+// Knowledge of one process of the target says nothing about the next one.
+func TestTheNextProcessOfTheTargetIsJudgedAnew(t *testing.T) {
+	f := &fixture{T: t, out: &recorder{}, now: start}
+	f.table = newTestTable(f, Config{})
+	at := func(after time.Duration) uint64 { return uint64(start.Add(after).UnixMilli()) }
+	f.apply(announcement.Announcement{ID: "i-1", Service: "route-svc", Slots: 2, Sequence: 1, StartedMs: at(0)})
+	f.table.Locate(f.now, balancer, locate(keyOfCaller(1)))
+	require.Equal(t, dsrpb.Verdict_VERDICT_NOT_HELD, f.out.last(t).verdict)
+	// A process that is older than the one before cannot replace it: this one names a later start and a high number.
+	f.apply(announcement.Announcement{ID: "i-1", Service: "route-svc", Slots: 2, Sequence: 30, StartedMs: at(time.Millisecond)})
+	f.table.Locate(f.now, balancer, locate(keyOfCaller(1)))
+	require.Equal(t, dsrpb.Verdict_VERDICT_UNKNOWN, f.out.last(t).verdict)
+}
+
+// One answer carries the verdicts on all flows of a question, each with the number of its question.
+func TestAnswerToSeveralQueries(t *testing.T) {
+	f := newFixture(t, Config{})
+	f.accept(1)
+	m := locate(keyOfCaller(2))
+	m.Reference = 7
+	for port := range 3 {
+		q := &dsrpb.FlowQuery{Reference: uint32(10 + port)}
+		q.SetKey(keyOfCaller(port + 1))
+		m.Queries = append(m.Queries, q)
 	}
+	var got dsrpb.Message
+	f.table.out = answerOutput{discard{}, &got}
+	f.table.Locate(f.now, balancer, m)
+	require.Equal(t, dsrpb.Verdict_VERDICT_UNKNOWN, got.Verdict)
+	require.EqualValues(t, 7, got.Reference)
+	require.Len(t, got.Queries, 3)
+	require.Equal(t, dsrpb.Verdict_VERDICT_HELD, got.Queries[0].Verdict)
+	require.True(t, got.Queries[0].HasSequence)
+	for port, q := range got.Queries[1:] {
+		key, ok := q.Key()
+		require.True(t, ok)
+		require.Equal(t, keyOfCaller(port+2), key)
+		require.Equal(t, dsrpb.Verdict_VERDICT_UNKNOWN, q.Verdict)
+		require.EqualValues(t, 11+port, q.Reference)
+	}
+}
+
+// A probed flow whose target is silent is neither held nor known not to be held.
+func TestAProbedFlowStaysUnknown(t *testing.T) {
+	f := newFixture(t, Config{})
+	f.forward(dsrtest.Packet{Source: caller(1), Destination: service, Flags: segment.ACK, Acknowledgement: 1, Data: []byte("x")}, &dsrpb.Message{Owner: true})
+	f.now = f.now.Add(MaxFlowAge + 1)
+	f.table.Locate(f.now, balancer, locate(keyOfCaller(1)))
+	require.Equal(t, dsrpb.Verdict_VERDICT_UNKNOWN, f.out.last(t).verdict)
+}
+
+// answerOutput keeps the last message to a balancer.
+type answerOutput struct {
+	discard
+	last *dsrpb.Message
+}
+
+func (o answerOutput) ToBalancer(_ netip.AddrPort, m *dsrpb.Message) {
+	raw, _ := m.MarshalVT()
+	_ = o.last.UnmarshalVT(raw)
 }
 
 func TestLocateVerdicts(t *testing.T) {
--- a/pkg/dsr/ownership/target.go
+++ b/pkg/dsr/ownership/target.go
@@ -31,9 +31,10 @@
 	lastSeen time.Time
 	// firstSeen is when the current incarnation was first seen.
 	firstSeen time.Time
-	// sawFirstAnnouncement is set when the incarnation's first announcement came to this agent, which has therefore
-	// seen all of its flows.
+	// sawFirstAnnouncement is set when the incarnation's first announcement came to this agent.
 	sawFirstAnnouncement bool
+	// seenFromStart is set when this agent ran when the incarnation started, and so has seen all of its flows.
+	seenFromStart bool
 	// warmAt is when the target is warm according to its announcements, valid once warmAtKnown is set; the answer to
 	// a health check does not say.
 	warmAt      time.Time
