Search in batches; all that may hold a flow are probed, callers of gone flows are reset

Each unknown flow cost a message per agent, so that most packets found the search budget used up, and only two targets were handed a packet in 2.5 s; a flow whose target had ended stayed silent for good.

When the directory is complete and all its agents have answered, the owner is among those that cannot tell: they are offered the packet in groups of 4, 16 and 64. When all have excluded the flow, its caller is reset. Package evidence holds what is proved. Without a complete list, or with an agent of an earlier release, nothing changes.

--- a/internal/archtest/layers_test.go
+++ b/internal/archtest/layers_test.go
@@ -12,7 +12,7 @@
 // packages of its own layer or a lower one.
 var layers = [][]string{
 	{"wait"},
-	{"wire", "flow", "resource", "objectapi", "errqueue", "dsr/announcement", "dsr/configuration", "dsr/directory", "dsr/dsrpb", "dsr/estimate", "dsr/evacuation", "dsr/overload", "dsr/policy", "dsr/roster", "dsr/warmup"},
+	{"wire", "flow", "resource", "objectapi", "errqueue", "dsr/announcement", "dsr/configuration", "dsr/directory", "dsr/dsrpb", "dsr/estimate", "dsr/evacuation", "dsr/evidence", "dsr/overload", "dsr/policy", "dsr/roster", "dsr/warmup"},
 	{"lease", "refusal", "netstack", "packet", "dsr/recording", "dsr/segment", "dsr/routing", "dsr/admission", "dsr/outlier"},
 	{"membership", "view", "placement", "ticket"},
 	{"revision", "rollout", "arbiter", "limit", "dsr/dispatch", "dsr/ownership"},
--- a/pkg/dsr/dispatch/agent.go
+++ b/pkg/dsr/dispatch/agent.go
@@ -42,6 +42,11 @@
 	failing bool
 	// suspect is set when the agent left an offer unanswered, until its next message.
 	suspect bool
+	// answersQueries is set when the agent answers questions about several flows.
+	answersQueries bool
+	// collected are the flows of the next question to the agent, lastQuestion is when the last one was sent.
+	collected    []*flowState
+	lastQuestion time.Time
 }
 
 // silenceTimeout returns how long the agent may be silent before it is no longer used. A dead one is noticed earlier,
--- a/pkg/dsr/dispatch/answers.go
+++ b/pkg/dsr/dispatch/answers.go
@@ -25,15 +25,17 @@
 		event = EventLocated
 	}
 	b.reportDecision(now, event, f, from, m.Verdict)
+	f.endGroup(from)
 	b.opened(now, f)
 }
 
 // hasChosenOwner reports whether the target that the caller chose is a known owner, as far as the held packets show.
 func (b *Balancer) hasChosenOwner(f *flowState) bool {
-	if len(f.held) == 0 {
+	first := f.firstHeld()
+	if first == nil {
 		return true
 	}
-	s, err := b.codec.Decode(f.held[0])
+	s, err := b.codec.Decode(first)
 	if err != nil {
 		return true
 	}
@@ -46,6 +48,7 @@
 	f.phase, f.since = open, now
 	f.packet, f.tried, f.failed = nil, nil, nil
 	f.undetermined, f.unasked, f.unanswered, f.probed = nil, nil, nil, nil
+	f.evidence, f.gone = nil, false
 	held := f.held
 	f.held = nil
 	for _, raw := range held {
@@ -103,6 +106,10 @@
 
 // notHeld takes back a packet of a flow that the agent's target does not hold.
 func (b *Balancer) notHeld(now time.Time, f *flowState, from netip.AddrPort, m *dsrpb.Message) {
+	if !f.isOwner(from) && f.group.takeOutstanding(from) {
+		b.groupProbeReturned(now, f, from, m)
+		return
+	}
 	f.dropOwner(from)
 	if f.phase == probing && f.asked == from {
 		if len(m.Packet) > 0 {
--- a/pkg/dsr/dispatch/balancer.go
+++ b/pkg/dsr/dispatch/balancer.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/auburnwood/auburnwood/pkg/dsr/directory"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/dsr/estimate"
 	"github.com/auburnwood/auburnwood/pkg/dsr/evacuation"
@@ -48,10 +49,22 @@
 	probeWindows   []due
 	secondSearches []due
 	parkedFlows    []due
-	lastSweep      time.Time
+	// rechecks are the flows of which agents are asked once more.
+	rechecks  []due
+	lastSweep time.Time
 	// searchBudget is the number of messages that searches may send, as of searchBudgetAt.
 	searchBudget   float64
 	searchBudgetAt time.Time
+	// groupProbes limits the probes in groups.
+	groupProbes rateLimit
+	// question is the number of the last search, which answers repeat. collecting are the agents with collected
+	// questions, which are sent at collectAt.
+	question   uint32
+	collecting []*agent
+	collectAt  time.Time
+	// directory lists the agents that may hold flows, holders is derived from it.
+	directory *directory.Directory
+	holders   holders
 	// lastRunning is the time of the last call of MarkRunning. Until backlogUntil, packets may have waited in the
 	// socket during a stall.
 	lastRunning  time.Time
@@ -90,6 +103,9 @@
 
 		searchBudget:   SearchBurst,
 		searchBudgetAt: now,
+		groupProbes:    rateLimit{left: GroupProbeBurst, at: now},
+		directory:      directory.New(now, cfg.First),
+		holders:        holders{services: make(map[string]bool)},
 		hedgeBudget:    limit.NewBudget(HedgeRatio, HedgeBurst),
 	}
 }
@@ -229,6 +245,10 @@
 	if !ok {
 		return
 	}
+	if m.Kind == dsrpb.Kind_KIND_LOCATED {
+		b.receiveAnswers(now, from, key, m)
+		return
+	}
 	f := b.flows[key]
 	if f == nil {
 		return
@@ -238,7 +258,5 @@
 		b.accepted(now, f, from, m)
 	case dsrpb.Kind_KIND_RETURNED:
 		b.returned(now, f, from, m)
-	case dsrpb.Kind_KIND_LOCATED:
-		b.located(now, f, from, m)
 	}
 }
--- /dev/null
+++ b/pkg/dsr/dispatch/certainty.go
@@ -0,0 +1,158 @@
+package dispatch
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/evidence"
+	"github.com/auburnwood/auburnwood/pkg/dsr/routing"
+	"github.com/auburnwood/auburnwood/pkg/dsr/segment"
+	"github.com/auburnwood/auburnwood/pkg/refusal"
+)
+
+// newEvidence returns the evidence of a new search, nil unless the answers can decide: every agent that may hold flows
+// must be known, and answer with the number of the question.
+func (b *Balancer) newEvidence(now time.Time) *evidence.Search {
+	if !b.directory.Complete(now) || !b.allHolders(now).current {
+		return nil
+	}
+	return evidence.New(now)
+}
+
+// recordEvidence records an agent's answer to a question of the current search.
+func (b *Balancer) recordEvidence(now time.Time, f *flowState, from netip.AddrPort, m *dsrpb.Message) {
+	if f.evidence == nil {
+		return
+	}
+	if m.Verdict == dsrpb.Verdict_VERDICT_HELD {
+		f.evidence.Record(now, from, evidence.Held, b.incarnationOf)
+		return
+	}
+	if m.HasSequence || m.Reference != f.question {
+		return
+	}
+	switch m.Verdict {
+	case dsrpb.Verdict_VERDICT_NOT_HELD:
+		f.evidence.Record(now, from, evidence.NotHeld, b.incarnationOf)
+	case dsrpb.Verdict_VERDICT_UNKNOWN:
+		f.evidence.Record(now, from, evidence.Unknown, b.incarnationOf)
+	case dsrpb.Verdict_VERDICT_QUEUED:
+		f.evidence.Record(now, from, evidence.Pending, b.incarnationOf)
+	}
+}
+
+// decideByEvidence probes the agents that alone may hold the flow, resets the caller when no target holds it, or has
+// agents asked again. It returns false when the answers do not decide.
+func (b *Balancer) decideByEvidence(now time.Time, f *flowState) bool {
+	if f.evidence == nil || !b.directory.Complete(now) || !b.allHolders(now).current {
+		return false
+	}
+	verdict, candidates := f.evidence.Verdict(b.allHolders(now).agents, b.incarnationOf)
+	switch {
+	case verdict == evidence.MayBeHeld && b.probeGroups(now, f, candidates):
+		return true
+	case verdict == evidence.Gone && b.isCertain(now, f):
+		b.resetGone(now, f)
+		return true
+	}
+	return b.recheck(now, f)
+}
+
+// isCertain reports whether no agent that the balancer has not heard of can hold the flow. An agent that has just joined
+// may have taken it from another balancer. None has joined lately when all agents were listed before the balancer's
+// start, as after a loss of power.
+func (b *Balancer) isCertain(now time.Time, f *flowState) bool {
+	if now.Sub(b.started) < SettleTime {
+		return false
+	}
+	h := b.allHolders(now)
+	return h.listed || now.Sub(f.firstMissed) >= h.joinTime
+}
+
+// recheck schedules another question to the agents that have not excluded the flow, until the caller's next packet would
+// be late anyway. A flow that was missed for longer is rechecked once.
+func (b *Balancer) recheck(now time.Time, f *flowState) bool {
+	limit := min(b.allHolders(now).joinTime+2*RecheckInterval, MaxRecheckTime)
+	if f.firstMissed.Before(f.evidence.Since()) {
+		limit = RecheckInterval
+	}
+	if len(f.held) == 0 || now.Sub(f.evidence.Since()) > limit {
+		return false
+	}
+	f.phase, f.since = locating, now
+	b.rechecks = append(b.rechecks, due{flow: f, at: now.Add(RecheckInterval), phaseStart: now})
+	return true
+}
+
+// recheckDue asks the agents that have not excluded the flow once more.
+func (b *Balancer) recheckDue(now time.Time, d due) {
+	f := d.flow
+	if f.phase != locating || f.evidence == nil || !d.phaseStart.Equal(f.since) {
+		return
+	}
+	f.unasked, f.unanswered, f.rounds = nil, nil, 0
+	if b.maySearch(now) {
+		f.unanswered = b.knownAgents(f.evidence.Unexcluded(b.allHolders(now).agents, b.incarnationOf))
+	}
+	if len(f.unanswered) == 0 {
+		b.ownerNotFound(now, f)
+		return
+	}
+	b.askAgain(now, f)
+}
+
+// knownAgents returns the addresses whose agents have announced themselves.
+func (b *Balancer) knownAgents(list []netip.AddrPort) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, addr := range list {
+		if b.agents[addr] != nil {
+			out = append(out, addr)
+		}
+	}
+	return out
+}
+
+// resetGone resets the caller of a flow that no target holds. Its request may have run before its target ended.
+func (b *Balancer) resetGone(now time.Time, f *flowState) {
+	sequence, ok := b.resetSequence(f)
+	if !ok || b.cfg.Without.ResetGone {
+		b.markLost(now, f)
+		return
+	}
+	b.out.Reset(f.key, sequence)
+	if route := b.routes.Route(f.key.Destination); f.service == "" && route != nil {
+		f.service = routing.Service(route, f.hash)
+	}
+	b.reportDecision(now, EventGone, f, netip.AddrPort{}, dsrpb.Verdict_VERDICT_NOT_HELD)
+	f.held, f.evidence, f.owners = nil, nil, nil
+	if f.gone {
+		f.phase, f.since = refused, now
+		return
+	}
+	f.gone = true
+	b.recordRefusal(now, f, refusal.ReasonTargetGone, refusal.RunUnknown, true)
+}
+
+// resetSequence returns the last acknowledgement of the held packets. It returns false when the caller needs no reset
+// since it has closed the flow, or when the packets are not of one flow.
+func (b *Balancer) resetSequence(f *flowState) (uint32, bool) {
+	if f.closed || len(f.held) == 0 {
+		return 0, false
+	}
+	var last uint32
+	for i, raw := range f.held {
+		s, err := b.codec.Decode(raw)
+		if err != nil || s.IsOpening() || s.Has(segment.FIN) || s.Has(segment.RST) {
+			return 0, false
+		}
+		distance := int32(s.Acknowledgement - last)
+		if i > 0 && (distance <= -chosenWindow || distance >= chosenWindow) {
+			return 0, false
+		}
+		if i == 0 || distance > 0 {
+			last = s.Acknowledgement
+		}
+	}
+	return last, true
+}
--- a/pkg/dsr/dispatch/config.go
+++ b/pkg/dsr/dispatch/config.go
@@ -41,6 +41,24 @@
 	// ProbeWindow. A target returns such a packet, but each costs it work.
 	MaxProbes   = 2
 	ProbeWindow = 2500 * time.Millisecond
+	// CollectTime is how long questions to one agent are collected before they are sent in one message; the first one
+	// after a pause is sent at once. A caller's next packet must reach its owner within 100 ms.
+	CollectTime = 10 * time.Millisecond
+	// MaxQuestions is the number of flows in one message: answers of 51 bytes for each flow fit a datagram of 1,200.
+	MaxQuestions = 18
+	// ProbeGroup is the number of agents that are probed first when all agents that may hold a flow are known,
+	// ProbeGrowth the factor by which the next groups are larger. MaxGroupProbes bounds the agents of all groups: three
+	// groups take a caller's packet to its owner within 100 ms. With more candidates MaxProbes applies.
+	ProbeGroup     = 4
+	ProbeGrowth    = 4
+	MaxGroupProbes = ProbeGroup * (1 + ProbeGrowth + ProbeGrowth*ProbeGrowth)
+	// GroupProbesPerSecond and GroupProbeBurst limit the probes in groups by one balancer. A target returns each of them.
+	GroupProbesPerSecond = 1000
+	GroupProbeBurst      = 4000
+	// RecheckInterval is the time between two questions to agents that have not excluded a flow, while they start or
+	// messages were lost. MaxRecheckTime bounds the time for which they are asked: then the caller gives up.
+	RecheckInterval = 50 * time.Millisecond
+	MaxRecheckTime  = 1200 * time.Millisecond
 	// StartedTogetherWindow is how far apart agents may start that were stopped by the same failure.
 	StartedTogetherWindow = 2 * time.Second
 	// MaxFreeTries is the number of agents that are asked for a free slot for one new flow, MaxQueueTries for a place
@@ -112,6 +130,8 @@
 	DataCentre string
 	// MaxFlows is the maximum number of tracked flows; 0 means the constant MaxFlows.
 	MaxFlows int
+	// First is set when no flow can be older than the balancer, since the whole system starts for the first time.
+	First bool
 	// Without says which mechanisms are switched off, for measurements.
 	Without policy.Without
 }
--- a/pkg/dsr/dispatch/flow_state.go
+++ b/pkg/dsr/dispatch/flow_state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/evidence"
 	"github.com/auburnwood/auburnwood/pkg/flow"
 )
 
@@ -87,8 +88,10 @@
 	rounds       int
 	undetermined []netip.AddrPort
 	widened      bool
-	// firstMissed is when a search first ended without an owner.
+	// firstMissed is when a search first ended without an owner, missedAck the acknowledgement of the packet that started
+	// it.
 	firstMissed time.Time
+	missedAck   uint32
 	// probes is the number of probes since ProbeWindow last passed without one, lastProbe the time of the last probe.
 	probes    int
 	lastProbe time.Time
@@ -96,6 +99,13 @@
 	retried bool
 	// probed are all agents that were sent a probe.
 	probed []netip.AddrPort
+	// question is the number of the current search, evidence what it has proved; nil when not all agents are known.
+	question uint32
+	evidence *evidence.Search
+	// group is the state of probes in groups.
+	group probeGroup
+	// gone is set once the flow was reset since no target holds it.
+	gone bool
 }
 
 // ownerOf returns the owner whose sequence number the caller acknowledges: when several targets answered the opening
@@ -157,3 +167,13 @@
 		f.held = append(f.held, append([]byte(nil), raw...))
 	}
 }
+
+// recordMissing notes the packet that starts a search. One that cannot be of the flow that was missed before is of another
+// flow of the same key.
+func (f *flowState) recordMissing(acknowledgement uint32) {
+	distance := int32(acknowledgement - f.missedAck)
+	if distance <= -chosenWindow || distance >= chosenWindow {
+		f.firstMissed = time.Time{}
+	}
+	f.missedAck = acknowledgement
+}
--- a/pkg/dsr/dispatch/output.go
+++ b/pkg/dsr/dispatch/output.go
@@ -73,4 +73,8 @@
 	EventLocated Event = "located"
 	// EventLost: no owner of a flow was found.
 	EventLost Event = "lost"
+	// EventProbed: a packet of the flow is offered to all agents that may hold it, in groups.
+	EventProbed Event = "probed"
+	// EventGone: no target holds the flow, and its caller was reset.
+	EventGone Event = "gone"
 )
--- a/pkg/dsr/dispatch/probe.go
+++ b/pkg/dsr/dispatch/probe.go
@@ -114,7 +114,12 @@
 
 // probeTimedOut probes the next agent when one has not said whether its target returned the packet.
 func (b *Balancer) probeTimedOut(now time.Time, d due) {
-	if d.flow.phase == probing && d.phaseStart.Equal(d.flow.since) {
-		b.probeNext(now, d.flow)
+	if d.flow.phase != probing || !d.phaseStart.Equal(d.flow.since) {
+		return
+	}
+	if d.flow.group.packet != nil {
+		b.probeNextGroup(now, d.flow)
+		return
 	}
+	b.probeNext(now, d.flow)
 }
--- a/pkg/dsr/dispatch/search.go
+++ b/pkg/dsr/dispatch/search.go
@@ -30,12 +30,16 @@
 	}
 	f.hold(s.Raw)
 	f.retried = false
+	f.recordMissing(s.Acknowledgement)
 	b.searchHeld(now, f)
 }
 
 // searchHeld starts a search for the owner of the held packets.
 func (b *Balancer) searchHeld(now time.Time, f *flowState) {
 	f.phase, f.undetermined, f.unanswered, f.widened = locating, nil, nil, false
+	b.question++
+	f.question, f.evidence = b.question, b.newEvidence(now)
+	f.group.probed = nil
 	f.unasked, f.step = b.likelyOwners(f), SearchInitialAgents
 	b.askMore(now, f)
 }
@@ -95,17 +99,13 @@
 func (b *Balancer) askAgain(now time.Time, f *flowState) {
 	f.since = now
 	f.rounds++
-	message := dsrpb.Message{
-		Kind:          dsrpb.Kind_KIND_LOCATE,
-		Flow:          f.hash,
-		Configuration: b.routes.Version(),
-	}
-	message.SetKey(f.key)
+	timeout := b.locateTimeout()
 	for _, to := range f.unanswered {
-		b.out.ToAgent(to, &message)
+		if b.ask(now, to, f) {
+			timeout = b.locateTimeout() + CollectTime
+		}
 	}
-	b.searchBudget -= float64(len(f.unanswered))
-	b.locates = append(b.locates, due{flow: f, at: now.Add(b.locateTimeout()), phaseStart: now})
+	b.locates = append(b.locates, due{flow: f, at: now.Add(timeout), phaseStart: now})
 }
 
 // awaitsLiveAgent reports whether an agent that has not answered was seen within AgentSilenceTimeout.
@@ -118,6 +118,7 @@
 
 // located handles an agent's answer to a search.
 func (b *Balancer) located(now time.Time, f *flowState, from netip.AddrPort, m *dsrpb.Message) {
+	b.recordEvidence(now, f, from, m)
 	if m.Verdict == dsrpb.Verdict_VERDICT_HELD && (f.phase == locating || f.phase == probing || f.phase == lost) {
 		b.accepted(now, f, from, m)
 	}
@@ -149,6 +150,9 @@
 	if f.firstMissed.IsZero() {
 		f.firstMissed = now
 	}
+	if b.decideByEvidence(now, f) {
+		return
+	}
 	if b.awaitsLiveAgent(now, f) || now.Sub(b.started) < SettleTime || now.Sub(f.firstMissed) < SettleTime {
 		b.scheduleSecondSearch(now, f)
 		return
@@ -195,7 +199,7 @@
 // is searched for everywhere only until every agent must be known.
 func (b *Balancer) widen(now time.Time, f *flowState) bool {
 	settled := !f.firstMissed.IsZero() && now.Sub(f.firstMissed) >= SettleTime
-	if f.widened || settled || !b.maySearch(now) {
+	if f.widened || settled && f.evidence == nil || !b.maySearch(now) {
 		return false
 	}
 	route := b.routes.Route(f.key.Destination)
@@ -216,6 +220,7 @@
 // not reached may hold the flow.
 func (b *Balancer) markLost(now time.Time, f *flowState) {
 	f.phase, f.since, f.held, f.undetermined, f.unasked = lost, now, nil, nil, nil
+	f.evidence, f.group.packet = nil, nil
 	b.reportDecision(now, EventLost, f, netip.AddrPort{}, dsrpb.Verdict_VERDICT_UNSPECIFIED)
 }
 
--- a/pkg/dsr/dispatch/tick.go
+++ b/pkg/dsr/dispatch/tick.go
@@ -5,11 +5,14 @@
 // Deadline returns when Tick has to be called next.
 func (b *Balancer) Deadline() time.Time {
 	next := b.lastSweep.Add(sweepInterval)
-	for _, queue := range [][]due{b.hedges, b.locates, b.probes, b.probeWindows, b.secondSearches, b.parkedFlows} {
+	for _, queue := range [][]due{b.hedges, b.locates, b.probes, b.probeWindows, b.secondSearches, b.parkedFlows, b.rechecks} {
 		if len(queue) > 0 && queue[0].at.Before(next) {
 			next = queue[0].at
 		}
 	}
+	if len(b.collecting) > 0 && b.collectAt.Before(next) {
+		next = b.collectAt
+	}
 	return next
 }
 
@@ -18,6 +21,10 @@
 	for _, d := range takeDue(&b.hedges, now) {
 		b.hedge(now, d.flow, d.at)
 	}
+	b.sendCollected(now)
+	for _, d := range takeDue(&b.rechecks, now) {
+		b.recheckDue(now, d)
+	}
 	for _, d := range takeDue(&b.locates, now) {
 		b.searchTimedOut(now, d)
 	}
--- a/pkg/dsr/policy/policy.go
+++ b/pkg/dsr/policy/policy.go
@@ -40,6 +40,12 @@
 	// FailedAnswers: answers that are much faster and smaller than those of the service's other targets count as
 	// failures.
 	FailedAnswers bool
+	// BatchedSearch: an agent is asked about several flows by one message.
+	BatchedSearch bool
+	// ProbeAll: when every agent that may hold a flow has answered, all that cannot tell are probed in growing groups.
+	ProbeAll bool
+	// ResetGone: the caller of a flow that no target can hold is reset.
+	ResetGone bool
 }
 
 // Mechanism is a named mechanism.
@@ -68,5 +74,8 @@
 		{"spread-out", Without{SpreadOut: true}},
 		{"learnt-limit", Without{LearntLimit: true}},
 		{"failed-answers", Without{FailedAnswers: true}},
+		{"batched-search", Without{BatchedSearch: true}},
+		{"probe-all", Without{ProbeAll: true}},
+		{"reset-gone", Without{ResetGone: true}},
 	}
 }
--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -103,7 +103,7 @@
 	}
 	b.openRefusals()
 	b.out = newBalancerOutput(b)
-	b.core = dispatch.NewBalancer(dispatch.Config{DataCentre: cfg.DataCentre}, p.Codec, b.out, n.started)
+	b.core = dispatch.NewBalancer(dispatch.Config{DataCentre: cfg.DataCentre, First: cfg.FirstStart}, p.Codec, b.out, n.started)
 	b.openConfigSync()
 	b.openReaders()
 	b.agents.Seed = uint64(n.started.UnixNano())
