A search budget that is used up delays collected questions instead of ending their searches

TestSearchesGoOnWhenTheBudgetIsUsedUp: 100 flows of 60 agents arriving within a second at an empty budget are all found; without the change fewer. Run: go test ./pkg/dsr/dispatch: ok.

--- a/pkg/dsr/dispatch/balancer.go
+++ b/pkg/dsr/dispatch/balancer.go
@@ -57,10 +57,11 @@
 	searchBudgetAt time.Time
 	// groupProbes limits the probes in groups.
 	groupProbes rateLimit
-	// question is the number of the last search, which answers repeat. collecting are the agents with collected
-	// questions, which are sent at collectAt.
+	// question is the number of the last search, which answers repeat. collecting are the agents with
+	// collected questions, which are sent at collectAt, collected is the number of these questions.
 	question   uint32
 	collecting []*agent
+	collected  int
 	collectAt  time.Time
 	// directory lists the agents that may hold flows, holders is derived from it.
 	directory *directory.Directory
@@ -176,7 +177,7 @@
 		return
 	}
 	if f == nil {
-		if len(b.flows) >= b.cfg.MaxFlows || !b.maySearch(now) {
+		if len(b.flows) >= b.cfg.MaxFlows || !b.mayStartSearch(now) {
 			return
 		}
 		f = &flowState{key: key, hash: key.Hash(), arrived: now, phase: lost}
--- a/pkg/dsr/dispatch/balancer_test.go
+++ b/pkg/dsr/dispatch/balancer_test.go
@@ -35,6 +35,8 @@
 	packet   string
 	opens    bool
 	age      time.Duration
+	// flows are those that are asked about.
+	flows []flow.Key
 }
 
 // recorder records the output of a balancer.
@@ -51,6 +53,14 @@
 	if s, err := (dsrtest.Codec{}).Decode(m.Packet); err == nil {
 		one.packet, one.opens, one.age = string(dsrtest.Data(m.Packet)), s.IsOpening(), s.Age
 	}
+	if key, ok := m.Key(); ok && m.Kind == dsrpb.Kind_KIND_LOCATE {
+		one.flows = append(one.flows, key)
+	}
+	for _, q := range m.Queries {
+		if key, ok := q.Key(); ok {
+			one.flows = append(one.flows, key)
+		}
+	}
 	r.messages = append(r.messages, one)
 }
 func (r *recorder) Reset(key flow.Key, _ uint32) { r.resets = append(r.resets, key) }
--- a/pkg/dsr/dispatch/certainty.go
+++ b/pkg/dsr/dispatch/certainty.go
@@ -92,7 +92,7 @@
 		return
 	}
 	f.unasked, f.unanswered, f.rounds = nil, nil, 0
-	if b.maySearch(now) {
+	if b.mayAsk(now, f) {
 		f.unanswered = b.knownAgents(f.evidence.Unexcluded(b.allHolders(now).agents, b.incarnationOf))
 	}
 	if len(f.unanswered) == 0 {
--- a/pkg/dsr/dispatch/config.go
+++ b/pkg/dsr/dispatch/config.go
@@ -46,6 +46,8 @@
 	CollectTime = 10 * time.Millisecond
 	// MaxQuestions is the number of flows in one message: answers of 51 bytes for each flow fit a datagram of 1,200.
 	MaxQuestions = 18
+	// MaxCollected is the number of flows that wait for the next messages to one agent while the budget is used up.
+	MaxCollected = 4 * MaxQuestions
 	// ProbeGroup is the number of agents that are probed first when all agents that may hold a flow are known,
 	// ProbeGrowth the factor by which the next groups are larger. MaxGroupProbes bounds the agents of all groups: three
 	// groups take a caller's packet to its owner within 100 ms. With more candidates MaxProbes applies.
--- a/pkg/dsr/dispatch/evidence_test.go
+++ b/pkg/dsr/dispatch/evidence_test.go
@@ -306,6 +306,49 @@
 	require.LessOrEqual(t, m.SizeVT(), 1200)
 }
 
+// A budget that is used up delays questions and fills the messages; it does not end the searches that wait.
+func TestSearchesGoOnWhenTheBudgetIsUsedUp(t *testing.T) {
+	const agents, flows, perSecond = 60, 100, 100
+	f := restarted(t, agents, true, policy.Without{})
+	for i := 1; i <= agents; i++ {
+		f.join(i, uint64(i))
+	}
+	f.pass(SettleTime)
+	f.b.searchBudget = 0
+	found := 0
+	for range 1000 {
+		if started := len(f.b.flows); started < flows && f.now.Sub(start) > SettleTime+time.Duration(started)*time.Second/perSecond {
+			f.data(started+1, 1001, "tail")
+		}
+		asked, forwarded := f.askedFlows(agents)
+		require.LessOrEqual(t, asked, SearchMessagesPerSecond)
+		found += forwarded
+		f.pass(2 * time.Millisecond)
+	}
+	require.Equal(t, flows, found)
+}
+
+// askedFlows lets agents answer the questions since the last call: flow i is held by the last of n agents. It returns
+// the numbers of questions and of packets that were forwarded.
+func (f *fixture) askedFlows(n int) (asked, forwarded int) {
+	list := f.takeSent()
+	for _, m := range list {
+		if m.kind != dsrpb.Kind_KIND_LOCATE {
+			forwarded++
+			continue
+		}
+		asked++
+		for _, key := range m.flows {
+			verdict := dsrpb.Verdict_VERDICT_NOT_HELD
+			if m.to == agentAt(n) {
+				verdict = dsrpb.Verdict_VERDICT_HELD
+			}
+			f.reply(int(m.to.Addr().As4()[3]), int(key.Source.Port()), verdict)
+		}
+	}
+	return asked, forwarded
+}
+
 // Without budget nothing is sent, and questions wait no longer than their flows are searched for.
 func TestCollectedQuestionsWaitForTheBudget(t *testing.T) {
 	f := restarted(t, 1, true, policy.Without{})
--- a/pkg/dsr/dispatch/question.go
+++ b/pkg/dsr/dispatch/question.go
@@ -9,6 +9,17 @@
 	"github.com/auburnwood/auburnwood/pkg/flow"
 )
 
+// mayStartSearch reports whether a search may start: the budget allows a message, or the messages that wait for the budget
+// have room for another flow.
+func (b *Balancer) mayStartSearch(now time.Time) bool {
+	return b.maySearch(now) || b.collected < MaxQuestions*len(b.collecting)
+}
+
+// mayAsk reports whether a search may ask further agents. Collected questions wait for the budget themselves.
+func (b *Balancer) mayAsk(now time.Time, f *flowState) bool {
+	return f.evidence != nil && !b.cfg.Without.BatchedSearch || b.maySearch(now)
+}
+
 // ask asks an agent whether its target holds a flow, or collects the question with others to the same agent. It reports
 // whether the question was collected.
 func (b *Balancer) ask(now time.Time, to netip.AddrPort, f *flowState) bool {
@@ -26,10 +37,9 @@
 	return true
 }
 
-// collect adds a flow to the next question to an agent. A full question is sent at once if the budget allows, else the
-// flow is not asked about before its search asks again.
+// collect adds a flow to the next questions to an agent. A full message is sent at once if the budget allows.
 func (b *Balancer) collect(now time.Time, a *agent, f *flowState) {
-	if len(a.collected) >= MaxQuestions || slices.Contains(a.collected, f) {
+	if len(a.collected) >= MaxCollected || slices.Contains(a.collected, f) {
 		return
 	}
 	if len(a.collected) == 0 {
@@ -39,7 +49,8 @@
 		b.collecting = append(b.collecting, a)
 	}
 	a.collected = append(a.collected, f)
-	if len(a.collected) == MaxQuestions && b.maySearch(now) {
+	b.collected++
+	if len(a.collected) >= MaxQuestions && b.maySearch(now) {
 		b.collecting = slices.DeleteFunc(b.collecting, func(other *agent) bool { return other == a })
 		b.sendCollectedTo(now, a)
 	}
@@ -50,26 +61,42 @@
 	if len(b.collecting) == 0 || now.Before(b.collectAt) {
 		return
 	}
-	sent := 0
-	for sent < len(b.collecting) && b.maySearch(now) {
-		b.sendCollectedTo(now, b.collecting[sent])
-		sent++
+	waiting := b.collecting
+	b.collecting = nil
+	for i, a := range waiting {
+		if !b.maySearch(now) {
+			b.collecting = append(b.collecting, waiting[i:]...)
+			break
+		}
+		b.sendCollectedTo(now, a)
 	}
-	b.collecting = slices.Delete(b.collecting, 0, sent)
 	b.collectAt = now.Add(CollectTime)
 }
 
-// sendCollectedTo asks an agent about the collected flows whose owners are still unknown.
+// sendCollectedTo asks an agent about the first of its collected flows whose owners are still unknown. The agent is listed
+// again while others are left.
 func (b *Balancer) sendCollectedTo(now time.Time, a *agent) {
-	flows := slices.DeleteFunc(a.collected, func(f *flowState) bool {
+	before := len(a.collected)
+	a.collected = slices.DeleteFunc(a.collected, func(f *flowState) bool {
 		return f.phase != locating || !slices.Contains(f.unanswered, a.addr)
 	})
-	if len(flows) > 0 {
+	n := min(len(a.collected), MaxQuestions)
+	if n > 0 {
 		a.lastQuestion = now
-		b.sendQuestion(now, a.addr, flows...)
+		b.sendQuestion(now, a.addr, a.collected[:n]...)
+	}
+	a.collected = slices.Delete(a.collected, 0, n)
+	b.collected -= before - len(a.collected)
+	if len(a.collected) > 0 {
+		b.collecting = append(b.collecting, a)
 	}
-	clear(a.collected)
-	a.collected = a.collected[:0]
+}
+
+// dropCollected forgets the collected questions to an agent that is gone.
+func (b *Balancer) dropCollected(a *agent) {
+	b.collected -= len(a.collected)
+	a.collected = nil
+	b.collecting = slices.DeleteFunc(b.collecting, func(other *agent) bool { return other == a })
 }
 
 // sendQuestion sends one message that asks about flows. The budget counts messages.
--- a/pkg/dsr/dispatch/search.go
+++ b/pkg/dsr/dispatch/search.go
@@ -25,7 +25,7 @@
 	if f.phase == lost && !f.since.IsZero() && now.Sub(f.since) < LocateRetryInterval {
 		return
 	}
-	if !b.maySearch(now) {
+	if !b.mayStartSearch(now) {
 		return
 	}
 	f.hold(s.Raw)
@@ -179,7 +179,7 @@
 // secondSearch searches for the owner of the packets that were kept.
 func (b *Balancer) secondSearch(now time.Time, d due) {
 	f := d.flow
-	if f.phase == lost && len(f.held) > 0 && d.phaseStart.Equal(f.since) && b.maySearch(now) {
+	if f.phase == lost && len(f.held) > 0 && d.phaseStart.Equal(f.since) && b.mayStartSearch(now) {
 		b.searchHeld(now, f)
 	}
 }
@@ -199,7 +199,7 @@
 // is searched for everywhere only until every agent must be known.
 func (b *Balancer) widen(now time.Time, f *flowState) bool {
 	settled := !f.firstMissed.IsZero() && now.Sub(f.firstMissed) >= SettleTime
-	if f.widened || settled && f.evidence == nil || !b.maySearch(now) {
+	if f.widened || settled && f.evidence == nil || !b.mayAsk(now, f) {
 		return false
 	}
 	route := b.routes.Route(f.key.Destination)
@@ -231,11 +231,11 @@
 		return
 	}
 	switch {
-	case len(f.unasked) > 0 && !b.maySearch(now):
+	case len(f.unasked) > 0 && !b.mayAsk(now, f):
 		b.markLost(now, f)
 	case len(f.unasked) > 0:
 		b.askMore(now, f)
-	case f.rounds < LocateRounds && b.awaitsLiveAgent(now, f) && b.maySearch(now):
+	case f.rounds < LocateRounds && b.awaitsLiveAgent(now, f) && b.mayAsk(now, f):
 		b.askAgain(now, f)
 	default:
 		b.ownerNotFound(now, f)
--- a/pkg/dsr/dispatch/tick.go
+++ b/pkg/dsr/dispatch/tick.go
@@ -81,6 +81,7 @@
 	for _, a := range b.order {
 		if now.Sub(a.lastSeen) > a.silenceTimeout()+AgentExpiry {
 			b.removeFromService(a)
+			b.dropCollected(a)
 			delete(b.agents, a.addr)
 			continue
 		}
