Agents that left without flows, or were never ready, do not keep flows undecided

An agent that leaves now reports its flows; one that knows all flows of its target and holds none is taken off the list. One that the list does not name and that was never ready is not added. While either lives it is asked, counts as a candidate when it cannot tell, and must have excluded the flow before a reset. A search whose agents have all answered does not wait for others, and with evidence it asks once a step, since rechecks repeat the question.

--- a/pkg/dsr/dispatch/agents.go
+++ b/pkg/dsr/dispatch/agents.go
@@ -98,7 +98,7 @@
 	b.addToService(a, strings.Clone(m.Service))
 	a.state, a.slots, a.incarnation, a.failing = n.State, int(n.Slots), n.Incarnation, n.Failing
 	a.answers = answersOf(n.Answers)
-	b.recordHolder(now, a, n.AnswersQueries)
+	b.recordHolder(now, a, n)
 	a.interval = min(time.Duration(n.IntervalMs)*time.Millisecond, MaxAnnounceInterval)
 	b.recordReport(now, a, m)
 	if a.state == dsrpb.State_STATE_READY && before != a.state {
--- a/pkg/dsr/dispatch/balancer.go
+++ b/pkg/dsr/dispatch/balancer.go
@@ -106,7 +106,7 @@
 		searchBudgetAt: now,
 		groupProbes:    rateLimit{left: GroupProbeBurst, at: now},
 		directory:      directory.New(now, cfg.First),
-		holders:        holders{services: make(map[string]bool)},
+		holders:        holders{services: make(map[string]bool), recorded: make(map[netip.AddrPort]bool)},
 		hedgeBudget:    limit.NewBudget(HedgeRatio, HedgeBurst),
 	}
 }
--- a/pkg/dsr/dispatch/certainty.go
+++ b/pkg/dsr/dispatch/certainty.go
@@ -48,7 +48,9 @@
 	if f.evidence == nil || !b.directory.Complete(now) || !b.allHolders(now).current {
 		return false
 	}
-	verdict, candidates := f.evidence.Verdict(b.allHolders(now).agents, b.incarnationOf)
+	h := b.allHolders(now)
+	answered := f.evidence.Answered(h.unlisted, b.incarnationOf)
+	verdict, candidates := f.evidence.Verdict(append(answered, h.agents...), b.incarnationOf)
 	switch {
 	case verdict == evidence.MayBeHeld && b.probeGroups(now, f, candidates):
 		return true
@@ -59,14 +61,30 @@
 	return b.recheck(now, f)
 }
 
+// isDecided reports whether the answers decide, so that the search need not wait for agents that hold no flows.
+func (b *Balancer) isDecided(now time.Time, f *flowState) bool {
+	if f.evidence == nil || f.missed || len(f.unasked) > 0 {
+		return false
+	}
+	h := b.allHolders(now)
+	if len(f.evidence.Answered(h.unlisted, b.incarnationOf)) < len(h.unlisted) {
+		return false
+	}
+	verdict, _ := f.evidence.Verdict(h.agents, b.incarnationOf)
+	return verdict != evidence.Undecided
+}
+
 // isCertain reports whether no agent that the balancer has not heard of can hold the flow. An agent that has just joined
-// may have taken it from another balancer. None has joined lately when all agents were listed before the balancer's
+// may have taken it from another balancer, and so may a living one that is not listed: its announcement may be lost. None has joined lately when all agents were listed before the balancer's
 // start, as after a loss of power.
 func (b *Balancer) isCertain(now time.Time, f *flowState) bool {
 	if now.Sub(b.started) < SettleTime {
 		return false
 	}
 	h := b.allHolders(now)
+	if len(f.evidence.Unexcluded(h.unlisted, b.incarnationOf)) > 0 {
+		return false
+	}
 	return h.listed || now.Sub(f.firstMissed) >= h.joinTime
 }
 
--- a/pkg/dsr/dispatch/evidence_test.go
+++ b/pkg/dsr/dispatch/evidence_test.go
@@ -188,6 +188,69 @@
 	require.Empty(t, f.out.resets)
 }
 
+// leave delivers an announcement of an agent whose target takes no new flows and holds some.
+func (f *fixture) leave(i int, flows uint32) {
+	f.b.FromAgent(f.now, agentAt(i), &dsrpb.Message{
+		Kind: dsrpb.Kind_KIND_ANNOUNCE, Service: "route-svc",
+		Announcement: &dsrpb.Announcement{DataCentre: "dc-1", State: dsrpb.State_STATE_LEAVING, Incarnation: uint64(i), Flows: flows, AnswersQueries: true},
+	})
+}
+
+// Released targets go away with their VMs: one that said that it holds no flow must not keep flows undecided.
+func TestAnAgentThatLeftWithoutFlowsIsNotWaitedFor(t *testing.T) {
+	for flows, reset := range map[uint32]bool{0: true, 1: false} {
+		f := restarted(t, 2, true, policy.Without{})
+		f.join(1, 1)
+		f.join(2, 2)
+		f.leave(2, flows)
+		for range 12 {
+			f.pass(SettleTime / 2)
+			f.join(1, 1)
+		}
+		f.data(1, 1001, "tail")
+		f.reply(1, 1, dsrpb.Verdict_VERDICT_NOT_HELD)
+		f.pass(LocateTimeout + CollectTime)
+		f.pass(LocateTimeout + CollectTime)
+		require.Equal(t, reset, len(f.out.resets) == 1, "%d flows", flows)
+	}
+}
+
+// An announcement that the target holds no flow may be late: while the agent lives it has to answer.
+func TestALivingAgentThatSaidItHoldsNoFlowIsAsked(t *testing.T) {
+	f := restarted(t, 2, true, policy.Without{})
+	f.join(1, 1)
+	f.join(2, 2)
+	f.pass(SettleTime)
+	f.leave(2, 0)
+	f.data(1, 1001, "tail")
+	f.reply(1, 1, dsrpb.Verdict_VERDICT_NOT_HELD)
+	f.pass(LocateTimeout + CollectTime)
+	require.Empty(t, f.out.resets)
+	f.reply(2, 1, dsrpb.Verdict_VERDICT_HELD)
+	f.pass(SettleTime)
+	require.Empty(t, f.out.resets)
+	_, forwarded := f.questions()
+	require.Equal(t, []netip.AddrPort{agentAt(2)}, forwarded)
+}
+
+// After all daemons were killed, agents of released targets may start once more and go away with their VMs.
+func TestAnAgentThatWasNeverReadyDoesNotHoldUpProbes(t *testing.T) {
+	f := restarted(t, 2, true, policy.Without{})
+	f.join(1, 1)
+	f.join(2, 2)
+	f.b.FromAgent(f.now, agentAt(3), &dsrpb.Message{
+		Kind: dsrpb.Kind_KIND_ANNOUNCE, Service: "route-svc",
+		Announcement: &dsrpb.Announcement{DataCentre: "dc-1", State: dsrpb.State_STATE_ABSENT, Incarnation: 3, RunningMs: 1, AnswersQueries: true},
+	})
+	f.data(1, 1001, "tail")
+	f.takeSent()
+	f.reply(1, 1, dsrpb.Verdict_VERDICT_UNKNOWN)
+	f.reply(2, 1, dsrpb.Verdict_VERDICT_UNKNOWN)
+	f.pass(LocateTimeout + CollectTime)
+	_, probed := f.questions()
+	require.ElementsMatch(t, []netip.AddrPort{agentAt(1), agentAt(2)}, probed)
+}
+
 // A lost reset is repeated for the caller's next packet; the record is written once.
 func TestResetIsRepeatedForTheNextPacket(t *testing.T) {
 	f := restarted(t, 1, true, policy.Without{})
--- a/pkg/dsr/dispatch/flow_state.go
+++ b/pkg/dsr/dispatch/flow_state.go
@@ -102,6 +102,8 @@
 	// question is the number of the current search, evidence what it has proved; nil when not all agents are known.
 	question uint32
 	evidence *evidence.Search
+	// missed is set once the current search has ended without an owner.
+	missed bool
 	// group is the state of probes in groups.
 	group probeGroup
 	// gone is set once the flow was reset since no target holds it.
--- a/pkg/dsr/dispatch/holders.go
+++ b/pkg/dsr/dispatch/holders.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/directory"
+	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 )
 
 // minJoinTime and joinMargin bound the time until a balancer has heard of every agent that has joined: two announcement
@@ -21,9 +22,13 @@
 	// loaded are the agents of the last complete list that was loaded, at loadedAt.
 	loaded   map[netip.AddrPort]bool
 	loadedAt time.Time
+	// recorded are the agents that are or were in the directory.
+	recorded map[netip.AddrPort]bool
 	// at is when the fields below were derived; zero after a change.
 	at     time.Time
 	agents []netip.AddrPort
+	// unlisted are the living agents that are not in the directory since they are not known to have taken flows.
+	unlisted []netip.AddrPort
 	// current is set when none of them is of an earlier release, listed when all of them were loaded.
 	current bool
 	listed  bool
@@ -42,6 +47,7 @@
 		b.holders.services[service] = true
 		for _, a := range agents {
 			loaded[a] = true
+			b.holders.recorded[a] = true
 		}
 	}
 	if s.Complete {
@@ -50,14 +56,31 @@
 	b.holders.at = time.Time{}
 }
 
-// recordHolder records an announced agent in the directory.
-func (b *Balancer) recordHolder(now time.Time, a *agent, answersQueries bool) {
-	b.directory.Record(now, a.service, a.addr)
-	if !b.holders.services[a.service] || a.answersQueries != answersQueries || a.lastSeen.IsZero() {
-		b.holders.at = time.Time{}
+// recordHolder records an announced agent in the directory. One that is not listed and takes no new flows can hold none
+// that the list does not name elsewhere: all flows of before its start are at listed agents.
+func (b *Balancer) recordHolder(now time.Time, a *agent, n *dsrpb.Announcement) {
+	h := &b.holders
+	first := a.lastSeen.IsZero() || !h.services[a.service]
+	before := h.recorded[a.addr]
+	switch {
+	case saysEmpty(n):
+		b.directory.Remove(a.addr)
+		delete(h.recorded, a.addr)
+	case before || n.State == dsrpb.State_STATE_READY:
+		b.directory.Record(now, a.service, a.addr)
+		h.recorded[a.addr] = true
+	}
+	if first || before != h.recorded[a.addr] || a.answersQueries != n.AnswersQueries {
+		h.at = time.Time{}
 	}
-	b.holders.services[a.service] = true
-	a.answersQueries = answersQueries
+	h.services[a.service] = true
+	a.answersQueries = n.AnswersQueries
+}
+
+// saysEmpty reports whether an agent says that its target takes no new flows, and that it knows all flows of its target
+// and there are none.
+func saysEmpty(n *dsrpb.Announcement) bool {
+	return n.AnswersQueries && n.State == dsrpb.State_STATE_LEAVING && n.Flows == 0 && n.RunningMs == 0
 }
 
 // allHolders returns the agents that may hold open flows, of all services: an earlier route may have led to any. Agents
@@ -67,12 +90,17 @@
 	if !h.at.IsZero() && now.Sub(h.at) < sweepInterval {
 		return h
 	}
-	h.at, h.agents = now, nil
+	h.at, h.agents, h.unlisted = now, nil, nil
 	h.current, h.joinTime = true, minJoinTime
 	h.listed = h.loaded != nil && now.Sub(h.loadedAt) <= directory.MaxFlowAge
 	for service := range h.services {
 		h.agents = append(h.agents, b.directory.Holders(service)...)
 	}
+	for _, a := range b.order {
+		if !h.recorded[a.addr] && a.isAlive(now) {
+			h.unlisted, h.listed = append(h.unlisted, a.addr), false
+		}
+	}
 	for _, addr := range h.agents {
 		h.listed = h.listed && h.loaded[addr]
 		if a := b.agents[addr]; a != nil {
--- a/pkg/dsr/dispatch/loss_test.go
+++ b/pkg/dsr/dispatch/loss_test.go
@@ -118,6 +118,7 @@
 	a.target = nil
 	a.w.after(down, func() {
 		a.target, a.targetStarted, a.targetSequence = make(map[netip.AddrPort]*held), a.w.now, 0
+		a.draining = time.Time{}
 		if a.up {
 			a.announceTarget()
 		}
@@ -202,7 +203,7 @@
 		at := time.Duration(random.Int64N(int64(faultPeriod)))
 		down := downTime + time.Duration(random.IntN(200))*time.Millisecond
 		a, b := w.agents[random.IntN(len(w.agents))], w.balancers[random.IntN(len(w.balancers))]
-		complete, kind := random.IntN(4) > 0, random.IntN(8)
+		complete, kind := random.IntN(4) > 0, random.IntN(9)
 		w.after(at, func() {
 			switch kind {
 			case 0:
@@ -227,6 +228,12 @@
 				w.killDaemons()
 			case 7:
 				w.addAgent(50+random.IntN(100), a.service, false)
+			case 8:
+				if a.up && a.target != nil {
+					a.draining = w.now
+					a.targetSequence++
+					a.announceTarget()
+				}
 			}
 		})
 	}
--- a/pkg/dsr/dispatch/search.go
+++ b/pkg/dsr/dispatch/search.go
@@ -39,7 +39,7 @@
 	f.phase, f.undetermined, f.unanswered, f.widened = locating, nil, nil, false
 	b.question++
 	f.question, f.evidence = b.question, b.newEvidence(now)
-	f.group.probed = nil
+	f.group.probed, f.missed = nil, false
 	f.unasked, f.step = b.likelyOwners(f), SearchInitialAgents
 	b.askMore(now, f)
 }
@@ -133,7 +133,7 @@
 	if m.Verdict == dsrpb.Verdict_VERDICT_UNKNOWN {
 		f.undetermined = append(f.undetermined, from)
 	}
-	if len(f.unanswered) == 0 {
+	if len(f.unanswered) == 0 || b.isDecided(now, f) {
 		b.askMore(now, f)
 	}
 }
@@ -150,6 +150,7 @@
 	if f.firstMissed.IsZero() {
 		f.firstMissed = now
 	}
+	f.missed = true
 	if b.decideByEvidence(now, f) {
 		return
 	}
@@ -235,7 +236,7 @@
 		b.markLost(now, f)
 	case len(f.unasked) > 0:
 		b.askMore(now, f)
-	case f.rounds < LocateRounds && b.awaitsLiveAgent(now, f) && b.mayAsk(now, f):
+	case f.evidence == nil && f.rounds < LocateRounds && b.awaitsLiveAgent(now, f) && b.mayAsk(now, f):
 		b.askAgain(now, f)
 	default:
 		b.ownerNotFound(now, f)
--- a/pkg/dsr/evidence/evidence.go
+++ b/pkg/dsr/evidence/evidence.go
@@ -92,6 +92,17 @@
 	return a.is
 }
 
+// Answered returns the agents that have answered, in their order.
+func (s *Search) Answered(agents []netip.AddrPort, current Incarnations) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, a := range agents {
+		if s.of(a, current) != None {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 // Unexcluded returns the holders that have not proved that their targets do not hold the flow, in their order.
 func (s *Search) Unexcluded(holders []netip.AddrPort, current Incarnations) []netip.AddrPort {
 	var out []netip.AddrPort
--- a/pkg/dsr/ownership/locate_test.go
+++ b/pkg/dsr/ownership/locate_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/segment"
 	"github.com/auburnwood/auburnwood/pkg/flow"
 	"github.com/auburnwood/auburnwood/pkg/wire"
 )
@@ -32,3 +33,14 @@
 	f.table.cfg.First = true
 	require.Zero(t, running(time.Second))
 }
+
+// A balancer takes a target that leaves off its list once it holds no flow.
+func TestAnnouncementReportsTheFlowsOfATargetThatLeaves(t *testing.T) {
+	f := newFixture(t, Config{})
+	f.accept(1)
+	flows := func() uint32 { return f.table.Announcement(f.now, true, 0).Announcement.Flows }
+	f.table.Leave(f.now)
+	require.EqualValues(t, 1, flows())
+	f.target(1, segment.RST, 2, "")
+	require.Zero(t, flows())
+}
--- a/pkg/dsr/ownership/messages.go
+++ b/pkg/dsr/ownership/messages.go
@@ -24,6 +24,7 @@
 		RunningMs:   t.reportedRunning(now),
 
 		AnswersQueries: true,
+		Flows:          t.reportedFlows(now),
 	}
 	t.startMessage(now, dsrpb.Kind_KIND_ANNOUNCE)
 	t.msg.Announcement = &t.announcementMsg
@@ -39,6 +40,14 @@
 	return uint32(max(1, now.Sub(t.started)/time.Millisecond))
 }
 
+// reportedFlows returns the number of flows of a target that leaves, so that balancers know when it holds none; 0 otherwise.
+func (t *Table) reportedFlows(now time.Time) uint32 {
+	if t.State(now) != dsrpb.State_STATE_LEAVING {
+		return 0
+	}
+	return uint32(t.Unfinished(now, MaxFlowAge))
+}
+
 // startMessage initialises a message with the target's state that every message carries; it is valid until the next
 // message.
 func (t *Table) startMessage(now time.Time, k dsrpb.Kind) {
