Searches do not wait for silent agents at each step; near targets are probed first

A step now goes on without agents that left earlier questions unanswered; they are asked all the same. Packets between data centres cost 0.023 there: candidates of the balancer's own data centre, to which new flows are offered first, now come first.

--- a/pkg/dsr/dispatch/agent.go
+++ b/pkg/dsr/dispatch/agent.go
@@ -47,6 +47,8 @@
 	// collected are the flows of the next question to the agent, lastQuestion is when the last one was sent.
 	collected    []*flowState
 	lastQuestion time.Time
+	// unansweredSince is when the first question since the agent's last message was sent, zero when there was none.
+	unansweredSince time.Time
 }
 
 // silenceTimeout returns how long the agent may be silent before it is no longer used. A dead one is noticed earlier,
@@ -68,7 +70,7 @@
 	a.workTime = time.Duration(m.WorkUs) * time.Microsecond
 	a.coldLimit = coldLimitOf(now, m.Cold)
 	a.rate = float64(m.FlowsPerSecond)
-	a.lastSeen, a.suspect = now, false
+	a.lastSeen, a.suspect, a.unansweredSince = now, false, time.Time{}
 }
 
 // load estimates the target's requests per slot, including one new request. Slots that were busy at the last report are
@@ -98,3 +100,8 @@
 	}
 	return a.load(now) <= 1
 }
+
+// isSilent reports whether the agent has said nothing since it was asked about flows longer ago than the timeout.
+func (a *agent) isSilent(now time.Time, timeout time.Duration) bool {
+	return !a.unansweredSince.IsZero() && now.Sub(a.unansweredSince) > timeout
+}
--- a/pkg/dsr/dispatch/certainty.go
+++ b/pkg/dsr/dispatch/certainty.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
@@ -74,6 +75,18 @@
 	return verdict != evidence.Undecided
 }
 
+// awaitsOnlySilent reports whether all agents that have not answered left earlier questions unanswered too, so that the
+// search goes on without them. Each step would wait for them otherwise.
+func (b *Balancer) awaitsOnlySilent(now time.Time, f *flowState) bool {
+	if f.evidence == nil || f.missed {
+		return false
+	}
+	return !slices.ContainsFunc(f.unanswered, func(addr netip.AddrPort) bool {
+		a := b.agents[addr]
+		return a != nil && !a.isSilent(now, b.locateTimeout())
+	})
+}
+
 // isCertain reports whether no agent that the balancer has not heard of can hold the flow. An agent that has just joined
 // may have taken it from another balancer, and so may a living one that is not listed: its announcement may be lost. None has joined lately when all agents were listed before the balancer's
 // start, as after a loss of power.
--- a/pkg/dsr/dispatch/evidence_test.go
+++ b/pkg/dsr/dispatch/evidence_test.go
@@ -251,6 +251,39 @@
 	require.ElementsMatch(t, []netip.AddrPort{agentAt(1), agentAt(2)}, probed)
 }
 
+// Targets that are gone with their VMs must not delay each step of each search.
+func TestSearchesDoNotWaitForAgentsThatLeftEarlierQuestionsUnanswered(t *testing.T) {
+	const agents = 60
+	f := restarted(t, agents, true, policy.Without{})
+	for i := 1; i <= agents; i++ {
+		f.join(i, uint64(i))
+	}
+	f.pass(SettleTime)
+	dead := func(a netip.AddrPort) bool { return a.Addr().As4()[3]%6 == 0 }
+	answer := func(port int) (asked int) {
+		for {
+			list, _ := f.questions()
+			if len(list) == 0 {
+				return asked
+			}
+			asked += len(list)
+			for _, a := range list {
+				if !dead(a) {
+					f.reply(int(a.Addr().As4()[3]), port, dsrpb.Verdict_VERDICT_NOT_HELD)
+				}
+			}
+		}
+	}
+	f.data(1, 1001, "tail")
+	require.Less(t, answer(1), agents, "the first search waits for answers")
+	for range 4 {
+		f.pass(LocateTimeout + CollectTime)
+		answer(1)
+	}
+	f.data(2, 1001, "tail")
+	require.Equal(t, agents, answer(2), "the next asks all at once")
+}
+
 // A lost reset is repeated for the caller's next packet; the record is written once.
 func TestResetIsRepeatedForTheNextPacket(t *testing.T) {
 	f := restarted(t, 1, true, policy.Without{})
--- a/pkg/dsr/dispatch/probe_group.go
+++ b/pkg/dsr/dispatch/probe_group.go
@@ -47,6 +47,7 @@
 		return false
 	}
 	b.sortCandidates(now, f)
+	b.nearFirst(f.undetermined)
 	f.group.packet, f.group.step = f.held[0], ProbeGroup
 	f.held = f.held[1:]
 	f.asked = netip.AddrPort{}
@@ -55,6 +56,12 @@
 	return true
 }
 
+// nearFirst moves the agents of the balancer's data centre to the front: new flows are offered to them first.
+func (b *Balancer) nearFirst(agents []netip.AddrPort) {
+	near := func(addr netip.AddrPort) bool { return b.agents[addr].dataCentre == b.cfg.DataCentre }
+	slices.SortStableFunc(agents, func(x, y netip.AddrPort) int { return compareTrue(near(x), near(y)) })
+}
+
 // probeNextGroup offers the packet to the next, larger group.
 func (b *Balancer) probeNextGroup(now time.Time, f *flowState) {
 	n := min(f.group.step, len(f.undetermined))
--- a/pkg/dsr/dispatch/question.go
+++ b/pkg/dsr/dispatch/question.go
@@ -116,6 +116,9 @@
 	}
 	b.out.ToAgent(to, &m)
 	b.searchBudget--
+	if a := b.agents[to]; a != nil && a.unansweredSince.IsZero() {
+		a.unansweredSince = now
+	}
 }
 
 // receiveAnswers handles an agent's answers about one or several flows.
--- a/pkg/dsr/dispatch/search.go
+++ b/pkg/dsr/dispatch/search.go
@@ -133,7 +133,7 @@
 	if m.Verdict == dsrpb.Verdict_VERDICT_UNKNOWN {
 		f.undetermined = append(f.undetermined, from)
 	}
-	if len(f.unanswered) == 0 || b.isDecided(now, f) {
+	if len(f.unanswered) == 0 || b.isDecided(now, f) || b.awaitsOnlySilent(now, f) {
 		b.askMore(now, f)
 	}
 }
