--- a/pkg/dsr/dispatch/evidence_test.go
+++ b/pkg/dsr/dispatch/evidence_test.go
@@ -445,6 +445,25 @@
 	return asked, forwarded
 }
 
+// While questions wait for the budget, a search that asked in steps would wait once for each step.
+func TestSearchAsksAllAtOnceWhenTheBudgetIsUsedUp(t *testing.T) {
+	const agents = 60
+	f := restarted(t, agents, true, policy.Without{})
+	for i := 1; i < agents; i++ {
+		f.join(i, uint64(i))
+	}
+	f.joinService(agents, "reports-svc", agents)
+	f.pass(SettleTime)
+	f.data(1, 1001, "tail")
+	require.Len(t, f.takeSent(), SearchInitialAgents)
+	f.b.searchBudget, f.b.searchBudgetAt = 0, f.now
+	f.data(2, 1001, "tail")
+	require.Empty(t, f.takeSent())
+	f.b.searchBudget = SearchBurst
+	f.pass(CollectTime)
+	require.Len(t, f.takeSent(), agents)
+}
+
 // Without budget nothing is sent, and questions wait no longer than their flows are searched for.
 func TestCollectedQuestionsWaitForTheBudget(t *testing.T) {
 	f := restarted(t, 1, true, policy.Without{})
--- a/pkg/dsr/dispatch/search.go
+++ b/pkg/dsr/dispatch/search.go
@@ -41,6 +41,12 @@
 	f.question, f.evidence = b.question, b.newEvidence(now)
 	f.group.probed, f.missed = nil, false
 	f.unasked, f.step = b.likelyOwners(f), SearchInitialAgents
+	if f.evidence != nil && b.mayAsk(now, f) && !b.maySearch(now) {
+		// Questions wait for the budget and are merged: asking all agents costs no further messages, and one wait instead
+		// of one for each step.
+		f.unasked = append(f.unasked, b.otherAgents(f)...)
+		f.step, f.widened = max(1, len(f.unasked)), true
+	}
 	b.askMore(now, f)
 }
 
@@ -203,12 +209,7 @@
 	if f.widened || settled && f.evidence == nil || !b.mayAsk(now, f) {
 		return false
 	}
-	route := b.routes.Route(f.key.Destination)
-	for _, a := range b.order {
-		if !routeIncludes(route, a) {
-			f.unasked = append(f.unasked, a.addr)
-		}
-	}
+	f.unasked = append(f.unasked, b.otherAgents(f)...)
 	if len(f.unasked) == 0 {
 		return false
 	}
@@ -217,6 +218,18 @@
 	return true
 }
 
+// otherAgents returns the agents of services that are not on the flow's route.
+func (b *Balancer) otherAgents(f *flowState) []netip.AddrPort {
+	route := b.routes.Route(f.key.Destination)
+	var out []netip.AddrPort
+	for _, a := range b.order {
+		if !routeIncludes(route, a) {
+			out = append(out, a.addr)
+		}
+	}
+	return out
+}
+
 // markLost drops the held packets of a flow without a known owner. The caller is not sent a reset: an agent that was
 // not reached may hold the flow.
 func (b *Balancer) markLost(now time.Time, f *flowState) {
