--- a/pkg/dsr/ownership/messages.go
+++ b/pkg/dsr/ownership/messages.go
@@ -22,7 +22,9 @@
 		IntervalMs:  uint32(next / time.Millisecond),
 		Answers:     t.reportedMinAnswers(),
 		RunningMs:   t.reportedRunning(now),
-		Flows:       uint32(t.Connections()),
+
+		AnswersQueries: true,
+		Flows:          t.reportedFlows(now),
 	}
 	t.startMessage(now, dsrpb.Kind_KIND_ANNOUNCE)
 	t.msg.Announcement = &t.announcementMsg
@@ -38,6 +40,15 @@
 	return uint32(max(1, now.Sub(t.started)/time.Millisecond))
 }
 
+// reportedFlows returns the number of connections that count against the limit of the service. Of a target that leaves it
+// is the number of flows that have not ended, so that balancers know when it holds none.
+func (t *Table) reportedFlows(now time.Time) uint32 {
+	if t.State(now) == dsrpb.State_STATE_LEAVING {
+		return uint32(t.Unfinished(now, MaxFlowAge))
+	}
+	return uint32(t.Connections())
+}
+
 // startMessage initialises a message with the target's state that every message carries; it is valid until the next
 // message.
 func (t *Table) startMessage(now time.Time, k dsrpb.Kind) {
@@ -54,9 +65,13 @@
 
 // verdict returns whether the target holds a flow.
 func (t *Table) verdict(now time.Time, key flow.Key) dsrpb.Verdict {
-	if e := t.flows[key]; e != nil && e.phase >= open {
+	e := t.flows[key]
+	switch {
+	case e != nil && e.phase >= open:
 		return dsrpb.Verdict_VERDICT_HELD
-	} else if e != nil && e.phase != probing {
+	case e != nil && e.phase == probing:
+		return dsrpb.Verdict_VERDICT_UNKNOWN
+	case e != nil:
 		return dsrpb.Verdict_VERDICT_QUEUED
 	}
 	if _, returned := t.notHeld[key]; returned || t.knowsAllFlows(now) {
@@ -67,26 +82,41 @@
 
 // knowsAllFlows reports whether the agent has seen every open flow of its target.
 func (t *Table) knowsAllFlows(now time.Time) bool {
-	return t.cfg.First || t.target.sawFirstAnnouncement || now.Sub(t.started) > MaxFlowAge
+	return t.cfg.First || t.target.seenFromStart || now.Sub(t.started) > MaxFlowAge
 }
 
-// Locate answers a balancer that asks for the owner of a flow.
+// Locate answers a balancer that asks for the owners of flows.
 func (t *Table) Locate(now time.Time, balancer netip.AddrPort, m *dsrpb.Message) {
 	key, ok := m.Key()
 	if !ok {
 		return
 	}
-	e := t.flows[key]
 	t.startMessage(now, dsrpb.Kind_KIND_LOCATED)
 	t.msg.Flow = m.Flow
 	t.msg.Source, t.msg.Destination = m.Source, m.Destination
-	t.msg.Verdict = t.verdict(now, key)
-	if e != nil && e.hasSequence {
-		t.msg.HasSequence, t.msg.Reference = true, e.reference()
+	t.msg.Verdict, t.msg.Reference, t.msg.HasSequence = t.locate(now, key, m.Reference)
+	for _, q := range m.Queries {
+		key, ok := q.Key()
+		if !ok {
+			continue
+		}
+		a := &dsrpb.FlowQuery{Source: q.Source, Destination: q.Destination}
+		a.Verdict, a.Reference, a.HasSequence = t.locate(now, key, q.Reference)
+		t.msg.Queries = append(t.msg.Queries, a)
 	}
 	t.out.ToBalancer(balancer, &t.msg)
 }
 
+// locate returns the verdict on a flow with the reference of its caller's packets, or the number of the question when
+// the flow has none.
+func (t *Table) locate(now time.Time, key flow.Key, question uint32) (v dsrpb.Verdict, reference uint32, hasSequence bool) {
+	v = t.verdict(now, key)
+	if e := t.flows[key]; e != nil && e.hasSequence {
+		return v, e.reference(), true
+	}
+	return v, question, false
+}
+
 // sendAccepted notifies the balancer that the target holds the flow.
 func (t *Table) sendAccepted(now time.Time, key flow.Key, e *entry) {
 	if !e.origin.IsValid() {
--- a/pkg/dsr/policy/policy.go
+++ b/pkg/dsr/policy/policy.go
@@ -44,6 +44,12 @@
 	RequestQueue bool
 	// RefuseLate: a new flow that would be late because of requests of the same or a higher priority is declined.
 	RefuseLate bool
+	// BatchedSearch: an agent is asked about several flows by one message.
+	BatchedSearch bool
+	// ProbeAll: when every agent that may hold a flow has answered, all that cannot tell are probed in growing groups.
+	ProbeAll bool
+	// ResetGone: the caller of a flow that no target can hold is reset.
+	ResetGone bool
 }
 
 // Mechanism is a named mechanism.
@@ -74,5 +80,8 @@
 		{"failed-answers", Without{FailedAnswers: true}},
 		{"request-queue", Without{RequestQueue: true}},
 		{"refuse-late", Without{RefuseLate: true}},
+		{"batched-search", Without{BatchedSearch: true}},
+		{"probe-all", Without{ProbeAll: true}},
+		{"reset-gone", Without{ResetGone: true}},
 	}
 }
