Directory of the agents that may hold open flows, kept beyond the life of all balancers

After all balancers were killed at once their callers' packets meet processes that know no flow, and nobody may say that a flow is gone: a balancer that has just started doesn't know whether it has asked every agent.

Package directory lists the agents by service, silent ones included, with the former services of an address while flows of theirs may be open. The balancer that watches the configuration for all writes the list to the object API when it changes (0.3 s apart at least), and a small stamp every second, while agents report flows with several requests (Announcement.repeated_requests, set by ownership). A balancer that starts reads both once; the list counts as complete when it was confirmed within 10 s before the start. Only a balancer that knows all agents writes, and what it writes carries the time at which it was complete, however late the write takes effect.

Agents stay listed for 30 minutes of silence, not for 60 s: those of other data centres report every 293 s at the size to design for, and one that is cut off from this balancer only goes on taking flows. One whose target leaves goes after 60 s.

Ruled out: one object, written every second (60 kB at 3,300 agents, five times the budget for control).

Tests: go test ./pkg/dsr/directory ./pkg/dsr/ownership ./pkg/dsr/dispatch ./pkg/dsrd ./internal/archtest ./platform/... ./cmd/... pass.

--- a/internal/archtest/imports_test.go
+++ b/internal/archtest/imports_test.go
@@ -25,7 +25,7 @@
 var decisionPackages = []string{
 	"pkg/arbiter", "pkg/flow", "pkg/limit", "pkg/membership", "pkg/packet", "pkg/placement", "pkg/resource",
 	"pkg/rollout", "pkg/ticket", "pkg/view", "pkg/wire", "pkg/dsr/admission", "pkg/dsr/announcement",
-	"pkg/dsr/configuration", "pkg/dsr/dispatch", "pkg/dsr/estimate", "pkg/dsr/evacuation", "pkg/dsr/outlier", "pkg/dsr/ownership", "pkg/dsr/policy", "pkg/dsr/roster", "pkg/dsr/routing", "pkg/dsr/segment", "pkg/dsr/warmup",
+	"pkg/dsr/configuration", "pkg/dsr/directory", "pkg/dsr/dispatch", "pkg/dsr/estimate", "pkg/dsr/evacuation", "pkg/dsr/outlier", "pkg/dsr/ownership", "pkg/dsr/policy", "pkg/dsr/roster", "pkg/dsr/routing", "pkg/dsr/segment", "pkg/dsr/warmup",
 }
 
 // forbiddenImports may not be used by a decision package.
--- /dev/null
+++ b/pkg/dsr/directory/codec.go
@@ -0,0 +1,164 @@
+package directory
+
+import (
+	"encoding/binary"
+	"errors"
+	"hash/fnv"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/wire"
+)
+
+// format is the first byte of an encoded list or stamp.
+const format = 1
+
+// headerSize is the size of the format and a time.
+const headerSize = 1 + 8
+
+var (
+	// errFormat is returned for a list or stamp of another release.
+	errFormat = errors.New("unknown format")
+	// errTruncated is returned for a list or stamp that ends early.
+	errTruncated = errors.New("truncated")
+	// errAddress is returned for an agent without a usable address.
+	errAddress = errors.New("address is not usable")
+)
+
+// List is the list of all agents as stored.
+type List struct {
+	// At is when the list was complete, by the wall clock of its writer.
+	At time.Time
+	// Agents are the agents of each service.
+	Agents map[string][]netip.AddrPort
+	// Digest identifies the agents.
+	Digest uint64
+}
+
+// Stamp confirms a stored list, at a fraction of its bytes.
+type Stamp struct {
+	// At is when the list was complete, by the wall clock of the stamp's writer.
+	At time.Time
+	// Digest is that of the list.
+	Digest uint64
+}
+
+// NewList returns a list with its digest.
+func NewList(at time.Time, agents map[string][]netip.AddrPort) List {
+	return List{At: at, Agents: agents, Digest: digest(appendAgents(nil, agents))}
+}
+
+// Encode encodes the list: 18 bytes for each agent, and the names of the services.
+func (l List) Encode() []byte { return appendAgents(appendHeader(nil, l.At), l.Agents) }
+
+// Encode encodes the stamp.
+func (s Stamp) Encode() []byte {
+	return binary.BigEndian.AppendUint64(appendHeader(nil, s.At), s.Digest)
+}
+
+// DecodeList decodes a list, which another release may have written.
+func DecodeList(b []byte) (List, error) {
+	at, rest, err := readHeader(b)
+	if err != nil {
+		return List{}, err
+	}
+	agents, err := readAgents(rest)
+	if err != nil {
+		return List{}, err
+	}
+	return List{At: at, Agents: agents, Digest: digest(rest)}, nil
+}
+
+// DecodeStamp decodes a stamp, which another release may have written.
+func DecodeStamp(b []byte) (Stamp, error) {
+	at, rest, err := readHeader(b)
+	if err != nil {
+		return Stamp{}, err
+	}
+	if len(rest) != 8 {
+		return Stamp{}, errTruncated
+	}
+	return Stamp{At: at, Digest: binary.BigEndian.Uint64(rest)}, nil
+}
+
+func appendHeader(b []byte, at time.Time) []byte {
+	return binary.BigEndian.AppendUint64(append(b, format), uint64(at.UnixMilli()))
+}
+
+func readHeader(b []byte) (at time.Time, rest []byte, err error) {
+	if len(b) < headerSize {
+		return time.Time{}, nil, errTruncated
+	}
+	if b[0] != format {
+		return time.Time{}, nil, errFormat
+	}
+	return time.UnixMilli(int64(binary.BigEndian.Uint64(b[1:headerSize]))), b[headerSize:], nil
+}
+
+// appendAgents appends the services in the order of their names, so that equal lists have equal encodings.
+func appendAgents(b []byte, agents map[string][]netip.AddrPort) []byte {
+	for _, service := range slices.Sorted(maps.Keys(agents)) {
+		b = binary.AppendUvarint(b, uint64(len(service)))
+		b = append(b, service...)
+		b = binary.AppendUvarint(b, uint64(len(agents[service])))
+		for _, a := range agents[service] {
+			b = wire.AppendAddr(b, a)
+		}
+	}
+	return b
+}
+
+func readAgents(b []byte) (map[string][]netip.AddrPort, error) {
+	agents := make(map[string][]netip.AddrPort)
+	for len(b) > 0 {
+		name, rest, err := readCounted(b, 1)
+		if err != nil {
+			return nil, err
+		}
+		row, rest, err := readCounted(rest, wire.AddrSize)
+		if err != nil {
+			return nil, err
+		}
+		addresses, err := readAddresses(row)
+		if err != nil {
+			return nil, err
+		}
+		agents[string(name)] = append(agents[string(name)], addresses...)
+		b = rest
+	}
+	return agents, nil
+}
+
+// readCounted reads a number of elements of a size, which their number precedes.
+func readCounted(b []byte, size int) (elements, rest []byte, err error) {
+	n, read := binary.Uvarint(b)
+	if read <= 0 {
+		return nil, nil, errTruncated
+	}
+	b = b[read:]
+	if n > uint64(len(b)/size) {
+		return nil, nil, errTruncated
+	}
+	end := int(n) * size
+	return b[:end], b[end:], nil
+}
+
+func readAddresses(row []byte) ([]netip.AddrPort, error) {
+	out := make([]netip.AddrPort, 0, wire.RowLen(row))
+	for i := range wire.RowLen(row) {
+		a, _ := wire.RowAddr(row, i)
+		if a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().IsMulticast() {
+			return nil, errAddress
+		}
+		out = append(out, a)
+	}
+	return out, nil
+}
+
+func digest(b []byte) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write(b)
+	return h.Sum64()
+}
--- a/pkg/dsr/dispatch/agents.go
+++ b/pkg/dsr/dispatch/agents.go
@@ -100,6 +100,7 @@
 	a.answers = answersOf(n.Answers)
 	a.interval = min(time.Duration(n.IntervalMs)*time.Millisecond, MaxAnnounceInterval)
 	b.recordReport(now, a, m)
+	b.recordInDirectory(now, a)
 	if a.state == dsrpb.State_STATE_READY && before != a.state {
 		b.retryParked(now, false)
 	}
--- a/pkg/dsr/dispatch/balancer.go
+++ b/pkg/dsr/dispatch/balancer.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/auburnwood/auburnwood/pkg/dsr/directory"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/dsr/estimate"
 	"github.com/auburnwood/auburnwood/pkg/dsr/evacuation"
@@ -32,6 +33,8 @@
 	// evacuations are the data centres whose targets get no new flows.
 	evacuations evacuation.Set
 	agents      map[netip.AddrPort]*agent
+	// directory lists the agents beside which targets may hold flows, silent ones included.
+	directory *directory.Directory
 	// order lists the agents in order of arrival, so that iteration is deterministic; services does so by service.
 	order    []*agent
 	services map[string][]*agent
@@ -79,6 +82,8 @@
 		started: now,
 		agents:  make(map[netip.AddrPort]*agent),
 
+		directory: directory.New(now, cfg.First),
+
 		services: make(map[string][]*agent),
 		lastSeen: now,
 
--- a/pkg/dsr/dispatch/config.go
+++ b/pkg/dsr/dispatch/config.go
@@ -112,6 +112,8 @@
 	DataCentre string
 	// MaxFlows is the maximum number of tracked flows; 0 means the constant MaxFlows.
 	MaxFlows int
+	// First is set when the whole system starts for the first time, so that no flow is older than the process.
+	First bool
 	// Without says which mechanisms are switched off, for measurements.
 	Without policy.Without
 }
--- a/pkg/dsr/dispatch/tick.go
+++ b/pkg/dsr/dispatch/tick.go
@@ -59,6 +59,7 @@
 func (b *Balancer) sweep(now time.Time) {
 	b.lastSweep = now
 	b.expireMedians(now)
+	b.directory.Expire(now)
 	idle := b.routes.IdleTimeout()
 	for key, f := range b.flows {
 		silent := now.Sub(f.touched)
--- a/pkg/dsr/ownership/from_balancer.go
+++ b/pkg/dsr/ownership/from_balancer.go
@@ -46,6 +46,7 @@
 	e.callerAck, e.acknowledged = s.Acknowledgement, true
 	t.recordRoundTrip(now, e, s)
 	if e.recordNewData(s) {
+		t.recordRepeatedRequest(now, e)
 		t.finishReply(now, key, e)
 		e.request = append(e.request[:0], s.Raw...)
 		t.request(now, e)
--- a/pkg/dsr/ownership/messages.go
+++ b/pkg/dsr/ownership/messages.go
@@ -22,6 +22,8 @@
 		IntervalMs:  uint32(next / time.Millisecond),
 		Answers:     t.reportedMinAnswers(),
 		RunningMs:   t.reportedRunning(now),
+
+		RepeatedRequests: t.holdsRepeatedRequests(now),
 	}
 	t.startMessage(now, dsrpb.Kind_KIND_ANNOUNCE)
 	t.msg.Announcement = &t.announcementMsg
--- a/pkg/dsr/ownership/table.go
+++ b/pkg/dsr/ownership/table.go
@@ -54,6 +54,8 @@
 	lastSilentOffer time.Time
 	// targetActive is the time of the target's last packet or heartbeat.
 	targetActive time.Time
+	// repeatedRequest is when a caller last sent a request on a flow on which an earlier one had been answered.
+	repeatedRequest time.Time
 	// configuration is the highest version that a balancer has named.
 	configuration uint64
 	// evacuated is set while the agent's data centre takes no new flows.
--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -72,7 +72,15 @@
 	// evacuationReader reads the evacuations; pendingRoutes is the configuration that is applied once they are known.
 	evacuationReader *evacuationReader
 	pendingRoutes    *routing.Table
-	message          dsrpb.Message
+	// directoryReader reads the agents that may hold open flows, directoryWriter writes them.
+	directoryReader *directoryReader
+	directoryWriter *directoryWriter
+	// repeatedRequests is when an agent last reported flows with several requests; directoryConfirmed is when the agents
+	// that were read were last known to be all, directoryComplete whether they were at the last look.
+	repeatedRequests   time.Time
+	directoryConfirmed time.Time
+	directoryComplete  bool
+	message            dsrpb.Message
 	// reportedEras are the eras of the object API that other balancers report. A reported era only triggers a call;
 	// the answer to that confirms it.
 	reportedEras *objectapi.Eras
@@ -103,9 +111,10 @@
 	}
 	b.openRefusals()
 	b.out = newBalancerOutput(b)
-	b.core = dispatch.NewBalancer(dispatch.Config{DataCentre: cfg.DataCentre}, p.Codec, b.out, n.started)
+	b.core = dispatch.NewBalancer(dispatch.Config{DataCentre: cfg.DataCentre, First: cfg.FirstStart}, p.Codec, b.out, n.started)
 	b.openConfigSync()
 	b.openReaders()
+	b.openDirectory()
 	b.agents.Seed = uint64(n.started.UnixNano())
 	b.reportedEras = objectapi.NewEras()
 	env.Status.Set(b.status)
@@ -192,6 +201,10 @@
 	g.Go(func() error { return b.discovery.run(run) })
 	g.Go(func() error { return b.join(run) })
 	g.Go(func() error { return b.memberReader.run(run) })
+	if !b.cfg.FirstStart {
+		g.Go(func() error { return b.directoryReader.run(run) })
+	}
+	g.Go(func() error { return b.directoryWriter.run(run) })
 	g.Go(func() error { return objectapi.LogEras(run, b.eras, b.log) })
 	g.Go(func() error { return b.refusals.Run(run) })
 	g.Go(func() error { return b.cleanUp(run) })
@@ -323,6 +336,7 @@
 	if m.Announcement != nil {
 		b.agents.Add(now, from)
 		b.agents.SetSendInterval(from, milliseconds(m.Announcement.IntervalMs))
+		b.recordRepeatedRequests(now, m.Announcement)
 	}
 	if b.agents.MarkSeen(now, from) {
 		b.regainedAgents = append(b.regainedAgents, from)
--- /dev/null
+++ b/pkg/dsrd/balancer_directory.go
@@ -0,0 +1,85 @@
+package dsrd
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/auburnwood/auburnwood/pkg/dsr/directory"
+	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+)
+
+// openDirectory creates what reads and writes the agents that may hold open flows.
+func (b *Balancer) openDirectory() {
+	b.directoryReader = &directoryReader{store: b.platform.Store, log: b.log, started: b.started, load: b.loadDirectory}
+	b.directoryWriter = &directoryWriter{
+		store:       b.platform.Store,
+		log:         b.log,
+		scope:       b.scope,
+		shouldWrite: b.writesDirectory,
+		revision:    b.directoryRevision,
+		agents:      b.directoryAgents,
+		load:        func(s directory.Snapshot) { b.loadDirectory(s, time.Time{}) },
+	}
+}
+
+// loadDirectory adds agents that were read from the object API. Confirmed is when they were last known to be complete, if
+// that counts.
+func (b *Balancer) loadDirectory(s directory.Snapshot, confirmed time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.core.LoadDirectory(time.Now(), s)
+	if !confirmed.IsZero() {
+		b.directoryConfirmed = confirmed
+	}
+}
+
+// recordRepeatedRequests records that an agent reports flows with several requests. b.mu is held.
+func (b *Balancer) recordRepeatedRequests(now time.Time, a *dsrpb.Announcement) {
+	if a.RepeatedRequests {
+		b.repeatedRequests = now
+	}
+}
+
+// writesDirectory reports whether this balancer writes the agents to the object API: it watches for all others, knows all
+// agents, and there are flows with several requests, which outlast a restart of all balancers.
+func (b *Balancer) writesDirectory(now time.Time) bool {
+	if !b.configSync.watches() {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	inUse := !b.repeatedRequests.IsZero() && now.Sub(b.repeatedRequests) <= directory.MaxFlowAge
+	return inUse && b.core.Directory().Complete(now)
+}
+
+func (b *Balancer) directoryRevision() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.core.Directory().Revision()
+}
+
+func (b *Balancer) directoryAgents() (agents map[string][]netip.AddrPort, revision uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.core.Directory().Agents(), b.core.Directory().Revision()
+}
+
+// reportDirectory updates the metrics of the directory, and logs when it becomes complete. b.mu is held.
+func (b *Balancer) reportDirectory(now time.Time) {
+	d := b.core.Directory()
+	complete := d.Complete(now)
+	if complete && !b.directoryComplete {
+		b.log.Warn().Str("op", "list-agents").Int("agents", d.Len()).Msg("all agents that may hold open flows are known")
+	}
+	b.directoryComplete = complete
+	b.scope.Gauge("dsr_directory_agents").Update(float64(d.Len()))
+	b.scope.Gauge("dsr_directory_complete").Update(boolValue(complete))
+}
+
+// boolValue is the value of a gauge that is 1 or 0.
+func boolValue(on bool) float64 {
+	if on {
+		return 1
+	}
+	return 0
+}
--- a/pkg/dsrd/balancer_status.go
+++ b/pkg/dsrd/balancer_status.go
@@ -24,6 +24,12 @@
 	// they were read, 0 before they are known.
 	Evacuated          []string `json:"evacuated"`
 	EvacuationsVersion uint64   `json:"evacuationsVersion"`
+	// ListedAgents is the number of agents that may hold open flows, AllAgentsListed is set when all of them are known, and
+	// ListReadSeconds is the time since the list that this balancer read at its start was last confirmed, -1 if it read
+	// none.
+	ListedAgents    int     `json:"listedAgents"`
+	AllAgentsListed bool    `json:"allAgentsListed"`
+	ListReadSeconds float64 `json:"listReadSeconds"`
 }
 
 func (b *Balancer) status() any {
@@ -42,9 +48,19 @@
 	s.LivingBalancers = len(b.balancers.Living(now))
 	evacuations := b.core.Evacuations()
 	s.Evacuated, s.EvacuationsVersion = evacuations.DataCentres, evacuations.Version
+	s.ListedAgents, s.AllAgentsListed = b.core.Directory().Len(), b.core.Directory().Complete(now)
+	s.ListReadSeconds = secondsSince(now, b.directoryConfirmed)
 	return s
 }
 
+// secondsSince returns the time since another, -1 when that is zero.
+func secondsSince(now, at time.Time) float64 {
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at).Seconds()
+}
+
 // errNoTargets is returned to a target that calls a balancer.
 var errNoTargets = errors.New("a balancer takes no announcements; call the agent on the target's VM")
 
--- a/pkg/dsrd/gossip.go
+++ b/pkg/dsrd/gossip.go
@@ -84,6 +84,7 @@
 	}
 	b.evicted = now
 	b.agents.Expire(now)
+	b.reportDirectory(now)
 	maps.DeleteFunc(b.lastWelcome, func(a netip.AddrPort, _ time.Time) bool { return !b.agents.Contains(a) })
 	maps.DeleteFunc(b.readCapacity, func(a netip.AddrPort, _ uint32) bool { return !b.balancers.Contains(a) })
 }
