Soak: all daemons are killed at once beside open flows, and a balancer logs a complete list as it reads it

One fault in place of the random ones (Options.KillAllAfter): all daemons and one target end together. Callers of running targets must not be reset, and every balancer must know all agents afterwards. 'kill all' among the random faults was no test of that: the list isn't written in the first minute of a system without first_start.

--- a/internal/lab/soak/files.go
+++ b/internal/lab/soak/files.go
@@ -35,6 +35,7 @@
 func (w *world) fillProcessSettings(s *settings.DSRProcess, p *process, address netip.Addr, link *proxy) {
 	at := func(port uint16) string { return netip.AddrPortFrom(address, port).String() }
 	s.Name, s.Region, s.DataCentre = p.name, "soak", "dc-1"
+	s.FirstStart = w.firstStart
 	s.StatusAddress = at(w.ports.status)
 	s.PacketAddress = at(w.ports.packets)
 	s.ReadyAddress = at(w.ports.ready)
@@ -48,6 +49,22 @@
 	}
 }
 
+// endFirstStart writes the settings with which the daemons start again after the first start of the whole system.
+func (w *world) endFirstStart() error {
+	w.firstStart = false
+	for _, b := range w.balancers {
+		if err := w.writeBalancer(b); err != nil {
+			return err
+		}
+	}
+	for _, a := range w.agents {
+		if err := w.writeAgent(a); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func write(path string, s any) error {
 	b, err := toml.Marshal(s)
 	if err != nil {
--- a/internal/lab/soak/operator.go
+++ b/internal/lab/soak/operator.go
@@ -125,28 +125,39 @@
 
 // label returns the configuration in force according to the status of a balancer, 0 if there is none.
 func (b *balancer) label(ctx context.Context) (int, error) {
+	s, err := b.state(ctx)
+	if err != nil || s.Label == "" {
+		return 0, err
+	}
+	return strconv.Atoi(s.Label)
+}
+
+// balancerState is the part of a balancer's status that is checked.
+type balancerState struct {
+	Label           string `json:"label"`
+	ListedAgents    int    `json:"listedAgents"`
+	AllAgentsListed bool   `json:"allAgentsListed"`
+}
+
+// state returns the status of the balancer.
+func (b *balancer) state(ctx context.Context) (balancerState, error) {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+b.status+"/status", nil)
 	if err != nil {
-		return 0, err
+		return balancerState{}, err
 	}
 	req.Close = true
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return 0, err
+		return balancerState{}, err
 	}
 	defer resp.Body.Close() //nolint:errcheck // The body has been read.
 	var s struct {
-		State struct {
-			Label string `json:"label"`
-		} `json:"state"`
+		State balancerState `json:"state"`
 	}
 	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
-		return 0, fmt.Errorf("status of %s: %w", b.name, err)
-	}
-	if s.State.Label == "" {
-		return 0, nil
+		return balancerState{}, fmt.Errorf("status of %s: %w", b.name, err)
 	}
-	return strconv.Atoi(s.State.Label)
+	return s.State, nil
 }
--- a/internal/lab/soak/options.go
+++ b/internal/lab/soak/options.go
@@ -12,6 +12,9 @@
 	Seed uint64
 	// Length is how long faults are injected; the run ends some seconds later.
 	Length time.Duration
+	// KillAllAfter, if not 0, replaces the random faults by one: so long after the first start of the whole system, all
+	// daemons are killed at once, and a target ends with them.
+	KillAllAfter time.Duration
 	// Balancers and Targets are the numbers of VMs; a third of the targets belong to the second service.
 	Balancers int
 	Targets   int
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -77,6 +77,11 @@
 	if err := w.waitUntilStarted(ctx); err != nil {
 		return err
 	}
+	if w.firstStart {
+		if err := w.endFirstStart(); err != nil {
+			return err
+		}
+	}
 	w.runFaults(ctx, script)
 	w.settle(ctx)
 	w.stopAll()
@@ -118,9 +123,13 @@
 	note := func(text string) {
 		_, _ = fmt.Fprintf(script, "%.2f %s\n", time.Since(w.counts.began).Seconds(), text)
 	}
-	background.Go(func() { w.restoreAPI(during, rand.New(rand.NewPCG(w.o.Seed, seedRestores)), note) })
 	f := &faults{w: w, random: w.random, script: note}
-	f.run(during)
+	if w.o.KillAllAfter > 0 {
+		f.killAllOnce(during)
+	} else {
+		background.Go(func() { w.restoreAPI(during, rand.New(rand.NewPCG(w.o.Seed, seedRestores)), note) })
+		f.run(during)
+	}
 	background.Wait()
 	w.endFaults()
 	flows.Wait()
@@ -168,6 +177,9 @@
 		w.counts.violation("%d of %d flows were served %s after the last fault", served, finalFlows, settleTime)
 	}
 	w.checkMembers(ctx)
+	if w.o.KillAllAfter > 0 {
+		w.checkDirectories(ctx)
+	}
 	version, _ := w.latestAccepted()
 	for _, b := range w.balancers {
 		if label, err := b.label(ctx); err != nil || label != version {
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -51,6 +51,25 @@
 	}
 }
 
+// Balancers that start after all daemons were killed know from the object API which agents may hold the open flows, and reset
+// no flow of a running target.
+func TestAllDaemonsAreKilledBesideOpenFlows(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs real processes for 30 s")
+	}
+	dir := t.TempDir()
+	r, err := Run(t.Context(), Options{
+		Seed: 1, Length: 8 * time.Second, KillAllAfter: 4 * time.Second, Balancers: 3, Targets: 6, Rate: 20, Programs: programs(t), Dir: dir,
+	})
+	require.NoError(t, err)
+	t.Log(r)
+	if r.TotalViolations > 0 {
+		t.Log(logs(t, dir))
+	}
+	require.Empty(t, r.Violations)
+	require.Greater(t, r.Finished, r.Flows/2, "more than half of the flows finish")
+}
+
 // logs returns the faults and the log entries of the daemons above level info.
 func logs(t *testing.T, dir string) string {
 	names, err := filepath.Glob(filepath.Join(dir, "*.log"))
--- a/internal/lab/soak/world.go
+++ b/internal/lab/soak/world.go
@@ -75,6 +75,9 @@
 	agents    []*agent
 	callers   []*callerVM
 
+	// firstStart is set while the whole system starts for the first time, if the daemons are told so.
+	firstStart bool
+
 	// configMu is held while a configuration is written or the object API is restored; it is locked before mu. It
 	// guards document, the last accepted configuration.
 	configMu sync.Mutex
@@ -95,6 +98,8 @@
 	w := &world{
 		o: o, random: rand.New(rand.NewPCG(o.Seed, 0)), counts: &counts{began: time.Now()},
 		store: store.New(store.Config{Era: o.Seed % 2}), routers: &routers{}, requests: make(map[string]string),
+
+		firstStart: o.KillAllAfter > 0,
 	}
 	if err := os.MkdirAll(o.Dir, 0o755); err != nil {
 		return nil, trace.ConvertSystemError(err)
--- a/pkg/dsrd/balancer_directory.go
+++ b/pkg/dsrd/balancer_directory.go
@@ -27,7 +27,9 @@
 func (b *Balancer) loadDirectory(s directory.Snapshot, confirmed time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.core.LoadDirectory(time.Now(), s)
+	now := time.Now()
+	b.core.LoadDirectory(now, s)
+	b.reportDirectory(now)
 	if !confirmed.IsZero() {
 		b.directoryConfirmed = confirmed
 	}
