A list that is read again does not keep agents that have expired

The balancer that writes reads its own list once a minute and added it again, which renewed the time of agents that were loaded and never heard of: dead ones would have stayed listed, and every search for a flow of their service would have waited for them in vain. Found by reading.

--- a/pkg/dsr/directory/directory.go
+++ b/pkg/dsr/directory/directory.go
@@ -86,10 +86,12 @@
 		return
 	}
 	h := d.holderOf(agent)
+	if h.expires.IsZero() {
+		h.expires = now.Add(MaxSilence)
+	}
 	until := now.Add(MaxFlowAge)
 	if h.service == "" {
-		until = now.Add(MaxSilence)
-		h.expires = until
+		until = h.expires
 	}
 	if h.addFormer(service, until) {
 		d.revision++
--- a/pkg/dsr/directory/directory_test.go
+++ b/pkg/dsr/directory/directory_test.go
@@ -69,6 +69,10 @@
 		{"loaded agents that are not heard of", func(d *Directory) {
 			d.Load(start, Snapshot{Agents: map[string][]netip.AddrPort{"hub": {a}, "depot": {a}}})
 		}, MaxSilence - time.Second, []netip.AddrPort{a}},
+		{"a list that is read again does not keep a silent agent", func(d *Directory) {
+			d.Load(start, Snapshot{Agents: map[string][]netip.AddrPort{"hub": {a}}})
+			d.Load(at(MaxSilence-time.Minute), Snapshot{Agents: map[string][]netip.AddrPort{"hub": {a}}})
+		}, MaxSilence, nil},
 		{"a loaded agent that names another service", func(d *Directory) {
 			d.Load(start, Snapshot{Agents: map[string][]netip.AddrPort{"hub": {a}}})
 			d.Record(at(time.Second), "depot", a)
--- a/pkg/dsrd/directory_writer.go
+++ b/pkg/dsrd/directory_writer.go
@@ -103,15 +103,19 @@
 	return nil
 }
 
-// read reads the objects and adds the agents that another balancer has written.
+// read reads the objects and adds the agents that another balancer has written. Its own list is not added again, since that
+// would keep agents that have expired.
 func (w *directoryWriter) read(ctx context.Context, now time.Time) error {
 	w.known = false
 	objects, _, err := w.store.List(ctx, DirectoryKind)
 	if err != nil {
 		return err
 	}
+	before := w.stored.list.Digest
 	w.stored, w.known, w.readAt = storedDirectoryOf(objects, w.log), true, now
-	w.load(directory.Snapshot{Agents: w.stored.list.Agents})
+	if w.stored.list.Digest != before {
+		w.load(directory.Snapshot{Agents: w.stored.list.Agents})
+	}
 	agents, revision := w.agents()
 	w.written = revision
 	w.differs = w.stored.listVersion == 0 || directory.NewList(time.Time{}, agents).Digest != w.stored.list.Digest
