--- a/pkg/dsrd/balancer_directory.go
+++ b/pkg/dsrd/balancer_directory.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/directory"
+	"github.com/auburnwood/auburnwood/pkg/dsr/dispatch"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 )
 
@@ -43,9 +44,10 @@
 }
 
 // writesDirectory reports whether this balancer writes the agents to the object API: it watches for all others, knows all
-// agents, and there are flows with several requests, which outlast a restart of all balancers.
+// agents, those that joined around its start included, and there are flows with several requests, which outlast a restart of
+// all balancers.
 func (b *Balancer) writesDirectory(now time.Time) bool {
-	if !b.configSync.watches() {
+	if !b.configSync.watches() || now.Sub(b.started) < dispatch.SettleTime {
 		return false
 	}
 	b.mu.Lock()
--- a/pkg/dsrd/directory_reader.go
+++ b/pkg/dsrd/directory_reader.go
@@ -74,5 +74,5 @@
 	confirmed := directory.ConfirmedAt(s.list, s.stamp)
 	r.load(snapshot, confirmed)
 	r.log.Warn().Str("op", "read-agents").Bool("complete", snapshot.Complete).Int("services", len(snapshot.Agents)).
-		Dur("age_ms", r.started.Sub(confirmed)).Msg("the agents of before the start are known")
+		Dur("age_ms", r.started.Sub(confirmed)).Msg("the agents of before the start were read")
 }
--- a/pkg/dsrd/directory_test.go
+++ b/pkg/dsrd/directory_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/auburnwood/auburnwood/internal/standin/store"
 	"github.com/auburnwood/auburnwood/pkg/dsr/directory"
+	"github.com/auburnwood/auburnwood/pkg/dsr/dispatch"
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
 )
 
@@ -256,6 +257,14 @@
 			f.replace(directoryListName, "\x09unreadable")
 			f.pass(directoryReadInterval + time.Second)
 		}, 3 * time.Second, 2, true},
+		{"the objects are deleted", func(f *directoryFixture) {
+			for _, name := range []string{directoryListName, directoryStampName} {
+				o, err := f.store.Get(f.Context(), DirectoryKind, name)
+				require.NoError(f, err)
+				require.NoError(f, f.store.Delete(f.Context(), DirectoryKind, name, o.Version))
+			}
+			f.pass(3 * time.Second)
+		}, 3 * time.Second, 2, true},
 		{"a list that nobody can read", func(f *directoryFixture) {
 			f.balancers[0].cancel()
 			f.replace(directoryListName, "unreadable")
@@ -316,6 +325,10 @@
 	now := time.Now().Add(2 * directory.MaxFlowAge)
 	b.core.Directory().Record(now, "hub", directoryAgent(1))
 	require.False(t, b.writesDirectory(now))
+	b.core.LoadDirectory(now, directory.Snapshot{Complete: true})
+	b.repeatedRequests = b.started
+	require.False(t, b.writesDirectory(b.started), "agents that have just joined may not have announced themselves yet")
+	require.True(t, b.writesDirectory(b.started.Add(dispatch.SettleTime)))
 	b.repeatedRequests = now
 	require.True(t, b.writesDirectory(now))
 	require.True(t, b.writesDirectory(now.Add(directory.MaxFlowAge)))
