An agent beside which no target process runs keeps no search undecided

Agents had been started again on VMs whose targets had ended; they could not tell, and nobody there could return a probe. Others had left with their targets' last flows and stayed listed for 60 s.

A packet of a flow that was open there goes back to the balancer. A process that starts later is known from its start.

--- a/pkg/dsr/dispatch/holders.go
+++ b/pkg/dsr/dispatch/holders.go
@@ -56,16 +56,19 @@
 	b.holders.at = time.Time{}
 }
 
-// recordHolder records an announced agent in the directory. One that is not listed and takes no new flows can hold none
-// that the list does not name elsewhere: all flows of before its start are at listed agents.
+// recordHolder records an announced agent in the directory. One that is not listed and whose target has not announced itself
+// has taken no flows.
 func (b *Balancer) recordHolder(now time.Time, a *agent, n *dsrpb.Announcement) {
 	h := &b.holders
 	first := a.lastSeen.IsZero() || !h.services[a.service]
 	before := h.recorded[a.addr]
 	switch {
 	case saysEmpty(n):
-		b.directory.Remove(a.addr)
+		b.directory.RecordEnded(now, a.addr)
 		delete(h.recorded, a.addr)
+	case n.State == dsrpb.State_STATE_LEAVING:
+		b.directory.RecordLeaving(now, a.service, a.addr, a.silenceTimeout())
+		h.recorded[a.addr] = true
 	case before || n.State == dsrpb.State_STATE_READY:
 		b.directory.Record(now, a.service, a.addr)
 		h.recorded[a.addr] = true
@@ -77,10 +80,10 @@
 	a.answersQueries = n.AnswersQueries
 }
 
-// saysEmpty reports whether an agent says that its target takes no new flows, and that it knows all flows of its target
-// and there are none.
+// saysEmpty reports whether an agent says that its target holds no flows: its process has ended, or it takes no new flows
+// and the agent knows all and there are none.
 func saysEmpty(n *dsrpb.Announcement) bool {
-	return n.AnswersQueries && n.State == dsrpb.State_STATE_LEAVING && n.Flows == 0 && n.RunningMs == 0
+	return n.TargetEnded || n.AnswersQueries && n.State == dsrpb.State_STATE_LEAVING && n.Flows == 0 && n.RunningMs == 0
 }
 
 // allHolders returns the agents that may hold open flows, of all services: an earlier route may have led to any. Agents
--- a/pkg/dsr/ownership/from_balancer.go
+++ b/pkg/dsr/ownership/from_balancer.go
@@ -32,6 +32,11 @@
 		t.cancelQueued(key, s)
 		return
 	}
+	if t.lostWithTarget(e) {
+		t.drop(key, e)
+		t.sendReturned(now, balancer, m, key, dsrpb.Verdict_VERDICT_NOT_HELD, s.Raw)
+		return
+	}
 	if !e.matches(s.Acknowledgement) {
 		t.sendReturned(now, balancer, m, key, dsrpb.Verdict_VERDICT_NOT_HELD, s.Raw)
 		return
@@ -61,6 +66,7 @@
 func (t *Table) pass(now time.Time, key flow.Key, e *entry, s segment.Segment) {
 	t.recordRoundTrip(now, e, s)
 	if e.recordNewData(s) {
+		t.recordRepeatedRequest(now, e)
 		t.finishReply(now, key, e)
 		e.request = append(e.request[:0], s.Raw...)
 		t.request(now, e)
--- a/pkg/dsr/ownership/messages.go
+++ b/pkg/dsr/ownership/messages.go
@@ -23,8 +23,10 @@
 		Answers:     t.reportedMinAnswers(),
 		RunningMs:   t.reportedRunning(now),
 
-		AnswersQueries: true,
-		Flows:          t.reportedFlows(now),
+		AnswersQueries:   true,
+		Flows:            t.reportedFlows(now),
+		RepeatedRequests: t.holdsRepeatedRequests(now),
+		TargetEnded:      t.target.ended,
 	}
 	t.startMessage(now, dsrpb.Kind_KIND_ANNOUNCE)
 	t.msg.Announcement = &t.announcementMsg
@@ -67,6 +69,8 @@
 func (t *Table) verdict(now time.Time, key flow.Key) dsrpb.Verdict {
 	e := t.flows[key]
 	switch {
+	case e != nil && t.lostWithTarget(e):
+		return dsrpb.Verdict_VERDICT_NOT_HELD
 	case e != nil && e.phase >= open:
 		return dsrpb.Verdict_VERDICT_HELD
 	case e != nil && e.phase == probing:
@@ -80,9 +84,14 @@
 	return dsrpb.Verdict_VERDICT_UNKNOWN
 }
 
+// lostWithTarget reports whether the flow was open when its target's process ended, with no other in its place.
+func (t *Table) lostWithTarget(e *entry) bool {
+	return t.target.ended && e.phase == open && !e.targetClosed
+}
+
 // knowsAllFlows reports whether the agent has seen every open flow of its target.
 func (t *Table) knowsAllFlows(now time.Time) bool {
-	return t.cfg.First || t.target.seenFromStart || now.Sub(t.started) > MaxFlowAge
+	return t.cfg.First || t.target.ended || t.target.seenFromStart || now.Sub(t.started) > MaxFlowAge
 }
 
 // Locate answers a balancer that asks for the owners of flows.
--- a/pkg/dsr/ownership/target.go
+++ b/pkg/dsr/ownership/target.go
@@ -41,6 +41,8 @@
 	warmAtKnown bool
 	// coldFrom is the latest time at which the warm-up can have begun, used until the target reports it.
 	coldFrom time.Time
+	// ended is set while no process runs: the last one has deregistered, or none listens at the target's address.
+	ended bool
 	// retired are earlier incarnations that do not report their start, the latest last.
 	retired []retired
 }
@@ -74,7 +76,7 @@
 	if t.known {
 		t.retire(t.last, false)
 	}
-	t.firstSeen = now
+	t.firstSeen, t.ended = now, false
 	t.assumeCold(now)
 	t.sawFirstAnnouncement = a.Sequence == firstSequence
 }
@@ -153,7 +155,7 @@
 		return nil
 	}
 	t.retire(t.last, true)
-	t.known = false
+	t.known, t.ended = false, true
 	return nil
 }
 
