A reset always waits until an agent that has joined must have been heard

Balancers that had loaded a complete list reset at once, since no known agent had joined. That shortcut is gone: two announcements must have been due since the flow was first missed (600 ms at least). So a caller is reset 0.6 to 0.7 s after its first packet, not within 100 ms; a flow's age is not known to a balancer, and no message between balancers names agents that join.

--- a/pkg/dsr/dispatch/certainty.go
+++ b/pkg/dsr/dispatch/certainty.go
@@ -88,8 +88,8 @@
 }
 
 // isCertain reports whether no agent that the balancer has not heard of can hold the flow. An agent that has just joined
-// may have taken it from another balancer, and so may a living one that is not listed: its announcement may be lost. None has joined lately when all agents were listed before the balancer's
-// start, as after a loss of power.
+// may have taken it from another balancer, and its announcement may be lost: until the next ones must have come, and while
+// a living agent that is not listed has not excluded the flow, nothing is certain.
 func (b *Balancer) isCertain(now time.Time, f *flowState) bool {
 	if now.Sub(b.started) < SettleTime {
 		return false
@@ -98,7 +98,7 @@
 	if len(f.evidence.Unexcluded(h.unlisted, b.incarnationOf)) > 0 {
 		return false
 	}
-	return h.listed || now.Sub(f.firstMissed) >= h.joinTime
+	return now.Sub(f.firstMissed) >= h.joinTime
 }
 
 // recheck schedules another question to the agents that have not excluded the flow, until the caller's next packet would
--- a/pkg/dsr/dispatch/holders.go
+++ b/pkg/dsr/dispatch/holders.go
@@ -19,9 +19,6 @@
 type holders struct {
 	// services are the names of all services with such agents.
 	services map[string]bool
-	// loaded are the agents of the last complete list that was loaded, at loadedAt.
-	loaded   map[netip.AddrPort]bool
-	loadedAt time.Time
 	// recorded are the agents that are or were in the directory.
 	recorded map[netip.AddrPort]bool
 	// at is when the fields below were derived; zero after a change.
@@ -29,9 +26,8 @@
 	agents []netip.AddrPort
 	// unlisted are the living agents that are not in the directory since they are not known to have taken flows.
 	unlisted []netip.AddrPort
-	// current is set when none of them is of an earlier release, listed when all of them were loaded.
+	// current is set when none of them is of an earlier release.
 	current bool
-	listed  bool
 	// joinTime is how long an agent that has joined may be unknown.
 	joinTime time.Duration
 }
@@ -42,17 +38,12 @@
 // LoadDirectory adds the agents that were known before the balancer's start.
 func (b *Balancer) LoadDirectory(now time.Time, s directory.Snapshot) {
 	b.directory.Load(now, s)
-	loaded := make(map[netip.AddrPort]bool)
 	for service, agents := range s.Agents {
 		b.holders.services[service] = true
 		for _, a := range agents {
-			loaded[a] = true
 			b.holders.recorded[a] = true
 		}
 	}
-	if s.Complete {
-		b.holders.loaded, b.holders.loadedAt = loaded, now
-	}
 	b.holders.at = time.Time{}
 }
 
@@ -92,17 +83,15 @@
 	}
 	h.at, h.agents, h.unlisted = now, nil, nil
 	h.current, h.joinTime = true, minJoinTime
-	h.listed = h.loaded != nil && now.Sub(h.loadedAt) <= directory.MaxFlowAge
 	for service := range h.services {
 		h.agents = append(h.agents, b.directory.Holders(service)...)
 	}
 	for _, a := range b.order {
 		if !h.recorded[a.addr] && a.isAlive(now) {
-			h.unlisted, h.listed = append(h.unlisted, a.addr), false
+			h.unlisted = append(h.unlisted, a.addr)
 		}
 	}
 	for _, addr := range h.agents {
-		h.listed = h.listed && h.loaded[addr]
 		if a := b.agents[addr]; a != nil {
 			h.current = h.current && a.answersQueries
 			h.joinTime = max(h.joinTime, 2*a.interval+joinMargin)
