--- a/pkg/dsr/dispatch/loss_test.go
+++ b/pkg/dsr/dispatch/loss_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -227,7 +228,11 @@
 				}
 				w.killDaemons()
 			case 7:
-				w.addAgent(50+random.IntN(100), a.service, false)
+				i := 50 + random.IntN(100)
+				for slices.ContainsFunc(w.agents, func(a *agentNode) bool { return a.addr.Addr().As4()[3] == byte(i) }) {
+					i++
+				}
+				w.addAgent(i, a.service, false)
 			case 8:
 				if a.up && a.target != nil {
 					a.draining = w.now
