--- a/pkg/dsr/dispatch/certainty.go
+++ b/pkg/dsr/dispatch/certainty.go
@@ -88,8 +88,8 @@
 }
 
 // isCertain reports whether no agent that the balancer has not heard of can hold the flow. An agent that has just joined
-// may have taken it from another balancer, and so may a living one that is not listed: its announcement may be lost. None has joined lately when all agents were listed before the balancer's
-// start, as after a loss of power.
+// may have taken it from another balancer, and its announcement may be lost: until the next ones must have come, and while
+// a living agent that is not listed has not excluded the flow, nothing is certain.
 func (b *Balancer) isCertain(now time.Time, f *flowState) bool {
 	if now.Sub(b.started) < SettleTime {
 		return false
@@ -98,7 +98,7 @@
 	if len(f.evidence.Unexcluded(h.unlisted, b.incarnationOf)) > 0 {
 		return false
 	}
-	return h.listed || now.Sub(f.firstMissed) >= h.joinTime
+	return now.Sub(f.firstMissed) >= h.joinTime
 }
 
 // recheck schedules another question to the agents that have not excluded the flow, until the caller's next packet would
@@ -116,7 +116,7 @@
 	return true
 }
 
-// recheckDue asks the agents that have not excluded the flow once more.
+// recheckDue asks the agents that have not answered once more; when all have, those that could not tell.
 func (b *Balancer) recheckDue(now time.Time, d due) {
 	f := d.flow
 	if f.phase != locating || f.evidence == nil || !d.phaseStart.Equal(f.since) {
@@ -124,7 +124,11 @@
 	}
 	f.unasked, f.unanswered, f.rounds = nil, nil, 0
 	if b.mayAsk(now, f) {
-		f.unanswered = b.knownAgents(f.evidence.Unexcluded(b.allHolders(now).agents, b.incarnationOf))
+		missing := f.evidence.Unanswered(b.allHolders(now).agents, b.incarnationOf)
+		if len(missing) == 0 {
+			missing = f.evidence.Unexcluded(b.allHolders(now).agents, b.incarnationOf)
+		}
+		f.unanswered = b.knownAgents(missing)
 	}
 	if len(f.unanswered) == 0 {
 		b.ownerNotFound(now, f)
