--- a/pkg/dsr/directory/codec.go
+++ b/pkg/dsr/directory/codec.go
@@ -33,7 +33,9 @@
 	At time.Time
 	// Agents are the agents of each service.
 	Agents map[string][]netip.AddrPort
-	// Digest identifies the agents.
+	// Moved are the addresses that led to another service within MaxFlowAge.
+	Moved []netip.AddrPort
+	// Digest identifies the agents and the moved addresses.
 	Digest uint64
 }
 
@@ -46,12 +48,18 @@
 }
 
 // NewList returns a list with its digest.
-func NewList(at time.Time, agents map[string][]netip.AddrPort) List {
-	return List{At: at, Agents: agents, Digest: digest(appendAgents(nil, agents))}
+func NewList(at time.Time, agents map[string][]netip.AddrPort, moved []netip.AddrPort) List {
+	l := List{At: at, Agents: agents, Moved: moved}
+	l.Digest = digest(l.appendContent(nil))
+	return l
 }
 
-// Encode encodes the list: 18 bytes for each agent, and the names of the services.
-func (l List) Encode() []byte { return appendAgents(appendHeader(nil, l.At), l.Agents) }
+// Encode encodes the list: 18 bytes for each agent and each moved address, and the names of the services.
+func (l List) Encode() []byte { return l.appendContent(appendHeader(nil, l.At)) }
+
+func (l List) appendContent(b []byte) []byte {
+	return appendAgents(appendAddresses(b, l.Moved), l.Agents)
+}
 
 // Encode encodes the stamp.
 func (s Stamp) Encode() []byte {
@@ -64,11 +72,18 @@
 	if err != nil {
 		return List{}, err
 	}
-	agents, err := readAgents(rest)
+	l := List{At: at, Digest: digest(rest)}
+	row, rest, err := readCounted(rest, wire.AddrSize)
 	if err != nil {
 		return List{}, err
 	}
-	return List{At: at, Agents: agents, Digest: digest(rest)}, nil
+	if l.Moved, err = readAddresses(row); err != nil {
+		return List{}, err
+	}
+	if l.Agents, err = readAgents(rest); err != nil {
+		return List{}, err
+	}
+	return l, nil
 }
 
 // DecodeStamp decodes a stamp, which another release may have written.
@@ -102,10 +117,16 @@
 	for _, service := range slices.Sorted(maps.Keys(agents)) {
 		b = binary.AppendUvarint(b, uint64(len(service)))
 		b = append(b, service...)
-		b = binary.AppendUvarint(b, uint64(len(agents[service])))
-		for _, a := range agents[service] {
-			b = wire.AppendAddr(b, a)
-		}
+		b = appendAddresses(b, agents[service])
+	}
+	return b
+}
+
+// appendAddresses appends addresses after their number.
+func appendAddresses(b []byte, list []netip.AddrPort) []byte {
+	b = binary.AppendUvarint(b, uint64(len(list)))
+	for _, a := range list {
+		b = wire.AppendAddr(b, a)
 	}
 	return b
 }
--- a/pkg/dsr/directory/codec_test.go
+++ b/pkg/dsr/directory/codec_test.go
@@ -15,14 +15,15 @@
 		service := "service-" + string(rune('a'+i%26))
 		agents[service] = append(agents[service], address(i))
 	}
-	return NewList(start, agents)
+	return NewList(start, agents, []netip.AddrPort{address(1), address(2)})
 }
 
 func TestListAndStampAreReadAsWritten(t *testing.T) {
-	for _, list := range []List{NewList(start, map[string][]netip.AddrPort{}), large()} {
+	for _, list := range []List{NewList(start, map[string][]netip.AddrPort{}, []netip.AddrPort{}), large()} {
 		read, err := DecodeList(list.Encode())
 		require.NoError(t, err)
 		require.Equal(t, list.Agents, read.Agents)
+		require.Equal(t, list.Moved, read.Moved)
 		require.True(t, read.At.Equal(list.At))
 		require.Equal(t, list.Digest, read.Digest)
 	}
@@ -38,8 +39,8 @@
 }
 
 func TestMalformedObjectsAreRejected(t *testing.T) {
-	list, stamp := NewList(start, map[string][]netip.AddrPort{"hub": {address(1)}}).Encode(), Stamp{At: start}.Encode()
-	unusable := NewList(start, map[string][]netip.AddrPort{"hub": {netip.MustParseAddrPort("0.0.0.0:7720")}}).Encode()
+	list, stamp := NewList(start, map[string][]netip.AddrPort{"hub": {address(1)}}, nil).Encode(), Stamp{At: start}.Encode()
+	unusable := NewList(start, map[string][]netip.AddrPort{"hub": {netip.MustParseAddrPort("0.0.0.0:7720")}}, nil).Encode()
 	for name, b := range map[string][]byte{
 		"empty": nil, "short": list[:5], "cut": list[:len(list)-1], "other format": append([]byte{9}, list[1:]...), "unusable address": unusable,
 		"huge count": append(list[:headerSize:headerSize], 1, 'x', 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 1),
@@ -54,16 +55,17 @@
 }
 
 func FuzzDecodeList(f *testing.F) {
-	f.Add(NewList(start, map[string][]netip.AddrPort{"hub": {address(1), address(2)}}).Encode())
+	f.Add(NewList(start, map[string][]netip.AddrPort{"hub": {address(1), address(2)}}, []netip.AddrPort{address(3)}).Encode())
 	f.Add([]byte{format})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		list, err := DecodeList(b)
 		if err != nil {
 			return
 		}
-		again, err := DecodeList(NewList(list.At, list.Agents).Encode())
+		again, err := DecodeList(NewList(list.At, list.Agents, list.Moved).Encode())
 		require.NoError(t, err)
 		require.Equal(t, list.Agents, again.Agents)
+		require.Equal(t, list.Moved, again.Moved)
 		New(start, false).Load(start, Snapshot{Agents: list.Agents})
 	})
 }
@@ -78,7 +80,7 @@
 }
 
 func TestSnapshotIsCompleteOnlyWhenFresh(t *testing.T) {
-	list := NewList(start, map[string][]netip.AddrPort{"hub": {address(1)}})
+	list := NewList(start, map[string][]netip.AddrPort{"hub": {address(1)}}, nil)
 	of := func(d time.Duration) Stamp { return Stamp{At: at(d), Digest: list.Digest} }
 	for _, c := range []struct {
 		name    string
--- a/pkg/dsr/directory/directory.go
+++ b/pkg/dsr/directory/directory.go
@@ -31,14 +31,20 @@
 	agents map[netip.AddrPort]*holder
 	// ended are the agents whose targets have ended, with the time until which a stored list may still name them.
 	ended map[netip.AddrPort]time.Time
-	// revision rises with each change of what Agents returns.
+	// moved are the addresses that led to another service, with the time until which flows of before may be open.
+	moved map[netip.AddrPort]time.Time
+	// revision rises with each change of what Agents or Moved returns.
 	revision uint64
 }
 
 // New returns an empty directory of a process that started at the given time. With first set, no flow can be older than
 // the process, since the whole system starts for the first time.
 func New(started time.Time, first bool) *Directory {
-	return &Directory{started: started, loaded: first, agents: make(map[netip.AddrPort]*holder), ended: make(map[netip.AddrPort]time.Time)}
+	return &Directory{
+		started: started, loaded: first, agents: make(map[netip.AddrPort]*holder),
+		ended: make(map[netip.AddrPort]time.Time),
+		moved: make(map[netip.AddrPort]time.Time),
+	}
 }
 
 // Record notes that an agent was heard of.
@@ -84,8 +90,32 @@
 	}
 }
 
-// Load adds the agents of a snapshot.
+// RecordMoved notes that an address no longer leads to one of its services. Flows of before may be open there.
+func (d *Directory) RecordMoved(now time.Time, address netip.AddrPort) {
+	if _, known := d.moved[address]; !known {
+		d.revision++
+	}
+	d.moved[address] = now.Add(MaxFlowAge)
+}
+
+// HasMoved reports whether flows to an address may be open at a service to which it no longer leads.
+func (d *Directory) HasMoved(address netip.AddrPort) bool {
+	_, moved := d.moved[address]
+	return moved
+}
+
+// Moved returns the addresses of which HasMoved is true, in their order.
+func (d *Directory) Moved() []netip.AddrPort {
+	return slices.SortedFunc(maps.Keys(d.moved), netip.AddrPort.Compare)
+}
+
+// Load adds the agents and the moved addresses of a snapshot.
 func (d *Directory) Load(now time.Time, s Snapshot) {
+	for _, a := range s.Moved {
+		if !d.HasMoved(a) {
+			d.RecordMoved(now, a)
+		}
+	}
 	for service, agents := range s.Agents {
 		for _, a := range agents {
 			d.loadAgent(now, service, a)
@@ -116,6 +146,12 @@
 // Expire removes the agents, and the former services of agents, that can hold no flow any more. It looks at all agents.
 func (d *Directory) Expire(now time.Time) {
 	maps.DeleteFunc(d.ended, func(_ netip.AddrPort, until time.Time) bool { return !now.Before(until) })
+	for a, until := range d.moved {
+		if !now.Before(until) {
+			delete(d.moved, a)
+			d.revision++
+		}
+	}
 	for a, h := range d.agents {
 		if !now.Before(h.expires) {
 			delete(d.agents, a)
@@ -170,5 +206,5 @@
 // Len returns the number of listed agents.
 func (d *Directory) Len() int { return len(d.agents) }
 
-// Revision rises with each change of what Agents returns.
+// Revision rises with each change of what Agents or Moved returns.
 func (d *Directory) Revision() uint64 { return d.revision }
--- a/pkg/dsr/directory/snapshot.go
+++ b/pkg/dsr/directory/snapshot.go
@@ -18,6 +18,8 @@
 type Snapshot struct {
 	// Agents are the agents of each service.
 	Agents map[string][]netip.AddrPort
+	// Moved are the addresses that led to another service shortly before.
+	Moved []netip.AddrPort
 	// Complete is set when no agent can have taken flows without being listed.
 	Complete bool
 }
@@ -25,7 +27,7 @@
 // NewSnapshot returns what a process that started at the given time may take from a stored list, and from the stamp that
 // was stored with it. The stamp counts only for the list that it names; the time of the list itself always does.
 func NewSnapshot(started, now time.Time, list List, stamp Stamp) Snapshot {
-	return Snapshot{Agents: list.Agents, Complete: IsFresh(started, now, ConfirmedAt(list, stamp))}
+	return Snapshot{Agents: list.Agents, Moved: list.Moved, Complete: IsFresh(started, now, ConfirmedAt(list, stamp))}
 }
 
 // ConfirmedAt returns when a list was last known to be complete, zero for one that could not be read.
--- a/pkg/dsr/dispatch/balancer.go
+++ b/pkg/dsr/dispatch/balancer.go
@@ -106,7 +106,7 @@
 		searchBudgetAt: now,
 		groupProbes:    rateLimit{left: GroupProbeBurst, at: now},
 		directory:      directory.New(now, cfg.First),
-		holders:        holders{services: make(map[string]bool), recorded: make(map[netip.AddrPort]bool)},
+		holders:        holders{services: make(map[string]bool), recorded: make(map[netip.AddrPort]bool), views: make(map[netip.AddrPort]*holderView)},
 		hedgeBudget:    limit.NewBudget(HedgeRatio, HedgeBurst),
 	}
 }
@@ -117,6 +117,7 @@
 	if b.routes != nil && t.Version() <= b.routes.Version() {
 		return false
 	}
+	b.recordMoved(now, t)
 	b.routes = t
 	b.retryParked(now, true)
 	return true
--- a/pkg/dsr/dispatch/certainty.go
+++ b/pkg/dsr/dispatch/certainty.go
@@ -14,8 +14,8 @@
 
 // newEvidence returns the evidence of a new search, nil unless the answers can decide: every agent that may hold flows
 // must be known, and answer with the number of the question.
-func (b *Balancer) newEvidence(now time.Time) *evidence.Search {
-	if !b.directory.Complete(now) || !b.allHolders(now).current {
+func (b *Balancer) newEvidence(now time.Time, destination netip.AddrPort) *evidence.Search {
+	if !b.directory.Complete(now) || !b.holdersOf(now, destination).current {
 		return nil
 	}
 	return evidence.New(now)
@@ -46,10 +46,10 @@
 // decideByEvidence probes the agents that alone may hold the flow, resets the caller when no target holds it, or has
 // agents asked again. It returns false when the answers do not decide.
 func (b *Balancer) decideByEvidence(now time.Time, f *flowState) bool {
-	if f.evidence == nil || !b.directory.Complete(now) || !b.allHolders(now).current {
+	if f.evidence == nil || !b.directory.Complete(now) || !b.holdersOf(now, f.key.Destination).current {
 		return false
 	}
-	h := b.allHolders(now)
+	h := b.holdersOf(now, f.key.Destination)
 	answered := f.evidence.Answered(h.unlisted, b.incarnationOf)
 	verdict, candidates := f.evidence.Verdict(append(answered, h.agents...), b.incarnationOf)
 	switch {
@@ -67,7 +67,7 @@
 	if f.evidence == nil || f.missed || len(f.unasked) > 0 {
 		return false
 	}
-	h := b.allHolders(now)
+	h := b.holdersOf(now, f.key.Destination)
 	if len(f.evidence.Answered(h.unlisted, b.incarnationOf)) < len(h.unlisted) {
 		return false
 	}
@@ -94,7 +94,7 @@
 	if now.Sub(b.started) < SettleTime {
 		return false
 	}
-	h := b.allHolders(now)
+	h := b.holdersOf(now, f.key.Destination)
 	if len(f.evidence.Unexcluded(h.unlisted, b.incarnationOf)) > 0 {
 		return false
 	}
@@ -104,7 +104,7 @@
 // recheck schedules another question to the agents that have not excluded the flow, until the caller's next packet would
 // be late anyway. A flow that was missed for longer is rechecked once.
 func (b *Balancer) recheck(now time.Time, f *flowState) bool {
-	limit := min(b.allHolders(now).joinTime+2*RecheckInterval, MaxRecheckTime)
+	limit := min(b.holdersOf(now, f.key.Destination).joinTime+2*RecheckInterval, MaxRecheckTime)
 	if f.firstMissed.Before(f.evidence.Since()) {
 		limit = RecheckInterval
 	}
@@ -124,9 +124,9 @@
 	}
 	f.unasked, f.unanswered, f.rounds = nil, nil, 0
 	if b.mayAsk(now, f) {
-		missing := f.evidence.Unanswered(b.allHolders(now).agents, b.incarnationOf)
+		missing := f.evidence.Unanswered(b.holdersOf(now, f.key.Destination).agents, b.incarnationOf)
 		if len(missing) == 0 {
-			missing = f.evidence.Unexcluded(b.allHolders(now).agents, b.incarnationOf)
+			missing = f.evidence.Unexcluded(b.holdersOf(now, f.key.Destination).agents, b.incarnationOf)
 		}
 		f.unanswered = b.knownAgents(missing)
 	}
--- a/pkg/dsr/dispatch/holders.go
+++ b/pkg/dsr/dispatch/holders.go
@@ -4,8 +4,10 @@
 	"net/netip"
 	"time"
 
+	"github.com/auburnwood/auburnwood/pkg/dsr/configuration"
 	"github.com/auburnwood/auburnwood/pkg/dsr/directory"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/routing"
 )
 
 // minJoinTime and joinMargin bound the time until a balancer has heard of every agent that has joined: two announcement
@@ -21,7 +23,13 @@
 	services map[string]bool
 	// recorded are the agents that are or were in the directory.
 	recorded map[netip.AddrPort]bool
-	// at is when the fields below were derived; zero after a change.
+	// views are the agents that may hold flows to an address; those of the zero address may hold flows to any.
+	views map[netip.AddrPort]*holderView
+}
+
+// holderView are the agents that may hold flows of some services.
+type holderView struct {
+	// at is when the view was derived.
 	at     time.Time
 	agents []netip.AddrPort
 	// unlisted are the living agents that are not in the directory since they are not known to have taken flows.
@@ -44,7 +52,7 @@
 			b.holders.recorded[a] = true
 		}
 	}
-	b.holders.at = time.Time{}
+	clear(b.holders.views)
 }
 
 // recordHolder records an announced agent in the directory. One that is not listed and whose target has not announced itself
@@ -65,7 +73,7 @@
 		h.recorded[a.addr] = true
 	}
 	if first || before != h.recorded[a.addr] || a.answersQueries != n.AnswersQueries {
-		h.at = time.Time{}
+		clear(h.views)
 	}
 	h.services[a.service] = true
 	a.answersQueries = n.AnswersQueries
@@ -77,30 +85,77 @@
 	return n.TargetEnded || n.AnswersQueries && n.State == dsrpb.State_STATE_LEAVING && n.Flows == 0 && n.RunningMs == 0
 }
 
-// allHolders returns the agents that may hold open flows, of all services: an earlier route may have led to any. Agents
-// that have left the directory stay listed until the next sweep.
-func (b *Balancer) allHolders(now time.Time) *holders {
-	h := &b.holders
-	if !h.at.IsZero() && now.Sub(h.at) < sweepInterval {
-		return h
+// holdersOf returns the agents that may hold flows to an address: those of the services to which it leads, and of all
+// services while it may have led to another one for open flows. Agents that have left the directory stay listed until the
+// next sweep.
+func (b *Balancer) holdersOf(now time.Time, destination netip.AddrPort) *holderView {
+	route := b.routes.Route(destination)
+	if route == nil || b.directory.HasMoved(destination) {
+		destination = netip.AddrPort{}
+	}
+	v := b.holders.views[destination]
+	if v != nil && now.Sub(v.at) < sweepInterval {
+		return v
 	}
-	h.at, h.agents, h.unlisted = now, nil, nil
-	h.current, h.joinTime = true, minJoinTime
-	for service := range h.services {
-		h.agents = append(h.agents, b.directory.Holders(service)...)
+	if !destination.IsValid() {
+		v = b.viewOf(now, b.holders.services)
+	} else {
+		v = b.viewOf(now, servicesOf(route))
+	}
+	b.holders.views[destination] = v
+	return v
+}
+
+// viewOf derives the agents that may hold flows of services.
+func (b *Balancer) viewOf(now time.Time, services map[string]bool) *holderView {
+	v := &holderView{at: now, current: true, joinTime: minJoinTime}
+	listed := make(map[netip.AddrPort]bool)
+	for service := range services {
+		for _, addr := range b.directory.Holders(service) {
+			if !listed[addr] {
+				v.agents, listed[addr] = append(v.agents, addr), true
+			}
+		}
 	}
 	for _, a := range b.order {
-		if !h.recorded[a.addr] && a.isAlive(now) {
-			h.unlisted = append(h.unlisted, a.addr)
+		if !b.holders.recorded[a.addr] && services[a.service] && a.isAlive(now) {
+			v.unlisted = append(v.unlisted, a.addr)
 		}
 	}
-	for _, addr := range h.agents {
+	for _, addr := range v.agents {
 		if a := b.agents[addr]; a != nil {
-			h.current = h.current && a.answersQueries
-			h.joinTime = max(h.joinTime, 2*a.interval+joinMargin)
+			v.current = v.current && a.answersQueries
+			v.joinTime = max(v.joinTime, 2*a.interval+joinMargin)
+		}
+	}
+	return v
+}
+
+// servicesOf returns the services to which a route leads.
+func servicesOf(route *configuration.Route) map[string]bool {
+	services := make(map[string]bool, len(route.Shares))
+	for _, share := range route.Shares {
+		services[share.Service] = true
+	}
+	return services
+}
+
+// recordMoved records the addresses that no longer lead to one of their services under a new configuration: their open
+// flows stay where they are.
+func (b *Balancer) recordMoved(now time.Time, next *routing.Table) {
+	for _, route := range b.routes.Routes() {
+		var services map[string]bool
+		if route := next.Route(route.Destination); route != nil {
+			services = servicesOf(route)
+		}
+		for _, share := range route.Shares {
+			if !services[share.Service] {
+				b.directory.RecordMoved(now, route.Destination)
+				break
+			}
 		}
 	}
-	return h
+	clear(b.holders.views)
 }
 
 // incarnationOf returns the incarnation of an agent; false when it has not announced itself.
--- a/pkg/dsr/dispatch/search.go
+++ b/pkg/dsr/dispatch/search.go
@@ -38,7 +38,7 @@
 func (b *Balancer) searchHeld(now time.Time, f *flowState) {
 	f.phase, f.undetermined, f.unanswered, f.widened = locating, nil, nil, false
 	b.question++
-	f.question, f.evidence = b.question, b.newEvidence(now)
+	f.question, f.evidence = b.question, b.newEvidence(now, f.key.Destination)
 	f.group.probed, f.missed = nil, false
 	f.unasked, f.step = b.likelyOwners(f), SearchInitialAgents
 	if f.evidence != nil && b.mayAsk(now, f) && !b.maySearch(now) {
@@ -147,7 +147,7 @@
 // ownerNotFound continues when no agent that was asked holds the flow: first with all other agents, since an older
 // route may have led to them, then by probing the agents that cannot tell.
 func (b *Balancer) ownerNotFound(now time.Time, f *flowState) {
-	if b.widen(now, f) {
+	if (f.evidence == nil || b.directory.HasMoved(f.key.Destination)) && b.widen(now, f) {
 		return
 	}
 	if now.Sub(f.lastProbe) > ProbeWindow {
--- a/pkg/dsr/routing/table.go
+++ b/pkg/dsr/routing/table.go
@@ -97,6 +97,14 @@
 	return len(regions) == 0 || slices.Contains(regions, region)
 }
 
+// Routes returns all routes, unordered; none for a nil table.
+func (t *Table) Routes() []configuration.Route {
+	if t == nil {
+		return nil
+	}
+	return t.configuration.Routes
+}
+
 func (t *Table) Len() int {
 	if t == nil {
 		return 0
--- a/pkg/dsrd/balancer_directory.go
+++ b/pkg/dsrd/balancer_directory.go
@@ -1,7 +1,6 @@
 package dsrd
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/directory"
@@ -18,7 +17,7 @@
 		scope:       b.scope,
 		shouldWrite: b.writesDirectory,
 		revision:    b.directoryRevision,
-		agents:      b.directoryAgents,
+		list:        b.directoryList,
 		load:        func(s directory.Snapshot) { b.loadDirectory(s, time.Time{}) },
 	}
 }
@@ -62,10 +61,12 @@
 	return b.core.Directory().Revision()
 }
 
-func (b *Balancer) directoryAgents() (agents map[string][]netip.AddrPort, revision uint64) {
+// directoryList returns the list to be stored, which is complete at the given time, and the revision of its content.
+func (b *Balancer) directoryList(at time.Time) (l directory.List, revision uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.core.Directory().Agents(), b.core.Directory().Revision()
+	d := b.core.Directory()
+	return directory.NewList(at, d.Agents(), d.Moved()), d.Revision()
 }
 
 // reportDirectory updates the metrics of the directory, and logs when it becomes complete. b.mu is held.
--- a/pkg/dsrd/directory_test.go
+++ b/pkg/dsrd/directory_test.go
@@ -97,10 +97,10 @@
 			defer b.mu.Unlock()
 			return b.d.Revision()
 		},
-		agents: func() (map[string][]netip.AddrPort, uint64) {
+		list: func(at time.Time) (directory.List, uint64) {
 			b.mu.Lock()
 			defer b.mu.Unlock()
-			return b.d.Agents(), b.d.Revision()
+			return directory.NewList(at, b.d.Agents(), b.d.Moved()), b.d.Revision()
 		},
 		load: b.load,
 	}
@@ -367,7 +367,9 @@
 		d.Record(time.Now(), "hub", directoryAgent(1))
 		w := &directoryWriter{
 			store: s, log: zerolog.Nop(), scope: tally.NoopScope, shouldWrite: func(time.Time) bool { return true },
-			revision: d.Revision, agents: func() (map[string][]netip.AddrPort, uint64) { return d.Agents(), d.Revision() },
+			revision: d.Revision, list: func(at time.Time) (directory.List, uint64) {
+				return directory.NewList(at, d.Agents(), d.Moved()), d.Revision()
+			},
 			load: func(s directory.Snapshot) { d.Load(time.Now(), s) },
 		}
 		pass := func(after time.Duration) uint64 {
--- a/pkg/dsrd/directory_writer.go
+++ b/pkg/dsrd/directory_writer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/netip"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -36,9 +35,9 @@
 	scope tally.Scope
 	// shouldWrite reports whether this balancer writes: only one that knows all agents may.
 	shouldWrite func(now time.Time) bool
-	// revision is that of the agents; agents returns them with it; load adds those that another balancer has written.
+	// revision is that of the directory; list returns its content with it; load adds what another balancer has written.
 	revision func() uint64
-	agents   func() (map[string][]netip.AddrPort, uint64)
+	list     func(at time.Time) (directory.List, uint64)
 	load     func(directory.Snapshot)
 
 	// stored is what the object API holds, valid while known is set. written is the revision of the agents that were last
@@ -114,18 +113,17 @@
 	before := w.stored.list.Digest
 	w.stored, w.known, w.readAt = storedDirectoryOf(objects, w.log), true, now
 	if w.stored.list.Digest != before {
-		w.load(directory.Snapshot{Agents: w.stored.list.Agents})
+		w.load(directory.Snapshot{Agents: w.stored.list.Agents, Moved: w.stored.list.Moved})
 	}
-	agents, revision := w.agents()
+	list, revision := w.list(now)
 	w.written = revision
-	w.differs = w.stored.listVersion == 0 || directory.NewList(time.Time{}, agents).Digest != w.stored.list.Digest
+	w.differs = w.stored.listVersion == 0 || list.Digest != w.stored.list.Digest
 	w.listWritten, w.confirmed = time.Time{}, time.Time{}
 	return nil
 }
 
 func (w *directoryWriter) writeList(ctx context.Context, now time.Time) error {
-	agents, revision := w.agents()
-	list := directory.NewList(now, agents)
+	list, revision := w.list(now)
 	version, err := w.write(ctx, directoryListName, w.stored.listVersion, list.Encode())
 	if err != nil {
 		return err
