The wait before a reset follows how joining agents announce themselves

It was twice the interval between announcements of known agents: 3 s with 67 agents, longer than callers wait. An agent that joins announces itself to a balancer that has not answered every 50 ms, and not above 1,000 a second for all, so that 600 ms, 2 ms for each agent above 300, cover a lost one.

Run: go test ./pkg/dsr/dispatch ./internal/archtest: ok.

--- a/pkg/dsr/dispatch/holders.go
+++ b/pkg/dsr/dispatch/holders.go
@@ -6,14 +6,13 @@
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/directory"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/roster"
 )
 
-// minJoinTime and joinMargin bound the time until a balancer has heard of every agent that has joined: two announcement
-// intervals and a margin.
-const (
-	minJoinTime = SettleTime
-	joinMargin  = 100 * time.Millisecond
-)
+// joinTimePerAgent is how much longer a balancer may not have heard of an agent that has joined, for each agent, beyond
+// SettleTime at least: an agent announces itself to a balancer that has not answered at roster.EagerRate for all balancers,
+// of which there are no more than agents, and one announcement may be lost.
+const joinTimePerAgent = 2 * time.Second / roster.EagerRate
 
 // holders are the agents that may hold open flows, as derived from the directory.
 type holders struct {
@@ -82,7 +81,7 @@
 		return h
 	}
 	h.at, h.agents, h.unlisted = now, nil, nil
-	h.current, h.joinTime = true, minJoinTime
+	h.current = true
 	for service := range h.services {
 		h.agents = append(h.agents, b.directory.Holders(service)...)
 	}
@@ -94,9 +93,9 @@
 	for _, addr := range h.agents {
 		if a := b.agents[addr]; a != nil {
 			h.current = h.current && a.answersQueries
-			h.joinTime = max(h.joinTime, 2*a.interval+joinMargin)
 		}
 	}
+	h.joinTime = max(SettleTime, time.Duration(len(h.agents))*joinTimePerAgent)
 	return h
 }
 
