--- a/pkg/dsr/directory/codec.go
+++ b/pkg/dsr/directory/codec.go
@@ -23,6 +23,8 @@
 	errFormat = errors.New("unknown format")
 	// errTruncated is returned for a list or stamp that ends early.
 	errTruncated = errors.New("truncated")
+	// errTrailing is returned for a list that goes on after its end.
+	errTrailing = errors.New("trailing bytes")
 	// errAddress is returned for an agent without a usable address.
 	errAddress = errors.New("address is not usable")
 )
@@ -33,9 +35,9 @@
 	At time.Time
 	// Agents are the agents of each service.
 	Agents map[string][]netip.AddrPort
-	// Moved are the addresses that led to another service within MaxFlowAge.
-	Moved []netip.AddrPort
-	// Digest identifies the agents and the moved addresses.
+	// FormerRoutes are the addresses that led to each service within MaxFlowAge and do no more.
+	FormerRoutes map[string][]netip.AddrPort
+	// Digest identifies the agents and the former routes.
 	Digest uint64
 }
 
@@ -48,17 +50,17 @@
 }
 
 // NewList returns a list with its digest.
-func NewList(at time.Time, agents map[string][]netip.AddrPort, moved []netip.AddrPort) List {
-	l := List{At: at, Agents: agents, Moved: moved}
+func NewList(at time.Time, agents, formerRoutes map[string][]netip.AddrPort) List {
+	l := List{At: at, Agents: agents, FormerRoutes: formerRoutes}
 	l.Digest = digest(l.appendContent(nil))
 	return l
 }
 
-// Encode encodes the list: 18 bytes for each agent and each moved address, and the names of the services.
+// Encode encodes the list: 18 bytes for each agent and each former route, and the names of the services.
 func (l List) Encode() []byte { return l.appendContent(appendHeader(nil, l.At)) }
 
 func (l List) appendContent(b []byte) []byte {
-	return appendAgents(appendAddresses(b, l.Moved), l.Agents)
+	return appendServices(appendServices(b, l.FormerRoutes), l.Agents)
 }
 
 // Encode encodes the stamp.
@@ -73,15 +75,14 @@
 		return List{}, err
 	}
 	l := List{At: at, Digest: digest(rest)}
-	row, rest, err := readCounted(rest, wire.AddrSize)
-	if err != nil {
+	if l.FormerRoutes, rest, err = readServices(rest); err != nil {
 		return List{}, err
 	}
-	if l.Moved, err = readAddresses(row); err != nil {
+	if l.Agents, rest, err = readServices(rest); err != nil {
 		return List{}, err
 	}
-	if l.Agents, err = readAgents(rest); err != nil {
-		return List{}, err
+	if len(rest) > 0 {
+		return List{}, errTrailing
 	}
 	return l, nil
 }
@@ -112,12 +113,14 @@
 	return time.UnixMilli(int64(binary.BigEndian.Uint64(b[1:headerSize]))), b[headerSize:], nil
 }
 
-// appendAgents appends the services in the order of their names, so that equal lists have equal encodings.
-func appendAgents(b []byte, agents map[string][]netip.AddrPort) []byte {
-	for _, service := range slices.Sorted(maps.Keys(agents)) {
+// appendServices appends the number of services and each with its addresses, in the order of their names, so that equal
+// lists have equal encodings.
+func appendServices(b []byte, services map[string][]netip.AddrPort) []byte {
+	b = binary.AppendUvarint(b, uint64(len(services)))
+	for _, service := range slices.Sorted(maps.Keys(services)) {
 		b = binary.AppendUvarint(b, uint64(len(service)))
 		b = append(b, service...)
-		b = appendAddresses(b, agents[service])
+		b = appendAddresses(b, services[service])
 	}
 	return b
 }
@@ -131,25 +134,31 @@
 	return b
 }
 
-func readAgents(b []byte) (map[string][]netip.AddrPort, error) {
-	agents := make(map[string][]netip.AddrPort)
-	for len(b) > 0 {
+// readServices reads what appendServices appends, and returns the rest.
+func readServices(b []byte) (services map[string][]netip.AddrPort, rest []byte, err error) {
+	n, read := binary.Uvarint(b)
+	if read <= 0 || n > uint64(len(b)) {
+		return nil, nil, errTruncated
+	}
+	b = b[read:]
+	services = make(map[string][]netip.AddrPort)
+	for range n {
 		name, rest, err := readCounted(b, 1)
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		row, rest, err := readCounted(rest, wire.AddrSize)
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		addresses, err := readAddresses(row)
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
-		agents[string(name)] = append(agents[string(name)], addresses...)
+		services[string(name)] = append(services[string(name)], addresses...)
 		b = rest
 	}
-	return agents, nil
+	return services, b, nil
 }
 
 // readCounted reads a number of elements of a size, which their number precedes.
--- a/pkg/dsr/directory/codec_test.go
+++ b/pkg/dsr/directory/codec_test.go
@@ -15,15 +15,15 @@
 		service := "service-" + string(rune('a'+i%26))
 		agents[service] = append(agents[service], address(i))
 	}
-	return NewList(start, agents, []netip.AddrPort{address(1), address(2)})
+	return NewList(start, agents, map[string][]netip.AddrPort{"hub": {address(1), address(2)}})
 }
 
 func TestListAndStampAreReadAsWritten(t *testing.T) {
-	for _, list := range []List{NewList(start, map[string][]netip.AddrPort{}, []netip.AddrPort{}), large()} {
+	for _, list := range []List{NewList(start, map[string][]netip.AddrPort{}, map[string][]netip.AddrPort{}), large()} {
 		read, err := DecodeList(list.Encode())
 		require.NoError(t, err)
 		require.Equal(t, list.Agents, read.Agents)
-		require.Equal(t, list.Moved, read.Moved)
+		require.Equal(t, list.FormerRoutes, read.FormerRoutes)
 		require.True(t, read.At.Equal(list.At))
 		require.Equal(t, list.Digest, read.Digest)
 	}
@@ -55,17 +55,17 @@
 }
 
 func FuzzDecodeList(f *testing.F) {
-	f.Add(NewList(start, map[string][]netip.AddrPort{"hub": {address(1), address(2)}}, []netip.AddrPort{address(3)}).Encode())
+	f.Add(NewList(start, map[string][]netip.AddrPort{"hub": {address(1), address(2)}}, map[string][]netip.AddrPort{"depot": {address(3)}}).Encode())
 	f.Add([]byte{format})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		list, err := DecodeList(b)
 		if err != nil {
 			return
 		}
-		again, err := DecodeList(NewList(list.At, list.Agents, list.Moved).Encode())
+		again, err := DecodeList(NewList(list.At, list.Agents, list.FormerRoutes).Encode())
 		require.NoError(t, err)
 		require.Equal(t, list.Agents, again.Agents)
-		require.Equal(t, list.Moved, again.Moved)
+		require.Equal(t, list.FormerRoutes, again.FormerRoutes)
 		New(start, false).Load(start, Snapshot{Agents: list.Agents})
 	})
 }
--- a/pkg/dsr/directory/directory.go
+++ b/pkg/dsr/directory/directory.go
@@ -10,6 +10,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -23,6 +24,12 @@
 	MaxSilence = 30 * time.Minute
 )
 
+// formerRoute is an address with a service to which it no longer leads.
+type formerRoute struct {
+	address netip.AddrPort
+	service string
+}
+
 // Directory lists the agents of each service. It is not safe for concurrent use.
 type Directory struct {
 	started time.Time
@@ -31,9 +38,9 @@
 	agents map[netip.AddrPort]*holder
 	// ended are the agents whose targets have ended, with the time until which a stored list may still name them.
 	ended map[netip.AddrPort]time.Time
-	// moved are the addresses that led to another service, with the time until which flows of before may be open.
-	moved map[netip.AddrPort]time.Time
-	// revision rises with each change of what Agents or Moved returns.
+	// formerRoutes are the routes of before, with the time until which their flows may be open.
+	formerRoutes map[formerRoute]time.Time
+	// revision rises with each change of what Agents or FormerRoutes returns.
 	revision uint64
 }
 
@@ -42,8 +49,8 @@
 func New(started time.Time, first bool) *Directory {
 	return &Directory{
 		started: started, loaded: first, agents: make(map[netip.AddrPort]*holder),
-		ended: make(map[netip.AddrPort]time.Time),
-		moved: make(map[netip.AddrPort]time.Time),
+		ended:        make(map[netip.AddrPort]time.Time),
+		formerRoutes: make(map[formerRoute]time.Time),
 	}
 }
 
@@ -90,32 +97,52 @@
 	}
 }
 
-// RecordMoved notes that an address no longer leads to one of its services. Flows of before may be open there.
-func (d *Directory) RecordMoved(now time.Time, address netip.AddrPort) {
-	if _, known := d.moved[address]; !known {
+// RecordFormerService notes that an address no longer leads to a service. Flows of before may be open there.
+func (d *Directory) RecordFormerService(now time.Time, address netip.AddrPort, service string) {
+	r := formerRoute{address: address, service: strings.Clone(service)}
+	if _, known := d.formerRoutes[r]; !known {
 		d.revision++
 	}
-	d.moved[address] = now.Add(MaxFlowAge)
+	d.formerRoutes[r] = now.Add(MaxFlowAge)
 }
 
-// HasMoved reports whether flows to an address may be open at a service to which it no longer leads.
-func (d *Directory) HasMoved(address netip.AddrPort) bool {
-	_, moved := d.moved[address]
-	return moved
+// FormerServices returns the services to which an address led while flows that may be open began.
+func (d *Directory) FormerServices(address netip.AddrPort) []string {
+	var out []string
+	for r := range d.formerRoutes {
+		if r.address == address {
+			out = append(out, r.service)
+		}
+	}
+	return out
 }
 
-// Moved returns the addresses of which HasMoved is true, in their order.
-func (d *Directory) Moved() []netip.AddrPort {
-	return slices.SortedFunc(maps.Keys(d.moved), netip.AddrPort.Compare)
+// FormerRoutes returns the addresses that led to each service, as FormerServices does, in their order.
+func (d *Directory) FormerRoutes() map[string][]netip.AddrPort {
+	out := make(map[string][]netip.AddrPort)
+	for r := range d.formerRoutes {
+		out[r.service] = append(out[r.service], r.address)
+	}
+	for _, addresses := range out {
+		slices.SortFunc(addresses, netip.AddrPort.Compare)
+	}
+	return out
 }
 
-// Load adds the agents and the moved addresses of a snapshot.
-func (d *Directory) Load(now time.Time, s Snapshot) {
-	for _, a := range s.Moved {
-		if !d.HasMoved(a) {
-			d.RecordMoved(now, a)
+// loadFormerRoutes adds the former routes of a snapshot, as if they had been changed now.
+func (d *Directory) loadFormerRoutes(now time.Time, former map[string][]netip.AddrPort) {
+	for service, addresses := range former {
+		for _, a := range addresses {
+			if _, known := d.formerRoutes[formerRoute{address: a, service: service}]; !known {
+				d.RecordFormerService(now, a, service)
+			}
 		}
 	}
+}
+
+// Load adds the agents and the former routes of a snapshot.
+func (d *Directory) Load(now time.Time, s Snapshot) {
+	d.loadFormerRoutes(now, s.FormerRoutes)
 	for service, agents := range s.Agents {
 		for _, a := range agents {
 			d.loadAgent(now, service, a)
@@ -146,9 +173,9 @@
 // Expire removes the agents, and the former services of agents, that can hold no flow any more. It looks at all agents.
 func (d *Directory) Expire(now time.Time) {
 	maps.DeleteFunc(d.ended, func(_ netip.AddrPort, until time.Time) bool { return !now.Before(until) })
-	for a, until := range d.moved {
+	for r, until := range d.formerRoutes {
 		if !now.Before(until) {
-			delete(d.moved, a)
+			delete(d.formerRoutes, r)
 			d.revision++
 		}
 	}
@@ -206,5 +233,5 @@
 // Len returns the number of listed agents.
 func (d *Directory) Len() int { return len(d.agents) }
 
-// Revision rises with each change of what Agents or Moved returns.
+// Revision rises with each change of what Agents or FormerRoutes returns.
 func (d *Directory) Revision() uint64 { return d.revision }
--- a/pkg/dsr/dispatch/balancer.go
+++ b/pkg/dsr/dispatch/balancer.go
@@ -117,7 +117,7 @@
 	if b.routes != nil && t.Version() <= b.routes.Version() {
 		return false
 	}
-	b.recordMoved(now, t)
+	b.recordFormerServices(now, t)
 	b.routes = t
 	b.retryParked(now, true)
 	return true
--- a/pkg/dsr/dispatch/holders.go
+++ b/pkg/dsr/dispatch/holders.go
@@ -7,15 +7,14 @@
 	"github.com/auburnwood/auburnwood/pkg/dsr/configuration"
 	"github.com/auburnwood/auburnwood/pkg/dsr/directory"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/roster"
 	"github.com/auburnwood/auburnwood/pkg/dsr/routing"
 )
 
-// minJoinTime and joinMargin bound the time until a balancer has heard of every agent that has joined: two announcement
-// intervals and a margin.
-const (
-	minJoinTime = SettleTime
-	joinMargin  = 100 * time.Millisecond
-)
+// joinTimePerAgent is how much longer a balancer may not have heard of an agent that has joined, for each agent, beyond
+// SettleTime at least: an agent announces itself to a balancer that has not answered at roster.EagerRate for all balancers,
+// of which there are no more than agents, and one announcement may be lost.
+const joinTimePerAgent = 2 * time.Second / roster.EagerRate
 
 // holders are the agents that may hold open flows, as derived from the directory.
 type holders struct {
@@ -85,30 +84,34 @@
 	return n.TargetEnded || n.AnswersQueries && n.State == dsrpb.State_STATE_LEAVING && n.Flows == 0 && n.RunningMs == 0
 }
 
-// holdersOf returns the agents that may hold flows to an address: those of the services to which it leads, and of all
-// services while it may have led to another one for open flows. Agents that have left the directory stay listed until the
-// next sweep.
+// holdersOf returns the agents that may hold flows to an address: those of the services to which it leads, or led for flows
+// that may be open. Agents that have left the directory stay listed until the next sweep.
 func (b *Balancer) holdersOf(now time.Time, destination netip.AddrPort) *holderView {
-	route := b.routes.Route(destination)
-	if route == nil || b.directory.HasMoved(destination) {
-		destination = netip.AddrPort{}
-	}
 	v := b.holders.views[destination]
 	if v != nil && now.Sub(v.at) < sweepInterval {
 		return v
 	}
-	if !destination.IsValid() {
-		v = b.viewOf(now, b.holders.services)
-	} else {
-		v = b.viewOf(now, servicesOf(route))
-	}
+	v = b.viewOf(now, b.holdingServices(destination))
 	b.holders.views[destination] = v
 	return v
 }
 
+// holdingServices returns the services whose targets may hold flows to an address. Of one without a route any may.
+func (b *Balancer) holdingServices(destination netip.AddrPort) map[string]bool {
+	route := b.routes.Route(destination)
+	if route == nil {
+		return b.holders.services
+	}
+	services := servicesOf(route)
+	for _, service := range b.directory.FormerServices(destination) {
+		services[service] = true
+	}
+	return services
+}
+
 // viewOf derives the agents that may hold flows of services.
 func (b *Balancer) viewOf(now time.Time, services map[string]bool) *holderView {
-	v := &holderView{at: now, current: true, joinTime: minJoinTime}
+	v := &holderView{at: now, current: true}
 	listed := make(map[netip.AddrPort]bool)
 	for service := range services {
 		for _, addr := range b.directory.Holders(service) {
@@ -125,9 +128,9 @@
 	for _, addr := range v.agents {
 		if a := b.agents[addr]; a != nil {
 			v.current = v.current && a.answersQueries
-			v.joinTime = max(v.joinTime, 2*a.interval+joinMargin)
 		}
 	}
+	v.joinTime = max(SettleTime, time.Duration(len(v.agents))*joinTimePerAgent)
 	return v
 }
 
@@ -140,18 +143,17 @@
 	return services
 }
 
-// recordMoved records the addresses that no longer lead to one of their services under a new configuration: their open
-// flows stay where they are.
-func (b *Balancer) recordMoved(now time.Time, next *routing.Table) {
-	for _, route := range b.routes.Routes() {
+// recordFormerServices records the services to which addresses no longer lead under a new configuration: their open flows
+// stay there.
+func (b *Balancer) recordFormerServices(now time.Time, next *routing.Table) {
+	for _, before := range b.routes.Routes() {
 		var services map[string]bool
-		if route := next.Route(route.Destination); route != nil {
-			services = servicesOf(route)
+		if after := next.Route(before.Destination); after != nil {
+			services = servicesOf(after)
 		}
-		for _, share := range route.Shares {
+		for _, share := range before.Shares {
 			if !services[share.Service] {
-				b.directory.RecordMoved(now, route.Destination)
-				break
+				b.directory.RecordFormerService(now, before.Destination, share.Service)
 			}
 		}
 	}
--- a/pkg/dsr/dispatch/probe.go
+++ b/pkg/dsr/dispatch/probe.go
@@ -10,11 +10,14 @@
 )
 
 // mayProbe reports whether the agent may be sent a packet of a flow that its target may not hold: its service must be
-// on the route of the address, and its region allowed.
+// one to which the address leads, or led while flows that may be open began, and its region allowed.
 func (b *Balancer) mayProbe(a netip.AddrPort, destination netip.AddrPort) bool {
 	known := b.agents[a]
 	route := b.routes.Route(destination)
-	return known != nil && routeIncludes(route, known) && b.routes.Regions(route, known.service).Allow(known.region)
+	if known == nil || route == nil || !b.holdingServices(destination)[known.service] {
+		return false
+	}
+	return b.routes.Regions(route, known.service).Allow(known.region)
 }
 
 // incarnationStart returns when the agent's current incarnation started, as far as the balancer knows.
--- a/pkg/dsr/dispatch/search.go
+++ b/pkg/dsr/dispatch/search.go
@@ -50,19 +50,15 @@
 	b.askMore(now, f)
 }
 
-// likelyOwners returns the agents of the services on the flow's route, in the order in which the flow is offered to
-// them when all targets are free.
+// likelyOwners returns the agents of the services that may hold flows to the flow's address, in the order in which the flow
+// is offered to them when all targets are free.
 func (b *Balancer) likelyOwners(f *flowState) []netip.AddrPort {
-	route := b.routes.Route(f.key.Destination)
-	if route == nil {
+	if b.routes.Route(f.key.Destination) == nil {
 		return nil
 	}
 	var agents []*agent
-	for i, share := range route.Shares {
-		named := slices.ContainsFunc(route.Shares[:i], func(s configuration.Share) bool { return s.Service == share.Service })
-		if !named {
-			agents = append(agents, b.services[share.Service]...)
-		}
+	for service := range b.holdingServices(f.key.Destination) {
+		agents = append(agents, b.services[service]...)
 	}
 	slices.SortFunc(agents, func(x, y *agent) int {
 		return cmp.Or(
@@ -147,7 +143,7 @@
 // ownerNotFound continues when no agent that was asked holds the flow: first with all other agents, since an older
 // route may have led to them, then by probing the agents that cannot tell.
 func (b *Balancer) ownerNotFound(now time.Time, f *flowState) {
-	if (f.evidence == nil || b.directory.HasMoved(f.key.Destination)) && b.widen(now, f) {
+	if f.evidence == nil && b.widen(now, f) {
 		return
 	}
 	if now.Sub(f.lastProbe) > ProbeWindow {
--- a/pkg/dsrd/balancer_directory.go
+++ b/pkg/dsrd/balancer_directory.go
@@ -66,7 +66,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	d := b.core.Directory()
-	return directory.NewList(at, d.Agents(), d.Moved()), d.Revision()
+	return directory.NewList(at, d.Agents(), d.FormerRoutes()), d.Revision()
 }
 
 // reportDirectory updates the metrics of the directory, and logs when it becomes complete. b.mu is held.
--- a/pkg/dsrd/directory_writer.go
+++ b/pkg/dsrd/directory_writer.go
@@ -113,7 +113,7 @@
 	before := w.stored.list.Digest
 	w.stored, w.known, w.readAt = storedDirectoryOf(objects, w.log), true, now
 	if w.stored.list.Digest != before {
-		w.load(directory.Snapshot{Agents: w.stored.list.Agents, Moved: w.stored.list.Moved})
+		w.load(directory.Snapshot{Agents: w.stored.list.Agents, FormerRoutes: w.stored.list.FormerRoutes})
 	}
 	list, revision := w.list(now)
 	w.written = revision
