Answers about a flow stay valid across searches

Each packet of a lost flow began a new search that asked everyone again, up to 14 times at intervals of 50 ms; the budget was used up, answers came too late, and nothing was ever decided.

A target that did not hold an open flow when its first unclaimed packet came cannot hold it later, so answers are kept for the flow, and only missing ones are asked for, 50 ms and then 200 ms apart. The budget is 1,000 messages a second (500 before), now that one message asks about many flows.

--- a/pkg/dsr/dispatch/balancer.go
+++ b/pkg/dsr/dispatch/balancer.go
@@ -49,9 +49,10 @@
 	probeWindows   []due
 	secondSearches []due
 	parkedFlows    []due
-	// rechecks are the flows of which agents are asked once more.
-	rechecks  []due
-	lastSweep time.Time
+	// rechecks and slowRechecks are the flows about which is decided once more.
+	rechecks     []due
+	slowRechecks []due
+	lastSweep    time.Time
 	// searchBudget is the number of messages that searches may send, as of searchBudgetAt.
 	searchBudget   float64
 	searchBudgetAt time.Time
--- a/pkg/dsr/dispatch/certainty.go
+++ b/pkg/dsr/dispatch/certainty.go
@@ -12,13 +12,20 @@
 	"github.com/auburnwood/auburnwood/pkg/refusal"
 )
 
-// newEvidence returns the evidence of a new search, nil unless the answers can decide: every agent that may hold flows
-// must be known, and answer with the number of the question.
-func (b *Balancer) newEvidence(now time.Time, destination netip.AddrPort) *evidence.Search {
-	if !b.directory.Complete(now) || !b.holdersOf(now, destination).current {
-		return nil
+// startEvidence begins a search for the owner of a flow. What agents have answered since the flow's first unclaimed packet
+// stays valid: a flow that was open then cannot come to a target that did not hold it. There is no evidence unless the answers
+// can decide: every agent that may hold flows must be known, and answer with the number of the question.
+func (b *Balancer) startEvidence(now time.Time, f *flowState) {
+	f.searchedAt = now
+	if !b.directory.Complete(now) || !b.holdersOf(now, f.key.Destination).current {
+		f.evidence = nil
+	} else if f.evidence == nil {
+		f.evidence = evidence.New(now)
+	} else {
+		return
 	}
-	return evidence.New(now)
+	b.question++
+	f.question = b.question
 }
 
 // recordEvidence records an agent's answer to a question of the current search.
@@ -59,7 +66,7 @@
 		b.resetGone(now, f)
 		return true
 	}
-	return b.recheck(now, f)
+	return b.recheck(now, f, verdict)
 }
 
 // isDecided reports whether the answers decide, so that the search need not wait for agents that hold no flows.
@@ -101,22 +108,29 @@
 	return now.Sub(f.firstMissed) >= h.joinTime
 }
 
-// recheck schedules another question to the agents that have not excluded the flow, until the caller's next packet would
-// be late anyway. A flow that was missed for longer is rechecked once.
-func (b *Balancer) recheck(now time.Time, f *flowState) bool {
+// recheck schedules the next decision, until the caller's next packet would be late anyway. A flow that was missed for
+// longer is rechecked once. While answers are missing, further questions are rare: many flows are searched for at once, and
+// questions beyond the budget would delay the answers about all of them.
+func (b *Balancer) recheck(now time.Time, f *flowState, verdict evidence.Verdict) bool {
 	limit := min(b.holdersOf(now, f.key.Destination).joinTime+2*RecheckInterval, MaxRecheckTime)
-	if f.firstMissed.Before(f.evidence.Since()) {
+	if f.firstMissed.Before(f.searchedAt) {
 		limit = RecheckInterval
 	}
-	if len(f.held) == 0 || now.Sub(f.evidence.Since()) > limit {
+	if len(f.held) == 0 || now.Sub(f.searchedAt) > limit {
 		return false
 	}
 	f.phase, f.since = locating, now
-	b.rechecks = append(b.rechecks, due{flow: f, at: now.Add(RecheckInterval), phaseStart: now})
+	if verdict == evidence.Gone || !f.rechecked {
+		b.rechecks = append(b.rechecks, due{flow: f, at: now.Add(RecheckInterval), phaseStart: now})
+	} else {
+		b.slowRechecks = append(b.slowRechecks, due{flow: f, at: now.Add(SlowRecheckInterval), phaseStart: now})
+	}
+	f.rechecked = verdict != evidence.Gone
 	return true
 }
 
-// recheckDue asks the agents that have not answered once more; when all have, those that could not tell.
+// recheckDue decides again. Agents whose answers are missing are asked once more, and those that could not tell once none
+// is missing.
 func (b *Balancer) recheckDue(now time.Time, d due) {
 	f := d.flow
 	if f.phase != locating || f.evidence == nil || !d.phaseStart.Equal(f.since) {
@@ -124,11 +138,7 @@
 	}
 	f.unasked, f.unanswered, f.rounds = nil, nil, 0
 	if b.mayAsk(now, f) {
-		missing := f.evidence.Unanswered(b.holdersOf(now, f.key.Destination).agents, b.incarnationOf)
-		if len(missing) == 0 {
-			missing = f.evidence.Unexcluded(b.holdersOf(now, f.key.Destination).agents, b.incarnationOf)
-		}
-		f.unanswered = b.knownAgents(missing)
+		f.unanswered = b.knownAgents(b.toAsk(now, f))
 	}
 	if len(f.unanswered) == 0 {
 		b.ownerNotFound(now, f)
@@ -137,6 +147,16 @@
 	b.askAgain(now, f)
 }
 
+// toAsk returns the agents whose answers are missing, or else those that have not excluded the flow.
+func (b *Balancer) toAsk(now time.Time, f *flowState) []netip.AddrPort {
+	v := b.holdersOf(now, f.key.Destination)
+	all := append(slices.Clone(v.unlisted), v.agents...)
+	if missing := f.evidence.Unanswered(all, b.incarnationOf); len(missing) > 0 {
+		return missing
+	}
+	return f.evidence.Unexcluded(all, b.incarnationOf)
+}
+
 // knownAgents returns the addresses whose agents have announced themselves.
 func (b *Balancer) knownAgents(list []netip.AddrPort) []netip.AddrPort {
 	var out []netip.AddrPort
--- a/pkg/dsr/dispatch/config.go
+++ b/pkg/dsr/dispatch/config.go
@@ -22,7 +22,7 @@
 	// SearchMessagesPerSecond and SearchBurst limit the messages of searches by one balancer, since a search asks every
 	// agent of a service and anybody can send packets of flows that do not exist. The rate is what the smallest VMs can
 	// bear, the burst covers the open flows that a balancer takes over from one that left.
-	SearchMessagesPerSecond = 500
+	SearchMessagesPerSecond = 1000
 	SearchBurst             = 2000
 	// SettleTime is the time until a balancer that has started knows every agent, and until every balancer knows an
 	// agent that has joined: two announcement intervals and a margin for a lost one. Until then no target is probed.
@@ -60,7 +60,10 @@
 	// RecheckInterval is the time between two questions to agents that have not excluded a flow, while they start or
 	// messages were lost. MaxRecheckTime bounds the time for which they are asked: then the caller gives up.
 	RecheckInterval = 50 * time.Millisecond
-	MaxRecheckTime  = 1200 * time.Millisecond
+	// SlowRecheckInterval is the time between two such questions after the first: as long as until the caller's next
+	// retransmission.
+	SlowRecheckInterval = 200 * time.Millisecond
+	MaxRecheckTime      = 1200 * time.Millisecond
 	// StartedTogetherWindow is how far apart agents may start that were stopped by the same failure.
 	StartedTogetherWindow = 2 * time.Second
 	// MaxFreeTries is the number of agents that are asked for a free slot for one new flow, MaxQueueTries for a place
--- a/pkg/dsr/dispatch/flow_state.go
+++ b/pkg/dsr/dispatch/flow_state.go
@@ -103,11 +103,15 @@
 	retried bool
 	// probed are all agents that were sent a probe.
 	probed []netip.AddrPort
-	// question is the number of the current search, evidence what it has proved; nil when not all agents are known.
+	// searchedAt is when the current search began.
+	searchedAt time.Time
+	// question is the number that answers repeat, evidence what they prove; nil when not all agents are known.
 	question uint32
 	evidence *evidence.Search
 	// missed is set once the current search has ended without an owner.
 	missed bool
+	// rechecked is set once agents were asked again in the current search.
+	rechecked bool
 	// group is the state of probes in groups.
 	group probeGroup
 	// gone is set once the flow was reset since no target holds it.
--- a/pkg/dsr/dispatch/probe_group.go
+++ b/pkg/dsr/dispatch/probe_group.go
@@ -74,7 +74,7 @@
 	f.group.step *= ProbeGrowth
 	f.group.probed = append(f.group.probed, group...)
 	f.group.outstanding = append(f.group.outstanding, group...)
-	f.phase, f.since = probing, now
+	f.phase, f.since, f.lastProbe = probing, now, now
 	b.groupProbes.left -= float64(n)
 	b.probes = append(b.probes, due{flow: f, at: now.Add(b.probeTimeout()), phaseStart: now})
 	for _, a := range group {
--- a/pkg/dsr/dispatch/search.go
+++ b/pkg/dsr/dispatch/search.go
@@ -37,10 +37,15 @@
 // searchHeld starts a search for the owner of the held packets.
 func (b *Balancer) searchHeld(now time.Time, f *flowState) {
 	f.phase, f.undetermined, f.unanswered, f.widened = locating, nil, nil, false
-	b.question++
-	f.question, f.evidence = b.question, b.newEvidence(now, f.key.Destination)
-	f.group.probed, f.missed = nil, false
+	b.startEvidence(now, f)
+	f.missed, f.rechecked = false, false
+	if now.Sub(f.lastProbe) > ProbeWindow {
+		f.group.probed = nil
+	}
 	f.unasked, f.step = b.likelyOwners(f), SearchInitialAgents
+	if f.evidence != nil {
+		f.unasked = f.evidence.Unexcluded(f.unasked, b.incarnationOf)
+	}
 	if f.evidence != nil && b.mayAsk(now, f) && !b.maySearch(now) {
 		// Questions wait for the budget and are merged: asking all agents costs no further messages, and one wait instead
 		// of one for each step.
@@ -230,7 +235,7 @@
 // not reached may hold the flow.
 func (b *Balancer) markLost(now time.Time, f *flowState) {
 	f.phase, f.since, f.held, f.undetermined, f.unasked = lost, now, nil, nil, nil
-	f.evidence, f.group.packet = nil, nil
+	f.group.packet = nil
 	b.reportDecision(now, EventLost, f, netip.AddrPort{}, dsrpb.Verdict_VERDICT_UNSPECIFIED)
 }
 
--- a/pkg/dsr/dispatch/tick.go
+++ b/pkg/dsr/dispatch/tick.go
@@ -5,7 +5,7 @@
 // Deadline returns when Tick has to be called next.
 func (b *Balancer) Deadline() time.Time {
 	next := b.lastSweep.Add(sweepInterval)
-	for _, queue := range [][]due{b.hedges, b.locates, b.probes, b.probeWindows, b.secondSearches, b.parkedFlows, b.rechecks} {
+	for _, queue := range [][]due{b.hedges, b.locates, b.probes, b.probeWindows, b.secondSearches, b.parkedFlows, b.rechecks, b.slowRechecks} {
 		if len(queue) > 0 && queue[0].at.Before(next) {
 			next = queue[0].at
 		}
@@ -22,6 +22,11 @@
 		b.hedge(now, d.flow, d.at)
 	}
 	b.sendCollected(now)
+	for _, d := range takeDue(&b.slowRechecks, now) {
+		if b.flows[d.flow.key] == d.flow {
+			b.recheckDue(now, d)
+		}
+	}
 	for _, d := range takeDue(&b.rechecks, now) {
 		b.recheckDue(now, d)
 	}
