Agents that said that they hold no flows are not waited for

All 51 agents that may hold flows had excluded each flow, but agents without a target process had gone with their VMs and counted as living for four of their intervals, 5 s, one after the other.

They are asked still, and what they answer counts; a reset does not wait for them.

--- a/pkg/dsr/dispatch/agent.go
+++ b/pkg/dsr/dispatch/agent.go
@@ -45,6 +45,8 @@
 	failing bool
 	// suspect is set when the agent left an offer unanswered, until its next message.
 	suspect bool
+	// empty is set when the agent's last announcement said that its target holds no flows.
+	empty bool
 	// answersQueries is set when the agent answers questions about several flows.
 	answersQueries bool
 	// collected are the flows of the next question to the agent, lastQuestion is when the last one was sent.
--- a/pkg/dsr/dispatch/holders.go
+++ b/pkg/dsr/dispatch/holders.go
@@ -31,7 +31,8 @@
 	// at is when the view was derived.
 	at     time.Time
 	agents []netip.AddrPort
-	// unlisted are the living agents that are not in the directory since they are not known to have taken flows.
+	// unlisted are the living agents that are not in the directory since they are not known to have taken flows, but for
+	// those that said that they hold none: they are asked, but may have gone with their VMs.
 	unlisted []netip.AddrPort
 	// current is set when none of them is of an earlier release.
 	current bool
@@ -60,8 +61,9 @@
 	h := &b.holders
 	first := a.lastSeen.IsZero() || !h.services[a.service]
 	before := h.recorded[a.addr]
+	a.empty = saysEmpty(n)
 	switch {
-	case saysEmpty(n):
+	case a.empty:
 		b.directory.RecordEnded(now, a.addr)
 		delete(h.recorded, a.addr)
 	case n.State == dsrpb.State_STATE_LEAVING:
@@ -121,7 +123,7 @@
 		}
 	}
 	for _, a := range b.order {
-		if !b.holders.recorded[a.addr] && services[a.service] && a.isAlive(now) {
+		if !b.holders.recorded[a.addr] && !a.empty && services[a.service] && a.isAlive(now) {
 			v.unlisted = append(v.unlisted, a.addr)
 		}
 	}
