--- a/pkg/dsr/dispatch/agents.go
+++ b/pkg/dsr/dispatch/agents.go
@@ -112,6 +112,7 @@
 	a.answers = answersOf(n.Answers)
 	a.recordLongFlows(now, n, m.Busy)
 	a.recordDemand(now, n)
+	b.recordHolder(now, a, n)
 	a.interval = min(time.Duration(n.IntervalMs)*time.Millisecond, MaxAnnounceInterval)
 	b.recordReport(now, a, m)
 	// A target that was away may have been replaced by another process.
--- a/pkg/dsr/dispatch/search.go
+++ b/pkg/dsr/dispatch/search.go
@@ -25,34 +25,45 @@
 	if f.phase == lost && !f.since.IsZero() && now.Sub(f.since) < LocateRetryInterval {
 		return
 	}
-	if !b.maySearch(now) {
+	if !b.mayStartSearch(now) {
 		return
 	}
 	f.hold(s.Raw)
 	f.retried = false
+	f.recordMissing(s.Acknowledgement)
 	b.searchHeld(now, f)
 }
 
 // searchHeld starts a search for the owner of the held packets.
 func (b *Balancer) searchHeld(now time.Time, f *flowState) {
 	f.phase, f.undetermined, f.unanswered, f.widened = locating, nil, nil, false
+	b.startEvidence(now, f)
+	f.missed, f.rechecked = false, false
+	if now.Sub(f.lastProbe) > ProbeWindow {
+		f.group.probed = nil
+	}
 	f.unasked, f.step = b.likelyOwners(f), SearchInitialAgents
+	if f.evidence != nil {
+		f.unasked = f.evidence.Unexcluded(f.unasked, b.incarnationOf)
+	}
+	if f.evidence != nil && b.mayAsk(now, f) && !b.maySearch(now) {
+		// Questions wait for the budget and are merged: asking all agents costs no further messages, and one wait instead
+		// of one for each step.
+		f.unasked = append(f.unasked, b.otherAgents(f)...)
+		f.step, f.widened = max(1, len(f.unasked)), true
+	}
 	b.askMore(now, f)
 }
 
-// likelyOwners returns the agents of the services on the flow's route, in the order in which the flow is offered to
-// them when all targets are free.
+// likelyOwners returns the agents of the services that may hold flows to the flow's address, in the order in which the flow
+// is offered to them when all targets are free.
 func (b *Balancer) likelyOwners(f *flowState) []netip.AddrPort {
-	route := b.routes.Route(f.key.Destination)
-	if route == nil {
+	if b.routes.Route(f.key.Destination) == nil {
 		return nil
 	}
 	var agents []*agent
-	for i, share := range route.Shares {
-		named := slices.ContainsFunc(route.Shares[:i], func(s configuration.Share) bool { return s.Service == share.Service })
-		if !named {
-			agents = append(agents, b.services[share.Service]...)
-		}
+	for service := range b.holdingServices(f.key.Destination) {
+		agents = append(agents, b.services[service]...)
 	}
 	slices.SortFunc(agents, func(x, y *agent) int {
 		return cmp.Or(
@@ -95,17 +106,13 @@
 func (b *Balancer) askAgain(now time.Time, f *flowState) {
 	f.since = now
 	f.rounds++
-	message := dsrpb.Message{
-		Kind:          dsrpb.Kind_KIND_LOCATE,
-		Flow:          f.hash,
-		Configuration: b.routes.Version(),
-	}
-	message.SetKey(f.key)
+	timeout := b.locateTimeout()
 	for _, to := range f.unanswered {
-		b.out.ToAgent(to, &message)
+		if b.ask(now, to, f) {
+			timeout = b.locateTimeout() + CollectTime
+		}
 	}
-	b.searchBudget -= float64(len(f.unanswered))
-	b.locates = append(b.locates, due{flow: f, at: now.Add(b.locateTimeout()), phaseStart: now})
+	b.locates = append(b.locates, due{flow: f, at: now.Add(timeout), phaseStart: now})
 }
 
 // awaitsLiveAgent reports whether an agent that has not answered was seen within AgentSilenceTimeout.
@@ -118,6 +125,7 @@
 
 // located handles an agent's answer to a search.
 func (b *Balancer) located(now time.Time, f *flowState, from netip.AddrPort, m *dsrpb.Message) {
+	b.recordEvidence(now, f, from, m)
 	if m.Verdict == dsrpb.Verdict_VERDICT_HELD && (f.phase == locating || f.phase == probing || f.phase == lost) {
 		b.accepted(now, f, from, m)
 	}
@@ -132,7 +140,7 @@
 	if m.Verdict == dsrpb.Verdict_VERDICT_UNKNOWN {
 		f.undetermined = append(f.undetermined, from)
 	}
-	if len(f.unanswered) == 0 {
+	if len(f.unanswered) == 0 || b.isDecided(now, f) || b.awaitsOnlySilent(now, f) {
 		b.askMore(now, f)
 	}
 }
@@ -140,7 +148,7 @@
 // ownerNotFound continues when no agent that was asked holds the flow: first with all other agents, since an older
 // route may have led to them, then by probing the agents that cannot tell.
 func (b *Balancer) ownerNotFound(now time.Time, f *flowState) {
-	if b.widen(now, f) {
+	if f.evidence == nil && b.widen(now, f) {
 		return
 	}
 	if now.Sub(f.lastProbe) > ProbeWindow {
@@ -149,6 +157,10 @@
 	if f.firstMissed.IsZero() {
 		f.firstMissed = now
 	}
+	f.missed = true
+	if b.decideByEvidence(now, f) {
+		return
+	}
 	if b.awaitsLiveAgent(now, f) || now.Sub(b.started) < SettleTime || now.Sub(f.firstMissed) < SettleTime {
 		b.scheduleSecondSearch(now, f)
 		return
@@ -175,7 +187,7 @@
 // secondSearch searches for the owner of the packets that were kept.
 func (b *Balancer) secondSearch(now time.Time, d due) {
 	f := d.flow
-	if f.phase == lost && len(f.held) > 0 && d.phaseStart.Equal(f.since) && b.maySearch(now) {
+	if f.phase == lost && len(f.held) > 0 && d.phaseStart.Equal(f.since) && b.mayStartSearch(now) {
 		b.searchHeld(now, f)
 	}
 }
@@ -195,15 +207,10 @@
 // is searched for everywhere only until every agent must be known.
 func (b *Balancer) widen(now time.Time, f *flowState) bool {
 	settled := !f.firstMissed.IsZero() && now.Sub(f.firstMissed) >= SettleTime
-	if f.widened || settled || !b.maySearch(now) {
+	if f.widened || settled && f.evidence == nil || !b.mayAsk(now, f) {
 		return false
 	}
-	route := b.routes.Route(f.key.Destination)
-	for _, a := range b.order {
-		if !routeIncludes(route, a) {
-			f.unasked = append(f.unasked, a.addr)
-		}
-	}
+	f.unasked = append(f.unasked, b.otherAgents(f)...)
 	if len(f.unasked) == 0 {
 		return false
 	}
@@ -212,10 +219,23 @@
 	return true
 }
 
+// otherAgents returns the agents of services that are not on the flow's route.
+func (b *Balancer) otherAgents(f *flowState) []netip.AddrPort {
+	route := b.routes.Route(f.key.Destination)
+	var out []netip.AddrPort
+	for _, a := range b.order {
+		if !routeIncludes(route, a) {
+			out = append(out, a.addr)
+		}
+	}
+	return out
+}
+
 // markLost drops the held packets of a flow without a known owner. The caller is not sent a reset: an agent that was
 // not reached may hold the flow.
 func (b *Balancer) markLost(now time.Time, f *flowState) {
 	f.phase, f.since, f.held, f.undetermined, f.unasked = lost, now, nil, nil, nil
+	f.group.packet = nil
 	b.reportDecision(now, EventLost, f, netip.AddrPort{}, dsrpb.Verdict_VERDICT_UNSPECIFIED)
 }
 
@@ -226,11 +246,11 @@
 		return
 	}
 	switch {
-	case len(f.unasked) > 0 && !b.maySearch(now):
+	case len(f.unasked) > 0 && !b.mayAsk(now, f):
 		b.markLost(now, f)
 	case len(f.unasked) > 0:
 		b.askMore(now, f)
-	case f.rounds < LocateRounds && b.awaitsLiveAgent(now, f) && b.maySearch(now):
+	case f.evidence == nil && f.rounds < LocateRounds && b.awaitsLiveAgent(now, f) && b.mayAsk(now, f):
 		b.askAgain(now, f)
 	default:
 		b.ownerNotFound(now, f)
--- a/pkg/dsr/ownership/from_balancer.go
+++ b/pkg/dsr/ownership/from_balancer.go
@@ -32,6 +32,11 @@
 		t.cancelQueued(key, s)
 		return
 	}
+	if t.lostWithTarget(e) {
+		t.drop(key, e)
+		t.sendReturned(now, balancer, m, key, dsrpb.Verdict_VERDICT_NOT_HELD, s.Raw)
+		return
+	}
 	if !e.matches(s.Acknowledgement) {
 		t.sendReturned(now, balancer, m, key, dsrpb.Verdict_VERDICT_NOT_HELD, s.Raw)
 		return
--- a/pkg/dsr/policy/policy.go
+++ b/pkg/dsr/policy/policy.go
@@ -56,6 +56,12 @@
 	RetryBudget bool
 	// FairCallers: while a service is overloaded, flows of callers that ask for more than others are refused first.
 	FairCallers bool
+	// BatchedSearch: an agent is asked about several flows by one message.
+	BatchedSearch bool
+	// ProbeAll: when every agent that may hold a flow has answered, all that cannot tell are probed in growing groups.
+	ProbeAll bool
+	// ResetGone: the caller of a flow that no target can hold is reset.
+	ResetGone bool
 }
 
 // Mechanism is a named mechanism.
@@ -92,5 +98,8 @@
 		{"shed-excess", Without{ShedExcess: true}},
 		{"retry-budget", Without{RetryBudget: true}},
 		{"fair-callers", Without{FairCallers: true}},
+		{"batched-search", Without{BatchedSearch: true}},
+		{"probe-all", Without{ProbeAll: true}},
+		{"reset-gone", Without{ResetGone: true}},
 	}
 }
--- a/pkg/dsrd/agent_probe.go
+++ b/pkg/dsrd/agent_probe.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"syscall"
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/wait"
@@ -35,6 +37,7 @@
 		}
 		now := time.Now()
 		a.mu.Lock()
+		a.recordRefusedProbe(now, err)
 		keepProbing := a.mayProbe(now)
 		a.mu.Unlock()
 		if !keepProbing || wait.For(ctx, max(minProbeInterval, now.Sub(a.started)/probeSlowdown)) != nil {
@@ -47,6 +50,16 @@
 	a.probing = false
 }
 
+// recordRefusedProbe records that no process listens at the target's address, so that the target holds no flow. a.mu is
+// held.
+func (a *Agent) recordRefusedProbe(now time.Time, err error) {
+	if !errors.Is(err, syscall.ECONNREFUSED) || !a.table.TargetNotRunning() {
+		return
+	}
+	a.log.Warn().Err(err).Str("op", "probe").Stringer("peer", a.target).Msg("the target is not running and holds no flow")
+	a.announceNow(now)
+}
+
 func (a *Agent) probeOnce(ctx context.Context, path string) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
