--- a/pkg/dsr/dispatch/output.go
+++ b/pkg/dsr/dispatch/output.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
+	"github.com/auburnwood/auburnwood/pkg/dsr/overload"
 	"github.com/auburnwood/auburnwood/pkg/flow"
 	"github.com/auburnwood/auburnwood/pkg/refusal"
 )
@@ -21,6 +22,8 @@
 	Decided(d Decision)
 	// Outdated reports that an agent knows of a newer configuration than the one in force.
 	Outdated(version uint64)
+	// SaturationChanged reports that the overload of a service has begun or ended.
+	SaturationChanged(s overload.Status)
 }
 
 // Refusal describes a refused flow.
@@ -51,7 +54,12 @@
 	Agent netip.AddrPort
 	Load  float64
 	// ReportAge is the age of the report behind Load.
-	ReportAge     time.Duration
+	ReportAge time.Duration
+	// Expected is the time until the answer to the flow's first request that was expected of the agent that was offered
+	// the flow last. Imbalance is the load by pace of the service's busiest target as a multiple of the mean, 0 when
+	// there is no load.
+	Expected      time.Duration
+	Imbalance     float64
 	Verdict       dsrpb.Verdict
 	Tried         int
 	Waited        time.Duration
@@ -73,4 +81,8 @@
 	EventLocated Event = "located"
 	// EventLost: no owner of a flow was found.
 	EventLost Event = "lost"
+	// EventProbed: a packet of the flow is offered to all agents that may hold it, in groups.
+	EventProbed Event = "probed"
+	// EventGone: no target holds the flow, and its caller was reset.
+	EventGone Event = "gone"
 )
--- a/pkg/dsr/dispatch/report.go
+++ b/pkg/dsr/dispatch/report.go
@@ -19,8 +19,12 @@
 		Verdict:       v,
 		Tried:         f.tries,
 		Waited:        now.Sub(f.arrived),
+		Expected:      f.expected,
 		Configuration: b.routes.Version(),
 	}
+	if c := b.comparisons[f.service]; c != nil {
+		d.Imbalance = c.imbalance
+	}
 	if a := b.agents[about]; a != nil {
 		e := f.offer
 		if e.agent != about {
@@ -61,6 +65,7 @@
 // recordRefusal reports a flow that was refused or reset; notified is set when its caller was sent a reset.
 func (b *Balancer) recordRefusal(now time.Time, f *flowState, reason refusal.Reason, run refusal.Run, notified bool) {
 	f.phase, f.since = refused, now
+	b.callers.Failed(now, f.key.Source.Addr())
 	b.out.Refused(Refusal{
 		Key:           f.key,
 		Hash:          f.hash,
--- a/pkg/dsr/dispatch/tick.go
+++ b/pkg/dsr/dispatch/tick.go
@@ -5,11 +5,14 @@
 // Deadline returns when Tick has to be called next.
 func (b *Balancer) Deadline() time.Time {
 	next := b.lastSweep.Add(sweepInterval)
-	for _, queue := range [][]due{b.hedges, b.locates, b.probes, b.probeWindows, b.secondSearches, b.parkedFlows} {
+	for _, queue := range [][]due{b.hedges, b.locates, b.probes, b.probeWindows, b.secondSearches, b.parkedFlows, b.rechecks, b.slowRechecks} {
 		if len(queue) > 0 && queue[0].at.Before(next) {
 			next = queue[0].at
 		}
 	}
+	if len(b.collecting) > 0 && b.collectAt.Before(next) {
+		next = b.collectAt
+	}
 	return next
 }
 
@@ -18,6 +21,15 @@
 	for _, d := range takeDue(&b.hedges, now) {
 		b.hedge(now, d.flow, d.at)
 	}
+	b.sendCollected(now)
+	for _, d := range takeDue(&b.slowRechecks, now) {
+		if b.flows[d.flow.key] == d.flow {
+			b.recheckDue(now, d)
+		}
+	}
+	for _, d := range takeDue(&b.rechecks, now) {
+		b.recheckDue(now, d)
+	}
 	for _, d := range takeDue(&b.locates, now) {
 		b.searchTimedOut(now, d)
 	}
@@ -59,6 +71,7 @@
 func (b *Balancer) sweep(now time.Time) {
 	b.lastSweep = now
 	b.expireMedians(now)
+	b.directory.Expire(now)
 	idle := b.routes.IdleTimeout()
 	for key, f := range b.flows {
 		silent := now.Sub(f.touched)
@@ -74,10 +87,12 @@
 	for _, a := range b.order {
 		if now.Sub(a.lastSeen) > a.silenceTimeout()+AgentExpiry {
 			b.removeFromService(a)
+			b.dropCollected(a)
 			delete(b.agents, a.addr)
 			continue
 		}
 		kept = append(kept, a)
 	}
 	b.order = kept
+	b.recountLoads(now)
 }
--- a/pkg/dsr/ownership/from_balancer.go
+++ b/pkg/dsr/ownership/from_balancer.go
@@ -32,6 +32,11 @@
 		t.cancelQueued(key, s)
 		return
 	}
+	if t.lostWithTarget(e) {
+		t.drop(key, e)
+		t.sendReturned(now, balancer, m, key, dsrpb.Verdict_VERDICT_NOT_HELD, s.Raw)
+		return
+	}
 	if !e.matches(s.Acknowledgement) {
 		t.sendReturned(now, balancer, m, key, dsrpb.Verdict_VERDICT_NOT_HELD, s.Raw)
 		return
@@ -62,6 +67,7 @@
 	t.recordRoundTrip(now, e, s)
 	if e.recordNewData(s) {
 		t.finishReply(now, key, e)
+		t.demand.recordLater(now, key, e)
 		e.request = append(e.request[:0], s.Raw...)
 		t.request(now, e)
 	}
@@ -117,6 +123,7 @@
 	if t.busy < t.limits(now).of(priorityOf(m)) && t.queue.Len() == 0 && t.hasRoom(now) {
 		e = &entry{origin: balancer, touched: now, configuration: m.Configuration}
 		t.flows[key] = e
+		t.demand.recordNew(now, m.Opening, key)
 		t.offer(now, key, e, s.Raw)
 		return
 	}
--- a/pkg/dsr/ownership/incarnation.go
+++ b/pkg/dsr/ownership/incarnation.go
@@ -27,6 +27,10 @@
 		return false, err
 	}
 	t.targetActive = now
+	if n == newIncarnation {
+		t.target.seenFromStart = last.ended
+	}
+	t.target.seenFromStart = t.target.seenFromStart || t.sawStart(now, a)
 	if n == newIncarnation && last.last.ID != "" {
 		t.recordIncarnationEnd(now, last)
 		t.discardIncarnation(now)
@@ -48,6 +52,16 @@
 	return notify && err == nil
 }
 
+// TargetNotRunning records that no process listens at the target's address, unless a running one is known. A process that
+// starts later holds only flows that this agent sees. It reports whether that was not known.
+func (t *Table) TargetNotRunning() bool {
+	if t.target.known || t.target.ended {
+		return false
+	}
+	t.target.ended = true
+	return true
+}
+
 // TargetLeft applies the deregistration of a target's process. The error is an *announcement.Rejection.
 func (t *Table) TargetLeft(now time.Time, f announcement.Deregistration) error {
 	if err := t.target.deregister(f); err != nil {
--- a/pkg/dsr/ownership/target.go
+++ b/pkg/dsr/ownership/target.go
@@ -31,15 +31,18 @@
 	lastSeen time.Time
 	// firstSeen is when the current incarnation was first seen.
 	firstSeen time.Time
-	// sawFirstAnnouncement is set when the incarnation's first announcement came to this agent, which has therefore
-	// seen all of its flows.
+	// sawFirstAnnouncement is set when the incarnation's first announcement came to this agent.
 	sawFirstAnnouncement bool
+	// seenFromStart is set when this agent ran when the incarnation started, and so has seen all of its flows.
+	seenFromStart bool
 	// warmAt is when the target is warm according to its announcements, valid once warmAtKnown is set; the answer to
 	// a health check does not say.
 	warmAt      time.Time
 	warmAtKnown bool
 	// coldFrom is the latest time at which the warm-up can have begun, used until the target reports it.
 	coldFrom time.Time
+	// ended is set while no process runs: the last one has deregistered, or none listens at the target's address.
+	ended bool
 	// retired are earlier incarnations that do not report their start, the latest last.
 	retired []retired
 }
@@ -73,7 +76,7 @@
 	if t.known {
 		t.retire(t.last, false)
 	}
-	t.firstSeen = now
+	t.firstSeen, t.ended = now, false
 	t.assumeCold(now)
 	t.sawFirstAnnouncement = a.Sequence == firstSequence
 }
@@ -152,7 +155,7 @@
 		return nil
 	}
 	t.retire(t.last, true)
-	t.known = false
+	t.known, t.ended = false, true
 	return nil
 }
 
--- a/pkg/dsr/policy/policy.go
+++ b/pkg/dsr/policy/policy.go
@@ -37,6 +37,8 @@
 	SpreadOut bool
 	// LearntLimit: targets whose processes ended soon after their start get fewer flows.
 	LearntLimit bool
+	// ConnectionLimit: targets hold no more flows than their service declares.
+	ConnectionLimit bool
 	// FailedAnswers: answers that are much faster and smaller than those of the service's other targets count as
 	// failures.
 	FailedAnswers bool
@@ -44,6 +46,22 @@
 	RequestQueue bool
 	// RefuseLate: a new flow that would be late because of requests of the same or a higher priority is declined.
 	RefuseLate bool
+	// TargetPace: targets that are slower than those of their service by their long-term work time get fewer requests.
+	TargetPace bool
+	// FlowWeight: where flows carry several requests, a new flow's place follows the open flows of the targets.
+	FlowWeight bool
+	// ShedExcess: while a service is overloaded, the excess of its new flows is refused at once, the lowest priority first.
+	ShedExcess bool
+	// RetryBudget: while a service is overloaded, further tries of refused callers are limited to a share of first tries.
+	RetryBudget bool
+	// FairCallers: while a service is overloaded, flows of callers that ask for more than others are refused first.
+	FairCallers bool
+	// BatchedSearch: an agent is asked about several flows by one message.
+	BatchedSearch bool
+	// ProbeAll: when every agent that may hold a flow has answered, all that cannot tell are probed in growing groups.
+	ProbeAll bool
+	// ResetGone: the caller of a flow that no target can hold is reset.
+	ResetGone bool
 }
 
 // Mechanism is a named mechanism.
@@ -71,8 +89,17 @@
 		{"cold-limit", Without{ColdLimit: true}},
 		{"spread-out", Without{SpreadOut: true}},
 		{"learnt-limit", Without{LearntLimit: true}},
+		{"connection-limit", Without{ConnectionLimit: true}},
 		{"failed-answers", Without{FailedAnswers: true}},
 		{"request-queue", Without{RequestQueue: true}},
 		{"refuse-late", Without{RefuseLate: true}},
+		{"target-pace", Without{TargetPace: true}},
+		{"flow-weight", Without{FlowWeight: true}},
+		{"shed-excess", Without{ShedExcess: true}},
+		{"retry-budget", Without{RetryBudget: true}},
+		{"fair-callers", Without{FairCallers: true}},
+		{"batched-search", Without{BatchedSearch: true}},
+		{"probe-all", Without{ProbeAll: true}},
+		{"reset-gone", Without{ResetGone: true}},
 	}
 }
