--- a/internal/lab/policy/overload_test.go
+++ b/internal/lab/policy/overload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -28,9 +29,13 @@
 // forEachSeed runs a check of the given options on several seeds.
 func forEachSeed(t *testing.T, options func(seed uint64) Options, check func(t *testing.T, o Options, r *Result)) {
 	t.Helper()
+	t.Parallel()
 	for seed := uint64(1); seed <= *overloadSeeds; seed++ {
-		o := options(seed)
-		check(t, o, run(t, o))
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			t.Parallel()
+			o := options(seed)
+			check(t, o, run(t, o))
+		})
 	}
 }
 
