Test of a draining agent waits until the agent takes no new flow

Traced in the code: the test waited for the flag that Drain sets first; the arbiter hears of the drain after the log line that follows, and a flow that was opened in between was taken, rightly. Ruled out: a late announcement, since the test has no peers that send flows on.

The test waits for OnDraining, which Drain calls once the arbiter takes nothing more. What it asserts is the same.

--- a/pkg/agent/agent_test.go
+++ b/pkg/agent/agent_test.go
@@ -273,7 +273,7 @@
 		leaving.Drain(context.Background())
 		close(drained)
 	}()
-	eventually(t, func() bool { return leaving.draining.Load() }, "drain begins")
+	eventually(t, func() bool { return l.drains.Load() == 1 }, "drain begins")
 	for range 8 {
 		conn := l.mustDial(serviceIP)
 		exchange(t, conn)
--- a/pkg/agent/harness_test.go
+++ b/pkg/agent/harness_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,6 +60,8 @@
 // harness connects a caller's stack, a fabric and agents by a minimal balancer that sends to the first agent of each
 // row.
 type harness struct {
+	// drains is the number of agents that have begun to drain and take no new flow.
+	drains         atomic.Int32
 	t              testing.TB
 	caller         *netstack.Stack
 	fabric         *net.UDPConn
@@ -99,7 +102,7 @@
 }
 
 func (l *harness) start(target netip.AddrPort) *Agent {
-	return l.startWith(Config{TargetAddress: target}, Deps{Log: zerolog.Nop(), Refusals: l.records})
+	return l.startWith(Config{TargetAddress: target}, Deps{Log: zerolog.Nop(), Refusals: l.records, OnDraining: func() { l.drains.Add(1) }})
 }
 
 func (l *harness) startWith(c Config, d Deps) *Agent {
