Answers about a lost flow do not count for a later one with the same ends

Found by reading the change once more. Answers are kept for a flow until it is found or reset. When a caller used the same address and port for a new flow, opened through another balancer, what agents had said about the first one still counted, and the caller of the new, living flow could be reset without its owner having been asked.

A packet whose acknowledgement cannot be of the flow that was missed begins with no answers, as it already began with no wait. TestAnswersAboutAFlowDoNotCountForALaterOneWithTheSameEnds failed before with one reset.

--- a/pkg/dsr/dispatch/evidence_test.go
+++ b/pkg/dsr/dispatch/evidence_test.go
@@ -514,3 +514,25 @@
 	f.pass(CollectTime)
 	require.NotEmpty(t, f.takeSent())
 }
+
+// Answers are kept for a flow that stays lost. A later flow with the same ends may have opened at a target that did not hold
+// the first one.
+func TestAnswersAboutAFlowDoNotCountForALaterOneWithTheSameEnds(t *testing.T) {
+	f := restarted(t, 3, true, policy.Without{})
+	for i := 1; i <= 3; i++ {
+		f.join(i, uint64(i))
+	}
+	f.pass(SettleTime)
+	f.data(1, 1001, "tail")
+	f.reply(1, 1, dsrpb.Verdict_VERDICT_NOT_HELD)
+	f.reply(2, 1, dsrpb.Verdict_VERDICT_NOT_HELD)
+	for range 40 {
+		f.pass(RecheckInterval)
+	}
+	f.data(1, 3_000_000_000, "new")
+	f.reply(3, 1, dsrpb.Verdict_VERDICT_NOT_HELD)
+	for range 40 {
+		f.pass(RecheckInterval)
+	}
+	require.Empty(t, f.out.resets, "two agents have not answered about the later flow")
+}
--- a/pkg/dsr/dispatch/flow_state.go
+++ b/pkg/dsr/dispatch/flow_state.go
@@ -188,11 +188,12 @@
 }
 
 // recordMissing notes the packet that starts a search. One that cannot be of the flow that was missed before is of another
-// flow of the same key.
+// flow of the same key, about which nothing has been answered.
 func (f *flowState) recordMissing(acknowledgement uint32) {
 	distance := int32(acknowledgement - f.missedAck)
 	if distance <= -chosenWindow || distance >= chosenWindow {
 		f.firstMissed = time.Time{}
+		f.evidence, f.group.probed = nil, nil
 	}
 	f.missedAck = acknowledgement
 }
--- a/pkg/dsr/dispatch/holders.go
+++ b/pkg/dsr/dispatch/holders.go
@@ -22,7 +22,7 @@
 	services map[string]bool
 	// recorded are the agents that are or were in the directory.
 	recorded map[netip.AddrPort]bool
-	// views are the agents that may hold flows to an address; those of the zero address may hold flows to any.
+	// views are the agents that may hold flows to each address.
 	views map[netip.AddrPort]*holderView
 }
 
