Logs tell why a balancer does not write the list of agents, and that none was stored

Cause of the change: after all daemons were killed in the soak no balancer logged read-agents or write-agents, so the logs could not tell "nothing was written before the kill" from "the read failed", nor which condition of the writer did not hold.

--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -82,7 +82,9 @@
 	repeatedRequests   time.Time
 	directoryConfirmed time.Time
 	directoryComplete  bool
-	message            dsrpb.Message
+	// directoryState is whether this balancer wrote the agents at the last look.
+	directoryState directoryWriterState
+	message        dsrpb.Message
 	// reportedEras are the eras of the object API that other balancers report. A reported era only triggers a call;
 	// the answer to that confirms it.
 	reportedEras *objectapi.Eras
--- a/pkg/dsrd/balancer_directory.go
+++ b/pkg/dsrd/balancer_directory.go
@@ -46,13 +46,31 @@
 // agents, those that joined around its start included, and there are flows with several requests, which outlast a restart of
 // all balancers.
 func (b *Balancer) writesDirectory(now time.Time) bool {
-	if !b.configSync.watches() || now.Sub(b.started) < dispatch.SettleTime {
-		return false
-	}
+	watches := b.configSync.watches()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	inUse := !b.repeatedRequests.IsZero() && now.Sub(b.repeatedRequests) <= directory.MaxFlowAge
-	return inUse && b.core.Directory().Complete(now)
+	state := b.directoryWriterState(now, watches)
+	if state != b.directoryState {
+		b.log.Info().Str("op", "write-agents").Str("before", string(b.directoryState)).Str("state", string(state)).
+			Msg("whether this balancer writes the agents that may hold open flows has changed")
+	}
+	b.directoryState = state
+	return state == directoryWrites
+}
+
+// directoryWriterState returns whether this balancer writes the agents, and if not, why. b.mu is held.
+func (b *Balancer) directoryWriterState(now time.Time, watches bool) directoryWriterState {
+	switch {
+	case !watches:
+		return directoryNotWatching
+	case now.Sub(b.started) < dispatch.SettleTime:
+		return directoryStarting
+	case b.repeatedRequests.IsZero() || now.Sub(b.repeatedRequests) > directory.MaxFlowAge:
+		return directoryUnused
+	case !b.core.Directory().Complete(now):
+		return directoryIncomplete
+	}
+	return directoryWrites
 }
 
 func (b *Balancer) directoryRevision() uint64 {
--- a/pkg/dsrd/directory_reader.go
+++ b/pkg/dsrd/directory_reader.go
@@ -68,6 +68,7 @@
 
 func (r *directoryReader) loadStored(s storedDirectory) {
 	if s.listVersion == 0 {
+		r.log.Warn().Str("op", "read-agents").Bool("complete", false).Msg("the object API holds no agents of before the start")
 		return
 	}
 	snapshot := directory.NewSnapshot(r.started, time.Now(), s.list, s.stamp)
--- /dev/null
+++ b/pkg/dsrd/directory_writer_state.go
@@ -0,0 +1,17 @@
+package dsrd
+
+// directoryWriterState is whether a balancer writes the agents that may hold open flows, or why it does not.
+type directoryWriterState string
+
+const (
+	// directoryWrites is the state of the balancer that writes.
+	directoryWrites directoryWriterState = "writes"
+	// directoryNotWatching is the state while another balancer watches the object API for all.
+	directoryNotWatching directoryWriterState = "not-watching"
+	// directoryStarting is the state until agents that joined around the start of the process are known.
+	directoryStarting directoryWriterState = "starting"
+	// directoryUnused is the state while no agent reports flows with several requests.
+	directoryUnused directoryWriterState = "no-repeated-requests"
+	// directoryIncomplete is the state while not all agents are known.
+	directoryIncomplete directoryWriterState = "agents-not-all-known"
+)
