The list of agents is kept while any flow is open, not only after a second request on one

What callers saw: after all daemons were killed, packets of flows whose targets had ended with them were dropped in silence for up to 60 s, so that their callers waited for their whole timeout. All balancers said that they did not know all agents.

Cause: the balancer that watches wrote the list only once an agent had reported a further request on a flow. Until then flows were open and nothing was stored.

Ruled out: a read that fails, a writer that does not watch or does not know all agents, a write that fails.

Change: an open flow is enough. Agents announce their number already, so no message changes.

Before: TestAgentsAreWrittenWhileAnyFlowIsOpen fails ("a flow whose first request is not answered").

TestDeploymentsWithoutRepeatedRequestsMakeNoCalls asserted the fault: flows with one request so far did not count. It is replaced by TestDeploymentsWithoutOpenFlowsMakeNoCalls, with the same assertions for deployments without flows, made through announcements.

Cost: one conditional write a second for a deployment whose flows carry one request each.

--- a/pkg/dsrd/balancer.go
+++ b/pkg/dsrd/balancer.go
@@ -77,9 +77,9 @@
 	// directoryReader reads the agents that may hold open flows, directoryWriter writes them.
 	directoryReader *directoryReader
 	directoryWriter *directoryWriter
-	// repeatedRequests is when an agent last reported flows with several requests; directoryConfirmed is when the agents
-	// that were read were last known to be all, directoryComplete whether they were at the last look.
-	repeatedRequests   time.Time
+	// openFlowsAt is when an agent last reported open flows; directoryConfirmed is when the agents that were read were last
+	// known to be all, directoryComplete whether they were at the last look.
+	openFlowsAt        time.Time
 	directoryConfirmed time.Time
 	directoryComplete  bool
 	// directoryState is whether this balancer wrote the agents at the last look.
@@ -344,7 +344,7 @@
 	if m.Announcement != nil {
 		b.agents.Add(now, from)
 		b.agents.SetSendInterval(from, milliseconds(m.Announcement.IntervalMs))
-		b.recordRepeatedRequests(now, m.Announcement)
+		b.recordOpenFlows(now, m.Announcement)
 	}
 	if b.agents.MarkSeen(now, from) {
 		b.regainedAgents = append(b.regainedAgents, from)
--- a/pkg/dsrd/balancer_directory.go
+++ b/pkg/dsrd/balancer_directory.go
@@ -35,16 +35,15 @@
 	}
 }
 
-// recordRepeatedRequests records that an agent reports flows with several requests. b.mu is held.
-func (b *Balancer) recordRepeatedRequests(now time.Time, a *dsrpb.Announcement) {
-	if a.RepeatedRequests {
-		b.repeatedRequests = now
+// recordOpenFlows records that an agent reports flows that are open, or that were lately. b.mu is held.
+func (b *Balancer) recordOpenFlows(now time.Time, a *dsrpb.Announcement) {
+	if a.Flows > 0 || a.RepeatedRequests {
+		b.openFlowsAt = now
 	}
 }
 
 // writesDirectory reports whether this balancer writes the agents to the object API: it watches for all others, knows all
-// agents, those that joined around its start included, and there are flows with several requests, which outlast a restart of
-// all balancers.
+// agents, those that joined around its start included, and flows are open, which a restart of all balancers may find open.
 func (b *Balancer) writesDirectory(now time.Time) bool {
 	watches := b.configSync.watches()
 	b.mu.Lock()
@@ -65,7 +64,7 @@
 		return directoryNotWatching
 	case now.Sub(b.started) < dispatch.SettleTime:
 		return directoryStarting
-	case b.repeatedRequests.IsZero() || now.Sub(b.repeatedRequests) > directory.MaxFlowAge:
+	case b.openFlowsAt.IsZero() || now.Sub(b.openFlowsAt) > directory.MaxFlowAge:
 		return directoryUnused
 	case !b.core.Directory().Complete(now):
 		return directoryIncomplete
--- a/pkg/dsrd/directory_test.go
+++ b/pkg/dsrd/directory_test.go
@@ -15,6 +15,7 @@
 	"github.com/auburnwood/auburnwood/internal/standin/store"
 	"github.com/auburnwood/auburnwood/pkg/dsr/directory"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dispatch"
+	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
 )
 
@@ -318,18 +319,50 @@
 	})
 }
 
-func TestDeploymentsWithoutRepeatedRequestsMakeNoCalls(t *testing.T) {
+// After a kill of all daemons beside flows that had carried one request so far, no balancer knew all agents, and callers of
+// lost flows got no answer until their timeout.
+func TestAgentsAreWrittenWhileAnyFlowIsOpen(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		announced *dsrpb.Announcement
+		want      directoryWriterState
+	}{
+		{"no agent reports flows", &dsrpb.Announcement{}, directoryUnused},
+		{"a flow whose first request is not answered", &dsrpb.Announcement{Flows: 1}, directoryWrites},
+		{"flows with several requests that have ended", &dsrpb.Announcement{RepeatedRequests: true}, directoryWrites},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := startedWatcher(t)
+			now := b.started.Add(dispatch.SettleTime)
+			b.recordOpenFlows(now, c.announced)
+			require.Equal(t, c.want, b.directoryWriterState(now, true))
+		})
+	}
+}
+
+// startedWatcher returns a balancer that has started with the whole system, knows an agent, and watches for all others.
+func startedWatcher(t *testing.T) *Balancer {
+	b := testBalancer(t)
+	b.openDirectory()
+	b.configSync.setWatching(true, time.Now())
+	b.core.Directory().Record(b.started, "hub", directoryAgent(1))
+	b.core.LoadDirectory(b.started, directory.Snapshot{Complete: true})
+	return b
+}
+
+func TestDeploymentsWithoutOpenFlowsMakeNoCalls(t *testing.T) {
 	b := testBalancer(t)
 	b.openDirectory()
 	b.configSync.setWatching(true, time.Now())
 	now := time.Now().Add(2 * directory.MaxFlowAge)
 	b.core.Directory().Record(now, "hub", directoryAgent(1))
+	b.recordOpenFlows(now, &dsrpb.Announcement{})
 	require.False(t, b.writesDirectory(now))
 	b.core.LoadDirectory(now, directory.Snapshot{Complete: true})
-	b.repeatedRequests = b.started
+	b.recordOpenFlows(b.started, &dsrpb.Announcement{Flows: 1})
 	require.False(t, b.writesDirectory(b.started), "agents that have just joined may not have announced themselves yet")
 	require.True(t, b.writesDirectory(b.started.Add(dispatch.SettleTime)))
-	b.repeatedRequests = now
+	b.recordOpenFlows(now, &dsrpb.Announcement{Flows: 1})
 	require.True(t, b.writesDirectory(now))
 	require.True(t, b.writesDirectory(now.Add(directory.MaxFlowAge)))
 	require.False(t, b.writesDirectory(now.Add(directory.MaxFlowAge+time.Second)))
--- a/pkg/dsrd/directory_writer_state.go
+++ b/pkg/dsrd/directory_writer_state.go
@@ -10,8 +10,8 @@
 	directoryNotWatching directoryWriterState = "not-watching"
 	// directoryStarting is the state until agents that joined around the start of the process are known.
 	directoryStarting directoryWriterState = "starting"
-	// directoryUnused is the state while no agent reports flows with several requests.
-	directoryUnused directoryWriterState = "no-repeated-requests"
+	// directoryUnused is the state while no agent has reported an open flow within directory.MaxFlowAge.
+	directoryUnused directoryWriterState = "no-open-flows"
 	// directoryIncomplete is the state while not all agents are known.
 	directoryIncomplete directoryWriterState = "agents-not-all-known"
 )
