A balancer that has loaded a complete list of agents keeps it, although no agent reports a flow

What callers saw: after a second kill of all daemons, more than ten seconds after the first, callers of flows that were idle in between got no answer until their timeout. Found by reading what else concludes "no flow is open" from what agents report.

Cause: agents that have restarted know only flows on which packets came since. Beside idle flows they report none, so the balancer that watches did not write, and the list was older than 10 s at the next start.

Change: loading a complete list counts like a report of open flows. It was kept until shortly before the start because flows were open, and a flow lasts 60 s at most.

Cost: one write a second for 60 s after a restart of all, where the list was complete.

--- a/pkg/dsrd/balancer_directory.go
+++ b/pkg/dsrd/balancer_directory.go
@@ -33,6 +33,10 @@
 	if !confirmed.IsZero() {
 		b.directoryConfirmed = confirmed
 	}
+	if s.Complete {
+		// The list was kept until shortly before the start because flows were open; agents that have restarted too do not know them.
+		b.openFlowsAt = now
+	}
 }
 
 // recordOpenFlows records that an agent reports flows that are open, or that were lately. b.mu is held.
--- a/pkg/dsrd/directory_test.go
+++ b/pkg/dsrd/directory_test.go
@@ -350,6 +350,17 @@
 	return b
 }
 
+// After a second kill of all daemons, callers of flows that were idle since the first one got no answer until their timeout: the
+// agents knew no flow any more, so that nobody kept the list in between.
+func TestAgentsAreWrittenAfterARestartOfAllBesideIdleFlows(t *testing.T) {
+	b := startedWatcher(t)
+	b.loadDirectory(directory.Snapshot{}, b.started)
+	require.Equal(t, directoryUnused, b.directoryWriterState(b.started.Add(dispatch.SettleTime), true), "the list was out of date")
+	b.loadDirectory(directory.Snapshot{Complete: true}, b.started)
+	require.Equal(t, directoryWrites, b.directoryWriterState(b.started.Add(dispatch.SettleTime), true))
+	require.Equal(t, directoryUnused, b.directoryWriterState(time.Now().Add(directory.MaxFlowAge+time.Second), true), "no flow of then is open")
+}
+
 func TestDeploymentsWithoutOpenFlowsMakeNoCalls(t *testing.T) {
 	b := testBalancer(t)
 	b.openDirectory()
