An answer without a list of agents, which may be seconds old, is read again at the full price

On a platform whose cheap reads lag, daemons that were all killed within seconds of the first list come back without it: silence instead of resets for 60 s. Found while looking for other ways to "nothing was stored".

Cause: directoryReader reads again only when an old stamp in the answer shows that a newer one may be fresh. An answer without any list has no stamp; its time is zero, and counted as too old to be followed by a fresh one.

Change: an answer without a list is followed by a read at the full price.

--- a/pkg/dsrd/directory_reader.go
+++ b/pkg/dsrd/directory_reader.go
@@ -57,8 +57,12 @@
 	return nil
 }
 
-// mayBeFresher reports whether the newest list may be complete although the one that was read is not.
+// mayBeFresher reports whether the newest list may be complete although the one that was read is not. An answer without a list
+// may be from before the first one.
 func (r *directoryReader) mayBeFresher(s storedDirectory) bool {
+	if s.listVersion == 0 {
+		return true
+	}
 	confirmed := directory.ConfirmedAt(s.list, s.stamp)
 	if directory.IsFresh(r.started, time.Now(), confirmed) {
 		return false
--- a/pkg/dsrd/directory_test.go
+++ b/pkg/dsrd/directory_test.go
@@ -471,6 +471,24 @@
 	})
 }
 
+// After a kill of all daemons seconds after their first start, balancers whose cheap read was answered from before the first list
+// did not know all agents.
+func TestAnAnswerOfBeforeTheFirstListIsReadAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newDirectoryFixture(t, 1)
+		f.join(1)
+		f.pass(2 * time.Second)
+		d := directory.New(time.Now(), false)
+		r := &directoryReader{
+			store: samplingStore{Store: f.store, old: store.New(store.Config{})}, log: zerolog.Nop(), started: time.Now(),
+			load: func(s directory.Snapshot, _ time.Time) { d.Load(time.Now(), s) },
+		}
+		require.NoError(t, r.read(t.Context()))
+		require.True(t, d.Complete(time.Now()))
+		require.Len(t, d.Holders("hub"), 1)
+	})
+}
+
 func TestTheReadOfTheAgentsIsRetried(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newDirectoryFixture(t, 1)
