Soak: a watch without a change is answered by the object API instead of being cut off by the daemon

What was seen: in the log of every soak each balancer says "the configuration cannot be checked" about once a second, although no link is disturbed, and the balancer that watches changes all the time.

Cause: the stand-in of the object API holds a watch for 30 s, whatever time the request names; the daemons name 0.6 s and give up after 1.1 s. Each quiet watch ended as a failed check. A soak that never had a working object API between changes could not show what its faults break.

The product is not at fault: the platform's page says that a watch is held for the time that the request names, and the adapter names it.

Change: the soak's stand-in holds a watch for as long as balancers wait.

--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -12,6 +12,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/segment"
+	"github.com/auburnwood/auburnwood/pkg/dsrd"
+	"github.com/auburnwood/auburnwood/platform"
 	"github.com/auburnwood/auburnwood/platform/platformtest"
 )
 
@@ -91,6 +93,21 @@
 	return &world{counts: &counts{began: time.Now()}, requests: make(map[string]string)}
 }
 
+// Each watch without a change was cut off at the daemon's timeout, so that the daemons took the object API for failing all the
+// time, and the soak could not disturb one that worked.
+func TestQuietWatchIsAnsweredByTheObjectAPI(t *testing.T) {
+	w, err := newWorld(Options{Dir: t.TempDir()})
+	require.NoError(t, err)
+	defer w.close()
+	require.NoError(t, w.configure(t.Context()))
+	api := platform.NewStore("http://"+w.api.Addr().String(), platform.StoreOptions{CallTimeout: time.Second, WatchWait: dsrd.WatchWait})
+	_, revision, err := api.List(t.Context(), platform.ConfigurationKind)
+	require.NoError(t, err)
+	events, _, err := api.Watch(t.Context(), platform.ConfigurationKind, revision)
+	require.NoError(t, err)
+	require.Empty(t, events)
+}
+
 func TestDuplicateRunIsViolation(t *testing.T) {
 	w := testWorld()
 	w.recordRun("a#0", "route-svc-1")
--- a/internal/lab/soak/world.go
+++ b/internal/lab/soak/world.go
@@ -13,6 +13,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/auburnwood/auburnwood/internal/standin/store"
+	"github.com/auburnwood/auburnwood/pkg/dsrd"
 	"github.com/auburnwood/auburnwood/platform/platformtest"
 )
 
@@ -97,7 +98,8 @@
 func newWorld(o Options) (*world, error) {
 	w := &world{
 		o: o, random: rand.New(rand.NewPCG(o.Seed, 0)), counts: &counts{began: time.Now()},
-		store: store.New(store.Config{Era: o.Seed % 2}), routers: &routers{}, requests: make(map[string]string),
+		// Daemons wait at least so long for a change; a watch that waits longer is cut off by them and counts as failed.
+		store: store.New(store.Config{Era: o.Seed % 2, WatchWait: dsrd.WatchWait}), routers: &routers{}, requests: make(map[string]string),
 
 		firstStart: o.KillAllAfter > 0,
 	}
