Soak: callers number their bytes, so that agents see their further requests

What was seen: in the soak no agent reported a flow with several requests until a flow's eleventh request, 3 to 5 s after the start, although callers send the second one after half a second.

Cause: every packet of a caller had sequence number 7. The soak therefore never played what the product does with requests on open flows: their queue, their order, their reports.

Change: callers number their bytes and acknowledge those of the answers. No check or bound changes. TestCallerNumbersItsBytes fails on the commit before.

--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -24,6 +24,8 @@
 	requestTimeout = 15 * time.Second
 	maxThinkTime   = 900 * time.Millisecond
 	maxRequests    = 12
+	// initialSequence is the sequence number of a caller's opening packet.
+	initialSequence = 7
 )
 
 // caller is one flow: it opens, sends requests one after the other, and closes.
@@ -33,10 +35,12 @@
 	address netip.AddrPort
 	to      netip.AddrPort
 	in      chan segment.Segment
-	ack     uint32
-	owner   string
-	random  *rand.Rand
-	service string
+	// sequence is the sequence number of the next byte to send, ack that of the next byte expected from the target.
+	sequence uint32
+	ack      uint32
+	owner    string
+	random   *rand.Rand
+	service  string
 }
 
 func (c *caller) run(ctx context.Context) {
@@ -62,7 +66,7 @@
 	if !ok {
 		return
 	}
-	raw := platformtest.Encode(platformtest.Packet{Source: c.address, Destination: c.to, Flags: flags, Sequence: 7, Acknowledgement: ack, Data: data})
+	raw := platformtest.Encode(platformtest.Packet{Source: c.address, Destination: c.to, Flags: flags, Sequence: c.sequence, Acknowledgement: ack, Data: data})
 	_, _ = c.vm.conn.WriteToUDPAddrPort(raw, to)
 }
 
@@ -85,6 +89,7 @@
 // open opens the flow; it counts a flow that is refused or not answered.
 func (c *caller) open(ctx context.Context) bool {
 	began := time.Now()
+	c.sequence = initialSequence
 	for i := range platformtest.OpeningSendTimes {
 		c.send(segment.SYN, uint32(i), nil)
 		until := began.Add(openTimeout)
@@ -102,6 +107,7 @@
 			}
 			if s.Has(segment.SYN | segment.ACK) {
 				c.ack = s.Sequence + 1
+				c.sequence++
 				return true
 			}
 		}
@@ -128,6 +134,8 @@
 			}
 			if s.Length > 0 {
 				if done, good := c.checkAnswer(string(platformtest.Data(s.Raw)), text); done {
+					c.sequence += uint32(len(text))
+					c.ack = s.Sequence + uint32(s.Length)
 					return good
 				}
 			}
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"net"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -138,6 +139,39 @@
 	}
 }
 
+// Callers gave every request of a flow the same sequence number, so that agents took each further one for a retransmission.
+func TestCallerNumbersItsBytes(t *testing.T) {
+	router, err := newCallerVM(netip.MustParseAddrPort("127.0.0.1:0"))
+	require.NoError(t, err)
+	defer router.conn.Close() //nolint:errcheck // Closing at the end of a test.
+	received := make(chan segment.Segment, 2)
+	router.flows[addressA.Port()] = received
+	w := testWorld()
+	w.routers = &routers{entries: []*entry{{packets: router.conn.LocalAddr().(*net.UDPAddr).AddrPort(), inRotation: true}}}
+	c := &caller{
+		w: w, vm: router, address: netip.MustParseAddrPort("10.0.0.1:1001"), to: addressA, service: serviceA,
+		in: make(chan segment.Segment, 1), sequence: 8, ack: 100,
+	}
+	var requests []segment.Segment
+	for _, text := range []string{"10.0.0.1:1001#0", "10.0.0.1:1001#1"} {
+		c.in <- answerTo(t, c, "route-svc-1 "+text)
+		require.True(t, c.request(t.Context(), text))
+		requests = append(requests, <-received)
+	}
+	first, second := requests[0], requests[1]
+	require.Equal(t, first.Sequence+uint32(first.Length), second.Sequence)
+	require.Equal(t, first.Acknowledgement+uint32(len("route-svc-1 10.0.0.1:1001#0")), second.Acknowledgement)
+}
+
+// answerTo returns a target's answer to the caller's current request.
+func answerTo(t *testing.T, c *caller, text string) segment.Segment {
+	s, err := platform.Codec{}.Decode(platformtest.Encode(platformtest.Packet{
+		Source: c.to, Destination: c.address, Flags: segment.ACK, Sequence: c.ack, Data: []byte(text),
+	}))
+	require.NoError(t, err)
+	return s
+}
+
 func TestLostFlowOfRunningTargetIsViolation(t *testing.T) {
 	for _, alive := range []bool{true, false} {
 		w := testWorld()
