--- a/internal/lab/command/soak.go
+++ b/internal/lab/command/soak.go
@@ -11,6 +11,8 @@
 type soakCommand struct {
 	Seed      uint64        `long:"seed" default:"1" description:"Seed of the faults and the callers"`
 	Length    time.Duration `long:"length" default:"30s" description:"How long faults are made"`
+	KillAll   time.Duration `long:"kill-all-after" value-name:"TIME" description:"Instead of random faults, kill all daemons so long after their first start"`
+	KillAgain time.Duration `long:"kill-all-again-after" value-name:"TIME" description:"Kill all daemons again so long after their return"`
 	Balancers int           `long:"balancers" default:"4" description:"Number of balancers"`
 	Targets   int           `long:"targets" default:"9" description:"Number of targets, each with its agent"`
 	Rate      int           `long:"rate" default:"40" description:"New flows a second"`
@@ -20,7 +22,7 @@
 
 func (c *soakCommand) run(e env) error {
 	r, err := soak.Run(e.ctx, soak.Options{
-		Seed: c.Seed, Length: c.Length, Balancers: c.Balancers, Targets: c.Targets, Rate: c.Rate, Programs: c.Programs, Dir: c.Dir,
+		Seed: c.Seed, Length: c.Length, KillAllAfter: c.KillAll, KillAllAgainAfter: c.KillAgain, Balancers: c.Balancers, Targets: c.Targets, Rate: c.Rate, Programs: c.Programs, Dir: c.Dir,
 	})
 	if err != nil {
 		return err
--- a/internal/lab/soak/kill_all.go
+++ b/internal/lab/soak/kill_all.go
@@ -6,17 +6,29 @@
 	"github.com/auburnwood/auburnwood/pkg/wait"
 )
 
-// killAllOnce kills all daemons at once after Options.KillAllAfter, beside open flows, and the process of the first target
-// with them. It returns when during ends.
-func (f *faults) killAllOnce(during context.Context) {
+// killAllOnSchedule kills all daemons at once after Options.KillAllAfter, beside open flows, and a second time after
+// Options.KillAllAgainAfter. It returns when during ends.
+func (f *faults) killAllOnSchedule(during context.Context) {
 	_ = wait.For(during, f.w.o.KillAllAfter)
+	f.killAll(during, f.w.agents[0])
+	if f.w.o.KillAllAgainAfter > 0 {
+		_ = wait.For(during, f.w.o.KillAllAgainAfter)
+		f.killAll(during, f.w.agents[1])
+	}
+	<-during.Done()
+}
+
+// killAll kills all daemons at once, and the process of one target with them, and starts them again.
+func (f *faults) killAll(during context.Context, a *agent) {
+	if during.Err() != nil {
+		return
+	}
 	f.w.counts.add(func(r *Result) { r.Faults++ })
-	f.script("kill all, and the target of " + f.w.agents[0].name)
+	f.script("kill all, and the target of " + a.name)
 	f.w.recordAgentsKilled()
-	f.w.agents[0].target.stopProcess()
+	a.target.stopProcess()
 	f.kill(during, f.between(0, maxDown), f.w.processes(true, true)...)
-	f.replace(during, f.w.agents[0].target, 0)
-	<-during.Done()
+	f.replace(during, a.target, 0)
 }
 
 // checkDirectories checks that every balancer knows all agents that may hold open flows.
--- a/internal/lab/soak/options.go
+++ b/internal/lab/soak/options.go
@@ -15,6 +15,8 @@
 	// KillAllAfter, if not 0, replaces the random faults by one: so long after the first start of the whole system, all
 	// daemons are killed at once, and a target ends with them.
 	KillAllAfter time.Duration
+	// KillAllAgainAfter, if not 0, is the time from the return of the killed daemons until all are killed a second time.
+	KillAllAgainAfter time.Duration
 	// Balancers and Targets are the numbers of VMs; a third of the targets belong to the second service.
 	Balancers int
 	Targets   int
@@ -36,6 +38,9 @@
 	if o.Length <= 0 || o.Programs == "" || o.Dir == "" {
 		return trace.BadParameter("length, programs and dir are required")
 	}
+	if o.KillAllAgainAfter > 0 && o.KillAllAfter <= 0 {
+		return trace.BadParameter("daemons can be killed again only after they were killed")
+	}
 	if o.Balancers < 1 || o.Targets < 2 || o.Balancers+o.Targets > maxMachines {
 		return trace.BadParameter("balancers must be 1 or more, targets 2 or more, both together at most %d", maxMachines)
 	}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -125,7 +125,7 @@
 	}
 	f := &faults{w: w, random: w.random, script: note}
 	if w.o.KillAllAfter > 0 {
-		f.killAllOnce(during)
+		f.killAllOnSchedule(during)
 	} else {
 		background.Go(func() { w.restoreAPI(during, rand.New(rand.NewPCG(w.o.Seed, seedRestores)), note) })
 		f.run(during)
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -73,6 +73,26 @@
 	require.Greater(t, r.Finished, r.Flows/2, "more than half of the flows finish")
 }
 
+// Balancers that have read the list of agents after a kill of all daemons keep it, so that it is complete after a second one.
+func TestAllDaemonsAreKilledTwiceBesideOpenFlows(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs real processes for 30 s")
+	}
+	dir := t.TempDir()
+	r, err := Run(t.Context(), Options{
+		Seed: 1, Length: 9 * time.Second, KillAllAfter: 2 * time.Second, KillAllAgainAfter: 3 * time.Second,
+		Balancers: 3, Targets: 6, Rate: 20, Programs: programs(t), Dir: dir,
+	})
+	require.NoError(t, err)
+	t.Log(r)
+	if r.TotalViolations > 0 {
+		t.Log(logs(t, dir))
+	}
+	require.Empty(t, r.Violations)
+	require.Equal(t, 2, r.Faults)
+	require.Greater(t, r.Finished, r.Flows/2, "more than half of the flows finish")
+}
+
 // logs returns the faults and the log entries of the daemons above level info.
 func logs(t *testing.T, dir string) string {
 	names, err := filepath.Glob(filepath.Join(dir, "*.log"))
