The pause after failed calls and conditional writes of balancers stand once

Cause of the change: the writers of the list of agents and of the statuses of services, and the reader of the evacuations, each counted their failed calls, worked out the pause and found out when to log; the two writers each had their own create-or-update and their own names of its results.

Change: callPause, createOrUpdate and writeResult, used by all three. Log texts, pauses, metrics and calls stay as they are; a conflict of a status is still no failure.

--- a/pkg/dsrd/balancer_directory.go
+++ b/pkg/dsrd/balancer_directory.go
@@ -47,7 +47,7 @@
 }
 
 // writesDirectory reports whether this balancer writes the agents to the object API: it watches for all others, knows all
-// agents, those that joined around its start included, and flows are open, which a restart of all balancers may find open.
+// agents, those that joined around its start included, and flows are open, which a restart of all balancers may find open. It logs each change.
 func (b *Balancer) writesDirectory(now time.Time) bool {
 	watches := b.configSync.watches()
 	b.mu.Lock()
--- a/pkg/dsrd/directory_writer.go
+++ b/pkg/dsrd/directory_writer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -52,9 +51,7 @@
 	confirmed   time.Time
 	readAt      time.Time
 	lastPass    time.Time
-	// pauseUntil is the time before which no call is made, failures the number of consecutive failed calls.
-	pauseUntil time.Time
-	failures   int
+	pause       callPause
 }
 
 func (w *directoryWriter) run(ctx context.Context) error {
@@ -69,7 +66,7 @@
 		w.known = false
 		return
 	}
-	if now.Before(w.pauseUntil) {
+	if !w.pause.isOver(now) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -81,7 +78,7 @@
 // written in the meantime.
 func (w *directoryWriter) detectStall(now time.Time) {
 	if !w.lastPass.IsZero() && now.Sub(w.lastPass) > directoryStall {
-		w.pauseUntil, w.known = now.Add(dispatch.SettleTime), false
+		w.pause.until, w.known = now.Add(dispatch.SettleTime), false
 	}
 	w.lastPass = now
 }
@@ -148,40 +145,18 @@
 // write creates an object, or replaces the given version of it. After any failure the objects are read again.
 func (w *directoryWriter) write(ctx context.Context, name string, version uint64, value []byte) (uint64, error) {
 	w.known = false
-	var o objectapi.Object
-	var err error
-	if version == 0 {
-		o, err = w.store.Create(ctx, DirectoryKind, name, value)
-	} else {
-		o, err = w.store.Update(ctx, objectapi.Object{Kind: DirectoryKind, Name: name, Version: version, Value: value})
-	}
+	o, err := createOrUpdate(ctx, w.store, objectapi.Object{Kind: DirectoryKind, Name: name, Version: version, Value: value})
 	w.scope.Tagged(map[string]string{"object": name, "result": writeResult(err)}).Counter("dsr_directory_writes").Inc(1)
 	w.known = err == nil
 	return o.Version, err
 }
 
-func writeResult(err error) string {
-	switch {
-	case err == nil:
-		return "written"
-	case errors.Is(err, objectapi.ErrConflict):
-		return "conflict"
-	}
-	return "failed"
-}
-
 // recordResult records the result of a call and logs when calls start to fail or to succeed.
 func (w *directoryWriter) recordResult(err error) {
-	if err == nil {
-		if w.failures > 0 {
-			w.log.Warn().Str("op", "write-agents").Msg("writing the agents works again")
-		}
-		w.failures = 0
-		return
-	}
-	if w.failures == 0 {
+	switch w.pause.record(time.Now(), err) {
+	case failuresBegan:
 		w.log.Warn().Err(err).Str("op", "write-agents").Msg("the agents cannot be written; balancers that start now may not know all of them")
+	case failuresEnded:
+		w.log.Warn().Str("op", "write-agents").Msg("writing the agents works again")
 	}
-	w.pauseUntil = time.Now().Add(pauseAfter(w.failures))
-	w.failures++
 }
--- a/pkg/dsrd/evacuation_reader.go
+++ b/pkg/dsrd/evacuation_reader.go
@@ -36,9 +36,7 @@
 	// keepUntil is until when evacuations stay in force that a restored object API does not name; zero outside of
 	// such a time.
 	keepUntil time.Time
-	// pauseUntil is the time before which nothing is read, failures the number of consecutive failed reads.
-	pauseUntil time.Time
-	failures   int
+	pause     callPause
 }
 
 func (e *evacuationReader) run(ctx context.Context) error {
@@ -49,7 +47,7 @@
 			e.revision = 0
 			return
 		}
-		if now.Before(e.pauseUntil) {
+		if !e.pause.isOver(now) {
 			return
 		}
 		if !e.keepUntil.IsZero() && !now.Before(e.keepUntil) {
@@ -137,16 +135,10 @@
 
 // recordResult records the result of a call and logs when calls start to fail or to succeed.
 func (e *evacuationReader) recordResult(err error) {
-	if err == nil {
-		if e.failures > 0 {
-			e.log.Warn().Str("op", "read-evacuations").Msg("reading evacuations works again")
-		}
-		e.failures = 0
-		return
-	}
-	if e.failures == 0 {
+	switch e.pause.record(time.Now(), err) {
+	case failuresBegan:
 		e.log.Warn().Err(err).Str("op", "read-evacuations").Msg("the evacuations cannot be read; the last ones stay in force")
+	case failuresEnded:
+		e.log.Warn().Str("op", "read-evacuations").Msg("reading evacuations works again")
 	}
-	e.pauseUntil = time.Now().Add(pauseAfter(e.failures))
-	e.failures++
 }
--- a/pkg/dsrd/service_status_writer.go
+++ b/pkg/dsrd/service_status_writer.go
@@ -53,9 +53,7 @@
 	// settled is when the first write may follow; zero while another balancer watches.
 	settled  time.Time
 	lastPass time.Time
-	// pauseUntil is the time before which no call is made, failures the number of consecutive failed calls.
-	pauseUntil time.Time
-	failures   int
+	pause    callPause
 }
 
 func (w *serviceStatusWriter) run(ctx context.Context) error {
@@ -64,7 +62,7 @@
 
 // pass makes one call at most.
 func (w *serviceStatusWriter) pass(ctx context.Context, now time.Time) {
-	if !w.mayWrite(now) || now.Before(w.pauseUntil) {
+	if !w.mayWrite(now) || !w.pause.isOver(now) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -169,8 +167,8 @@
 	if err != nil {
 		return trace.Wrap(err, "encoding the status of service %s", name)
 	}
-	o, err := w.put(ctx, objectapi.Object{Kind: resource.KindDSRServiceStatus, Name: name, Version: stored.version, Value: value})
-	w.scope.Tagged(map[string]string{"result": serviceStatusResult(err)}).Counter("dsr_service_status_writes").Inc(1)
+	o, err := createOrUpdate(ctx, w.store, objectapi.Object{Kind: resource.KindDSRServiceStatus, Name: name, Version: stored.version, Value: value})
+	w.scope.Tagged(map[string]string{"result": writeResult(err)}).Counter("dsr_service_status_writes").Inc(1)
 	if err != nil {
 		return err
 	}
@@ -182,37 +180,16 @@
 	return nil
 }
 
-func (w *serviceStatusWriter) put(ctx context.Context, o objectapi.Object) (objectapi.Object, error) {
-	if o.Version == 0 {
-		return w.store.Create(ctx, o.Kind, o.Name, o.Value)
-	}
-	return w.store.Update(ctx, o)
-}
-
-// serviceStatusResult is the tag of a write's result.
-func serviceStatusResult(err error) string {
-	switch {
-	case err == nil:
-		return "written"
-	case errors.Is(err, objectapi.ErrConflict):
-		return "conflict"
-	}
-	return "failed"
-}
-
 // recordResult records the result of a call and logs when calls start to fail or to succeed. A conflict is no failure of
 // the object API.
 func (w *serviceStatusWriter) recordResult(err error) {
-	if err == nil || errors.Is(err, objectapi.ErrConflict) {
-		if w.failures > 0 {
-			w.log.Warn().Str("op", "write-service-status").Msg("writing the status of services works again")
-		}
-		w.failures = 0
-		return
+	if errors.Is(err, objectapi.ErrConflict) {
+		err = nil
 	}
-	if w.failures == 0 {
+	switch w.pause.record(time.Now(), err) {
+	case failuresBegan:
 		w.log.Warn().Err(err).Str("op", "write-service-status").Msg("the status of services cannot be written; what operators see may be old")
+	case failuresEnded:
+		w.log.Warn().Str("op", "write-service-status").Msg("writing the status of services works again")
 	}
-	w.pauseUntil = time.Now().Add(pauseAfter(w.failures))
-	w.failures++
 }
