Callers of the flows lab and of the dispatch simulation number their bytes

In the passthrough lab and in the simulation behind TestFlowsSurviveRandomFaults and TestNoFlowOfARunningTargetIsReset every request of a flow had sequence number 0, so that agents took further requests for retransmissions; their queue and their reports were not played. The other stand-ins were read: the policy lab sends one request on a flow, the simulation of long flows numbers its bytes.

Change: both number their bytes.

--- a/internal/lab/passthrough/caller.go
+++ b/internal/lab/passthrough/caller.go
@@ -24,6 +24,8 @@
 	requestTime = 4 * time.Second
 	// thinkTime is the time between an answer and the next request of a flow.
 	thinkTime = 150 * time.Millisecond
+	// initialSequence is the sequence number of an opening packet.
+	initialSequence = 7
 )
 
 // openingSchedule lists when an opening packet and its retransmissions are sent, from the start of the flow.
@@ -37,6 +39,8 @@
 	service  serviceAt
 	random   *rand.Rand
 	requests int
+	// sequence is the sequence number of the caller's next byte.
+	sequence uint32
 	ack      uint32
 	owner    string
 }
@@ -57,7 +61,7 @@
 		}
 		time.Sleep(thinkTime)
 	}
-	c.send(dsrtest.Packet{Flags: segment.FIN | segment.ACK, Acknowledgement: c.ack})
+	c.send(dsrtest.Packet{Flags: segment.FIN | segment.ACK, Sequence: c.sequence, Acknowledgement: c.ack})
 	c.lab.tally.count(func(r *Result) { r.Finished++ })
 }
 
@@ -89,7 +93,7 @@
 	began := time.Now()
 	b := make([]byte, 2048)
 	for i := range openingSchedule {
-		c.send(dsrtest.Packet{Flags: segment.SYN, Attempt: byte(i), Sequence: 7})
+		c.send(dsrtest.Packet{Flags: segment.SYN, Attempt: byte(i), Sequence: initialSequence})
 		until := began.Add(openTime)
 		if i+1 < len(openingSchedule) {
 			until = began.Add(openingSchedule[i+1])
@@ -104,7 +108,7 @@
 				return false
 			}
 			if s.Has(segment.SYN | segment.ACK) {
-				c.ack = s.Sequence + 1
+				c.ack, c.sequence = s.Sequence+1, initialSequence+1
 				return true
 			}
 		}
@@ -123,7 +127,7 @@
 	began := time.Now()
 	b := make([]byte, 2048)
 	for time.Since(began) < requestTime && ctx.Err() == nil {
-		c.send(dsrtest.Packet{Flags: segment.ACK, Acknowledgement: c.ack, Data: []byte(text)})
+		c.send(dsrtest.Packet{Flags: segment.ACK, Sequence: c.sequence, Acknowledgement: c.ack, Data: []byte(text)})
 		until := time.Now().Add(retransmitInterval)
 		for {
 			s, ok := c.receive(b, until)
@@ -134,6 +138,7 @@
 			case s.Has(segment.RST):
 				return c.flowLost("reset")
 			case s.Length > 0 && bytes.HasSuffix(dsrtest.Data(s.Raw), []byte(text)):
+				c.sequence += uint32(len(text))
 				return c.check(string(dsrtest.Data(s.Raw)))
 			}
 		}
--- a/pkg/dsr/dispatch/simulation_test.go
+++ b/pkg/dsr/dispatch/simulation_test.go
@@ -26,6 +26,8 @@
 	// flow are within 128 kB (chosenWindow) once in 16,384 times; a packet then goes to the wrong target, which returns
 	// it.
 	initialStep = 1 << 20
+	// initialSequence is the sequence number of a caller's opening packet.
+	initialSequence = 7
 	// responseTimeout is how long a caller waits for a response: several retransmissions, and an agent's restart.
 	responseTimeout = 5 * time.Second
 )
@@ -42,11 +44,13 @@
 
 // caller is one flow of several requests.
 type caller struct {
-	w        *simulation
-	address  netip.AddrPort
-	service  serviceAt
-	opened   bool
-	ended    bool
+	w       *simulation
+	address netip.AddrPort
+	service serviceAt
+	opened  bool
+	ended   bool
+	// sequence is the sequence number of the caller's next byte.
+	sequence uint32
 	ack      uint32
 	owner    string
 	request  int
@@ -68,7 +72,7 @@
 	for n, at := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond} {
 		w.after(at, func() {
 			if !c.opened && !c.ended {
-				c.send(dsrtest.Packet{Flags: segment.SYN, Attempt: byte(n), Sequence: 7})
+				c.send(dsrtest.Packet{Flags: segment.SYN, Attempt: byte(n), Sequence: initialSequence})
 			}
 		})
 	}
@@ -98,7 +102,7 @@
 		}
 		c.ended = true
 	case s.Has(segment.SYN|segment.ACK) && !c.opened:
-		c.opened, c.ack = true, s.Sequence+1
+		c.opened, c.ack, c.sequence = true, s.Sequence+1, initialSequence+1
 		c.sendRequest()
 	case s.Length > 0 && c.opened:
 		c.receiveResponse(dsrtest.Data(s.Raw))
@@ -120,23 +124,27 @@
 		c.ended = true
 		return
 	}
-	c.send(dsrtest.Packet{Flags: segment.ACK, Acknowledgement: c.ack, Data: fmt.Appendf(nil, "%d.", request)})
+	c.send(dsrtest.Packet{Flags: segment.ACK, Sequence: c.sequence, Acknowledgement: c.ack, Data: requestData(request)})
 	c.w.after(retransmitInterval, func() { c.transmit(request) })
 }
 
+// requestData is the data of a request.
+func requestData(request int) []byte { return fmt.Appendf(nil, "%d.", request) }
+
 func (c *caller) receiveResponse(data []byte) {
 	owner, text, _ := bytes.Cut(data, []byte(" "))
-	if string(text) != fmt.Sprintf("%d.", c.request) {
+	if !bytes.Equal(text, requestData(c.request)) {
 		return
 	}
 	if c.owner != "" && c.owner != string(owner) {
 		c.w.failures = append(c.w.failures, fmt.Sprint(c.address, " was answered by two targets"))
 	}
 	c.owner = string(owner)
+	c.sequence += uint32(len(text))
 	c.request++
 	c.answered = c.w.now
 	if c.request == c.requests {
-		c.send(dsrtest.Packet{Flags: segment.FIN | segment.ACK, Acknowledgement: c.ack})
+		c.send(dsrtest.Packet{Flags: segment.FIN | segment.ACK, Sequence: c.sequence, Acknowledgement: c.ack})
 		c.ended = true
 		return
 	}
