Read again: the list of agents follows open flows alone, and names say what they are

Cause of the change: recordOpenFlows also took a report of several requests, which outlasts the flows by 60 s; a reader had to find out that nothing is open then. The list is kept for 60 s after the last open flow anyway. A method had the name of its type, a log line an object's version with its era, and two lines were too long.

Change: an open flow alone counts; directoryWriterStateAt; the log line names the revision.

Run: go test ./pkg/dsrd passes.

--- a/internal/lab/command/soak.go
+++ b/internal/lab/command/soak.go
@@ -22,7 +22,8 @@
 
 func (c *soakCommand) run(e env) error {
 	r, err := soak.Run(e.ctx, soak.Options{
-		Seed: c.Seed, Length: c.Length, KillAllAfter: c.KillAll, KillAllAgainAfter: c.KillAgain, Balancers: c.Balancers, Targets: c.Targets, Rate: c.Rate, Programs: c.Programs, Dir: c.Dir,
+		Seed: c.Seed, Length: c.Length, KillAllAfter: c.KillAll, KillAllAgainAfter: c.KillAgain,
+		Balancers: c.Balancers, Targets: c.Targets, Rate: c.Rate, Programs: c.Programs, Dir: c.Dir,
 	})
 	if err != nil {
 		return err
--- a/pkg/dsrd/balancer_directory.go
+++ b/pkg/dsrd/balancer_directory.go
@@ -34,25 +34,27 @@
 		b.directoryConfirmed = confirmed
 	}
 	if s.Complete {
-		// The list was kept until shortly before the start because flows were open; agents that have restarted too do not know them.
+		// The list was kept until shortly before the start because flows were open. Agents that have restarted too do not
+		// know them.
 		b.openFlowsAt = now
 	}
 }
 
-// recordOpenFlows records that an agent reports flows that are open, or that were lately. b.mu is held.
+// recordOpenFlows records that an agent reports open flows. b.mu is held.
 func (b *Balancer) recordOpenFlows(now time.Time, a *dsrpb.Announcement) {
-	if a.Flows > 0 || a.RepeatedRequests {
+	if a.Flows > 0 {
 		b.openFlowsAt = now
 	}
 }
 
 // writesDirectory reports whether this balancer writes the agents to the object API: it watches for all others, knows all
-// agents, those that joined around its start included, and flows are open, which a restart of all balancers may find open. It logs each change.
+// agents, those that joined around its start included, and flows are open, which a restart of all balancers may find open.
+// It logs each change.
 func (b *Balancer) writesDirectory(now time.Time) bool {
 	watches := b.configSync.watches()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	state := b.directoryWriterState(now, watches)
+	state := b.directoryWriterStateAt(now, watches)
 	if state != b.directoryState {
 		b.log.Info().Str("op", "write-agents").Str("before", string(b.directoryState)).Str("state", string(state)).
 			Msg("whether this balancer writes the agents that may hold open flows has changed")
@@ -61,8 +63,8 @@
 	return state == directoryWrites
 }
 
-// directoryWriterState returns whether this balancer writes the agents, and if not, why. b.mu is held.
-func (b *Balancer) directoryWriterState(now time.Time, watches bool) directoryWriterState {
+// directoryWriterStateAt returns whether this balancer writes the agents, and if not, why. b.mu is held.
+func (b *Balancer) directoryWriterStateAt(now time.Time, watches bool) directoryWriterState {
 	switch {
 	case !watches:
 		return directoryNotWatching
--- a/pkg/dsrd/directory_writer.go
+++ b/pkg/dsrd/directory_writer.go
@@ -127,7 +127,7 @@
 	}
 	w.stored.list, w.stored.listVersion = list, version
 	w.written, w.differs, w.listWritten, w.confirmed = revision, false, now, now
-	w.log.Info().Str("op", "write-agents").Uint64("version", version).Int("services", len(list.Agents)).
+	w.log.Info().Str("op", "write-agents").Uint64("revision", objectapi.RevisionOf(version)).Int("services", len(list.Agents)).
 		Msg("the agents that may hold open flows were written")
 	return nil
 }
