--- a/pkg/dsr/dispatch/answers.go
+++ b/pkg/dsr/dispatch/answers.go
@@ -73,12 +73,9 @@
 	if f.phase != opening && f.phase != queued || f.asked != from {
 		return
 	}
-	if f.phase == opening && !isTargetSilent(m.Verdict) {
+	if f.phase == opening && m.Verdict != dsrpb.Verdict_VERDICT_SILENT {
 		b.recordAnswerTime(now, f)
 	}
-	if m.Verdict == dsrpb.Verdict_VERDICT_UNANSWERED {
-		f.uncertain = true
-	}
 	if m.Verdict == dsrpb.Verdict_VERDICT_QUEUED {
 		f.phase = queued
 		return
@@ -114,12 +111,6 @@
 	b.offerNext(now, f)
 }
 
-// isTargetSilent reports whether an agent that gives this verdict has waited for its target's answer, or declined because the
-// target answers nobody.
-func isTargetSilent(v dsrpb.Verdict) bool {
-	return v == dsrpb.Verdict_VERDICT_SILENT || v == dsrpb.Verdict_VERDICT_UNANSWERED
-}
-
 // declinesAllFlows reports whether an agent that gives this verdict declines every new flow.
 func declinesAllFlows(v dsrpb.Verdict) bool {
 	return v == dsrpb.Verdict_VERDICT_LEAVING || v == dsrpb.Verdict_VERDICT_EVACUATED
--- a/pkg/dsr/dispatch/flow_state.go
+++ b/pkg/dsr/dispatch/flow_state.go
@@ -75,7 +75,7 @@
 	overLimit int
 	// stale is set while the flow waits for a newer configuration.
 	stale bool
-	// uncertain is set when another balancer, or an agent or target that did not answer, may have opened the flow; reset is set
+	// uncertain is set when another balancer, or an agent that did not answer, may have opened the flow; reset is set
 	// when the caller was sent a reset for the refusal.
 	uncertain bool
 	reset     bool
--- a/pkg/dsr/dispatch/report.go
+++ b/pkg/dsr/dispatch/report.go
@@ -56,7 +56,7 @@
 	}
 	run := refusal.RunNo
 	if f.uncertain {
-		// An agent or target that did not answer may have opened the flow, or another balancer may have.
+		// An agent that did not answer may have opened the flow, or another balancer may have.
 		run = refusal.RunUnknown
 	}
 	b.recordRefusal(now, f, reason, run, f.reset)
--- a/pkg/dsr/ownership/incarnation.go
+++ b/pkg/dsr/ownership/incarnation.go
@@ -108,7 +108,7 @@
 		switch {
 		case e.phase == offered:
 			t.drop(key, e)
-			t.decline(now, e.origin, &dsrpb.Message{Flow: key.Hash()}, key, dsrpb.Verdict_VERDICT_UNANSWERED, nil)
+			t.decline(now, e.origin, &dsrpb.Message{Flow: key.Hash()}, key, dsrpb.Verdict_VERDICT_SILENT, nil)
 		case e.phase == open && e.request != nil:
 			e.requestResent = true
 			t.out.ToTarget(e.request)
--- a/pkg/dsr/ownership/lifetime.go
+++ b/pkg/dsr/ownership/lifetime.go
@@ -150,7 +150,7 @@
 		t.returnAllQueued(now, dsrpb.Verdict_VERDICT_SILENT)
 	}
 	t.clearBusy(e)
-	t.decline(now, e.origin, &dsrpb.Message{Flow: key.Hash()}, key, dsrpb.Verdict_VERDICT_UNANSWERED, nil)
+	t.decline(now, e.origin, &dsrpb.Message{Flow: key.Hash()}, key, dsrpb.Verdict_VERDICT_SILENT, nil)
 }
 
 // sweep removes flows that have ended or were idle for too long, and fails overdue requests.
