Balancers: an agent that knows its target is told the path of the health check

Cause: a balancer named the path only in its answers to agents without a target. An agent whose target reports before the first answer arrives was never without one, and got the path only after its target had been absent. A changed path was not told either.

Evidence: TestAnAgentThatKnowsItsTargetIsToldTheHealthPath on: expected "/health", actual "", for a target that is ready. It passes with this change for targets that are absent, ready and leaving.

Ruled out: the message of the first configuration (sendHealthPaths). It too goes to agents without a target only, and from a few balancers; it stays as it is, since all agents that start get the path with their first answer now.

--- a/pkg/dsrd/gossip.go
+++ b/pkg/dsrd/gossip.go
@@ -187,9 +187,6 @@
 		// An agent that has received messages from this balancer lately knows most others.
 		m.Roster.Balancers = encodeAddresses(b.balancers.Sample(now, gossipedPeers))
 	}
-	if a.State != dsrpb.State_STATE_ABSENT {
-		m.Roster.HealthPath = ""
-	}
 	m.Roster.Usual = b.core.Usual(now, from)
 	b.send(from, m)
 }
--- a/pkg/dsrd/messages_test.go
+++ b/pkg/dsrd/messages_test.go
@@ -11,11 +11,13 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/auburnwood/auburnwood/pkg/dsr/configuration"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dispatch"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrpb"
 	"github.com/auburnwood/auburnwood/pkg/dsr/dsrtest"
 	"github.com/auburnwood/auburnwood/pkg/dsr/ownership"
 	"github.com/auburnwood/auburnwood/pkg/dsr/roster"
+	"github.com/auburnwood/auburnwood/pkg/dsr/routing"
 	"github.com/auburnwood/auburnwood/pkg/objectapi"
 	"github.com/auburnwood/auburnwood/pkg/telemetry"
 )
@@ -153,6 +155,22 @@
 	}
 }
 
+// An agent whose target had reported before a balancer answered was not told the path of the health check, and could not find out
+// which process ran.
+func TestAnAgentThatKnowsItsTargetIsToldTheHealthPath(t *testing.T) {
+	for _, s := range []dsrpb.State{dsrpb.State_STATE_ABSENT, dsrpb.State_STATE_READY, dsrpb.State_STATE_LEAVING} {
+		agent := newListener(t)
+		b := testBalancer(t)
+		b.core.SetRoutes(b.started, routing.NewTable(configuration.Configuration{
+			Version: 1, Services: []configuration.Service{{Name: "route-svc", HealthPath: "/health"}},
+		}))
+		b.welcome(b.started, agent.address(), "route-svc", &dsrpb.Announcement{State: s})
+		received := agent.received()
+		require.Len(t, received, 1)
+		require.Equal(t, "/health", received[0].Roster.HealthPath, "%s", s)
+	}
+}
+
 // A balancer that does not say when it sends its next message counts as silent after a second.
 func TestEveryMessageNamesTheNextInterval(t *testing.T) {
 	peer := newListener(t)
