Agents: a health check that a process answers says which process of a target runs

Open flows from before an agent's restart could be reset as well.

Cause: the arrival of a report decided which process runs. The health check that was to decide could not: a process that drains answers with another status than 200, and the agent dropped that answer with the name in it. Without it, two reports three quarters of an interval apart, any report after three silent intervals, and the first report after the agent's start were believed. A process that was replaced so was rejected until the other had been silent for three intervals.

Change: the name in an answer is read whatever the status (platform.ProbeTarget), and says who runs if the check was started after the report in doubt arrived. A report of another name is a claim until then: the target counts as leaving while either process says so, and the agent goes on checking. An agent that has just started offers its target nothing on one report. Where no check is answered, another process takes over after three reports while the known one is silent for three intervals. That a process has started after the agent is concluded from two processes that have answered, a refused connection, or the first report of one that has answered.

Harnesses that called the decisions as the daemon did now answer the health checks that these ask for, with the process that runs.

--- a/internal/lab/passthrough/lab.go
+++ b/internal/lab/passthrough/lab.go
@@ -134,6 +134,7 @@
 	l.version++
 	c := configuration.Configuration{Label: fmt.Sprint(l.version)}
 	for _, s := range l.services {
+		c.Services = append(c.Services, configuration.Service{Name: s.name, HealthPath: "/health"})
 		c.Routes = append(c.Routes, configuration.Route{
 			Name: s.name, Destination: s.address, Shares: []configuration.Share{{Service: s.name, Weight: 1}},
 			Aim: 150 * time.Millisecond, Timeout: openTime,
@@ -176,10 +177,20 @@
 		},
 		ReadyHandler:  func(func() error) http.Handler { return http.NotFoundHandler() },
 		TargetHandler: func(dsrd.Targets) http.Handler { return http.NotFoundHandler() },
-		Probe: func(context.Context, netip.AddrPort, string) (announcement.Announcement, error) {
-			return announcement.Announcement{}, errors.New("no health check")
-		},
+		Probe:         l.probe,
+	}
+}
+
+// probe answers the health check of a target.
+func (l *lab) probe(_ context.Context, at netip.AddrPort, _ string) (announcement.HealthCheck, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, n := range l.agents {
+		if n.target.conn.LocalAddr().(*net.UDPAddr).AddrPort() == at {
+			return n.target.healthCheck()
+		}
 	}
+	return announcement.HealthCheck{}, errors.New("no target at this address")
 }
 
 func (l *lab) process(name string, address netip.Addr, place int) settings.DSRProcess {
--- a/internal/lab/passthrough/target.go
+++ b/internal/lab/passthrough/target.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/announcement"
@@ -148,6 +149,16 @@
 	return a, !t.dead
 }
 
+// healthCheck answers a health check; an error means that the target is dead.
+func (t *target) healthCheck() (announcement.HealthCheck, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.dead {
+		return announcement.HealthCheck{}, syscall.ECONNREFUSED
+	}
+	return announcement.HealthCheck{ID: t.name, Ready: !t.draining}, nil
+}
+
 // open returns the number of open flows.
 func (t *target) open() int {
 	t.mu.Lock()
--- a/internal/lab/policy/nodes.go
+++ b/internal/lab/policy/nodes.go
@@ -167,13 +167,21 @@
 	a.up, a.tickAt = true, time.Time{}
 	table := a.table
 	a.w.after(probeDelay, func() {
-		if a.table == table && a.up && a.target.up && a.table.Probed(a.w.now(), a.target.id, a.target.born) {
-			a.announce()
+		if a.table == table && a.up {
+			a.checkTarget()
 		}
 	})
 	a.schedule()
 }
 
+// checkTarget applies the answer of the target to a health check.
+func (a *agentNode) checkTarget() {
+	n := announcement.HealthCheck{ID: a.target.id, StartedMs: a.target.born, Ready: true, Began: a.w.now()}
+	if a.target.up && a.table.HealthChecked(a.w.now(), n) {
+		a.announce()
+	}
+}
+
 // receiveHeartbeat passes a heartbeat of the target to the agent.
 func (a *agentNode) receiveHeartbeat(n announcement.Announcement) {
 	if !a.up {
@@ -182,6 +190,9 @@
 	if notify, err := a.table.Announce(a.w.now(), n); notify && err == nil {
 		a.announce()
 	}
+	if a.table.AwaitsProof(a.w.now()) {
+		a.checkTarget()
+	}
 	a.schedule()
 }
 
--- a/internal/lab/soak/target.go
+++ b/internal/lab/soak/target.go
@@ -94,7 +94,7 @@
 	t.next = rand.Uint32()
 	t.busy, t.flows = 0, make(map[netip.AddrPort]*flowState)
 	go t.read(packets)
-	go http.Serve(health, platformtest.HealthHandler(t.activeName)) //nolint:errcheck // It returns when the listener is closed.
+	go http.Serve(health, platformtest.HealthHandler(t.healthStatus)) //nolint:errcheck // It returns when the listener is closed.
 	go t.sendHeartbeats(t.id)
 	return nil
 }
@@ -139,6 +139,13 @@
 	t.stopProcess()
 }
 
+// healthStatus returns what the running process answers to a health check: its name, and whether it does not drain.
+func (t *target) healthStatus() (name string, healthy bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.name, !t.draining
+}
+
 // activeName returns the announced name, or "" if the process is down or draining.
 func (t *target) activeName() string {
 	t.mu.Lock()
--- a/pkg/dsr/dispatch/simulation_nodes_test.go
+++ b/pkg/dsr/dispatch/simulation_nodes_test.go
@@ -229,10 +229,18 @@
 	}
 	if a.up {
 		_, _ = a.table.Announce(a.w.now, n)
+		a.proveTarget(n)
 	}
 	a.w.after(heartbeat, a.announceTarget)
 }
 
+// proveTarget has the running target, which has just reported, answer the health check that the agent asks for.
+func (a *agentNode) proveTarget(n announcement.Announcement) {
+	if a.table.AwaitsProof(a.w.now) {
+		a.table.HealthChecked(a.w.now, announcement.HealthCheck{ID: n.ID, StartedMs: n.StartedMs, Ready: n.State == announcement.Ready, Began: a.w.now})
+	}
+}
+
 // announce sends the agent's announcement to every balancer.
 func (a *agentNode) announce() {
 	if !a.up {
--- a/pkg/dsr/ownership/cold_test.go
+++ b/pkg/dsr/ownership/cold_test.go
@@ -125,7 +125,7 @@
 func TestATargetThatOnlyAnsweredAHealthCheckCountsAsCold(t *testing.T) {
 	f := &fixture{T: t, out: &recorder{}, now: start}
 	f.table = newTestTable(f, Config{First: true})
-	require.True(t, f.table.Probed(f.now, "i-1", 0))
+	require.True(t, f.probe("i-1"))
 	served := 0
 	for port := 1; port <= 30; port++ {
 		if f.serve(port, dsrpb.Patience_PATIENCE_FREE_SLOT) {
--- a/pkg/dsr/ownership/deregistration_test.go
+++ b/pkg/dsr/ownership/deregistration_test.go
@@ -90,8 +90,8 @@
 func TestAHealthCheckFindsTheNextProcess(t *testing.T) {
 	f := newFixture(t, Config{First: true})
 	f.leave()
-	require.False(t, f.table.Probed(f.now, "i-1", 0), "the process that has deregistered")
+	require.False(t, f.probe("i-1"), "the process that has deregistered")
 	require.Equal(t, dsrpb.State_STATE_LEAVING, f.table.State(f.now))
-	require.True(t, f.table.Probed(f.now, "i-2", 0))
+	require.True(t, f.probe("i-2"))
 	require.Equal(t, dsrpb.State_STATE_READY, f.table.State(f.now))
 }
--- a/pkg/dsr/ownership/ended_test.go
+++ b/pkg/dsr/ownership/ended_test.go
@@ -59,7 +59,7 @@
 		f.table = newTestTable(f, Config{})
 		require.True(t, f.table.TargetNotRunning(f.now))
 		f.now = f.now.Add(100 * time.Millisecond)
-		require.True(t, f.table.Probed(f.now, "i-1", 0))
+		require.True(t, f.probe("i-1"))
 		f.now = f.now.Add(time.Second)
 		f.apply(report("i-1", 0, sequence, announcement.Ready))
 		require.Equal(t, want, f.table.verdict(f.now, keyOfCaller(1)), "report %d", sequence)
--- a/pkg/dsr/ownership/incarnation.go
+++ b/pkg/dsr/ownership/incarnation.go
@@ -28,35 +28,29 @@
 	}
 	t.targetActive = now
 	if n == newIncarnation {
-		t.target.seenFromStart = last.ended
+		t.target.unverified = t.target.unverified && !(t.cfg.First && last.last.ID == "")
+		t.startIncarnation(now, last, false)
+	} else {
+		t.checkRefusal(now, a)
 	}
-	t.checkRefusal(now, a)
 	t.target.seenFromStart = t.target.seenFromStart || t.sawStart(now, a)
-	if n == newIncarnation && last.last.ID != "" {
-		t.recordIncarnationEnd(now, last)
-		t.discardIncarnation(now)
-	}
 	t.returnQueuedUnlessReady(now)
 	return n == newIncarnation || before != t.State(now), nil
 }
 
-// silenceTimeout is how long a target may send no heartbeat until it counts as absent.
-func (t *Table) silenceTimeout() time.Duration { return MissedHeartbeats * t.cfg.HeartbeatInterval }
-
-// Probed records a target's answer to a health check that it is ready, when the agent has not received its heartbeat
-// yet. The number of slots is then assumed. It reports whether the balancers should be notified.
-func (t *Table) Probed(now time.Time, id string, startedMs uint64) bool {
-	if t.target.known && (!t.target.left || id == t.target.last.ID) {
-		return false
+// startIncarnation prepares the table for another process of the target, which is current in place of the last one. Seen is set
+// when the agent is known to have run when it started.
+func (t *Table) startIncarnation(now time.Time, last target, seen bool) {
+	t.target.seenFromStart = last.ended || seen
+	t.checkRefusal(now, t.target.last)
+	if last.last.ID != "" {
+		t.recordIncarnationEnd(now, last)
+		t.discardIncarnation(now)
 	}
-	t.target.checked(id)
-	notify, err := t.Announce(now, announcement.Announcement{ID: id, StartedMs: startedMs, Service: t.cfg.Service, Slots: AssumedSlots})
-	return notify && err == nil
 }
 
-// HealthChecked records which process has answered a health check at the target's address. It decides between the current one
-// and one that has reported and that the agent had not heard of.
-func (t *Table) HealthChecked(id string) { t.target.checked(id) }
+// silenceTimeout is how long a target may send no heartbeat until it counts as absent.
+func (t *Table) silenceTimeout() time.Duration { return MissedHeartbeats * t.cfg.HeartbeatInterval }
 
 // TargetNotRunning records that no process listens at the target's address, unless a running one is known that has not
 // deregistered. A process that starts later holds only flows that this agent sees. It reports whether that was not known.
--- a/pkg/dsr/ownership/incarnation_test.go
+++ b/pkg/dsr/ownership/incarnation_test.go
@@ -133,6 +133,9 @@
 				} else {
 					_, err = f.table.Announce(f.now, s.report)
 				}
+				if err == nil && f.table.AwaitsProof(f.now) {
+					f.table.HealthChecked(f.now, announcement.HealthCheck{ID: s.report.ID, StartedMs: s.report.StartedMs, Began: f.now})
+				}
 				if s.reason == "" {
 					require.NoError(t, err, i)
 				} else {
--- a/pkg/dsr/ownership/start.go
+++ b/pkg/dsr/ownership/start.go
@@ -11,13 +11,13 @@
 
 // sawStart reports whether an announcement proves that the agent ran when the target's process started, or that no
 // earlier agent did. The first announcement alone proves neither: an earlier agent may have given the target flows before
-// it and ended.
+// it and ended, and the announcement may be a late one of an ended process.
 func (t *Table) sawStart(now time.Time, a announcement.Announcement) bool {
-	ran := now.Sub(t.started)
-	if a.Sequence == firstSequence && ran > t.cfg.HeartbeatInterval+startMargin {
+	before := t.target.firstSeen.Sub(t.started)
+	if a.Sequence == firstSequence && t.target.identified && before > t.cfg.HeartbeatInterval+startMargin {
 		return true
 	}
-	return t.startedAfterAgent(a) && t.isYoung(ran, a)
+	return t.startedAfterAgent(a) && t.isYoung(now.Sub(t.started), a)
 }
 
 // startedAfterAgent reports whether the target's reported start is not before the end of any earlier agent.
--- a/pkg/dsr/ownership/table.go
+++ b/pkg/dsr/ownership/table.go
@@ -137,8 +137,10 @@
 	return t.target.state(now, t.silenceTimeout())
 }
 
-// TargetKnown reports whether a running incarnation of the target is known.
-func (t *Table) TargetKnown() bool { return t.target.known }
+// TargetKnown reports whether a running incarnation of the target is known, and whether it is ready or leaves.
+func (t *Table) TargetKnown() bool {
+	return t.target.known && !t.target.unverified && !t.target.notReady
+}
 
 // Busy is the number of requests that the target works on or has queued, as far as its packets show.
 func (t *Table) Busy() int { return t.busy + t.queue.Len() }
--- a/pkg/dsr/ownership/table_test.go
+++ b/pkg/dsr/ownership/table_test.go
@@ -102,19 +102,25 @@
 	return f.apply(announcement.Announcement{ID: "i-1", Service: "route-svc", Slots: 2, State: s, Sequence: f.beat})
 }
 
-// apply passes the table a report that is accepted; it returns whether the balancers are to be notified. As in the daemon, a
-// health check confirms a process that the agent has not heard of.
+// apply passes the table a report of the running process; it returns whether the balancers are to be notified. As in the daemon,
+// the process answers a health check when the table asks for one.
 func (f *fixture) apply(a announcement.Announcement) bool {
 	f.Helper()
 	notify, err := f.table.Announce(f.now, a)
-	if announcement.IsUnconfirmed(err) {
-		f.table.HealthChecked(a.ID)
-		notify, err = f.table.Announce(f.now, a)
+	if announcement.IsUnconfirmed(err) || f.table.AwaitsProof(f.now) {
+		n := announcement.HealthCheck{ID: a.ID, StartedMs: a.StartedMs, Ready: a.State == announcement.Ready, Began: f.now}
+		notify = f.table.HealthChecked(f.now, n) || notify
+		_, err = f.table.Announce(f.now, a)
 	}
 	require.NoError(f, err)
 	return notify
 }
 
+// probe passes the table a successful health check of a process; it returns whether the balancers are to be notified.
+func (f *fixture) probe(id string) bool {
+	return f.table.HealthChecked(f.now, announcement.HealthCheck{ID: id, Ready: true, Began: f.now})
+}
+
 func (f *fixture) pass(d time.Duration) {
 	f.now = f.now.Add(d)
 	f.table.Tick(f.now)
@@ -239,11 +245,11 @@
 	f.table = NewTable(Config{Service: "route-svc", HeartbeatInterval: time.Second}, dsrtest.Codec{}, f.out, f.now)
 	f.open(1)
 	require.Equal(t, dsrpb.Verdict_VERDICT_LEAVING, f.out.last(t).verdict)
-	require.True(t, f.table.Probed(f.now, "i-1", 0), "a successful health check is enough")
+	require.True(t, f.probe("i-1"), "a successful health check is enough")
 	f.open(1)
 	require.Len(t, f.out.target, 1)
 	f.announce(announcement.Draining)
-	require.False(t, f.table.Probed(f.now, "i-1", 0), "a late health check does not end a drain")
+	require.False(t, f.probe("i-1"), "a late health check does not end a drain")
 	require.Equal(t, dsrpb.State_STATE_LEAVING, f.table.State(f.now))
 }
 
--- a/pkg/dsr/ownership/target.go
+++ b/pkg/dsr/ownership/target.go
@@ -10,6 +10,10 @@
 // firstSequence is the number of an incarnation's first announcement. The answer to a health check has none.
 const firstSequence = 1
 
+// repeatedPart is the part of the silence timeout between two reports of the only process heard of after which it is taken for the
+// running one without a health check: less than the time between two reports.
+const repeatedPart = 4
+
 // announcementEffect is what an announcement changes.
 type announcementEffect uint8
 
@@ -51,16 +55,23 @@
 	refusedAt time.Time
 	// retired are earlier incarnations that do not report their start, the latest last.
 	retired []retired
-	// successor is a process that may have replaced the current one.
-	successor successor
+	// unverified is set while nothing but one report, which may be late, says that the current process runs.
+	unverified bool
+	// identified is set once the current process has answered a health check.
+	identified bool
+	// notReady is set while the current process has answered a health check as not ready and has not reported.
+	notReady bool
+	// claims are processes that may have replaced the current one.
+	claims []claim
 }
 
 // retired is an earlier incarnation.
 type retired struct {
 	id string
-	// sequence is the number of its last announcement; left is set when it has deregistered.
-	sequence uint64
-	left     bool
+	// sequence is the number of its last announcement; deregistered is set when it has deregistered, excluded when a health
+	// check has shown that it had ended.
+	sequence               uint64
+	deregistered, excluded bool
 }
 
 // receive applies an announcement. A rejected one returns an *announcement.Rejection and changes nothing.
@@ -70,22 +81,31 @@
 		return outdated, err
 	}
 	if n == newIncarnation {
-		t.begin(now, a)
+		t.begin(now, a, false)
 	}
-	t.known, t.last, t.lastSeen, t.ended = true, a, now, false
-	t.successor.since = time.Time{}
-	if a.Sequence >= firstSequence {
-		t.warmAt, t.warmAtKnown = now.Add(a.WarmUp), true
+	if n == sameIncarnation && now.Sub(t.firstSeen) >= silenceTimeout/repeatedPart {
+		t.unverified = false
 	}
+	t.record(now, a)
 	return n, nil
 }
 
-// begin records that another incarnation has replaced the last one.
-func (t *target) begin(now time.Time, a announcement.Announcement) {
+// record takes over what the current process has reported at a time.
+func (t *target) record(at time.Time, a announcement.Announcement) {
+	t.known, t.last, t.lastSeen, t.ended, t.notReady = true, a, at, false, false
+	if a.Sequence >= firstSequence {
+		t.warmAt, t.warmAtKnown = at.Add(a.WarmUp), true
+	}
+}
+
+// begin records that another incarnation has replaced the last one, whose end a health check may have proven.
+func (t *target) begin(now time.Time, a announcement.Announcement, endProven bool) {
 	if t.known || t.left {
-		t.retire(t.last, t.left)
+		t.retire(retired{id: t.last.ID, sequence: t.last.Sequence, deregistered: t.left, excluded: endProven})
 	}
-	t.firstSeen, t.left, t.successor = now, false, successor{}
+	t.removeClaim(a)
+	t.unverified, t.identified = !t.known, false
+	t.firstSeen, t.left = now, false
 	t.assumeCold(now)
 	t.sawFirstAnnouncement = a.Sequence == firstSequence
 }
@@ -126,19 +146,20 @@
 	return t.classifyBySequence(a), nil
 }
 
-// classifyByName orders incarnations that do not report their start. A replaced name stays rejected, since its
-// announcements may be delayed; it is accepted again only when its successor is silent and its sequence continues.
+// classifyByName orders incarnations that do not report their start. A name that is not the current one has to be confirmed by
+// a health check, since its announcements may be delayed. One that a health check has excluded stays rejected while the current one
+// reports.
 func (t *target) classifyByName(now time.Time, a announcement.Announcement, silenceTimeout time.Duration) (announcementEffect, error) {
 	if t.last.ID == a.ID && (t.known || t.left) {
 		return t.classifyBySequence(a), nil
 	}
 	silent := now.Sub(t.lastSeen) > silenceTimeout
 	for _, r := range t.retired {
-		if r.id == a.ID && (r.left || !silent || a.Sequence <= r.sequence) {
+		if r.id == a.ID && (r.deregistered || r.excluded && !silent || a.Sequence <= r.sequence) {
 			return outdated, &announcement.Rejection{Reason: announcement.EarlierIncarnation}
 		}
 	}
-	if t.ended || !t.known || silent || t.recordSuccessor(now, a, silenceTimeout/confirmationPart) {
+	if t.ended || !t.known || t.recordClaim(now, a, silenceTimeout) {
 		return newIncarnation, nil
 	}
 	return outdated, &announcement.Rejection{Reason: announcement.UnconfirmedIncarnation}
@@ -151,21 +172,26 @@
 	return sameIncarnation
 }
 
-func (t *target) retire(a announcement.Announcement, left bool) {
-	t.retired = append(t.retired, retired{id: a.ID, sequence: a.Sequence, left: left})
+func (t *target) retire(r retired) {
+	t.retired = append(t.retired, r)
 	if len(t.retired) > maxRetired {
 		t.retired = t.retired[1:]
 	}
 }
 
-// state returns the target's state as announced to the balancers.
+// leaves reports whether the current process has said that it drains or ends.
+func (t *target) leaves() bool { return t.left || t.last.State == announcement.Draining }
+
+// state returns the target's state as announced to the balancers. While two processes claim to be the running one, it is leaving
+// if either says so.
 func (t *target) state(now time.Time, silenceTimeout time.Duration) dsrpb.State {
+	silent := now.Sub(t.lastSeen) > silenceTimeout
 	switch {
 	case !t.known:
 		return dsrpb.State_STATE_ABSENT
-	case t.left, t.last.State == announcement.Draining:
+	case t.leaves(), t.hasClaim(now, silenceTimeout, announcement.Draining):
 		return dsrpb.State_STATE_LEAVING
-	case now.Sub(t.lastSeen) > silenceTimeout:
+	case t.unverified, t.notReady, silent && !t.hasClaim(now, silenceTimeout, announcement.Ready):
 		return dsrpb.State_STATE_ABSENT
 	}
 	return dsrpb.State_STATE_READY
--- a/pkg/dsr/ownership/target_end.go
+++ b/pkg/dsr/ownership/target_end.go
@@ -18,7 +18,8 @@
 	}
 	if !t.known || t.last.ID != f.ID {
 		// This agent does not know the incarnation: its announcements may still arrive.
-		t.retire(announcement.Announcement{ID: f.ID}, true)
+		t.retire(retired{id: f.ID, deregistered: true})
+		t.removeClaim(announcement.Announcement{ID: f.ID, StartedMs: f.StartedMs})
 		return nil
 	}
 	t.left = true
--- a/pkg/dsrd/agent.go
+++ b/pkg/dsrd/agent.go
@@ -45,11 +45,11 @@
 	// table and the fields below are guarded by node.mu.
 	table   *ownership.Table
 	probing bool
-	// checkingEnd is set while a target that has deregistered is checked for its end, runsOn is the last one that was found
-	// running. healthPath is the path of the target's health check, empty until a balancer has named it.
-	checkingEnd bool
-	runsOn      string
-	healthPath  string
+	// checking is set while health checks are sent to tell which process of the target runs, runsOn is the last one that was found
+	// running after its deregistration. healthPath is the path of the health check, empty until a balancer has named it.
+	checking   bool
+	runsOn     string
+	healthPath string
 	// lastSeen is when a message of any balancer was last received.
 	lastSeen time.Time
 	// state is the last logged state of the target.
@@ -218,7 +218,7 @@
 		// The message refers to the receive buffer.
 		a.healthPath = strings.Clone(r.HealthPath)
 	}
-	a.checkTargetEnd()
+	a.awaitProof()
 	if a.probing || !a.mayProbe(now) {
 		return
 	}
--- a/pkg/dsrd/agent_probe.go
+++ b/pkg/dsrd/agent_probe.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"syscall"
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/wait"
@@ -32,49 +30,19 @@
 func (a *Agent) probe(ctx context.Context, path string) {
 	var err error
 	for range int(probeWindow / minProbeInterval) {
-		if err = a.probeOnce(ctx, path); err == nil {
-			return
-		}
+		err = a.checkTarget(ctx, path, probeTimeout)
 		now := time.Now()
 		a.mu.Lock()
-		a.recordRefusedProbe(now, err)
 		keepProbing := a.mayProbe(now)
 		a.mu.Unlock()
 		if !keepProbing || wait.For(ctx, max(minProbeInterval, now.Sub(a.started)/probeSlowdown)) != nil {
 			break
 		}
 	}
-	a.log.Info().Err(err).Str("op", "probe").Stringer("peer", a.target).Msg("no health check of the target succeeded")
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.probing = false
-}
-
-// recordRefusedProbe records that no process listens at the target's address, so that the target holds no flow. a.mu is
-// held.
-func (a *Agent) recordRefusedProbe(now time.Time, err error) {
-	if !errors.Is(err, syscall.ECONNREFUSED) || !a.table.TargetNotRunning(time.Now()) {
-		return
-	}
-	a.log.Warn().Err(err).Str("op", "probe").Stringer("peer", a.target).Msg("the target is not running and holds no flow")
-	a.announceNow(now)
-}
-
-func (a *Agent) probeOnce(ctx context.Context, path string) error {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	n, err := a.platform.Probe(ctx, a.target, path)
-	if err != nil {
-		return err
-	}
-	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.probing = false
-	if a.table.Probed(now, n.ID, n.StartedMs) {
-		a.log.Warn().Str("op", "target-state").Str("target", n.ID).Stringer("state", a.table.State(now)).Msg("target is ready according to its health check")
-		a.state = a.table.State(now)
-		a.announceNow(now)
+	if !a.table.TargetKnown() {
+		a.log.Info().Err(err).Str("op", "probe").Stringer("peer", a.target).Msg("no health check of the target succeeded")
 	}
-	return nil
 }
--- a/pkg/dsrd/agent_target.go
+++ b/pkg/dsrd/agent_target.go
@@ -1,23 +1,29 @@
 package dsrd
 
 import (
-	"context"
 	"strconv"
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/announcement"
 )
 
-// Announce implements Targets. A health check decides about a process that the agent has not heard of while another one may
-// run: its report may be a late one of an earlier process.
+// Announce implements Targets. A health check decides about a process that the agent has not heard of: its report may be a late one
+// of an earlier process.
 func (a *Agent) Announce(n announcement.Announcement) error {
 	err := a.applyReport(n)
-	if !announcement.IsUnconfirmed(err) || !a.confirmTarget() {
+	if !a.isDoubtful(err) || !a.confirmTarget(n.ID) {
 		return err
 	}
 	return a.applyReport(n)
 }
 
+// isDoubtful reports whether a health check has to tell whether a report is of the running process.
+func (a *Agent) isDoubtful(err error) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return announcement.IsUnconfirmed(err) || err == nil && a.table.AwaitsProof(time.Now())
+}
+
 // applyReport applies a report of the target.
 func (a *Agent) applyReport(n announcement.Announcement) error {
 	now := time.Now()
@@ -25,7 +31,7 @@
 	defer a.mu.Unlock()
 	before := a.table.State(now)
 	notify, err := a.table.Announce(now, n)
-	a.checkTargetEnd()
+	a.awaitProof()
 	if err != nil || !notify {
 		return err
 	}
@@ -39,26 +45,26 @@
 	return nil
 }
 
-// confirmTarget asks by a health check which process runs, and reports whether it was told.
-func (a *Agent) confirmTarget() bool {
+// confirmTarget asks by a health check which process runs after a report of the named one, and reports whether it was told.
+func (a *Agent) confirmTarget(reported string) bool {
 	a.mu.Lock()
 	path := a.healthPath
 	a.mu.Unlock()
 	if path == "" {
+		a.log.Warn().Str("op", "target-state").Str("from", reported).Msg("the path of the health check that says which process of the target runs is not known")
 		return false
 	}
-	ctx, cancel := context.WithTimeout(a.runCtx, probeTimeout)
-	defer cancel()
-	n, err := a.platform.Probe(ctx, a.target, path)
+	err := a.checkTarget(a.runCtx, path, probeTimeout)
 	a.scope.Tagged(map[string]string{"answered": strconv.FormatBool(err == nil)}).Counter("dsr_target_confirmations").Inc(1)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	line := a.log.Warn().Err(err).Str("op", "target-state").Stringer("peer", a.target).Str("from", reported).
+		Str("target", a.table.TargetIncarnation().ID).Stringer("state", a.table.State(time.Now()))
 	if err != nil {
-		a.log.Warn().Err(err).Str("op", "target-state").Stringer("peer", a.target).Msg("no health check says which process of the target runs")
+		line.Msg("no health check says which process of the target runs")
 		return false
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.table.HealthChecked(n.ID)
-	a.log.Warn().Str("op", "target-state").Str("target", n.ID).Msg("a health check says which process of the target runs")
+	line.Msg("a health check has decided about a report")
 	return true
 }
 
@@ -73,7 +79,7 @@
 	a.log.Warn().Str("op", "target-left").Str("target", f.ID).Uint64("born", f.StartedMs).Int("flows", a.table.Flows()).
 		Msg("the target has deregistered")
 	a.announceNow(now)
-	a.checkTargetEnd()
+	a.awaitProof()
 	return nil
 }
 
@@ -82,7 +88,7 @@
 	a.log.Warn().Str("op", "target-state").Str("target", a.table.TargetIncarnation().ID).Int("flows", a.table.Flows()).
 		Msg("a target that was not running is heard of again; it keeps its flows")
 	a.announceNow(now)
-	a.checkTargetEnd()
+	a.awaitProof()
 }
 
 // Rejected implements Targets. The log line names the incarnation that stays current, so that an operator sees what
--- a/pkg/dsrd/agent_target_end_test.go
+++ b/pkg/dsrd/agent_target_end_test.go
@@ -27,9 +27,9 @@
 	cfg.PacketAddress, cfg.OutboundAddress, cfg.TargetAddress = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:9"
 	a, err := NewAgent(cfg, Platform{
 		Codec: dsrtest.Codec{},
-		Probe: func(context.Context, netip.AddrPort, string) (announcement.Announcement, error) {
+		Probe: func(context.Context, netip.AddrPort, string) (announcement.HealthCheck, error) {
 			id, err := probe()
-			return announcement.Announcement{ID: id}, err
+			return announcement.HealthCheck{ID: id}, err
 		},
 	}, telemetry.Env{Log: zerolog.Nop(), Scope: tally.NoopScope, Status: new(telemetry.Status)})
 	require.NoError(t, err)
--- a/pkg/dsrd/agent_target_test.go
+++ b/pkg/dsrd/agent_target_test.go
@@ -25,8 +25,10 @@
 		{"none answers", "", errors.New("status 503"), false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			a := checkedAgent(t, func() (string, error) { return c.answers, c.err })
+			answers, err := "i-1", error(nil)
+			a := checkedAgent(t, func() (string, error) { return answers, err })
 			require.NoError(t, a.Announce(report("i-1")))
+			answers, err = c.answers, c.err
 			require.Equal(t, c.accepted, a.Announce(report("i-2")) == nil)
 		})
 	}
--- a/pkg/dsrd/platform.go
+++ b/pkg/dsrd/platform.go
@@ -42,6 +42,7 @@
 	ReadyHandler func(ready func() error) http.Handler
 	// TargetHandler serves the calls of the target on the same VM.
 	TargetHandler func(t Targets) http.Handler
-	// Probe checks whether the target on the same VM is ready; an error means that it is not, or did not answer.
-	Probe func(ctx context.Context, target netip.AddrPort, path string) (announcement.Announcement, error)
+	// Probe sends a health check to the target on the same VM. An error means that no process has answered with its name; it
+	// wraps syscall.ECONNREFUSED when none listens. The agent sets Began.
+	Probe func(ctx context.Context, target netip.AddrPort, path string) (announcement.HealthCheck, error)
 }
