Agents: neither a start time nor a known name proves that a process runs

Callers saw a target that took no requests although it ran: its clock had been set back before its process started, and the agent rejected each of its reports as one of an earlier process, until its clock had passed the start of the one before. A late report of the known process after a silence, and one with a later start, could also bring new flows to a target that leaves.

A message decided which process runs: here the start that it names, or that its name is the known one. And what a process had reported was forgotten when another message replaced it.

Ruled out: to believe the start that arrived last. A late report would then replace the running process.

Change: an earlier start, a report after three silent intervals and a deregistration of an unknown process each lead to a health check. A later start takes over at once as before, but gets no new flows before a check where the process before it leaves or is not ready. A process that comes back keeps its last report and the time when it was first seen. A process that has deregistered stays so after its agent's restart.

Cost: one health check for each such report.

--- a/pkg/dsr/ownership/claim.go
+++ b/pkg/dsr/ownership/claim.go
@@ -27,6 +27,9 @@
 	// since then.
 	since   time.Time
 	reports int
+	// earlier is set when the process says that it has started before the current one: it has ended, unless a clock was set back.
+	// What it says counts while the current one is in doubt too.
+	earlier bool
 }
 
 // recordClaim records a report of a process that is not the current one, and reports whether the process replaces the current one
@@ -42,6 +45,7 @@
 		c.since, c.reports = now, 0
 	}
 	c.last, c.lastSeen = a, now
+	c.earlier = a.StartedMs != 0 && a.StartedMs < t.last.StartedMs
 	c.reports++
 	silent := now.Sub(t.lastSeen) > silenceTimeout
 	return silent && c.reports >= uncheckedReports && now.Sub(c.since) >= silenceTimeout/uncheckedPart
@@ -77,19 +81,21 @@
 		if c.lastSeen.After(began) {
 			return false
 		}
-		t.retire(retired{id: c.last.ID, sequence: c.last.Sequence, excluded: true})
+		t.retire(retired{last: c.last, firstSeen: c.since, lastSeen: c.lastSeen, excluded: true})
 		return true
 	})
 }
 
 // hasClaim reports whether a process that may be the running one has lately reported a state.
 func (t *target) hasClaim(now time.Time, silenceTimeout time.Duration, s announcement.State) bool {
-	return slices.ContainsFunc(t.claims, func(c claim) bool { return c.last.State == s && now.Sub(c.lastSeen) <= silenceTimeout })
+	return slices.ContainsFunc(t.claims, func(c claim) bool {
+		return c.last.State == s && (!c.earlier || t.unverified) && now.Sub(c.lastSeen) <= silenceTimeout
+	})
 }
 
 // contested reports whether a process that may have replaced the current one has lately reported.
 func (t *target) contested(now time.Time, silenceTimeout time.Duration) bool {
-	return t.hasClaim(now, silenceTimeout, announcement.Ready) || t.hasClaim(now, silenceTimeout, announcement.Draining)
+	return slices.ContainsFunc(t.claims, func(c claim) bool { return now.Sub(c.lastSeen) <= silenceTimeout })
 }
 
 // sameProcess reports whether a report is of the process with the given name and start. A start of 0 is not known.
--- a/pkg/dsr/ownership/health_check.go
+++ b/pkg/dsr/ownership/health_check.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"slices"
 	"time"
 
 	"github.com/auburnwood/auburnwood/pkg/dsr/announcement"
@@ -28,12 +29,19 @@
 
 // AwaitsProof reports whether a health check is needed to tell which process of the target runs.
 func (t *Table) AwaitsProof(now time.Time) bool {
-	return t.target.known && (t.target.unverified && !t.target.leaves() || t.target.contested(now, t.silenceTimeout()))
+	return t.target.known && t.target.isDoubtful() || t.target.contested(now, t.silenceTimeout())
 }
 
+// isDoubtful reports whether another process than the current one may run. It does not matter of the first one that is heard of when
+// that leaves.
+func (t *target) isDoubtful() bool { return t.unverified && !(t.leaves() && len(t.retired) == 0) }
+
 // checked applies an answer to a health check. A process that has reported since the check was started may have started since
 // then: the answer decides nothing about it.
 func (t *target) checked(now time.Time, n announcement.HealthCheck, service string) announcementEffect {
+	if t.isAmbiguous(n) {
+		return outdated
+	}
 	if t.last.ID == "" || !sameProcess(t.last, n.ID, n.StartedMs) {
 		if t.known && t.lastSeen.After(n.Began) {
 			return outdated
@@ -49,16 +57,26 @@
 	return sameIncarnation
 }
 
+// isAmbiguous reports whether an answer without a start names several processes that share their name.
+func (t *target) isAmbiguous(n announcement.HealthCheck) bool {
+	shared := func(c claim) bool { return c.last.ID == n.ID && c.last.StartedMs != 0 }
+	return n.StartedMs == 0 && t.last.ID == n.ID && slices.ContainsFunc(t.claims, shared)
+}
+
 // replace makes the process that has answered a health check the current one, with its newest report if there is one.
 func (t *target) replace(now time.Time, n announcement.HealthCheck, service string) {
-	a, at := announcement.Announcement{ID: n.ID, StartedMs: n.StartedMs, Service: service, Slots: AssumedSlots}, now
-	if c := t.claimOf(a); c != nil {
-		a, at = c.last, c.lastSeen
+	a := announcement.Announcement{ID: n.ID, StartedMs: n.StartedMs, Service: service, Slots: AssumedSlots}
+	r, known := t.heardOf(a)
+	if !known {
+		r = retired{last: a, firstSeen: now}
+	}
+	if r.last.Sequence < firstSequence {
+		r.lastSeen = now
 	}
-	deregistered := t.hasDeregistered(n.ID)
+	a = r.last
 	t.begin(now, a, true)
-	t.record(at, a)
-	t.left = deregistered
+	t.record(r.lastSeen, a)
+	t.firstSeen = r.firstSeen
 	t.notReady = a.Sequence < firstSequence && !n.Ready
 	t.identify(n)
 }
@@ -68,13 +86,3 @@
 	t.identified, t.unverified = true, false
 	t.excludeClaims(n.Began)
 }
-
-// hasDeregistered reports whether a process that is not the current one has deregistered.
-func (t *target) hasDeregistered(id string) bool {
-	for _, r := range t.retired {
-		if r.id == id && r.deregistered {
-			return true
-		}
-	}
-	return false
-}
--- a/pkg/dsr/ownership/health_check_test.go
+++ b/pkg/dsr/ownership/health_check_test.go
@@ -122,3 +122,56 @@
 	require.Equal(t, leaving, f.table.State(f.now))
 	require.True(t, f.table.AwaitsTargetEnd())
 }
+
+// A process whose clock was set back before its start was rejected as an earlier one for good.
+func TestAProcessWhoseClockWasSetBackIsUsed(t *testing.T) {
+	f := newFixture(t, Config{})
+	f.apply(report("i", startSecond, 40, announcement.Ready))
+	_, err := f.table.Announce(f.now, report("i", startFirst, 1, announcement.Ready))
+	require.Error(t, err, "it may be a late report")
+	require.True(t, f.table.AwaitsProof(f.now))
+	require.True(t, f.table.HealthChecked(f.now, announcement.HealthCheck{ID: "i", StartedMs: startFirst, Ready: true, Began: f.now}))
+	f.apply(report("i", startFirst, 2, announcement.Draining))
+	require.Equal(t, leaving, f.table.State(f.now))
+	require.EqualValues(t, startFirst, f.table.TargetIncarnation().StartedMs)
+	_, err = f.table.Announce(f.now, report("i", startSecond, 41, announcement.Ready))
+	require.Error(t, err, "a health check has excluded it")
+	require.Equal(t, leaving, f.table.State(f.now))
+}
+
+// An answer without a start cannot tell two processes of one name apart.
+func TestAHealthCheckWithoutAStartDecidesNothingBetweenProcessesOfOneName(t *testing.T) {
+	f := newFixture(t, Config{})
+	f.apply(report("i", startSecond, 40, announcement.Ready))
+	_, err := f.table.Announce(f.now, report("i", startFirst, 1, announcement.Ready))
+	require.Error(t, err)
+	require.False(t, f.check("i", true, f.now))
+	require.True(t, f.table.AwaitsProof(f.now))
+	require.EqualValues(t, startSecond, f.table.TargetIncarnation().StartedMs)
+}
+
+// A process that had been silent was taken for the running one again on a late report, while another one ran that leaves.
+func TestALateReportAfterASilenceIsChecked(t *testing.T) {
+	f := newFixture(t, Config{})
+	f.now = f.now.Add(5 * time.Second)
+	require.NoError(t, f.table.TargetLeft(f.now, announcement.Deregistration{ID: "i-2"}))
+	require.True(t, f.table.AwaitsProof(f.now), "a process that the agent does not know has run")
+	f.beat++
+	_, err := f.table.Announce(f.now, report("i-1", 0, f.beat, announcement.Ready))
+	require.NoError(t, err)
+	require.Equal(t, absent, f.table.State(f.now))
+	f.check("i-2", true, f.now)
+	require.Equal(t, leaving, f.table.State(f.now))
+}
+
+// What a process had reported was forgotten when a late report replaced it.
+func TestAProcessThatComesBackKeepsWhatItHasReported(t *testing.T) {
+	f := newFixture(t, Config{})
+	f.apply(report("i", startFirst, 4, announcement.Draining))
+	_, err := f.table.Announce(f.now, report("i", startSecond, 1, announcement.Ready))
+	require.NoError(t, err)
+	require.Equal(t, absent, f.table.State(f.now), "the one before drains, and may run")
+	f.table.HealthChecked(f.now, announcement.HealthCheck{ID: "i", StartedMs: startFirst, Ready: true, Began: f.now})
+	require.Equal(t, leaving, f.table.State(f.now))
+	require.EqualValues(t, 4, f.table.TargetIncarnation().Sequence)
+}
--- a/pkg/dsr/ownership/incarnation.go
+++ b/pkg/dsr/ownership/incarnation.go
@@ -66,7 +66,7 @@
 // TargetLeft applies the deregistration of a target's process, which takes no new flows from now on. The error is an
 // *announcement.Rejection.
 func (t *Table) TargetLeft(now time.Time, f announcement.Deregistration) error {
-	if err := t.target.deregister(f); err != nil {
+	if err := t.target.deregister(now, f); err != nil {
 		return err
 	}
 	t.returnQueuedUnlessReady(now)
--- a/pkg/dsr/ownership/table.go
+++ b/pkg/dsr/ownership/table.go
@@ -138,9 +138,7 @@
 }
 
 // TargetKnown reports whether a running incarnation of the target is known, and whether it is ready or leaves.
-func (t *Table) TargetKnown() bool {
-	return t.target.known && !t.target.unverified && !t.target.notReady
-}
+func (t *Table) TargetKnown() bool { return t.target.mayBeReady() }
 
 // Busy is the number of requests that the target works on or has queued, as far as its packets show.
 func (t *Table) Busy() int { return t.busy + t.queue.Len() }
--- a/pkg/dsr/ownership/target.go
+++ b/pkg/dsr/ownership/target.go
@@ -53,10 +53,12 @@
 	ended bool
 	// refusedAt is when a refused connection showed that, zero once the next process has announced itself.
 	refusedAt time.Time
-	// retired are earlier incarnations that do not report their start, the latest last.
+	// retired are earlier incarnations, the latest last.
 	retired []retired
-	// unverified is set while nothing but one report, which may be late, says that the current process runs.
-	unverified bool
+	// unverified is set while nothing but one report, which may be late, says that the current process runs. Withheld is set when
+	// it gets no new flows until then: no process was ready before it. DoubtedAt is when that began.
+	unverified, withheld bool
+	doubtedAt            time.Time
 	// identified is set once the current process has answered a health check.
 	identified bool
 	// notReady is set while the current process has answered a health check as not ready and has not reported.
@@ -65,31 +67,31 @@
 	claims []claim
 }
 
-// retired is an earlier incarnation.
-type retired struct {
-	id string
-	// sequence is the number of its last announcement; deregistered is set when it has deregistered, excluded when a health
-	// check has shown that it had ended.
-	sequence               uint64
-	deregistered, excluded bool
-}
-
 // receive applies an announcement. A rejected one returns an *announcement.Rejection and changes nothing.
 func (t *target) receive(now time.Time, a announcement.Announcement, silenceTimeout time.Duration) (announcementEffect, error) {
 	n, err := t.classify(now, a, silenceTimeout)
 	if err != nil || n == outdated {
 		return outdated, err
 	}
-	if n == newIncarnation {
+	switch {
+	case n == newIncarnation:
 		t.begin(now, a, false)
-	}
-	if n == sameIncarnation && now.Sub(t.firstSeen) >= silenceTimeout/repeatedPart {
+	case now.Sub(t.lastSeen) > silenceTimeout:
+		// Another process may have taken its place meanwhile, and the report be a late one.
+		t.doubt(now, true)
+	case now.Sub(t.doubtedAt) >= silenceTimeout/repeatedPart:
 		t.unverified = false
 	}
 	t.record(now, a)
 	return n, nil
 }
 
+// doubt begins to doubt that the current process runs. It may withhold new flows until that is known.
+func (t *target) doubt(now time.Time, withhold bool) {
+	t.withheld = withhold || t.unverified && t.withheld
+	t.unverified, t.doubtedAt = true, now
+}
+
 // record takes over what the current process has reported at a time.
 func (t *target) record(at time.Time, a announcement.Announcement) {
 	t.known, t.last, t.lastSeen, t.ended, t.notReady = true, a, at, false, false
@@ -101,11 +103,14 @@
 // begin records that another incarnation has replaced the last one, whose end a health check may have proven.
 func (t *target) begin(now time.Time, a announcement.Announcement, endProven bool) {
 	if t.known || t.left {
-		t.retire(retired{id: t.last.ID, sequence: t.last.Sequence, deregistered: t.left, excluded: endProven})
+		t.retire(retired{last: t.last, firstSeen: t.firstSeen, lastSeen: t.lastSeen, deregistered: t.left, excluded: endProven})
 	}
 	t.removeClaim(a)
-	t.unverified, t.identified = !t.known, false
-	t.firstSeen, t.left = now, false
+	withhold := t.leaves() || !t.mayBeReady()
+	t.unverified, t.identified = false, false
+	t.doubt(now, withhold)
+	t.firstSeen, t.left = now, t.hasDeregistered(a)
+	t.unretire(a)
 	t.assumeCold(now)
 	t.sawFirstAnnouncement = a.Sequence == firstSequence
 }
@@ -121,7 +126,7 @@
 	case t.last.ID == "":
 		return newIncarnation, nil
 	case a.StartedMs != 0 && t.last.StartedMs != 0:
-		return t.classifyByStart(a)
+		return t.classifyByStart(now, a, silenceTimeout)
 	case t.last.StartedMs != 0:
 		return outdated, &announcement.Rejection{Reason: announcement.UnknownIncarnation}
 	case a.StartedMs != 0 && a.ID == t.last.ID && t.known:
@@ -133,13 +138,17 @@
 	return t.classifyByName(now, a, silenceTimeout)
 }
 
-// classifyByStart orders two incarnations that both report their start.
-func (t *target) classifyByStart(a announcement.Announcement) (announcementEffect, error) {
+// classifyByStart orders two incarnations that both report their start. One with an earlier start may have replaced the other after
+// a clock was set back: a health check decides.
+func (t *target) classifyByStart(now time.Time, a announcement.Announcement, silenceTimeout time.Duration) (announcementEffect, error) {
+	earlier := &announcement.Rejection{Reason: announcement.EarlierIncarnation}
 	switch {
-	case a.StartedMs > t.last.StartedMs:
+	case a.StartedMs != t.last.StartedMs && t.hasEnded(now, a, silenceTimeout):
+		return outdated, earlier
+	case a.StartedMs > t.last.StartedMs, a.StartedMs < t.last.StartedMs && t.recordClaim(now, a, silenceTimeout):
 		return newIncarnation, nil
 	case a.StartedMs < t.last.StartedMs, !t.known && !t.left:
-		return outdated, &announcement.Rejection{Reason: announcement.EarlierIncarnation}
+		return outdated, earlier
 	case a.ID != t.last.ID:
 		return outdated, &announcement.Rejection{Reason: announcement.UnknownIncarnation}
 	}
@@ -153,11 +162,8 @@
 	if t.last.ID == a.ID && (t.known || t.left) {
 		return t.classifyBySequence(a), nil
 	}
-	silent := now.Sub(t.lastSeen) > silenceTimeout
-	for _, r := range t.retired {
-		if r.id == a.ID && (r.deregistered || r.excluded && !silent || a.Sequence <= r.sequence) {
-			return outdated, &announcement.Rejection{Reason: announcement.EarlierIncarnation}
-		}
+	if t.hasEnded(now, a, silenceTimeout) {
+		return outdated, &announcement.Rejection{Reason: announcement.EarlierIncarnation}
 	}
 	if t.ended || !t.known || t.recordClaim(now, a, silenceTimeout) {
 		return newIncarnation, nil
@@ -172,12 +178,8 @@
 	return sameIncarnation
 }
 
-func (t *target) retire(r retired) {
-	t.retired = append(t.retired, r)
-	if len(t.retired) > maxRetired {
-		t.retired = t.retired[1:]
-	}
-}
+// mayBeReady reports whether a process is known that is ready if it does not leave.
+func (t *target) mayBeReady() bool { return t.known && !t.notReady && !(t.unverified && t.withheld) }
 
 // leaves reports whether the current process has said that it drains or ends.
 func (t *target) leaves() bool { return t.left || t.last.State == announcement.Draining }
@@ -191,7 +193,7 @@
 		return dsrpb.State_STATE_ABSENT
 	case t.leaves(), t.hasClaim(now, silenceTimeout, announcement.Draining):
 		return dsrpb.State_STATE_LEAVING
-	case t.unverified, t.notReady, silent && !t.hasClaim(now, silenceTimeout, announcement.Ready):
+	case !t.mayBeReady(), silent && !t.hasClaim(now, silenceTimeout, announcement.Ready):
 		return dsrpb.State_STATE_ABSENT
 	}
 	return dsrpb.State_STATE_READY
--- a/pkg/dsr/ownership/target_end.go
+++ b/pkg/dsr/ownership/target_end.go
@@ -7,19 +7,26 @@
 )
 
 // deregister records that an incarnation has announced its end. A deregistration of an earlier incarnation is rejected.
-func (t *target) deregister(f announcement.Deregistration) error {
+func (t *target) deregister(now time.Time, f announcement.Deregistration) error {
 	if err := t.checkDeregistration(f); err != nil {
 		return err
 	}
 	if f.StartedMs > t.last.StartedMs && (t.last.StartedMs != 0 || t.last.ID == "") {
 		// This incarnation has sent no announcement to this agent; later reports of earlier ones are outdated.
+		if t.known {
+			t.retire(retired{last: t.last, firstSeen: t.firstSeen, lastSeen: t.lastSeen})
+		}
 		t.known, t.left, t.last = false, true, announcement.Announcement{ID: f.ID, StartedMs: f.StartedMs}
 		return nil
 	}
 	if !t.known || t.last.ID != f.ID {
 		// This agent does not know the incarnation: its announcements may still arrive.
-		t.retire(retired{id: f.ID, deregistered: true})
-		t.removeClaim(announcement.Announcement{ID: f.ID, StartedMs: f.StartedMs})
+		if t.known {
+			t.doubt(now, false)
+		}
+		named := announcement.Announcement{ID: f.ID, StartedMs: f.StartedMs}
+		t.retire(retired{last: named, deregistered: true})
+		t.removeClaim(named)
 		return nil
 	}
 	t.left = true
--- a/pkg/dsrd/agent_target.go
+++ b/pkg/dsrd/agent_target.go
@@ -21,7 +21,7 @@
 func (a *Agent) isDoubtful(err error) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return announcement.IsUnconfirmed(err) || err == nil && a.table.AwaitsProof(time.Now())
+	return announcement.IsUnconfirmed(err) || a.table.AwaitsProof(time.Now())
 }
 
 // applyReport applies a report of the target.
