Soak: reports of processes that have ended arrive late

Targets answer health checks with their name and start also while they drain, as the platform's do; before, they named themselves only while they were ready.

--- a/internal/lab/command/soak.go
+++ b/internal/lab/command/soak.go
@@ -13,7 +13,7 @@
 	Length    time.Duration `long:"length" default:"30s" description:"How long faults are made"`
 	KillAll   time.Duration `long:"kill-all-after" value-name:"TIME" description:"Instead of random faults, kill all daemons so long after their first start"`
 	KillAgain time.Duration `long:"kill-all-again-after" value-name:"TIME" description:"Kill all daemons again so long after their return"`
-	Changes   bool          `long:"changes" description:"Also move a route between the services, and let targets run on after their deregistration"`
+	Changes   bool          `long:"changes" description:"Also move a route between the services, and let targets run on after their deregistration and reports of ended ones arrive late"`
 	Balancers int           `long:"balancers" default:"4" description:"Number of balancers"`
 	Targets   int           `long:"targets" default:"9" description:"Number of targets, each with its agent"`
 	Rate      int           `long:"rate" default:"40" description:"New flows a second"`
--- a/internal/lab/soak/options.go
+++ b/internal/lab/soak/options.go
@@ -17,8 +17,8 @@
 	KillAllAfter time.Duration
 	// KillAllAgainAfter, if not 0, is the time from the return of the killed daemons until all are killed a second time.
 	KillAllAgainAfter time.Duration
-	// Changes adds changes to the random faults: the route of one address moves between the services, and targets run on after
-	// their deregistration, as if they had got no answer to it.
+	// Changes adds changes to the random faults: the route of one address moves between the services, targets run on after
+	// their deregistration, as if they had got no answer to it, and reports of processes that have ended arrive late.
 	Changes bool
 	// Balancers and Targets are the numbers of VMs; a third of the targets belong to the second service.
 	Balancers int
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -33,6 +33,7 @@
 	seedWriters
 	seedRestores
 	seedLeaving
+	seedLateReports
 )
 
 // Run starts the installation, injects faults for o.Length and checks the guarantees of the daemons. An error is a
@@ -127,6 +128,7 @@
 	f := &faults{w: w, random: w.random, script: note}
 	if w.o.Changes {
 		background.Go(func() { f.leaveLate(during, rand.New(rand.NewPCG(w.o.Seed, seedLeaving))) })
+		background.Go(func() { f.reportLate(during, rand.New(rand.NewPCG(w.o.Seed, seedLateReports))) })
 	}
 	if w.o.KillAllAfter > 0 {
 		f.killAllOnSchedule(during)
--- a/internal/lab/soak/target.go
+++ b/internal/lab/soak/target.go
@@ -54,11 +54,13 @@
 	draining  bool
 	// drainAcknowledged is when the agent first acknowledged a draining heartbeat.
 	drainAcknowledged time.Time
-	sequence          uint64
-	incarnations      int
-	next              uint32
-	busy              int
-	flows             map[netip.AddrPort]*flowState
+	// earlier are reports of processes that have ended, which may arrive late.
+	earlier      []announcement.Announcement
+	sequence     uint64
+	incarnations int
+	next         uint32
+	busy         int
+	flows        map[netip.AddrPort]*flowState
 }
 
 // flowState is the state of one flow at a target.
@@ -82,6 +84,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.incarnations++
+	if t.name != "" {
+		t.earlier = append(t.earlier, t.report())
+	}
 	t.packets, t.health = packets, health
 	t.id = fmt.Sprintf("%s-%d", t.service+"-"+t.w.targetAddress(t).Addr().String(), t.incarnations)
 	t.name = t.id
@@ -139,11 +144,11 @@
 	t.stopProcess()
 }
 
-// healthStatus returns what the running process answers to a health check: its name, and whether it does not drain.
-func (t *target) healthStatus() (name string, healthy bool) {
+// healthStatus returns what the running process answers to a health check: it is ready unless it drains.
+func (t *target) healthStatus() announcement.HealthCheck {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.name, !t.draining
+	return announcement.HealthCheck{ID: t.name, StartedMs: t.startedMs, Ready: !t.draining}
 }
 
 // activeName returns the announced name, or "" if the process is down or draining.
@@ -163,17 +168,23 @@
 	return t.alive && t.id == id
 }
 
+// report returns the report of the last process. t.mu is held.
+func (t *target) report() announcement.Announcement {
+	a := announcement.Announcement{
+		ID: t.name, StartedMs: t.startedMs, Service: t.service, Address: t.w.targetAddress(t), Slots: slots, Sequence: t.sequence,
+	}
+	if t.draining {
+		a.State = announcement.Draining
+	}
+	return a
+}
+
 // sendHeartbeats sends heartbeats to the agent until the process with the given ID has ended.
 func (t *target) sendHeartbeats(id string) {
 	for t.isRunning(id) {
 		t.mu.Lock()
 		t.sequence++
-		a := announcement.Announcement{
-			ID: t.name, StartedMs: t.startedMs, Service: t.service, Address: t.w.targetAddress(t), Slots: slots, Sequence: t.sequence,
-		}
-		if t.draining {
-			a.State = announcement.Draining
-		}
+		a := t.report()
 		t.mu.Unlock()
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		err := platformtest.Heartbeat(ctx, t.control, a)
