Balancers: a packet on a flow that counts as queued starts a search for its owner

Cause: a balancer whose flow waits at an agent held every packet of the caller until the agent's message that the flow is open. An agent sends that to the balancer that asked last; to another one it never comes, and a message may be lost.

Evidence: the agent queued the flow for balancer-4, which had been paused, then for balancer-3, and told balancer-3 that it is open 19 ms later. No balancer logged a search, a loss or a refusal of it afterwards; a balancer that holds packets is the only one that logs nothing. TestPacketsOfAFlowThatCountsAsQueuedReachItsTarget fails before: no agent gets any message within a second of the caller's packet. It passes with this change.

Change: a packet other than an opening one or a reset on a flow that counts as queued starts a search, as on a flow that is not known. The agent's message ends it. Cost: eight questions where the message is lost or went elsewhere, else none in the usual order.

--- a/pkg/dsr/dispatch/balancer.go
+++ b/pkg/dsr/dispatch/balancer.go
@@ -211,11 +211,22 @@
 		b.toOwner(now, f, s)
 	case lost, refused:
 		b.search(now, f, s)
+	case queued:
+		b.packetWhileQueued(now, f, s)
 	default:
 		f.hold(s.Raw)
 	}
 }
 
+// packetWhileQueued handles a packet on a flow that waits at an agent, as far as this balancer knows. A target has answered its caller:
+// the agent's message about that was lost, or went to another balancer that had also offered the flow.
+func (b *Balancer) packetWhileQueued(now time.Time, f *flowState, s segment.Segment) {
+	if s.Has(segment.RST) {
+		return
+	}
+	b.search(now, f, s)
+}
+
 // toOwner sends a packet of an open flow to the agent whose target holds it, or searches for that agent.
 func (b *Balancer) toOwner(now time.Time, f *flowState, s segment.Segment) {
 	a, ok := f.ownerOf(s.Acknowledgement)
