Agents: an unanswered check of a target in doubt leaves a log line

Callers saw nothing. Found on reading the change: the checks that an agent repeats while it is in doubt which process of its target runs dropped their errors, so that no log said that, or why, a target stayed in doubt. The checks of a target that has deregistered have their counter as before.

The comment on how announcements are classified still said that a new name is a new process; it says that a health check tells.

No decision changed.

--- a/pkg/dsr/ownership/announcement_effect.go
+++ b/pkg/dsr/ownership/announcement_effect.go
@@ -18,9 +18,9 @@
 	newIncarnation
 )
 
-// classify determines what an announcement means. Incarnations are ordered by their start time, whatever the target's
-// name, and announcements within one by their sequence. A target that never reports its start never reuses a name
-// either: then a new name is a new incarnation.
+// classify determines what an announcement means. Incarnations are ordered by their start time, whatever the target's name, and
+// announcements within one by their sequence. A target that never reports its start never reuses a name either: then another name is
+// another incarnation, and a health check tells which one runs.
 func (t *target) classify(now time.Time, a announcement.Announcement, silenceTimeout time.Duration) (announcementEffect, error) {
 	switch {
 	case t.last.ID == "":
--- a/pkg/dsrd/agent_check.go
+++ b/pkg/dsrd/agent_check.go
@@ -93,8 +93,9 @@
 	a.mu.Lock()
 	awaitsEnd := a.table.AwaitsTargetEnd()
 	a.mu.Unlock()
-	_ = a.checkTarget(ctx, path, timeout)
+	err := a.checkTarget(ctx, path, timeout)
 	if !awaitsEnd {
+		a.log.Info().Err(err).Str("op", "target-state").Stringer("peer", a.target).Msg("the target was checked again, since its process is in doubt")
 		return
 	}
 	a.mu.Lock()
